--- /dev/null
+++ b/crates/guava-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/guava-policy/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions as pure functions: routing, admission, retries, reply order, export and placement.
+//!
+//! Every function takes what is known, however late or partial, and the current moment; none does
+//! I/O or reads a clock. The adapters at the edges carry the decisions out.
+
+mod admission;
+mod export;
+mod load;
+mod placement;
+mod prefix;
+mod reply;
+mod retry;
+mod route;
+
+pub use admission::{
+    AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
+};
+pub use export::{ExportInput, should_export};
+pub use load::{LoadReport, LoadTable, PendingWork, UpstreamLoad};
+pub use placement::{PlacementInput, PlacementMove, plan_afresh, plan_moves};
+pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain, tokens_in};
+pub use reply::{ReplyChunk, ReplyOrder, ReplyStep};
+pub use retry::RetryBudget;
+pub use route::{
+    CandidateCost, ImportOffer, RouteCandidate, RouteDecision, RouteInput, decide_route,
+};
--- /dev/null
+++ b/crates/guava-policy/src/route.rs
@@ -0,0 +1,159 @@
+//! Routing: the upstream with the least weighted cost of waiting, recomputing and importing.
+
+use guava_state::WeightProfile;
+use guava_types::{ByteCount, LinkRate, TokenCount, TokenRate, UpstreamId};
+use std::fmt;
+
+/// Candidates this close to the best, as a share of its cost, are as good as the best.
+const NEAR_BEST: f64 = 0.10;
+/// Cost that is always as good as equal, in milliseconds of first token.
+const NEAR_BEST_MS: f64 = 2.0;
+/// Fixed time of an import beyond its bytes, in milliseconds.
+const IMPORT_SETUP_MS: f64 = 3.0;
+/// Extra wait for each request that finds no free slot, in milliseconds.
+const SLOT_WAIT_MS: f64 = 100.0;
+
+/// A sealed block that could be imported.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ImportOffer {
+    /// Tokens that it covers.
+    pub tokens: TokenCount,
+    /// Bytes over the link.
+    pub bytes: ByteCount,
+    /// Throughput of the link.
+    pub rate: LinkRate,
+    /// Bytes already waiting for the link.
+    pub queued: ByteCount,
+}
+
+/// An upstream as the router sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteCandidate {
+    /// Which.
+    pub upstream: UpstreamId,
+    /// Milliseconds before a new request's prefill starts.
+    pub wait_ms: f64,
+    /// Prefill throughput.
+    pub prefill: TokenRate,
+    /// Requests beyond its slots.
+    pub over_slots: u32,
+    /// Tokens of the prompt that it is believed to have cached.
+    pub resident: TokenCount,
+    /// How many times slower than expected it has been.
+    pub slowness: f64,
+}
+
+/// What a decision is made on.
+#[derive(Clone, Debug)]
+pub struct RouteInput<'a> {
+    /// Length of the prompt.
+    pub prompt: TokenCount,
+    /// Upstreams that may take it: right model and version, not leaving.
+    pub candidates: &'a [RouteCandidate],
+    /// The longest sealed block, if any.
+    pub import: Option<&'a ImportOffer>,
+    /// Weights of the measures.
+    pub profile: WeightProfile,
+    /// A random number that spreads equal choices.
+    pub draw: u64,
+}
+
+/// One candidate's cost, for the decision's log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CandidateCost {
+    /// Which.
+    pub upstream: UpstreamId,
+    /// Weighted cost; only comparable within one decision.
+    pub cost: f64,
+    /// Expected time to first token, in milliseconds.
+    pub first_token_ms: f64,
+    /// Whether importing is cheaper than recomputing there.
+    pub import: bool,
+    /// Tokens that will be recomputed there.
+    pub recompute: TokenCount,
+}
+
+impl fmt::Display for CandidateCost {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let import = if self.import { "+import" } else { "" };
+        write!(
+            out,
+            "{}={:.0}({:.0}ms,{}t{import})",
+            self.upstream, self.cost, self.first_token_ms, self.recompute.0
+        )
+    }
+}
+
+/// The router's choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteDecision {
+    /// The chosen candidate.
+    pub chosen: CandidateCost,
+    /// All candidates, cheapest first.
+    pub costs: Vec<CandidateCost>,
+    /// Why, in a word.
+    pub reason: &'static str,
+}
+
+fn weighted(profile: WeightProfile, first_token_ms: f64, recompute: f64, bytes: f64) -> f64 {
+    f64::from(profile.first_token) * first_token_ms
+        + f64::from(profile.recompute) * recompute
+        + f64::from(profile.link) * bytes / 1_024.0
+}
+
+fn cost_of(input: &RouteInput<'_>, candidate: &RouteCandidate) -> CandidateCost {
+    let rate = candidate.prefill.0.max(1) as f64 / 1_000.0;
+    let resident = candidate.resident.0.min(input.prompt.0);
+    let wait = candidate.wait_ms + f64::from(candidate.over_slots) * SLOT_WAIT_MS;
+    let missing = (input.prompt.0 - resident) as f64;
+    let plain_ms = (wait + missing / rate) * candidate.slowness;
+    let plain = weighted(input.profile, plain_ms, missing, 0.0);
+    let mut cost = CandidateCost {
+        upstream: candidate.upstream.clone(),
+        cost: plain,
+        first_token_ms: plain_ms,
+        import: false,
+        recompute: TokenCount(missing as u64),
+    };
+    let Some(offer) = input.import.filter(|offer| offer.tokens.0 > resident) else { return cost };
+    let link = offer.rate.0.max(1) as f64 / 1_000.0;
+    // The import of one request overlaps with the prefill of those before it.
+    let import_ms = IMPORT_SETUP_MS + (offer.bytes.0 + offer.queued.0) as f64 / link;
+    let left = input.prompt.0.saturating_sub(offer.tokens.0) as f64;
+    let imported_ms = (wait.max(import_ms) + left / rate) * candidate.slowness;
+    let imported = weighted(input.profile, imported_ms, left, offer.bytes.0 as f64);
+    if imported < plain {
+        cost.cost = imported;
+        cost.first_token_ms = imported_ms;
+        cost.import = true;
+        cost.recompute = TokenCount(left as u64);
+    }
+    cost
+}
+
+fn reason_for(decision: &CandidateCost, near: usize, prompt: TokenCount) -> &'static str {
+    if decision.import {
+        "import"
+    } else if decision.recompute.0 * 2 < prompt.0 {
+        "resident"
+    } else if near > 1 {
+        "spread"
+    } else {
+        "least-cost"
+    }
+}
+
+/// Chooses an upstream; nothing if there is no candidate.
+pub fn decide_route(input: &RouteInput<'_>) -> Option<RouteDecision> {
+    let mut costs: Vec<CandidateCost> =
+        input.candidates.iter().map(|candidate| cost_of(input, candidate)).collect();
+    costs.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+    let best = costs.first()?.cost;
+    let slack = NEAR_BEST_MS * f64::from(input.profile.first_token.max(1));
+    let limit = best * (1.0 + NEAR_BEST) + slack;
+    let near = costs.iter().take_while(|cost| cost.cost <= limit).count().max(1);
+    let index = usize::try_from(input.draw % near as u64).unwrap_or(0);
+    let chosen = costs.get(index)?.clone();
+    let reason = reason_for(&chosen, near, input.prompt);
+    Some(RouteDecision { chosen, costs, reason })
+}
--- /dev/null
+++ b/crates/guava-state/src/lib.rs
@@ -0,0 +1,26 @@
+//! The state that all daemons share, folded from the platform's log by one pure reducer.
+//!
+//! Nothing here reads a clock or does I/O: every daemon that has folded the same offsets holds the
+//! same state, whatever its data centre or its start.
+
+mod freshness;
+mod intents;
+mod lease;
+mod objects;
+mod record;
+mod reducer;
+mod snapshot;
+
+pub use freshness::{FRESH_FOR_MS, FreshnessInput, FreshnessVerdict, LogSight, PeerSight};
+pub use intents::{HeldIntent, IntentTable, IntentVerdict};
+pub use lease::{CLOCK_MARGIN_MS, LeaseEntry, LeaseWatch};
+pub use objects::{
+    ConfigObject, CustomerSpec, MethodRule, ModelSpec, ObjectError, ObjectKey, ObjectKind,
+    ServiceSpec, StoredObject, UpstreamKind, UpstreamSpec, WeightProfile,
+};
+pub use record::{
+    ChangeRequest, IntentEntry, LeaseRequest, LogRecord, MAX_RECORD_BYTES, MemberEntry, RecordBody,
+    RecordError, SnapshotBody,
+};
+pub use reducer::{ChangeVerdict, FleetState, FoldOutcome, HistoryEntry};
+pub use snapshot::{SnapshotError, restore, snapshot_body, state_digest, state_from_json};
--- /dev/null
+++ b/crates/guava-types/src/ids.rs
@@ -0,0 +1,110 @@
+//! Random and sequential identifiers.
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use snafu::Snafu;
+use std::fmt;
+use std::str::FromStr;
+
+/// Why a text is no identifier.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum IdError {
+    /// Not 32 hexadecimal digits.
+    #[snafu(display("expected 32 hexadecimal digits, found {found:?}"))]
+    NotHex {
+        /// The offending text.
+        found: Box<str>,
+    },
+    /// Not an unsigned number.
+    #[snafu(display("expected an unsigned number, found {found:?}"))]
+    NotNumber {
+        /// The offending text.
+        found: Box<str>,
+    },
+}
+
+macro_rules! random_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(pub u128);
+
+        impl $name {
+            /// A fresh random value.
+            pub fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(out, "{:032x}", self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(out, "{}({:08x})", stringify!($name), self.0 >> 96)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                let not_hex = || IdError::NotHex { found: text.into() };
+                if text.len() != 32 {
+                    return Err(not_hex());
+                }
+                u128::from_str_radix(text, 16).map(Self).map_err(|_| not_hex())
+            }
+        }
+    };
+}
+
+random_id!(
+    /// One start of a daemon; never reused.
+    Incarnation
+);
+random_id!(
+    /// Identity of one log record or intent, kept across retries of its append.
+    RecordId
+);
+
+/// Position of a record in the platform's log; also the revision of a configured object.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// The offset after this one.
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(out)
+    }
+}
+
+impl FromStr for Offset {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        text.parse().map(Self).map_err(|_| IdError::NotNumber { found: text.into() })
+    }
+}
--- /dev/null
+++ b/crates/guava-types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Vocabulary shared by every layer: identifiers, sizes, rates, moments and the hash map alias.
+
+mod collections;
+mod ids;
+mod keys;
+mod moments;
+mod names;
+mod units;
+
+pub use collections::{FastMap, FastSet};
+pub use ids::{IdError, Incarnation, Offset, RecordId};
+pub use keys::{CallKey, CallerKey, KeyError, PinnedKey};
+pub use moments::{Deadline, Moment, WallTime};
+pub use names::{
+    CustomerId, DataCentre, MemberName, ModelName, NameError, ServiceName, UpstreamId, VersionName,
+};
+pub use units::{ByteCount, LinkRate, RequestRate, TokenCount, TokenRate, UnitError};
