--- /dev/null
+++ b/crates/guava-outside/src/engine.rs
@@ -0,0 +1,300 @@
+//! Model engines: completions, cancel and resume, KV export and import, cache events, load
+//! reports, orders.
+
+use crate::http_link::{self, HttpError};
+use bytes::BytesMut;
+use guava_types::{
+    Deadline, FastMap, ModelName, Offset, TokenCount, UpstreamId, VersionName,
+};
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use tokio::time::timeout;
+
+/// Longest line of an event stream, in bytes.
+const MAX_LINE_BYTES: usize = 1 << 20;
+/// How long a connection to an engine may take, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+
+/// A block to import before the prefill.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ImportOrder {
+    /// The store's address.
+    pub store: SocketAddr,
+    /// The block's key.
+    pub key: Box<str>,
+    /// Its length in bytes; anything else is a miss.
+    pub length: u64,
+    /// Its digest; anything else is a miss.
+    pub digest: Box<str>,
+    /// Tokens that it covers.
+    pub tokens: TokenCount,
+    /// How long the grant to read it still holds, in milliseconds; later is a miss.
+    pub grant_left_ms: u64,
+}
+
+/// A completion to run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletionOrder {
+    /// The request's id, echoed in each chunk.
+    pub request: Box<str>,
+    /// The model.
+    pub model: ModelName,
+    /// The weight version that must run it; any other is refused.
+    pub version: VersionName,
+    /// The prompt.
+    pub prompt: Box<str>,
+    /// Tokens to generate at most.
+    pub max_tokens: u32,
+    /// Smaller runs first.
+    pub priority: u32,
+    /// Root of the engine's cache keys for this customer, model and version.
+    pub cache_salt: Box<str>,
+    /// A block to import first.
+    pub import: Option<ImportOrder>,
+}
+
+/// Token counts of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Of those, tokens found in the engine's cache or imported.
+    pub cached_tokens: u64,
+    /// Of those, tokens imported.
+    pub imported_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+}
+
+/// One event of a run's stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineEvent {
+    /// The request's id, as ordered.
+    pub request: Box<str>,
+    /// The run's id at the engine.
+    pub run: Box<str>,
+    /// The version that runs it.
+    pub version: VersionName,
+    /// Place of the chunk, or for the end marker the number of chunks.
+    pub position: u64,
+    /// The chunk's text; nothing in the end marker.
+    pub text: Option<Box<str>>,
+    /// Token counts, in the end marker.
+    pub usage: Option<Usage>,
+}
+
+/// A run's stream.
+#[derive(Debug)]
+pub struct EngineStream {
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl EngineStream {
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        Some(self.buffer.split_to(end + 1))
+    }
+
+    /// The next event; nothing when the transport ends, which is not yet the end of the answer.
+    pub async fn next(&mut self, deadline: Deadline) -> Result<Option<EngineEvent>, HttpError> {
+        loop {
+            while let Some(line) = self.take_line() {
+                let Some(data) = line.strip_prefix(b"data: ") else { continue };
+                if data.trim_ascii() == b"[DONE]" {
+                    continue;
+                }
+                return serde_json::from_slice(data).map(Some).context(http_link::SyntaxSnafu);
+            }
+            let waiting_for = "reading the run's stream";
+            let frame = timeout(deadline.time_left(), self.body.frame())
+                .await
+                .map_err(|_| HttpError::TimedOut { waiting_for })?;
+            let Some(frame) = frame else { return Ok(None) };
+            if let Ok(data) = frame.context(http_link::BrokenSnafu)?.into_data() {
+                if self.buffer.len() + data.len() > MAX_LINE_BYTES {
+                    return Err(HttpError::TooLarge { limit: MAX_LINE_BYTES });
+                }
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+/// An upstream's report; services fill in the first two fields only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// The upstream's own incarnation.
+    pub instance: Box<str>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Age of the figures below, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Prompt tokens waiting for prefill.
+    #[serde(default)]
+    pub queued_tokens: u64,
+    /// Requests decoding or waiting.
+    #[serde(default)]
+    pub running: u32,
+    /// Versions that take new requests, by model.
+    #[serde(default)]
+    pub loaded: FastMap<ModelName, VersionName>,
+    /// The version being loaded, if any.
+    #[serde(default)]
+    pub loading: Option<VersionName>,
+}
+
+/// A block to write to a store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ExportOrder {
+    /// Root of the cache keys.
+    pub cache_salt: Box<str>,
+    /// Hash of the last block of the prefix, in hexadecimal.
+    pub last_hash: Box<str>,
+    /// Tokens of the prefix.
+    pub tokens: TokenCount,
+    /// The key to write under.
+    pub key: Box<str>,
+    /// The store's address.
+    pub store: SocketAddr,
+}
+
+/// What the engine wrote, by its own account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExportReceipt {
+    /// Bytes.
+    pub length: u64,
+    /// BLAKE3 digest, in hexadecimal.
+    pub digest: Box<str>,
+}
+
+/// An order to load a version. Absolute, so that a repeat is harmless.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LoadOrder {
+    /// Fencing token of the lease under which it is given.
+    pub token: Offset,
+    /// The model.
+    pub model: ModelName,
+    /// The version to be at.
+    pub version: VersionName,
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderAnswer {
+    /// Whether it will carry it out.
+    pub accepted: bool,
+    /// Why not.
+    #[serde(default)]
+    pub reason: Box<str>,
+}
+
+/// A cache event: a hint only, late and perhaps with gaps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Counts up by one; a gap means that events were lost.
+    pub sequence: u64,
+    /// Root of the evicted prefix.
+    pub salt: Box<str>,
+    /// Hash of its first block, in hexadecimal.
+    pub first_hash: Box<str>,
+}
+
+/// Some cache events.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// The engine's own incarnation; another one starts with an empty cache.
+    pub instance: Box<str>,
+    /// The sequence number to ask from next.
+    pub next: u64,
+    /// Evictions.
+    pub events: Vec<CacheEvent>,
+}
+
+/// Client of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    /// Its name, for errors and logs.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl EngineClient {
+    async fn stream(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Deadline,
+    ) -> Result<EngineStream, HttpError> {
+        let request =
+            http_link::request(self.address, method, path, "application/json", body.into())?;
+        let connecting = http_link::earlier_of(deadline, CONNECT_MS);
+        let sender = http_link::connect(self.address, connecting).await?;
+        let response = http_link::send(sender, request, deadline).await?;
+        if !response.status().is_success() {
+            return Err(http_link::refusal(response, deadline).await);
+        }
+        Ok(EngineStream { body: response.into_body(), buffer: BytesMut::new() })
+    }
+
+    /// Starts a run.
+    pub async fn complete(
+        &self,
+        order: &CompletionOrder,
+        deadline: Deadline,
+    ) -> Result<EngineStream, HttpError> {
+        let body = serde_json::to_vec(order).context(http_link::SyntaxSnafu)?;
+        self.stream(Method::POST, "/v1/completions", body, deadline).await
+    }
+
+    /// Reads a run on from a position, over a new connection.
+    pub async fn resume(
+        &self,
+        run: &str,
+        from: u64,
+        deadline: Deadline,
+    ) -> Result<EngineStream, HttpError> {
+        let path = format!("/runs/{run}?from={from}");
+        self.stream(Method::GET, &path, Vec::new(), deadline).await
+    }
+
+    /// Cancels a run.
+    pub async fn cancel(&self, run: &str, deadline: Deadline) -> Result<(), HttpError> {
+        http_link::post_json(self.address, &format!("/runs/{run}/cancel"), &(), deadline).await
+    }
+
+    /// The engine's report.
+    pub async fn report(&self, deadline: Deadline) -> Result<EngineReport, HttpError> {
+        http_link::get_json(self.address, "/report", deadline).await
+    }
+
+    /// Cache events from a sequence number on.
+    pub async fn events(&self, from: u64, deadline: Deadline) -> Result<CacheEvents, HttpError> {
+        http_link::get_json(self.address, &format!("/events?from={from}"), deadline).await
+    }
+
+    /// Orders a load.
+    pub async fn order(
+        &self,
+        order: &LoadOrder,
+        deadline: Deadline,
+    ) -> Result<OrderAnswer, HttpError> {
+        http_link::post_json(self.address, "/orders", order, deadline).await
+    }
+
+    /// Orders an export; answers when the store has sealed the block.
+    pub async fn export(
+        &self,
+        order: &ExportOrder,
+        deadline: Deadline,
+    ) -> Result<ExportReceipt, HttpError> {
+        http_link::post_json(self.address, "/kv/export", order, deadline).await
+    }
+}
--- /dev/null
+++ b/crates/guava-outside/src/plain_service.rs
@@ -0,0 +1,85 @@
+//! Plain services beside the engines.
+
+use crate::http_link::{self, HttpError};
+use bytes::Bytes;
+use guava_types::Deadline;
+use http::header::CONTENT_TYPE;
+use http::{Method, StatusCode};
+use std::net::SocketAddr;
+
+/// Largest answer that is passed on, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query, beginning with `/`.
+    pub path: Box<str>,
+    /// Type of the body.
+    pub content_type: Box<str>,
+    /// The body.
+    pub body: Bytes,
+    /// The customer that calls, as authenticated.
+    pub customer: Box<str>,
+    /// The key, passed on for the service's own records; empty for none.
+    pub key: Box<str>,
+}
+
+/// What the service answered.
+#[derive(Clone, Debug)]
+pub struct ServiceAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Type of the body.
+    pub content_type: Box<str>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Client of one instance of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceClient {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl ServiceClient {
+    /// Makes one call, sent at most once; the error tells whether it may have run.
+    pub async fn call(
+        &self,
+        call: &ServiceCall,
+        deadline: Deadline,
+    ) -> Result<ServiceAnswer, HttpError> {
+        const CONNECT_MS: u64 = 1_000;
+        let mut request = http_link::request(
+            self.address,
+            call.method.clone(),
+            &call.path,
+            &call.content_type,
+            call.body.clone(),
+        )?;
+        let headers = request.headers_mut();
+        for (name, value) in
+            [("guavatiller-customer", &call.customer), ("idempotency-key", &call.key)]
+        {
+            if let Ok(value) = value.parse() {
+                headers.insert(name, value);
+            }
+        }
+        let connecting = http_link::earlier_of(deadline, CONNECT_MS);
+        let sender = http_link::connect(self.address, connecting).await?;
+        let response = http_link::send(sender, request, deadline).await?;
+        let status = response.status();
+        let content_type = response
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("application/octet-stream")
+            .into();
+        let body =
+            http_link::collect_body(response.into_body(), MAX_ANSWER_BYTES, deadline).await?;
+        Ok(ServiceAnswer { status, content_type, body })
+    }
+}
--- /dev/null
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -0,0 +1,191 @@
+//! A TCP proxy that makes a link fail: cut, frozen, slow, or deaf in one direction.
+//!
+//! Rules hold for one source address or for all, so that one daemon can be cut from a server that
+//! the others still reach. Changing the rule also changes what happens on open connections.
+
+use crate::serve::Shared;
+use guava_types::FastMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const COPY_BYTES: usize = 16 << 10;
+const RECHECK_MS: u64 = 20;
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Passes everything on.
+    #[default]
+    None,
+    /// Closes open connections and refuses new ones.
+    Cut,
+    /// Accepts, and passes nothing on in either direction.
+    Freeze,
+    /// Open connections stay silent for good; new ones work.
+    Forget,
+    /// Passes on requests and drops the answers: the effect happens, its answer is lost.
+    DropAnswers,
+    /// Drops what goes to the server.
+    DropRequests,
+    /// Delays each piece by so many milliseconds.
+    Delay(u64),
+}
+
+#[derive(Default)]
+struct LinkRules {
+    all: LinkFault,
+    by_source: FastMap<IpAddr, LinkFault>,
+    epoch: u64,
+}
+
+impl LinkRules {
+    fn fault(&self, source: IpAddr) -> LinkFault {
+        self.by_source.get(&source).copied().unwrap_or(self.all)
+    }
+}
+
+/// A running proxy; it ends with its process.
+#[derive(Clone)]
+pub struct FaultProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    rules: Shared<LinkRules>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy before a server, in a thread of its own.
+    pub fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let rules = Shared::new(LinkRules::default());
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let own_rules = rules.clone();
+        std::thread::spawn(move || {
+            runtime.block_on(accept_all(listener, target, own_rules));
+        });
+        Ok(Self { address, rules })
+    }
+
+    /// Sets the rule for all sources that have none of their own.
+    pub fn set(&self, fault: LinkFault) {
+        let mut rules = self.rules.lock();
+        rules.all = fault;
+        rules.epoch += 1;
+    }
+
+    /// Sets the rule for one source address.
+    pub fn set_for(&self, source: IpAddr, fault: LinkFault) {
+        let mut rules = self.rules.lock();
+        rules.by_source.insert(source, fault);
+        rules.epoch += 1;
+    }
+
+    /// Passes everything on again, for all.
+    pub fn heal(&self) {
+        let mut rules = self.rules.lock();
+        rules.all = LinkFault::None;
+        rules.by_source.clear();
+        rules.epoch += 1;
+    }
+}
+
+async fn accept_all(listener: std::net::TcpListener, target: SocketAddr, rules: Shared<LinkRules>) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    loop {
+        let Ok((client, source)) = listener.accept().await else { continue };
+        if rules.lock().fault(source.ip()) == LinkFault::Cut {
+            drop(client);
+            continue;
+        }
+        tokio::spawn(join(client, source.ip(), target, rules.clone()));
+    }
+}
+
+async fn join(client: TcpStream, source: IpAddr, target: SocketAddr, rules: Shared<LinkRules>) {
+    let Ok(server) = TcpStream::connect(target).await else { return };
+    drop(client.set_nodelay(true));
+    drop(server.set_nodelay(true));
+    let opened = rules.lock().epoch;
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let link = Link { source, rules, opened };
+    let up = pump(client_read, server_write, link.clone(), Direction::Request);
+    let down = pump(server_read, client_write, link, Direction::Answer);
+    tokio::spawn(up);
+    tokio::spawn(down);
+}
+
+#[derive(Clone)]
+struct Link {
+    source: IpAddr,
+    rules: Shared<LinkRules>,
+    opened: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+impl Link {
+    fn fault(&self) -> LinkFault {
+        let rules = self.rules.lock();
+        let fault = rules.fault(self.source);
+        // A forgotten connection stays silent for good, also once the rule has changed; so only
+        // those opened under the rule in force are healthy.
+        if fault == LinkFault::Forget && self.opened == rules.epoch {
+            return LinkFault::None;
+        }
+        fault
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    link: Link,
+    direction: Direction,
+) {
+    let mut buffer = vec![0; COPY_BYTES];
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            () = cut(&link) => return,
+        };
+        let Ok(length @ 1..) = read else { return };
+        let mut delayed = false;
+        loop {
+            match (link.fault(), direction) {
+                (LinkFault::Cut, _) => return,
+                (LinkFault::Freeze | LinkFault::Forget, _) => {
+                    sleep(Duration::from_millis(RECHECK_MS)).await;
+                }
+                (LinkFault::DropAnswers, Direction::Answer)
+                | (LinkFault::DropRequests, Direction::Request) => break,
+                (LinkFault::Delay(millis), _) if !delayed => {
+                    delayed = true;
+                    sleep(Duration::from_millis(millis)).await;
+                }
+                _ => {
+                    let piece = buffer.get(..length).unwrap_or_default();
+                    if to.write_all(piece).await.is_err() {
+                        return;
+                    }
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn cut(link: &Link) {
+    while link.fault() != LinkFault::Cut {
+        sleep(Duration::from_millis(RECHECK_MS)).await;
+    }
+}
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Stand-ins for everything outside guavatiller, for tests, the demonstration and measurements.
+//!
+//! Never shipped. Each server is a small fake at its interface, faithful to what the brief says of
+//! it: late and gapped events, lagging reports, lost answers, outages. `POST /fault` on each sets
+//! what goes wrong; `GET /stats` tells what really happened there.
+
+pub mod deployment;
+pub mod engine_cache;
+pub mod engine_server;
+pub mod fault_proxy;
+pub mod list_server;
+pub mod log_server;
+pub mod serve;
+pub mod service_server;
+pub mod store_server;
+pub mod weight_server;
--- /dev/null
+++ b/crates/guava-standins/src/main.rs
@@ -0,0 +1,163 @@
+//! The stand-ins' binary: one mode for each outside system.
+
+use argh::FromArgs;
+use guava_standins::engine_server::EngineOptions;
+use guava_standins::serve::{AnyError, serve};
+use guava_standins::{
+    engine_server, list_server, log_server, service_server, store_server, weight_server,
+};
+use std::net::SocketAddr;
+
+/// stand-ins for the systems outside guavatiller
+#[derive(FromArgs)]
+struct StandinArgs {
+    #[argh(subcommand)]
+    mode: StandinMode,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum StandinMode {
+    Log(LogArgs),
+    List(ListArgs),
+    Weights(WeightArgs),
+    Store(StoreArgs),
+    Service(ServiceArgs),
+    Engine(EngineArgs),
+}
+
+/// the platform's append-only log
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct LogArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// the platform's list of VMs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// the weight store
+#[derive(FromArgs)]
+#[argh(subcommand, name = "weights")]
+struct WeightArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// time of a load in milliseconds
+    #[argh(option, default = "1000")]
+    load_ms: u64,
+}
+
+/// a store VM
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct StoreArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// rate of the link in bytes a second
+    #[argh(option, default = "5000000")]
+    rate: u64,
+    /// capacity in bytes
+    #[argh(option, default = "200000000")]
+    capacity: u64,
+}
+
+/// an instance of a plain service
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// a model engine
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// model
+    #[argh(option, default = "String::from(\"hints\")")]
+    model: String,
+    /// version loaded at the start
+    #[argh(option, default = "String::from(\"v1\")")]
+    version: String,
+    /// prefill in tokens a second
+    #[argh(option, default = "20000")]
+    prefill: u64,
+    /// milliseconds for a generated token
+    #[argh(option, default = "5")]
+    decode_ms: u64,
+    /// requests at one time
+    #[argh(option, default = "8")]
+    slots: usize,
+    /// cache capacity in tokens
+    #[argh(option, default = "20000")]
+    cache_tokens: u64,
+    /// bytes of KV cache for each token
+    #[argh(option, default = "64")]
+    kv_bytes: u64,
+    /// age of reported figures in milliseconds
+    #[argh(option, default = "200")]
+    report_lag_ms: u64,
+    /// age of cache events in milliseconds
+    #[argh(option, default = "300")]
+    event_lag_ms: u64,
+    /// refuse old fencing numbers
+    #[argh(switch)]
+    checks_fencing: bool,
+    /// address of the weight store
+    #[argh(option)]
+    weights: Option<SocketAddr>,
+}
+
+fn engine_options(args: EngineArgs) -> EngineOptions {
+    EngineOptions {
+        model: args.model.into(),
+        version: args.version.into(),
+        prefill_per_second: args.prefill,
+        decode_ms: args.decode_ms,
+        slots: args.slots,
+        cache_tokens: args.cache_tokens,
+        kv_bytes: args.kv_bytes,
+        report_lag_ms: args.report_lag_ms,
+        event_lag_ms: args.event_lag_ms,
+        checks_fencing: args.checks_fencing,
+        weights: args.weights,
+    }
+}
+
+async fn run(mode: StandinMode) -> Result<(), AnyError> {
+    match mode {
+        StandinMode::Log(args) => serve(args.listen, log_server::router()).await,
+        StandinMode::List(args) => serve(args.listen, list_server::router()).await,
+        StandinMode::Weights(args) => {
+            serve(args.listen, weight_server::router(args.load_ms)).await
+        }
+        StandinMode::Store(args) => {
+            serve(args.listen, store_server::router(args.rate, args.capacity)).await
+        }
+        StandinMode::Service(args) => serve(args.listen, service_server::router()).await,
+        StandinMode::Engine(args) => {
+            let listen = args.listen;
+            serve(listen, engine_server::router(engine_options(args))).await
+        }
+    }
+}
+
+fn main() -> Result<(), AnyError> {
+    let args: StandinArgs = argh::from_env();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(args.mode))
+}
