--- /dev/null
+++ b/crates/guava-daemon/src/call_desk.rs
@@ -0,0 +1,455 @@
+//! Non-idempotent calls: at most once, by an intent in the log or by a pinned key.
+//!
+//! For a logged key the order of the log decides which incarnation may dispatch. The intent is
+//! appended and read back before the first byte goes to the service; only the first intent of a
+//! key is ever dispatched. A pinned key needs no append: its text names the one incarnation that
+//! dispatches it, from memory, for as long as it lives.
+
+use crate::append_ring::{AppendBody, AppendVerdict};
+use crate::call_table::{CallEntry, CallFingerprint, wait_outcome};
+use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use bytes::Bytes;
+use guava_outside::{HttpError, ServiceCall, ServiceClient};
+use guava_schema::peers::{AttachRequest, CallReply, PinnedRequest};
+use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
+use guava_types::{
+    CallKey, CallerKey, Deadline, Incarnation, Moment, PinnedKey, RecordId, ServiceName,
+    UpstreamId, WallTime,
+};
+use http::Method;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long an intent may take to be read back, in milliseconds.
+const INTENT_MS: u64 = 5_000;
+/// How long a dispatched run is waited for, whatever its caller's deadline, in milliseconds.
+const RUN_MS: u64 = 600_000;
+const RELEASE_MS: u64 = 10_000;
+/// How far a key's minting may lie ahead of this VM's clock, in milliseconds.
+const MINTED_AHEAD_MS: u64 = 300_000;
+const COME_BACK_MS: u64 = 1_000;
+/// Wait for another daemon's answer beyond what the caller has left, in milliseconds.
+const FORWARD_SLACK_MS: u64 = 200;
+const SETTLE_MS: u64 = 50;
+const CONNECT_FAILED_MS: u64 = 500;
+
+/// A call of a plain service, as authenticated and parsed.
+#[derive(Clone, Debug)]
+pub struct KeyedCall {
+    /// The request's id in the logs.
+    pub request: Box<str>,
+    /// The service.
+    pub service: ServiceName,
+    /// Customer and key.
+    pub key: CallKey,
+    /// Which attempt the caller says that this is.
+    pub attempt: Option<u32>,
+    /// When the caller stops waiting.
+    pub deadline: Deadline,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query at the service.
+    pub path: Box<str>,
+    /// Type of the body.
+    pub content_type: Box<str>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl KeyedCall {
+    /// Hash of what the key is used for.
+    pub fn fingerprint(&self) -> CallFingerprint {
+        let mut hasher = blake3::Hasher::new();
+        for part in [self.service.as_str(), self.method.as_str(), &self.path, &self.content_type] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&self.body);
+        *hasher.finalize().as_bytes()
+    }
+
+    fn keep_until(&self) -> Deadline {
+        match &self.key.key {
+            CallerKey::Pinned(key) => key.window_end(),
+            CallerKey::Logged(_) => {
+                let end = self.key.key.window_end_wall().unwrap_or_default();
+                Deadline::in_millis(end.0.saturating_sub(WallTime::now().0))
+            }
+        }
+    }
+
+    /// A refusal before anything was sent from here.
+    ///
+    /// Once the deadline has passed the caller may have sent its next attempt elsewhere, and that
+    /// one may run: a daemon thawed after a pause must not say "not run" about the first.
+    fn refused(&self, kind: RefusalKind, reason: &str, after_ms: u64) -> CallOutcome {
+        let is_late = self.deadline.passed(Moment::now());
+        let attempt = if is_late { None } else { self.attempt };
+        CallOutcome::refused(attempt, Refusal::later(kind, reason, after_ms))
+    }
+}
+
+/// How a run that this daemon was to start ended.
+enum RunEnd {
+    /// It was dispatched: the outcome is kept for repeats.
+    Dispatched(CallOutcome),
+    /// Nothing was sent from here, or another daemon holds the key.
+    Elsewhere(CallOutcome),
+}
+
+/// Runs a call once, or joins its run wherever that is.
+pub async fn call_once(context: &Arc<DaemonContext>, call: KeyedCall) -> CallOutcome {
+    let fingerprint = call.fingerprint();
+    let deadline = call.deadline;
+    match context.calls.enter(&call.key, fingerprint, call.keep_until()) {
+        CallEntry::Mismatch => mismatch(),
+        CallEntry::Full => call.refused(RefusalKind::OVERLOADED, "too many keys", COME_BACK_MS),
+        CallEntry::Known(receiver) => {
+            log_event!(info, CALL_ATTACHED, request = call.request, holder = context.me);
+            wait_or_unknown(wait_outcome(receiver, deadline).await)
+        }
+        CallEntry::New => {
+            let Some(Ok(receiver)) = context.calls.find(&call.key, fingerprint) else {
+                return CallOutcome::unknown("the run is not known here any more", COME_BACK_MS);
+            };
+            // A task of its own: the caller's connection may go, and a run that was dropped half
+            // way would lose its outcome for all repeats.
+            tokio::spawn(run_new(Arc::clone(context), call));
+            wait_or_unknown(wait_outcome(receiver, deadline).await)
+        }
+    }
+}
+
+fn mismatch() -> CallOutcome {
+    let reason = "idempotency-key: was first used for another request";
+    CallOutcome::NotRun(Refusal::final_one(RefusalKind::MISMATCH, reason))
+}
+
+fn wait_or_unknown(outcome: Option<CallOutcome>) -> CallOutcome {
+    outcome.unwrap_or_else(|| CallOutcome::unknown("no answer yet", COME_BACK_MS))
+}
+
+async fn run_new(context: Arc<DaemonContext>, call: KeyedCall) {
+    let work = context.work.enter();
+    let key = call.key.clone();
+    let end = match key.key {
+        CallerKey::Pinned(pinned) if pinned.incarnation == context.me => {
+            run_own_pinned(&context, &call, pinned).await
+        }
+        CallerKey::Pinned(pinned) => {
+            RunEnd::Elsewhere(forward_pinned(&context, &call, pinned).await)
+        }
+        CallerKey::Logged(_) => run_logged(&context, &call).await,
+    };
+    match end {
+        RunEnd::Dispatched(outcome) => {
+            log_event!(info, CALL_FINISHED, request = call.request, outcome = outcome.name());
+            context.calls.settle(&key, outcome);
+        }
+        RunEnd::Elsewhere(outcome) => context.calls.settle_and_forget(&key, outcome),
+    }
+    drop(work);
+}
+
+/// Whether this daemon may take new work now.
+fn may_take_work(context: &DaemonContext, call: &KeyedCall) -> Result<(), CallOutcome> {
+    if context.phase() == DaemonPhase::Draining {
+        return Err(call.refused(RefusalKind::LEAVING, "this daemon is leaving", 1));
+    }
+    if !context.freshness().is_fresh() {
+        let reason = "this daemon can't know the configuration in force";
+        return Err(call.refused(RefusalKind::STALE, reason, COME_BACK_MS));
+    }
+    Ok(())
+}
+
+async fn run_own_pinned(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+    pinned: PinnedKey,
+) -> RunEnd {
+    let now = Moment::now();
+    if pinned.minted > now || pinned.window_end().passed(now) {
+        let reason = "idempotency-key: its window has ended";
+        return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
+    }
+    if let Err(outcome) = may_take_work(context, call) {
+        return RunEnd::Elsewhere(outcome);
+    }
+    dispatch(context, call).await
+}
+
+async fn forward_pinned(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+    pinned: PinnedKey,
+) -> CallOutcome {
+    let holder = context.state.read(|state| state.heir_of(pinned.incarnation));
+    let Some(address) = peer_address(context, holder) else {
+        let reason = "the daemon that minted this key is gone";
+        return call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS);
+    };
+    let left = call.deadline.millis_left(Moment::now());
+    let request = PinnedRequest {
+        key: call.key.to_string(),
+        service: call.service.to_string(),
+        method: call.method.to_string(),
+        path: call.path.to_string(),
+        content_type: call.content_type.to_string(),
+        body: call.body.to_vec(),
+        time_left_ms: u32::try_from(left).unwrap_or(u32::MAX),
+        attempt: call.attempt.unwrap_or(0),
+    };
+    log_event!(info, CALL_ATTACHED, request = call.request, holder = holder);
+    match context.links.run_pinned(address, request, left + FORWARD_SLACK_MS).await {
+        Ok(reply) => CallOutcome::from_reply(reply),
+        Err(error) if error.may_have_run() => {
+            CallOutcome::unknown("the daemon that holds this key does not answer", COME_BACK_MS)
+        }
+        Err(_) => {
+            let reason = "the daemon that holds this key can't be reached";
+            call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS)
+        }
+    }
+}
+
+async fn run_logged(context: &Arc<DaemonContext>, call: &KeyedCall) -> RunEnd {
+    let minted = call.key.key.minted_wall().unwrap_or_default();
+    if minted.0 > WallTime::now().0 + MINTED_AHEAD_MS {
+        let reason = "idempotency-key: its timestamp lies ahead of the clock";
+        return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
+    }
+    loop {
+        let held = context.state.read(|state| {
+            let held = state.intents().holder(&call.key)?;
+            Some(state.heir_of(held.holder))
+        });
+        if let Some(holder) = held {
+            return RunEnd::Elsewhere(attach(context, call, holder).await);
+        }
+        if let Err(outcome) = may_take_work(context, call) {
+            return RunEnd::Elsewhere(outcome);
+        }
+        if service_instances(context, &call.service).is_empty() {
+            let reason = "no instance of the service takes work";
+            let outcome = call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS);
+            return RunEnd::Elsewhere(outcome);
+        }
+        let intent = IntentEntry { id: RecordId::random(), key: call.key.clone() };
+        let limit = Deadline::in_millis(INTENT_MS).earlier(call.deadline);
+        let appended = context.appends.append(AppendBody::Intent(intent.clone()), limit).await;
+        match appended {
+            Ok(AppendVerdict::Intent(IntentVerdict::Held)) => {
+                return dispatch_intent(context, call, intent).await;
+            }
+            Ok(AppendVerdict::Intent(IntentVerdict::Lost { holder })) if holder == context.me => {
+                // An earlier intent of this daemon's, given up and about to be released.
+                if call.deadline.passed(Moment::now()) {
+                    return RunEnd::Elsewhere(CallOutcome::unknown("no answer yet", COME_BACK_MS));
+                }
+                sleep(Duration::from_millis(SETTLE_MS)).await;
+            }
+            Ok(AppendVerdict::Intent(IntentVerdict::Lost { holder })) => {
+                let holder = context.state.read(|state| state.heir_of(holder));
+                return RunEnd::Elsewhere(attach(context, call, holder).await);
+            }
+            Ok(AppendVerdict::Intent(IntentVerdict::Expired)) => {
+                let reason = "idempotency-key: its window has ended";
+                let outcome = call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS);
+                return RunEnd::Elsewhere(outcome);
+            }
+            Ok(_) | Err(_) => {
+                give_up(context, call, intent);
+                let reason = "the log does not answer";
+                let outcome = call.refused(RefusalKind::LOG_OUT, reason, COME_BACK_MS);
+                return RunEnd::Elsewhere(outcome);
+            }
+        }
+    }
+}
+
+/// Gives an intent up before anything was sent. Whether or not its append takes effect later, this
+/// incarnation never dispatches it; the release lets a later attempt run.
+fn give_up(context: &DaemonContext, call: &KeyedCall, intent: IntentEntry) {
+    log_event!(info, CALL_GIVEN_UP, request = call.request, intent = intent.id);
+    context.appends.append_later(AppendBody::Release(intent), Deadline::in_millis(RELEASE_MS));
+}
+
+async fn dispatch_intent(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+    intent: IntentEntry,
+) -> RunEnd {
+    let end = dispatch(context, call).await;
+    if matches!(end, RunEnd::Elsewhere(_)) {
+        give_up(context, call, intent);
+    }
+    end
+}
+
+/// Instances of a service that take work.
+pub fn service_instances(
+    context: &DaemonContext,
+    service: &ServiceName,
+) -> Vec<(UpstreamId, SocketAddr)> {
+    let view = context.state.view();
+    let leaving = locked(&context.leaving);
+    let reports = locked(&context.reports);
+    view.upstreams
+        .iter()
+        .filter(|(_, spec)| spec.kind == UpstreamKind::Service)
+        .filter(|(_, spec)| spec.service.as_ref() == Some(service) && !spec.draining)
+        .filter(|(id, _)| !leaving.is_leaving(id) && reports.is_fresh(id))
+        .map(|(id, spec)| (id.clone(), spec.address))
+        .collect()
+}
+
+fn service_call(call: &KeyedCall) -> ServiceCall {
+    ServiceCall {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        content_type: call.content_type.clone(),
+        body: call.body.clone(),
+        customer: call.key.customer.to_string().into(),
+        key: call.key.key.to_string().into(),
+    }
+}
+
+/// Sends the call to one instance. Another is tried only while no connection could be opened;
+/// after the first byte there is no second send.
+async fn dispatch(context: &Arc<DaemonContext>, call: &KeyedCall) -> RunEnd {
+    let mut instances = service_instances(context, &call.service);
+    while !instances.is_empty() {
+        // A daemon that was frozen between its intent and here must not start what its caller has
+        // long given up; the deadline is on a clock that counted the time.
+        if call.deadline.passed(Moment::now()) {
+            let outcome = call.refused(RefusalKind::OVERLOADED, "too late to start", COME_BACK_MS);
+            return RunEnd::Elsewhere(outcome);
+        }
+        let index = usize::try_from(rand::random::<u32>()).unwrap_or(0) % instances.len();
+        let (upstream, address) = instances.swap_remove(index);
+        if locked(&context.leaving).is_leaving(&upstream) {
+            continue;
+        }
+        log_event!(
+            info,
+            CALL_DISPATCHED,
+            request = call.request,
+            service = call.service,
+            choice = upstream,
+            others = instances.len(),
+            reason = "random",
+        );
+        let client = ServiceClient { address };
+        let sent = client.call(&service_call(call), Deadline::in_millis(RUN_MS)).await;
+        match sent {
+            Ok(answer) => {
+                return RunEnd::Dispatched(CallOutcome::Done {
+                    status: answer.status.as_u16(),
+                    content_type: answer.content_type,
+                    body: answer.body,
+                });
+            }
+            Err(error) if error.may_have_run() => {
+                return RunEnd::Dispatched(CallOutcome::failed(error.to_string()));
+            }
+            Err(HttpError::Connect { .. }) => continue,
+            Err(error) => {
+                let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, error.to_string());
+                return RunEnd::Elsewhere(CallOutcome::refused(call.attempt, refusal));
+            }
+        }
+    }
+    let reason = "no instance of the service can be reached";
+    RunEnd::Elsewhere(call.refused(RefusalKind::NO_UPSTREAM, reason, CONNECT_FAILED_MS))
+}
+
+/// Where an incarnation's daemon is reached, if it is still known.
+pub fn peer_address(context: &DaemonContext, incarnation: Incarnation) -> Option<SocketAddr> {
+    let by_gossip =
+        locked(&context.book).get(incarnation).map(|entry| entry.identity.peer_address);
+    by_gossip.or_else(|| {
+        context.state.read(|state| {
+            state.members().get(&incarnation).map(|member| member.peer_address)
+        })
+    })
+}
+
+/// Asks the incarnation that holds a key for the outcome of its run.
+async fn attach(context: &Arc<DaemonContext>, call: &KeyedCall, holder: Incarnation) -> CallOutcome {
+    log_event!(info, CALL_ATTACHED, request = call.request, holder = holder);
+    let gone = "the daemon that held this key is gone; whether it ran is not known";
+    if holder == context.me {
+        return CallOutcome::unknown("the outcome is no longer kept", COME_BACK_MS);
+    }
+    let Some(address) = peer_address(context, holder) else {
+        return CallOutcome::unknown(gone, COME_BACK_MS);
+    };
+    let left = call.deadline.millis_left(Moment::now());
+    let request = AttachRequest {
+        key: call.key.to_string(),
+        fingerprint: call.fingerprint().to_vec(),
+        time_left_ms: u32::try_from(left).unwrap_or(u32::MAX),
+    };
+    match context.links.attach(address, request, left + FORWARD_SLACK_MS).await {
+        Ok(reply) => CallOutcome::from_reply(reply),
+        Err(_) => CallOutcome::unknown(gone, COME_BACK_MS),
+    }
+}
+
+/// Answers a peer that asks for the outcome of a call held here.
+pub async fn answer_attach(context: &DaemonContext, request: AttachRequest) -> CallReply {
+    let deadline = Deadline::in_millis(u64::from(request.time_left_ms));
+    let key = request.key.parse::<CallKey>();
+    let fingerprint = CallFingerprint::try_from(request.fingerprint.as_slice());
+    let (Ok(key), Ok(fingerprint)) = (key, fingerprint) else {
+        return CallOutcome::unknown("the question does not parse", COME_BACK_MS).to_reply();
+    };
+    let outcome = match context.calls.find(&key, fingerprint) {
+        Some(Ok(receiver)) => wait_or_unknown(wait_outcome(receiver, deadline).await),
+        Some(Err(())) => mismatch(),
+        None => CallOutcome::unknown("the outcome is not kept here", COME_BACK_MS),
+    };
+    outcome.to_reply()
+}
+
+fn pinned_call(request: PinnedRequest) -> Option<KeyedCall> {
+    Some(KeyedCall {
+        request: "forwarded".into(),
+        service: request.service.parse().ok()?,
+        key: request.key.parse().ok()?,
+        attempt: Some(request.attempt).filter(|attempt| *attempt > 0),
+        deadline: Deadline::in_millis(u64::from(request.time_left_ms)),
+        method: request.method.parse().ok()?,
+        path: request.path.into(),
+        content_type: request.content_type.into(),
+        body: request.body.into(),
+    })
+}
+
+/// Runs a call for a peer, if its key was minted here or handed over to here.
+pub async fn answer_pinned(context: &Arc<DaemonContext>, request: PinnedRequest) -> CallReply {
+    let Some(call) = pinned_call(request) else {
+        return CallOutcome::unknown("the call does not parse", COME_BACK_MS).to_reply();
+    };
+    let is_own = matches!(
+        call.key.key,
+        CallerKey::Pinned(pinned) if pinned.incarnation == context.me
+    );
+    if is_own {
+        return call_once(context, call).await.to_reply();
+    }
+    let fingerprint = call.fingerprint();
+    let outcome = match context.calls.find(&call.key, fingerprint) {
+        Some(Ok(receiver)) => wait_or_unknown(wait_outcome(receiver, call.deadline).await),
+        Some(Err(())) => mismatch(),
+        None => {
+            let reason = "the daemon that minted this key is gone";
+            call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS)
+        }
+    };
+    outcome.to_reply()
+}
--- /dev/null
+++ b/crates/guava-daemon/src/completion.rs
@@ -0,0 +1,358 @@
+//! Completions: admitted, routed, started on an engine, and read until the first chunk is there.
+
+use crate::admission_desk::{AdmitGuard, admit};
+use crate::cache_duty::note_computed;
+use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, model_slots};
+use crate::export_ring::PrefixNote;
+use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use crate::run_feed::{FeedError, FeedStep, RunFeed};
+use crate::work_gauge::WorkGuard;
+use guava_outside::{CompletionOrder, HttpError};
+use guava_policy::{AdmitDecision, ReplyChunk, ReturnAfter};
+use guava_state::ModelSpec;
+use guava_types::{CustomerId, Deadline, ModelName, Moment, TokenCount, UpstreamId, VersionName};
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+const MAX_TOKENS: u32 = 8_192;
+const DEFAULT_TOKENS: u32 = 16;
+const MAX_ATTEMPTS: usize = 4;
+const COME_BACK_MS: u64 = 500;
+/// How long the head of an engine's answer may take.
+const HEAD_MS: u64 = 1_500;
+/// A first token later than so many times its expectation, and this much, is sought elsewhere.
+const PATIENCE_FACTOR: f64 = 3.0;
+const PATIENCE_MS: f64 = 300.0;
+
+fn default_tokens() -> u32 {
+    DEFAULT_TOKENS
+}
+
+/// A completion as callers ask for it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct CompletionRequest {
+    /// The model.
+    pub model: ModelName,
+    /// The prompt.
+    pub prompt: Box<str>,
+    /// Tokens to generate at most.
+    #[serde(default = "default_tokens")]
+    pub max_tokens: u32,
+    /// Whether to stream the answer as events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Smaller runs first at the engine.
+    #[serde(default)]
+    pub priority: u32,
+    /// Bytes at the prompt's start that will come back; a hint for what to keep.
+    #[serde(default)]
+    pub cache_prefix_bytes: Option<usize>,
+    /// Everything else, for the engine.
+    #[serde(flatten)]
+    pub parameters: serde_json::Map<String, serde_json::Value>,
+}
+
+impl CompletionRequest {
+    /// Reads and checks a body.
+    pub fn parse(body: &[u8]) -> Result<Self, String> {
+        let request: Self = serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
+        if request.prompt.is_empty() {
+            return Err("prompt: must not be empty".into());
+        }
+        if request.max_tokens == 0 || request.max_tokens > MAX_TOKENS {
+            return Err(format!(
+                "max_tokens: found {}, allowed: 1 to {MAX_TOKENS}",
+                request.max_tokens
+            ));
+        }
+        Ok(request)
+    }
+}
+
+/// Who asks, and until when.
+#[derive(Clone, Debug)]
+pub struct CallerInfo {
+    /// The request's id.
+    pub request: Box<str>,
+    /// The customer.
+    pub customer: CustomerId,
+    /// Which attempt this is.
+    pub attempt: Option<u32>,
+    /// When the caller stops waiting.
+    pub deadline: Deadline,
+}
+
+/// A run whose first chunk is there.
+pub struct StartedRun {
+    /// The run.
+    pub feed: RunFeed,
+    /// Its first chunks; none if the answer is empty.
+    pub first: FeedStep,
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The version.
+    pub version: VersionName,
+    /// Held until the run is over.
+    pub _holds: RunHolds,
+}
+
+/// What a run holds while it is in progress.
+pub struct RunHolds {
+    _admitted: Option<AdmitGuard>,
+    _work: WorkGuard,
+    _load: Option<LoadHold>,
+}
+
+impl RunHolds {
+    /// What a run holds that is only read on here.
+    pub fn reading(work: WorkGuard) -> Self {
+        Self { _admitted: None, _work: work, _load: None }
+    }
+}
+
+/// Work counted at an engine until it is dropped.
+struct LoadHold {
+    context: Arc<DaemonContext>,
+    upstream: UpstreamId,
+    ticket: u64,
+}
+
+impl LoadHold {
+    fn new(context: &Arc<DaemonContext>, choice: &EngineChoice) -> Self {
+        let upstream = choice.client.upstream.clone();
+        let TokenCount(tokens) = choice.cost.recompute;
+        let ticket = locked(&context.loads).sent(
+            &upstream,
+            TokenCount(tokens),
+            choice.cost.first_token_ms,
+            Moment::now(),
+        );
+        Self { context: Arc::clone(context), upstream, ticket }
+    }
+
+    fn started(&self) {
+        locked(&self.context.loads).started(&self.upstream, self.ticket, Moment::now());
+    }
+}
+
+impl Drop for LoadHold {
+    fn drop(&mut self) {
+        locked(&self.context.loads).finished(&self.upstream, self.ticket);
+    }
+}
+
+fn refused(caller: &CallerInfo, kind: RefusalKind, reason: &str, after_ms: u64) -> CallOutcome {
+    CallOutcome::refused(caller.attempt, Refusal::later(kind, reason, after_ms))
+}
+
+fn admission_refusal(caller: &CallerInfo, decision: AdmitDecision) -> CallOutcome {
+    match decision {
+        AdmitDecision::OverLimit(ReturnAfter(after_ms)) => {
+            refused(caller, RefusalKind::OVER_LIMIT, "over the customer's limits", after_ms)
+        }
+        AdmitDecision::TooLate(ReturnAfter(after_ms)) => {
+            refused(caller, RefusalKind::OVERLOADED, "would not start in time", after_ms)
+        }
+        AdmitDecision::Admit | AdmitDecision::Queue => {
+            refused(caller, RefusalKind::OVERLOADED, "no place", COME_BACK_MS)
+        }
+    }
+}
+
+/// Refuses new work that this daemon must not take.
+pub fn check_door(context: &DaemonContext, caller: &CallerInfo) -> Result<(), CallOutcome> {
+    if context.phase() == DaemonPhase::Draining {
+        return Err(refused(caller, RefusalKind::LEAVING, "this daemon is leaving", 1));
+    }
+    if !context.freshness().is_fresh() {
+        let reason = "this daemon can't know the configuration in force";
+        return Err(refused(caller, RefusalKind::STALE, reason, COME_BACK_MS));
+    }
+    Ok(())
+}
+
+/// One try at one engine, as far as the first chunk.
+enum TryEnd {
+    Started(Box<StartedTry>),
+    /// Nothing ran there.
+    Refused(String),
+    /// It may have run there.
+    Lost(String),
+}
+
+struct StartedTry {
+    feed: RunFeed,
+    first: FeedStep,
+    hold: LoadHold,
+}
+
+fn order_of(caller: &CallerInfo, request: &CompletionRequest, choice: &EngineChoice) -> CompletionOrder {
+    CompletionOrder {
+        request: caller.request.clone(),
+        model: request.model.clone(),
+        version: choice.version.clone(),
+        prompt: request.prompt.clone(),
+        max_tokens: request.max_tokens,
+        priority: request.priority,
+        cache_salt: choice.chain.salt.clone(),
+        import: choice.import.clone(),
+        parameters: request.parameters.clone(),
+    }
+}
+
+async fn try_engine(
+    context: &Arc<DaemonContext>,
+    caller: &CallerInfo,
+    request: &CompletionRequest,
+    choice: &EngineChoice,
+    may_move_on: bool,
+) -> TryEnd {
+    let upstream = &choice.client.upstream;
+    // Looked up again just before the send: the notice may have come since the choice.
+    if locked(&context.leaving).is_leaving(upstream) {
+        return TryEnd::Refused("engine is leaving".into());
+    }
+    let hold = LoadHold::new(context, choice);
+    let head = Deadline::in_millis(HEAD_MS).earlier(caller.deadline);
+    let order = order_of(caller, request, choice);
+    let stream = match choice.client.complete(&order, head).await {
+        Ok(stream) => stream,
+        Err(error @ HttpError::Refused { .. }) => {
+            locked(&context.reports).forget_loaded(upstream);
+            return TryEnd::Refused(error.to_string());
+        }
+        Err(error) => {
+            locked(&context.loads).failed(upstream, Moment::now());
+            let text = error.to_string();
+            let lost = error.may_have_run();
+            return if lost { TryEnd::Lost(text) } else { TryEnd::Refused(text) };
+        }
+    };
+    let client = choice.client.clone();
+    let version = choice.version.clone();
+    let mut feed = RunFeed::started(client, caller.request.clone(), version, stream);
+    let patience = choice.cost.first_token_ms * PATIENCE_FACTOR + PATIENCE_MS;
+    let left = caller.deadline.time_left();
+    let wait = if may_move_on { left.min(Duration::from_millis(patience as u64)) } else { left };
+    match timeout(wait, feed.next()).await {
+        Ok(Ok(first)) => {
+            hold.started();
+            TryEnd::Started(Box::new(StartedTry { feed, first, hold }))
+        }
+        Ok(Err(error)) => {
+            locked(&context.loads).failed(upstream, Moment::now());
+            TryEnd::Lost(error.to_string())
+        }
+        Err(_) => {
+            tokio::spawn(async move { feed.cancel().await });
+            TryEnd::Lost("no first token in time".into())
+        }
+    }
+}
+
+/// Starts a completion: the error is its final outcome.
+pub async fn start_completion(
+    context: &Arc<DaemonContext>,
+    caller: &CallerInfo,
+    request: &CompletionRequest,
+) -> Result<StartedRun, CallOutcome> {
+    let work = context.work.enter();
+    check_door(context, caller)?;
+    let found = context.state.read(|state| {
+        (state.model(&request.model).cloned(), state.customer(&caller.customer).cloned())
+    });
+    let (Some(model), Some(customer)) = found else {
+        let refusal = Refusal::final_one(
+            RefusalKind::NO_SUCH,
+            format!("model: no model {} is configured", request.model),
+        );
+        return Err(CallOutcome::refused(caller.attempt, refusal));
+    };
+    let slots = model_slots(context, &request.model);
+    let admitted = admit(context, &caller.customer, &customer, slots, caller.deadline).await;
+    let admitted = admitted.map_err(|decision| admission_refusal(caller, decision))?;
+    locked(&context.retries).earn();
+    let (choice, started) = run_attempts(context, caller, request, &model).await?;
+    let note = PrefixNote {
+        salt: choice.chain.salt.clone(),
+        hashes: kept_hashes(request, &choice),
+        upstream: choice.client.upstream.clone(),
+        model: request.model.clone(),
+        version: choice.version.clone(),
+    };
+    let noting = Arc::clone(context);
+    tokio::spawn(async move { note_computed(&noting, note).await });
+    Ok(StartedRun {
+        feed: started.feed,
+        first: started.first,
+        upstream: choice.client.upstream,
+        version: choice.version,
+        _holds: RunHolds { _admitted: Some(admitted), _work: work, _load: Some(started.hold) },
+    })
+}
+
+/// Hashes of what is worth keeping: by the caller's hint, else all.
+fn kept_hashes(request: &CompletionRequest, choice: &EngineChoice) -> Vec<guava_policy::PrefixHash> {
+    const BLOCK_BYTES: usize = 256;
+    let all = &choice.chain.hashes;
+    let kept = request.cache_prefix_bytes.map_or(all.len(), |bytes| bytes / BLOCK_BYTES + 1);
+    all.iter().take(kept).copied().collect()
+}
+
+async fn run_attempts(
+    context: &Arc<DaemonContext>,
+    caller: &CallerInfo,
+    request: &CompletionRequest,
+    model: &ModelSpec,
+) -> Result<(EngineChoice, Box<StartedTry>), CallOutcome> {
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut may_have_run = false;
+    let mut last = String::from("no engine has the model loaded");
+    for _ in 0..MAX_ATTEMPTS {
+        let work = PromptWork {
+            request: &caller.request,
+            customer: &caller.customer,
+            model: &request.model,
+            prompt: &request.prompt,
+            tried: &tried,
+        };
+        let Some(choice) = choose_engine(context, model, &work).await else { break };
+        let may_move_on = tried.len() + 1 < MAX_ATTEMPTS;
+        let end = try_engine(context, caller, request, &choice, may_move_on).await;
+        let reason = match end {
+            TryEnd::Started(started) => return Ok((choice, started)),
+            TryEnd::Refused(reason) => reason,
+            TryEnd::Lost(reason) => {
+                may_have_run = true;
+                reason
+            }
+        };
+        let upstream = choice.client.upstream;
+        log_event!(info, REROUTED, request = caller.request, from = upstream, reason = reason);
+        tried.push(upstream);
+        last = reason;
+        if caller.deadline.passed(Moment::now()) || !locked(&context.retries).spend() {
+            break;
+        }
+    }
+    if may_have_run {
+        return Err(CallOutcome::failed(last));
+    }
+    Err(refused(caller, RefusalKind::NO_UPSTREAM, &last, COME_BACK_MS))
+}
+
+/// Reads the rest of a run; the texts of all its chunks.
+pub async fn collect_run(run: &mut StartedRun) -> Result<(Vec<ReplyChunk>, guava_outside::Usage), FeedError> {
+    let mut chunks = Vec::new();
+    let mut step = std::mem::replace(&mut run.first, FeedStep::Chunks(Vec::new()));
+    loop {
+        match step {
+            FeedStep::Chunks(more) => chunks.extend(more),
+            FeedStep::End(usage) => return Ok((chunks, usage)),
+        }
+        step = run.feed.next().await?;
+    }
+}
--- /dev/null
+++ b/crates/guava-daemon/src/context.rs
@@ -0,0 +1,215 @@
+//! What the duties of a daemon share.
+//!
+//! Each duty runs in a thread of its own. Commands between them go through bounded rings; what
+//! many read and one writes is published behind a short lock or an atomic pointer.
+
+use crate::admission_desk::AdmissionDesk;
+use crate::append_ring::AppendRing;
+use crate::cache_index::CacheIndex;
+use crate::call_table::CallTable;
+use crate::decision_log::DecisionLog;
+use crate::export_ring::ExportRing;
+use crate::leaving_book::LeavingBook;
+use crate::metrics::MetricSink;
+use crate::peer_book::PeerBook;
+use crate::peer_links::PeerLinks;
+use crate::report_book::ReportBook;
+use crate::settings::DaemonSettings;
+use crate::shared_state::SharedState;
+use crate::stream_id::StreamSecret;
+use crate::work_gauge::WorkGauge;
+use guava_outside::{LogClient, StoreReport, VmListClient, WeightStoreClient};
+use guava_policy::{LoadTable, RetryBudget};
+use guava_state::{FreshnessInput, FreshnessVerdict, PeerSight};
+use guava_types::{FastMap, Incarnation, Moment, UpstreamId};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Takes a lock; a panic in another holder doesn't take the daemon down with it.
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Where a daemon is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DaemonPhase {
+    /// No state yet.
+    Starting,
+    /// Takes work.
+    Serving,
+    /// Its addresses are no longer handed out; still takes work from those who hold them.
+    Leaving,
+    /// Takes no new work; finishes what runs.
+    Draining,
+}
+
+impl DaemonPhase {
+    /// The phase as gossiped.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Starting => 0,
+            Self::Serving => 1,
+            Self::Leaving => 2,
+            Self::Draining => 3,
+        }
+    }
+
+    /// The phase of a gossiped code.
+    pub fn from_code(code: u32) -> Self {
+        match code {
+            1 => Self::Serving,
+            2 => Self::Leaving,
+            3 => Self::Draining,
+            _ => Self::Starting,
+        }
+    }
+
+    /// Its name for operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Draining => "draining",
+        }
+    }
+}
+
+/// Clients of the platform's services.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformClients {
+    /// The log.
+    pub log: LogClient,
+    /// The list of VMs.
+    pub vm_list: VmListClient,
+    /// The weight store.
+    pub weights: WeightStoreClient,
+}
+
+/// All that is shared.
+pub struct DaemonContext {
+    /// The settings.
+    pub settings: DaemonSettings,
+    /// This start of the daemon.
+    pub me: Incarnation,
+    /// The state folded from the log.
+    pub state: SharedState,
+    /// Ring to the log duty.
+    pub appends: AppendRing,
+    /// Ring to the cache duty.
+    pub exports: ExportRing,
+    /// What is known of the other daemons.
+    pub book: Mutex<PeerBook>,
+    /// Connections to the other daemons.
+    pub links: PeerLinks,
+    /// What is known of the upstreams' load.
+    pub loads: Mutex<LoadTable>,
+    /// The upstreams' last reports.
+    pub reports: Mutex<ReportBook>,
+    /// Upstreams that get no new work.
+    pub leaving: Mutex<LeavingBook>,
+    /// Limits and queue.
+    pub admission: AdmissionDesk,
+    /// Non-idempotent calls of this incarnation.
+    pub calls: CallTable,
+    /// Index entries that this daemon owns.
+    pub index: Mutex<CacheIndex>,
+    /// The stores' last reports.
+    pub stores: Mutex<FastMap<UpstreamId, StoreReport>>,
+    /// Retries left.
+    pub retries: Mutex<RetryBudget>,
+    /// Latest routing decisions.
+    pub decisions: DecisionLog,
+    /// Metrics.
+    pub metrics: MetricSink,
+    /// Requests in progress.
+    pub work: WorkGauge,
+    /// Signs event ids.
+    pub secret: StreamSecret,
+    /// The platform.
+    pub platform: PlatformClients,
+    phase: AtomicU8,
+}
+
+/// The parts of a context that are made before it.
+pub struct ContextParts {
+    /// The settings.
+    pub settings: DaemonSettings,
+    /// Ring to the log duty.
+    pub appends: AppendRing,
+    /// Ring to the cache duty.
+    pub exports: ExportRing,
+    /// Connections to the other daemons.
+    pub links: PeerLinks,
+    /// Metrics.
+    pub metrics: MetricSink,
+    /// Signs event ids.
+    pub secret: StreamSecret,
+}
+
+impl DaemonContext {
+    /// A context of a fresh incarnation.
+    pub fn new(parts: ContextParts) -> Self {
+        let platform = parts.settings.platform;
+        Self {
+            me: Incarnation::random(),
+            state: SharedState::default(),
+            appends: parts.appends,
+            exports: parts.exports,
+            book: Mutex::default(),
+            links: parts.links,
+            loads: Mutex::default(),
+            reports: Mutex::default(),
+            leaving: Mutex::default(),
+            admission: AdmissionDesk::default(),
+            calls: CallTable::default(),
+            index: Mutex::default(),
+            stores: Mutex::default(),
+            retries: Mutex::default(),
+            decisions: DecisionLog::default(),
+            metrics: parts.metrics,
+            work: WorkGauge::default(),
+            secret: parts.secret,
+            platform: PlatformClients {
+                log: LogClient { address: platform.log },
+                vm_list: VmListClient { address: platform.vm_list },
+                weights: WeightStoreClient { address: platform.weights },
+            },
+            phase: AtomicU8::new(DaemonPhase::Starting.code()),
+            settings: parts.settings,
+        }
+    }
+
+    /// Where the daemon is in its life.
+    pub fn phase(&self) -> DaemonPhase {
+        DaemonPhase::from_code(u32::from(self.phase.load(Ordering::Acquire)))
+    }
+
+    /// Moves on in its life; never back.
+    pub fn enter_phase(&self, phase: DaemonPhase) {
+        self.phase.fetch_max(phase.code(), Ordering::AcqRel);
+    }
+
+    /// Applies the freshness rule now.
+    pub fn freshness(&self) -> FreshnessVerdict {
+        self.with_freshness(|input| input.judge())
+    }
+
+    /// Whether a majority of the roster was heard lately.
+    pub fn reaches_majority(&self) -> bool {
+        self.with_freshness(|input| input.reaches_majority())
+    }
+
+    fn with_freshness<T>(&self, judge: impl FnOnce(&FreshnessInput<'_>) -> T) -> T {
+        let view = self.state.view();
+        let peers: Vec<PeerSight> = locked(&self.book).sights();
+        judge(&FreshnessInput {
+            now: Moment::now(),
+            me: self.me,
+            next: self.state.next(),
+            own: self.state.log_sight(),
+            peers: &peers,
+            roster: &view.roster,
+        })
+    }
+}
--- /dev/null
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -0,0 +1,189 @@
+//! Chooses an engine for a prompt: which version, which candidates, at what cost.
+
+use crate::cache_duty::{CacheAnswer, lookup};
+use crate::cache_index::ReadGrant;
+use crate::context::{DaemonContext, locked};
+use guava_outside::{EngineClient, ImportOrder};
+use guava_policy::{
+    BLOCK_TOKENS, CandidateCost, ImportOffer, PrefixChain, RouteCandidate, RouteDecision,
+    RouteInput, decide_route, prefix_chain,
+};
+use guava_state::{ModelSpec, UpstreamKind, UpstreamSpec};
+use guava_types::{CustomerId, ModelName, Moment, TokenCount, UpstreamId, VersionName};
+
+/// What is to be routed.
+pub struct PromptWork<'a> {
+    /// The request's id.
+    pub request: &'a str,
+    /// Whose.
+    pub customer: &'a CustomerId,
+    /// The model.
+    pub model: &'a ModelName,
+    /// The prompt.
+    pub prompt: &'a str,
+    /// Engines that failed it already.
+    pub tried: &'a [UpstreamId],
+}
+
+/// A chosen engine.
+pub struct EngineChoice {
+    /// Its client.
+    pub client: EngineClient,
+    /// The version that is to run.
+    pub version: VersionName,
+    /// The prompt's chain under that version.
+    pub chain: PrefixChain,
+    /// What to import first.
+    pub import: Option<ImportOrder>,
+    /// Its cost.
+    pub cost: CandidateCost,
+}
+
+/// Engines of a model that may take new work, with the version each has loaded.
+fn engines(
+    context: &DaemonContext,
+    model: &ModelName,
+) -> Vec<(UpstreamId, UpstreamSpec, VersionName)> {
+    let view = context.state.view();
+    let leaving = locked(&context.leaving);
+    let reports = locked(&context.reports);
+    view.upstreams
+        .iter()
+        .filter(|(_, spec)| spec.kind == UpstreamKind::Engine && !spec.draining)
+        .filter(|(id, spec)| spec.model.as_ref() == Some(model) && !leaving.is_leaving(id))
+        .filter_map(|(id, spec)| {
+            let version = reports.loaded(id, model)?;
+            Some((id.clone(), spec.clone(), version))
+        })
+        .collect()
+}
+
+/// Requests that all engines of a model run at one time.
+pub fn model_slots(context: &DaemonContext, model: &ModelName) -> u32 {
+    engines(context, model).iter().map(|(_, spec, _)| spec.slots).sum()
+}
+
+/// The version for a new request. While a roll out is under way the previous version serves until
+/// half of the engines have the current one: a single engine would else get all the load.
+fn pick_version(
+    model: &ModelSpec,
+    engines: &[(UpstreamId, UpstreamSpec, VersionName)],
+) -> VersionName {
+    let count = |version: &VersionName| {
+        engines.iter().filter(|(_, _, loaded)| loaded == version).count()
+    };
+    let current = count(&model.current);
+    match &model.previous {
+        Some(previous) if current * 2 < engines.len() && count(previous) > 0 => previous.clone(),
+        _ => model.current.clone(),
+    }
+}
+
+fn candidates(
+    context: &DaemonContext,
+    engines: &[(UpstreamId, UpstreamSpec, VersionName)],
+    version: &VersionName,
+    tried: &[UpstreamId],
+    answer: &CacheAnswer,
+) -> Vec<RouteCandidate> {
+    let now = Moment::now();
+    let loads = locked(&context.loads);
+    let resident = |id: &UpstreamId| {
+        let known = answer.found.residents.iter().find(|(other, _)| other == id);
+        TokenCount(known.map_or(0, |(_, blocks)| *blocks as u64 * BLOCK_TOKENS))
+    };
+    engines
+        .iter()
+        .filter(|(id, _, loaded)| loaded == version && !tried.contains(id))
+        .map(|(id, spec, _)| {
+            let load = loads.load(id);
+            RouteCandidate {
+                upstream: id.clone(),
+                wait_ms: load.wait_ms(now, spec.prefill),
+                prefill: spec.prefill,
+                over_slots: (load.running(now) + 1).saturating_sub(spec.slots),
+                resident: resident(id),
+                slowness: load.slowness(now),
+            }
+        })
+        .collect()
+}
+
+fn import_offer(context: &DaemonContext, answer: &CacheAnswer) -> Option<(ReadGrant, ImportOffer)> {
+    let grant = answer.found.offer.clone()?;
+    let view = context.state.view();
+    let store = view.upstream(&grant.block.store)?;
+    if store.draining || locked(&context.leaving).is_leaving(&grant.block.store) {
+        return None;
+    }
+    let offer = ImportOffer {
+        tokens: grant.block.tokens,
+        bytes: grant.block.length,
+        rate: store.link,
+        queued: answer.link_queued,
+    };
+    Some((grant, offer))
+}
+
+fn import_order(context: &DaemonContext, grant: &ReadGrant) -> Option<ImportOrder> {
+    let store = context.state.view().upstream(&grant.block.store)?.address;
+    let grant_left_ms = grant.until.millis_left(Moment::now());
+    (grant_left_ms > 0).then(|| ImportOrder {
+        store,
+        key: grant.block.key.clone(),
+        length: grant.block.length.0,
+        digest: grant.block.digest.clone(),
+        tokens: grant.block.tokens,
+        grant_left_ms,
+    })
+}
+
+fn log_decision(
+    context: &DaemonContext,
+    work: &PromptWork<'_>,
+    version: &VersionName,
+    decision: &RouteDecision,
+) {
+    const SHOWN: usize = 8;
+    let costs: Vec<String> =
+        decision.costs.iter().take(SHOWN).map(ToString::to_string).collect();
+    let costs = costs.join(" ");
+    let chosen = &decision.chosen.upstream;
+    let reason = decision.reason;
+    log_event!(
+        info, ROUTED, request = work.request, customer = work.customer, model = work.model,
+        version = version, choice = chosen, reason = reason, costs = costs,
+    );
+    let line = format!("chose {chosen} at {version}: {reason}; candidates: {costs}");
+    context.decisions.note(work.request, line);
+}
+
+/// Chooses an engine; nothing if none takes work.
+pub async fn choose_engine(
+    context: &DaemonContext,
+    model: &ModelSpec,
+    work: &PromptWork<'_>,
+) -> Option<EngineChoice> {
+    let engines = engines(context, work.model);
+    let version = pick_version(model, &engines);
+    let chain = prefix_chain(work.customer, work.model, &version, work.prompt);
+    let answer = lookup(context, &chain.salt, &chain.hashes).await;
+    let candidates = candidates(context, &engines, &version, work.tried, &answer);
+    let offer = import_offer(context, &answer);
+    let input = RouteInput {
+        prompt: chain.tokens,
+        candidates: &candidates,
+        import: offer.as_ref().map(|(_, offer)| offer),
+        profile: context.state.view().profile,
+        draw: rand::random(),
+    };
+    let decision = decide_route(&input)?;
+    log_decision(context, work, &version, &decision);
+    let cost = decision.chosen;
+    let import = offer
+        .filter(|_| cost.import)
+        .and_then(|(grant, _)| import_order(context, &grant));
+    let spec = engines.iter().find(|(id, _, _)| *id == cost.upstream)?;
+    let client = EngineClient { upstream: cost.upstream.clone(), address: spec.1.address };
+    Some(EngineChoice { client, version, chain, import, cost })
+}
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -1,1 +1,51 @@
-//! Placeholder.
+//! One daemon: its duties, a thread each, and what they share.
+
+#[macro_use]
+pub mod events;
+
+mod admission_desk;
+mod append_ring;
+mod cache_duty;
+mod cache_index;
+mod call_desk;
+mod call_table;
+mod completion;
+mod context;
+mod decision_log;
+mod engine_choice;
+mod event_stream;
+mod export_ring;
+mod front;
+mod gossip_duty;
+mod leaving_book;
+mod listener;
+mod log_duty;
+mod metrics;
+mod object_codec;
+mod operator_server;
+mod order_duty;
+mod outcome;
+mod peer_book;
+mod peer_links;
+mod peer_server;
+mod report_book;
+mod run_feed;
+mod settings;
+mod settings_check;
+mod shared_state;
+mod shutdown;
+mod start;
+mod stream_id;
+mod tls;
+mod watch_duty;
+mod work_gauge;
+
+pub use admission_desk::daemon_slots;
+pub use cache_index::{CacheIndex, GRANT_MS, PrefixFound, ReadGrant, SealedEntry, SeenBefore};
+pub use leaving_book::{LeavingBook, LeavingSource};
+pub use outcome::{CallOutcome, Refusal, RefusalKind};
+pub use peer_book::{PeerBook, PeerEntry, PeerIdentity};
+pub use settings::{DaemonSettings, ListenSettings, PlatformSettings, TlsFiles};
+pub use settings_check::{SettingsError, SettingsErrors};
+pub use start::{StartError, run_daemon};
+pub use stream_id::{SecretError, StreamPlace, StreamSecret, token_hash};
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -16,6 +16,8 @@
 
 /// Longest line of an event stream, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 20;
+/// Header in which an engine tells a run's id.
+pub const RUN_HEADER: &str = "x-run-id";
 /// How long a connection to an engine may take, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
 
@@ -37,7 +39,7 @@
 }
 
 /// A completion to run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CompletionOrder {
     /// The request's id, echoed in each chunk.
     pub request: Box<str>,
@@ -55,6 +57,9 @@
     pub cache_salt: Box<str>,
     /// A block to import first.
     pub import: Option<ImportOrder>,
+    /// The caller's other parameters, passed on as they came.
+    #[serde(flatten)]
+    pub parameters: serde_json::Map<String, serde_json::Value>,
 }
 
 /// Token counts of a run.
@@ -90,6 +95,8 @@
 /// A run's stream.
 #[derive(Debug)]
 pub struct EngineStream {
+    /// The run's id, told before the first chunk.
+    pub run: Option<Box<str>>,
     body: Incoming,
     buffer: BytesMut,
 }
@@ -241,7 +248,9 @@
         if !response.status().is_success() {
             return Err(http_link::refusal(response, deadline).await);
         }
-        Ok(EngineStream { body: response.into_body(), buffer: BytesMut::new() })
+        let run = response.headers().get(RUN_HEADER).and_then(|value| value.to_str().ok());
+        let run = run.map(Box::from);
+        Ok(EngineStream { run, body: response.into_body(), buffer: BytesMut::new() })
     }
 
     /// Starts a run.
--- a/crates/guava-outside/src/lib.rs
+++ b/crates/guava-outside/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use engine::{
     CacheEvent, CacheEvents, CompletionOrder, EngineClient, EngineEvent, EngineReport,
-    EngineStream, ExportOrder, ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, Usage,
+    EngineStream, ExportOrder, ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage,
 };
 pub use http_link::{HttpError, collect_body, connect, exchange, get_json, post_json, send, set_source};
 pub use kv_store::{BlockState, StoreClient, StoreReport};
--- a/crates/guava-policy/src/load.rs
+++ b/crates/guava-policy/src/load.rs
@@ -37,10 +37,19 @@
     pub sent: Moment,
     /// Tokens to prefill.
     pub tokens: TokenCount,
+    /// How long its first token was expected to take, in milliseconds.
+    pub expected_ms: f64,
     /// Whether its first token has come.
     pub started: bool,
 }
 
+impl PendingWork {
+    fn slowness(&self, now: Moment) -> f64 {
+        let elapsed = now.millis_since(self.sent) as f64;
+        (elapsed / self.expected_ms.max(MIN_EXPECTED_MS)).clamp(1.0, MAX_SLOWNESS)
+    }
+}
+
 /// One upstream's load.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLoad {
@@ -65,7 +74,15 @@
     }
 
     /// How many times slower than expected it has been, at least one.
+    ///
+    /// Work that has not started yet counts by the time that it has waited so far: a server that
+    /// turned slow would otherwise take more and more until its first late answer.
     pub fn slowness(&self, now: Moment) -> f64 {
+        let waiting = self.pending.values().filter(|work| !work.started);
+        waiting.map(|work| work.slowness(now)).fold(self.past_slowness(now), f64::max)
+    }
+
+    fn past_slowness(&self, now: Moment) -> f64 {
         let age = now.millis_since(self.slowness_noted) as f64;
         let excess = (self.slowness - 1.0).max(0.0);
         1.0 + excess * 0.5_f64.powf(age / SLOWNESS_HALF_LIFE_MS)
@@ -139,28 +156,27 @@
     }
 
     /// Notes work sent; the ticket names it later.
-    pub fn sent(&mut self, upstream: &UpstreamId, tokens: TokenCount, now: Moment) -> u64 {
+    pub fn sent(
+        &mut self,
+        upstream: &UpstreamId,
+        tokens: TokenCount,
+        expected_ms: f64,
+        now: Moment,
+    ) -> u64 {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let work = PendingWork { sent: now, tokens, started: false };
+        let work = PendingWork { sent: now, tokens, expected_ms, started: false };
         self.loads.entry(upstream.clone()).or_default().pending.insert(ticket, work);
         ticket
     }
 
-    /// Notes the first token of a piece of work and how long it was expected to take.
-    pub fn started(
-        &mut self,
-        upstream: &UpstreamId,
-        ticket: u64,
-        expected_ms: f64,
-        now: Moment,
-    ) {
+    /// Notes the first token of a piece of work.
+    pub fn started(&mut self, upstream: &UpstreamId, ticket: u64, now: Moment) {
         let Some(load) = self.loads.get_mut(upstream) else { return };
         let Some(work) = load.pending.get_mut(&ticket) else { return };
         work.started = true;
-        let actual = now.millis_since(work.sent) as f64;
-        let ratio = (actual / expected_ms.max(MIN_EXPECTED_MS)).clamp(1.0, MAX_SLOWNESS);
-        let current = load.slowness(now);
+        let ratio = work.slowness(now);
+        let current = load.past_slowness(now);
         load.slowness = current + (ratio - current) / SLOWNESS_SMOOTHING;
         load.slowness_noted = now;
     }
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -11,7 +11,7 @@
 use axum::{Json, Router};
 use guava_outside::{
     CacheEvents, CompletionOrder, EngineEvent, EngineReport, ExportOrder,
-    ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, Usage, collect_body, exchange, get_json,
+    ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage, collect_body, exchange, get_json,
 };
 use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount, VersionName};
 use http_body_util::Full;
@@ -392,7 +392,8 @@
     drop(buffer);
     let cursor = StreamCursor { run_id: run_id.into(), run, next: from, faults, done: false };
     let stream = futures_util::stream::unfold(cursor, next_lines);
-    ([("content-type", "text/event-stream")], Body::from_stream(stream)).into_response()
+    let headers = [("content-type", "text/event-stream"), (RUN_HEADER, run_id)];
+    (headers, Body::from_stream(stream)).into_response()
 }
 
 async fn complete(
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -95,6 +95,7 @@
     intents: IntentTable,
     leases: BTreeMap<Box<str>, LeaseEntry>,
     history: VecDeque<HistoryEntry>,
+    snapshot_at: Offset,
 }
 
 impl FleetState {
@@ -103,6 +104,11 @@
         self.next
     }
 
+    /// Offset of the last snapshot record, or zero.
+    pub fn snapshot_at(&self) -> Offset {
+        self.snapshot_at
+    }
+
     /// The daemons on the roster.
     pub fn members(&self) -> &BTreeMap<Incarnation, MemberEntry> {
         &self.members
@@ -248,7 +254,10 @@
                 self.judge_lease(offset, author, request);
                 FoldOutcome::Other { id }
             }
-            RecordBody::Snapshot(_) => FoldOutcome::Other { id },
+            RecordBody::Snapshot(_) => {
+                self.snapshot_at = offset;
+                FoldOutcome::Other { id }
+            }
         };
         self.advance_log_time(author, record.wall);
         outcome
--- a/crates/guavatiller/src/main.rs
+++ b/crates/guavatiller/src/main.rs
@@ -1,1 +1,47 @@
-fn main() {}
+//! The guavatiller binary: the daemon, the settings check and the operators' client.
+
+mod args;
+mod changes;
+mod client;
+mod output;
+mod reports;
+
+use args::{CommandArgs, TopArgs};
+use guava_daemon::{DaemonSettings, run_daemon};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Settings or arguments are wrong, or the daemon did not start.
+const EXIT_FAILED: u8 = 1;
+
+fn read_settings(path: &Path) -> Result<DaemonSettings, String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| format!("{}: {error}", path.display()))?;
+    DaemonSettings::parse(&text).map_err(|errors| errors.to_string())
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("{}", message.trim_end());
+    ExitCode::from(EXIT_FAILED)
+}
+
+fn main() -> ExitCode {
+    let top: TopArgs = argh::from_env();
+    match &top.command {
+        CommandArgs::Daemon(args) => match read_settings(&args.settings) {
+            Ok(settings) => match run_daemon(settings) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => fail(&error.to_string()),
+            },
+            Err(errors) => fail(&errors),
+        },
+        CommandArgs::CheckSettings(args) => match read_settings(&args.file) {
+            Ok(_) => {
+                println!("{}: settings are valid", args.file.display());
+                ExitCode::SUCCESS
+            }
+            Err(errors) => fail(&errors),
+        },
+        _ => client::run(&top),
+    }
+}
