--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -10,9 +10,7 @@
     AdoptRequest, LookupReply, LookupRequest, NoteRequest, ResidentPrefix, SealedBlock,
 };
 use guava_state::{UpstreamKind, UpstreamSpec};
-use guava_types::{
-    ByteCount, Deadline, Incarnation, Moment, TokenCount, UpstreamId,
-};
+use guava_types::{ByteCount, Deadline, Incarnation, Moment, TokenCount, UpstreamId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
@@ -182,8 +180,7 @@
     let in_flight = Arc::new(Semaphore::new(EXPORTS_IN_FLIGHT));
     while let Some(note) = notes.recv().await {
         let now = Moment::now();
-        let seen =
-            locked(&context.index).note(&note.salt, &note.hashes, &note.upstream, now);
+        let seen = locked(&context.index).note(&note.salt, &note.hashes, &note.upstream, now);
         let Some(seen) = seen else { continue };
         let Some(task) = decide_export(&context, &note, seen) else { continue };
         let Ok(permit) = Arc::clone(&in_flight).try_acquire_owned() else { continue };
@@ -298,8 +295,13 @@
     }
     if let Ok(receipt) = receipt {
         log_event!(
-            info, EXPORTED, key = key, store = task.store, bytes = receipt.length,
-            engine = task.note.upstream, reason = "expected reuse",
+            info,
+            EXPORTED,
+            key = key,
+            store = task.store,
+            bytes = receipt.length,
+            engine = task.note.upstream,
+            reason = "expected reuse",
         );
         let block = SealedEntry {
             key,
--- a/crates/guava-daemon/src/cache_index.rs
+++ b/crates/guava-daemon/src/cache_index.rs
@@ -6,10 +6,8 @@
 //! one write of one incarnation and is never used again.
 
 use guava_outside::CacheEvent;
-use guava_policy::{PrefixHash, BLOCK_TOKENS};
-use guava_types::{
-    ByteCount, Deadline, FastMap, Incarnation, Moment, TokenCount, UpstreamId,
-};
+use guava_policy::{BLOCK_TOKENS, PrefixHash};
+use guava_types::{ByteCount, Deadline, FastMap, Incarnation, Moment, TokenCount, UpstreamId};
 
 /// How long a grant to read a block lasts, in milliseconds.
 pub const GRANT_MS: u64 = 10_000;
@@ -243,8 +241,7 @@
                 })
                 .min_by_key(|family| family.last_seen);
             if let Some(family) = oldest {
-                let place =
-                    family.sealed.iter().position(|b| b.store == *store && is_free(b));
+                let place = family.sealed.iter().position(|b| b.store == *store && is_free(b));
                 freed.extend(place.map(|place| family.sealed.swap_remove(place)));
             }
         }
--- a/crates/guava-daemon/src/call_desk.rs
+++ b/crates/guava-daemon/src/call_desk.rs
@@ -369,17 +369,20 @@
 
 /// Where an incarnation's daemon is reached, if it is still known.
 pub fn peer_address(context: &DaemonContext, incarnation: Incarnation) -> Option<SocketAddr> {
-    let by_gossip =
-        locked(&context.book).get(incarnation).map(|entry| entry.identity.peer_address);
+    let by_gossip = locked(&context.book).get(incarnation).map(|entry| entry.identity.peer_address);
     by_gossip.or_else(|| {
-        context.state.read(|state| {
-            state.members().get(&incarnation).map(|member| member.peer_address)
-        })
+        context
+            .state
+            .read(|state| state.members().get(&incarnation).map(|member| member.peer_address))
     })
 }
 
 /// Asks the incarnation that holds a key for the outcome of its run.
-async fn attach(context: &Arc<DaemonContext>, call: &KeyedCall, holder: Incarnation) -> CallOutcome {
+async fn attach(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+    holder: Incarnation,
+) -> CallOutcome {
     log_event!(info, CALL_ATTACHED, request = call.request, holder = holder);
     let gone = "the daemon that held this key is gone; whether it ran is not known";
     if holder == context.me {
--- a/crates/guava-daemon/src/call_table.rs
+++ b/crates/guava-daemon/src/call_table.rs
@@ -155,7 +155,10 @@
 }
 
 /// Waits for an outcome; nothing if the deadline passes first.
-pub async fn wait_outcome(mut receiver: OutcomeReceiver, deadline: Deadline) -> Option<CallOutcome> {
+pub async fn wait_outcome(
+    mut receiver: OutcomeReceiver,
+    deadline: Deadline,
+) -> Option<CallOutcome> {
     let settled = receiver.wait_for(Option::is_some);
     timeout(deadline.time_left(), settled).await.ok()?.ok()?.clone()
 }
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -58,7 +58,8 @@
 impl CompletionRequest {
     /// Reads and checks a body.
     pub fn parse(body: &[u8]) -> Result<Self, String> {
-        let request: Self = serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
+        let request: Self =
+            serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
         if request.prompt.is_empty() {
             return Err("prompt: must not be empty".into());
         }
@@ -189,7 +190,11 @@
     hold: LoadHold,
 }
 
-fn order_of(caller: &CallerInfo, request: &CompletionRequest, choice: &EngineChoice) -> CompletionOrder {
+fn order_of(
+    caller: &CallerInfo,
+    request: &CompletionRequest,
+    choice: &EngineChoice,
+) -> CompletionOrder {
     CompletionOrder {
         request: caller.request.clone(),
         model: request.model.clone(),
@@ -295,7 +300,10 @@
 }
 
 /// Hashes of what is worth keeping: by the caller's hint, else all.
-fn kept_hashes(request: &CompletionRequest, choice: &EngineChoice) -> Vec<guava_policy::PrefixHash> {
+fn kept_hashes(
+    request: &CompletionRequest,
+    choice: &EngineChoice,
+) -> Vec<guava_policy::PrefixHash> {
     const BLOCK_BYTES: usize = 256;
     let all = &choice.chain.hashes;
     let kept = request.cache_prefix_bytes.map_or(all.len(), |bytes| bytes / BLOCK_BYTES + 1);
@@ -345,7 +353,9 @@
 }
 
 /// Reads the rest of a run; the texts of all its chunks.
-pub async fn collect_run(run: &mut StartedRun) -> Result<(Vec<ReplyChunk>, guava_outside::Usage), FeedError> {
+pub async fn collect_run(
+    run: &mut StartedRun,
+) -> Result<(Vec<ReplyChunk>, guava_outside::Usage), FeedError> {
     let mut chunks = Vec::new();
     let mut step = std::mem::replace(&mut run.first, FeedStep::Chunks(Vec::new()));
     loop {
--- a/crates/guava-daemon/src/decision_log.rs
+++ b/crates/guava-daemon/src/decision_log.rs
@@ -25,6 +25,10 @@
     /// The lines of a request, oldest first.
     pub fn lines(&self, request: &str) -> Vec<Box<str>> {
         let lines = locked(&self.lines);
-        lines.iter().filter(|(other, _)| &**other == request).map(|(_, line)| line.clone()).collect()
+        lines
+            .iter()
+            .filter(|(other, _)| &**other == request)
+            .map(|(_, line)| line.clone())
+            .collect()
     }
 }
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -69,9 +69,8 @@
     model: &ModelSpec,
     engines: &[(UpstreamId, UpstreamSpec, VersionName)],
 ) -> VersionName {
-    let count = |version: &VersionName| {
-        engines.iter().filter(|(_, _, loaded)| loaded == version).count()
-    };
+    let count =
+        |version: &VersionName| engines.iter().filter(|(_, _, loaded)| loaded == version).count();
     let current = count(&model.current);
     match &model.previous {
         Some(previous) if current * 2 < engines.len() && count(previous) > 0 => previous.clone(),
@@ -145,14 +144,20 @@
     decision: &RouteDecision,
 ) {
     const SHOWN: usize = 8;
-    let costs: Vec<String> =
-        decision.costs.iter().take(SHOWN).map(ToString::to_string).collect();
+    let costs: Vec<String> = decision.costs.iter().take(SHOWN).map(ToString::to_string).collect();
     let costs = costs.join(" ");
     let chosen = &decision.chosen.upstream;
     let reason = decision.reason;
     log_event!(
-        info, ROUTED, request = work.request, customer = work.customer, model = work.model,
-        version = version, choice = chosen, reason = reason, costs = costs,
+        info,
+        ROUTED,
+        request = work.request,
+        customer = work.customer,
+        model = work.model,
+        version = version,
+        choice = chosen,
+        reason = reason,
+        costs = costs,
     );
     let line = format!("chose {chosen} at {version}: {reason}; candidates: {costs}");
     context.decisions.note(work.request, line);
@@ -180,9 +185,7 @@
     let decision = decide_route(&input)?;
     log_decision(context, work, &version, &decision);
     let cost = decision.chosen;
-    let import = offer
-        .filter(|_| cost.import)
-        .and_then(|(grant, _)| import_order(context, &grant));
+    let import = offer.filter(|_| cost.import).and_then(|(grant, _)| import_order(context, &grant));
     let spec = engines.iter().find(|(id, _, _)| *id == cost.upstream)?;
     let client = EngineClient { upstream: cost.upstream.clone(), address: spec.1.address };
     Some(EngineChoice { client, version, chain, import, cost })
--- a/crates/guava-daemon/src/event_stream.rs
+++ b/crates/guava-daemon/src/event_stream.rs
@@ -128,9 +128,14 @@
             }
             Ok(FeedStep::End(usage)) => {
                 log_event!(
-                    info, COMPLETED, request = owner.request, upstream = run.upstream,
-                    prompt_tokens = usage.prompt_tokens, cached_tokens = usage.cached_tokens,
-                    imported_tokens = usage.imported_tokens, resumes = run.feed.resumes(),
+                    info,
+                    COMPLETED,
+                    request = owner.request,
+                    upstream = run.upstream,
+                    prompt_tokens = usage.prompt_tokens,
+                    cached_tokens = usage.cached_tokens,
+                    imported_tokens = usage.imported_tokens,
+                    resumes = run.feed.resumes(),
                 );
                 pass_on(&sender, end_event(&owner, &usage)).await;
                 return;
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -2,8 +2,7 @@
 
 use crate::call_desk::{KeyedCall, call_once, service_instances};
 use crate::completion::{
-    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run,
-    start_completion,
+    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run, start_completion,
 };
 use crate::context::{DaemonContext, DaemonPhase, locked};
 use crate::event_stream::{StreamOwner, stream_response, usage_json};
@@ -19,8 +18,7 @@
 use guava_outside::{EngineClient, ServiceCall, ServiceClient};
 use guava_policy::prefix_chain;
 use guava_types::{
-    CallKey, CallerKey, CustomerId, DataCentre, Deadline, ModelName, Moment, PinnedKey,
-    ServiceName,
+    CallKey, CallerKey, CustomerId, DataCentre, Deadline, ModelName, Moment, PinnedKey, ServiceName,
 };
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -145,7 +143,11 @@
 }
 
 /// The daemon that owns a prompt's cache entries.
-fn owner_address(context: &DaemonContext, customer: &CustomerId, body: &AffinityBody) -> Option<SocketAddr> {
+fn owner_address(
+    context: &DaemonContext,
+    customer: &CustomerId,
+    body: &AffinityBody,
+) -> Option<SocketAddr> {
     let model = context.state.read(|state| state.model(&body.model).cloned())?;
     let chain = prefix_chain(customer, &body.model, &model.current, &body.prompt);
     let book = locked(&context.book);
@@ -204,7 +206,11 @@
     address_answer(&context, query.data_centre.as_ref(), owner)
 }
 
-async fn complete(State(context): SharedContext, headers: HeaderMap, body: Bytes) -> Response<Body> {
+async fn complete(
+    State(context): SharedContext,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response<Body> {
     let request = new_request_id();
     let arrived = Moment::now();
     let caller = match caller_info(&context, &request, &headers) {
@@ -427,8 +433,13 @@
         let index = rand::random::<u32>() as usize % instances.len();
         let (upstream, address) = instances.swap_remove(index);
         log_event!(
-            info, CALL_DISPATCHED, request = caller.request, service = service,
-            choice = upstream, others = instances.len(), reason = "random",
+            info,
+            CALL_DISPATCHED,
+            request = caller.request,
+            service = service,
+            choice = upstream,
+            others = instances.len(),
+            reason = "random",
         );
         match (ServiceClient { address }).call(&call, caller.deadline).await {
             Ok(answer) => {
@@ -457,7 +468,11 @@
     (status, context.phase().name()).into_response()
 }
 
-async fn no_route(State(context): SharedContext, method: Method, headers: HeaderMap) -> Response<Body> {
+async fn no_route(
+    State(context): SharedContext,
+    method: Method,
+    headers: HeaderMap,
+) -> Response<Body> {
     let attempt = parse_attempt(&headers).unwrap_or(None);
     let reason = format!("path: nothing answers {method} there; see docs/CALLERS.md");
     let refusal = Refusal::final_one(RefusalKind::NO_SUCH, reason);
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -184,9 +184,10 @@
     let Some(identity) = identity_of(context, incarnation, message.member.as_ref()) else {
         return;
     };
-    let leaving = message.leaving.iter().filter_map(|notice| {
-        Some((notice.upstream.parse().ok()?, Box::from(&*notice.instance)))
-    });
+    let leaving = message
+        .leaving
+        .iter()
+        .filter_map(|notice| Some((notice.upstream.parse().ok()?, Box::from(&*notice.instance))));
     let entry = PeerEntry {
         version: message.version,
         made: moment_of(message.age_ms),
@@ -237,25 +238,21 @@
 fn targets(context: &DaemonContext) -> GossipTargets {
     let now = Moment::now();
     let book = locked(&context.book);
-    let mut targets =
-        GossipTargets { near: Vec::new(), far: Vec::new(), unheard: Vec::new() };
+    let mut targets = GossipTargets { near: Vec::new(), far: Vec::new(), unheard: Vec::new() };
     for (_, entry) in book.alive(now) {
         let is_near = entry.identity.data_centre == context.settings.data_centre;
         let side = if is_near { &mut targets.near } else { &mut targets.far };
         side.push(entry.identity.peer_address);
     }
-    let is_known = |address: &SocketAddr| {
-        targets.near.contains(address) || targets.far.contains(address)
-    };
+    let is_known =
+        |address: &SocketAddr| targets.near.contains(address) || targets.far.contains(address);
     let own = context.settings.peers.advertise;
     let seeds = context.settings.seeds.iter().copied();
     let members: Vec<SocketAddr> = context
         .state
         .read(|state| state.members().values().map(|member| member.peer_address).collect());
-    let mut unheard: Vec<SocketAddr> = seeds
-        .chain(members)
-        .filter(|address| *address != own && !is_known(address))
-        .collect();
+    let mut unheard: Vec<SocketAddr> =
+        seeds.chain(members).filter(|address| *address != own && !is_known(address)).collect();
     unheard.sort_unstable();
     unheard.dedup();
     targets.unheard = unheard;
--- a/crates/guava-daemon/src/listener.rs
+++ b/crates/guava-daemon/src/listener.rs
@@ -71,10 +71,7 @@
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
     let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(HEADERS_MS));
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(HEADERS_MS));
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -245,9 +245,8 @@
 
     /// This daemon's place among those alive, in an order that changes with each snapshot.
     fn snapshot_rank(&self, last: Offset) -> u64 {
-        let rank = |member: &Incarnation| {
-            *blake3::hash(format!("{member}{last}").as_bytes()).as_bytes()
-        };
+        let rank =
+            |member: &Incarnation| *blake3::hash(format!("{member}{last}").as_bytes()).as_bytes();
         let own = rank(&self.context.me);
         let view = self.context.state.view();
         let book = locked(&self.context.book);
--- a/crates/guava-daemon/src/operator_server.rs
+++ b/crates/guava-daemon/src/operator_server.rs
@@ -243,7 +243,11 @@
         kind: kind.into(),
         address: spec.address.to_string(),
         state: state.into(),
-        versions: report.loaded.iter().map(|(model, version)| format!("{model}/{version}")).collect(),
+        versions: report
+            .loaded
+            .iter()
+            .map(|(model, version)| format!("{model}/{version}"))
+            .collect(),
         queued_tokens: report.queued_tokens,
         running: report.running,
         slowness_percent: (load.slowness(now) * 100.0) as u32,
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -69,8 +69,8 @@
             }
             self.token = token;
         }
-        let may_hold = self.context.phase() == DaemonPhase::Serving
-            && self.context.freshness().is_fresh();
+        let may_hold =
+            self.context.phase() == DaemonPhase::Serving && self.context.freshness().is_fresh();
         if !may_hold || now.millis_since(self.asked_at) < RENEW_MS {
             return;
         }
@@ -98,8 +98,13 @@
             let client = EngineClient { upstream: upstream.clone(), address: spec.address };
             let order = LoadOrder { token, model, version: version.clone() };
             log_event!(
-                info, PLACED, upstream = upstream, model = order.model, version = version,
-                token = token, reason = "configured version is not loaded",
+                info,
+                PLACED,
+                upstream = upstream,
+                model = order.model,
+                version = version,
+                token = token,
+                reason = "configured version is not loaded",
             );
             self.ordered.insert(upstream.clone(), (version, now));
             if let Ok(answer) = client.order(&order, Deadline::in_millis(ORDER_MS)).await
@@ -120,10 +125,12 @@
         let engines = view.upstreams.iter().filter(|(_, spec)| spec.kind == UpstreamKind::Engine);
         for (id, spec) in engines {
             let Some(model) = spec.model.clone() else { continue };
-            let current = self.context.state.read(|state| {
-                state.model(&model).map(|model| model.current.clone())
-            });
-            let (Some(current), Some(heard), true) = (current, reports.get(id), reports.is_fresh(id))
+            let current = self
+                .context
+                .state
+                .read(|state| state.model(&model).map(|model| model.current.clone()));
+            let (Some(current), Some(heard), true) =
+                (current, reports.get(id), reports.is_fresh(id))
             else {
                 continue;
             };
--- a/crates/guava-daemon/src/peer_book.rs
+++ b/crates/guava-daemon/src/peer_book.rs
@@ -85,10 +85,8 @@
 impl PeerBook {
     /// Takes an entry in if it is newer than what is known.
     pub fn learn(&mut self, incarnation: Incarnation, entry: PeerEntry) -> bool {
-        let is_newer = self
-            .peers
-            .get(&incarnation)
-            .is_none_or(|known| known.entry.version < entry.version);
+        let is_newer =
+            self.peers.get(&incarnation).is_none_or(|known| known.entry.version < entry.version);
         if is_newer {
             self.peers.insert(incarnation, KnownPeer { entry, sends: 0 });
         }
@@ -132,8 +130,7 @@
 
     /// Whether a daemon was heard lately.
     pub fn is_heard(&self, incarnation: Incarnation, now: Moment) -> bool {
-        self.get(incarnation)
-            .is_some_and(|entry| now.millis_since(entry.made) < SILENT_AFTER_MS)
+        self.get(incarnation).is_some_and(|entry| now.millis_since(entry.made) < SILENT_AFTER_MS)
     }
 
     /// What the freshness rule needs.
--- a/crates/guava-daemon/src/peer_server.rs
+++ b/crates/guava-daemon/src/peer_server.rs
@@ -59,10 +59,7 @@
         Ok(Response::new(reply))
     }
 
-    async fn attach(
-        &self,
-        request: Request<AttachRequest>,
-    ) -> Result<Response<CallReply>, Status> {
+    async fn attach(&self, request: Request<AttachRequest>) -> Result<Response<CallReply>, Status> {
         Ok(Response::new(answer_attach(&self.context, request.into_inner()).await))
     }
 
--- a/crates/guava-daemon/src/run_feed.rs
+++ b/crates/guava-daemon/src/run_feed.rs
@@ -65,7 +65,17 @@
         let run = stream.run.clone();
         let request = Some(request);
         let order = ReplyOrder::default();
-        Self { client, request, version, run, stream, order, usage: None, idle_resumes: 0, resumes: 0 }
+        Self {
+            client,
+            request,
+            version,
+            run,
+            stream,
+            order,
+            usage: None,
+            idle_resumes: 0,
+            resumes: 0,
+        }
     }
 
     /// Reads a run on from a position.
--- a/crates/guava-daemon/src/shutdown.rs
+++ b/crates/guava-daemon/src/shutdown.rs
@@ -8,9 +8,7 @@
 use crate::context::{DaemonContext, DaemonPhase, locked};
 use crate::log_duty::own_record;
 use crate::peer_book::PeerEntry;
-use guava_schema::peers::{
-    AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock,
-};
+use guava_schema::peers::{AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock};
 use guava_state::RecordBody;
 use guava_types::{Deadline, FastMap, Incarnation, Moment};
 use std::net::SocketAddr;
--- a/crates/guava-daemon/src/start.rs
+++ b/crates/guava-daemon/src/start.rs
@@ -96,7 +96,10 @@
 }
 
 /// A thread with a runtime of its own for one duty.
-fn start_duty<F>(name: &'static str, duty: impl FnOnce() -> F + Send + 'static) -> Result<JoinHandle<()>, StartError>
+fn start_duty<F>(
+    name: &'static str,
+    duty: impl FnOnce() -> F + Send + 'static,
+) -> Result<JoinHandle<()>, StartError>
 where
     F: Future<Output = ()>,
 {
--- a/crates/guava-daemon/src/tls.rs
+++ b/crates/guava-daemon/src/tls.rs
@@ -52,8 +52,8 @@
 
 fn server_config(files: &TlsFiles) -> Result<ServerConfig, TlsError> {
     let chain = certificates(&files.certificate)?;
-    let key = PrivateKeyDer::from_pem_file(&files.key)
-        .map_err(|error| file_error(&files.key, error))?;
+    let key =
+        PrivateKeyDer::from_pem_file(&files.key).map_err(|error| file_error(&files.key, error))?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let builder = ServerConfig::builder_with_provider(Arc::clone(&provider))
         .with_safe_default_protocol_versions()
@@ -65,10 +65,9 @@
             for authority in certificates(path)? {
                 roots.add(authority).map_err(unfit)?;
             }
-            let verifier =
-                WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider)
-                    .build()
-                    .map_err(unfit)?;
+            let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider)
+                .build()
+                .map_err(unfit)?;
             builder.with_client_cert_verifier(verifier)
         }
     };
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -3,9 +3,7 @@
 
 use crate::http_link::{self, HttpError};
 use bytes::BytesMut;
-use guava_types::{
-    Deadline, FastMap, ModelName, Offset, TokenCount, UpstreamId, VersionName,
-};
+use guava_types::{Deadline, FastMap, ModelName, Offset, TokenCount, UpstreamId, VersionName};
 use http::Method;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -15,8 +15,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu, ensure};
-use std::net::SocketAddr;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
@@ -113,8 +113,7 @@
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())
     };
     let opened = timeout(deadline.time_left(), opening).await;
-    let (sender, connection) =
-        opened.map_err(|_| refused("timed out".into()))?.map_err(refused)?;
+    let (sender, connection) = opened.map_err(|_| refused("timed out".into()))?.map_err(refused)?;
     tokio::spawn(async move {
         // Its end is seen by whoever holds the sender or the body.
         drop(connection.await);
--- a/crates/guava-outside/src/lib.rs
+++ b/crates/guava-outside/src/lib.rs
@@ -15,9 +15,12 @@
 
 pub use engine::{
     CacheEvent, CacheEvents, CompletionOrder, EngineClient, EngineEvent, EngineReport,
-    EngineStream, ExportOrder, ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage,
+    EngineStream, ExportOrder, ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER,
+    Usage,
+};
+pub use http_link::{
+    HttpError, collect_body, connect, exchange, get_json, post_json, send, set_source,
 };
-pub use http_link::{HttpError, collect_body, connect, exchange, get_json, post_json, send, set_source};
 pub use kv_store::{BlockState, StoreClient, StoreReport};
 pub use log_service::{LogClient, LogPage, PageRecord};
 pub use plain_service::{ServiceAnswer, ServiceCall, ServiceClient};
--- a/crates/guava-outside/src/weight_store.rs
+++ b/crates/guava-outside/src/weight_store.rs
@@ -26,8 +26,7 @@
         deadline: Deadline,
     ) -> Result<bool, HttpError> {
         let path = format!("/versions/{model}/{version}");
-        let answer: VersionAnswer =
-            http_link::get_json(self.address, &path, deadline).await?;
+        let answer: VersionAnswer = http_link::get_json(self.address, &path, deadline).await?;
         Ok(answer.present)
     }
 }
--- a/crates/guava-schema/tests/generated.rs
+++ b/crates/guava-schema/tests/generated.rs
@@ -16,8 +16,7 @@
 
     for entry in fs::read_dir(&folder).unwrap() {
         let path = entry.unwrap().path();
-        let committed =
-            support::crate_dir().join("src/generated").join(path.file_name().unwrap());
+        let committed = support::crate_dir().join("src/generated").join(path.file_name().unwrap());
         assert_eq!(fs::read_to_string(&path).unwrap(), fs::read_to_string(&committed).unwrap());
     }
     fs::remove_dir_all(&folder).unwrap();
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -10,8 +10,8 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use guava_outside::{
-    CacheEvents, CompletionOrder, EngineEvent, EngineReport, ExportOrder,
-    ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage, collect_body, exchange, get_json,
+    CacheEvents, CompletionOrder, EngineEvent, EngineReport, ExportOrder, ExportReceipt,
+    ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage, collect_body, exchange, get_json,
 };
 use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount, VersionName};
 use http_body_util::Full;
@@ -343,7 +343,9 @@
     done: bool,
 }
 
-async fn next_lines(mut cursor: StreamCursor) -> Option<(Result<String, std::io::Error>, StreamCursor)> {
+async fn next_lines(
+    mut cursor: StreamCursor,
+) -> Option<(Result<String, std::io::Error>, StreamCursor)> {
     if cursor.done {
         return None;
     }
@@ -415,8 +417,7 @@
         state.stats.accepted += 1;
         let version = state.version.clone();
         state.stats.versions.insert(order.request.clone(), version.clone());
-        let buffer =
-            RunBuffer { request: order.request.clone(), version, ..RunBuffer::default() };
+        let buffer = RunBuffer { request: order.request.clone(), version, ..RunBuffer::default() };
         let run = Run { buffer: Shared::new(buffer), grown: Arc::new(Notify::new()) };
         state.runs.insert(run_id.clone(), run.clone());
         run
@@ -451,10 +452,7 @@
     Json(())
 }
 
-async fn export(
-    State(server): State<EngineServer>,
-    Json(order): Json<ExportOrder>,
-) -> Response {
+async fn export(State(server): State<EngineServer>, Json(order): Json<ExportOrder>) -> Response {
     {
         let mut state = server.state.lock();
         if state.faults.leaving || !state.cache.holds(&order.cache_salt, &order.last_hash) {
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -146,12 +146,7 @@
     }
 }
 
-async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    link: Link,
-    direction: Direction,
-) {
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, link: Link, direction: Direction) {
     let mut buffer = vec![0; COPY_BYTES];
     loop {
         let read = tokio::select! {
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! it: late and gapped events, lagging reports, lost answers, outages. `POST /fault` on each sets
 //! what goes wrong; `GET /stats` tells what really happened there.
 
+pub mod caller;
 pub mod deployment;
 pub mod engine_cache;
 pub mod engine_server;
--- a/crates/guava-standins/src/main.rs
+++ b/crates/guava-standins/src/main.rs
@@ -142,9 +142,7 @@
     match mode {
         StandinMode::Log(args) => serve(args.listen, log_server::router()).await,
         StandinMode::List(args) => serve(args.listen, list_server::router()).await,
-        StandinMode::Weights(args) => {
-            serve(args.listen, weight_server::router(args.load_ms)).await
-        }
+        StandinMode::Weights(args) => serve(args.listen, weight_server::router(args.load_ms)).await,
         StandinMode::Store(args) => {
             serve(args.listen, store_server::router(args.rate, args.capacity)).await
         }
--- a/crates/guava-standins/src/store_server.rs
+++ b/crates/guava-standins/src/store_server.rs
@@ -199,10 +199,7 @@
     prefix: Box<str>,
 }
 
-async fn free_all(
-    State(server): State<StoreServer>,
-    Query(query): Query<PrefixQuery>,
-) -> Json<()> {
+async fn free_all(State(server): State<StoreServer>, Query(query): Query<PrefixQuery>) -> Json<()> {
     let mut state = server.state.lock();
     let matching = state.keys.keys().filter(|key| key.starts_with(&*query.prefix));
     let keys: Vec<Box<str>> = matching.cloned().collect();
@@ -237,7 +234,10 @@
         .route("/blocks/{key}/state", get(block_state))
         .route("/blocks", axum::routing::delete(free_all))
         .route("/store", get(report))
-        .route("/report", get(async || Json(serde_json::json!({"instance": "store", "leaving": false}))))
+        .route(
+            "/report",
+            get(async || Json(serde_json::json!({"instance": "store", "leaving": false}))),
+        )
         .route("/fault", post(set_faults))
         .route("/stats", get(stats))
         .layer(DefaultBodyLimit::max(MAX_BLOCK_BYTES))
--- /dev/null
+++ b/crates/guava-standins/tests/binary_builds.rs
@@ -0,0 +1,12 @@
+//! The stand-ins' binary is built for the tests with real processes, and checks its arguments.
+
+use std::process::Command;
+
+#[test]
+fn unknown_mode_is_refused() {
+    let program = env!("CARGO_BIN_EXE_standins");
+
+    let output = Command::new(program).arg("nothing").output().unwrap();
+
+    assert!(!output.status.success());
+}
--- a/crates/guava-state/src/record.rs
+++ b/crates/guava-state/src/record.rs
@@ -1,9 +1,7 @@
 //! Records of the platform's log and their codec.
 
 use crate::{ConfigObject, ObjectKey};
-use guava_types::{
-    CallKey, DataCentre, Incarnation, MemberName, Offset, RecordId, WallTime,
-};
+use guava_types::{CallKey, DataCentre, Incarnation, MemberName, Offset, RecordId, WallTime};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddr;
--- a/crates/guavatiller/src/changes.rs
+++ b/crates/guavatiller/src/changes.rs
@@ -1,8 +1,6 @@
 //! The client's changes: each takes the object as it is and makes the new one.
 
-use crate::args::{
-    CustomerArgs, ModelAction, ModelArgs, ServiceArgs, UpstreamArgs, WeightsArgs,
-};
+use crate::args::{CustomerArgs, ModelAction, ModelArgs, ServiceArgs, UpstreamArgs, WeightsArgs};
 use guava_schema::operators::object::Value;
 use guava_schema::operators::service::Rule;
 use guava_schema::operators::upstream::Kind;
@@ -133,8 +131,7 @@
     }
     upstream.checks_fencing = args.checks_fencing.unwrap_or(upstream.checks_fencing);
     upstream.draining = args.drain.unwrap_or(upstream.draining);
-    upstream.prefill_tokens_per_second =
-        args.prefill.unwrap_or(upstream.prefill_tokens_per_second);
+    upstream.prefill_tokens_per_second = args.prefill.unwrap_or(upstream.prefill_tokens_per_second);
     upstream.link_bytes_per_second = args.link.unwrap_or(upstream.link_bytes_per_second);
     upstream.slots = args.slots.unwrap_or(upstream.slots);
     Ok(object(Value::Upstream(upstream)))
--- a/crates/guavatiller/src/client.rs
+++ b/crates/guavatiller/src/client.rs
@@ -164,7 +164,9 @@
     async fn change_object(
         &mut self,
         object: String,
-        make: impl FnOnce(Option<guava_schema::operators::object::Value>) -> Result<Option<Object>, String>,
+        make: impl FnOnce(
+            Option<guava_schema::operators::object::Value>,
+        ) -> Result<Option<Object>, String>,
     ) -> Result<ExitCode, String> {
         let current = self.current(&object).await?;
         let value = make(current.value.and_then(|object| object.value))?;
@@ -192,9 +194,7 @@
                 let request = ExplainRequest { request: args.request.clone() };
                 reports::explain(client.explain(request).await.map_err(failed)?.get_ref())
             }
-            _ => {
-                reports::status(client.status(StatusRequest {}).await.map_err(failed)?.get_ref())
-            }
+            _ => reports::status(client.status(StatusRequest {}).await.map_err(failed)?.get_ref()),
         };
         output::print(self.top.output, &tables);
         Ok(ExitCode::SUCCESS)
--- a/crates/guavatiller/src/main.rs
+++ b/crates/guavatiller/src/main.rs
@@ -15,8 +15,8 @@
 const EXIT_FAILED: u8 = 1;
 
 fn read_settings(path: &Path) -> Result<DaemonSettings, String> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| format!("{}: {error}", path.display()))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     DaemonSettings::parse(&text).map_err(|errors| errors.to_string())
 }
 
--- a/crates/guavatiller/src/reports.rs
+++ b/crates/guavatiller/src/reports.rs
@@ -15,7 +15,12 @@
             "rate={} concurrency={} keys={}",
             customer.requests_per_second,
             customer.concurrency,
-            customer.key_hashes.iter().map(|h| h.get(..8).unwrap_or(h)).collect::<Vec<_>>().join(",")
+            customer
+                .key_hashes
+                .iter()
+                .map(|h| h.get(..8).unwrap_or(h))
+                .collect::<Vec<_>>()
+                .join(",")
         )),
         Some(Value::Service(service)) => {
             let rules = service.rules.iter().map(|rule| {
