--- a/crates/guava-daemon/src/call_desk.rs
+++ b/crates/guava-daemon/src/call_desk.rs
@@ -159,6 +159,10 @@
     if context.phase() == DaemonPhase::Draining {
         return Err(call.refused(RefusalKind::LEAVING, "this daemon is leaving", 1));
     }
+    if context.phase() == DaemonPhase::Starting {
+        let reason = "this daemon is starting";
+        return Err(call.refused(RefusalKind::STALE, reason, COME_BACK_MS));
+    }
     if !context.freshness().is_fresh() {
         let reason = "this daemon can't know the configuration in force";
         return Err(call.refused(RefusalKind::STALE, reason, COME_BACK_MS));
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -23,8 +23,9 @@
 const COME_BACK_MS: u64 = 500;
 /// How long the head of an engine's answer may take.
 const HEAD_MS: u64 = 1_500;
-/// A first token later than so many times its expectation, and this much, is sought elsewhere.
-const PATIENCE_FACTOR: f64 = 3.0;
+/// A first token later than so many times the worst expectation, and this much, is sought
+/// elsewhere. The worst, since what is believed to be cached may have been evicted.
+const PATIENCE_FACTOR: f64 = 2.0;
 const PATIENCE_MS: f64 = 300.0;
 
 fn default_tokens() -> u32 {
@@ -168,6 +169,10 @@
     if context.phase() == DaemonPhase::Draining {
         return Err(refused(caller, RefusalKind::LEAVING, "this daemon is leaving", 1));
     }
+    if context.phase() == DaemonPhase::Starting {
+        let reason = "this daemon is starting";
+        return Err(refused(caller, RefusalKind::STALE, reason, COME_BACK_MS));
+    }
     if !context.freshness().is_fresh() {
         let reason = "this daemon can't know the configuration in force";
         return Err(refused(caller, RefusalKind::STALE, reason, COME_BACK_MS));
@@ -239,7 +244,7 @@
     let client = choice.client.clone();
     let version = choice.version.clone();
     let mut feed = RunFeed::started(client, caller.request.clone(), version, stream);
-    let patience = choice.cost.first_token_ms * PATIENCE_FACTOR + PATIENCE_MS;
+    let patience = choice.cost.worst_ms * PATIENCE_FACTOR + PATIENCE_MS;
     let left = caller.deadline.time_left();
     let wait = if may_move_on { left.min(Duration::from_millis(patience as u64)) } else { left };
     match timeout(wait, feed.next()).await {
@@ -328,7 +333,7 @@
             tried: &tried,
         };
         let Some(choice) = choose_engine(context, model, &work).await else { break };
-        let may_move_on = tried.len() + 1 < MAX_ATTEMPTS;
+        let may_move_on = choice.others > 0 && tried.len() + 1 < MAX_ATTEMPTS;
         let end = try_engine(context, caller, request, &choice, may_move_on).await;
         let reason = match end {
             TryEnd::Started(started) => return Ok((choice, started)),
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -128,6 +128,8 @@
     pub secret: StreamSecret,
     /// The platform.
     pub platform: PlatformClients,
+    /// When the state was first seen restored.
+    pub restored: Mutex<Option<Moment>>,
     phase: AtomicU8,
 }
 
@@ -175,6 +177,7 @@
                 vm_list: VmListClient { address: platform.vm_list },
                 weights: WeightStoreClient { address: platform.weights },
             },
+            restored: Mutex::default(),
             phase: AtomicU8::new(DaemonPhase::Starting.code()),
             settings: parts.settings,
         }
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -37,6 +37,8 @@
     pub import: Option<ImportOrder>,
     /// Its cost.
     pub cost: CandidateCost,
+    /// How many others could have been chosen.
+    pub others: usize,
 }
 
 /// Engines of a model that may take new work, with the version each has loaded.
@@ -184,9 +186,12 @@
     };
     let decision = decide_route(&input)?;
     log_decision(context, work, &version, &decision);
+    let others = decision.costs.len().saturating_sub(1);
     let cost = decision.chosen;
-    let import = offer.filter(|_| cost.import).and_then(|(grant, _)| import_order(context, &grant));
+    let import = offer
+        .filter(|_| cost.import || cost.import_if_missing)
+        .and_then(|(grant, _)| import_order(context, &grant));
     let spec = engines.iter().find(|(id, _, _)| *id == cost.upstream)?;
     let client = EngineClient { upstream: cost.upstream.clone(), address: spec.1.address };
-    Some(EngineChoice { client, version, chain, import, cost })
+    Some(EngineChoice { client, version, chain, import, cost, others })
 }
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -39,6 +39,7 @@
     LOG_SHRANK "G2009" "the log's end is before what was applied";
     MEMBER_EVICTED "G3001" "a silent daemon is taken off the roster";
     FRESHNESS_CHANGED "G3002" "freshness changed";
+    SUPERSEDED "G3003" "another incarnation has this daemon's name; this one takes no new work";
     ROUTED "G4001" "request routed";
     REFUSED "G4002" "request refused";
     REROUTED "G4003" "request routed again";
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -266,16 +266,15 @@
 
 fn choose(targets: &GossipTargets, tick: u64) -> Option<SocketAddr> {
     let known = targets.near.len() + targets.far.len();
-    if known == 0 || tick.is_multiple_of(SEED_EVERY) {
-        if let Some(address) = pick(&targets.unheard) {
-            return Some(address);
-        }
+    let seeds_due = known == 0 || tick.is_multiple_of(SEED_EVERY);
+    if let (true, Some(address)) = (seeds_due, pick(&targets.unheard)) {
+        return Some(address);
     }
     if known < SMALL_FLEET {
         let all: Vec<SocketAddr> = targets.near.iter().chain(&targets.far).copied().collect();
         return pick(&all);
     }
-    let is_far = tick % FAR_EVERY == 0 || targets.near.is_empty();
+    let is_far = tick.is_multiple_of(FAR_EVERY) || targets.near.is_empty();
     if is_far { pick(&targets.far).or_else(|| pick(&targets.near)) } else { pick(&targets.near) }
 }
 
@@ -309,13 +308,13 @@
 
 /// Runs the gossip until the process ends.
 pub async fn run(context: Arc<DaemonContext>) {
-    let mut tick = 0;
+    let mut tick: u64 = 0;
     let mut unheard_since = FastMap::default();
     let mut freshness = None;
     loop {
         tick += 1;
         let fleet = context.state.view().roster.len();
-        if tick % ticks_per_version(fleet) == 0 {
+        if tick.is_multiple_of(ticks_per_version(fleet)) {
             VERSION.fetch_add(1, Ordering::Relaxed);
         }
         let target = choose(&targets(&context), tick);
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -92,7 +92,6 @@
             let from_peer = self.fetch_from_peers().await;
             if from_log || from_peer {
                 log_event!(info, STATE_RESTORED, next = self.context.state.next());
-                self.context.enter_phase(DaemonPhase::Serving);
                 return;
             }
             log_event!(warn, STATE_UNAVAILABLE, name = self.context.settings.name);
@@ -292,6 +291,13 @@
         peer_address: context.settings.peers.advertise,
     };
     while context.phase() != DaemonPhase::Draining {
+        if context.state.read(|state| state.is_superseded(context.me)) {
+            // A daemon that was paused while its VM was replaced: the new one has its name and
+            // addresses. It finishes what it holds and takes nothing new.
+            log_event!(warn, SUPERSEDED, name = context.settings.name);
+            context.enter_phase(DaemonPhase::Draining);
+            return;
+        }
         if !context.state.read(|state| state.members().contains_key(&context.me)) {
             let body = own_record(&context, RecordBody::Join(member.clone()));
             drop(context.appends.append(body, Deadline::in_millis(JOIN_TRY_MS)).await);
--- a/crates/guava-daemon/src/operator_server.rs
+++ b/crates/guava-daemon/src/operator_server.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
 use tonic::{Request, Response, Status};
 
 const CHANGE_MS: u64 = 10_000;
@@ -32,27 +34,33 @@
     context: Arc<DaemonContext>,
 }
 
-/// The service to be mounted on a listener; refuses calls without the operators' token.
-pub fn operator_service(
-    context: Arc<DaemonContext>,
-) -> tonic::service::interceptor::InterceptedService<
-    OperatorsServer<OperatorServer>,
-    impl Fn(Request<()>) -> Result<Request<()>, Status> + Clone,
-> {
-    let expected = context.settings.operator_token_hash.clone();
-    let check = move |request: Request<()>| {
+/// Refuses calls without the operators' token.
+#[derive(Clone)]
+pub struct TokenCheck {
+    expected: Box<str>,
+}
+
+impl Interceptor for TokenCheck {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
         let token = request
             .metadata()
             .get("authorization")
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.strip_prefix("Bearer "))
             .unwrap_or("");
-        if token_hash(token) == *expected {
+        if token_hash(token) == *self.expected {
             return Ok(request);
         }
         Err(Status::unauthenticated("authorization: not the operators' token"))
-    };
-    OperatorsServer::with_interceptor(OperatorServer { context }, check)
+    }
+}
+
+/// The service to be mounted on a listener.
+pub fn operator_service(
+    context: Arc<DaemonContext>,
+) -> InterceptedService<OperatorsServer<OperatorServer>, TokenCheck> {
+    let expected = context.settings.operator_token_hash.clone();
+    OperatorsServer::with_interceptor(OperatorServer { context }, TokenCheck { expected })
 }
 
 fn invalid(field: &str, reason: impl std::fmt::Display) -> Status {
@@ -141,8 +149,8 @@
         let started = Moment::now();
         let deadline = Deadline::in_millis(wait_ms);
         loop {
-            let (in_force, missing) = self.spread(Offset(reply.revision));
-            let is_over = missing.is_empty() || deadline.passed(Moment::now());
+            let (in_force, missing, is_waiting) = self.spread(Offset(reply.revision));
+            let is_over = !is_waiting || deadline.passed(Moment::now());
             if in_force.len() != reply.in_force.len() {
                 reply.in_force_ms = Moment::now().millis_since(started);
             }
@@ -155,7 +163,9 @@
         }
     }
 
-    fn spread(&self, revision: Offset) -> (Vec<String>, Vec<String>) {
+    /// Daemons that have a revision, those that are not known to, and whether any of the latter
+    /// was heard lately: a dead one is not waited for.
+    fn spread(&self, revision: Offset) -> (Vec<String>, Vec<String>, bool) {
         let context = &self.context;
         let members = context.state.read(|state| state.members().clone());
         let book = locked(&context.book);
@@ -166,7 +176,9 @@
         let name = |(_, member): (&Incarnation, &guava_state::MemberEntry)| member.name.to_string();
         let in_force = members.iter().filter(|(id, _)| has(id)).map(name).collect();
         let missing = members.iter().filter(|(id, _)| !has(id)).map(name).collect();
-        (in_force, missing)
+        let now = Moment::now();
+        let is_waiting = members.keys().any(|id| !has(id) && book.is_heard(*id, now));
+        (in_force, missing, is_waiting)
     }
 }
 
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -122,7 +122,11 @@
         let reports = locked(&self.context.reports);
         let mut loading = 0;
         let mut wanted = Vec::new();
-        let engines = view.upstreams.iter().filter(|(_, spec)| spec.kind == UpstreamKind::Engine);
+        // An order is new work too: a drained engine would load weights only to go away.
+        let engines = view
+            .upstreams
+            .iter()
+            .filter(|(_, spec)| spec.kind == UpstreamKind::Engine && !spec.draining);
         for (id, spec) in engines {
             let Some(model) = spec.model.clone() else { continue };
             let current = self
--- a/crates/guava-daemon/src/outcome.rs
+++ b/crates/guava-daemon/src/outcome.rs
@@ -120,7 +120,11 @@
             return Self::NotRun(refusal);
         }
         let reason = format!("{}; an earlier attempt may have run", refusal.reason).into();
-        Self::Unknown(Refusal { kind: RefusalKind::UNKNOWN, reason, ..refusal })
+        // What the caller has to mend keeps its status; only the outcome is not known.
+        let is_callers =
+            refusal.kind.status.is_client_error() && refusal.kind != RefusalKind::OVER_LIMIT;
+        let kind = if is_callers { refusal.kind } else { RefusalKind::UNKNOWN };
+        Self::Unknown(Refusal { kind, reason, ..refusal })
     }
 
     /// Its name, as in the outcome header.
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -3,11 +3,11 @@
 //! A daemon watches a bounded number of upstreams, chosen by rendezvous, and routes among those;
 //! in a small deployment that is all of them.
 
-use crate::context::{DaemonContext, locked};
+use crate::context::{DaemonContext, DaemonPhase, locked};
 use guava_outside::{CacheEvents, EngineClient, EngineReport};
 use guava_policy::LoadReport;
 use guava_state::{UpstreamKind, UpstreamSpec};
-use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
+use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount, UpstreamId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -17,6 +17,8 @@
 const REPORT_MS: u64 = 1_000;
 const LIST_EVERY_MS: u64 = 500;
 const LIST_MS: u64 = 2_000;
+/// A starting daemon waits so long for its upstreams' first reports.
+const FIRST_REPORTS_MS: u64 = 3_000;
 /// Failed questions in a row after which an upstream is called silent in the log.
 const SILENT_AFTER: u32 = 4;
 
@@ -68,11 +70,29 @@
                 watchers.insert(id.clone(), (spec.clone(), tokio::spawn(watch)));
             }
         }
+        serve_once_informed(&context, &upstreams);
         context.metrics.gauge("work.running", context.work.running() as u64);
         sleep(Duration::from_millis(REPORT_EVERY_MS)).await;
     }
 }
 
+/// Lets the daemon serve once it has heard of its upstreams, or waited for them long enough.
+///
+/// A daemon that hands out its address before it knows a single upstream refuses, for want of any,
+/// what its peers would have served.
+fn serve_once_informed(context: &DaemonContext, upstreams: &FastMap<UpstreamId, UpstreamSpec>) {
+    let is_restored = context.state.next() > Offset(0) || context.state.log_sight().is_some();
+    if context.phase() != DaemonPhase::Starting || !is_restored {
+        return;
+    }
+    let restored = *locked(&context.restored).get_or_insert_with(Moment::now);
+    let reports = locked(&context.reports);
+    let is_informed = upstreams.keys().all(|id| reports.get(id).is_some());
+    if is_informed || Moment::now().millis_since(restored) > FIRST_REPORTS_MS {
+        context.enter_phase(DaemonPhase::Serving);
+    }
+}
+
 async fn watch_upstream(context: Arc<DaemonContext>, upstream: UpstreamId, spec: UpstreamSpec) {
     let client = EngineClient { upstream: upstream.clone(), address: spec.address };
     let mut cursor = EventCursor { instance: "".into(), next: 0 };
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -53,7 +53,7 @@
     pub priority: u32,
     /// Root of the engine's cache keys for this customer, model and version.
     pub cache_salt: Box<str>,
-    /// A block to import first.
+    /// A block to import first, if the engine does not hold as much itself.
     pub import: Option<ImportOrder>,
     /// The caller's other parameters, passed on as they came.
     #[serde(flatten)]
--- a/crates/guava-policy/src/route.rs
+++ b/crates/guava-policy/src/route.rs
@@ -67,8 +67,15 @@
     pub cost: f64,
     /// Expected time to first token, in milliseconds.
     pub first_token_ms: f64,
+    /// Time to first token if nothing is cached there after all, in milliseconds.
+    pub worst_ms: f64,
     /// Whether importing is cheaper than recomputing there.
     pub import: bool,
+    /// Whether importing beats recomputing if nothing is cached there after all.
+    ///
+    /// Cache events come late: an engine that is believed to hold a prompt may have evicted it.
+    /// With the order to import what it misses, a wrong belief costs a transfer, not a recompute.
+    pub import_if_missing: bool,
     /// Tokens that will be recomputed there.
     pub recompute: TokenCount,
 }
@@ -101,34 +108,54 @@
         + f64::from(profile.link) * bytes / 1_024.0
 }
 
-fn cost_of(input: &RouteInput<'_>, candidate: &RouteCandidate) -> CandidateCost {
+/// Weighted cost of a way to the first token, and its time.
+struct WayCost {
+    cost: f64,
+    first_token_ms: f64,
+    recompute: f64,
+}
+
+fn recompute_way(input: &RouteInput<'_>, candidate: &RouteCandidate, resident: u64) -> WayCost {
     let rate = candidate.prefill.0.max(1) as f64 / 1_000.0;
-    let resident = candidate.resident.0.min(input.prompt.0);
-    let wait = candidate.wait_ms + f64::from(candidate.over_slots) * SLOT_WAIT_MS;
     let missing = (input.prompt.0 - resident) as f64;
-    let plain_ms = (wait + missing / rate) * candidate.slowness;
-    let plain = weighted(input.profile, plain_ms, missing, 0.0);
-    let mut cost = CandidateCost {
-        upstream: candidate.upstream.clone(),
-        cost: plain,
-        first_token_ms: plain_ms,
-        import: false,
-        recompute: TokenCount(missing as u64),
-    };
-    let Some(offer) = input.import.filter(|offer| offer.tokens.0 > resident) else { return cost };
+    let first_token_ms = (wait_of(candidate) + missing / rate) * candidate.slowness;
+    let cost = weighted(input.profile, first_token_ms, missing, 0.0);
+    WayCost { cost, first_token_ms, recompute: missing }
+}
+
+fn import_way(input: &RouteInput<'_>, candidate: &RouteCandidate, offer: &ImportOffer) -> WayCost {
+    let rate = candidate.prefill.0.max(1) as f64 / 1_000.0;
     let link = offer.rate.0.max(1) as f64 / 1_000.0;
-    // The import of one request overlaps with the prefill of those before it.
     let import_ms = IMPORT_SETUP_MS + (offer.bytes.0 + offer.queued.0) as f64 / link;
     let left = input.prompt.0.saturating_sub(offer.tokens.0) as f64;
-    let imported_ms = (wait.max(import_ms) + left / rate) * candidate.slowness;
-    let imported = weighted(input.profile, imported_ms, left, offer.bytes.0 as f64);
-    if imported < plain {
-        cost.cost = imported;
-        cost.first_token_ms = imported_ms;
-        cost.import = true;
-        cost.recompute = TokenCount(left as u64);
+    // The import of one request overlaps with the prefill of those before it.
+    let ready_ms = wait_of(candidate).max(import_ms);
+    let first_token_ms = (ready_ms + left / rate) * candidate.slowness;
+    let cost = weighted(input.profile, first_token_ms, left, offer.bytes.0 as f64);
+    WayCost { cost, first_token_ms, recompute: left }
+}
+
+fn wait_of(candidate: &RouteCandidate) -> f64 {
+    candidate.wait_ms + f64::from(candidate.over_slots) * SLOT_WAIT_MS
+}
+
+fn cost_of(input: &RouteInput<'_>, candidate: &RouteCandidate) -> CandidateCost {
+    let resident = candidate.resident.0.min(input.prompt.0);
+    let plain = recompute_way(input, candidate, resident);
+    let from_nothing = recompute_way(input, candidate, 0);
+    let imported = input.import.map(|offer| import_way(input, candidate, offer));
+    let is_import = imported.as_ref().is_some_and(|way| way.cost < plain.cost);
+    let import_if_missing = imported.as_ref().is_some_and(|way| way.cost < from_nothing.cost);
+    let way = imported.filter(|_| is_import).unwrap_or(plain);
+    CandidateCost {
+        upstream: candidate.upstream.clone(),
+        cost: way.cost,
+        first_token_ms: way.first_token_ms,
+        worst_ms: from_nothing.first_token_ms / candidate.slowness.max(1.0),
+        import: is_import,
+        import_if_missing,
+        recompute: TokenCount(way.recompute as u64),
     }
-    cost
 }
 
 fn reason_for(decision: &CandidateCost, near: usize, prompt: TokenCount) -> &'static str {
--- a/crates/guava-standins/src/deployment.rs
+++ b/crates/guava-standins/src/deployment.rs
@@ -519,18 +519,17 @@
 
     fn configure(&self) -> Result<(), AnyError> {
         let weights = self.plan.weights.map(|weight| weight.to_string());
-        self.operate_ok(
-            0,
-            &[
-                "weights",
-                "--first-token",
-                &weights[0],
-                "--recompute",
-                &weights[1],
-                "--link",
-                &weights[2],
-            ],
-        )?;
+        let set = [
+            "weights",
+            "--first-token",
+            &weights[0],
+            "--recompute",
+            &weights[1],
+            "--link",
+            &weights[2],
+        ];
+        // Refused until the daemon has heard a majority of the roster.
+        wait_until("a change is accepted", || self.operate_ok(0, &set).is_ok());
         self.operate_ok(0, &["--wait-ms", "0", "model", "publish", "hints", "v1"])?;
         self.operate_ok(0, &["--wait-ms", "0", "service", "board", "--idempotent", "GET /"])?;
         for (index, engine) in self.plan.engines.iter().enumerate() {
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -240,6 +240,9 @@
     async fn import(&self, order: &CompletionOrder, hashes: &[Box<str>]) -> u64 {
         let Some(import) = &order.import else { return 0 };
         let blocks = usize::try_from(import.tokens.0 / BLOCK_TOKENS).unwrap_or(0);
+        if self.state.lock().cache.find(&order.cache_salt, hashes) >= blocks {
+            return 0;
+        }
         let fetched = self.fetch_block(import).await;
         let mut state = self.state.lock();
         let (Some(bytes), Some(prefix)) = (fetched, hashes.get(..blocks)) else {
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -40,6 +40,7 @@
     all: LinkFault,
     by_source: FastMap<IpAddr, LinkFault>,
     epoch: u64,
+    dropped: u64,
 }
 
 impl LinkRules {
@@ -48,6 +49,21 @@
     }
 }
 
+/// Binds an address that was found free a moment ago.
+///
+/// A process that another thread starts meanwhile holds a copy of the probing socket until its own
+/// program runs, and the address looks taken for as long.
+fn bind_patiently(listen: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    const TRIES: u32 = 100;
+    for _ in 0..TRIES {
+        if let Ok(listener) = std::net::TcpListener::bind(listen) {
+            return Ok(listener);
+        }
+        std::thread::sleep(Duration::from_millis(RECHECK_MS));
+    }
+    std::net::TcpListener::bind(listen)
+}
+
 /// A running proxy; it ends with its process.
 #[derive(Clone)]
 pub struct FaultProxy {
@@ -59,7 +75,7 @@
 impl FaultProxy {
     /// Starts a proxy before a server, in a thread of its own.
     pub fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
-        let listener = std::net::TcpListener::bind(listen)?;
+        let listener = bind_patiently(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let rules = Shared::new(LinkRules::default());
@@ -85,6 +101,11 @@
         rules.epoch += 1;
     }
 
+    /// Bytes dropped by a rule so far.
+    pub fn dropped_bytes(&self) -> u64 {
+        self.rules.lock().dropped
+    }
+
     /// Passes everything on again, for all.
     pub fn heal(&self) {
         let mut rules = self.rules.lock();
@@ -162,7 +183,10 @@
                     sleep(Duration::from_millis(RECHECK_MS)).await;
                 }
                 (LinkFault::DropAnswers, Direction::Answer)
-                | (LinkFault::DropRequests, Direction::Request) => break,
+                | (LinkFault::DropRequests, Direction::Request) => {
+                    link.rules.lock().dropped += length as u64;
+                    break;
+                }
                 (LinkFault::Delay(millis), _) if !delayed => {
                     delayed = true;
                     sleep(Duration::from_millis(millis)).await;
--- a/crates/guava-standins/src/service_server.rs
+++ b/crates/guava-standins/src/service_server.rs
@@ -1,9 +1,9 @@
 //! A plain service whose calls may not all be repeated: it counts its runs by customer and key.
 
 use crate::serve::Shared;
-use axum::body::Bytes;
+use axum::body::{Body, Bytes};
 use axum::extract::State;
-use axum::http::{HeaderMap, Method, StatusCode, Uri};
+use axum::http::{HeaderMap, Method, Uri};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -63,9 +63,10 @@
     let faults = server.faults.lock().clone();
     sleep(Duration::from_millis(faults.run_ms)).await;
     if faults.lose_answers {
-        // The body ends before its announced length: the run happened, its answer is lost.
-        let lost = [("content-length", "1000000")];
-        return (StatusCode::OK, lost, "").into_response();
+        // The connection breaks inside the body: the run happened, its answer is lost.
+        let broken = std::io::Error::other("answer lost");
+        let pieces = [Ok(Bytes::from_static(b"{\"run\":")), Err(broken)];
+        return Body::from_stream(futures_util::stream::iter(pieces)).into_response();
     }
     let text = String::from_utf8_lossy(&body);
     let answer = serde_json::json!({
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -96,6 +96,7 @@
     leases: BTreeMap<Box<str>, LeaseEntry>,
     history: VecDeque<HistoryEntry>,
     snapshot_at: Offset,
+    superseded: VecDeque<Incarnation>,
 }
 
 impl FleetState {
@@ -114,6 +115,11 @@
         &self.members
     }
 
+    /// Whether another incarnation has taken this one's name, for good.
+    pub fn is_superseded(&self, incarnation: Incarnation) -> bool {
+        self.superseded.contains(&incarnation)
+    }
+
     /// The intents inside their windows.
     pub fn intents(&self) -> &IntentTable {
         &self.intents
@@ -238,7 +244,7 @@
                 FoldOutcome::Other { id }
             }
             RecordBody::Join(member) => {
-                self.members.insert(author, member);
+                self.join(author, member);
                 FoldOutcome::Other { id }
             }
             RecordBody::Leave { heir } => {
@@ -263,6 +269,29 @@
         outcome
     }
 
+    /// A daemon that starts takes the place of the one that had its name.
+    ///
+    /// Dead members would else count until they are evicted, and a few restarts within that time
+    /// would leave the living without a majority: every change refused, every daemon cut from the
+    /// log stale.
+    fn join(&mut self, author: Incarnation, member: MemberEntry) {
+        if self.superseded.contains(&author) {
+            return;
+        }
+        let same_name = |(id, other): (&Incarnation, &MemberEntry)| {
+            (other.name == member.name && *id != author).then_some(*id)
+        };
+        let replaced: Vec<Incarnation> = self.members.iter().filter_map(same_name).collect();
+        for incarnation in replaced {
+            self.remove_member(incarnation);
+            if self.superseded.len() == HEIRS_LEN {
+                self.superseded.pop_front();
+            }
+            self.superseded.push_back(incarnation);
+        }
+        self.members.insert(author, member);
+    }
+
     fn remove_member(&mut self, incarnation: Incarnation) {
         self.members.remove(&incarnation);
         self.stamps.remove(&incarnation);
--- a/crates/guavatiller/tests/support/mod.rs
+++ b/crates/guavatiller/tests/support/mod.rs
@@ -1,9 +1,10 @@
 //! Fixtures of the tests with real processes.
 
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_standins::caller::{Caller, CallerAnswer, CallerCall, StreamedAnswer};
-use guava_standins::deployment::{Deployment, DeploymentPlan, ProgramPaths, ask, block_on};
+use guava_standins::deployment::{Deployment, DeploymentPlan, ProgramPaths, ask, block_on, tell};
 use guava_standins::engine_server::{EngineStats, expected_chunk};
 use guava_standins::service_server::ServiceStats;
 use std::net::SocketAddr;
@@ -88,3 +89,32 @@
     let line = format!("packet {seed} says: the cellar held eight degrees all night long. ");
     line.repeat(tokens * 4 / line.len() + 1)
 }
+
+/// The address of a stand-in itself, past its proxy.
+pub fn server(deployment: &Deployment, name: &str) -> SocketAddr {
+    deployment.servers[name]
+}
+
+/// Sets what goes wrong at a stand-in.
+pub fn set_fault(deployment: &Deployment, name: &str, faults: &serde_json::Value) {
+    tell(server(deployment, name), "/fault", faults).unwrap();
+}
+
+/// Sets what goes wrong at all stand-ins whose name starts so.
+pub fn set_faults(deployment: &Deployment, prefix: &str, faults: &serde_json::Value) {
+    let names = deployment.servers.keys().filter(|name| name.starts_with(prefix));
+    names.for_each(|name| set_fault(deployment, name, faults));
+}
+
+/// Keys held by intents, as a daemon sees it.
+pub fn held_keys(deployment: &Deployment, index: usize) -> u64 {
+    let status = deployment.operate_ok(index, &["status"]).unwrap();
+    status["seen_by"][0]["held_keys"].as_u64().unwrap()
+}
+
+/// The value of an object, as a daemon sees it, with its revision.
+pub fn object(deployment: &Deployment, index: usize, name: &str) -> (u64, String) {
+    let shown = deployment.operate_ok(index, &["get", name]).unwrap();
+    let row = &shown["objects"][0];
+    (row["revision"].as_u64().unwrap(), row["value"].as_str().unwrap().to_owned())
+}
