--- /dev/null
+++ b/crates/guava-daemon/tests/events.rs
@@ -0,0 +1,30 @@
+//! The catalogue of log events in the docs is the one in the code.
+
+use guava_daemon::events::CATALOGUE;
+use std::collections::BTreeSet;
+
+fn documented() -> BTreeSet<(String, String)> {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
+    let text = std::fs::read_to_string(path).unwrap();
+    let rows = text.lines().filter(|line| line.starts_with("| G"));
+    rows.map(|row| {
+        let mut cells = row.split('|').map(str::trim).skip(1);
+        (cells.next().unwrap().to_owned(), cells.next().unwrap().to_owned())
+    })
+    .collect()
+}
+
+#[test]
+fn docs_list_every_event_and_no_other() {
+    let coded: BTreeSet<(String, String)> =
+        CATALOGUE.iter().map(|event| (event.code.to_owned(), event.text.to_owned())).collect();
+
+    assert_eq!(documented(), coded);
+}
+
+#[test]
+fn codes_are_unique() {
+    let codes: BTreeSet<&str> = CATALOGUE.iter().map(|event| event.code).collect();
+
+    assert_eq!(codes.len(), CATALOGUE.len());
+}
--- /dev/null
+++ b/crates/guava-policy/tests/admission.rs
@@ -0,0 +1,120 @@
+//! Admission: shares, fairness, early refusal.
+
+use guava_policy::{
+    AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, RetryBudget, WaitingRequest,
+};
+use guava_types::{CustomerId, Deadline, Moment, RequestRate};
+
+const NOW: Moment = Moment(10_000);
+const OPTIONS: AdmitOptions = AdmitOptions { slots: 2, queue: 8, service_ms: 100.0 };
+
+fn customer(name: &str) -> CustomerId {
+    name.parse().unwrap()
+}
+
+fn request(name: &str, ticket: u64, left_ms: u64) -> WaitingRequest {
+    let deadline = Deadline::after(NOW, left_ms);
+    WaitingRequest { ticket, customer: customer(name), deadline }
+}
+
+fn wide() -> CustomerUse {
+    CustomerUse { rate: RequestRate(1_000), concurrency: 1_000, peers_running: 0, daemons: 1 }
+}
+
+#[test]
+fn small_customer_goes_before_the_flood() {
+    // Symptom: a customer with one request waits behind another's hundred.
+    // Sequence: one customer fills the slots and the queue; another sends one request.
+    // Cause: the queue is first come, first served for all.
+    let mut admission = FairAdmission::default();
+    for ticket in 0..6 {
+        admission.arrive(request("flood", ticket, 60_000), &wide(), &OPTIONS, NOW);
+    }
+
+    let small = admission.arrive(request("small", 9, 60_000), &wide(), &OPTIONS, NOW);
+    admission.finish(&customer("flood"));
+    let next = admission.next(&OPTIONS).unwrap();
+
+    assert_eq!(small, AdmitDecision::Queue);
+    assert_eq!(next.ticket, 9);
+}
+
+#[test]
+fn earliest_deadline_goes_first_within_a_customer() {
+    let mut admission = FairAdmission::default();
+    for (ticket, left_ms) in [(0, 60_000), (1, 60_000), (2, 50_000), (3, 9_000)] {
+        admission.arrive(request("acme", ticket, left_ms), &wide(), &OPTIONS, NOW);
+    }
+    admission.finish(&customer("acme"));
+
+    assert_eq!(admission.next(&OPTIONS).unwrap().ticket, 3);
+}
+
+#[test]
+fn request_that_can_not_make_its_deadline_is_refused_at_once() {
+    let mut admission = FairAdmission::default();
+    for ticket in 0..6 {
+        admission.arrive(request("acme", ticket, 60_000), &wide(), &OPTIONS, NOW);
+    }
+
+    let late = admission.arrive(request("acme", 7, 20), &wide(), &OPTIONS, NOW);
+
+    assert!(matches!(late, AdmitDecision::TooLate(after) if after.0 > 0), "{late:?}");
+}
+
+#[test]
+fn rate_over_the_limit_is_refused_with_the_time_to_come_back() {
+    let mut admission = FairAdmission::default();
+    let usage = CustomerUse { rate: RequestRate(2), ..wide() };
+    let options = AdmitOptions { slots: 1_000, ..OPTIONS };
+
+    let decisions: Vec<AdmitDecision> = (0..6)
+        .map(|ticket| admission.arrive(request("acme", ticket, 60_000), &usage, &options, NOW))
+        .collect();
+
+    assert_eq!(decisions.iter().filter(|d| **d == AdmitDecision::Admit).count(), 4);
+    let refused = decisions.last().unwrap();
+    assert!(matches!(refused, AdmitDecision::OverLimit(after) if after.0 <= 500), "{refused:?}");
+}
+
+#[test]
+fn limits_are_shared_by_use_and_each_daemon_has_a_part() {
+    // Symptom: a customer gets its whole limit at each daemon, or nothing at an idle one.
+    // Sequence: nine requests of a limit of ten run at a peer; this daemon gets more.
+    // Cause: the limit is counted by each daemon for itself.
+    let mut admission = FairAdmission::default();
+    let usage = CustomerUse { concurrency: 10, peers_running: 9, daemons: 2, ..wide() };
+    let options = AdmitOptions { slots: 1_000, ..OPTIONS };
+
+    let admitted = (0..10)
+        .map(|ticket| admission.arrive(request("acme", ticket, 60_000), &usage, &options, NOW))
+        .filter(|decision| *decision == AdmitDecision::Admit)
+        .count();
+
+    assert!((1..=5).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn abandoned_request_frees_its_place() {
+    let mut admission = FairAdmission::default();
+    for ticket in 0..4 {
+        admission.arrive(request("acme", ticket, 60_000), &wide(), &OPTIONS, NOW);
+    }
+
+    admission.abandon(&customer("acme"), 2);
+    admission.finish(&customer("acme"));
+
+    assert_eq!(admission.next(&OPTIONS).unwrap().ticket, 3);
+    assert_eq!(admission.waiting(), 0);
+}
+
+#[test]
+fn retries_are_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::default();
+    let saved = (0..1_000).filter(|_| budget.spend()).count();
+
+    (0..100).for_each(|_| budget.earn());
+    let earned = (0..1_000).filter(|_| budget.spend()).count();
+
+    assert_eq!((saved, earned), (20, 10));
+}
--- /dev/null
+++ b/crates/guava-policy/tests/placement.rs
@@ -0,0 +1,64 @@
+//! Placement: the wanted counts with few moves.
+
+use guava_policy::{PlacementInput, plan_afresh, plan_moves};
+use guava_types::{FastMap, ModelName, UpstreamId};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SEED: [u8; 32] = *b"guavatiller: placement of models";
+
+fn model(number: usize) -> ModelName {
+    format!("m{number}").parse().unwrap()
+}
+
+fn counts(engines: &[(UpstreamId, Option<ModelName>)]) -> FastMap<ModelName, usize> {
+    let mut counts = FastMap::default();
+    for model in engines.iter().filter_map(|(_, model)| model.clone()) {
+        *counts.entry(model).or_default() += 1;
+    }
+    counts
+}
+
+fn apply(
+    engines: &[(UpstreamId, Option<ModelName>)],
+    moves: &[guava_policy::PlacementMove],
+) -> Vec<(UpstreamId, Option<ModelName>)> {
+    let mut engines = engines.to_vec();
+    for step in moves {
+        let engine = engines.iter_mut().find(|(id, _)| *id == step.upstream).unwrap();
+        engine.1 = Some(step.model.clone());
+    }
+    engines
+}
+
+#[test]
+fn both_plans_reach_the_same_counts_and_ours_never_moves_more() {
+    let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let input = (
+        proptest::collection::vec(proptest::option::of(0..3_usize), 3..40),
+        proptest::collection::vec(1..20_u32, 3),
+    );
+
+    TestRunner::new_with_rng(config, rng)
+        .run(&input, |(current, demand)| {
+            let engines: Vec<(UpstreamId, Option<ModelName>)> = (0..)
+                .zip(&current)
+                .map(|(index, at): (usize, _)| (format!("e{index}").parse().unwrap(), at.map(model)))
+                .collect();
+            let demand: Vec<(ModelName, f64)> =
+                (0..).map(model).zip(demand.iter().map(|share| f64::from(*share))).collect();
+            let input = PlacementInput { engines: &engines, demand: &demand };
+
+            let ours = plan_moves(&input);
+            let afresh = plan_afresh(&input);
+
+            prop_assert_eq!(counts(&apply(&engines, &ours)), counts(&apply(&engines, &afresh)));
+            prop_assert!(ours.len() <= afresh.len());
+            let settled = apply(&engines, &ours);
+            let again = plan_moves(&PlacementInput { engines: &settled, demand: &demand });
+            prop_assert!(again.is_empty());
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/crates/guava-state/tests/freshness.rs
@@ -0,0 +1,62 @@
+//! The freshness rule, case by case.
+
+use guava_state::{FRESH_FOR_MS, FreshnessInput, FreshnessVerdict, LogSight, PeerSight};
+use guava_types::{Incarnation, Moment, Offset};
+use yare::parameterized;
+
+const NOW: Moment = Moment(100_000);
+
+fn peer(id: u128, age_ms: u64, log: Option<(u64, u64)>) -> PeerSight {
+    PeerSight {
+        incarnation: Incarnation(id),
+        heard: NOW.minus_millis(age_ms),
+        log: log.map(|(end, age)| LogSight { end: Offset(end), seen: NOW.minus_millis(age) }),
+    }
+}
+
+fn judge(own: Option<(u64, u64)>, peers: &[PeerSight], members: u128) -> FreshnessVerdict {
+    let roster: Vec<Incarnation> = (1..=members).map(Incarnation).collect();
+    let own = own.map(|(end, age)| LogSight { end: Offset(end), seen: NOW.minus_millis(age) });
+    let input = FreshnessInput {
+        now: NOW,
+        me: Incarnation(1),
+        next: Offset(10),
+        own,
+        peers,
+        roster: &roster,
+    };
+    input.judge()
+}
+
+#[parameterized(
+    reads_the_log = { Some((10, 100)), vec![], 5, FreshnessVerdict::LogSeen },
+    read_it_long_ago = { Some((10, FRESH_FOR_MS + 1)), vec![], 5, FreshnessVerdict::Stale },
+    peer_reads_it = { None, vec![peer(2, 100, Some((10, 200)))], 5, FreshnessVerdict::LogSeen },
+    peer_is_ahead = { None, vec![peer(2, 100, Some((11, 200)))], 5, FreshnessVerdict::Stale },
+    majority_in_outage = {
+        Some((10, 60_000)), vec![peer(2, 100, None), peer(3, 100, None)], 5,
+        FreshnessVerdict::MajorityHeard
+    },
+    majority_that_knows_more = {
+        None, vec![peer(2, 100, Some((12, 60_000))), peer(3, 100, None)], 5,
+        FreshnessVerdict::Stale
+    },
+    half_is_no_majority = { None, vec![peer(2, 100, None)], 4, FreshnessVerdict::Stale },
+    silent_peers_do_not_count = {
+        None, vec![peer(2, 9_000, None), peer(3, 9_000, None)], 5, FreshnessVerdict::Stale
+    },
+    strangers_do_not_count = {
+        None, vec![peer(8, 100, None), peer(9, 100, None)], 5, FreshnessVerdict::Stale
+    },
+    nobody_known = { None, vec![], 0, FreshnessVerdict::Stale },
+)]
+fn verdict(
+    own: Option<(u64, u64)>,
+    peers: Vec<PeerSight>,
+    members: u128,
+    expected: FreshnessVerdict,
+) {
+    let found = judge(own, &peers, members);
+
+    assert_eq!(found, expected);
+}
--- /dev/null
+++ b/crates/guava-state/tests/lease.rs
@@ -0,0 +1,105 @@
+//! The lease rule: two holders never both act, whatever is late, lost or paused.
+
+use guava_state::{CLOCK_MARGIN_MS, FleetState, LeaseRequest, LeaseWatch, LogRecord, RecordBody};
+use guava_types::{Incarnation, Moment, Offset, RecordId, WallTime};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SEED: [u8; 32] = *b"guavatiller: properties of lease";
+const TERM_MS: u64 = 10_000;
+const HOLDERS: usize = 3;
+
+/// What one daemon does in one step.
+#[derive(Clone, Copy, Debug)]
+enum LeaseStep {
+    /// Time passes, in milliseconds.
+    Wait(u64),
+    /// Asks for the lease if it may; the append takes effect after so many further steps.
+    Ask { who: usize, lands_after: usize },
+    /// Reads the log up to its end.
+    Read { who: usize },
+}
+
+fn any_step() -> impl Strategy<Value = LeaseStep> {
+    prop_oneof![
+        (0..6_000_u64).prop_map(LeaseStep::Wait),
+        (0..HOLDERS, 0..8_usize).prop_map(|(who, lands_after)| LeaseStep::Ask { who, lands_after }),
+        (0..HOLDERS).prop_map(|who| LeaseStep::Read { who }),
+    ]
+}
+
+fn incarnation(who: usize) -> Incarnation {
+    Incarnation(who as u128 + 1)
+}
+
+fn lease_record(who: usize, against: Offset) -> LogRecord {
+    LogRecord {
+        id: RecordId::random(),
+        author: incarnation(who),
+        wall: WallTime(0),
+        body: RecordBody::Lease(LeaseRequest { name: "x".into(), against, term_ms: TERM_MS }),
+    }
+}
+
+#[test]
+fn at_most_one_holder_believes_in_its_lease() {
+    // Symptom: two daemons give orders at one time.
+    // Sequence: appends that land late, in any order; readers that lag or are paused.
+    // Cause: a holder counts its term from when it read, or a newcomer from when it was written.
+    let config = Config { cases: 512, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let steps = proptest::collection::vec(any_step(), 1..80);
+
+    TestRunner::new_with_rng(config, rng)
+        .run(&steps, |steps| {
+            let mut now = Moment(1_000);
+            let mut log: Vec<LogRecord> = Vec::new();
+            let mut under_way: Vec<(usize, LogRecord)> = Vec::new();
+            let mut watches = vec![LeaseWatch::default(); HOLDERS];
+            let mut states = vec![FleetState::default(); HOLDERS];
+            for step in steps {
+                under_way.iter_mut().for_each(|entry| entry.0 = entry.0.saturating_sub(1));
+                let landed = under_way.extract_if(.., |entry| entry.0 == 0);
+                log.extend(landed.map(|(_, record)| record));
+                match step {
+                    LeaseStep::Wait(millis) => now = Moment(now.0 + millis),
+                    LeaseStep::Ask { who, lands_after } => {
+                        if let Some(against) = watches[who].may_request(incarnation(who), now) {
+                            watches[who].request_sent(now, TERM_MS);
+                            under_way.push((lands_after, lease_record(who, against)));
+                        }
+                    }
+                    LeaseStep::Read { who } => {
+                        let from = states[who].next().0;
+                        for (offset, record) in (from..).zip(&log[from as usize..]) {
+                            states[who].fold(Offset(offset), &record.encode().unwrap());
+                            watches[who].observe(states[who].lease("x"), incarnation(who), now);
+                        }
+                    }
+                }
+                let holders = watches.iter().filter(|watch| watch.token(now).is_some()).count();
+                prop_assert!(holders <= 1, "{holders} holders at {now:?}");
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn paused_holder_has_lost_its_lease_when_it_wakes() {
+    let mut state = FleetState::default();
+    state.fold(Offset(0), &lease_record(0, Offset(0)).encode().unwrap());
+    let mut holder = LeaseWatch::default();
+    let mut other = LeaseWatch::default();
+    holder.request_sent(Moment(1_000), TERM_MS);
+    holder.observe(state.lease("x"), incarnation(0), Moment(1_500));
+    other.observe(state.lease("x"), incarnation(1), Moment(1_500));
+    assert!(holder.token(Moment(1_600)).is_some());
+
+    let woken = Moment(1_000 + TERM_MS);
+
+    assert!(holder.token(woken).is_none());
+    assert!(other.may_request(incarnation(1), woken).is_none(), "the margin is not over yet");
+    let free = Moment(1_500 + TERM_MS + CLOCK_MARGIN_MS);
+    assert!(other.may_request(incarnation(1), free).is_some());
+}
--- /dev/null
+++ b/crates/guava-state/tests/reducer.rs
@@ -0,0 +1,290 @@
+//! The reducer's rules, as properties over random orders of records.
+
+use guava_state::{
+    ChangeRequest, ChangeVerdict, ConfigObject, FleetState, FoldOutcome, IntentEntry,
+    IntentVerdict, LogRecord, MemberEntry, ObjectKey, RecordBody, WeightProfile, restore,
+    snapshot_body, state_from_json,
+};
+use guava_types::{CallKey, Incarnation, Offset, RecordId, WallTime};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Seed of all properties in this file; a failing case prints its own input.
+const SEED: [u8; 32] = *b"guavatiller: reducer properties!";
+const CASES: u32 = 256;
+
+/// Wall time at which the keys of these tests were minted, in milliseconds.
+const MINTED_MS: u64 = 1_700_000_000_000;
+
+fn runner() -> TestRunner {
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
+}
+
+fn key(number: u8) -> CallKey {
+    // A version 7 UUID: 48 bits of milliseconds, version, variant, and the number.
+    let uuid = format!("{:08x}-{:04x}-7000-8000-0000000000{number:02x}", MINTED_MS >> 16, MINTED_MS & 0xffff);
+    format!("acme/{uuid}").parse().unwrap()
+}
+
+fn record(author: u8, id: u128, wall_ms: u64, body: RecordBody) -> LogRecord {
+    LogRecord {
+        id: RecordId(id),
+        author: Incarnation(u128::from(author)),
+        wall: WallTime(MINTED_MS + wall_ms),
+        body,
+    }
+}
+
+fn weights(against: u64, link: u32) -> RecordBody {
+    RecordBody::Change(ChangeRequest {
+        operator: "ann".into(),
+        object: ObjectKey::profile(),
+        against: Offset(against),
+        value: Some(ConfigObject::Profile(WeightProfile { first_token: 1, recompute: 1, link })),
+    })
+}
+
+fn member(number: u8) -> MemberEntry {
+    MemberEntry {
+        name: format!("entry-{number}").parse().unwrap(),
+        data_centre: "karlin".parse().unwrap(),
+        caller_address: "127.0.0.1:1".parse().unwrap(),
+        peer_address: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
+/// Any record: few authors, keys and revisions, so that they meet.
+fn any_record() -> impl Strategy<Value = LogRecord> {
+    let intent = (0..6_u128, 0..4_u8)
+        .prop_map(|(id, number)| IntentEntry { id: RecordId(id), key: key(number) });
+    let body = prop_oneof![
+        4 => proptest::collection::vec(intent.clone(), 1..3).prop_map(RecordBody::Intents),
+        2 => proptest::collection::vec(intent, 1..3).prop_map(RecordBody::Releases),
+        2 => (0..12_u64, 0..9_u32).prop_map(|(against, link)| weights(against, link)),
+        1 => (0..4_u8).prop_map(|number| RecordBody::Join(member(number))),
+        1 => (0..4_u128).prop_map(|id| RecordBody::Evict { incarnation: Incarnation(id) }),
+    ];
+    // Wall clocks may be off by hours in either direction.
+    (0..4_u8, 0..40_u128, 0..20_000_000_u64, body)
+        .prop_map(|(author, id, wall, body)| record(author, id, wall, body))
+}
+
+fn any_log() -> impl Strategy<Value = Vec<Vec<u8>>> {
+    let bytes = prop_oneof![
+        9 => any_record().prop_map(|record| record.encode().unwrap()),
+        1 => proptest::collection::vec(any::<u8>(), 0..20),
+    ];
+    proptest::collection::vec(bytes, 0..40)
+}
+
+fn fold_all(log: &[Vec<u8>]) -> FleetState {
+    let mut state = FleetState::default();
+    for (offset, bytes) in (0..).map(Offset).zip(log) {
+        state.fold(offset, bytes);
+    }
+    state
+}
+
+#[test]
+fn any_delivery_of_the_log_folds_to_the_same_state() {
+    // Symptom: two daemons disagree.
+    // Sequence: one reads the log once; another reads parts of it again, restarts from a snapshot
+    // in the middle, and reads on.
+    // Cause: folding depends on how the records came.
+    let input = (any_log(), any::<prop::sample::Index>(), any::<prop::sample::Index>());
+    runner()
+        .run(&input, |(log, cut, back)| {
+            let once = fold_all(&log);
+            let cut = cut.index(log.len() + 1);
+            let first = fold_all(&log[..cut]);
+            let body = snapshot_body(&first).unwrap();
+            let mut state = state_from_json(&body.state, &body.digest).unwrap();
+            let back = back.index(cut + 1);
+
+            for (offset, bytes) in (back..).map(|at| Offset(at as u64)).zip(&log[back..]) {
+                state.fold(offset, bytes);
+            }
+
+            prop_assert_eq!(snapshot_body(&state).unwrap(), snapshot_body(&once).unwrap());
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_key_is_held_by_at_most_one_intent_between_releases() {
+    // Symptom: two incarnations dispatch one key.
+    // Sequence: intents, repeats, releases by anybody, late arrivals and wrong clocks in any order.
+    // Cause: a key is given a second time while the first holder may still dispatch it.
+    runner()
+        .run(&any_log(), |log| {
+            let mut state = FleetState::default();
+            let mut held: Vec<(CallKey, RecordId, Incarnation)> = Vec::new();
+            for (offset, bytes) in (0..).map(Offset).zip(&log) {
+                let outcome = state.fold(offset, bytes);
+                let Ok(record) = LogRecord::decode(bytes) else { continue };
+                match (&record.body, outcome) {
+                    (RecordBody::Releases(entries), _) => held.retain(|(key, id, holder)| {
+                        let released = entries.iter().any(|entry| entry.key == *key && entry.id == *id);
+                        !(released && *holder == record.author)
+                    }),
+                    (RecordBody::Intents(entries), FoldOutcome::Intents(verdicts)) => {
+                        for (entry, (_, verdict)) in entries.iter().zip(verdicts) {
+                            if verdict != IntentVerdict::Held {
+                                continue;
+                            }
+                            let other = held.iter().find(|(key, _, _)| *key == entry.key);
+                            if let Some((_, id, _)) = other {
+                                prop_assert_eq!(*id, entry.id, "a second intent holds the key");
+                            } else {
+                                held.push((entry.key.clone(), entry.id, record.author));
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn revisions_never_go_back() {
+    // Symptom: an accepted change reverts.
+    // Sequence: changes against any revisions, in any order, with repeats.
+    // Cause: a late change is accepted against a revision that is no longer in force.
+    runner()
+        .run(&any_log(), |log| {
+            let mut state = FleetState::default();
+            let mut last = Offset(0);
+            for (offset, bytes) in (0..).map(Offset).zip(&log) {
+                state.fold(offset, bytes);
+                let revision = state.object(&ObjectKey::profile()).revision;
+                prop_assert!(revision >= last);
+                prop_assert!(revision == last || revision == offset.next());
+                last = revision;
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn restore_equals_folding_from_the_start() {
+    // Symptom: a daemon restored from a snapshot differs from one that read everything.
+    // Sequence: snapshots, some of them old, are appended anywhere; old records expire.
+    // Cause: a snapshot is used though records after it are gone, or an old one replaces a newer.
+    let input = (any_log(), proptest::collection::vec(any::<prop::sample::Index>(), 1..4));
+    runner()
+        .run(&input, |(mut log, places)| {
+            // From the front on: an insertion before an earlier one would shift its offsets.
+            let mut places: Vec<usize> = places.iter().map(|at| at.index(log.len() + 1)).collect();
+            places.sort_unstable();
+            let mut least = 0;
+            for (number, place) in (0..).zip(places) {
+                let at = place.max(least).min(log.len());
+                let body = snapshot_body(&fold_all(&log[..at])).unwrap();
+                let late = (at + 3).min(log.len());
+                least = late + 1;
+                let snapshot = record(1, 1_000 + number, 0, RecordBody::Snapshot(body));
+                log.insert(late, snapshot.encode().unwrap());
+            }
+            let whole = fold_all(&log);
+            let records: Vec<(Offset, Box<[u8]>)> = (0..)
+                .map(Offset)
+                .zip(log.iter().map(|bytes| bytes.clone().into_boxed_slice()))
+                .collect();
+
+            for first in 0..records.len() {
+                let restored = restore(Offset(first as u64), &records[first..]);
+                if let Ok(state) = restored {
+                    prop_assert_eq!(&state, &whole);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_pruned_key_is_never_taken_again() {
+    // Symptom: a key runs a second time hours later.
+    // Sequence: a key is held; log time passes its window; an intent with the same key arrives
+    // from a daemon whose clock is far behind.
+    // Cause: pruning and accepting judge the window by different clocks.
+    let mut state = FleetState::default();
+    let join = |number: u8, wall| record(number, u128::from(number), wall, RecordBody::Join(member(number)));
+    let hour_later = 2 * 3_600_000;
+    let intent = |id: u128| vec![IntentEntry { id: RecordId(id), key: key(1) }];
+    let log = [
+        join(1, 0),
+        join(2, 0),
+        record(1, 10, 0, RecordBody::Intents(intent(100))),
+        record(1, 11, hour_later, RecordBody::Releases(Vec::new())),
+        record(2, 12, hour_later, RecordBody::Releases(Vec::new())),
+    ];
+    for (offset, record) in (0..).map(Offset).zip(&log) {
+        state.fold(offset, &record.encode().unwrap());
+    }
+    assert!(state.intents().holder(&key(1)).is_none(), "the key is pruned");
+
+    let late = record(2, 13, 0, RecordBody::Intents(intent(200))).encode().unwrap();
+    let outcome = state.fold(Offset(5), &late);
+
+    let expired = vec![(RecordId(200), IntentVerdict::Expired)];
+    assert_eq!(outcome, FoldOutcome::Intents(expired));
+}
+
+#[test]
+fn one_fast_clock_ends_no_window() {
+    // Symptom: all callers are told that their keys have expired.
+    // Sequence: one daemon's clock jumps hours ahead.
+    // Cause: log time follows the fastest clock.
+    let mut state = FleetState::default();
+    let log = [
+        record(1, 1, 0, RecordBody::Join(member(1))),
+        record(2, 2, 0, RecordBody::Join(member(2))),
+        record(3, 3, 90_000_000, RecordBody::Join(member(3))),
+    ];
+    for (offset, record) in (0..).map(Offset).zip(&log) {
+        state.fold(offset, &record.encode().unwrap());
+    }
+
+    let entries = vec![IntentEntry { id: RecordId(9), key: key(1) }];
+    let outcome =
+        state.fold(Offset(3), &record(1, 4, 0, RecordBody::Intents(entries)).encode().unwrap());
+
+    assert_eq!(outcome, FoldOutcome::Intents(vec![(RecordId(9), IntentVerdict::Held)]));
+}
+
+#[test]
+fn start_takes_the_place_of_the_same_name() {
+    // Symptom: after a few restarts no change is accepted any more.
+    // Sequence: a daemon is killed and started again several times within the eviction time.
+    // Cause: its dead incarnations count as members, and the living are no majority.
+    let mut state = FleetState::default();
+    for number in 0..5_u64 {
+        let author = u8::try_from(number).unwrap();
+        let body = RecordBody::Join(member(7));
+        state.fold(Offset(number), &record(author, number.into(), 0, body).encode().unwrap());
+    }
+
+    assert_eq!(state.members().len(), 1);
+    assert!(state.is_superseded(Incarnation(3)));
+}
+
+#[test]
+fn repeated_change_keeps_its_verdict() {
+    let mut state = FleetState::default();
+    let change = record(1, 5, 0, weights(0, 3)).encode().unwrap();
+
+    let first = state.fold(Offset(0), &change);
+    let second = state.fold(Offset(1), &change);
+
+    let verdict = ChangeVerdict::Accepted { revision: Offset(1) };
+    assert_eq!(first, FoldOutcome::Change { id: RecordId(5), verdict });
+    assert_eq!(first, second);
+    assert_eq!(state.object(&ObjectKey::profile()).revision, Offset(1));
+}
