--- a/crates/guava-daemon/tests/cache_index.rs
+++ b/crates/guava-daemon/tests/cache_index.rs
@@ -44,7 +44,8 @@
     let chain = chain("acme", "v1", &prompt());
     let mut index = index_with(&chain);
     index.seal(&chain.hashes[0], sealed(&chain, 5, "short"));
-    let other = self::chain("acme", "v1", &(prompt()[..256 * 7].to_owned() + "and then another end"));
+    let other =
+        self::chain("acme", "v1", &(prompt()[..256 * 7].to_owned() + "and then another end"));
 
     let whole = index.lookup(&chain.salt, &chain.hashes, NOW);
     let part = index.lookup(&other.salt, &other.hashes, NOW);
@@ -81,7 +82,10 @@
 
     assert!(early.is_empty());
     assert_eq!(late.len(), 1);
-    assert!(index.lookup(&chain.salt, &chain.hashes, NOW).offer.is_none(), "no grant after the free");
+    assert!(
+        index.lookup(&chain.salt, &chain.hashes, NOW).offer.is_none(),
+        "no grant after the free"
+    );
 }
 
 #[test]
--- a/crates/guava-policy/tests/placement.rs
+++ b/crates/guava-policy/tests/placement.rs
@@ -44,7 +44,9 @@
         .run(&input, |(current, demand)| {
             let engines: Vec<(UpstreamId, Option<ModelName>)> = (0..)
                 .zip(&current)
-                .map(|(index, at): (usize, _)| (format!("e{index}").parse().unwrap(), at.map(model)))
+                .map(|(index, at): (usize, _)| {
+                    (format!("e{index}").parse().unwrap(), at.map(model))
+                })
                 .collect();
             let demand: Vec<(ModelName, f64)> =
                 (0..).map(model).zip(demand.iter().map(|share| f64::from(*share))).collect();
--- a/crates/guava-policy/tests/route.rs
+++ b/crates/guava-policy/tests/route.rs
@@ -1,8 +1,6 @@
 //! Routing decisions on late and partial knowledge.
 
-use guava_policy::{
-    ImportOffer, LoadReport, LoadTable, RouteCandidate, RouteInput, decide_route,
-};
+use guava_policy::{ImportOffer, LoadReport, LoadTable, RouteCandidate, RouteInput, decide_route};
 use guava_state::WeightProfile;
 use guava_types::{ByteCount, LinkRate, Moment, TokenCount, TokenRate, UpstreamId};
 use yare::parameterized;
@@ -86,7 +84,8 @@
     let mut counts = [0; 4];
 
     for draw in 0..400 {
-        let decision = decide_route(&RouteInput { draw, ..input(&candidates, None, FAST) }).unwrap();
+        let decision =
+            decide_route(&RouteInput { draw, ..input(&candidates, None, FAST) }).unwrap();
         let index = candidates.iter().position(|c| c.upstream == decision.chosen.upstream).unwrap();
         counts[index] += 1;
     }
--- a/crates/guava-standins/src/deployment.rs
+++ b/crates/guava-standins/src/deployment.rs
@@ -13,6 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,13 @@
 const FIRST_PORT: u16 = 10_000;
 const PORT_SPAN: u16 = 20_000;
 
+/// Held while a port is probed and while a process is started.
+///
+/// A process that is just being started holds copies of all open sockets until its own program
+/// runs. One that copies a probing socket keeps the probed port taken for some milliseconds, and
+/// the server that the port is meant for fails to bind it, now and then.
+static PROBE_OR_START: Mutex<()> = Mutex::new(());
+
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 static NEXT_FOLDER: AtomicU16 = AtomicU16::new(0);
 
@@ -90,6 +98,8 @@
     pub settings: Vec<String>,
     /// Weights of the measures: first token, recompute, link.
     pub weights: [u32; 3],
+    /// Authorities of the daemons' certificates, if the settings have TLS.
+    pub authorities: Option<PathBuf>,
 }
 
 impl Default for DeploymentPlan {
@@ -105,6 +115,7 @@
             load_ms: 300,
             settings: vec!["\"address_keep_ms\": 500".into()],
             weights: [10, 1, 1],
+            authorities: None,
         }
     }
 }
@@ -146,6 +157,7 @@
 /// Ports lie below the range for outgoing connections, which would else take them now and then.
 pub fn free_address(ip: IpAddr) -> SocketAddr {
     let base = u16::try_from(std::process::id() * 61 % u32::from(PORT_SPAN)).unwrap_or(0);
+    let _alone = PROBE_OR_START.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (base + step % PORT_SPAN) % PORT_SPAN;
@@ -156,6 +168,11 @@
     }
 }
 
+fn start(command: &mut Command) -> std::io::Result<Child> {
+    let _alone = PROBE_OR_START.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Waits for a condition; panics with its name when patience ends.
 #[allow(clippy::panic, reason = "a test that waits in vain has failed")]
 pub fn wait_until(what: &str, mut is_met: impl FnMut() -> bool) {
@@ -235,12 +252,9 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        let child = start(&mut command)?;
         self.children.insert(name.into(), child);
         Ok(())
     }
@@ -409,12 +423,25 @@
 
     /// Whether a daemon takes work.
     pub fn is_ready(&self, index: usize) -> bool {
+        if self.plan.authorities.is_some() {
+            return self.is_serving_by_status(index);
+        }
         let address = self.daemons[index].callers;
         let asked = ask::<serde_json::Value>(address, "/readyz");
         // The answer is plain text: a parse error is a success.
         asked.is_err_and(|error| error.to_string().starts_with("answer does not parse"))
     }
 
+    fn is_serving_by_status(&self, index: usize) -> bool {
+        let Ok(status) = self.operate_ok(index, &["status"]) else { return false };
+        let name = &self.daemons[index].name;
+        let daemons = status["daemons"].as_array().cloned().unwrap_or_default();
+        let serves = |daemon: &serde_json::Value| {
+            daemon["name"] == name.as_str() && daemon["phase"] == "serving"
+        };
+        daemons.iter().any(serves) && status["seen_by"][0]["freshness"] != "stale"
+    }
+
     /// Waits until a daemon takes work.
     pub fn wait_ready(&self, index: usize) {
         wait_until(&format!("daemon {index} is ready"), || self.is_ready(index));
@@ -467,14 +494,19 @@
 
     /// Runs the operators' client at one daemon.
     pub fn operate(&self, index: usize, arguments: &[&str]) -> Result<Output, AnyError> {
-        let output = Command::new(&self.paths.guavatiller)
+        let mut command = Command::new(&self.paths.guavatiller);
+        if let Some(path) = &self.plan.authorities {
+            command.arg("--authorities").arg(path);
+        }
+        command
             .args(["--at", &self.daemons[index].operators.to_string()])
             .arg("--token-file")
             .arg(self.folder.join("token"))
             .args(["--output", "json"])
             .args(arguments)
-            .output()?;
-        Ok(output)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        Ok(start(&mut command)?.wait_with_output()?)
     }
 
     /// Runs the operators' client and reads its JSON; an error unless it succeeded.
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -49,21 +49,6 @@
     }
 }
 
-/// Binds an address that was found free a moment ago.
-///
-/// A process that another thread starts meanwhile holds a copy of the probing socket until its own
-/// program runs, and the address looks taken for as long.
-fn bind_patiently(listen: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    const TRIES: u32 = 100;
-    for _ in 0..TRIES {
-        if let Ok(listener) = std::net::TcpListener::bind(listen) {
-            return Ok(listener);
-        }
-        std::thread::sleep(Duration::from_millis(RECHECK_MS));
-    }
-    std::net::TcpListener::bind(listen)
-}
-
 /// A running proxy; it ends with its process.
 #[derive(Clone)]
 pub struct FaultProxy {
@@ -75,7 +60,7 @@
 impl FaultProxy {
     /// Starts a proxy before a server, in a thread of its own.
     pub fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
-        let listener = bind_patiently(listen)?;
+        let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let rules = Shared::new(LinkRules::default());
--- a/crates/guava-state/tests/reducer.rs
+++ b/crates/guava-state/tests/reducer.rs
@@ -23,7 +23,11 @@
 
 fn key(number: u8) -> CallKey {
     // A version 7 UUID: 48 bits of milliseconds, version, variant, and the number.
-    let uuid = format!("{:08x}-{:04x}-7000-8000-0000000000{number:02x}", MINTED_MS >> 16, MINTED_MS & 0xffff);
+    let uuid = format!(
+        "{:08x}-{:04x}-7000-8000-0000000000{number:02x}",
+        MINTED_MS >> 16,
+        MINTED_MS & 0xffff
+    );
     format!("acme/{uuid}").parse().unwrap()
 }
 
@@ -126,7 +130,8 @@
                 let Ok(record) = LogRecord::decode(bytes) else { continue };
                 match (&record.body, outcome) {
                     (RecordBody::Releases(entries), _) => held.retain(|(key, id, holder)| {
-                        let released = entries.iter().any(|entry| entry.key == *key && entry.id == *id);
+                        let released =
+                            entries.iter().any(|entry| entry.key == *key && entry.id == *id);
                         !(released && *holder == record.author)
                     }),
                     (RecordBody::Intents(entries), FoldOutcome::Intents(verdicts)) => {
@@ -215,7 +220,9 @@
     // from a daemon whose clock is far behind.
     // Cause: pruning and accepting judge the window by different clocks.
     let mut state = FleetState::default();
-    let join = |number: u8, wall| record(number, u128::from(number), wall, RecordBody::Join(member(number)));
+    let join = |number: u8, wall| {
+        record(number, u128::from(number), wall, RecordBody::Join(member(number)))
+    };
     let hour_later = 2 * 3_600_000;
     let intent = |id: u128| vec![IntentEntry { id: RecordId(id), key: key(1) }];
     let log = [
--- /dev/null
+++ b/crates/guavatiller/tests/bad_input.rs
@@ -0,0 +1,139 @@
+//! Bad input gets a clear error that names the field; the daemon lives and loses nothing.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_standins::caller::{Caller, CallerAnswer};
+use guava_standins::deployment::{Deployment, block_on};
+use support::{deploy_default, stream};
+
+fn send(deployment: &Deployment, method: &str, path: &str, body: &str) -> CallerAnswer {
+    let caller = Caller::of("acme");
+    let address = deployment.daemons[0].callers;
+    block_on(caller.send(address, method.parse().unwrap(), path, body)).unwrap().unwrap()
+}
+
+#[test]
+fn callers_bad_requests() {
+    let deployment = deploy_default();
+    let oversize = "x".repeat(9 << 20);
+    let cases = [
+        ("POST", "/v1/completions", "{", 400, "body"),
+        ("POST", "/v1/completions", "{\"model\":\"hints\"}", 400, "prompt"),
+        ("POST", "/v1/completions", "{\"model\":\"Hints!\",\"prompt\":\"a\"}", 400, "a-z"),
+        ("POST", "/v1/completions", "{\"model\":\"none\",\"prompt\":\"a\"}", 404, "none"),
+        ("POST", "/v1/completions", "{\"model\":\"hints\",\"prompt\":\"\"}", 400, "prompt"),
+        (
+            "POST",
+            "/v1/completions",
+            "{\"model\":\"hints\",\"prompt\":\"a\",\"max_tokens\":0}",
+            400,
+            "max_tokens",
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            "{\"model\":\"hints\",\"prompt\":\"a\",\"max_tokens\":99999}",
+            400,
+            "max_tokens",
+        ),
+        ("POST", "/v1/completions", &oversize, 413, ""),
+        ("GET", "/v1/completions", "", 400, "last-event-id"),
+        ("GET", "/v2/nothing", "", 404, "path"),
+        ("GET", "/v1/address?data_centre=No%20Where", "", 400, "data_centre"),
+    ];
+
+    for (method, path, body, status, field) in cases {
+        let answer = send(&deployment, method, path, body);
+
+        assert_eq!(answer.status, status, "{path}: {answer:?}");
+        assert!(answer.body.contains(field), "{path}: {answer:?}");
+    }
+    assert!(stream(deployment.daemons[0].callers, "still alive", 1).done);
+}
+
+#[test]
+fn callers_bad_headers() {
+    let deployment = deploy_default();
+    let caller = Caller { timeout_ms: 99_999_999, ..Caller::of("acme") };
+
+    let address = deployment.daemons[0].callers;
+    let request = caller.send(address, "POST".parse().unwrap(), "/v1/completions", "{}");
+    let answer = block_on(request).unwrap().unwrap();
+
+    assert_eq!(answer.status, 400);
+    assert!(answer.body.contains("guavatiller-timeout-ms"), "{answer:?}");
+}
+
+#[test]
+fn operators_bad_requests() {
+    let deployment = deploy_default();
+    let cases: [(&[&str], &str); 7] = [
+        (&["customer", "Big One"], "object"),
+        (&["customer", "acme", "--rate", "0"], "rate"),
+        (&["model", "publish", "hints", "missing-1"], "weight store"),
+        (&["model", "roll-out", "hints", "v9"], "not published"),
+        (&["upstream", "e9", "--kind", "engine", "--address", "127.0.0.1:1"], "data_centre"),
+        (&["service", "board", "--idempotent", "GET"], "rule"),
+        (
+            &[
+                "--change-id",
+                "zz",
+                "weights",
+                "--first-token",
+                "1",
+                "--recompute",
+                "1",
+                "--link",
+                "1",
+            ],
+            "change_id",
+        ),
+    ];
+
+    for (arguments, field) in cases {
+        let output = deployment.operate(0, arguments).unwrap();
+
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success(), "{arguments:?}");
+        assert!(text.contains(field), "{arguments:?}: {text}");
+    }
+    assert!(stream(deployment.daemons[0].callers, "still alive", 1).done);
+}
+
+#[test]
+fn operators_without_the_token_are_refused() {
+    let deployment = deploy_default();
+    let token = deployment.folder().join("wrong-token");
+    std::fs::write(&token, "not the token").unwrap();
+
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_guavatiller"))
+        .args(["--at", &deployment.daemons[0].operators.to_string(), "--token-file"])
+        .arg(&token)
+        .arg("status")
+        .output()
+        .unwrap();
+
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("authorization"));
+}
+
+#[test]
+fn check_settings_prints_all_errors_and_fails() {
+    let path = std::env::temp_dir().join(format!("guavatiller-bad-{}.json", std::process::id()));
+    std::fs::write(&path, "{\n  \"name\": 7,\n  \"colour\": \"red\"\n}\n").unwrap();
+
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_guavatiller"))
+        .arg("check-settings")
+        .arg(&path)
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    std::fs::remove_file(&path).unwrap();
+    assert!(!output.status.success());
+    for part in ["line 2: name", "line 3: colour", "platform.log"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
