--- a/crates/guava-daemon/tests/cache_index.rs
+++ b/crates/guava-daemon/tests/cache_index.rs
@@ -1,5 +1,7 @@
 //! The index: grants, frees and what a lookup may find.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_daemon::{CacheIndex, GRANT_MS, SealedEntry};
 use guava_policy::{PrefixChain, prefix_chain};
 use guava_types::{ByteCount, Deadline, Moment, TokenCount, UpstreamId};
--- a/crates/guava-daemon/tests/events.rs
+++ b/crates/guava-daemon/tests/events.rs
@@ -1,5 +1,7 @@
 //! The catalogue of log events in the docs is the one in the code.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_daemon::events::CATALOGUE;
 use std::collections::BTreeSet;
 
--- a/crates/guava-daemon/tests/leaving_book.rs
+++ b/crates/guava-daemon/tests/leaving_book.rs
@@ -1,5 +1,7 @@
 //! Leaving is the union of all sources and final for one incarnation.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_daemon::LeavingBook;
 use guava_types::UpstreamId;
 
--- a/crates/guava-daemon/tests/settings.rs
+++ b/crates/guava-daemon/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: every error at once, with line, key, what was found and what is allowed.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_daemon::DaemonSettings;
 use yare::parameterized;
 
--- a/crates/guava-policy/tests/admission.rs
+++ b/crates/guava-policy/tests/admission.rs
@@ -1,5 +1,7 @@
 //! Admission: shares, fairness, early refusal.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_policy::{
     AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, RetryBudget, WaitingRequest,
 };
--- a/crates/guava-policy/tests/placement.rs
+++ b/crates/guava-policy/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement: the wanted counts with few moves.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_policy::{PlacementInput, plan_afresh, plan_moves};
 use guava_types::{FastMap, ModelName, UpstreamId};
 use proptest::prelude::*;
--- a/crates/guava-policy/tests/reply.rs
+++ b/crates/guava-policy/tests/reply.rs
@@ -1,5 +1,7 @@
 //! Reply order, as a property over any delivery of an answer's chunks.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_policy::{ReplyChunk, ReplyOrder, ReplyStep};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/crates/guava-policy/tests/route.rs
+++ b/crates/guava-policy/tests/route.rs
@@ -1,5 +1,7 @@
 //! Routing decisions on late and partial knowledge.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_policy::{ImportOffer, LoadReport, LoadTable, RouteCandidate, RouteInput, decide_route};
 use guava_state::WeightProfile;
 use guava_types::{ByteCount, LinkRate, Moment, TokenCount, TokenRate, UpstreamId};
--- a/crates/guava-schema/tests/generated.rs
+++ b/crates/guava-schema/tests/generated.rs
@@ -1,5 +1,7 @@
 //! The committed code is what the schema generates.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 mod support;
 
 use std::fs;
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -41,6 +41,7 @@
     by_source: FastMap<IpAddr, LinkFault>,
     epoch: u64,
     dropped: u64,
+    passed: u64,
 }
 
 impl LinkRules {
@@ -91,6 +92,11 @@
         self.rules.lock().dropped
     }
 
+    /// Bytes passed on so far, both ways, without the headers of IP and TCP.
+    pub fn passed_bytes(&self) -> u64 {
+        self.rules.lock().passed
+    }
+
     /// Passes everything on again, for all.
     pub fn heal(&self) {
         let mut rules = self.rules.lock();
@@ -181,6 +187,7 @@
                     if to.write_all(piece).await.is_err() {
                         return;
                     }
+                    link.rules.lock().passed += length as u64;
                     break;
                 }
             }
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -4,14 +4,18 @@
 //! it: late and gapped events, lagging reports, lost answers, outages. `POST /fault` on each sets
 //! what goes wrong; `GET /stats` tells what really happened there.
 
+pub mod baseline;
 pub mod caller;
+pub mod compare;
 pub mod deployment;
 pub mod engine_cache;
 pub mod engine_server;
 pub mod fault_proxy;
 pub mod list_server;
 pub mod log_server;
+pub mod measure;
 pub mod serve;
 pub mod service_server;
 pub mod store_server;
 pub mod weight_server;
+pub mod workload;
--- a/crates/guava-standins/src/main.rs
+++ b/crates/guava-standins/src/main.rs
@@ -1,12 +1,17 @@
 //! The stand-ins' binary: one mode for each outside system.
 
 use argh::FromArgs;
+use guava_standins::compare::{markdown, picture};
+use guava_standins::deployment::ProgramPaths;
 use guava_standins::engine_server::EngineOptions;
+use guava_standins::measure::{POLICIES, run_workload};
 use guava_standins::serve::{AnyError, serve};
 use guava_standins::{
     engine_server, list_server, log_server, service_server, store_server, weight_server,
 };
+use guava_standins::workload::{WORKLOADS, plan_workload};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// stand-ins for the systems outside guavatiller
 #[derive(FromArgs)]
@@ -24,6 +29,28 @@
     Store(StoreArgs),
     Service(ServiceArgs),
     Engine(EngineArgs),
+    Compare(CompareArgs),
+}
+
+/// run workloads by our policy and the baselines, and print a table
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareArgs {
+    /// workload; may be given several times; all without
+    #[argh(option)]
+    workload: Vec<String>,
+    /// policy; may be given several times; all without
+    #[argh(option)]
+    policy: Vec<String>,
+    /// seed of arrivals and prompts
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// length of the measured phase in seconds
+    #[argh(option, default = "20.0")]
+    seconds: f64,
+    /// file for a picture of the table
+    #[argh(option)]
+    picture: Option<PathBuf>,
 }
 
 /// the platform's append-only log
@@ -147,6 +174,7 @@
             serve(args.listen, store_server::router(args.rate, args.capacity)).await
         }
         StandinMode::Service(args) => serve(args.listen, service_server::router()).await,
+        StandinMode::Compare(_) => Ok(()),
         StandinMode::Engine(args) => {
             let listen = args.listen;
             serve(listen, engine_server::router(engine_options(args))).await
@@ -154,8 +182,30 @@
     }
 }
 
+fn compare(args: &CompareArgs) -> Result<(), AnyError> {
+    let paths = ProgramPaths::beside(&std::env::current_exe()?);
+    let is_wanted = |list: &[String], name: &str| list.is_empty() || list.iter().any(|n| n == name);
+    let mut runs = Vec::new();
+    for name in WORKLOADS.into_iter().filter(|name| is_wanted(&args.workload, name)) {
+        let plan = plan_workload(name, args.seed, args.seconds).ok_or("no such workload")?;
+        for policy in POLICIES.into_iter().filter(|policy| is_wanted(&args.policy, policy.0)) {
+            let run = run_workload(&paths, &plan, policy, args.seed)?;
+            eprintln!("{name} {}: p95 {:.0} ms", policy.0, run.p95_ms);
+            runs.push(run);
+        }
+    }
+    print!("{}", markdown(&runs));
+    if let Some(path) = &args.picture {
+        std::fs::write(path, picture(&runs))?;
+    }
+    Ok(())
+}
+
 fn main() -> Result<(), AnyError> {
     let args: StandinArgs = argh::from_env();
+    if let StandinMode::Compare(args) = &args.mode {
+        return compare(args);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(args.mode))
 }
--- a/crates/guava-standins/tests/binary_builds.rs
+++ b/crates/guava-standins/tests/binary_builds.rs
@@ -1,5 +1,7 @@
 //! The stand-ins' binary is built for the tests with real processes, and checks its arguments.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use std::process::Command;
 
 #[test]
--- a/crates/guava-state/tests/lease.rs
+++ b/crates/guava-state/tests/lease.rs
@@ -1,5 +1,7 @@
 //! The lease rule: two holders never both act, whatever is late, lost or paused.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_state::{CLOCK_MARGIN_MS, FleetState, LeaseRequest, LeaseWatch, LogRecord, RecordBody};
 use guava_types::{Incarnation, Moment, Offset, RecordId, WallTime};
 use proptest::prelude::*;
--- a/crates/guava-state/tests/reducer.rs
+++ b/crates/guava-state/tests/reducer.rs
@@ -1,5 +1,7 @@
 //! The reducer's rules, as properties over random orders of records.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_state::{
     ChangeRequest, ChangeVerdict, ConfigObject, FleetState, FoldOutcome, IntentEntry,
     IntentVerdict, LogRecord, MemberEntry, ObjectKey, RecordBody, WeightProfile, restore,
--- a/crates/guava-types/tests/keys.rs
+++ b/crates/guava-types/tests/keys.rs
@@ -1,5 +1,7 @@
 //! Text forms of keys, names and units.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 use guava_types::{
     ByteCount, CallKey, CallerKey, CustomerId, Incarnation, LinkRate, Moment, PinnedKey,
 };
--- a/crates/guavatiller/tests/configuration.rs
+++ b/crates/guavatiller/tests/configuration.rs
@@ -38,8 +38,10 @@
     block_on(appended).unwrap().unwrap();
 }
 
-/// Everything in the log, and the first kept offset.
-fn read_log(deployment: &Deployment) -> (Offset, Vec<(Offset, Box<[u8]>)>) {
+/// The log's first kept offset, and all records from there.
+type KeptLog = (Offset, Vec<(Offset, Box<[u8]>)>);
+
+fn read_log(deployment: &Deployment) -> KeptLog {
     let client = log_client(deployment);
     let mut records = Vec::new();
     let mut from = Offset(0);
