fix: slots bound requests before their first token, not whole runs

Cause: in a burst of 3x capacity daemons sent on whatever had a decoding slot; the engines' prefill queues grew past the callers' deadlines, answers were computed that nobody waited for, and the patience rule sent some of them twice. Ruled out: the load program (least-reported shows the same collapse without daemons) and the retry budget (at most a tenth). Change: slots count requests that wait for their first token (two an engine, shared between daemons); the queue refuses at once what can't start in time with margin, on arrival and at its turn.

--- a/crates/guava-daemon/src/admission_desk.rs
+++ b/crates/guava-daemon/src/admission_desk.rs
@@ -1,7 +1,9 @@
 //! The door: limits and queue of this daemon, and those who wait in it.
 
 use crate::context::{DaemonContext, locked};
-use guava_policy::{AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, WaitingRequest};
+use guava_policy::{
+    AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
+};
 use guava_state::CustomerSpec;
 use guava_types::{CustomerId, Deadline, FastMap, Moment};
 use std::sync::{Arc, Mutex};
@@ -13,13 +15,14 @@
 /// Weight of a new observation of the time in a slot, as one over this.
 const SERVICE_SMOOTHING: f64 = 8.0;
 const FIRST_SERVICE_MS: f64 = 300.0;
-/// Requests sent to the engines beyond their slots, so that none idles for a round trip.
-const OVERCOMMIT: f64 = 1.25;
+/// Requests at each engine that wait for their first token: one in its prefill and one behind it,
+/// so that no engine idles for a round trip.
+const STARTING_PER_ENGINE: u32 = 2;
 
 #[derive(Default)]
 struct DeskState {
     fair: FairAdmission,
-    waiting: FastMap<u64, oneshot::Sender<()>>,
+    waiting: FastMap<u64, oneshot::Sender<bool>>,
     next_ticket: u64,
     service_ms: Option<f64>,
     slots: u32,
@@ -31,11 +34,12 @@
     state: Mutex<DeskState>,
 }
 
-/// A place among the running, given back when dropped.
+/// A place among the running, given back when dropped; its slot is free from the first token on.
 pub struct AdmitGuard {
     context: Arc<DaemonContext>,
     customer: CustomerId,
-    started: Moment,
+    admitted: Moment,
+    is_starting: bool,
 }
 
 fn options(state: &DeskState) -> AdmitOptions {
@@ -46,13 +50,12 @@
     }
 }
 
-/// Slots for this daemon: what all engines together run, less what the peers have running there;
-/// at least an equal share, at most all.
-pub fn daemon_slots(total: u32, peers_running: u32, daemons: u32) -> u32 {
-    let total = (f64::from(total) * OVERCOMMIT).ceil();
-    let equal = total / f64::from(daemons.max(1));
-    let left = total - f64::from(peers_running);
-    left.max(equal).max(1.0) as u32
+/// Slots for this daemon: what all engines together may have starting, less what the peers have;
+/// at least an equal share, at most twice that, since what is known of the peers is late.
+pub fn daemon_slots(engines: u32, peers_starting: u32, daemons: u32) -> u32 {
+    let total = engines * STARTING_PER_ENGINE;
+    let equal = total.div_ceil(daemons.max(1));
+    total.saturating_sub(peers_starting).clamp(equal, 2 * equal).max(1)
 }
 
 impl AdmissionDesk {
@@ -63,25 +66,53 @@
         running.map(|(customer, running)| (customer.clone(), running)).collect()
     }
 
+    /// Requests of this daemon's that wait for their first token.
+    pub fn starting(&self) -> u32 {
+        locked(&self.state).fair.starting()
+    }
+
     fn wake(state: &mut DeskState) {
         let options = options(state);
-        while let Some(request) = state.fair.next(&options) {
-            let woken = state.waiting.remove(&request.ticket).map(|sender| sender.send(()));
-            if woken != Some(Ok(())) {
-                state.fair.finish(&request.customer);
+        while let Some(turn) = state.fair.next(&options, Moment::now()) {
+            match turn {
+                AdmitTurn::Start(request) => {
+                    let woken = state.waiting.remove(&request.ticket).map(|s| s.send(true));
+                    if woken != Some(Ok(())) {
+                        state.fair.started();
+                        state.fair.finish(&request.customer);
+                    }
+                }
+                AdmitTurn::Shed(request) => {
+                    // A caller that is gone already needs no refusal.
+                    state.waiting.remove(&request.ticket).map(|s| s.send(false));
+                }
             }
         }
     }
 
-    fn leave(&self, customer: &CustomerId, started: Moment) {
+    fn first_token(&self, admitted: Moment) {
         let mut state = locked(&self.state);
-        state.fair.finish(customer);
-        let took = Moment::now().millis_since(started) as f64;
+        state.fair.started();
+        let took = Moment::now().millis_since(admitted) as f64;
         let known = state.service_ms.unwrap_or(took.max(1.0));
         state.service_ms = Some(known + (took - known) / SERVICE_SMOOTHING);
         Self::wake(&mut state);
     }
 
+    fn leave(&self, customer: &CustomerId) {
+        let mut state = locked(&self.state);
+        state.fair.finish(customer);
+        Self::wake(&mut state);
+    }
+
+    fn return_after(&self) -> ReturnAfter {
+        let state = locked(&self.state);
+        let options = options(&state);
+        let waiting = state.fair.waiting() as f64 + 1.0;
+        let wait = waiting * options.service_ms / f64::from(options.slots);
+        ReturnAfter(wait.ceil() as u64)
+    }
+
     fn abandon(&self, customer: &CustomerId, ticket: u64) {
         let mut state = locked(&self.state);
         state.waiting.remove(&ticket);
@@ -89,9 +120,19 @@
     }
 }
 
+impl AdmitGuard {
+    /// Frees the slot: the first token is there.
+    pub fn first_token(&mut self) {
+        if std::mem::replace(&mut self.is_starting, false) {
+            self.context.admission.first_token(self.admitted);
+        }
+    }
+}
+
 impl Drop for AdmitGuard {
     fn drop(&mut self) {
-        self.context.admission.leave(&self.customer, self.started);
+        self.first_token();
+        self.context.admission.leave(&self.customer);
     }
 }
 
@@ -112,20 +153,21 @@
     context: &Arc<DaemonContext>,
     customer: &CustomerId,
     spec: &CustomerSpec,
-    total_slots: u32,
+    engines: u32,
     deadline: Deadline,
 ) -> Result<AdmitGuard, AdmitDecision> {
     let now = Moment::now();
     let usage = usage(context, customer, spec);
-    let peers_running = locked(&context.book).all_running(now);
+    let peers_starting = locked(&context.book).all_starting(now);
     let guard = || AdmitGuard {
         context: Arc::clone(context),
         customer: customer.clone(),
-        started: Moment::now(),
+        admitted: Moment::now(),
+        is_starting: true,
     };
     let (ticket, turn) = {
         let mut state = locked(&context.admission.state);
-        state.slots = daemon_slots(total_slots, peers_running, usage.daemons);
+        state.slots = daemon_slots(engines, peers_starting, usage.daemons);
         state.next_ticket += 1;
         let ticket = state.next_ticket;
         let request = WaitingRequest { ticket, customer: customer.clone(), deadline };
@@ -140,12 +182,13 @@
         (ticket, turn)
     };
     let mut place = QueuePlace { context, customer, ticket, is_left: false };
-    let woken = timeout(deadline.time_left(), turn).await;
-    if let Ok(Ok(())) = woken {
-        place.is_left = true;
-        return Ok(guard());
+    match timeout(deadline.time_left(), turn).await {
+        Ok(Ok(true)) => {
+            place.is_left = true;
+            Ok(guard())
+        }
+        _ => Err(AdmitDecision::TooLate(context.admission.return_after())),
     }
-    Err(AdmitDecision::TooLate(guava_policy::ReturnAfter(FIRST_SERVICE_MS as u64)))
 }
 
 /// A place in the queue, left also when the caller's connection goes and the wait is dropped.
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -3,7 +3,7 @@
 use crate::admission_desk::{AdmitGuard, admit};
 use crate::cache_duty::note_computed;
 use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, model_slots};
+use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::export_ring::PrefixNote;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
@@ -281,11 +281,12 @@
         );
         return Err(CallOutcome::refused(caller.attempt, refusal));
     };
-    let slots = model_slots(context, &request.model);
-    let admitted = admit(context, &caller.customer, &customer, slots, caller.deadline).await;
-    let admitted = admitted.map_err(|decision| admission_refusal(caller, decision))?;
+    let engines = engine_count(context, &request.model);
+    let admitted = admit(context, &caller.customer, &customer, engines, caller.deadline).await;
+    let mut admitted = admitted.map_err(|decision| admission_refusal(caller, decision))?;
     locked(&context.retries).earn();
     let (choice, started) = run_attempts(context, caller, request, &model).await?;
+    admitted.first_token();
     let note = PrefixNote {
         salt: choice.chain.salt.clone(),
         hashes: kept_hashes(request, &choice),
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -60,9 +60,9 @@
         .collect()
 }
 
-/// Requests that all engines of a model run at one time.
-pub fn model_slots(context: &DaemonContext, model: &ModelName) -> u32 {
-    engines(context, model).iter().map(|(_, spec, _)| spec.slots).sum()
+/// Engines of a model that take new work.
+pub fn engine_count(context: &DaemonContext, model: &ModelName) -> u32 {
+    u32::try_from(engines(context, model).len()).unwrap_or(u32::MAX)
 }
 
 /// The version for a new request. While a roll out is under way the previous version serves until
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -94,6 +94,7 @@
         log_age_ms: sight.map_or(0, |sight| age_of(sight.seen)),
         member: own_member(context),
         loads: own_loads(context),
+        starting: context.admission.starting(),
         customers: own_customers(context),
         leaving: locked(&context.leaving)
             .own_notices()
@@ -130,6 +131,7 @@
                 tokens: u32::try_from(tokens.0).unwrap_or(u32::MAX),
             })
             .collect(),
+        starting: entry.starting,
         customers: entry
             .customers
             .iter()
@@ -202,6 +204,7 @@
             .iter()
             .map(|load| (load.upstream, TokenCount(u64::from(load.tokens))))
             .collect(),
+        starting: message.starting,
         customers: message.customers.iter().map(|load| (load.customer, load.running)).collect(),
         leaving: leaving.collect(),
     };
--- a/crates/guava-daemon/src/peer_book.rs
+++ b/crates/guava-daemon/src/peer_book.rs
@@ -49,6 +49,8 @@
     pub identity: PeerIdentity,
     /// Tokens that it has waiting, by short hash of the upstream.
     pub loads: Vec<(u32, TokenCount)>,
+    /// Requests of its that wait for their first token.
+    pub starting: u32,
     /// Requests that it runs, by short hash of the customer.
     pub customers: Vec<(u32, u32)>,
     /// Upstreams that it knows to be leaving, with the instance that leaves.
@@ -172,10 +174,9 @@
         loads.filter(|(other, _)| *other == hash).map(|(_, running)| running).sum()
     }
 
-    /// Requests that peers run, of all customers.
-    pub fn all_running(&self, now: Moment) -> u32 {
-        let loads = self.alive(now).flat_map(|(_, entry)| entry.customers.iter());
-        loads.map(|(_, running)| running).sum()
+    /// Requests of peers that wait for their first token.
+    pub fn all_starting(&self, now: Moment) -> u32 {
+        self.alive(now).map(|(_, entry)| entry.starting).sum()
     }
 
     /// Tokens that peers have waiting at an upstream.
--- a/crates/guava-policy/src/admission.rs
+++ b/crates/guava-policy/src/admission.rs
@@ -2,6 +2,10 @@
 //!
 //! A customer's limits hold over all daemons without a log record a request: each daemon grants
 //! its share, which follows the customer's use as gossiped, and never less than an equal part.
+//!
+//! What is scarce at the engines is prefill. So slots bound the requests that wait for their first
+//! token; a run that is decoding counts against its customer's concurrency only. Waiting here and
+//! not in the engines' queues keeps the order fair and lets late requests be refused early.
 
 use guava_types::{CustomerId, Deadline, FastMap, Moment, RequestRate};
 use std::collections::VecDeque;
@@ -56,14 +60,32 @@
 /// Capacity of this daemon's view.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmitOptions {
-    /// Requests that may run through this daemon at one time.
+    /// Requests of this daemon's that may wait for their first token at one time.
     pub slots: u32,
     /// Requests that may wait.
     pub queue: usize,
-    /// Expected time of one request in a slot, in milliseconds.
+    /// Expected time to the first token in a slot, in milliseconds.
     pub service_ms: f64,
 }
 
+impl AdmitOptions {
+    /// Time that a request needs from its start to make its first token in time with some margin.
+    /// One that is started with less often misses its deadline, and its prefill is wasted.
+    fn safe_service_ms(&self) -> u64 {
+        const MARGIN: f64 = 1.5;
+        (self.service_ms * MARGIN) as u64
+    }
+}
+
+/// What becomes of the next request in line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmitTurn {
+    /// It starts now.
+    Start(WaitingRequest),
+    /// It can't make its deadline any more: refused now rather than when the deadline passes.
+    Shed(WaitingRequest),
+}
+
 #[derive(Clone, Debug, Default)]
 struct CustomerShare {
     running: u32,
@@ -77,7 +99,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairAdmission {
     shares: FastMap<CustomerId, CustomerShare>,
-    running: u32,
+    starting: u32,
     waiting: usize,
     served: u64,
 }
@@ -91,9 +113,9 @@
 }
 
 impl FairAdmission {
-    /// Requests running, of all customers.
-    pub fn running(&self) -> u32 {
-        self.running
+    /// Requests waiting for their first token, of all customers.
+    pub fn starting(&self) -> u32 {
+        self.starting
     }
 
     /// Requests waiting, of all customers.
@@ -140,7 +162,7 @@
             let after = options.service_ms.ceil() as u64;
             return AdmitDecision::OverLimit(ReturnAfter(after));
         }
-        if self.running < options.slots && self.waiting == 0 {
+        if self.starting < options.slots && self.waiting == 0 {
             self.start(&request.customer);
             return AdmitDecision::Admit;
         }
@@ -149,7 +171,8 @@
         // customer in line, not behind everybody's whole queue.
         let ahead = (queued * active.max(1)).min(self.waiting);
         let wait = self.wait_ms(ahead, options);
-        let too_late = Deadline::after(now, wait) > request.deadline;
+        let first_token = wait + options.safe_service_ms();
+        let too_late = Deadline::after(now, first_token) > request.deadline;
         if too_late || self.waiting >= options.queue {
             return AdmitDecision::TooLate(ReturnAfter(wait.max(1)));
         }
@@ -165,7 +188,7 @@
             share.tokens -= 1.0;
             share.last_served = served;
         }
-        self.running += 1;
+        self.starting += 1;
     }
 
     fn enqueue(&mut self, request: WaitingRequest) {
@@ -176,12 +199,16 @@
         }
     }
 
-    /// Notes that a running request is over.
+    /// Notes the first token of an admitted request, or that it will have none: its slot is free.
+    pub fn started(&mut self) {
+        self.starting = self.starting.saturating_sub(1);
+    }
+
+    /// Notes that an admitted request is over.
     pub fn finish(&mut self, customer: &CustomerId) {
         if let Some(share) = self.shares.get_mut(customer) {
             share.running = share.running.saturating_sub(1);
         }
-        self.running = self.running.saturating_sub(1);
     }
 
     /// Takes a request out of the queue that its caller gave up.
@@ -192,10 +219,10 @@
         self.waiting -= before - share.waiting.len();
     }
 
-    /// The next request to start if a slot is free: the customer with the fewest running goes
+    /// The next request in line if a slot is free: the customer with the fewest running goes
     /// first, then the one served longest ago; within a customer the earliest deadline.
-    pub fn next(&mut self, options: &AdmitOptions) -> Option<WaitingRequest> {
-        if self.running >= options.slots {
+    pub fn next(&mut self, options: &AdmitOptions, now: Moment) -> Option<AdmitTurn> {
+        if self.starting >= options.slots {
             return None;
         }
         let customer = self
@@ -206,7 +233,10 @@
             .map(|(customer, _)| customer.clone())?;
         let request = self.shares.get_mut(&customer)?.waiting.pop_front()?;
         self.waiting -= 1;
+        if Deadline::after(now, options.safe_service_ms()) > request.deadline {
+            return Some(AdmitTurn::Shed(request));
+        }
         self.start(&customer);
-        Some(request)
+        Some(AdmitTurn::Start(request))
     }
 }
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -13,7 +13,7 @@
 mod route;
 
 pub use admission::{
-    AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
+    AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
 pub use export::{ExportInput, should_export};
 pub use load::{LoadReport, LoadTable, PendingWork, UpstreamLoad};
--- a/crates/guava-policy/tests/admission.rs
+++ b/crates/guava-policy/tests/admission.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_policy::{
-    AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, RetryBudget, WaitingRequest,
+    AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, RetryBudget, WaitingRequest,
 };
 use guava_types::{CustomerId, Deadline, Moment, RequestRate};
 
@@ -34,11 +34,11 @@
     }
 
     let small = admission.arrive(request("small", 9, 60_000), &wide(), &OPTIONS, NOW);
-    admission.finish(&customer("flood"));
-    let next = admission.next(&OPTIONS).unwrap();
+    admission.started();
+    let next = admission.next(&OPTIONS, NOW);
 
     assert_eq!(small, AdmitDecision::Queue);
-    assert_eq!(next.ticket, 9);
+    assert_eq!(next, Some(AdmitTurn::Start(request("small", 9, 60_000))));
 }
 
 #[test]
@@ -47,9 +47,10 @@
     for (ticket, left_ms) in [(0, 60_000), (1, 60_000), (2, 50_000), (3, 9_000)] {
         admission.arrive(request("acme", ticket, left_ms), &wide(), &OPTIONS, NOW);
     }
-    admission.finish(&customer("acme"));
+    admission.started();
 
-    assert_eq!(admission.next(&OPTIONS).unwrap().ticket, 3);
+    let next = admission.next(&OPTIONS, NOW);
+    assert_eq!(next, Some(AdmitTurn::Start(request("acme", 3, 9_000))));
 }
 
 #[test]
@@ -64,6 +65,23 @@
     assert!(matches!(late, AdmitDecision::TooLate(after) if after.0 > 0), "{late:?}");
 }
 
+#[test]
+fn request_that_became_too_late_in_the_queue_is_shed() {
+    // Symptom: in an overload the engines compute answers that nobody waits for any more.
+    // Sequence: a request waits in the queue until its deadline is nearer than its first token.
+    // Cause: what was queued is started, however late.
+    let mut admission = FairAdmission::default();
+    for ticket in 0..3 {
+        admission.arrive(request("acme", ticket, 400), &wide(), &OPTIONS, NOW);
+    }
+    admission.started();
+
+    let turn = admission.next(&OPTIONS, Moment(NOW.0 + 350));
+
+    assert_eq!(turn, Some(AdmitTurn::Shed(request("acme", 2, 400))));
+    assert_eq!(admission.starting(), 1);
+}
+
 #[test]
 fn rate_over_the_limit_is_refused_with_the_time_to_come_back() {
     let mut admission = FairAdmission::default();
@@ -104,9 +122,10 @@
     }
 
     admission.abandon(&customer("acme"), 2);
-    admission.finish(&customer("acme"));
+    admission.started();
 
-    assert_eq!(admission.next(&OPTIONS).unwrap().ticket, 3);
+    let next = admission.next(&OPTIONS, NOW);
+    assert_eq!(next, Some(AdmitTurn::Start(request("acme", 3, 60_000))));
     assert_eq!(admission.waiting(), 0);
 }
 
--- a/crates/guava-standins/src/compare.rs
+++ b/crates/guava-standins/src/compare.rs
@@ -6,17 +6,32 @@
 pub fn markdown(runs: &[RunFigures]) -> String {
     let mut text = String::from(
         "| workload | policy | requests | served | refused | failed | first token p50 ms | p95 ms \
-         | p99 ms | recomputed share | link MB | link share | goodput /s | least served customer |\n\
+         | p99 ms | recomputed share | link MB | link share | goodput /s | served share by customer |\n\
          | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for run in runs {
-        let least = run.served_by_customer.iter().min_by(|a, b| a.1.total_cmp(b.1));
-        let least = least.map_or(String::new(), |(name, share)| format!("{name} {share:.2}"));
+        let mut shares: Vec<String> = run
+            .served_by_customer
+            .iter()
+            .map(|(name, share)| format!("{name} {share:.2}"))
+            .collect();
+        shares.sort();
+        let shares = shares.join(", ");
         let row = format!(
-            "| {} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.2} | {:.1} | {:.2} | {:.1} | {least} |\n",
-            run.workload, run.policy, run.requests, run.served, run.refused, run.failed,
-            run.p50_ms, run.p95_ms, run.p99_ms, run.recomputed_share,
-            run.link_bytes as f64 / 1e6, run.link_share, run.goodput,
+            "| {} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.2} | {:.1} | {:.2} | {:.1} | {shares} |\n",
+            run.workload,
+            run.policy,
+            run.requests,
+            run.served,
+            run.refused,
+            run.failed,
+            run.p50_ms,
+            run.p95_ms,
+            run.p99_ms,
+            run.recomputed_share,
+            run.link_bytes as f64 / 1e6,
+            run.link_share,
+            run.goodput,
         );
         text.push_str(&row);
     }
@@ -50,8 +65,13 @@
         let bar = format!(
             "<text x=\"10\" y=\"{}\">{} / {}</text><rect x=\"{LEFT}\" y=\"{y}\" width=\"{length:.0}\" \
              height=\"{}\" fill=\"{colour}\"/><text x=\"{:.0}\" y=\"{}\">{:.0}</text>\n",
-            y + 12, run.workload, run.policy, ROW - 4,
-            LEFT as f64 + length + 6.0, y + 12, run.p95_ms,
+            y + 12,
+            run.workload,
+            run.policy,
+            ROW - 4,
+            LEFT as f64 + length + 6.0,
+            y + 12,
+            run.p95_ms,
         );
         svg.push_str(&bar);
     }
--- a/crates/guava-standins/src/main.rs
+++ b/crates/guava-standins/src/main.rs
@@ -6,10 +6,10 @@
 use guava_standins::engine_server::EngineOptions;
 use guava_standins::measure::{POLICIES, run_workload};
 use guava_standins::serve::{AnyError, serve};
+use guava_standins::workload::{WORKLOADS, plan_workload};
 use guava_standins::{
     engine_server, list_server, log_server, service_server, store_server, weight_server,
 };
-use guava_standins::workload::{WORKLOADS, plan_workload};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
--- a/crates/guava-standins/src/measure.rs
+++ b/crates/guava-standins/src/measure.rs
@@ -186,8 +186,7 @@
     arrived: Instant,
 ) -> RequestEnd {
     let deadline = Deadline::in_millis(request.timeout_ms);
-    let started =
-        router.start_run(request.customer, &request.prompt, MAX_TOKENS, deadline).await;
+    let started = router.start_run(request.customer, &request.prompt, MAX_TOKENS, deadline).await;
     let Ok(mut stream) = started else { return RequestEnd::Failed };
     let mut first = None;
     loop {
@@ -309,8 +308,7 @@
     let after = engine_totals(&deployment)?;
     figures.workload = plan.name.into();
     figures.policy = policy.0.into();
-    figures.recomputed_share =
-        (after.1 - before.1) as f64 / ((after.0 - before.0).max(1)) as f64;
+    figures.recomputed_share = (after.1 - before.1) as f64 / ((after.0 - before.0).max(1)) as f64;
     figures.link_bytes = link_total(&deployment).saturating_sub(link_before);
     let carried = plan.link as f64 * STORES as f64 * figures.seconds;
     figures.link_share = figures.link_bytes as f64 / carried;
--- a/crates/guava-standins/src/workload.rs
+++ b/crates/guava-standins/src/workload.rs
@@ -113,7 +113,10 @@
 
 /// All packets once; then returns in random order, each packet after a gap in which many others
 /// have passed through the engines' caches.
-fn return_after_gap(rng: &mut ChaCha8Rng, seconds: f64) -> (Vec<PlannedRequest>, Vec<PlannedRequest>) {
+fn return_after_gap(
+    rng: &mut ChaCha8Rng,
+    seconds: f64,
+) -> (Vec<PlannedRequest>, Vec<PlannedRequest>) {
     let packets = packets(rng);
     let warm = packets
         .iter()
