--- a/crates/guava-standins/src/main.rs
+++ b/crates/guava-standins/src/main.rs
@@ -2,10 +2,16 @@
 
 use argh::FromArgs;
 use guava_standins::compare::{markdown, picture};
+use guava_standins::demo::run_demo;
 use guava_standins::deployment::ProgramPaths;
 use guava_standins::engine_server::EngineOptions;
 use guava_standins::measure::{POLICIES, run_workload};
+use guava_standins::overhead::measure_overhead;
 use guava_standins::serve::{AnyError, serve};
+use guava_standins::slopes::{
+    CONTROL_HEADING, INDEX_HEADING, ROUTE_HEADING, STATE_HEADING, control_row, index_row,
+    route_row, state_row,
+};
 use guava_standins::workload::{WORKLOADS, plan_workload};
 use guava_standins::{
     engine_server, list_server, log_server, service_server, store_server, weight_server,
@@ -30,6 +36,31 @@
     Service(ServiceArgs),
     Engine(EngineArgs),
     Compare(CompareArgs),
+    Demo(DemoArgs),
+    Overhead(OverheadArgs),
+    Slopes(SlopeArgs),
+}
+
+/// run a small local deployment once and tell what happened
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {}
+
+/// measure the daemon's own part of the time to first token
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overhead")]
+struct OverheadArgs {}
+
+/// measure the slopes for the capacity page
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopeArgs {
+    /// numbers of daemons, as in 4,8,16
+    #[argh(option, default = "String::from(\"4,8,16,32\")")]
+    daemons: String,
+    /// numbers of engines, for four daemons
+    #[argh(option, default = "String::from(\"4,12,24\")")]
+    engines: String,
 }
 
 /// run workloads by our policy and the baselines, and print a table
@@ -174,7 +205,10 @@
             serve(args.listen, store_server::router(args.rate, args.capacity)).await
         }
         StandinMode::Service(args) => serve(args.listen, service_server::router()).await,
-        StandinMode::Compare(_) => Ok(()),
+        StandinMode::Compare(_)
+        | StandinMode::Demo(_)
+        | StandinMode::Overhead(_)
+        | StandinMode::Slopes(_) => Ok(()),
         StandinMode::Engine(args) => {
             let listen = args.listen;
             serve(listen, engine_server::router(engine_options(args))).await
@@ -182,6 +216,46 @@
     }
 }
 
+fn numbers(text: &str) -> Result<Vec<usize>, AnyError> {
+    Ok(text.split(',').map(str::parse).collect::<Result<_, _>>()?)
+}
+
+fn slopes(args: &SlopeArgs) -> Result<(), AnyError> {
+    let paths = ProgramPaths::beside(&std::env::current_exe()?);
+    println!("{CONTROL_HEADING}");
+    for daemons in numbers(&args.daemons)? {
+        println!("{}", control_row(&paths, daemons, 2)?);
+    }
+    for engines in numbers(&args.engines)? {
+        println!("{}", control_row(&paths, 4, engines)?);
+    }
+    println!("\n{STATE_HEADING}");
+    for (customers, keys) in [(10, 1_000), (280, 1_000), (280, 10_000), (280, 100_000)] {
+        println!("{}", state_row(customers, keys)?);
+    }
+    println!("\n{INDEX_HEADING}");
+    for prompts in [500, 2_000, 8_000] {
+        println!("{}", index_row(prompts)?);
+    }
+    println!("\n{ROUTE_HEADING}");
+    for candidates in [6, 48, 200] {
+        println!("{}", route_row(candidates)?);
+    }
+    Ok(())
+}
+
+fn overhead() -> Result<(), AnyError> {
+    let figures = measure_overhead(ProgramPaths::beside(&std::env::current_exe()?))?;
+    println!("| way | first token p50 ms | p99 ms |\n| --- | --- | --- |");
+    println!(
+        "| straight to the engine | {:.2} | {:.2} |",
+        figures.direct_ms.0, figures.direct_ms.1
+    );
+    println!("| through a daemon | {:.2} | {:.2} |", figures.daemon_ms.0, figures.daemon_ms.1);
+    println!("\nprocessor time of the daemon for a request: {:.2} ms", figures.cpu_ms);
+    Ok(())
+}
+
 fn compare(args: &CompareArgs) -> Result<(), AnyError> {
     let paths = ProgramPaths::beside(&std::env::current_exe()?);
     let is_wanted = |list: &[String], name: &str| list.is_empty() || list.iter().any(|n| n == name);
@@ -203,8 +277,14 @@
 
 fn main() -> Result<(), AnyError> {
     let args: StandinArgs = argh::from_env();
-    if let StandinMode::Compare(args) = &args.mode {
-        return compare(args);
+    match &args.mode {
+        StandinMode::Compare(args) => return compare(args),
+        StandinMode::Demo(_) => {
+            return run_demo(ProgramPaths::beside(&std::env::current_exe()?));
+        }
+        StandinMode::Overhead(_) => return overhead(),
+        StandinMode::Slopes(args) => return slopes(args),
+        _ => {}
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(args.mode))
