--- a/crates/guavatiller/tests/whole_path.rs
+++ b/crates/guavatiller/tests/whole_path.rs
@@ -1,5 +1,7 @@
 //! From the operators' calls to the streamed answer, on each of three daemons.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
 mod support;
 
 use support::{call, deploy_default, expected_text, fresh_key, runs_of, stream, submission};
@@ -33,3 +35,24 @@
     assert_eq!(first.body, repeat.body);
     assert_eq!(runs_of(&deployment, "acme", &key), 1);
 }
+
+#[test]
+fn callers_may_speak_http2() {
+    let deployment = deploy_default();
+    let address = deployment.daemons[0].callers;
+
+    let status = guava_standins::deployment::block_on(async move {
+        let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let executor = hyper_util::rt::TokioExecutor::new();
+        let (mut sender, connection) =
+            hyper::client::conn::http2::handshake(executor, io).await.unwrap();
+        tokio::spawn(connection);
+        let request = http::Request::get(format!("http://{address}/v1/address"))
+            .body(http_body_util::Full::<bytes::Bytes>::default())
+            .unwrap();
+        sender.send_request(request).await.unwrap().status()
+    });
+
+    assert_eq!(status.unwrap(), 200);
+}
