--- a/crates/guava-daemon/src/call_desk.rs
+++ b/crates/guava-daemon/src/call_desk.rs
@@ -31,6 +31,8 @@
 /// How far a key's minting may lie ahead of this VM's clock, in milliseconds.
 const MINTED_AHEAD_MS: u64 = 300_000;
 const COME_BACK_MS: u64 = 1_000;
+/// Logged keys inside their windows, over all daemons; each is kept in every daemon's memory.
+const MAX_HELD_KEYS: usize = 200_000;
 /// Wait for another daemon's answer beyond what the caller has left, in milliseconds.
 const FORWARD_SLACK_MS: u64 = 200;
 const SETTLE_MS: u64 = 50;
@@ -237,6 +239,11 @@
         if let Err(outcome) = may_take_work(context, call) {
             return RunEnd::Elsewhere(outcome);
         }
+        if context.state.read(|state| state.intents().len()) >= MAX_HELD_KEYS {
+            let reason = "too many logged keys are inside their windows; use a pinned key";
+            let outcome = call.refused(RefusalKind::OVERLOADED, reason, COME_BACK_MS);
+            return RunEnd::Elsewhere(outcome);
+        }
         if service_instances(context, &call.service).is_empty() {
             let reason = "no instance of the service takes work";
             let outcome = call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS);
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -37,6 +37,7 @@
     SNAPSHOT_WRITTEN "G2007" "snapshot appended";
     STATE_FROM_PEER "G2008" "newer state taken from a peer";
     LOG_SHRANK "G2009" "the log's end is before what was applied";
+    RECORD_REFUSED "G2010" "a record of this daemon's could not be written";
     MEMBER_EVICTED "G3001" "a silent daemon is taken off the roster";
     FRESHNESS_CHANGED "G3002" "freshness changed";
     SUPERSEDED "G3003" "another incarnation has this daemon's name; this one takes no new work";
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -6,8 +6,8 @@
 use guava_outside::{HttpError, LogPage};
 use guava_schema::peers::FetchRequest;
 use guava_state::{
-    FleetState, FoldOutcome, IntentEntry, IntentVerdict, LogRecord, MemberEntry, RecordBody,
-    restore, snapshot_body, state_from_json,
+    FleetState, FoldOutcome, IntentEntry, IntentVerdict, LogRecord, MemberEntry, PART_BYTES,
+    RecordBody, restore, snapshot_parts, state_from_json, state_text,
 };
 use guava_types::{Deadline, FastMap, Incarnation, Moment, Offset, RecordId, WallTime};
 use std::sync::{Arc, Mutex};
@@ -29,6 +29,7 @@
 const FETCH_EVERY_MS: u64 = 500;
 const FETCH_MS: u64 = 2_000;
 const JOIN_TRY_MS: u64 = 10_000;
+const SNAPSHOT_TRY_MS: u64 = 30_000;
 /// A log out of sight for longer than this gets a snapshot as soon as it is back.
 const OUTAGE_MS: u64 = 5_000;
 
@@ -275,10 +276,12 @@
         }
         *clock = SnapshotClock { last, last_moment: now, ..SnapshotClock::default() };
         drop(clock);
-        let Ok(body) = context.state.read(snapshot_body) else { return };
-        log_event!(info, SNAPSHOT_WRITTEN, next = next, bytes = body.state.len());
-        let append = own_record(context, RecordBody::Snapshot(body));
-        context.appends.append_later(append, Deadline::in_millis(JOIN_TRY_MS));
+        let Ok(text) = context.state.read(state_text) else { return };
+        log_event!(info, SNAPSHOT_WRITTEN, next = next, bytes = text.text.len());
+        for part in snapshot_parts(&text, PART_BYTES) {
+            let append = own_record(context, RecordBody::Snapshot(part));
+            context.appends.append_later(append, Deadline::in_millis(SNAPSHOT_TRY_MS));
+        }
     }
 }
 
@@ -382,7 +385,13 @@
     /// Appends until one answer says that it worked. The record keeps its id, so that a second
     /// copy, when only the answer was lost, is seen as the first.
     async fn append_until(&self, record: LogRecord, deadline: Deadline) {
-        let Ok(bytes) = record.encode() else { return };
+        let bytes = match record.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log_event!(error, RECORD_REFUSED, error = error);
+                return;
+            }
+        };
         let bytes = Bytes::from(bytes);
         while !deadline.passed(Moment::now()) {
             let attempt = Deadline::in_millis(APPEND_TRY_MS).earlier(deadline);
--- a/crates/guava-daemon/src/peer_links.rs
+++ b/crates/guava-daemon/src/peer_links.rs
@@ -23,7 +23,7 @@
 const KEEPALIVE_MS: u64 = 1_000;
 const KEEPALIVE_TIMEOUT_MS: u64 = 2_000;
 /// Largest message between daemons, in bytes.
-pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
 /// Why a peer gave no answer.
 #[derive(Clone, Debug, Snafu, PartialEq, Eq)]
--- a/crates/guava-daemon/src/peer_server.rs
+++ b/crates/guava-daemon/src/peer_server.rs
@@ -12,7 +12,7 @@
     HandOverReply, HandOverRequest, LookupReply, LookupRequest, NoteReply, NoteRequest,
     PinnedRequest,
 };
-use guava_state::snapshot_body;
+use guava_state::state_text;
 use guava_types::{CallKey, CallerKey, Deadline, Offset, WallTime};
 use std::sync::Arc;
 use tonic::{Request, Response, Status};
@@ -53,9 +53,9 @@
         if self.context.state.next() <= newer_than {
             return Ok(Response::new(FetchReply::default()));
         }
-        let body = self.context.state.read(snapshot_body);
-        let body = body.map_err(|error| Status::internal(error.to_string()))?;
-        let reply = FetchReply { digest: body.digest.into(), state: body.state.into() };
+        let state = self.context.state.read(state_text);
+        let state = state.map_err(|error| Status::internal(error.to_string()))?;
+        let reply = FetchReply { digest: state.digest.into(), state: state.text.into() };
         Ok(Response::new(reply))
     }
 
--- a/crates/guava-standins/src/slopes.rs
+++ b/crates/guava-standins/src/slopes.rs
@@ -8,7 +8,7 @@
 use guava_policy::{PrefixHash, RouteCandidate, RouteInput, decide_route, prefix_chain};
 use guava_state::{
     ChangeRequest, ConfigObject, CustomerSpec, FleetState, IntentEntry, LogRecord, ObjectKey,
-    RecordBody, WeightProfile, snapshot_body,
+    RecordBody, WeightProfile, state_text,
 };
 use guava_types::{
     ByteCount, Deadline, Incarnation, Moment, Offset, RecordId, RequestRate, TokenCount, TokenRate,
@@ -125,12 +125,12 @@
     }
     let fold_us = started.elapsed().as_secs_f64() * 1e6 / keys.max(1) as f64;
     let started = Instant::now();
-    let snapshot = snapshot_body(&state)?;
+    let snapshot = state_text(&state)?;
     let snapshot_ms = started.elapsed().as_secs_f64() * 1e3;
     Ok(format!(
         "| {customers} | {keys} | {fold_us:.1} | {:.0} | {:.1} | {snapshot_ms:.1} |",
         bytes as f64 / keys.max(1) as f64,
-        snapshot.state.len() as f64 / 1_000.0,
+        snapshot.text.len() as f64 / 1_000.0,
     ))
 }
 
--- a/crates/guava-state/src/lib.rs
+++ b/crates/guava-state/src/lib.rs
@@ -20,7 +20,10 @@
 };
 pub use record::{
     ChangeRequest, IntentEntry, LeaseRequest, LogRecord, MAX_RECORD_BYTES, MemberEntry, RecordBody,
-    RecordError, SnapshotBody,
+    RecordError, SnapshotPart,
 };
 pub use reducer::{ChangeVerdict, FleetState, FoldOutcome, HistoryEntry};
-pub use snapshot::{SnapshotError, restore, snapshot_body, state_digest, state_from_json};
+pub use snapshot::{
+    PART_BYTES, SnapshotError, StateText, restore, snapshot_parts, state_digest, state_from_json,
+    state_text,
+};
--- a/crates/guava-state/src/record.rs
+++ b/crates/guava-state/src/record.rs
@@ -78,8 +78,8 @@
     },
     /// A lease is taken or renewed by the author.
     Lease(LeaseRequest),
-    /// The whole state as of an offset.
-    Snapshot(SnapshotBody),
+    /// A part of the whole state as of an offset.
+    Snapshot(SnapshotPart),
 }
 
 /// A change of one configured object.
@@ -128,13 +128,17 @@
     pub term_ms: u64,
 }
 
-/// A snapshot of the state.
+/// One part of a snapshot of the state: a large state does not fit into one record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SnapshotBody {
+pub struct SnapshotPart {
     /// The first offset that the state does not contain.
     pub next: Offset,
-    /// BLAKE3 digest of the state's text, in hexadecimal.
+    /// BLAKE3 digest of the whole state's text, in hexadecimal.
     pub digest: Box<str>,
-    /// The state as JSON text.
-    pub state: Box<str>,
+    /// Which part this is, from zero.
+    pub part: u32,
+    /// How many parts there are.
+    pub parts: u32,
+    /// This part of the state's JSON text.
+    pub text: Box<str>,
 }
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -260,8 +260,10 @@
                 self.judge_lease(offset, author, request);
                 FoldOutcome::Other { id }
             }
-            RecordBody::Snapshot(_) => {
-                self.snapshot_at = offset;
+            RecordBody::Snapshot(part) => {
+                if part.part + 1 == part.parts {
+                    self.snapshot_at = offset;
+                }
                 FoldOutcome::Other { id }
             }
         };
--- a/crates/guava-state/src/snapshot.rs
+++ b/crates/guava-state/src/snapshot.rs
@@ -4,10 +4,24 @@
 //! a daemon that was paused, is therefore either unusable or followed by all that came after it;
 //! it can't take anybody back.
 
-use crate::{FleetState, LogRecord, RecordBody, SnapshotBody};
-use guava_types::Offset;
+use crate::{FleetState, LogRecord, RecordBody, SnapshotPart};
+use guava_types::{FastMap, Offset};
 use snafu::{ResultExt, Snafu, ensure};
 
+/// Bytes of a state's text in one record.
+pub const PART_BYTES: usize = 512 << 10;
+
+/// A whole state as text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateText {
+    /// The first offset that the state does not contain.
+    pub next: Offset,
+    /// BLAKE3 digest of the text, in hexadecimal.
+    pub digest: Box<str>,
+    /// The state as JSON.
+    pub text: Box<str>,
+}
+
 /// Why no state could be restored.
 #[derive(Debug, Snafu)]
 pub enum SnapshotError {
@@ -38,10 +52,38 @@
     blake3::hash(text.as_bytes()).to_hex().as_str().into()
 }
 
-/// The snapshot of a state.
-pub fn snapshot_body(state: &FleetState) -> Result<SnapshotBody, SnapshotError> {
+/// A state's text.
+pub fn state_text(state: &FleetState) -> Result<StateText, SnapshotError> {
     let text: Box<str> = serde_json::to_string(state).context(SyntaxSnafu)?.into();
-    Ok(SnapshotBody { next: state.next(), digest: state_digest(&text), state: text })
+    Ok(StateText { next: state.next(), digest: state_digest(&text), text })
+}
+
+fn split(text: &str, part_bytes: usize) -> Vec<&str> {
+    let mut rest = text;
+    let mut parts = Vec::new();
+    while !rest.is_empty() {
+        let end = rest.floor_char_boundary(part_bytes.max(4));
+        let (part, after) = rest.split_at(end);
+        parts.push(part);
+        rest = after;
+    }
+    parts
+}
+
+/// A state's text in parts of at most so many bytes each.
+pub fn snapshot_parts(state: &StateText, part_bytes: usize) -> Vec<SnapshotPart> {
+    let texts = split(&state.text, part_bytes);
+    let parts = u32::try_from(texts.len()).unwrap_or(u32::MAX);
+    (0..)
+        .zip(texts)
+        .map(|(part, text)| SnapshotPart {
+            next: state.next,
+            digest: state.digest.clone(),
+            part,
+            parts,
+            text: text.into(),
+        })
+        .collect()
 }
 
 /// Reads a state back, checking its digest.
@@ -51,10 +93,39 @@
     serde_json::from_str(text).context(SyntaxSnafu)
 }
 
-fn usable_snapshot(first: Offset, bytes: &[u8]) -> Option<FleetState> {
-    let RecordBody::Snapshot(body) = LogRecord::decode(bytes).ok()?.body else { return None };
-    let state = state_from_json(&body.state, &body.digest).ok()?;
-    (state.next() == body.next && body.next >= first).then_some(state)
+/// Parts found so far, by the whole that they belong to.
+#[derive(Default)]
+struct PartCollector {
+    wholes: FastMap<(Offset, Box<str>), Vec<SnapshotPart>>,
+}
+
+impl PartCollector {
+    fn take(&mut self, bytes: &[u8]) {
+        let Ok(record) = LogRecord::decode(bytes) else { return };
+        if let RecordBody::Snapshot(part) = record.body {
+            self.wholes.entry((part.next, part.digest.clone())).or_default().push(part);
+        }
+    }
+
+    /// The newest whole state after which every record is still readable.
+    fn newest(self, first: Offset) -> Option<FleetState> {
+        let mut wholes: Vec<_> = self.wholes.into_iter().collect();
+        wholes.sort_by_key(|((next, _), _)| std::cmp::Reverse(*next));
+        wholes
+            .into_iter()
+            .take_while(|((next, _), _)| *next >= first)
+            .find_map(|((next, digest), parts)| join_parts(next, &digest, parts))
+    }
+}
+
+fn join_parts(next: Offset, digest: &str, mut parts: Vec<SnapshotPart>) -> Option<FleetState> {
+    // A part whose append was repeated is there twice.
+    parts.sort_by_key(|part| part.part);
+    parts.dedup_by_key(|part| part.part);
+    let text: String = parts.iter().map(|part| &*part.text).collect();
+    // A missing part gives another digest.
+    let state = state_from_json(&text, digest).ok()?;
+    (state.next() == next).then_some(state)
 }
 
 /// Folds everything readable, from the newest usable snapshot on.
@@ -64,11 +135,9 @@
     first: Offset,
     records: &[(Offset, Box<[u8]>)],
 ) -> Result<FleetState, SnapshotError> {
-    let newest = records
-        .iter()
-        .filter_map(|(_, bytes)| usable_snapshot(first, bytes))
-        .max_by_key(FleetState::next);
-    let mut state = match newest {
+    let mut parts = PartCollector::default();
+    records.iter().for_each(|(_, bytes)| parts.take(bytes));
+    let mut state = match parts.newest(first) {
         Some(state) => state,
         None if first == Offset(0) => FleetState::default(),
         None => return UncoveredSnafu { first }.fail(),
--- a/crates/guava-state/tests/reducer.rs
+++ b/crates/guava-state/tests/reducer.rs
@@ -5,7 +5,7 @@
 use guava_state::{
     ChangeRequest, ChangeVerdict, ConfigObject, FleetState, FoldOutcome, IntentEntry,
     IntentVerdict, LogRecord, MemberEntry, ObjectKey, RecordBody, WeightProfile, restore,
-    snapshot_body, state_from_json,
+    snapshot_parts, state_from_json, state_text,
 };
 use guava_types::{CallKey, Incarnation, Offset, RecordId, WallTime};
 use proptest::prelude::*;
@@ -104,15 +104,15 @@
             let once = fold_all(&log);
             let cut = cut.index(log.len() + 1);
             let first = fold_all(&log[..cut]);
-            let body = snapshot_body(&first).unwrap();
-            let mut state = state_from_json(&body.state, &body.digest).unwrap();
+            let text = state_text(&first).unwrap();
+            let mut state = state_from_json(&text.text, &text.digest).unwrap();
             let back = back.index(cut + 1);
 
             for (offset, bytes) in (back..).map(|at| Offset(at as u64)).zip(&log[back..]) {
                 state.fold(offset, bytes);
             }
 
-            prop_assert_eq!(snapshot_body(&state).unwrap(), snapshot_body(&once).unwrap());
+            prop_assert_eq!(state_text(&state).unwrap(), state_text(&once).unwrap());
             Ok(())
         })
         .unwrap();
@@ -192,11 +192,15 @@
             let mut least = 0;
             for (number, place) in (0..).zip(places) {
                 let at = place.max(least).min(log.len());
-                let body = snapshot_body(&fold_all(&log[..at])).unwrap();
-                let late = (at + 3).min(log.len());
-                least = late + 1;
-                let snapshot = record(1, 1_000 + number, 0, RecordBody::Snapshot(body));
-                log.insert(late, snapshot.encode().unwrap());
+                let text = state_text(&fold_all(&log[..at])).unwrap();
+                let mut late = (at + 3).min(log.len());
+                for part in snapshot_parts(&text, 300) {
+                    let id = 1_000 + number * 100 + u128::from(part.part);
+                    let snapshot = record(1, id, 0, RecordBody::Snapshot(part));
+                    log.insert(late, snapshot.encode().unwrap());
+                    late += 1;
+                }
+                least = late;
             }
             let whole = fold_all(&log);
             let records: Vec<(Offset, Box<[u8]>)> = (0..)
--- a/crates/guavatiller/tests/configuration.rs
+++ b/crates/guavatiller/tests/configuration.rs
@@ -7,7 +7,7 @@
 use guava_outside::LogClient;
 use guava_standins::deployment::{Deployment, DeploymentPlan, block_on, tell, wait_until};
 use guava_standins::fault_proxy::LinkFault;
-use guava_state::{LogRecord, RecordBody, restore, snapshot_body};
+use guava_state::{LogRecord, PART_BYTES, RecordBody, restore, snapshot_parts, state_text};
 use guava_types::{Deadline, Incarnation, Offset, RecordId, WallTime};
 use serde_json::json;
 use std::sync::Arc;
@@ -286,15 +286,17 @@
     // Cause: the last snapshot is taken for the newest state.
     let mut deployment = deploy_default();
     let (first, records) = read_log(&deployment);
-    let old = snapshot_body(&restore(first, &records).unwrap()).unwrap();
+    let old = state_text(&restore(first, &records).unwrap()).unwrap();
     set_weights(&deployment, 0, "21");
-    let record = LogRecord {
-        id: RecordId::random(),
-        author: Incarnation::random(),
-        wall: WallTime::now(),
-        body: RecordBody::Snapshot(old),
-    };
-    append(&deployment, record.encode().unwrap());
+    for part in snapshot_parts(&old, PART_BYTES) {
+        let record = LogRecord {
+            id: RecordId::random(),
+            author: Incarnation::random(),
+            wall: WallTime::now(),
+            body: RecordBody::Snapshot(part),
+        };
+        append(&deployment, record.encode().unwrap());
+    }
 
     for name in ["entry-0", "entry-1", "entry-2"] {
         deployment.kill(name);
