--- /dev/null
+++ b/crates/guava-daemon/src/address.rs
@@ -0,0 +1,102 @@
+//! Which addresses callers are told to use.
+
+use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::front::{SharedContext, authenticate};
+use axum::Json;
+use axum::body::Body;
+use axum::extract::{Query, State};
+use axum::http::{HeaderMap, Response};
+use axum::response::IntoResponse;
+use guava_policy::prefix_chain;
+use guava_types::{CustomerId, DataCentre, ModelName, Moment};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Addresses of the other daemons that hand theirs out.
+pub fn other_addresses(context: &DaemonContext) -> Vec<SocketAddr> {
+    let book = locked(&context.book);
+    let serving = book.alive(Moment::now());
+    serving
+        .filter(|(_, entry)| entry.phase == DaemonPhase::Serving)
+        .map(|(_, entry)| entry.identity.caller_address)
+        .collect()
+}
+
+/// Where the caller stands.
+#[derive(Deserialize)]
+pub struct AddressQuery {
+    data_centre: Option<DataCentre>,
+}
+
+/// The prompt that the caller is about to send.
+#[derive(Deserialize)]
+pub struct AffinityBody {
+    model: ModelName,
+    prompt: Box<str>,
+}
+
+/// The daemon that owns a prompt's cache entries.
+fn owner_address(
+    context: &DaemonContext,
+    customer: &CustomerId,
+    body: &AffinityBody,
+) -> Option<SocketAddr> {
+    let model = context.state.read(|state| state.model(&body.model).cloned())?;
+    let chain = prefix_chain(customer, &body.model, &model.current, &body.prompt);
+    let book = locked(&context.book);
+    match book.owner(context.me, chain.owner_seed(), Moment::now()) {
+        Some(owner) => book.get(owner).map(|entry| entry.identity.caller_address),
+        None => Some(context.settings.callers.advertise),
+    }
+}
+
+fn address_answer(
+    context: &DaemonContext,
+    data_centre: Option<&DataCentre>,
+    owner: Option<SocketAddr>,
+) -> Response<Body> {
+    let mut entries: Vec<(bool, bool, u32, DataCentre, SocketAddr)> = Vec::new();
+    let mut add = |centre: &DataCentre, address: SocketAddr| {
+        let is_far = data_centre.is_some_and(|wanted| wanted != centre);
+        entries.push((Some(address) != owner, is_far, rand::random(), centre.clone(), address));
+    };
+    if context.phase() == DaemonPhase::Serving && context.freshness().is_fresh() {
+        add(&context.settings.data_centre, context.settings.callers.advertise);
+    }
+    {
+        let book = locked(&context.book);
+        let alive = book.alive(Moment::now());
+        for (_, entry) in alive.filter(|(_, entry)| entry.phase == DaemonPhase::Serving) {
+            add(&entry.identity.data_centre, entry.identity.caller_address);
+        }
+    }
+    entries.sort_unstable();
+    let addresses: Vec<_> = entries
+        .into_iter()
+        .map(|(_, _, _, data_centre, address)| {
+            serde_json::json!({ "address": address, "data_centre": data_centre })
+        })
+        .collect();
+    let keep_ms = context.settings.address_keep_ms;
+    Json(serde_json::json!({ "addresses": addresses, "keep_ms": keep_ms })).into_response()
+}
+
+/// Answers with the nearest daemons first.
+pub async fn get_address(
+    State(context): SharedContext,
+    Query(query): Query<AddressQuery>,
+) -> Response<Body> {
+    address_answer(&context, query.data_centre.as_ref(), None)
+}
+
+/// Answers with the owner of the prompt's cache entries first.
+pub async fn post_address(
+    State(context): SharedContext,
+    Query(query): Query<AddressQuery>,
+    headers: HeaderMap,
+    Json(body): Json<AffinityBody>,
+) -> Response<Body> {
+    let customer = authenticate(&context, &headers);
+    let owner = customer.and_then(|customer| owner_address(&context, &customer, &body));
+    address_answer(&context, query.data_centre.as_ref(), owner)
+}
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -1,7 +1,7 @@
 //! Completions: admitted, routed, started on an engine, and read until the first chunk is there.
 
 use crate::admission_desk::{AdmitGuard, admit};
-use crate::cache_duty::note_computed;
+use crate::cache_messages::note_computed;
 use crate::context::{DaemonContext, DaemonPhase, locked};
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::export_ring::PrefixNote;
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -22,7 +22,7 @@
 use guava_policy::{LoadTable, RetryBudget};
 use guava_state::{FreshnessInput, FreshnessVerdict, PeerSight};
 use guava_types::{FastMap, Incarnation, Moment, UpstreamId};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Takes a lock; a panic in another holder doesn't take the daemon down with it.
@@ -131,6 +131,7 @@
     /// When the state was first seen restored.
     pub restored: Mutex<Option<Moment>>,
     phase: AtomicU8,
+    entry_version: AtomicU64,
 }
 
 /// The parts of a context that are made before it.
@@ -179,6 +180,7 @@
             },
             restored: Mutex::default(),
             phase: AtomicU8::new(DaemonPhase::Starting.code()),
+            entry_version: AtomicU64::new(1),
             settings: parts.settings,
         }
     }
@@ -193,6 +195,16 @@
         self.phase.fetch_max(phase.code(), Ordering::AcqRel);
     }
 
+    /// Version of this daemon's own gossip entry.
+    pub fn entry_version(&self) -> u64 {
+        self.entry_version.load(Ordering::Relaxed)
+    }
+
+    /// Makes a new version of this daemon's own gossip entry.
+    pub fn next_entry_version(&self) {
+        self.entry_version.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Applies the freshness rule now.
     pub fn freshness(&self) -> FreshnessVerdict {
         self.with_freshness(|input| input.judge())
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -1,7 +1,7 @@
 //! Chooses an engine for a prompt: which version, which candidates, at what cost.
 
-use crate::cache_duty::{CacheAnswer, lookup};
 use crate::cache_index::ReadGrant;
+use crate::cache_messages::{CacheAnswer, lookup};
 use crate::context::{DaemonContext, locked};
 use guava_outside::{EngineClient, ImportOrder};
 use guava_policy::{
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -1,34 +1,29 @@
 //! The callers' side: addresses, completions, plain services, keys, over HTTP/1.1 and HTTP/2.
 
-use crate::call_desk::{KeyedCall, call_once, service_instances};
+use crate::address::{get_address, other_addresses, post_address};
 use crate::completion::{
     CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run, start_completion,
 };
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::{DaemonContext, DaemonPhase};
 use crate::event_stream::{StreamOwner, stream_response, usage_json};
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, Refusal, RefusalKind};
 use crate::run_feed::{FeedStep, RunFeed};
+use crate::service_front::call_service;
 use crate::stream_id::token_hash;
-use axum::body::{Body, Bytes, to_bytes};
-use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, State};
 use axum::http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
-use guava_outside::{EngineClient, ServiceCall, ServiceClient};
-use guava_policy::prefix_chain;
-use guava_types::{
-    CallKey, CallerKey, CustomerId, DataCentre, Deadline, ModelName, Moment, PinnedKey, ServiceName,
-};
-use serde::Deserialize;
-use std::net::SocketAddr;
+use guava_outside::EngineClient;
+use guava_types::{CallerKey, CustomerId, Deadline, Moment, PinnedKey};
 use std::sync::Arc;
 
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
 const MAX_DEADLINE_MS: u64 = 600_000;
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 const COME_BACK_MS: u64 = 500;
-const SERVICE_TRIES: usize = 3;
 /// Header with the milliseconds that the caller still waits.
 pub const TIMEOUT_HEADER: &str = "guavatiller-timeout-ms";
 /// Header with the number of the attempt, from one.
@@ -38,19 +33,19 @@
 /// Header with the request's id, in each answer.
 pub const REQUEST_HEADER: &str = "guavatiller-request";
 
-type SharedContext = State<Arc<DaemonContext>>;
+pub(crate) type SharedContext = State<Arc<DaemonContext>>;
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-fn bad_request(attempt: Option<u32>, reason: impl Into<Box<str>>) -> CallOutcome {
+pub(crate) fn bad_request(attempt: Option<u32>, reason: impl Into<Box<str>>) -> CallOutcome {
     let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, reason);
     CallOutcome::refused(attempt, refusal)
 }
 
 /// The customer of a bearer token. Only the token's hash is compared, as only that is kept.
-fn authenticate(context: &DaemonContext, headers: &HeaderMap) -> Option<CustomerId> {
+pub(crate) fn authenticate(context: &DaemonContext, headers: &HeaderMap) -> Option<CustomerId> {
     let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
     let hash = token_hash(token);
     context.state.view().customers.get(hash.as_str()).cloned()
@@ -78,7 +73,7 @@
     }
 }
 
-fn caller_info(
+pub(crate) fn caller_info(
     context: &DaemonContext,
     request: &str,
     headers: &HeaderMap,
@@ -98,12 +93,16 @@
     Ok(CallerInfo { request: request.into(), customer, attempt, deadline })
 }
 
-fn new_request_id() -> Box<str> {
+pub(crate) fn new_request_id() -> Box<str> {
     uuid::Uuid::new_v4().simple().to_string().into()
 }
 
 /// Adds what every answer carries; a refusal of a daemon that leaves names others to use.
-fn finish(context: &DaemonContext, request: &str, outcome: CallOutcome) -> Response<Body> {
+pub(crate) fn finish(
+    context: &DaemonContext,
+    request: &str,
+    outcome: CallOutcome,
+) -> Response<Body> {
     let outcome = match outcome {
         CallOutcome::NotRun(refusal) => {
             log_event!(info, REFUSED, request = request, code = refusal.kind.code);
@@ -122,90 +121,6 @@
     response
 }
 
-fn other_addresses(context: &DaemonContext) -> Vec<SocketAddr> {
-    let book = locked(&context.book);
-    let serving = book.alive(Moment::now());
-    serving
-        .filter(|(_, entry)| entry.phase == DaemonPhase::Serving)
-        .map(|(_, entry)| entry.identity.caller_address)
-        .collect()
-}
-
-#[derive(Deserialize)]
-struct AddressQuery {
-    data_centre: Option<DataCentre>,
-}
-
-#[derive(Deserialize)]
-struct AffinityBody {
-    model: ModelName,
-    prompt: Box<str>,
-}
-
-/// The daemon that owns a prompt's cache entries.
-fn owner_address(
-    context: &DaemonContext,
-    customer: &CustomerId,
-    body: &AffinityBody,
-) -> Option<SocketAddr> {
-    let model = context.state.read(|state| state.model(&body.model).cloned())?;
-    let chain = prefix_chain(customer, &body.model, &model.current, &body.prompt);
-    let book = locked(&context.book);
-    match book.owner(context.me, chain.owner_seed(), Moment::now()) {
-        Some(owner) => book.get(owner).map(|entry| entry.identity.caller_address),
-        None => Some(context.settings.callers.advertise),
-    }
-}
-
-fn address_answer(
-    context: &DaemonContext,
-    data_centre: Option<&DataCentre>,
-    owner: Option<SocketAddr>,
-) -> Response<Body> {
-    let mut entries: Vec<(bool, bool, u32, DataCentre, SocketAddr)> = Vec::new();
-    let mut add = |centre: &DataCentre, address: SocketAddr| {
-        let is_far = data_centre.is_some_and(|wanted| wanted != centre);
-        entries.push((Some(address) != owner, is_far, rand::random(), centre.clone(), address));
-    };
-    if context.phase() == DaemonPhase::Serving && context.freshness().is_fresh() {
-        add(&context.settings.data_centre, context.settings.callers.advertise);
-    }
-    {
-        let book = locked(&context.book);
-        let alive = book.alive(Moment::now());
-        for (_, entry) in alive.filter(|(_, entry)| entry.phase == DaemonPhase::Serving) {
-            add(&entry.identity.data_centre, entry.identity.caller_address);
-        }
-    }
-    entries.sort_unstable();
-    let addresses: Vec<_> = entries
-        .into_iter()
-        .map(|(_, _, _, data_centre, address)| {
-            serde_json::json!({ "address": address, "data_centre": data_centre })
-        })
-        .collect();
-    let keep_ms = context.settings.address_keep_ms;
-    Json(serde_json::json!({ "addresses": addresses, "keep_ms": keep_ms })).into_response()
-}
-
-async fn get_address(
-    State(context): SharedContext,
-    Query(query): Query<AddressQuery>,
-) -> Response<Body> {
-    address_answer(&context, query.data_centre.as_ref(), None)
-}
-
-async fn post_address(
-    State(context): SharedContext,
-    Query(query): Query<AddressQuery>,
-    headers: HeaderMap,
-    Json(body): Json<AffinityBody>,
-) -> Response<Body> {
-    let customer = authenticate(&context, &headers);
-    let owner = customer.and_then(|customer| owner_address(&context, &customer, &body));
-    address_answer(&context, query.data_centre.as_ref(), owner)
-}
-
 async fn complete(
     State(context): SharedContext,
     headers: HeaderMap,
@@ -332,136 +247,6 @@
     }
 }
 
-async fn call_service(
-    State(context): SharedContext,
-    Path((service, path)): Path<(String, String)>,
-    incoming: Request,
-) -> Response<Body> {
-    let request = new_request_id();
-    let outcome = route_call(&context, &request, &service, &path, incoming).await;
-    context.metrics.count(match &outcome {
-        CallOutcome::Done { .. } => "call.done",
-        CallOutcome::NotRun(_) => "call.not_run",
-        CallOutcome::Failed(_) => "call.failed",
-        CallOutcome::Unknown(_) => "call.unknown",
-    });
-    finish(&context, &request, outcome)
-}
-
-async fn route_call(
-    context: &Arc<DaemonContext>,
-    request: &str,
-    service: &str,
-    path: &str,
-    incoming: Request,
-) -> CallOutcome {
-    let (parts, body) = incoming.into_parts();
-    let caller = match caller_info(context, request, &parts.headers) {
-        Ok(caller) => caller,
-        Err(outcome) => return outcome,
-    };
-    let name = service.parse::<ServiceName>().ok();
-    let spec = name.and_then(|name| {
-        context.state.read(|state| state.service(&name).cloned()).map(|spec| (name, spec))
-    });
-    let Some((service, spec)) = spec else {
-        let reason = format!("service: no service {service:?} is configured");
-        let refusal = Refusal::final_one(RefusalKind::NO_SUCH, reason);
-        return CallOutcome::refused(caller.attempt, refusal);
-    };
-    let Ok(body) = to_bytes(body, MAX_BODY_BYTES).await else {
-        let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
-        let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
-        return CallOutcome::refused(caller.attempt, refusal);
-    };
-    let query = parts.uri.query().map_or(String::new(), |query| format!("?{query}"));
-    let content_type = header(&parts.headers, "content-type").unwrap_or("application/octet-stream");
-    let path = format!("/{path}{query}");
-    if spec.is_idempotent(parts.method.as_str(), &path) {
-        let call = ServiceCall {
-            method: parts.method,
-            path: path.into(),
-            content_type: content_type.into(),
-            body,
-            customer: caller.customer.to_string().into(),
-            key: header(&parts.headers, KEY_HEADER).unwrap_or("").into(),
-        };
-        return call_idempotent(context, &caller, &service, call).await;
-    }
-    let key = match header(&parts.headers, KEY_HEADER).map(str::parse::<CallerKey>) {
-        Some(Ok(key)) => key,
-        Some(Err(error)) => {
-            return bad_request(caller.attempt, format!("{KEY_HEADER}: {error}"));
-        }
-        None => {
-            let reason = format!("{KEY_HEADER}: a non-idempotent call needs one");
-            return bad_request(caller.attempt, reason);
-        }
-    };
-    let call = KeyedCall {
-        request: request.into(),
-        service,
-        key: CallKey { customer: caller.customer, key },
-        attempt: caller.attempt,
-        deadline: caller.deadline,
-        method: parts.method,
-        path: path.into(),
-        content_type: content_type.into(),
-        body,
-    };
-    call_once(context, call).await
-}
-
-async fn call_idempotent(
-    context: &Arc<DaemonContext>,
-    caller: &CallerInfo,
-    service: &ServiceName,
-    call: ServiceCall,
-) -> CallOutcome {
-    let _work = context.work.enter();
-    if let Err(outcome) = check_door(context, caller) {
-        return outcome;
-    }
-    locked(&context.retries).earn();
-    let mut instances = service_instances(context, service);
-    let mut may_have_run = false;
-    let mut last = String::from("no instance of the service takes work");
-    for attempt in 0..SERVICE_TRIES {
-        if instances.is_empty() || (attempt > 0 && !locked(&context.retries).spend()) {
-            break;
-        }
-        let index = rand::random::<u32>() as usize % instances.len();
-        let (upstream, address) = instances.swap_remove(index);
-        log_event!(
-            info,
-            CALL_DISPATCHED,
-            request = caller.request,
-            service = service,
-            choice = upstream,
-            others = instances.len(),
-            reason = "random",
-        );
-        match (ServiceClient { address }).call(&call, caller.deadline).await {
-            Ok(answer) => {
-                return CallOutcome::Done {
-                    status: answer.status.as_u16(),
-                    content_type: answer.content_type,
-                    body: answer.body,
-                };
-            }
-            Err(error) => {
-                may_have_run |= error.may_have_run();
-                last = error.to_string();
-            }
-        }
-    }
-    if may_have_run {
-        return CallOutcome::failed(last);
-    }
-    let refusal = Refusal::later(RefusalKind::NO_UPSTREAM, last, COME_BACK_MS);
-    CallOutcome::refused(caller.attempt, refusal)
-}
-
 async fn ready(State(context): SharedContext) -> Response<Body> {
     let is_ready = context.phase() == DaemonPhase::Serving && context.freshness().is_fresh();
     let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -3,17 +3,15 @@
 //! In a large fleet an entry's versions come less often, and most exchanges stay within the data
 //! centre, so that the bytes a daemon spends stay within its budget whatever the fleet's size.
 
-use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::log_duty::own_record;
-use crate::peer_book::{EVICT_AFTER_MS, PeerEntry, PeerIdentity, short_hash};
-use guava_schema::peers::{
-    CustomerLoad, Gossip, GossipEntry, LeavingUpstream, MemberInfo, UpstreamLoad,
-};
-use guava_state::{LogSight, RecordBody};
-use guava_types::{Deadline, FastMap, Incarnation, Moment, Offset, TokenCount};
+use crate::append_commit::own_record;
+use crate::context::{DaemonContext, locked};
+use crate::gossip_codec::{learn, own_entry, to_message};
+use crate::peer_book::EVICT_AFTER_MS;
+use guava_schema::peers::Gossip;
+use guava_state::RecordBody;
+use guava_types::{Deadline, FastMap, Incarnation, Moment};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -28,191 +26,6 @@
 /// Entries in one message.
 const MAX_ENTRIES: usize = 24;
 const EVICT_TRY_MS: u64 = 5_000;
-/// Entries of the busiest upstreams and customers.
-const MAX_LOADS: usize = 16;
-
-static VERSION: AtomicU64 = AtomicU64::new(1);
-
-fn age_of(moment: Moment) -> u32 {
-    u32::try_from(Moment::now().millis_since(moment)).unwrap_or(u32::MAX)
-}
-
-fn moment_of(age_ms: u32) -> Moment {
-    Moment::now().minus_millis(u64::from(age_ms))
-}
-
-fn own_loads(context: &DaemonContext) -> Vec<UpstreamLoad> {
-    let loads = locked(&context.loads);
-    let mut busy: Vec<UpstreamLoad> = loads
-        .iter()
-        .map(|(upstream, load)| UpstreamLoad {
-            upstream: short_hash(upstream.as_str()),
-            tokens: u32::try_from(load.pending_tokens().0).unwrap_or(u32::MAX),
-        })
-        .filter(|load| load.tokens > 0)
-        .collect();
-    busy.sort_by_key(|load| std::cmp::Reverse(load.tokens));
-    busy.truncate(MAX_LOADS);
-    busy
-}
-
-fn own_customers(context: &DaemonContext) -> Vec<CustomerLoad> {
-    let mut busy: Vec<CustomerLoad> = context
-        .admission
-        .running_by_customer()
-        .into_iter()
-        .map(|(customer, running)| CustomerLoad {
-            customer: short_hash(customer.as_str()),
-            running,
-        })
-        .collect();
-    busy.sort_by_key(|load| std::cmp::Reverse(load.running));
-    busy.truncate(MAX_LOADS);
-    busy
-}
-
-fn own_member(context: &DaemonContext) -> Option<MemberInfo> {
-    let is_member = context.state.read(|state| state.members().contains_key(&context.me));
-    let settings = &context.settings;
-    (!is_member).then(|| MemberInfo {
-        name: settings.name.to_string(),
-        data_centre: settings.data_centre.to_string(),
-        caller_address: settings.callers.advertise.to_string(),
-        peer_address: settings.peers.advertise.to_string(),
-    })
-}
-
-fn own_entry(context: &DaemonContext) -> GossipEntry {
-    let sight = context.state.log_sight();
-    GossipEntry {
-        incarnation: context.me.0.to_be_bytes().to_vec(),
-        version: VERSION.load(Ordering::Relaxed),
-        age_ms: 0,
-        phase: u32::from(context.phase().code()),
-        next_offset: context.state.next().0,
-        log_end: sight.map(|sight| sight.end.0),
-        log_age_ms: sight.map_or(0, |sight| age_of(sight.seen)),
-        member: own_member(context),
-        loads: own_loads(context),
-        starting: context.admission.starting(),
-        customers: own_customers(context),
-        leaving: locked(&context.leaving)
-            .own_notices()
-            .map(|(upstream, instance)| LeavingUpstream {
-                upstream: upstream.to_string(),
-                instance: instance.to_string(),
-            })
-            .collect(),
-    }
-}
-
-fn to_message(context: &DaemonContext, incarnation: Incarnation, entry: &PeerEntry) -> GossipEntry {
-    let is_member = context.state.read(|state| state.members().contains_key(&incarnation));
-    let identity = &entry.identity;
-    GossipEntry {
-        incarnation: incarnation.0.to_be_bytes().to_vec(),
-        version: entry.version,
-        age_ms: age_of(entry.made),
-        phase: u32::from(entry.phase.code()),
-        next_offset: entry.next.0,
-        log_end: entry.log.map(|sight| sight.end.0),
-        log_age_ms: entry.log.map_or(0, |sight| age_of(sight.seen)),
-        member: (!is_member).then(|| MemberInfo {
-            name: identity.name.to_string(),
-            data_centre: identity.data_centre.to_string(),
-            caller_address: identity.caller_address.to_string(),
-            peer_address: identity.peer_address.to_string(),
-        }),
-        loads: entry
-            .loads
-            .iter()
-            .map(|(upstream, tokens)| UpstreamLoad {
-                upstream: *upstream,
-                tokens: u32::try_from(tokens.0).unwrap_or(u32::MAX),
-            })
-            .collect(),
-        starting: entry.starting,
-        customers: entry
-            .customers
-            .iter()
-            .map(|(customer, running)| CustomerLoad { customer: *customer, running: *running })
-            .collect(),
-        leaving: entry
-            .leaving
-            .iter()
-            .map(|(upstream, instance)| LeavingUpstream {
-                upstream: upstream.to_string(),
-                instance: instance.to_string(),
-            })
-            .collect(),
-    }
-}
-
-fn identity_of(
-    context: &DaemonContext,
-    incarnation: Incarnation,
-    member: Option<&MemberInfo>,
-) -> Option<PeerIdentity> {
-    if let Some(info) = member {
-        return Some(PeerIdentity {
-            name: info.name.parse().ok()?,
-            data_centre: info.data_centre.parse().ok()?,
-            caller_address: info.caller_address.parse().ok()?,
-            peer_address: info.peer_address.parse().ok()?,
-        });
-    }
-    if let Some(entry) = locked(&context.book).get(incarnation) {
-        return Some(entry.identity.clone());
-    }
-    context.state.read(|state| {
-        state.members().get(&incarnation).map(|member| PeerIdentity {
-            name: member.name.clone(),
-            data_centre: member.data_centre.clone(),
-            caller_address: member.caller_address,
-            peer_address: member.peer_address,
-        })
-    })
-}
-
-fn incarnation_of(bytes: &[u8]) -> Option<Incarnation> {
-    bytes.try_into().ok().map(|bytes| Incarnation(u128::from_be_bytes(bytes)))
-}
-
-fn learn(context: &DaemonContext, message: GossipEntry) {
-    let Some(incarnation) = incarnation_of(&message.incarnation) else { return };
-    if incarnation == context.me {
-        return;
-    }
-    let Some(identity) = identity_of(context, incarnation, message.member.as_ref()) else {
-        return;
-    };
-    let leaving = message
-        .leaving
-        .iter()
-        .filter_map(|notice| Some((notice.upstream.parse().ok()?, Box::from(&*notice.instance))));
-    let entry = PeerEntry {
-        version: message.version,
-        made: moment_of(message.age_ms),
-        phase: DaemonPhase::from_code(message.phase),
-        next: Offset(message.next_offset),
-        log: message
-            .log_end
-            .map(|end| LogSight { end: Offset(end), seen: moment_of(message.log_age_ms) }),
-        identity,
-        loads: message
-            .loads
-            .iter()
-            .map(|load| (load.upstream, TokenCount(u64::from(load.tokens))))
-            .collect(),
-        starting: message.starting,
-        customers: message.customers.iter().map(|load| (load.customer, load.running)).collect(),
-        leaving: leaving.collect(),
-    };
-    for (upstream, instance) in &entry.leaving {
-        locked(&context.leaving).note_peer(upstream, instance);
-    }
-    locked(&context.book).learn(incarnation, entry);
-}
 
 fn max_sends(fleet: usize) -> u32 {
     fleet.max(2).ilog2() + 2
@@ -318,7 +131,7 @@
         tick += 1;
         let fleet = context.state.view().roster.len();
         if tick.is_multiple_of(ticks_per_version(fleet)) {
-            VERSION.fetch_add(1, Ordering::Relaxed);
+            context.next_entry_version();
         }
         let target = choose(&targets(&context), tick);
         if let Some(address) = target {
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -3,11 +3,15 @@
 #[macro_use]
 pub mod events;
 
+mod address;
 mod admission_desk;
+mod append_commit;
 mod append_ring;
 mod cache_duty;
 mod cache_index;
+mod cache_messages;
 mod call_desk;
+mod call_forward;
 mod call_table;
 mod completion;
 mod context;
@@ -16,6 +20,7 @@
 mod event_stream;
 mod export_ring;
 mod front;
+mod gossip_codec;
 mod gossip_duty;
 mod leaving_book;
 mod listener;
@@ -30,10 +35,12 @@
 mod peer_server;
 mod report_book;
 mod run_feed;
+mod service_front;
 mod settings;
 mod settings_check;
 mod shared_state;
 mod shutdown;
+mod snapshot_turn;
 mod start;
 mod stream_id;
 mod tls;
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -4,8 +4,8 @@
 //! orders are absolute ("be at this version"), and a new holder waits until the flight time of the
 //! last holder's orders is over before it reads what is and orders what should be.
 
+use crate::append_commit::own_record;
 use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::log_duty::own_record;
 use guava_outside::{EngineClient, LoadOrder};
 use guava_state::{LeaseRequest, LeaseWatch, RecordBody, UpstreamKind, UpstreamSpec};
 use guava_types::{Deadline, FastMap, ModelName, Moment, Offset, UpstreamId, VersionName};
--- /dev/null
+++ b/crates/guava-daemon/src/service_front.rs
@@ -0,0 +1,150 @@
+//! Calls of plain services.
+
+use crate::call_desk::{KeyedCall, call_once, service_instances};
+use crate::completion::{CallerInfo, check_door};
+use crate::context::{DaemonContext, locked};
+use crate::front::{
+    KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
+    new_request_id,
+};
+use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use axum::body::{Body, to_bytes};
+use axum::extract::{Path, Request, State};
+use axum::http::Response;
+use guava_outside::{ServiceCall, ServiceClient};
+use guava_types::{CallKey, CallerKey, ServiceName};
+use std::sync::Arc;
+
+const SERVICE_TRIES: usize = 3;
+const COME_BACK_MS: u64 = 500;
+
+/// Routes a call to an instance of the service, once or as often as it may be.
+pub async fn call_service(
+    State(context): SharedContext,
+    Path((service, path)): Path<(String, String)>,
+    incoming: Request,
+) -> Response<Body> {
+    let request = new_request_id();
+    let outcome = route_call(&context, &request, &service, &path, incoming).await;
+    context.metrics.count(match &outcome {
+        CallOutcome::Done { .. } => "call.done",
+        CallOutcome::NotRun(_) => "call.not_run",
+        CallOutcome::Failed(_) => "call.failed",
+        CallOutcome::Unknown(_) => "call.unknown",
+    });
+    finish(&context, &request, outcome)
+}
+
+async fn route_call(
+    context: &Arc<DaemonContext>,
+    request: &str,
+    service: &str,
+    path: &str,
+    incoming: Request,
+) -> CallOutcome {
+    let (parts, body) = incoming.into_parts();
+    let caller = match caller_info(context, request, &parts.headers) {
+        Ok(caller) => caller,
+        Err(outcome) => return outcome,
+    };
+    let name = service.parse::<ServiceName>().ok();
+    let spec = name.and_then(|name| {
+        context.state.read(|state| state.service(&name).cloned()).map(|spec| (name, spec))
+    });
+    let Some((service, spec)) = spec else {
+        let reason = format!("service: no service {service:?} is configured");
+        let refusal = Refusal::final_one(RefusalKind::NO_SUCH, reason);
+        return CallOutcome::refused(caller.attempt, refusal);
+    };
+    let Ok(body) = to_bytes(body, MAX_BODY_BYTES).await else {
+        let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
+        let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
+        return CallOutcome::refused(caller.attempt, refusal);
+    };
+    let query = parts.uri.query().map_or(String::new(), |query| format!("?{query}"));
+    let content_type = header(&parts.headers, "content-type").unwrap_or("application/octet-stream");
+    let path = format!("/{path}{query}");
+    if spec.is_idempotent(parts.method.as_str(), &path) {
+        let call = ServiceCall {
+            method: parts.method,
+            path: path.into(),
+            content_type: content_type.into(),
+            body,
+            customer: caller.customer.to_string().into(),
+            key: header(&parts.headers, KEY_HEADER).unwrap_or("").into(),
+        };
+        return call_idempotent(context, &caller, &service, call).await;
+    }
+    let key = match header(&parts.headers, KEY_HEADER).map(str::parse::<CallerKey>) {
+        Some(Ok(key)) => key,
+        Some(Err(error)) => {
+            return bad_request(caller.attempt, format!("{KEY_HEADER}: {error}"));
+        }
+        None => {
+            let reason = format!("{KEY_HEADER}: a non-idempotent call needs one");
+            return bad_request(caller.attempt, reason);
+        }
+    };
+    let call = KeyedCall {
+        request: request.into(),
+        service,
+        key: CallKey { customer: caller.customer, key },
+        attempt: caller.attempt,
+        deadline: caller.deadline,
+        method: parts.method,
+        path: path.into(),
+        content_type: content_type.into(),
+        body,
+    };
+    call_once(context, call).await
+}
+
+async fn call_idempotent(
+    context: &Arc<DaemonContext>,
+    caller: &CallerInfo,
+    service: &ServiceName,
+    call: ServiceCall,
+) -> CallOutcome {
+    let _work = context.work.enter();
+    if let Err(outcome) = check_door(context, caller) {
+        return outcome;
+    }
+    locked(&context.retries).earn();
+    let mut instances = service_instances(context, service);
+    let mut may_have_run = false;
+    let mut last = String::from("no instance of the service takes work");
+    for attempt in 0..SERVICE_TRIES {
+        if instances.is_empty() || (attempt > 0 && !locked(&context.retries).spend()) {
+            break;
+        }
+        let index = rand::random::<u32>() as usize % instances.len();
+        let (upstream, address) = instances.swap_remove(index);
+        log_event!(
+            info,
+            CALL_DISPATCHED,
+            request = caller.request,
+            service = service,
+            choice = upstream,
+            others = instances.len(),
+            reason = "random",
+        );
+        match (ServiceClient { address }).call(&call, caller.deadline).await {
+            Ok(answer) => {
+                return CallOutcome::Done {
+                    status: answer.status.as_u16(),
+                    content_type: answer.content_type,
+                    body: answer.body,
+                };
+            }
+            Err(error) => {
+                may_have_run |= error.may_have_run();
+                last = error.to_string();
+            }
+        }
+    }
+    if may_have_run {
+        return CallOutcome::failed(last);
+    }
+    let refusal = Refusal::later(RefusalKind::NO_UPSTREAM, last, COME_BACK_MS);
+    CallOutcome::refused(caller.attempt, refusal)
+}
--- a/crates/guava-daemon/src/settings.rs
+++ b/crates/guava-daemon/src/settings.rs
@@ -112,8 +112,8 @@
         let read = &mut reader;
         let unset = unset_address();
         let settings = Self {
-            name: read.parsed_name("name", NAME),
-            data_centre: read.parsed_name("data_centre", NAME),
+            name: read.parsed("name", NAME, MemberName::default()),
+            data_centre: read.parsed("data_centre", NAME, DataCentre::default()),
             source_ip: read.parsed("source_ip", "an IP address", unset.ip()),
             callers: listener(read, "callers"),
             peers: listener(read, "peers"),
--- a/crates/guava-daemon/src/settings_check.rs
+++ b/crates/guava-daemon/src/settings_check.rs
@@ -185,24 +185,6 @@
         fallback
     }
 
-    /// A name.
-    pub fn parsed_name<T: FromStr>(&mut self, key: &str, allowed: &str) -> T
-    where
-        T::Err: fmt::Debug,
-    {
-        const STAND_IN: &str = "unset";
-        let text = self.text(key, allowed);
-        if let Ok(name) = text.parse() {
-            return name;
-        }
-        if !text.is_empty() {
-            let line = self.fields.get(key).map_or(0, |field| field.line);
-            self.wrong(line, key, FoundValue::Text(text), allowed);
-        }
-        #[allow(clippy::unwrap_used, reason = "the stand-in is a valid name of every kind")]
-        STAND_IN.parse().unwrap()
-    }
-
     /// A value with a text form, if the key is there.
     pub fn optional<T: FromStr>(&mut self, key: &str, allowed: &str) -> Option<T> {
         let (line, value) = self.take(key)?;
--- a/crates/guava-daemon/src/shutdown.rs
+++ b/crates/guava-daemon/src/shutdown.rs
@@ -4,9 +4,9 @@
 //! out, and goes on taking work for as long as an answer given before may be kept; only then it
 //! refuses new work, finishes what runs, hands over what it keeps and leaves the roster.
 
-use crate::cache_duty::pack_hashes;
+use crate::append_commit::own_record;
+use crate::cache_messages::pack_hashes;
 use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::log_duty::own_record;
 use crate::peer_book::PeerEntry;
 use guava_schema::peers::{AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock};
 use guava_state::RecordBody;
--- a/crates/guava-types/src/names.rs
+++ b/crates/guava-types/src/names.rs
@@ -8,6 +8,9 @@
 /// Longest accepted name, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// What stands for a name that could not be read.
+const UNSET: &str = "unset";
+
 /// Why a text is no name.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 #[snafu(display(
@@ -41,6 +44,12 @@
             }
         }
 
+        impl Default for $name {
+            fn default() -> Self {
+                Self(UNSET.into())
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
                 self.0.fmt(out)
--- a/crates/guavatiller/tests/configuration.rs
+++ b/crates/guavatiller/tests/configuration.rs
@@ -107,6 +107,37 @@
     assert!(weights(&deployment, 2).1.ends_with("link=7"));
 }
 
+#[test]
+fn change_is_repeated_after_an_unknown_outcome() {
+    // Symptom: the operator reads "raced" for a change that is in force.
+    // Sequence: a change is accepted, its daemon's answer is lost, the operator runs the same
+    // change again at another daemon.
+    // Cause: the copy is judged as a second change.
+    let deployment = deploy_default();
+    let (revision, _) = weights(&deployment, 0);
+    let id = RecordId::random().to_string();
+    let against = revision.to_string();
+    let change = [
+        "--change-id",
+        &id,
+        "--against",
+        &against,
+        "weights",
+        "--first-token",
+        "6",
+        "--recompute",
+        "6",
+        "--link",
+        "66",
+    ];
+
+    let first = deployment.operate_ok(0, &change).unwrap()["change"][0].clone();
+    let second = deployment.operate_ok(1, &change).unwrap()["change"][0].clone();
+
+    assert_eq!((&first["verdict"], &second["verdict"]), (&json!("accepted"), &json!("accepted")));
+    assert_eq!(first["revision"], second["revision"]);
+}
+
 #[test]
 fn append_lands_after_a_newer_change() {
     // Symptom: an old change undoes a newer one.
