feat: upstreams divided among daemons for the choice between equals

Cause: with prompts seen for the first time two daemons often drew the same idle engine before either heard of the other's choice. Ruled out: the load estimate (decision lines show both engines at no wait).

--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -5,8 +5,8 @@
 use crate::context::{DaemonContext, locked};
 use guava_outside::{EngineClient, ImportOrder};
 use guava_policy::{
-    BLOCK_TOKENS, CandidateCost, ImportOffer, PrefixChain, RouteCandidate, RouteDecision,
-    RouteInput, decide_route, prefix_chain,
+    BLOCK_TOKENS, CandidateCost, ImportOffer, PrefixChain, PrefixHash, RouteCandidate,
+    RouteDecision, RouteInput, decide_route, prefix_chain,
 };
 use guava_state::{ModelSpec, UpstreamKind, UpstreamSpec};
 use guava_types::{CustomerId, ModelName, Moment, TokenCount, UpstreamId, VersionName};
@@ -80,6 +80,13 @@
     }
 }
 
+/// What decides which daemon takes an upstream first among equals.
+fn upstream_seed(id: &UpstreamId) -> PrefixHash {
+    let mut seed = [0; 16];
+    seed.copy_from_slice(&blake3::hash(id.as_str().as_bytes()).as_bytes()[..16]);
+    PrefixHash(seed)
+}
+
 fn candidates(
     context: &DaemonContext,
     engines: &[(UpstreamId, UpstreamSpec, VersionName)],
@@ -89,6 +96,7 @@
 ) -> Vec<RouteCandidate> {
     let now = Moment::now();
     let loads = locked(&context.loads);
+    let book = locked(&context.book);
     let resident = |id: &UpstreamId| {
         let known = answer.found.residents.iter().find(|(other, _)| other == id);
         TokenCount(known.map_or(0, |(_, blocks)| *blocks as u64 * BLOCK_TOKENS))
@@ -105,6 +113,7 @@
                 over_slots: (load.running(now) + 1).saturating_sub(spec.slots),
                 resident: resident(id),
                 slowness: load.slowness(now),
+                is_own: book.owner(context.me, upstream_seed(id), now).is_none(),
             }
         })
         .collect()
--- a/crates/guava-policy/src/route.rs
+++ b/crates/guava-policy/src/route.rs
@@ -41,6 +41,12 @@
     pub resident: TokenCount,
     /// How many times slower than expected it has been.
     pub slowness: f64,
+    /// Whether it is one of those that this daemon takes first among equals.
+    ///
+    /// What daemons know of each other's choices is late. Drawing among all equals, two of them
+    /// often send to the same idle upstream within that time, and one request waits for the other;
+    /// so the upstreams are divided among the daemons for that purpose.
+    pub is_own: bool,
 }
 
 /// What a decision is made on.
@@ -178,9 +184,14 @@
     let best = costs.first()?.cost;
     let slack = NEAR_BEST_MS * f64::from(input.profile.first_token.max(1));
     let limit = best * (1.0 + NEAR_BEST) + slack;
-    let near = costs.iter().take_while(|cost| cost.cost <= limit).count().max(1);
-    let index = usize::try_from(input.draw % near as u64).unwrap_or(0);
-    let chosen = costs.get(index)?.clone();
-    let reason = reason_for(&chosen, near, input.prompt);
+    let near: Vec<&CandidateCost> = costs.iter().take_while(|cost| cost.cost <= limit).collect();
+    let is_own = |cost: &&&CandidateCost| {
+        input.candidates.iter().any(|other| other.upstream == cost.upstream && other.is_own)
+    };
+    let own: Vec<&CandidateCost> = near.iter().filter(is_own).copied().collect();
+    let drawn_from = if own.is_empty() { &near } else { &own };
+    let index = usize::try_from(input.draw % drawn_from.len().max(1) as u64).unwrap_or(0);
+    let chosen = (*drawn_from.get(index)?).clone();
+    let reason = reason_for(&chosen, near.len(), input.prompt);
     Some(RouteDecision { chosen, costs, reason })
 }
--- a/crates/guava-policy/tests/route.rs
+++ b/crates/guava-policy/tests/route.rs
@@ -21,6 +21,7 @@
         over_slots: 0,
         resident: TokenCount(resident),
         slowness: 1.0,
+        is_own: false,
     }
 }
 
@@ -95,6 +96,20 @@
     assert!(counts.iter().all(|count| *count >= 80), "{counts:?}");
 }
 
+#[test]
+fn own_upstreams_go_first_among_equals_only() {
+    let mut candidates: Vec<RouteCandidate> =
+        (0..4).map(|number| candidate(&format!("e{number}"), 0.0, 0)).collect();
+    candidates[2].is_own = true;
+
+    let idle = decide_route(&input(&candidates, None, FAST)).unwrap();
+    candidates[2].wait_ms = 500.0;
+    let busy = decide_route(&input(&candidates, None, FAST)).unwrap();
+
+    assert_eq!(idle.chosen.upstream, upstream("e2"));
+    assert_ne!(busy.chosen.upstream, upstream("e2"));
+}
+
 #[test]
 fn own_work_since_a_report_counts() {
     let mut loads = LoadTable::default();
--- a/crates/guava-standins/src/slopes.rs
+++ b/crates/guava-standins/src/slopes.rs
@@ -199,6 +199,7 @@
                 over_slots: 0,
                 resident: TokenCount(0),
                 slowness: 1.0,
+                is_own: false,
             })
         })
         .collect::<Result<_, AnyError>>()?;
