--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -98,7 +98,7 @@
     let input = ExportInput {
         tokens,
         bytes: ByteCount(tokens.0 * locked(&context.index).kv_bytes()),
-        rate: spec.link,
+        rate: locked(&context.link_rates).rate(&store, spec.link, Moment::now()),
         queued: report.link_queued,
         prefill: view.upstream(&note.upstream)?.prefill,
         seen: seen.seen,
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -8,10 +8,12 @@
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
 use crate::work_gauge::WorkGuard;
-use guava_outside::{CompletionOrder, HttpError};
+use guava_outside::{CompletionOrder, HttpError, Usage};
 use guava_policy::{AdmitDecision, ReplyChunk, ReturnAfter};
 use guava_state::ModelSpec;
-use guava_types::{CustomerId, Deadline, ModelName, Moment, TokenCount, UpstreamId, VersionName};
+use guava_types::{
+    ByteCount, CustomerId, Deadline, ModelName, Moment, TokenCount, UpstreamId, VersionName,
+};
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,10 +99,28 @@
     pub upstream: UpstreamId,
     /// The version.
     pub version: VersionName,
+    /// What it was ordered to import.
+    pub import: Option<OrderedImport>,
     /// Held until the run is over.
     pub _holds: RunHolds,
 }
 
+/// An import that a run was ordered to make.
+pub struct OrderedImport {
+    /// From which store.
+    pub store: UpstreamId,
+    /// Its size.
+    pub bytes: ByteCount,
+}
+
+/// Learns from a finished run what the link of its import carried.
+pub fn note_import(context: &DaemonContext, import: Option<&OrderedImport>, usage: &Usage) {
+    let Some(import) = import.filter(|_| usage.import_ms > 0) else { return };
+    let Some(spec) = context.state.view().upstream(&import.store).cloned() else { return };
+    let mut rates = locked(&context.link_rates);
+    rates.note(&import.store, import.bytes, usage.import_ms, spec.link, Moment::now());
+}
+
 /// What a run holds while it is in progress.
 pub struct RunHolds {
     _admitted: Option<AdmitGuard>,
@@ -296,7 +316,11 @@
     };
     let noting = Arc::clone(context);
     tokio::spawn(async move { note_computed(&noting, note).await });
+    let import = choice.import.as_ref().zip(choice.import_store);
+    let import =
+        import.map(|(order, store)| OrderedImport { store, bytes: ByteCount(order.length) });
     Ok(StartedRun {
+        import,
         feed: started.feed,
         first: started.first,
         upstream: choice.client.upstream,
@@ -359,9 +383,7 @@
 }
 
 /// Reads the rest of a run; the texts of all its chunks.
-pub async fn collect_run(
-    run: &mut StartedRun,
-) -> Result<(Vec<ReplyChunk>, guava_outside::Usage), FeedError> {
+pub async fn collect_run(run: &mut StartedRun) -> Result<(Vec<ReplyChunk>, Usage), FeedError> {
     let mut chunks = Vec::new();
     let mut step = std::mem::replace(&mut run.first, FeedStep::Chunks(Vec::new()));
     loop {
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -19,7 +19,7 @@
 use crate::stream_id::StreamSecret;
 use crate::work_gauge::WorkGauge;
 use guava_outside::{LogClient, StoreReport, VmListClient, WeightStoreClient};
-use guava_policy::{LoadTable, RetryBudget};
+use guava_policy::{LinkTable, LoadTable, RetryBudget};
 use guava_state::{FreshnessInput, FreshnessVerdict, PeerSight};
 use guava_types::{FastMap, Incarnation, Moment, UpstreamId};
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
@@ -114,6 +114,8 @@
     pub calls: CallTable,
     /// Index entries that this daemon owns.
     pub index: Mutex<CacheIndex>,
+    /// What the stores' links really carry.
+    pub link_rates: Mutex<LinkTable>,
     /// The stores' last reports.
     pub stores: Mutex<FastMap<UpstreamId, StoreReport>>,
     /// Retries left.
@@ -167,6 +169,7 @@
             admission: AdmissionDesk::default(),
             calls: CallTable::default(),
             index: Mutex::default(),
+            link_rates: Mutex::default(),
             stores: Mutex::default(),
             retries: Mutex::default(),
             decisions: DecisionLog::default(),
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -35,6 +35,8 @@
     pub chain: PrefixChain,
     /// What to import first.
     pub import: Option<ImportOrder>,
+    /// The store that it is imported from.
+    pub import_store: Option<UpstreamId>,
     /// Its cost.
     pub cost: CandidateCost,
     /// How many others could have been chosen.
@@ -129,15 +131,23 @@
     let offer = ImportOffer {
         tokens: grant.block.tokens,
         bytes: grant.block.length,
-        rate: store.link,
+        rate: locked(&context.link_rates).rate(&grant.block.store, store.link, Moment::now()),
         queued: answer.link_queued,
     };
     Some((grant, offer))
 }
 
-fn import_order(context: &DaemonContext, grant: &ReadGrant) -> Option<ImportOrder> {
+/// The order to import a block. It is given up once it has taken as long as recomputing would: a
+/// link that has just become slow must not cost more than that.
+fn import_order(
+    context: &DaemonContext,
+    grant: &ReadGrant,
+    recompute_ms: f64,
+) -> Option<ImportOrder> {
+    const LEAST_MS: u64 = 50;
     let store = context.state.view().upstream(&grant.block.store)?.address;
-    let grant_left_ms = grant.until.millis_left(Moment::now());
+    let left = grant.until.millis_left(Moment::now());
+    let grant_left_ms = left.min((recompute_ms as u64).max(LEAST_MS));
     (grant_left_ms > 0).then(|| ImportOrder {
         store,
         key: grant.block.key.clone(),
@@ -197,10 +207,12 @@
     log_decision(context, work, &version, &decision);
     let others = decision.costs.len().saturating_sub(1);
     let cost = decision.chosen;
-    let import = offer
-        .filter(|_| cost.import || cost.import_if_missing)
-        .and_then(|(grant, _)| import_order(context, &grant));
+    let import = offer.filter(|_| cost.import || cost.import_if_missing).and_then(|(grant, _)| {
+        let order = import_order(context, &grant, cost.worst_ms)?;
+        Some((order, grant.block.store))
+    });
+    let (import, import_store) = import.unzip();
     let spec = engines.iter().find(|(id, _, _)| *id == cost.upstream)?;
     let client = EngineClient { upstream: cost.upstream.clone(), address: spec.1.address };
-    Some(EngineChoice { client, version, chain, import, cost, others })
+    Some(EngineChoice { client, version, chain, import, import_store, cost, others })
 }
--- a/crates/guava-daemon/src/event_stream.rs
+++ b/crates/guava-daemon/src/event_stream.rs
@@ -1,6 +1,6 @@
 //! The caller's side of a streamed answer: server-sent events with signed ids.
 
-use crate::completion::StartedRun;
+use crate::completion::{StartedRun, note_import};
 use crate::context::DaemonContext;
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, refusal_json};
 use crate::run_feed::{FeedError, FeedStep};
@@ -127,6 +127,7 @@
                 }
             }
             Ok(FeedStep::End(usage)) => {
+                note_import(&context, run.import.as_ref(), &usage);
                 log_event!(
                     info,
                     COMPLETED,
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -2,7 +2,8 @@
 
 use crate::address::{get_address, other_addresses, post_address};
 use crate::completion::{
-    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run, start_completion,
+    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run, note_import,
+    start_completion,
 };
 use crate::context::{DaemonContext, DaemonPhase};
 use crate::event_stream::{StreamOwner, stream_response, usage_json};
@@ -151,7 +152,7 @@
             let response = if completion.stream {
                 stream_response(&context, owner, run)
             } else {
-                whole_response(&owner, run).await
+                whole_response(&context, &owner, run).await
             };
             with_request(&request, response)
         }
@@ -162,9 +163,14 @@
     }
 }
 
-async fn whole_response(owner: &StreamOwner, mut run: StartedRun) -> Response<Body> {
+async fn whole_response(
+    context: &DaemonContext,
+    owner: &StreamOwner,
+    mut run: StartedRun,
+) -> Response<Body> {
     match collect_run(&mut run).await {
         Ok((chunks, usage)) => {
+            note_import(context, run.import.as_ref(), &usage);
             let text: String = chunks.iter().map(|chunk| &*chunk.text).collect();
             let body = serde_json::json!({
                 "id": owner.request, "object": "text_completion", "model": owner.model,
@@ -222,6 +228,7 @@
         first: FeedStep::Chunks(Vec::new()),
         upstream: place.upstream,
         version: place.version,
+        import: None,
         _holds: RunHolds::reading(work),
     };
     Ok(stream_response(context, owner, run))
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -32,7 +32,8 @@
     pub digest: Box<str>,
     /// Tokens that it covers.
     pub tokens: TokenCount,
-    /// How long the grant to read it still holds, in milliseconds; later is a miss.
+    /// How long the import may take, in milliseconds: no longer than the grant holds, and than
+    /// recomputing would take. Later is a miss.
     pub grant_left_ms: u64,
 }
 
@@ -69,6 +70,9 @@
     pub cached_tokens: u64,
     /// Of those, tokens imported.
     pub imported_tokens: u64,
+    /// Time that the import took or was tried, in milliseconds; zero without one.
+    #[serde(default)]
+    pub import_ms: u64,
     /// Tokens generated.
     pub completion_tokens: u64,
 }
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod export;
+mod link;
 mod load;
 mod placement;
 mod prefix;
@@ -16,6 +17,7 @@
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
 pub use export::{ExportInput, should_export};
+pub use link::LinkTable;
 pub use load::{LoadReport, LoadTable, PendingWork, UpstreamLoad};
 pub use placement::{PlacementInput, PlacementMove, plan_afresh, plan_moves};
 pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain, tokens_in};
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -267,7 +267,9 @@
         };
         let estimate = missing(self);
         self.state.lock().queued_tokens += estimate;
+        let import_started = Moment::now();
         let imported_tokens = self.import(order, &hashes).await;
+        let import_ms = Moment::now().millis_since(import_started);
         self.enter_lane(order.priority).await;
         let computed = missing(self);
         let micros = computed * 1_000_000 / self.options.prefill_per_second.max(1);
@@ -280,7 +282,7 @@
         drop(state);
         self.leave_lane();
         let cached_tokens = prompt_tokens - computed;
-        Usage { prompt_tokens, cached_tokens, imported_tokens, completion_tokens: 0 }
+        Usage { prompt_tokens, cached_tokens, imported_tokens, import_ms, completion_tokens: 0 }
     }
 
     async fn run(self, order: CompletionOrder, run: Run) {
