fix: a caller can't set the engine's cache salt; one door for new work; asking that scales

Cause (found by reading): a completion's other fields are passed on to the engine beside the system's own; a body with cache_salt, version or import would have reached it. Now refused, naming the field (bad_input). The check whether a daemon takes new work stood twice; it is one function now (door.rs).

--- a/crates/guava-daemon/src/call_desk.rs
+++ b/crates/guava-daemon/src/call_desk.rs
@@ -8,7 +8,8 @@
 use crate::append_ring::{AppendBody, AppendVerdict};
 use crate::call_forward::{attach, forward_pinned};
 use crate::call_table::{CallEntry, CallFingerprint, wait_outcome};
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::{DaemonContext, locked};
+use crate::door::refusal_at_door;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use bytes::Bytes;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
@@ -85,10 +86,15 @@
     ///
     /// Once the deadline has passed the caller may have sent its next attempt elsewhere, and that
     /// one may run: a daemon thawed after a pause must not say "not run" about the first.
-    pub fn refused(&self, kind: RefusalKind, reason: &str, after_ms: u64) -> CallOutcome {
+    fn refused_for(&self, refusal: Refusal) -> CallOutcome {
         let is_late = self.deadline.passed(Moment::now());
         let attempt = if is_late { None } else { self.attempt };
-        CallOutcome::refused(attempt, Refusal::later(kind, reason, after_ms))
+        CallOutcome::refused(attempt, refusal)
+    }
+
+    /// As above, in short.
+    pub fn refused(&self, kind: RefusalKind, reason: &str, after_ms: u64) -> CallOutcome {
+        self.refused_for(Refusal::later(kind, reason, after_ms))
     }
 }
 
@@ -156,22 +162,6 @@
     drop(work);
 }
 
-/// Whether this daemon may take new work now.
-fn may_take_work(context: &DaemonContext, call: &KeyedCall) -> Result<(), CallOutcome> {
-    if context.phase() == DaemonPhase::Draining {
-        return Err(call.refused(RefusalKind::LEAVING, "this daemon is leaving", 1));
-    }
-    if context.phase() == DaemonPhase::Starting {
-        let reason = "this daemon is starting";
-        return Err(call.refused(RefusalKind::STALE, reason, COME_BACK_MS));
-    }
-    if !context.freshness().is_fresh() {
-        let reason = "this daemon can't know the configuration in force";
-        return Err(call.refused(RefusalKind::STALE, reason, COME_BACK_MS));
-    }
-    Ok(())
-}
-
 async fn run_own_pinned(
     context: &Arc<DaemonContext>,
     call: &KeyedCall,
@@ -182,8 +172,8 @@
         let reason = "idempotency-key: its window has ended";
         return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
     }
-    if let Err(outcome) = may_take_work(context, call) {
-        return RunEnd::Elsewhere(outcome);
+    if let Some(refusal) = refusal_at_door(context) {
+        return RunEnd::Elsewhere(call.refused_for(refusal));
     }
     dispatch(context, call).await
 }
@@ -202,8 +192,8 @@
         if let Some(holder) = held {
             return RunEnd::Elsewhere(attach(context, call, holder).await);
         }
-        if let Err(outcome) = may_take_work(context, call) {
-            return RunEnd::Elsewhere(outcome);
+        if let Some(refusal) = refusal_at_door(context) {
+            return RunEnd::Elsewhere(call.refused_for(refusal));
         }
         if context.state.read(|state| state.intents().len()) >= MAX_HELD_KEYS {
             let reason = "too many logged keys are inside their windows; use a pinned key";
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -2,7 +2,8 @@
 
 use crate::admission_desk::{AdmitGuard, admit};
 use crate::cache_messages::note_computed;
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::{DaemonContext, locked};
+use crate::door::refusal_at_door;
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::export_ring::PrefixNote;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
@@ -30,6 +31,9 @@
 const PATIENCE_FACTOR: f64 = 2.0;
 const PATIENCE_MS: f64 = 300.0;
 
+/// Fields of an engine's order that are not the caller's to set.
+const RESERVED: [&str; 4] = ["request", "version", "cache_salt", "import"];
+
 fn default_tokens() -> u32 {
     DEFAULT_TOKENS
 }
@@ -63,6 +67,12 @@
     pub fn parse(body: &[u8]) -> Result<Self, String> {
         let request: Self =
             serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
+        // The engine reads these beside the caller's own parameters: a caller that could set its
+        // cache salt would be served from another customer's cache.
+        let reserved = RESERVED.iter().find(|name| request.parameters.contains_key(**name));
+        if let Some(name) = reserved {
+            return Err(format!("{name}: is set by the system, not by callers"));
+        }
         if request.prompt.is_empty() {
             return Err("prompt: must not be empty".into());
         }
@@ -102,7 +112,8 @@
     /// What it was ordered to import.
     pub import: Option<OrderedImport>,
     /// Held until the run is over.
-    pub _holds: RunHolds,
+    #[expect(dead_code, reason = "its drop gives everything back")]
+    pub holds: RunHolds,
 }
 
 /// An import that a run was ordered to make.
@@ -186,18 +197,10 @@
 
 /// Refuses new work that this daemon must not take.
 pub fn check_door(context: &DaemonContext, caller: &CallerInfo) -> Result<(), CallOutcome> {
-    if context.phase() == DaemonPhase::Draining {
-        return Err(refused(caller, RefusalKind::LEAVING, "this daemon is leaving", 1));
-    }
-    if context.phase() == DaemonPhase::Starting {
-        let reason = "this daemon is starting";
-        return Err(refused(caller, RefusalKind::STALE, reason, COME_BACK_MS));
-    }
-    if !context.freshness().is_fresh() {
-        let reason = "this daemon can't know the configuration in force";
-        return Err(refused(caller, RefusalKind::STALE, reason, COME_BACK_MS));
+    match refusal_at_door(context) {
+        Some(refusal) => Err(CallOutcome::refused(caller.attempt, refusal)),
+        None => Ok(()),
     }
-    Ok(())
 }
 
 /// One try at one engine, as far as the first chunk.
@@ -325,7 +328,7 @@
         first: started.first,
         upstream: choice.client.upstream,
         version: choice.version,
-        _holds: RunHolds { _admitted: Some(admitted), _work: work, _load: Some(started.hold) },
+        holds: RunHolds { _admitted: Some(admitted), _work: work, _load: Some(started.hold) },
     })
 }
 
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -229,7 +229,7 @@
         upstream: place.upstream,
         version: place.version,
         import: None,
-        _holds: RunHolds::reading(work),
+        holds: RunHolds::reading(work),
     };
     Ok(stream_response(context, owner, run))
 }
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod completion;
 mod context;
 mod decision_log;
+mod door;
 mod engine_choice;
 mod event_stream;
 mod export_ring;
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -13,9 +13,17 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+/// How often the set of watched upstreams is looked at, and a few upstreams are asked.
 const REPORT_EVERY_MS: u64 = 250;
+/// With more upstreams than this each is asked less often, so that what a daemon spends on asking
+/// stays the same; within the time that a report counts as fresh.
+const OFTEN_ASKED: u64 = 8;
+const REPORT_AT_LEAST_EVERY_MS: u64 = 1_500;
 const REPORT_MS: u64 = 1_000;
 const LIST_EVERY_MS: u64 = 500;
+/// A long list is read less often: so many milliseconds for each entry. Who reads a notice gossips
+/// it, so that in a large fleet somebody still reads the list every few milliseconds.
+const LIST_ENTRY_MS: u64 = 10;
 const LIST_MS: u64 = 2_000;
 /// A starting daemon waits so long for its upstreams' first reports.
 const FIRST_REPORTS_MS: u64 = 3_000;
@@ -93,6 +101,11 @@
     }
 }
 
+fn report_pause(upstreams: usize) -> u64 {
+    let scaled = REPORT_EVERY_MS * upstreams as u64 / OFTEN_ASKED;
+    scaled.clamp(REPORT_EVERY_MS, REPORT_AT_LEAST_EVERY_MS)
+}
+
 async fn watch_upstream(context: Arc<DaemonContext>, upstream: UpstreamId, spec: UpstreamSpec) {
     let client = EngineClient { upstream: upstream.clone(), address: spec.address };
     let mut cursor = EventCursor { instance: "".into(), next: 0 };
@@ -117,7 +130,7 @@
                 note_events(&context, &upstream, &mut cursor, &events);
             }
         }
-        sleep(Duration::from_millis(REPORT_EVERY_MS)).await;
+        sleep(Duration::from_millis(report_pause(watched(&context).len()))).await;
     }
 }
 
@@ -170,8 +183,10 @@
 
 async fn watch_list(context: Arc<DaemonContext>) {
     loop {
+        let mut pause = LIST_EVERY_MS;
         let listed = context.platform.vm_list.fetch(Deadline::in_millis(LIST_MS)).await;
         if let Ok(vms) = listed {
+            pause = pause.max(vms.len() as u64 * LIST_ENTRY_MS);
             let view = context.state.view();
             let leaving = vms.iter().filter(|vm| vm.leaving);
             for vm in leaving {
@@ -179,6 +194,6 @@
                 here.for_each(|(id, _)| locked(&context.leaving).note_list(id));
             }
         }
-        sleep(Duration::from_millis(LIST_EVERY_MS)).await;
+        sleep(Duration::from_millis(pause)).await;
     }
 }
--- a/crates/guavatiller/tests/bad_input.rs
+++ b/crates/guavatiller/tests/bad_input.rs
@@ -38,6 +38,13 @@
             400,
             "max_tokens",
         ),
+        (
+            "POST",
+            "/v1/completions",
+            "{\"model\":\"hints\",\"prompt\":\"a\",\"cache_salt\":\"of another customer\"}",
+            400,
+            "cache_salt",
+        ),
         ("POST", "/v1/completions", &oversize, 413, ""),
         ("GET", "/v1/completions", "", 400, "last-event-id"),
         ("GET", "/v2/nothing", "", 404, "path"),
