fix: gossip that does not drown in its own entries; a late intent's test made to bite

Versions now come every 25 ms times the daemons (10 s at most), are passed on three times in fleets over 16, and silence is four missed versions. Cause 2: the test of an append that takes effect late passed without the release, because the repeat ran before the late intent landed.

--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -6,7 +6,7 @@
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, locked};
 use crate::gossip_codec::{learn, own_entry, to_message};
-use crate::peer_book::EVICT_AFTER_MS;
+use crate::peer_book::{EVICT_AFTER_MS, version_every_ms};
 use guava_schema::peers::Gossip;
 use guava_state::RecordBody;
 use guava_types::{Deadline, FastMap, Incarnation, Moment};
@@ -24,11 +24,15 @@
 /// Every so many ticks a seed or a silent member is tried.
 const SEED_EVERY: u64 = 6;
 /// Entries in one message.
-const MAX_ENTRIES: usize = 24;
+const MAX_ENTRIES: usize = 48;
 const EVICT_TRY_MS: u64 = 5_000;
 
+/// How often an entry is passed on. In a small fleet often enough to reach everybody soon; in a
+/// large one the pull half of each exchange spreads it as well, and more would fill the messages
+/// with repeats.
 fn max_sends(fleet: usize) -> u32 {
-    fleet.max(2).ilog2() + 2
+    const LARGE_FLEET_SENDS: u32 = 3;
+    if fleet > SMALL_FLEET { LARGE_FLEET_SENDS } else { fleet.max(2).ilog2() + 2 }
 }
 
 fn news(context: &DaemonContext) -> Gossip {
@@ -94,9 +98,9 @@
     if is_far { pick(&targets.far).or_else(|| pick(&targets.near)) } else { pick(&targets.near) }
 }
 
-/// Ticks between two versions of a daemon's own entry: more in a larger fleet.
+/// Ticks between two versions of a daemon's own entry.
 fn ticks_per_version(fleet: usize) -> u64 {
-    (fleet as u64 / (2 * SMALL_FLEET as u64)).clamp(1, 6)
+    (version_every_ms(fleet) / TICK_MS).max(1)
 }
 
 fn evict_silent(context: &DaemonContext, unheard_since: &mut FastMap<Incarnation, Moment>) {
--- a/crates/guava-daemon/src/peer_book.rs
+++ b/crates/guava-daemon/src/peer_book.rs
@@ -13,8 +13,14 @@
 };
 use std::net::SocketAddr;
 
-/// A daemon not heard for longer is silent, in milliseconds.
-pub const SILENT_AFTER_MS: u64 = 6_000;
+/// A daemon not heard for longer is silent, in milliseconds; longer in a large fleet.
+const SILENT_AFTER_MS: u64 = 6_000;
+/// Versions of an entry that must have been missed before its daemon is silent.
+const MISSED_VERSIONS: u64 = 4;
+/// A daemon makes a new version of its entry every so many milliseconds for each daemon there is:
+/// the number of versions that travel, and so the bytes, stay bounded as the fleet grows.
+const VERSION_MS_A_DAEMON: u64 = 25;
+const VERSION_AT_LEAST_EVERY_MS: u64 = 10_000;
 /// A silent daemon is taken off the roster after this, in milliseconds.
 pub const EVICT_AFTER_MS: u64 = 30_000;
 const FORGET_AFTER_MS: u64 = 120_000;
@@ -68,6 +74,11 @@
     peers: FastMap<Incarnation, KnownPeer>,
 }
 
+/// How long a fleet of this size takes between two versions of an entry, in milliseconds.
+pub fn version_every_ms(fleet: usize) -> u64 {
+    (fleet as u64 * VERSION_MS_A_DAEMON).min(VERSION_AT_LEAST_EVERY_MS)
+}
+
 /// A short hash of a name, for gossip.
 pub fn short_hash(name: &str) -> u32 {
     let hash = blake3::hash(name.as_bytes());
@@ -125,14 +136,21 @@
         self.peers.get(&incarnation).map(|known| &known.entry)
     }
 
+    fn silent_after_ms(&self) -> u64 {
+        let missed = version_every_ms(self.peers.len() + 1) * MISSED_VERSIONS;
+        missed.max(SILENT_AFTER_MS)
+    }
+
     /// Entries of daemons heard lately.
     pub fn alive(&self, now: Moment) -> impl Iterator<Item = (Incarnation, &PeerEntry)> {
-        self.iter().filter(move |(_, entry)| now.millis_since(entry.made) < SILENT_AFTER_MS)
+        let silent_after = self.silent_after_ms();
+        self.iter().filter(move |(_, entry)| now.millis_since(entry.made) < silent_after)
     }
 
     /// Whether a daemon was heard lately.
     pub fn is_heard(&self, incarnation: Incarnation, now: Moment) -> bool {
-        self.get(incarnation).is_some_and(|entry| now.millis_since(entry.made) < SILENT_AFTER_MS)
+        let silent_after = self.silent_after_ms();
+        self.get(incarnation).is_some_and(|entry| now.millis_since(entry.made) < silent_after)
     }
 
     /// What the freshness rule needs.
--- a/crates/guavatiller/tests/at_most_once.rs
+++ b/crates/guavatiller/tests/at_most_once.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use guava_standins::caller::CallerAnswer;
-use guava_standins::deployment::{Deployment, DeploymentPlan, tell, wait_until};
+use guava_standins::deployment::{Deployment, DeploymentPlan, ask, tell, wait_until};
 use guava_standins::fault_proxy::LinkFault;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -149,28 +149,57 @@
     assert_eq!(runs_of(&deployment, "acme", &key), 1);
 }
 
+/// Whether a key stands in the log.
+fn is_in_log(deployment: &Deployment, key: &str) -> bool {
+    let page: serde_json::Value = ask(server(deployment, "log"), "/records?from=0").unwrap();
+    page.to_string().contains(key)
+}
+
 #[test]
 fn append_takes_effect_after_the_daemon_gave_up() {
-    // Symptom: a key can't be used any more, or runs twice, after a slow append.
-    // Sequence: the append takes effect seconds after the daemon gave up and said "not run"; the
-    // caller repeats the call.
+    // Symptom: a key can't be used any more after a slow append.
+    // Sequence: the append takes effect after the daemon gave up and said "not run"; then the
+    // caller repeats the call at another daemon.
     // Cause: the late intent holds the key for a daemon that will never dispatch it.
     let deployment = deploy_default();
     let key = fresh_key();
-    set_fault(&deployment, "log", &json!({ "late_effect_ms": 3000 }));
-    let first = try_call(deployment.daemons[0].callers, &submission(&key, Some(1)), 1_000).unwrap();
+    set_fault(&deployment, "log", &json!({ "late_effect_ms": 2000 }));
+    let first = try_call(deployment.daemons[0].callers, &submission(&key, Some(1)), 500).unwrap();
+    wait_until("the late intent has landed", || is_in_log(&deployment, &key));
     set_fault(&deployment, "log", &json!({}));
 
     wait_until("a repeat is done", || {
         let repeat = submission(&key, Some(2));
-        let answer = call(deployment.daemons[1].callers, &repeat);
-        answer.outcome == "done"
+        call(deployment.daemons[1].callers, &repeat).outcome == "done"
     });
 
     assert!(["not-run", "unknown"].contains(&first.outcome.as_str()), "{first:?}");
-    wait_until("the late intents have landed", || {
-        call(deployment.daemons[0].callers, &submission(&fresh_key(), Some(1))).outcome == "done"
+    assert_eq!(runs_of(&deployment, "acme", &key), 1);
+}
+
+#[test]
+fn append_takes_effect_after_the_repeat_has_run() {
+    // Symptom: a submission runs twice.
+    // Sequence: the append takes effect seconds after the daemon gave up; before that the caller
+    // has repeated the call at another daemon, where it ran.
+    // Cause: the daemon finds its own intent in the log and dispatches it.
+    let deployment = deploy_default();
+    let key = fresh_key();
+    set_fault(&deployment, "log", &json!({ "late_effect_ms": 4000 }));
+    drop(try_call(deployment.daemons[0].callers, &submission(&key, Some(1)), 500));
+    set_fault(&deployment, "log", &json!({}));
+    let second = call(deployment.daemons[1].callers, &submission(&key, Some(2)));
+    let late = fresh_key();
+    wait_until("the late intent has landed", || {
+        let page: serde_json::Value = ask(server(&deployment, "log"), "/records?from=0").unwrap();
+        page.to_string().matches(&key).count() >= 2
     });
+    call(deployment.daemons[0].callers, &submission(&late, Some(1)));
+
+    let again = call(deployment.daemons[0].callers, &submission(&key, Some(3)));
+
+    assert_eq!(second.outcome, "done", "{second:?}");
+    assert_eq!(again.body, second.body);
     assert_eq!(runs_of(&deployment, "acme", &key), 1);
 }
 
