--- a/crates/guava-standins/src/main.rs
+++ b/crates/guava-standins/src/main.rs
@@ -49,7 +49,11 @@
 /// measure the daemon's own part of the time to first token
 #[derive(FromArgs)]
 #[argh(subcommand, name = "overhead")]
-struct OverheadArgs {}
+struct OverheadArgs {
+    /// tokens of each answer through the daemon
+    #[argh(option, default = "1")]
+    tokens: u32,
+}
 
 /// measure the slopes for the capacity page
 #[derive(FromArgs)]
@@ -244,8 +248,8 @@
     Ok(())
 }
 
-fn overhead() -> Result<(), AnyError> {
-    let figures = measure_overhead(ProgramPaths::beside(&std::env::current_exe()?))?;
+fn overhead(args: &OverheadArgs) -> Result<(), AnyError> {
+    let figures = measure_overhead(ProgramPaths::beside(&std::env::current_exe()?), args.tokens)?;
     println!("| way | first token p50 ms | p99 ms |\n| --- | --- | --- |");
     println!(
         "| straight to the engine | {:.2} | {:.2} |",
@@ -282,7 +286,7 @@
         StandinMode::Demo(_) => {
             return run_demo(ProgramPaths::beside(&std::env::current_exe()?));
         }
-        StandinMode::Overhead(_) => return overhead(),
+        StandinMode::Overhead(args) => return overhead(args),
         StandinMode::Slopes(args) => return slopes(args),
         _ => {}
     }
--- a/crates/guava-standins/src/overhead.rs
+++ b/crates/guava-standins/src/overhead.rs
@@ -39,8 +39,9 @@
     Ok(millis)
 }
 
-/// Sends one short request after the other, in turn straight to an engine and through a daemon.
-pub fn measure_overhead(paths: ProgramPaths) -> Result<OverheadFigures, AnyError> {
+/// Sends one short request after the other, in turn straight to an engine and through a daemon;
+/// each answer has so many tokens, a chunk each.
+pub fn measure_overhead(paths: ProgramPaths, tokens: u32) -> Result<OverheadFigures, AnyError> {
     let engine = EnginePlan { prefill: 100_000_000, decode_ms: 0, ..EnginePlan::default() };
     let plan =
         DeploymentPlan { engines: vec![engine; 2], proxies: false, ..DeploymentPlan::default() };
@@ -66,7 +67,7 @@
         for index in 0..REQUESTS {
             let prompt = format!("question {index}");
             direct.saturating_record((direct_ms(&router, &prompt).await? * 1_000.0) as u64);
-            let answer = caller.stream(address, &prompt, 1, usize::MAX).await?;
+            let answer = caller.stream(address, &prompt, tokens, usize::MAX).await?;
             through.saturating_record((answer.first_ms * 1_000.0) as u64);
         }
         Ok::<(), AnyError>(())
