--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -27,8 +27,8 @@
 /// it, so that in a large fleet somebody still reads the list every few milliseconds.
 const LIST_ENTRY_MS: u64 = 10;
 const LIST_MS: u64 = 2_000;
-/// A starting daemon waits so long for its upstreams' first reports.
-const FIRST_REPORTS_MS: u64 = 3_000;
+/// A starting daemon waits so long for its upstreams' first reports and its peers' first entries.
+const FIRST_NEWS_MS: u64 = 3_000;
 /// Failed questions in a row after which an upstream is called silent in the log.
 const SILENT_AFTER: u32 = 4;
 
@@ -86,19 +86,23 @@
     }
 }
 
-/// Lets the daemon serve once it has heard of its upstreams, or waited for them long enough.
+/// Lets the daemon serve once it has heard of its upstreams and peers, or waited long enough.
 ///
 /// A daemon that hands out its address before it knows a single upstream refuses, for want of any,
-/// what its peers would have served.
+/// what its peers would have served; one that has heard no majority yet refuses every change.
 fn serve_once_informed(context: &DaemonContext, upstreams: &FastMap<UpstreamId, UpstreamSpec>) {
     let is_restored = context.state.next() > Offset(0) || context.state.log_sight().is_some();
     if context.phase() != DaemonPhase::Starting || !is_restored {
         return;
     }
     let restored = *locked(&context.restored).get_or_insert_with(Moment::now);
-    let reports = locked(&context.reports);
-    let is_informed = upstreams.keys().all(|id| reports.get(id).is_some());
-    if is_informed || Moment::now().millis_since(restored) > FIRST_REPORTS_MS {
+    let knows_upstreams = {
+        let reports = locked(&context.reports);
+        upstreams.keys().all(|id| reports.get(id).is_some())
+    };
+    if (knows_upstreams && context.reaches_majority())
+        || Moment::now().millis_since(restored) > FIRST_NEWS_MS
+    {
         context.enter_phase(DaemonPhase::Serving);
     }
 }
