--- a/crates/guavatiller/tests/cache_blocks.rs
+++ b/crates/guavatiller/tests/cache_blocks.rs
@@ -203,6 +203,29 @@
     assert_whole(&deployment, &after, &prompt);
 }
 
+#[test]
+fn owner_leaves_in_order_and_its_blocks_stay() {
+    // Symptom: each ordinary replacement of a daemon costs a recompute of all prompts it owned.
+    // Sequence: a prompt is exported; its owner is shut down in order; the prompt comes back after
+    // its eviction.
+    // Cause: the index entry went with the owner, though the block is still in the store.
+    let mut deployment = deploy_store(200_000_000);
+    let prompt = long_prompt("kept", PROMPT_TOKENS);
+    send_and_export(&deployment, &prompt);
+    let owner = (0..3)
+        .find(|index| deployment.log_of(&format!("entry-{index}")).contains("\"G6001\""))
+        .unwrap();
+    let name = format!("entry-{owner}");
+    deployment.terminate(&name);
+    wait_until("the owner has ended", || deployment.has_ended(&name));
+    evict(&deployment);
+
+    let back = stream(deployment.daemons[(owner + 1) % 3].callers, &prompt, 2);
+
+    assert_whole(&deployment, &back, &prompt);
+    assert!(details(&back, "imported_tokens") > 3_800, "{back:?}");
+}
+
 #[test]
 fn cache_events_have_gaps() {
     // Symptom: requests are sent again and again to an engine that no longer holds their prompt.
