refactor: stand-ins split by concern, one constructor behind a run's feed

Deployment plans, the harness (ports, processes, waits) and the engine's streams are modules of their own.

--- a/crates/guava-daemon/src/run_feed.rs
+++ b/crates/guava-daemon/src/run_feed.rs
@@ -63,19 +63,8 @@
         stream: EngineStream,
     ) -> Self {
         let run = stream.run.clone();
-        let request = Some(request);
-        let order = ReplyOrder::default();
-        Self {
-            client,
-            request,
-            version,
-            run,
-            stream,
-            order,
-            usage: None,
-            idle_resumes: 0,
-            resumes: 0,
-        }
+        let feed = Self::reading(client, version, stream, ReplyOrder::default());
+        Self { request: Some(request), run, ..feed }
     }
 
     /// Reads a run on from a position.
@@ -86,19 +75,27 @@
         from: u64,
     ) -> Result<Self, HttpError> {
         let stream = client.resume(&run, from, Deadline::in_millis(RESUME_MS)).await?;
-        let order = ReplyOrder::starting_at(from);
-        let run = Some(run);
-        Ok(Self {
+        let feed = Self::reading(client, version, stream, ReplyOrder::starting_at(from));
+        Ok(Self { run: Some(run), ..feed })
+    }
+
+    fn reading(
+        client: EngineClient,
+        version: VersionName,
+        stream: EngineStream,
+        order: ReplyOrder,
+    ) -> Self {
+        Self {
             client,
             request: None,
             version,
-            run,
+            run: None,
             stream,
             order,
             usage: None,
             idle_resumes: 0,
             resumes: 0,
-        })
+        }
     }
 
     /// The run's id, once the engine has told it.
--- a/crates/guava-standins/src/deployment.rs
+++ b/crates/guava-standins/src/deployment.rs
@@ -1,125 +1,22 @@
 //! A small deployment of real processes on this machine, for tests, the demonstration and
 //! measurements: stand-ins, daemons, and a fault proxy before each server.
 
+pub use crate::deployment_plan::{DeploymentPlan, EnginePlan, ProgramPaths};
 use crate::fault_proxy::FaultProxy;
+pub use crate::harness::{ask, block_on, free_address, run, start, tell, wait_until};
 use crate::serve::AnyError;
-use guava_outside::{get_json, post_json};
-use guava_types::{Deadline, FastMap};
+use guava_types::FastMap;
 use rustix::process::{Pid, Signal, kill_process};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use std::fs::{self, File};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, PoisonError};
-use std::thread::sleep;
-use std::time::{Duration, Instant};
 
 /// The operators' token of every deployment.
 pub const OPERATOR_TOKEN: &str = "operators-token-for-tests";
-/// How long a condition may take before a test gives up; generous, for a busy machine.
-pub const PATIENCE: Duration = Duration::from_secs(60);
-
-const FIRST_PORT: u16 = 10_000;
-const PORT_SPAN: u16 = 20_000;
-
-/// Held while a port is probed and while a process is started.
-///
-/// A process that is just being started holds copies of all open sockets until its own program
-/// runs. One that copies a probing socket keeps the probed port taken for some milliseconds, and
-/// the server that the port is meant for fails to bind it, now and then.
-static PROBE_OR_START: Mutex<()> = Mutex::new(());
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 static NEXT_FOLDER: AtomicU16 = AtomicU16::new(0);
 
-/// Where the two programs are.
-#[derive(Clone, Debug)]
-pub struct ProgramPaths {
-    /// The shipped binary.
-    pub guavatiller: PathBuf,
-    /// The stand-ins.
-    pub standins: PathBuf,
-}
-
-impl ProgramPaths {
-    /// Both from the folder of one of them.
-    pub fn beside(program: &Path) -> Self {
-        Self {
-            guavatiller: program.with_file_name("guavatiller"),
-            standins: program.with_file_name("standins"),
-        }
-    }
-}
-
-/// An engine to start.
-#[derive(Clone, Debug)]
-pub struct EnginePlan {
-    /// Prefill in tokens a second.
-    pub prefill: u64,
-    /// Milliseconds for a generated token.
-    pub decode_ms: u64,
-    /// Requests at one time.
-    pub slots: u32,
-    /// Cache in tokens.
-    pub cache_tokens: u64,
-    /// Whether it refuses old fencing numbers.
-    pub checks_fencing: bool,
-}
-
-impl Default for EnginePlan {
-    fn default() -> Self {
-        Self { prefill: 20_000, decode_ms: 5, slots: 8, cache_tokens: 20_000, checks_fencing: true }
-    }
-}
-
-/// What to start.
-#[derive(Clone, Debug)]
-pub struct DeploymentPlan {
-    /// Daemons, spread over three data centres.
-    pub daemons: usize,
-    /// Engines.
-    pub engines: Vec<EnginePlan>,
-    /// Instances of the service `board`.
-    pub services: usize,
-    /// Stores.
-    pub stores: usize,
-    /// Rate of each store's link in bytes a second.
-    pub link: u64,
-    /// Bytes that fit into a store.
-    pub store_capacity: u64,
-    /// Whether proxies stand before the servers.
-    pub proxies: bool,
-    /// Milliseconds of a weight load.
-    pub load_ms: u64,
-    /// Further settings, as lines of the settings file.
-    pub settings: Vec<String>,
-    /// Weights of the measures: first token, recompute, link.
-    pub weights: [u32; 3],
-    /// Authorities of the daemons' certificates, if the settings have TLS.
-    pub authorities: Option<PathBuf>,
-}
-
-impl Default for DeploymentPlan {
-    fn default() -> Self {
-        Self {
-            daemons: 3,
-            engines: vec![EnginePlan::default(); 2],
-            services: 2,
-            stores: 1,
-            link: 5_000_000,
-            store_capacity: 200_000_000,
-            proxies: true,
-            load_ms: 300,
-            settings: vec!["\"address_keep_ms\": 500".into()],
-            weights: [10, 1, 1],
-            authorities: None,
-        }
-    }
-}
-
 /// Addresses of a daemon.
 #[derive(Clone, Debug)]
 pub struct DaemonPlace {
@@ -152,75 +49,6 @@
     starts: u32,
 }
 
-/// A free address on an IP number of this machine.
-///
-/// Ports lie below the range for outgoing connections, which would else take them now and then.
-pub fn free_address(ip: IpAddr) -> SocketAddr {
-    let base = u16::try_from(std::process::id() * 61 % u32::from(PORT_SPAN)).unwrap_or(0);
-    let _alone = PROBE_OR_START.lock().unwrap_or_else(PoisonError::into_inner);
-    loop {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (base + step % PORT_SPAN) % PORT_SPAN;
-        let address = SocketAddr::new(ip, port);
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
-fn start(command: &mut Command) -> std::io::Result<Child> {
-    let _alone = PROBE_OR_START.lock().unwrap_or_else(PoisonError::into_inner);
-    command.spawn()
-}
-
-/// Runs a command to its end.
-pub fn run(command: &mut Command) -> std::io::Result<Output> {
-    let child = start(command.stdout(Stdio::piped()).stderr(Stdio::piped()))?;
-    child.wait_with_output()
-}
-
-/// Waits for a condition; panics with its name when patience ends.
-#[allow(clippy::panic, reason = "a test that waits in vain has failed")]
-pub fn wait_until(what: &str, mut is_met: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while !is_met() {
-        if started.elapsed() > PATIENCE {
-            panic!("gave up waiting until {what}");
-        }
-        sleep(Duration::from_millis(20));
-    }
-}
-
-/// Runs a future to its end on this thread.
-pub fn block_on<T>(future: impl Future<Output = T>) -> Result<T, AnyError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(runtime.block_on(future))
-}
-
-/// GETs JSON from a stand-in.
-pub fn ask<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, AnyError> {
-    Ok(block_on(get_json(address, path, Deadline::in_millis(10_000)))??)
-}
-
-/// POSTs JSON to a stand-in that answers nothing.
-pub fn tell<S: Serialize + Sync>(
-    address: SocketAddr,
-    path: &str,
-    value: &S,
-) -> Result<(), AnyError> {
-    let sent = block_on(post_json::<S, serde_json::Value>(
-        address,
-        path,
-        value,
-        Deadline::in_millis(10_000),
-    ))?;
-    match sent {
-        // An empty body is no JSON, and all that these answers hold.
-        Ok(_) | Err(guava_outside::HttpError::Syntax { .. }) => Ok(()),
-        Err(error) => Err(error.into()),
-    }
-}
-
 impl Deployment {
     /// Starts everything and configures it; returns when all daemons are ready.
     pub fn start(paths: ProgramPaths, plan: DeploymentPlan) -> Result<Self, AnyError> {
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -2,18 +2,19 @@
 //! import, late and gapped cache events, lagging reports, orders with fencing numbers.
 
 use crate::engine_cache::EngineCache;
+use crate::engine_stream::{Run, RunBuffer, stream_run};
 use crate::serve::Shared;
-use axum::body::{Body, Bytes};
+use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use guava_outside::{
-    CacheEvents, CompletionOrder, EngineEvent, EngineReport, ExportOrder, ExportReceipt,
-    ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER, Usage, collect_body, exchange, get_json,
+    CacheEvents, CompletionOrder, EngineReport, ExportOrder, ExportReceipt, ImportOrder, LoadOrder,
+    OrderAnswer, Usage, collect_body, exchange, get_json,
 };
-use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount, VersionName};
+use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -99,27 +100,6 @@
     pub versions: FastMap<Box<str>, Box<str>>,
 }
 
-#[derive(Default)]
-struct RunBuffer {
-    request: Box<str>,
-    version: Box<str>,
-    chunks: Vec<Box<str>>,
-    usage: Option<Usage>,
-    streams: u32,
-    cancelled: bool,
-}
-
-struct Run {
-    buffer: Shared<RunBuffer>,
-    grown: Arc<Notify>,
-}
-
-impl Clone for Run {
-    fn clone(&self) -> Self {
-        Self { buffer: self.buffer.clone(), grown: Arc::clone(&self.grown) }
-    }
-}
-
 #[derive(Default)]
 struct PrefillLane {
     busy: bool,
@@ -185,6 +165,10 @@
 }
 
 impl EngineServer {
+    fn faults(&self) -> EngineFaults {
+        self.state.lock().faults.clone()
+    }
+
     fn slower(&self) -> u64 {
         self.state.lock().faults.slower.max(1)
     }
@@ -311,103 +295,6 @@
     }
 }
 
-fn event_line(run_id: &str, buffer: &RunBuffer, position: u64) -> Option<String> {
-    let version: VersionName = buffer.version.parse().ok()?;
-    let text = buffer.chunks.get(usize::try_from(position).ok()?).cloned();
-    let usage = if text.is_none() { buffer.usage } else { None };
-    if text.is_none() && usage.is_none() {
-        return None;
-    }
-    let event = EngineEvent {
-        request: buffer.request.clone(),
-        run: run_id.into(),
-        version,
-        position,
-        text,
-        usage,
-    };
-    serde_json::to_string(&event).ok().map(|json| format!("data: {json}\n\n"))
-}
-
-/// Order in which a shuffled stream sends its chunks: pairs swapped, each first one twice.
-fn shuffled(lines: Vec<String>) -> Vec<String> {
-    lines
-        .chunks(2)
-        .flat_map(|pair| match pair {
-            [first, second] => vec![second.clone(), first.clone(), second.clone()],
-            rest => rest.to_vec(),
-        })
-        .collect()
-}
-
-struct StreamCursor {
-    run_id: Box<str>,
-    run: Run,
-    next: u64,
-    faults: EngineFaults,
-    done: bool,
-}
-
-async fn next_lines(
-    mut cursor: StreamCursor,
-) -> Option<(Result<String, std::io::Error>, StreamCursor)> {
-    if cursor.done {
-        return None;
-    }
-    if cursor.faults.close_after > 0 && cursor.next >= cursor.faults.close_after {
-        return None;
-    }
-    if cursor.faults.stall_after > 0 && cursor.next >= cursor.faults.stall_after {
-        std::future::pending::<()>().await;
-    }
-    loop {
-        let run = cursor.run.clone();
-        let grown = run.grown.notified();
-        let mut lines = Vec::new();
-        {
-            let buffer = cursor.run.buffer.lock();
-            while let Some(line) = event_line(&cursor.run_id, &buffer, cursor.next) {
-                lines.push(line);
-                cursor.next += 1;
-                if cursor.next > buffer.chunks.len() as u64 && buffer.usage.is_some() {
-                    cursor.done = true;
-                    break;
-                }
-                let fault_at = cursor.faults.stall_after.max(cursor.faults.close_after);
-                if fault_at > 0 && cursor.next >= fault_at {
-                    break;
-                }
-            }
-        }
-        // One line alone can't be out of order: a shuffled stream waits for the next.
-        if cursor.faults.shuffle && !cursor.done && lines.len() == 1 {
-            cursor.next -= 1;
-            lines.clear();
-        }
-        if !lines.is_empty() {
-            if cursor.faults.shuffle && !cursor.done {
-                lines = shuffled(lines);
-            }
-            return Some((Ok(lines.concat()), cursor));
-        }
-        grown.await;
-    }
-}
-
-fn stream_run(server: &EngineServer, run_id: &str, run: Run, from: u64) -> Response {
-    let mut faults = server.state.lock().faults.clone();
-    let mut buffer = run.buffer.lock();
-    buffer.streams += 1;
-    if buffer.streams > 1 {
-        faults = EngineFaults::default();
-    }
-    drop(buffer);
-    let cursor = StreamCursor { run_id: run_id.into(), run, next: from, faults, done: false };
-    let stream = futures_util::stream::unfold(cursor, next_lines);
-    let headers = [("content-type", "text/event-stream"), (RUN_HEADER, run_id)];
-    (headers, Body::from_stream(stream)).into_response()
-}
-
 async fn complete(
     State(server): State<EngineServer>,
     Json(order): Json<CompletionOrder>,
@@ -433,7 +320,7 @@
         run
     };
     tokio::spawn(server.clone().run(order, run.clone()));
-    stream_run(&server, &run_id, run, 0)
+    stream_run(server.faults(), &run_id, run, 0)
 }
 
 #[derive(Deserialize)]
@@ -448,7 +335,7 @@
 ) -> Response {
     let run = server.state.lock().runs.get(&*run_id).cloned();
     match run {
-        Some(run) => stream_run(&server, &run_id, run, query.from),
+        Some(run) => stream_run(server.faults(), &run_id, run, query.from),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
