refactor: names by the field's terms

Desk, book, door and heir were pictures of our own: now queue, dispatch, table, readiness, successor.

--- a/crates/guava-daemon/src/address.rs
+++ b/crates/guava-daemon/src/address.rs
@@ -14,8 +14,8 @@
 
 /// Addresses of the other daemons that hand theirs out.
 pub fn other_addresses(context: &DaemonContext) -> Vec<SocketAddr> {
-    let book = locked(&context.book);
-    let serving = book.alive(Moment::now());
+    let peers = locked(&context.peer_table);
+    let serving = peers.alive(Moment::now());
     serving
         .filter(|(_, entry)| entry.phase == DaemonPhase::Serving)
         .map(|(_, entry)| entry.identity.caller_address)
@@ -43,9 +43,9 @@
 ) -> Option<SocketAddr> {
     let model = context.state.read(|state| state.model(&body.model).cloned())?;
     let chain = prefix_chain(customer, &body.model, &model.current, &body.prompt);
-    let book = locked(&context.book);
-    match book.owner(context.me, chain.owner_seed(), Moment::now()) {
-        Some(owner) => book.get(owner).map(|entry| entry.identity.caller_address),
+    let peers = locked(&context.peer_table);
+    match peers.owner(context.me, chain.owner_seed(), Moment::now()) {
+        Some(owner) => peers.get(owner).map(|entry| entry.identity.caller_address),
         None => Some(context.settings.callers.advertise),
     }
 }
@@ -64,8 +64,8 @@
         add(&context.settings.data_centre, context.settings.callers.advertise);
     }
     {
-        let book = locked(&context.book);
-        let alive = book.alive(Moment::now());
+        let peers = locked(&context.peer_table);
+        let alive = peers.alive(Moment::now());
         for (_, entry) in alive.filter(|(_, entry)| entry.phase == DaemonPhase::Serving) {
             add(&entry.identity.data_centre, entry.identity.caller_address);
         }
--- a/crates/guava-daemon/src/admission_desk.rs
+++ b/crates/guava-daemon/src/admission_queue.rs
@@ -1,4 +1,4 @@
-//! The door: limits and queue of this daemon, and those who wait in it.
+//! Limits and queue of this daemon, and the requests that wait in it.
 
 use crate::context::{DaemonContext, locked};
 use guava_policy::{
@@ -20,7 +20,7 @@
 const STARTING_PER_ENGINE: u32 = 2;
 
 #[derive(Default)]
-struct DeskState {
+struct QueueState {
     fair: FairAdmission,
     waiting: FastMap<u64, oneshot::Sender<bool>>,
     next_ticket: u64,
@@ -28,10 +28,10 @@
     slots: u32,
 }
 
-/// The desk.
+/// The queue, with the limits before it.
 #[derive(Default)]
-pub struct AdmissionDesk {
-    state: Mutex<DeskState>,
+pub struct AdmissionQueue {
+    state: Mutex<QueueState>,
 }
 
 /// A place among the running, given back when dropped; its slot is free from the first token on.
@@ -42,7 +42,7 @@
     is_starting: bool,
 }
 
-fn options(state: &DeskState) -> AdmitOptions {
+fn options(state: &QueueState) -> AdmitOptions {
     AdmitOptions {
         slots: state.slots.max(1),
         queue: QUEUE_LEN,
@@ -58,7 +58,7 @@
     total.saturating_sub(peers_starting).clamp(equal, 2 * equal).max(1)
 }
 
-impl AdmissionDesk {
+impl AdmissionQueue {
     /// Requests running, by customer.
     pub fn running_by_customer(&self) -> Vec<(CustomerId, u32)> {
         let state = locked(&self.state);
@@ -71,7 +71,7 @@
         locked(&self.state).fair.starting()
     }
 
-    fn wake(state: &mut DeskState) {
+    fn wake(state: &mut QueueState) {
         let options = options(state);
         while let Some(turn) = state.fair.next(&options, Moment::now()) {
             match turn {
@@ -138,12 +138,12 @@
 
 fn usage(context: &DaemonContext, customer: &CustomerId, spec: &CustomerSpec) -> CustomerUse {
     let now = Moment::now();
-    let book = locked(&context.book);
+    let peers = locked(&context.peer_table);
     CustomerUse {
         rate: spec.rate,
         concurrency: spec.concurrency,
-        peers_running: book.customer_running(customer, now),
-        daemons: u32::try_from(book.alive(now).count() + 1).unwrap_or(u32::MAX),
+        peers_running: peers.customer_running(customer, now),
+        daemons: u32::try_from(peers.alive(now).count() + 1).unwrap_or(u32::MAX),
     }
 }
 
@@ -158,7 +158,7 @@
 ) -> Result<AdmitGuard, AdmitDecision> {
     let now = Moment::now();
     let usage = usage(context, customer, spec);
-    let peers_starting = locked(&context.book).all_starting(now);
+    let peers_starting = locked(&context.peer_table).all_starting(now);
     let guard = || AdmitGuard {
         context: Arc::clone(context),
         customer: customer.clone(),
--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -219,8 +219,9 @@
         let is_first = view.roster.iter().min() == Some(&context.me);
         for incarnation in gone {
             // A daemon that left in order has handed its blocks to others, who still use them.
-            let has_heir = context.state.read(|state| state.heir_of(incarnation)) != incarnation;
-            if is_first && !has_heir {
+            let has_successor =
+                context.state.read(|state| state.successor_of(incarnation)) != incarnation;
+            if is_first && !has_successor {
                 tokio::spawn(free_blocks_of(Arc::clone(&context), incarnation));
             }
         }
--- a/crates/guava-daemon/src/cache_messages.rs
+++ b/crates/guava-daemon/src/cache_messages.rs
@@ -46,9 +46,9 @@
 pub async fn lookup(context: &DaemonContext, salt: &str, hashes: &[PrefixHash]) -> CacheAnswer {
     let Some(first) = hashes.first() else { return CacheAnswer::default() };
     let address = {
-        let book = locked(&context.book);
-        let owner = book.owner(context.me, *first, Moment::now());
-        owner.and_then(|owner| book.get(owner)).map(|entry| entry.identity.peer_address)
+        let peers = locked(&context.peer_table);
+        let owner = peers.owner(context.me, *first, Moment::now());
+        owner.and_then(|owner| peers.get(owner)).map(|entry| entry.identity.peer_address)
     };
     let Some(address) = address else { return lookup_here(context, salt, hashes) };
     let request = LookupRequest { salt: salt.into(), hashes: pack_hashes(hashes) };
@@ -122,9 +122,9 @@
     const NOTE_MS: u64 = 1_000;
     let Some(first) = note.hashes.first() else { return };
     let address = {
-        let book = locked(&context.book);
-        let owner = book.owner(context.me, *first, Moment::now());
-        owner.and_then(|owner| book.get(owner)).map(|entry| entry.identity.peer_address)
+        let peers = locked(&context.peer_table);
+        let owner = peers.owner(context.me, *first, Moment::now());
+        owner.and_then(|owner| peers.get(owner)).map(|entry| entry.identity.peer_address)
     };
     let Some(address) = address else { return context.exports.note(note) };
     let request = NoteRequest {
--- a/crates/guava-daemon/src/call_desk.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -9,8 +9,8 @@
 use crate::call_forward::{attach, forward_pinned};
 use crate::call_table::{CallEntry, CallFingerprint, wait_outcome};
 use crate::context::{DaemonContext, locked};
-use crate::door::refusal_at_door;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use crate::readiness::readiness_refusal;
 use bytes::Bytes;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
 use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
@@ -172,7 +172,7 @@
         let reason = "idempotency-key: its window has ended";
         return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
     }
-    if let Some(refusal) = refusal_at_door(context) {
+    if let Some(refusal) = readiness_refusal(context) {
         return RunEnd::Elsewhere(call.refused_for(refusal));
     }
     dispatch(context, call).await
@@ -187,12 +187,12 @@
     loop {
         let held = context.state.read(|state| {
             let held = state.intents().holder(&call.key)?;
-            Some(state.heir_of(held.holder))
+            Some(state.successor_of(held.holder))
         });
         if let Some(holder) = held {
             return RunEnd::Elsewhere(attach(context, call, holder).await);
         }
-        if let Some(refusal) = refusal_at_door(context) {
+        if let Some(refusal) = readiness_refusal(context) {
             return RunEnd::Elsewhere(call.refused_for(refusal));
         }
         if context.state.read(|state| state.intents().len()) >= MAX_HELD_KEYS {
@@ -220,7 +220,7 @@
                 sleep(Duration::from_millis(SETTLE_MS)).await;
             }
             Ok(AppendVerdict::Intent(IntentVerdict::Lost { holder })) => {
-                let holder = context.state.read(|state| state.heir_of(holder));
+                let holder = context.state.read(|state| state.successor_of(holder));
                 return RunEnd::Elsewhere(attach(context, call, holder).await);
             }
             Ok(AppendVerdict::Intent(IntentVerdict::Expired)) => {
--- a/crates/guava-daemon/src/call_forward.rs
+++ b/crates/guava-daemon/src/call_forward.rs
@@ -1,6 +1,6 @@
 //! Calls whose run is another daemon's: forwarded to it, or answered for it.
 
-use crate::call_desk::{COME_BACK_MS, KeyedCall, call_once, mismatch, wait_or_unknown};
+use crate::call_dispatch::{COME_BACK_MS, KeyedCall, call_once, mismatch, wait_or_unknown};
 use crate::call_table::{CallFingerprint, wait_outcome};
 use crate::context::{DaemonContext, locked};
 use crate::outcome::{CallOutcome, RefusalKind};
@@ -18,7 +18,7 @@
     call: &KeyedCall,
     pinned: PinnedKey,
 ) -> CallOutcome {
-    let holder = context.state.read(|state| state.heir_of(pinned.incarnation));
+    let holder = context.state.read(|state| state.successor_of(pinned.incarnation));
     let Some(address) = peer_address(context, holder) else {
         let reason = "the daemon that minted this key is gone";
         return call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS);
@@ -49,7 +49,8 @@
 
 /// Where an incarnation's daemon is reached, if it is still known.
 pub fn peer_address(context: &DaemonContext, incarnation: Incarnation) -> Option<SocketAddr> {
-    let by_gossip = locked(&context.book).get(incarnation).map(|entry| entry.identity.peer_address);
+    let by_gossip =
+        locked(&context.peer_table).get(incarnation).map(|entry| entry.identity.peer_address);
     by_gossip.or_else(|| {
         context
             .state
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -1,12 +1,12 @@
 //! Completions: admitted, routed, started on an engine, and read until the first chunk is there.
 
-use crate::admission_desk::{AdmitGuard, admit};
+use crate::admission_queue::{AdmitGuard, admit};
 use crate::cache_messages::note_computed;
 use crate::context::{DaemonContext, locked};
-use crate::door::refusal_at_door;
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::export_ring::PrefixNote;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use crate::readiness::readiness_refusal;
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
 use crate::work_gauge::WorkGuard;
 use guava_outside::{CompletionOrder, HttpError, Usage};
@@ -196,8 +196,8 @@
 }
 
 /// Refuses new work that this daemon must not take.
-pub fn check_door(context: &DaemonContext, caller: &CallerInfo) -> Result<(), CallOutcome> {
-    match refusal_at_door(context) {
+pub fn check_readiness(context: &DaemonContext, caller: &CallerInfo) -> Result<(), CallOutcome> {
+    match readiness_refusal(context) {
         Some(refusal) => Err(CallOutcome::refused(caller.attempt, refusal)),
         None => Ok(()),
     }
@@ -293,7 +293,7 @@
     request: &CompletionRequest,
 ) -> Result<StartedRun, CallOutcome> {
     let work = context.work.enter();
-    check_door(context, caller)?;
+    check_readiness(context, caller)?;
     let found = context.state.read(|state| {
         (state.model(&request.model).cloned(), state.customer(&caller.customer).cloned())
     });
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -3,17 +3,17 @@
 //! Each duty runs in a thread of its own. Commands between them go through bounded rings; what
 //! many read and one writes is published behind a short lock or an atomic pointer.
 
-use crate::admission_desk::AdmissionDesk;
+use crate::admission_queue::AdmissionQueue;
 use crate::append_ring::AppendRing;
 use crate::cache_index::CacheIndex;
 use crate::call_table::CallTable;
 use crate::decision_log::DecisionLog;
 use crate::export_ring::ExportRing;
-use crate::leaving_book::LeavingBook;
+use crate::leaving_table::LeavingTable;
 use crate::metrics::MetricSink;
-use crate::peer_book::PeerBook;
 use crate::peer_links::PeerLinks;
-use crate::report_book::ReportBook;
+use crate::peer_table::PeerTable;
+use crate::report_table::ReportTable;
 use crate::settings::DaemonSettings;
 use crate::shared_state::SharedState;
 use crate::stream_id::StreamSecret;
@@ -99,17 +99,17 @@
     /// Ring to the cache duty.
     pub exports: ExportRing,
     /// What is known of the other daemons.
-    pub book: Mutex<PeerBook>,
+    pub peer_table: Mutex<PeerTable>,
     /// Connections to the other daemons.
     pub links: PeerLinks,
     /// What is known of the upstreams' load.
     pub loads: Mutex<LoadTable>,
     /// The upstreams' last reports.
-    pub reports: Mutex<ReportBook>,
+    pub reports: Mutex<ReportTable>,
     /// Upstreams that get no new work.
-    pub leaving: Mutex<LeavingBook>,
+    pub leaving: Mutex<LeavingTable>,
     /// Limits and queue.
-    pub admission: AdmissionDesk,
+    pub admission: AdmissionQueue,
     /// Non-idempotent calls of this incarnation.
     pub calls: CallTable,
     /// Index entries that this daemon owns.
@@ -161,12 +161,12 @@
             state: SharedState::default(),
             appends: parts.appends,
             exports: parts.exports,
-            book: Mutex::default(),
+            peer_table: Mutex::default(),
             links: parts.links,
             loads: Mutex::default(),
             reports: Mutex::default(),
             leaving: Mutex::default(),
-            admission: AdmissionDesk::default(),
+            admission: AdmissionQueue::default(),
             calls: CallTable::default(),
             index: Mutex::default(),
             link_rates: Mutex::default(),
@@ -220,7 +220,7 @@
 
     fn with_freshness<T>(&self, judge: impl FnOnce(&FreshnessInput<'_>) -> T) -> T {
         let view = self.state.view();
-        let peers: Vec<PeerSight> = locked(&self.book).sights();
+        let peers: Vec<PeerSight> = locked(&self.peer_table).sights();
         judge(&FreshnessInput {
             now: Moment::now(),
             me: self.me,
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -98,7 +98,7 @@
 ) -> Vec<RouteCandidate> {
     let now = Moment::now();
     let loads = locked(&context.loads);
-    let book = locked(&context.book);
+    let peers = locked(&context.peer_table);
     let resident = |id: &UpstreamId| {
         let known = answer.found.residents.iter().find(|(other, _)| other == id);
         TokenCount(known.map_or(0, |(_, blocks)| *blocks as u64 * BLOCK_TOKENS))
@@ -115,7 +115,7 @@
                 over_slots: (load.running(now) + 1).saturating_sub(spec.slots),
                 resident: resident(id),
                 slowness: load.slowness(now),
-                is_own: book.owner(context.me, upstream_seed(id), now).is_none(),
+                is_own: peers.owner(context.me, upstream_seed(id), now).is_none(),
             }
         })
         .collect()
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::address::{get_address, other_addresses, post_address};
 use crate::completion::{
-    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_door, collect_run, note_import,
+    CallerInfo, CompletionRequest, RunHolds, StartedRun, check_readiness, collect_run, note_import,
     start_completion,
 };
 use crate::context::{DaemonContext, DaemonPhase};
@@ -238,7 +238,7 @@
 async fn mint_key(State(context): SharedContext, headers: HeaderMap) -> Response<Body> {
     let request = new_request_id();
     let minted = caller_info(&context, &request, &headers).and_then(|caller| {
-        check_door(&context, &caller)?;
+        check_readiness(&context, &caller)?;
         Ok(CallerKey::Pinned(PinnedKey {
             incarnation: context.me,
             minted: Moment::now(),
--- a/crates/guava-daemon/src/gossip_codec.rs
+++ b/crates/guava-daemon/src/gossip_codec.rs
@@ -1,7 +1,7 @@
 //! Gossip entries as messages.
 
 use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::peer_book::{PeerEntry, PeerIdentity, short_hash};
+use crate::peer_table::{PeerEntry, PeerIdentity, short_hash};
 use guava_schema::peers::{CustomerLoad, GossipEntry, LeavingUpstream, MemberInfo, UpstreamLoad};
 use guava_state::LogSight;
 use guava_types::{Incarnation, Moment, Offset, TokenCount};
@@ -143,7 +143,7 @@
             peer_address: info.peer_address.parse().ok()?,
         });
     }
-    if let Some(entry) = locked(&context.book).get(incarnation) {
+    if let Some(entry) = locked(&context.peer_table).get(incarnation) {
         return Some(entry.identity.clone());
     }
     context.state.read(|state| {
@@ -194,5 +194,5 @@
     for (upstream, instance) in &entry.leaving {
         locked(&context.leaving).note_peer(upstream, instance);
     }
-    locked(&context.book).learn(incarnation, entry);
+    locked(&context.peer_table).learn(incarnation, entry);
 }
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -6,7 +6,7 @@
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, locked};
 use crate::gossip_codec::{learn, own_entry, to_message};
-use crate::peer_book::{EVICT_AFTER_MS, version_every_ms};
+use crate::peer_table::{EVICT_AFTER_MS, version_every_ms};
 use guava_schema::peers::Gossip;
 use guava_state::RecordBody;
 use guava_types::{Deadline, FastMap, Incarnation, Moment};
@@ -35,9 +35,9 @@
     if fleet > SMALL_FLEET { LARGE_FLEET_SENDS } else { fleet.max(2).ilog2() + 2 }
 }
 
-fn news(context: &DaemonContext) -> Gossip {
+fn updates(context: &DaemonContext) -> Gossip {
     let fleet = context.state.view().roster.len();
-    let entries = locked(&context.book).take_news(MAX_ENTRIES, max_sends(fleet));
+    let entries = locked(&context.peer_table).take_updates(MAX_ENTRIES, max_sends(fleet));
     let mut messages = vec![own_entry(context)];
     messages.extend(entries.iter().map(|(peer, entry)| to_message(context, *peer, entry)));
     Gossip { entries: messages }
@@ -46,7 +46,7 @@
 /// Answers an exchange: takes the peer's news and gives this daemon's.
 pub fn answer_exchange(context: &DaemonContext, message: Gossip) -> Gossip {
     message.entries.into_iter().for_each(|entry| learn(context, entry));
-    news(context)
+    updates(context)
 }
 
 struct GossipTargets {
@@ -57,9 +57,9 @@
 
 fn targets(context: &DaemonContext) -> GossipTargets {
     let now = Moment::now();
-    let book = locked(&context.book);
+    let peers = locked(&context.peer_table);
     let mut targets = GossipTargets { near: Vec::new(), far: Vec::new(), unheard: Vec::new() };
-    for (_, entry) in book.alive(now) {
+    for (_, entry) in peers.alive(now) {
         let is_near = entry.identity.data_centre == context.settings.data_centre;
         let side = if is_near { &mut targets.near } else { &mut targets.far };
         side.push(entry.identity.peer_address);
@@ -107,9 +107,9 @@
     let now = Moment::now();
     let view = context.state.view();
     let silent: Vec<Incarnation> = {
-        let book = locked(&context.book);
+        let peers = locked(&context.peer_table);
         let others = view.roster.iter().filter(|member| **member != context.me);
-        others.filter(|member| !book.is_heard(**member, now)).copied().collect()
+        others.filter(|member| !peers.is_heard(**member, now)).copied().collect()
     };
     unheard_since.retain(|member, _| silent.contains(member));
     for member in silent {
@@ -141,14 +141,14 @@
         if let Some(address) = target {
             let context = Arc::clone(&context);
             tokio::spawn(async move {
-                let message = news(&context);
+                let message = updates(&context);
                 if let Ok(reply) = context.links.exchange(address, message, EXCHANGE_MS).await {
                     reply.entries.into_iter().for_each(|entry| learn(&context, entry));
                 }
             });
         }
         evict_silent(&context, &mut unheard_since);
-        locked(&context.book).forget_old(Moment::now());
+        locked(&context.peer_table).forget_old(Moment::now());
         let current = context.freshness();
         if freshness.replace(current) != Some(current) {
             log_event!(info, FRESHNESS_CHANGED, verdict = format!("{current:?}"));
--- a/crates/guava-daemon/src/leaving_book.rs
+++ b/crates/guava-daemon/src/leaving_table.rs
@@ -26,12 +26,12 @@
 
 /// The notices, and each upstream's incarnation as last reported.
 #[derive(Debug, Default)]
-pub struct LeavingBook {
+pub struct LeavingTable {
     notices: FastMap<UpstreamId, LeavingNotice>,
     instances: FastMap<UpstreamId, Box<str>>,
 }
 
-impl LeavingBook {
+impl LeavingTable {
     /// Whether an upstream gets no new work.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         self.notices.contains_key(upstream)
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -98,7 +98,7 @@
     /// Takes newer state from a peer, so that a daemon cut from the log still follows.
     async fn fetch_from_peers(&self) -> bool {
         let context = &self.context;
-        let newest = locked(&context.book).most_advanced();
+        let newest = locked(&context.peer_table).most_advanced();
         let mut addresses: Vec<_> = newest.into_iter().collect();
         if context.state.next() == Offset(0) {
             addresses.extend(context.settings.seeds.iter().copied());
--- a/crates/guava-daemon/src/operator_server.rs
+++ b/crates/guava-daemon/src/operator_server.rs
@@ -168,16 +168,16 @@
     fn spread(&self, revision: Offset) -> (Vec<String>, Vec<String>, bool) {
         let context = &self.context;
         let members = context.state.read(|state| state.members().clone());
-        let book = locked(&context.book);
+        let peers = locked(&context.peer_table);
         let has = |incarnation: &Incarnation| {
             *incarnation == context.me
-                || book.get(*incarnation).is_some_and(|entry| entry.next >= revision)
+                || peers.get(*incarnation).is_some_and(|entry| entry.next >= revision)
         };
         let name = |(_, member): (&Incarnation, &guava_state::MemberEntry)| member.name.to_string();
         let in_force = members.iter().filter(|(id, _)| has(id)).map(name).collect();
         let missing = members.iter().filter(|(id, _)| !has(id)).map(name).collect();
         let now = Moment::now();
-        let is_waiting = members.keys().any(|id| !has(id) && book.is_heard(*id, now));
+        let is_waiting = members.keys().any(|id| !has(id) && peers.is_heard(*id, now));
         (in_force, missing, is_waiting)
     }
 }
@@ -212,9 +212,9 @@
         next_offset: context.state.next().0,
         heard_ms: 0,
     }];
-    let book = locked(&context.book);
-    for (incarnation, entry) in book.iter() {
-        let is_heard = book.is_heard(incarnation, now);
+    let peers = locked(&context.peer_table);
+    for (incarnation, entry) in peers.iter() {
+        let is_heard = peers.is_heard(incarnation, now);
         daemons.push(DaemonStatus {
             name: entry.identity.name.to_string(),
             incarnation: incarnation.to_string(),
--- a/crates/guava-daemon/src/peer_server.rs
+++ b/crates/guava-daemon/src/peer_server.rs
@@ -88,8 +88,8 @@
             };
             self.context.calls.adopt(key, fingerprint, outcome, keep);
         }
-        let heir = self.context.me.0.to_be_bytes().to_vec();
-        Ok(Response::new(HandOverReply { heir }))
+        let successor = self.context.me.0.to_be_bytes().to_vec();
+        Ok(Response::new(HandOverReply { successor }))
     }
 
     async fn lookup(
--- a/crates/guava-daemon/src/peer_book.rs
+++ b/crates/guava-daemon/src/peer_table.rs
@@ -70,7 +70,7 @@
 
 /// All entries, this daemon's own left out.
 #[derive(Default)]
-pub struct PeerBook {
+pub struct PeerTable {
     peers: FastMap<Incarnation, KnownPeer>,
 }
 
@@ -95,7 +95,7 @@
     *hasher.finalize().as_bytes()
 }
 
-impl PeerBook {
+impl PeerTable {
     /// Takes an entry in if it is newer than what is known.
     pub fn learn(&mut self, incarnation: Incarnation, entry: PeerEntry) -> bool {
         let is_newer =
@@ -107,7 +107,7 @@
     }
 
     /// Takes entries to pass on: those passed on least, each at most `max_sends` times.
-    pub fn take_news(&mut self, limit: usize, max_sends: u32) -> Vec<(Incarnation, PeerEntry)> {
+    pub fn take_updates(&mut self, limit: usize, max_sends: u32) -> Vec<(Incarnation, PeerEntry)> {
         let mut fresh: Vec<_> =
             self.peers.iter_mut().filter(|(_, known)| known.sends < max_sends).collect();
         fresh.sort_by_key(|(_, known)| (known.sends, std::cmp::Reverse(known.entry.made)));
--- a/crates/guava-daemon/src/door.rs
+++ b/crates/guava-daemon/src/readiness.rs
@@ -1,4 +1,4 @@
-//! Whether this daemon may take new work at all.
+//! Readiness: whether this daemon may take new work at all.
 
 use crate::context::{DaemonContext, DaemonPhase};
 use crate::outcome::{Refusal, RefusalKind};
@@ -6,7 +6,7 @@
 const COME_BACK_MS: u64 = 500;
 
 /// Why new work is refused now, whatever it is; nothing if it may be taken.
-pub fn refusal_at_door(context: &DaemonContext) -> Option<Refusal> {
+pub fn readiness_refusal(context: &DaemonContext) -> Option<Refusal> {
     match context.phase() {
         DaemonPhase::Draining => {
             return Some(Refusal::later(RefusalKind::LEAVING, "this daemon is leaving", 1));
--- a/crates/guava-daemon/src/report_book.rs
+++ b/crates/guava-daemon/src/report_table.rs
@@ -17,11 +17,11 @@
 
 /// Reports by upstream.
 #[derive(Debug, Default)]
-pub struct ReportBook {
+pub struct ReportTable {
     reports: FastMap<UpstreamId, HeardReport>,
 }
 
-impl ReportBook {
+impl ReportTable {
     /// Takes a report in.
     pub fn note(&mut self, upstream: &UpstreamId, report: EngineReport, heard: Moment) {
         self.reports.insert(upstream.clone(), HeardReport { report, heard });
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -1,7 +1,7 @@
 //! Calls of plain services.
 
-use crate::call_desk::{KeyedCall, call_once, service_instances};
-use crate::completion::{CallerInfo, check_door};
+use crate::call_dispatch::{KeyedCall, call_once, service_instances};
+use crate::completion::{CallerInfo, check_readiness};
 use crate::context::{DaemonContext, locked};
 use crate::front::{
     KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
@@ -106,7 +106,7 @@
     call: ServiceCall,
 ) -> CallOutcome {
     let _work = context.work.enter();
-    if let Err(outcome) = check_door(context, caller) {
+    if let Err(outcome) = check_readiness(context, caller) {
         return outcome;
     }
     locked(&context.retries).earn();
--- a/crates/guava-daemon/src/shutdown.rs
+++ b/crates/guava-daemon/src/shutdown.rs
@@ -7,7 +7,7 @@
 use crate::append_commit::own_record;
 use crate::cache_messages::pack_hashes;
 use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::peer_book::PeerEntry;
+use crate::peer_table::PeerEntry;
 use guava_schema::peers::{AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock};
 use guava_state::RecordBody;
 use guava_types::{Deadline, FastMap, Incarnation, Moment};
@@ -47,16 +47,16 @@
     while context.work.running() > 0 && !limit.passed(Moment::now()) {
         sleep(Duration::from_millis(RECHECK_MS)).await;
     }
-    let heir = hand_over_outcomes(context).await;
+    let successor = hand_over_outcomes(context).await;
     hand_over_index(context).await;
-    let leave = own_record(context, RecordBody::Leave { heir });
+    let leave = own_record(context, RecordBody::Leave { successor });
     drop(context.appends.append(leave, Deadline::in_millis(LEAVE_MS)).await);
 }
 
 fn successors(context: &DaemonContext) -> Vec<(Incarnation, SocketAddr)> {
-    let book = locked(&context.book);
+    let peers = locked(&context.peer_table);
     let serves = |entry: &PeerEntry| entry.phase == DaemonPhase::Serving;
-    let alive = book.alive(Moment::now()).filter(|(_, entry)| serves(entry));
+    let alive = peers.alive(Moment::now()).filter(|(_, entry)| serves(entry));
     let mut peers: Vec<_> =
         alive.map(|(peer, entry)| (peer, entry.identity.peer_address)).collect();
     peers.sort_unstable();
@@ -66,7 +66,7 @@
 /// Hands the kept outcomes to one peer, so that repeats of their keys still get them.
 async fn hand_over_outcomes(context: &DaemonContext) -> Option<Incarnation> {
     let kept = context.calls.kept();
-    for (heir, address) in successors(context) {
+    for (successor, address) in successors(context) {
         let mut is_done = true;
         for part in kept.chunks(HAND_OVER_LEN) {
             let outcomes = part.iter().map(|(key, fingerprint, outcome)| KeptOutcome {
@@ -82,7 +82,7 @@
             is_done &= answer.is_ok();
         }
         if is_done {
-            return Some(heir);
+            return Some(successor);
         }
     }
     None
@@ -94,7 +94,7 @@
     let now = Moment::now();
     let mut by_owner: FastMap<SocketAddr, Vec<AdoptedFamily>> = FastMap::default();
     for (salt, seed, seen, sealed) in locked(&context.index).take_sealed() {
-        let Some((_, address)) = locked(&context.book).successor(seed, now) else { continue };
+        let Some((_, address)) = locked(&context.peer_table).successor(seed, now) else { continue };
         let blocks = sealed.iter().map(|block| SealedBlock {
             key: block.key.to_string(),
             store: block.store.to_string(),
--- a/crates/guava-daemon/src/snapshot_turn.rs
+++ b/crates/guava-daemon/src/snapshot_turn.rs
@@ -42,9 +42,9 @@
             |member: &Incarnation| *blake3::hash(format!("{member}{last}").as_bytes()).as_bytes();
         let own = weight(&self.context.me);
         let view = self.context.state.view();
-        let book = locked(&self.context.book);
+        let peers = locked(&self.context.peer_table);
         let now = Moment::now();
-        let alive = view.roster.iter().filter(|member| book.is_heard(**member, now));
+        let alive = view.roster.iter().filter(|member| peers.is_heard(**member, now));
         alive.filter(|member| weight(member) < own).count() as u64
     }
 
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -28,7 +28,7 @@
 const LIST_ENTRY_MS: u64 = 10;
 const LIST_MS: u64 = 2_000;
 /// A starting daemon waits so long for its upstreams' first reports and its peers' first entries.
-const FIRST_NEWS_MS: u64 = 3_000;
+const FIRST_UPDATES_MS: u64 = 3_000;
 /// Failed questions in a row after which an upstream is called silent in the log.
 const SILENT_AFTER: u32 = 4;
 
@@ -101,7 +101,7 @@
         upstreams.keys().all(|id| reports.get(id).is_some())
     };
     if (knows_upstreams && context.reaches_majority())
-        || Moment::now().millis_since(restored) > FIRST_NEWS_MS
+        || Moment::now().millis_since(restored) > FIRST_UPDATES_MS
     {
         context.enter_phase(DaemonPhase::Serving);
     }
@@ -158,7 +158,7 @@
             running: report.running,
             slots: spec.slots,
         };
-        let peers = locked(&context.book).upstream_tokens(upstream, now);
+        let peers = locked(&context.peer_table).upstream_tokens(upstream, now);
         let mut loads = locked(&context.loads);
         loads.note_report(upstream, load);
         loads.note_peers(upstream, peers, now);
--- a/crates/guava-state/src/record.rs
+++ b/crates/guava-state/src/record.rs
@@ -66,10 +66,10 @@
     Releases(Vec<IntentEntry>),
     /// A daemon starts.
     Join(MemberEntry),
-    /// The author leaves in order; its heir keeps the answers it held.
+    /// The author leaves in order; its successor keeps the answers it held.
     Leave {
         /// The incarnation that took over its answers.
-        heir: Option<Incarnation>,
+        successor: Option<Incarnation>,
     },
     /// A daemon has been silent too long.
     Evict {
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -13,8 +13,8 @@
 
 /// Changes kept for the history and for telling a repeated append from a second change.
 const HISTORY_LEN: usize = 512;
-/// Departed incarnations whose heirs are kept.
-const HEIRS_LEN: usize = 4_096;
+/// Departed incarnations whose successors are kept.
+const SUCCESSORS_LEN: usize = 4_096;
 
 /// How a change ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,7 +89,7 @@
     next: Offset,
     objects: BTreeMap<ObjectKey, StoredObject>,
     members: BTreeMap<Incarnation, MemberEntry>,
-    heirs: VecDeque<(Incarnation, Incarnation)>,
+    successors: VecDeque<(Incarnation, Incarnation)>,
     stamps: BTreeMap<Incarnation, WallTime>,
     log_time: WallTime,
     intents: IntentTable,
@@ -201,10 +201,10 @@
     }
 
     /// The incarnation that now keeps the answers of another, following those that left in order.
-    pub fn heir_of(&self, incarnation: Incarnation) -> Incarnation {
+    pub fn successor_of(&self, incarnation: Incarnation) -> Incarnation {
         let mut current = incarnation;
-        for _ in 0..self.heirs.len() {
-            match self.heirs.iter().find(|(from, _)| *from == current) {
+        for _ in 0..self.successors.len() {
+            match self.successors.iter().find(|(from, _)| *from == current) {
                 Some((_, to)) => current = *to,
                 None => break,
             }
@@ -247,9 +247,9 @@
                 self.join(author, member);
                 FoldOutcome::Other { id }
             }
-            RecordBody::Leave { heir } => {
+            RecordBody::Leave { successor } => {
                 self.remove_member(author);
-                self.note_heir(author, heir);
+                self.note_successor(author, successor);
                 FoldOutcome::Other { id }
             }
             RecordBody::Evict { incarnation } => {
@@ -286,7 +286,7 @@
         let replaced: Vec<Incarnation> = self.members.iter().filter_map(same_name).collect();
         for incarnation in replaced {
             self.remove_member(incarnation);
-            if self.superseded.len() == HEIRS_LEN {
+            if self.superseded.len() == SUCCESSORS_LEN {
                 self.superseded.pop_front();
             }
             self.superseded.push_back(incarnation);
@@ -299,12 +299,12 @@
         self.stamps.remove(&incarnation);
     }
 
-    fn note_heir(&mut self, from: Incarnation, heir: Option<Incarnation>) {
-        let Some(heir) = heir else { return };
-        if self.heirs.len() == HEIRS_LEN {
-            self.heirs.pop_front();
+    fn note_successor(&mut self, from: Incarnation, successor: Option<Incarnation>) {
+        let Some(successor) = successor else { return };
+        if self.successors.len() == SUCCESSORS_LEN {
+            self.successors.pop_front();
         }
-        self.heirs.push_back((from, heir));
+        self.successors.push_back((from, successor));
     }
 
     fn judge_change(
