--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -137,17 +137,13 @@
     Some((grant, offer))
 }
 
-/// The order to import a block. It is given up once it has taken as long as recomputing would: a
-/// link that has just become slow must not cost more than that.
-fn import_order(
-    context: &DaemonContext,
-    grant: &ReadGrant,
-    recompute_ms: f64,
-) -> Option<ImportOrder> {
+/// The order to import a block. It is given up once recomputing would have been cheaper: a link
+/// that has just become slow must not cost more than that.
+fn import_order(context: &DaemonContext, grant: &ReadGrant, budget_ms: f64) -> Option<ImportOrder> {
     const LEAST_MS: u64 = 50;
     let store = context.state.view().upstream(&grant.block.store)?.address;
     let left = grant.until.millis_left(Moment::now());
-    let grant_left_ms = left.min((recompute_ms as u64).max(LEAST_MS));
+    let grant_left_ms = left.min((budget_ms as u64).max(LEAST_MS));
     (grant_left_ms > 0).then(|| ImportOrder {
         store,
         key: grant.block.key.clone(),
@@ -208,7 +204,7 @@
     let others = decision.costs.len().saturating_sub(1);
     let cost = decision.chosen;
     let import = offer.filter(|_| cost.import || cost.import_if_missing).and_then(|(grant, _)| {
-        let order = import_order(context, &grant, cost.worst_ms)?;
+        let order = import_order(context, &grant, cost.import_budget_ms)?;
         Some((order, grant.block.store))
     });
     let (import, import_store) = import.unzip();
--- a/crates/guava-policy/src/route.rs
+++ b/crates/guava-policy/src/route.rs
@@ -75,6 +75,10 @@
     pub first_token_ms: f64,
     /// Time to first token if nothing is cached there after all, in milliseconds.
     pub worst_ms: f64,
+    /// How long an import may take before recomputing would have been cheaper, in milliseconds.
+    ///
+    /// By the weights: where recomputed tokens weigh much, a slow import is worth waiting for.
+    pub import_budget_ms: f64,
     /// Whether importing is cheaper than recomputing there.
     pub import: bool,
     /// Whether importing beats recomputing if nothing is cached there after all.
@@ -117,6 +121,7 @@
 /// Weighted cost of a way to the first token, and its time.
 struct WayCost {
     cost: f64,
+    ready_ms: f64,
     first_token_ms: f64,
     recompute: f64,
 }
@@ -126,7 +131,7 @@
     let missing = (input.prompt.0 - resident) as f64;
     let first_token_ms = (wait_of(candidate) + missing / rate) * candidate.slowness;
     let cost = weighted(input.profile, first_token_ms, missing, 0.0);
-    WayCost { cost, first_token_ms, recompute: missing }
+    WayCost { cost, ready_ms: 0.0, first_token_ms, recompute: missing }
 }
 
 fn import_way(input: &RouteInput<'_>, candidate: &RouteCandidate, offer: &ImportOffer) -> WayCost {
@@ -138,7 +143,7 @@
     let ready_ms = wait_of(candidate).max(import_ms);
     let first_token_ms = (ready_ms + left / rate) * candidate.slowness;
     let cost = weighted(input.profile, first_token_ms, left, offer.bytes.0 as f64);
-    WayCost { cost, first_token_ms, recompute: left }
+    WayCost { cost, ready_ms, first_token_ms, recompute: left }
 }
 
 fn wait_of(candidate: &RouteCandidate) -> f64 {
@@ -152,12 +157,18 @@
     let imported = input.import.map(|offer| import_way(input, candidate, offer));
     let is_import = imported.as_ref().is_some_and(|way| way.cost < plain.cost);
     let import_if_missing = imported.as_ref().is_some_and(|way| way.cost < from_nothing.cost);
+    let import_budget_ms = imported.as_ref().map_or(0.0, |way| {
+        let saved = from_nothing.cost - way.cost;
+        let weight = f64::from(input.profile.first_token.max(1)) * candidate.slowness;
+        way.ready_ms + saved.max(0.0) / weight
+    });
     let way = imported.filter(|_| is_import).unwrap_or(plain);
     CandidateCost {
         upstream: candidate.upstream.clone(),
         cost: way.cost,
         first_token_ms: way.first_token_ms,
         worst_ms: from_nothing.first_token_ms / candidate.slowness.max(1.0),
+        import_budget_ms,
         import: is_import,
         import_if_missing,
         recompute: TokenCount(way.recompute as u64),
--- a/crates/guava-policy/tests/route.rs
+++ b/crates/guava-policy/tests/route.rs
@@ -72,6 +72,25 @@
     assert_eq!(decision.chosen.import, expected, "{decision:?}");
 }
 
+#[test]
+fn thrifty_customer_waits_longer_for_an_import() {
+    // Symptom: a narrow link is used in vain: imports are given up half way and recomputed.
+    // Sequence: imports queue on a narrow link; recomputed tokens weigh most.
+    // Cause: an import is given up by time alone, whatever the weights.
+    let candidates = [candidate("idle", 0.0, 0)];
+    let offer = offer(7_936, 400_000, 0);
+    let budget = |profile| {
+        let decision = decide_route(&input(&candidates, Some(&offer), profile)).unwrap();
+        decision.chosen.import_budget_ms
+    };
+
+    let thrifty = budget(THRIFTY);
+    let fast = budget(FAST);
+
+    assert!(thrifty > 10.0 * fast, "{thrifty} {fast}");
+    assert!(fast > 0.0);
+}
+
 #[test]
 fn nothing_to_choose_from() {
     assert_eq!(decide_route(&input(&[], None, FAST)), None);
