--- a/crates/guava-daemon/src/append_commit.rs
+++ b/crates/guava-daemon/src/append_commit.rs
@@ -3,7 +3,9 @@
 
 use crate::append_ring::{AppendBody, AppendCommand, AppendVerdict};
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use bytes::Bytes;
+use guava_log::log_event;
 use guava_state::{IntentEntry, IntentVerdict, LogRecord, RecordBody};
 use guava_types::{Deadline, FastMap, Moment, RecordId, WallTime};
 use std::sync::{Arc, Mutex};
@@ -146,7 +148,7 @@
         let bytes = match record.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
-                log_event!(error, RECORD_REFUSED, error = error);
+                log_event!(error, events::RECORD_REFUSED, error = error);
                 return;
             }
         };
--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -3,7 +3,9 @@
 
 use crate::cache_index::{SealedEntry, SeenBefore};
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use crate::export_ring::PrefixNote;
+use guava_log::log_event;
 use guava_outside::{EngineClient, ExportOrder, StoreClient, StoreReport};
 use guava_policy::{BLOCK_TOKENS, ExportInput, PrefixHash, should_export};
 use guava_state::{UpstreamKind, UpstreamSpec};
@@ -107,7 +109,13 @@
         profile: view.profile,
     };
     if !should_export(&input) {
-        log_event!(info, EXPORT_DECLINED, prefix = last, store = store, bytes = input.bytes);
+        log_event!(
+            info,
+            events::EXPORT_DECLINED,
+            prefix = last,
+            store = store,
+            bytes = input.bytes
+        );
         return None;
     }
     Some(ExportTask { note: note.clone(), first, last, tokens, store, spec })
@@ -140,14 +148,14 @@
         _ => false,
     };
     if !agreed {
-        log_event!(warn, EXPORT_FAILED, key = key, store = task.store);
+        log_event!(warn, events::EXPORT_FAILED, key = key, store = task.store);
         drop(store.free(&key, Deadline::in_millis(STORE_MS)).await);
         return;
     }
     if let Ok(receipt) = receipt {
         log_event!(
             info,
-            EXPORTED,
+            events::EXPORTED,
             key = key,
             store = task.store,
             bytes = receipt.length,
@@ -175,7 +183,7 @@
     let freed = locked(&context.index).take_freeable(need, Moment::now());
     for block in freed {
         let Some(spec) = context.state.view().upstream(&block.store).cloned() else { continue };
-        log_event!(info, BLOCK_FREED, key = block.key, store = block.store);
+        log_event!(info, events::BLOCK_FREED, key = block.key, store = block.store);
         let client = StoreClient { address: spec.address };
         drop(client.free(&block.key, Deadline::in_millis(STORE_MS)).await);
     }
--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -9,9 +9,11 @@
 use crate::call_forward::{attach, forward_pinned};
 use crate::call_table::{CallEntry, CallFingerprint, wait_outcome};
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
 use bytes::Bytes;
+use guava_log::log_event;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
 use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
 use guava_types::{
@@ -114,7 +116,7 @@
         CallEntry::Mismatch => mismatch(),
         CallEntry::Full => call.refused(RefusalKind::OVERLOADED, "too many keys", COME_BACK_MS),
         CallEntry::Known(receiver) => {
-            log_event!(info, CALL_ATTACHED, request = call.request, holder = context.me);
+            log_event!(info, events::CALL_ATTACHED, request = call.request, holder = context.me);
             wait_or_unknown(wait_outcome(receiver, deadline).await)
         }
         CallEntry::New => {
@@ -154,7 +156,12 @@
     };
     match end {
         RunEnd::Dispatched(outcome) => {
-            log_event!(info, CALL_FINISHED, request = call.request, outcome = outcome.name());
+            log_event!(
+                info,
+                events::CALL_FINISHED,
+                request = call.request,
+                outcome = outcome.name()
+            );
             context.calls.settle(&key, outcome);
         }
         RunEnd::Elsewhere(outcome) => context.calls.settle_and_forget(&key, outcome),
@@ -241,7 +248,7 @@
 /// Gives an intent up before anything was sent. Whether or not its append takes effect later, this
 /// incarnation never dispatches it; the release lets a later attempt run.
 fn give_up(context: &DaemonContext, call: &KeyedCall, intent: IntentEntry) {
-    log_event!(info, CALL_GIVEN_UP, request = call.request, intent = intent.id);
+    log_event!(info, events::CALL_GIVEN_UP, request = call.request, intent = intent.id);
     context.appends.append_later(AppendBody::Release(intent), Deadline::in_millis(RELEASE_MS));
 }
 
@@ -303,7 +310,7 @@
         }
         log_event!(
             info,
-            CALL_DISPATCHED,
+            events::CALL_DISPATCHED,
             request = call.request,
             service = call.service,
             choice = upstream,
--- a/crates/guava-daemon/src/call_forward.rs
+++ b/crates/guava-daemon/src/call_forward.rs
@@ -3,7 +3,9 @@
 use crate::call_dispatch::{COME_BACK_MS, KeyedCall, call_once, mismatch, wait_or_unknown};
 use crate::call_table::{CallFingerprint, wait_outcome};
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use crate::outcome::{CallOutcome, RefusalKind};
+use guava_log::log_event;
 use guava_schema::peers::{AttachRequest, CallReply, PinnedRequest};
 use guava_types::{CallKey, CallerKey, Deadline, Incarnation, Moment, PinnedKey};
 use std::net::SocketAddr;
@@ -34,7 +36,7 @@
         time_left_ms: u32::try_from(left).unwrap_or(u32::MAX),
         attempt: call.attempt.unwrap_or(0),
     };
-    log_event!(info, CALL_ATTACHED, request = call.request, holder = holder);
+    log_event!(info, events::CALL_ATTACHED, request = call.request, holder = holder);
     match context.links.run_pinned(address, request, left + FORWARD_SLACK_MS).await {
         Ok(reply) => CallOutcome::from_reply(reply),
         Err(error) if error.may_have_run() => {
@@ -64,7 +66,7 @@
     call: &KeyedCall,
     holder: Incarnation,
 ) -> CallOutcome {
-    log_event!(info, CALL_ATTACHED, request = call.request, holder = holder);
+    log_event!(info, events::CALL_ATTACHED, request = call.request, holder = holder);
     let gone = "the daemon that held this key is gone; whether it ran is not known";
     if holder == context.me {
         return CallOutcome::unknown("the outcome is no longer kept", COME_BACK_MS);
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -4,11 +4,13 @@
 use crate::cache_messages::note_computed;
 use crate::context::{DaemonContext, locked};
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
+use crate::events;
 use crate::export_ring::PrefixNote;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
 use crate::work_gauge::WorkGuard;
+use guava_log::log_event;
 use guava_outside::{CompletionOrder, HttpError, Usage};
 use guava_policy::{AdmitDecision, ReplyChunk, ReturnAfter};
 use guava_state::ModelSpec;
@@ -372,7 +374,13 @@
             }
         };
         let upstream = choice.client.upstream;
-        log_event!(info, REROUTED, request = caller.request, from = upstream, reason = reason);
+        log_event!(
+            info,
+            events::REROUTED,
+            request = caller.request,
+            from = upstream,
+            reason = reason
+        );
         tried.push(upstream);
         last = reason;
         if caller.deadline.passed(Moment::now()) || !locked(&context.retries).spend() {
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -3,6 +3,8 @@
 use crate::cache_index::ReadGrant;
 use crate::cache_messages::{CacheAnswer, lookup};
 use crate::context::{DaemonContext, locked};
+use crate::events;
+use guava_log::log_event;
 use guava_outside::{EngineClient, ImportOrder};
 use guava_policy::{
     BLOCK_TOKENS, CandidateCost, ImportOffer, PrefixChain, PrefixHash, RouteCandidate,
@@ -167,7 +169,7 @@
     let reason = decision.reason;
     log_event!(
         info,
-        ROUTED,
+        events::ROUTED,
         request = work.request,
         customer = work.customer,
         model = work.model,
--- a/crates/guava-daemon/src/event_stream.rs
+++ b/crates/guava-daemon/src/event_stream.rs
@@ -2,6 +2,7 @@
 
 use crate::completion::{StartedRun, note_import};
 use crate::context::DaemonContext;
+use crate::events;
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, refusal_json};
 use crate::run_feed::{FeedError, FeedStep};
 use crate::stream_id::StreamPlace;
@@ -10,6 +11,7 @@
 use axum::response::IntoResponse;
 use bytes::Bytes;
 use futures_util::stream;
+use guava_log::log_event;
 use guava_outside::Usage;
 use guava_policy::ReplyChunk;
 use guava_types::{CustomerId, ModelName};
@@ -130,7 +132,7 @@
                 note_import(&context, run.import.as_ref(), &usage);
                 log_event!(
                     info,
-                    COMPLETED,
+                    events::COMPLETED,
                     request = owner.request,
                     upstream = run.upstream,
                     prompt_tokens = usage.prompt_tokens,
@@ -142,7 +144,7 @@
                 return;
             }
             Err(error) => {
-                log_event!(warn, INCOMPLETE, request = owner.request, error = error);
+                log_event!(warn, events::INCOMPLETE, request = owner.request, error = error);
                 let outcome = CallOutcome::failed(format!("incomplete answer: {error}"));
                 pass_on(&sender, error_event(&outcome)).await;
                 return;
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -1,25 +1,6 @@
 //! Numbered log events; `docs/EVENTS.md` is their catalogue and a test holds the two together.
 
-/// One kind of log line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LogEvent {
-    /// Its number, never reused.
-    pub code: &'static str,
-    /// Its text.
-    pub text: &'static str,
-}
-
-macro_rules! events {
-    ($($name:ident $code:literal $text:literal;)*) => {
-        $(
-            #[doc = $text]
-            pub const $name: LogEvent = LogEvent { code: $code, text: $text };
-        )*
-
-        /// All events.
-        pub const CATALOGUE: &[LogEvent] = &[$($name),*];
-    };
-}
+use guava_log::events;
 
 events! {
     STARTED "G1001" "daemon started";
@@ -64,13 +45,3 @@
     PLACED "G7003" "order to load a version";
     ORDER_REFUSED "G7004" "order refused by the upstream";
 }
-
-/// Writes one event with its fields as a structured log line.
-macro_rules! log_event {
-    ($level:ident, $event:ident $(, $key:ident = $value:expr)* $(,)?) => {
-        spdlog::$level!(
-            "{}", $crate::events::$event.text,
-            kv: { event = $crate::events::$event.code $(, $key: = $value)* }
-        )
-    };
-}
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -7,6 +7,7 @@
 };
 use crate::context::{DaemonContext, DaemonPhase};
 use crate::event_stream::{StreamOwner, stream_response, usage_json};
+use crate::events;
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, Refusal, RefusalKind};
 use crate::run_feed::{FeedStep, RunFeed};
 use crate::service_front::call_service;
@@ -17,6 +18,7 @@
 use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
+use guava_log::log_event;
 use guava_outside::EngineClient;
 use guava_types::{CallerKey, CustomerId, Deadline, Moment, PinnedKey};
 use std::sync::Arc;
@@ -106,7 +108,7 @@
 ) -> Response<Body> {
     let outcome = match outcome {
         CallOutcome::NotRun(refusal) => {
-            log_event!(info, REFUSED, request = request, code = refusal.kind.code);
+            log_event!(info, events::REFUSED, request = request, code = refusal.kind.code);
             let others = other_addresses(context);
             CallOutcome::NotRun(refusal.with_addresses(others))
         }
@@ -217,7 +219,7 @@
     let from = place.position + 1;
     let feed = RunFeed::attached(client, place.run.clone(), place.version.clone(), from).await;
     let feed = feed.map_err(|error| CallOutcome::failed(format!("run lost: {error}")))?;
-    log_event!(info, RESUMED, request = request, upstream = place.upstream, from = from);
+    log_event!(info, events::RESUMED, request = request, upstream = place.upstream, from = from);
     let owner = StreamOwner {
         request: request.into(),
         customer: caller.customer,
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -5,8 +5,10 @@
 
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use crate::gossip_codec::{learn, own_entry, to_message};
 use crate::peer_table::version_every_ms;
+use guava_log::log_event;
 use guava_schema::peers::Gossip;
 use guava_state::{EvictionWatch, RecordBody};
 use guava_types::{Deadline, Incarnation, Moment};
@@ -115,7 +117,7 @@
     };
     let turn_ms = u64::from(rand::random::<u8>()) * TURN_STEP_MS;
     for member in watch.due(&silent, context.reaches_majority(), turn_ms, now) {
-        log_event!(warn, MEMBER_EVICTED, member = member);
+        log_event!(warn, events::MEMBER_EVICTED, member = member);
         let body = own_record(context, RecordBody::Evict { incarnation: member });
         context.appends.append_later(body, Deadline::in_millis(EVICT_TRY_MS));
     }
@@ -146,7 +148,7 @@
         locked(&context.peer_table).forget_old(Moment::now());
         let current = context.freshness();
         if freshness.replace(current) != Some(current) {
-            log_event!(info, FRESHNESS_CHANGED, verdict = format!("{current:?}"));
+            log_event!(info, events::FRESHNESS_CHANGED, verdict = format!("{current:?}"));
         }
         sleep(Duration::from_millis(TICK_MS)).await;
     }
--- a/crates/guava-daemon/src/leaving_table.rs
+++ b/crates/guava-daemon/src/leaving_table.rs
@@ -5,6 +5,8 @@
 //! incarnation in the upstream's own report ends the notice. What operators drain is looked up in
 //! the configuration itself.
 
+use crate::events;
+use guava_log::log_event;
 use guava_types::{FastMap, UpstreamId};
 
 /// Who said it.
@@ -41,7 +43,12 @@
         if self.notices.contains_key(upstream) {
             return;
         }
-        log_event!(info, UPSTREAM_LEAVING, upstream = upstream, source = format!("{source:?}"));
+        log_event!(
+            info,
+            events::UPSTREAM_LEAVING,
+            upstream = upstream,
+            source = format!("{source:?}")
+        );
         self.notices.insert(upstream.clone(), LeavingNotice { instance: instance.into(), source });
     }
 
@@ -66,7 +73,7 @@
         let replaced =
             self.notices.get(upstream).is_some_and(|notice| *notice.instance != *instance);
         if is_new && replaced {
-            log_event!(info, UPSTREAM_BACK, upstream = upstream);
+            log_event!(info, events::UPSTREAM_BACK, upstream = upstream);
             self.notices.remove(upstream);
         }
         if leaving {
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -1,6 +1,5 @@
 //! One daemon: its duties, a thread each, and what they share.
 
-#[macro_use]
 pub mod events;
 
 mod address;
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -4,7 +4,9 @@
 use crate::append_commit::{AppendCommitter, commit_appends, own_record};
 use crate::append_ring::{AppendCommand, AppendVerdict};
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::events;
 use crate::snapshot_turn::SnapshotTurn;
+use guava_log::log_event;
 use guava_outside::{HttpError, LogPage};
 use guava_schema::peers::FetchRequest;
 use guava_state::{FleetState, FoldOutcome, MemberEntry, RecordBody, restore, state_from_json};
@@ -57,10 +59,10 @@
             let from_log = self.restore_from_log().await;
             let from_peer = self.fetch_from_peers().await;
             if from_log || from_peer {
-                log_event!(info, STATE_RESTORED, next = self.context.state.next());
+                log_event!(info, events::STATE_RESTORED, next = self.context.state.next());
                 return;
             }
-            log_event!(warn, STATE_UNAVAILABLE, name = self.context.settings.name);
+            log_event!(warn, events::STATE_UNAVAILABLE, name = self.context.settings.name);
             sleep(Duration::from_millis(FETCH_EVERY_MS)).await;
         }
     }
@@ -113,7 +115,7 @@
             let Ok(state) = state_from_json(&reply.state, &reply.digest) else { continue };
             let next = state.next();
             if context.state.advance_to(state) {
-                log_event!(info, STATE_FROM_PEER, peer = address, next = next);
+                log_event!(info, events::STATE_FROM_PEER, peer = address, next = next);
                 return true;
             }
         }
@@ -127,7 +129,7 @@
                 Ok(()) => {
                     if let Some(since) = lost_since.take() {
                         let outage = Moment::now().millis_since(since);
-                        log_event!(info, LOG_BACK, outage_ms = outage);
+                        log_event!(info, events::LOG_BACK, outage_ms = outage);
                         if outage > OUTAGE_MS {
                             self.snapshots.note_outage();
                         }
@@ -137,7 +139,7 @@
                 Err(error) => {
                     if lost_since.is_none() {
                         lost_since = Some(Moment::now());
-                        log_event!(warn, LOG_LOST, error = error);
+                        log_event!(warn, events::LOG_LOST, error = error);
                     }
                     sleep(Duration::from_millis(RETRY_MS)).await;
                 }
@@ -170,7 +172,7 @@
             return Ok(());
         }
         if page.end < next {
-            log_event!(error, LOG_SHRANK, end = page.end, next = next);
+            log_event!(error, events::LOG_SHRANK, end = page.end, next = next);
             sleep(Duration::from_millis(RETRY_MS)).await;
             return Ok(());
         }
@@ -191,12 +193,12 @@
     fn settle(&self, offset: Offset, outcome: FoldOutcome) {
         match outcome {
             FoldOutcome::Skipped { reason } => {
-                log_event!(warn, RECORD_SKIPPED, offset = offset, reason = reason);
+                log_event!(warn, events::RECORD_SKIPPED, offset = offset, reason = reason);
             }
             FoldOutcome::Repeated => {}
             FoldOutcome::Change { id, verdict } => {
                 let text = format!("{verdict:?}");
-                log_event!(info, CHANGE_FOLDED, offset = offset, verdict = text);
+                log_event!(info, events::CHANGE_FOLDED, offset = offset, verdict = text);
                 self.committer.answer(id, AppendVerdict::Change(verdict));
             }
             FoldOutcome::Intents(verdicts) => {
@@ -223,7 +225,7 @@
         if context.state.read(|state| state.is_superseded(context.me)) {
             // A daemon that was paused while its VM was replaced: the new one has its name and
             // addresses. It finishes what it holds and takes nothing new.
-            log_event!(warn, SUPERSEDED, name = context.settings.name);
+            log_event!(warn, events::SUPERSEDED, name = context.settings.name);
             context.enter_phase(DaemonPhase::Draining);
             return;
         }
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -6,6 +6,8 @@
 
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::events;
+use guava_log::log_event;
 use guava_outside::{EngineClient, LoadOrder};
 use guava_state::{LeaseRequest, LeaseWatch, RecordBody, UpstreamKind, UpstreamSpec};
 use guava_types::{Deadline, FastMap, ModelName, Moment, Offset, UpstreamId, VersionName};
@@ -61,11 +63,11 @@
         if token != self.token {
             match token {
                 Some(token) => {
-                    log_event!(info, LEASE_TAKEN, lease = LEASE, token = token);
+                    log_event!(info, events::LEASE_TAKEN, lease = LEASE, token = token);
                     self.quiet_until = Deadline::after(now, FLIGHT_MS);
                     self.ordered.clear();
                 }
-                None => log_event!(info, LEASE_LOST, lease = LEASE),
+                None => log_event!(info, events::LEASE_LOST, lease = LEASE),
             }
             self.token = token;
         }
@@ -99,7 +101,7 @@
             let order = LoadOrder { token, model, version: version.clone() };
             log_event!(
                 info,
-                PLACED,
+                events::PLACED,
                 upstream = upstream,
                 model = order.model,
                 version = version,
@@ -110,7 +112,12 @@
             if let Ok(answer) = client.order(&order, Deadline::in_millis(ORDER_MS)).await
                 && !answer.accepted
             {
-                log_event!(warn, ORDER_REFUSED, upstream = upstream, reason = answer.reason);
+                log_event!(
+                    warn,
+                    events::ORDER_REFUSED,
+                    upstream = upstream,
+                    reason = answer.reason
+                );
             }
         }
     }
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -3,6 +3,7 @@
 use crate::call_dispatch::{KeyedCall, call_once, service_instances};
 use crate::completion::{CallerInfo, check_readiness};
 use crate::context::{DaemonContext, locked};
+use crate::events;
 use crate::front::{
     KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
     new_request_id,
@@ -11,6 +12,7 @@
 use axum::body::{Body, to_bytes};
 use axum::extract::{Path, Request, State};
 use axum::http::Response;
+use guava_log::log_event;
 use guava_outside::{ServiceCall, ServiceClient};
 use guava_types::{CallKey, CallerKey, ServiceName};
 use std::sync::Arc;
@@ -121,7 +123,7 @@
         let (upstream, address) = instances.swap_remove(index);
         log_event!(
             info,
-            CALL_DISPATCHED,
+            events::CALL_DISPATCHED,
             request = caller.request,
             service = service,
             choice = upstream,
--- a/crates/guava-daemon/src/shutdown.rs
+++ b/crates/guava-daemon/src/shutdown.rs
@@ -7,7 +7,9 @@
 use crate::append_commit::own_record;
 use crate::cache_messages::pack_hashes;
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::events;
 use crate::peer_table::PeerEntry;
+use guava_log::log_event;
 use guava_schema::peers::{AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock};
 use guava_state::RecordBody;
 use guava_types::{Deadline, FastMap, Incarnation, Moment};
@@ -40,7 +42,12 @@
 pub async fn drain(context: &Arc<DaemonContext>) {
     context.enter_phase(DaemonPhase::Leaving);
     let limit = Deadline::in_millis(context.settings.drain_limit_ms);
-    log_event!(info, DRAINING, name = context.settings.name, running = context.work.running());
+    log_event!(
+        info,
+        events::DRAINING,
+        name = context.settings.name,
+        running = context.work.running()
+    );
     let kept = Duration::from_millis(context.settings.address_keep_ms + SPREAD_MS);
     sleep(kept.min(limit.time_left())).await;
     context.enter_phase(DaemonPhase::Draining);
--- a/crates/guava-daemon/src/snapshot_turn.rs
+++ b/crates/guava-daemon/src/snapshot_turn.rs
@@ -2,6 +2,8 @@
 
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, locked};
+use crate::events;
+use guava_log::log_event;
 use guava_state::{FleetState, PART_BYTES, RecordBody, snapshot_parts, state_text};
 use guava_types::{Deadline, Incarnation, Moment, Offset};
 use std::sync::{Arc, Mutex};
@@ -79,7 +81,7 @@
         }
         let context = &self.context;
         let Ok(text) = context.state.read(state_text) else { return };
-        log_event!(info, SNAPSHOT_WRITTEN, next = text.next, bytes = text.text.len());
+        log_event!(info, events::SNAPSHOT_WRITTEN, next = text.next, bytes = text.text.len());
         for part in snapshot_parts(&text, PART_BYTES) {
             let append = own_record(context, RecordBody::Snapshot(part));
             context.appends.append_later(append, Deadline::in_millis(SNAPSHOT_TRY_MS));
--- a/crates/guava-daemon/src/start.rs
+++ b/crates/guava-daemon/src/start.rs
@@ -2,6 +2,7 @@
 
 use crate::append_ring::AppendRing;
 use crate::context::{ContextParts, DaemonContext};
+use crate::events;
 use crate::export_ring::ExportRing;
 use crate::listener::serve_listener;
 use crate::log_duty::LogDuty;
@@ -15,10 +16,9 @@
 use crate::tls::{PeerTls, TlsError, TlsKeeper};
 use crate::{cache_duty, front, gossip_duty, order_duty, watch_duty};
 use axum::Router;
+use guava_log::log_event;
+use guava_log::{LogError, set_up_logging};
 use snafu::{ResultExt, Snafu};
-use spdlog::formatter::JsonFormatter;
-use spdlog::sink::{AsyncPoolSink, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +26,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Log lines a second beyond which decisions are dropped and counted: a few lines for each of
+/// several hundred requests.
+const LOG_LINES_PER_S: u32 = 2_000;
+
 /// Why a daemon does not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -56,45 +60,13 @@
         source: std::io::Error,
     },
     /// The log.
-    #[snafu(display("cannot set up logging: {source}"))]
+    #[snafu(display("{source}"))]
     Logging {
         /// Why.
-        source: spdlog::Error,
+        source: LogError,
     },
 }
 
-fn log_level(name: &str) -> Level {
-    match name {
-        "error" => Level::Error,
-        "warn" => Level::Warn,
-        "debug" => Level::Debug,
-        _ => Level::Info,
-    }
-}
-
-fn set_up_logging(settings: &DaemonSettings) -> Result<(), StartError> {
-    let console = StdStreamSink::builder()
-        .stdout()
-        .formatter(JsonFormatter::new())
-        .build_arc()
-        .context(LoggingSnafu)?;
-    // Full queue: lines are dropped rather than requests held up.
-    let sink = AsyncPoolSink::builder()
-        .sink(console)
-        .overflow_policy(spdlog::sink::OverflowPolicy::DropIncoming)
-        .build_arc()
-        .context(LoggingSnafu)?;
-    let level = LevelFilter::MoreSevereEqual(log_level(&settings.log_level));
-    let logger = Logger::builder()
-        .sink(sink)
-        .level_filter(level)
-        .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Info))
-        .build_arc()
-        .context(LoggingSnafu)?;
-    spdlog::set_default_logger(logger);
-    Ok(())
-}
-
 /// A thread with a runtime of its own for one duty.
 fn start_duty<F>(
     name: &'static str,
@@ -134,7 +106,7 @@
     let listener = match TcpListener::from_std(bound.listener) {
         Ok(listener) => listener,
         Err(error) => {
-            log_event!(error, LISTENER_FAILED, error = error);
+            log_event!(error, events::LISTENER_FAILED, error = error);
             return;
         }
     };
@@ -146,7 +118,7 @@
 
 /// Runs a daemon until it is told to stop and has finished what ran.
 pub fn run_daemon(settings: DaemonSettings) -> Result<(), StartError> {
-    set_up_logging(&settings)?;
+    let log = set_up_logging(&settings.log_level, LOG_LINES_PER_S).context(LoggingSnafu)?;
     guava_outside::set_source(settings.source_ip);
     let secret = StreamSecret::read(&settings.secret_file).context(SecretSnafu)?;
     let callers = bind(&settings.callers)?;
@@ -159,7 +131,7 @@
     let metrics = MetricSink::new(settings.metrics);
     let parts = ContextParts { settings, appends, exports, links, metrics, secret };
     let context = Arc::new(DaemonContext::new(parts));
-    log_event!(info, STARTED, name = context.settings.name, incarnation = context.me);
+    log_event!(info, events::STARTED, name = context.settings.name, incarnation = context.me);
     let stop = watch::Sender::new(false);
 
     let shared = Arc::clone(&context);
@@ -191,8 +163,8 @@
     wait_and_drain(&context)?;
     stop.send_replace(true);
     listeners.into_iter().for_each(|listener| drop(listener.join()));
-    log_event!(info, STOPPED, name = context.settings.name);
-    spdlog::default_logger().flush();
+    log_event!(info, events::STOPPED, name = context.settings.name);
+    log.finish();
     Ok(())
 }
 
--- a/crates/guava-daemon/src/tls.rs
+++ b/crates/guava-daemon/src/tls.rs
@@ -1,8 +1,10 @@
 //! TLS for callers and operators, mutual TLS between daemons; keys are read anew when their files
 //! change.
 
+use crate::events;
 use crate::settings::TlsFiles;
 use arc_swap::ArcSwap;
+use guava_log::log_event;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use rustls::server::WebPkiClientVerifier;
@@ -115,9 +117,13 @@
                 Ok(config) => {
                     self.config.store(Arc::new(config));
                     on_change();
-                    log_event!(info, KEYS_RELOADED, file = self.files.certificate.display());
+                    log_event!(
+                        info,
+                        events::KEYS_RELOADED,
+                        file = self.files.certificate.display()
+                    );
                 }
-                Err(error) => log_event!(error, KEYS_REFUSED, error = error),
+                Err(error) => log_event!(error, events::KEYS_REFUSED, error = error),
             }
         }
     }
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -4,6 +4,8 @@
 //! in a small deployment that is all of them.
 
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::events;
+use guava_log::log_event;
 use guava_outside::{CacheEvents, EngineClient, EngineReport};
 use guava_policy::LoadReport;
 use guava_state::{UpstreamKind, UpstreamSpec};
@@ -128,7 +130,7 @@
             Err(error) => {
                 failures += 1;
                 if failures == SILENT_AFTER {
-                    log_event!(warn, UPSTREAM_SILENT, upstream = upstream, error = error);
+                    log_event!(warn, events::UPSTREAM_SILENT, upstream = upstream, error = error);
                 }
             }
         }
@@ -180,7 +182,7 @@
     let has_gap = expected != events.events.len() as u64;
     let mut index = locked(&context.index);
     if (is_new && !cursor.instance.is_empty()) || (has_gap && !is_new) {
-        log_event!(info, EVENTS_GAPPED, upstream = upstream, expected = expected);
+        log_event!(info, events::EVENTS_GAPPED, upstream = upstream, expected = expected);
         index.forget_upstream(upstream);
     } else {
         events.events.iter().for_each(|event| index.note_eviction(upstream, event));
--- a/crates/guava-policy/src/load.rs
+++ b/crates/guava-policy/src/load.rs
@@ -138,6 +138,21 @@
         self.loads.get(upstream).cloned().unwrap_or_default()
     }
 
+    /// The load of an upstream of which something is known.
+    pub fn find(&self, upstream: &UpstreamId) -> Option<&UpstreamLoad> {
+        self.loads.get(upstream)
+    }
+
+    /// Notes one lost or broken answer: twice as slow as before, and some.
+    ///
+    /// One loss in a hundred is no reason to leave an upstream; several in a row double its cost
+    /// each time, until the others are cheaper.
+    pub fn stumbled(&mut self, upstream: &UpstreamId, now: Moment) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.slowness = (load.past_slowness(now) * 2.0 + 1.0).min(MAX_SLOWNESS);
+        load.slowness_noted = now;
+    }
+
     /// All loads.
     pub fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &UpstreamLoad)> {
         self.loads.iter()
--- a/crates/guava-policy/src/retry.rs
+++ b/crates/guava-policy/src/retry.rs
@@ -13,18 +13,34 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     hundredths: u32,
+    earn_hundredths: u32,
+    cap_hundredths: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { hundredths: CAP_HUNDREDTHS }
+        Self {
+            hundredths: CAP_HUNDREDTHS,
+            earn_hundredths: EARN_HUNDREDTHS,
+            cap_hundredths: CAP_HUNDREDTHS,
+        }
     }
 }
 
 impl RetryBudget {
+    /// A full budget: retries earned by each first attempt, and the most that can be saved up.
+    pub fn new(earned: f64, saved: f64) -> Self {
+        let hundredths = |retries: f64| (retries * f64::from(COST_HUNDREDTHS)) as u32;
+        Self {
+            hundredths: hundredths(saved),
+            earn_hundredths: hundredths(earned),
+            cap_hundredths: hundredths(saved),
+        }
+    }
+
     /// Notes a first attempt.
     pub fn earn(&mut self) {
-        self.hundredths = (self.hundredths + EARN_HUNDREDTHS).min(CAP_HUNDREDTHS);
+        self.hundredths = (self.hundredths + self.earn_hundredths).min(self.cap_hundredths);
     }
 
     /// Pays for one retry, if there is enough.
--- /dev/null
+++ b/crates/guava-serve/src/answer_body.rs
@@ -0,0 +1,65 @@
+//! The body of an answer to a caller: whole, or relayed event by event.
+
+use bytes::Bytes;
+use futures_util::stream::{LocalBoxStream, StreamExt};
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A relayed stream that could not be brought to its end.
+///
+/// The connection to the caller is closed without the body's end, so that the answer can't be
+/// taken for a whole one.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("the stream broke off: {reason}"))]
+pub struct BrokenStream {
+    /// Why.
+    pub reason: Box<str>,
+}
+
+/// A body on its way to a caller.
+pub enum AnswerBody {
+    /// Known whole.
+    Whole(Option<Bytes>),
+    /// Passed on as it comes.
+    Relayed(LocalBoxStream<'static, Result<Bytes, BrokenStream>>),
+}
+
+impl AnswerBody {
+    /// A whole body.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenStream;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Relayed(stream) => {
+                stream.poll_next_unpin(context).map(|next| next.map(|next| next.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/attempt.rs
@@ -0,0 +1,433 @@
+//! One send of a request to one upstream, up to its answer or its stream's first event.
+
+use crate::accepted_request::AcceptedRequest;
+use crate::connection_pool::{ExchangeError, UpstreamConnection};
+use crate::dialect::{AnswerMarks, SendPlan};
+use crate::event_framer::{EventBatch, EventFramer};
+use crate::events;
+use crate::serve_parts::ServeParts;
+use crate::work_table::WorkTicket;
+use bytes::{Bytes, BytesMut};
+use guava_log::log_event;
+use guava_types::{Deadline, Moment, ServiceName, TokenCount, UpstreamId};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::rc::Rc;
+use tokio::time::timeout;
+
+/// Largest answer that is not a stream, in bytes.
+const LARGEST_ANSWER: usize = 8 << 20;
+/// Longest wait for the rest of a refusal, so that its connection can be kept, in milliseconds.
+const REFUSAL_BODY_MS: u64 = 20;
+
+/// Work at an upstream; over when this is dropped.
+pub struct WorkGuard {
+    parts: Rc<ServeParts>,
+    ticket: WorkTicket,
+}
+
+impl WorkGuard {
+    /// Notes work from now on.
+    pub fn begin(parts: &Rc<ServeParts>, load: &ExpectedLoad, upstream: &UpstreamId) -> Self {
+        let ticket = parts.work.borrow_mut().begin(
+            upstream,
+            load.prompt,
+            load.memory,
+            load.answer_ms,
+            Moment::now(),
+        );
+        Self { parts: Rc::clone(parts), ticket }
+    }
+
+    fn started(&self) {
+        self.parts.work.borrow_mut().started(&self.ticket, Moment::now());
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.parts.work.borrow_mut().end(&self.ticket);
+    }
+}
+
+/// What a send is expected to cost its upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ExpectedLoad {
+    /// Prompt tokens to read.
+    pub prompt: TokenCount,
+    /// Memory to take.
+    pub memory: TokenCount,
+    /// Time to the answer or its first event, in milliseconds.
+    pub answer_ms: f64,
+}
+
+/// One send with all that was decided for it.
+#[derive(Clone, Debug)]
+pub struct AttemptPlan {
+    /// What is sent where.
+    pub send: SendPlan,
+    /// Service whose budget pays for another try.
+    pub service: ServiceName,
+    /// What it is expected to cost.
+    pub load: ExpectedLoad,
+    /// When another upstream is tried, if one may be.
+    pub patience: Option<Deadline>,
+    /// When nobody waits any more.
+    pub deadline: Deadline,
+}
+
+/// An answer that came whole.
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Head.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A stream whose first event is in.
+pub struct OpenStream {
+    /// Status.
+    pub status: StatusCode,
+    /// Head.
+    pub headers: HeaderMap,
+    /// The first events.
+    pub first: EventBatch,
+    /// Where the rest comes from.
+    pub source: StreamSource,
+}
+
+/// Where a stream's events come from.
+pub struct StreamSource {
+    /// Which upstream.
+    pub upstream: UpstreamId,
+    body: Incoming,
+    framer: EventFramer,
+    connection: UpstreamConnection,
+    marks: AnswerMarks,
+    _work: WorkGuard,
+}
+
+/// What a stream brings next.
+pub enum StreamStep {
+    /// Whole events.
+    Events(EventBatch),
+    /// Its end.
+    End,
+    /// It broke off.
+    Broken(Box<str>),
+}
+
+/// How a send ended.
+pub enum AttemptEnd {
+    /// With a whole answer.
+    Whole(WholeAnswer),
+    /// With a stream.
+    Stream(Box<OpenStream>),
+    /// No byte was written.
+    NotSent,
+    /// The upstream says that it did not run it.
+    Refused,
+    /// Given up for another upstream, whose try is paid for; it may have run.
+    Abandoned,
+    /// It may have run, and there is no answer.
+    Lost,
+    /// Nobody waits any more, and it may have run.
+    TimedOut,
+}
+
+/// Result of a wait that is bounded by patience and deadline.
+enum Waited<T> {
+    Done(T),
+    Abandoned,
+    TimedOut,
+}
+
+/// Waits within the plan's patience. Another try is paid for before this one is given up: without
+/// that, a spent budget would turn a slow answer into none.
+async fn wait_for<T>(
+    parts: &ServeParts,
+    plan: &AttemptPlan,
+    future: impl Future<Output = T>,
+) -> Waited<T> {
+    let mut future = std::pin::pin!(future);
+    if let Some(patience) = plan.patience {
+        let first = patience.earlier(plan.deadline);
+        if let Ok(done) = timeout(first.time_left(), &mut future).await {
+            return Waited::Done(done);
+        }
+        let is_over = plan.deadline.passed(Moment::now());
+        if !is_over && parts.retries.borrow_mut().spend(&plan.service) {
+            return Waited::Abandoned;
+        }
+    }
+    match timeout(plan.deadline.time_left(), &mut future).await {
+        Ok(done) => Waited::Done(done),
+        Err(_) => Waited::TimedOut,
+    }
+}
+
+/// A request and its plan, as the steps of one send see them.
+struct Attempt<'a> {
+    parts: &'a Rc<ServeParts>,
+    request: &'a AcceptedRequest,
+    plan: &'a AttemptPlan,
+}
+
+/// Sends a request once.
+pub async fn attempt(
+    parts: &Rc<ServeParts>,
+    request: &AcceptedRequest,
+    plan: &AttemptPlan,
+) -> AttemptEnd {
+    let attempt = Attempt { parts, request, plan };
+    let end = attempt.run().await;
+    parts.metrics.count_send(match end {
+        AttemptEnd::Whole(_) | AttemptEnd::Stream(_) => "answered",
+        AttemptEnd::NotSent => "not-sent",
+        AttemptEnd::Refused => "refused",
+        AttemptEnd::Abandoned => "abandoned",
+        AttemptEnd::Lost => "lost",
+        AttemptEnd::TimedOut => "timed-out",
+    });
+    end
+}
+
+impl Attempt<'_> {
+    async fn run(&self) -> AttemptEnd {
+        let send = &self.plan.send;
+        // Listed from the choice on, so that choices made meanwhile see it.
+        let work = WorkGuard::begin(self.parts, &self.plan.load, &send.upstream);
+        let Some(mut connection) = self.connect().await else { return AttemptEnd::NotSent };
+        // The upstream may have left while the connection was opened.
+        if !self.parts.upstreams.borrow().may_send(&send.upstream) {
+            return AttemptEnd::NotSent;
+        }
+        let mut fresh = send.clone();
+        fresh.left_ms = self.plan.deadline.millis_left(Moment::now());
+        if fresh.left_ms == 0 {
+            return AttemptEnd::NotSent;
+        }
+        let sent = Moment::now();
+        let encoded = (self.parts.dialect.encode)(self.request, &fresh);
+        let answer = match wait_for(self.parts, self.plan, connection.exchange(encoded)).await {
+            Waited::Done(Ok(answer)) => answer,
+            Waited::Done(Err(error)) => return self.failed(&error),
+            Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
+            Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
+        };
+        let marks = (self.parts.dialect.marks)(answer.status(), answer.headers());
+        // An answer to an earlier request on this connection, or a second one.
+        if marks.request.as_deref().is_some_and(|answered| answered != &*self.request.id) {
+            return self.lost("the answer belongs to another request");
+        }
+        if marks.is_not_run {
+            self.note_refusal(&marks, answer.status());
+            self.keep_after(connection, answer, &marks).await;
+            return AttemptEnd::Refused;
+        }
+        let is_stream = self.request.route.repeat.is_stream();
+        if is_stream && answer.status() == StatusCode::OK {
+            self.open_stream(connection, answer, marks, work, sent).await
+        } else {
+            self.read_whole(connection, answer, marks, work).await
+        }
+    }
+
+    async fn connect(&self) -> Option<UpstreamConnection> {
+        let address = self.plan.send.address;
+        let opened = if self.request.route.repeat.may_repeat() {
+            self.parts.pool.reuse_or_open(address).await
+        } else {
+            self.parts.pool.open(address).await
+        };
+        match opened {
+            Ok(connection) => Some(connection),
+            Err(error) => {
+                self.failed(&error);
+                None
+            }
+        }
+    }
+
+    fn failed(&self, error: &ExchangeError) -> AttemptEnd {
+        let end = match error {
+            ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
+            ExchangeError::NoAnswer { .. } => AttemptEnd::Lost,
+        };
+        self.note_failure(&error.to_string());
+        end
+    }
+
+    fn lost(&self, reason: &str) -> AttemptEnd {
+        self.note_failure(reason);
+        AttemptEnd::Lost
+    }
+
+    fn given_up(&self, end: AttemptEnd) -> AttemptEnd {
+        self.note_failure("no answer in time");
+        end
+    }
+
+    fn note_failure(&self, reason: &str) {
+        let upstream = &self.plan.send.upstream;
+        self.parts.work.borrow_mut().stumbled(upstream, Moment::now());
+        log_event!(
+            warn,
+            events::SEND_FAILED,
+            request = self.request.id,
+            upstream = upstream,
+            reason = reason
+        );
+    }
+
+    fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) {
+        let upstream = &self.plan.send.upstream;
+        let is_other = marks.instance.as_deref().is_some_and(|other| other != upstream.as_str());
+        if marks.is_unexpected && is_other {
+            self.parts.upstreams.borrow_mut().note_replaced(upstream);
+        } else {
+            // Full, or loading weights: others are cheaper for a moment.
+            let until = Deadline::in_millis(LOADING_GUESS_MS);
+            self.parts.upstreams.borrow_mut().note_loading(upstream, until);
+        }
+        log_event!(
+            info,
+            events::UPSTREAM_REFUSED,
+            request = self.request.id,
+            upstream = upstream,
+            status = status.as_u16(),
+            other = is_other
+        );
+    }
+
+    /// Reads a refusal's short body, so that the connection can be used again.
+    async fn keep_after(
+        &self,
+        connection: UpstreamConnection,
+        answer: Response<Incoming>,
+        marks: &AnswerMarks,
+    ) {
+        let limit = std::time::Duration::from_millis(REFUSAL_BODY_MS);
+        let read = timeout(limit, answer.into_body().collect()).await;
+        if matches!(read, Ok(Ok(_))) && !marks.is_last && marks.is_framed {
+            self.parts.pool.keep(connection, marks.idle_limit_ms);
+        }
+    }
+
+    async fn read_whole(
+        &self,
+        connection: UpstreamConnection,
+        answer: Response<Incoming>,
+        marks: AnswerMarks,
+        work: WorkGuard,
+    ) -> AttemptEnd {
+        let (head, body) = answer.into_parts();
+        let body = match wait_for(self.parts, self.plan, collect(body)).await {
+            Waited::Done(Some(body)) => body,
+            Waited::Done(None) => return self.lost("the answer broke off"),
+            Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
+            Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
+        };
+        work.started();
+        if !marks.is_last && marks.is_framed {
+            self.parts.pool.keep(connection, marks.idle_limit_ms);
+        }
+        let mut headers = head.headers;
+        (self.parts.dialect.strip)(&mut headers);
+        AttemptEnd::Whole(WholeAnswer { status: head.status, headers, body })
+    }
+
+    async fn open_stream(
+        &self,
+        connection: UpstreamConnection,
+        answer: Response<Incoming>,
+        marks: AnswerMarks,
+        work: WorkGuard,
+        sent: Moment,
+    ) -> AttemptEnd {
+        let (head, body) = answer.into_parts();
+        let upstream = self.plan.send.upstream.clone();
+        let framer = EventFramer::default();
+        let mut source = StreamSource { upstream, body, framer, connection, marks, _work: work };
+        // The head is held back until an event is there: until then another upstream may answer.
+        let first = match wait_for(self.parts, self.plan, source.next()).await {
+            Waited::Done(StreamStep::Events(batch)) => batch,
+            Waited::Done(StreamStep::End) => EventBatch { bytes: Bytes::new(), last_id: None },
+            Waited::Done(StreamStep::Broken(reason)) => return self.lost(&reason),
+            Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
+            Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
+        };
+        source._work.started();
+        self.learn(sent);
+        let mut headers = head.headers;
+        (self.parts.dialect.strip)(&mut headers);
+        AttemptEnd::Stream(Box::new(OpenStream { status: head.status, headers, first, source }))
+    }
+
+    fn learn(&self, sent: Moment) {
+        let is_plain = self.plan.send.engine.as_ref().is_some_and(|o| o.fetch_until_ms.is_none());
+        let is_alone = self.parts.work.borrow().total(&self.plan.send.upstream).running <= 1;
+        if is_plain && is_alone {
+            let elapsed = Moment::now().millis_since(sent);
+            self.parts.prefill.borrow_mut().note(self.plan.load.prompt.0, elapsed);
+        }
+    }
+}
+
+/// How long an upstream that refused for want of room or weights is avoided, in milliseconds.
+const LOADING_GUESS_MS: u64 = 250;
+
+async fn collect(mut body: Incoming) -> Option<Bytes> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame.ok()?.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() > LARGEST_ANSWER {
+            return None;
+        }
+    }
+    Some(bytes.freeze())
+}
+
+impl StreamSource {
+    /// The next whole events.
+    pub async fn next(&mut self) -> StreamStep {
+        loop {
+            if let Some(batch) = self.framer.take_whole() {
+                return StreamStep::Events(batch);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let data = frame.data_ref().map(|data| &data[..]).unwrap_or_default();
+                    if !self.framer.push(data) {
+                        return StreamStep::Broken("an event is too large".into());
+                    }
+                }
+                Some(Err(error)) => return StreamStep::Broken(error.to_string().into()),
+                None => return self.end(),
+            }
+        }
+    }
+
+    fn end(&mut self) -> StreamStep {
+        if self.framer.is_clean() {
+            return StreamStep::End;
+        }
+        if self.marks.is_framed {
+            let bytes = self.framer.take_rest();
+            return StreamStep::Events(EventBatch { bytes, last_id: None });
+        }
+        StreamStep::Broken("the connection ended in the middle of an event".into())
+    }
+
+    /// Gives the connection back after the stream's end.
+    pub fn finish(self, parts: &ServeParts) {
+        if !self.marks.is_last && self.marks.is_framed {
+            parts.pool.keep(self.connection, self.marks.idle_limit_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/dispatch.rs
@@ -0,0 +1,251 @@
+//! A request's way: sends it until it has an answer, may not be sent again, or is over.
+
+use crate::accepted_request::AcceptedRequest;
+use crate::answer_body::AnswerBody;
+use crate::attempt::{AttemptEnd, OpenStream, WholeAnswer, attempt};
+use crate::event_relay::relay;
+use crate::events;
+use crate::outcome::{RefusalReason, SendRecord, ServeOutcome};
+use crate::patience::return_after_ms;
+use crate::request_plan::{draw_service, plan_attempt};
+use crate::serve_config::ServeConfig;
+use crate::serve_parts::ServeParts;
+use guava_log::log_event;
+use guava_types::{Moment, ServiceName};
+use http::Response;
+use std::rc::Rc;
+
+/// Upstreams that are tried for one request at most, refusals and failed connections included.
+const MOST_TRIES: usize = 4;
+
+/// A request that was accepted, on its way.
+pub struct RequestRun {
+    /// The parts it uses.
+    pub parts: Rc<ServeParts>,
+    /// The configuration that it was accepted under.
+    pub config: Rc<ServeConfig>,
+    /// The request.
+    pub request: Rc<AcceptedRequest>,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its sends so far.
+    pub record: SendRecord,
+    /// Whether the next try is paid for already.
+    pub is_paid: bool,
+}
+
+/// What a round of sends gave.
+pub enum SendResult {
+    /// A whole answer.
+    Whole(WholeAnswer),
+    /// A stream.
+    Stream(Box<OpenStream>),
+    /// Nothing more may be tried.
+    GivenUp {
+        /// Whether its time is over.
+        is_over: bool,
+    },
+}
+
+impl RequestRun {
+    /// Sends until there is an answer or nothing more may be tried.
+    pub async fn send(&mut self, resume_after: Option<&str>) -> SendResult {
+        let mut fallback: Option<WholeAnswer> = None;
+        loop {
+            let now = Moment::now();
+            if self.request.deadline.passed(now) {
+                return given_up(fallback, true);
+            }
+            let may_try = self.may_try();
+            let plan = may_try
+                .then(|| {
+                    plan_attempt(
+                        &self.parts,
+                        &self.config,
+                        &self.request,
+                        &self.service,
+                        &self.record,
+                        resume_after,
+                    )
+                })
+                .flatten();
+            let Some(plan) = plan else { return given_up(fallback, false) };
+            if !self.pay() {
+                return given_up(fallback, false);
+            }
+            self.record.tried.push(plan.send.upstream.clone());
+            match attempt(&self.parts, &self.request, &plan).await {
+                AttemptEnd::Whole(answer) => {
+                    self.note_run();
+                    if !self.is_worth_retry(&answer) {
+                        return SendResult::Whole(answer);
+                    }
+                    self.parts.work.borrow_mut().stumbled(&plan.send.upstream, Moment::now());
+                    fallback = Some(answer);
+                }
+                AttemptEnd::Stream(stream) => {
+                    self.note_run();
+                    return SendResult::Stream(stream);
+                }
+                AttemptEnd::NotSent => self.record.unreached += 1,
+                AttemptEnd::Refused => {
+                    self.record.arrivals += 1;
+                    self.record.refusals += 1;
+                }
+                AttemptEnd::Abandoned => {
+                    self.note_run();
+                    self.is_paid = true;
+                }
+                AttemptEnd::Lost => self.note_run(),
+                AttemptEnd::TimedOut => {
+                    self.note_run();
+                    return given_up(fallback, true);
+                }
+            }
+        }
+    }
+
+    fn note_run(&mut self) {
+        self.record.arrivals += 1;
+        self.record.runs += 1;
+    }
+
+    /// Whether another upstream may get the request.
+    fn may_try(&self) -> bool {
+        let route = &self.request.route;
+        let may_run = self.record.runs == 0
+            || (route.repeat.may_repeat() && self.record.runs < route.max_attempts.max(1));
+        may_run && self.record.tried.len() < MOST_TRIES
+    }
+
+    /// Pays for a send; the first that reaches an upstream is free.
+    fn pay(&mut self) -> bool {
+        if self.record.arrivals == 0 || std::mem::take(&mut self.is_paid) {
+            return true;
+        }
+        self.parts.retries.borrow_mut().spend(&self.service)
+    }
+
+    /// An upstream's own error may not be another's.
+    fn is_worth_retry(&self, answer: &WholeAnswer) -> bool {
+        answer.status.is_server_error() && self.may_try()
+    }
+}
+
+fn given_up(fallback: Option<WholeAnswer>, is_over: bool) -> SendResult {
+    match fallback {
+        Some(answer) => SendResult::Whole(answer),
+        None => SendResult::GivenUp { is_over },
+    }
+}
+
+/// Serves a request: from the choice of an upstream to its answer.
+pub async fn serve_request(
+    parts: &Rc<ServeParts>,
+    config: &Rc<ServeConfig>,
+    request: AcceptedRequest,
+) -> ServeOutcome {
+    let request = Rc::new(request);
+    let Some(service) = draw_service(&request.route, rand::random()).cloned() else {
+        return refused(parts, &request, RefusalReason::NoUpstream);
+    };
+    parts.retries.borrow_mut().earn(&service);
+    let mut run = RequestRun {
+        parts: Rc::clone(parts),
+        config: Rc::clone(config),
+        request: Rc::clone(&request),
+        service,
+        record: SendRecord::default(),
+        is_paid: false,
+    };
+    let leaving = CallerWatch::new(parts, &request);
+    let result = run.send(None).await;
+    leaving.disarm();
+    match result {
+        SendResult::Whole(answer) => answered(parts, &request, answer),
+        SendResult::Stream(stream) => {
+            parts.metrics.time_first(Moment::now().millis_since(request.arrived));
+            ServeOutcome::Answered(relay(run, *stream))
+        }
+        SendResult::GivenUp { is_over } => match run.record.refusal() {
+            Some(_) if is_over => refused(parts, &request, RefusalReason::TooLate),
+            Some(reason) => refused(parts, &request, reason),
+            None => lost(parts, &request, is_over, run.record.runs),
+        },
+    }
+}
+
+fn answered(parts: &ServeParts, request: &AcceptedRequest, answer: WholeAnswer) -> ServeOutcome {
+    let elapsed = Moment::now().millis_since(request.arrived);
+    parts.metrics.time_first(elapsed);
+    parts.metrics.time_whole(elapsed);
+    parts.metrics.count_request("answered");
+    log_event!(
+        info,
+        events::ANSWERED,
+        request = request.id,
+        status = answer.status.as_u16(),
+        elapsed_ms = elapsed,
+        bytes = answer.body.len()
+    );
+    let mut response = Response::new(AnswerBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    ServeOutcome::Answered(response)
+}
+
+fn refused(parts: &ServeParts, request: &AcceptedRequest, reason: RefusalReason) -> ServeOutcome {
+    let return_after_ms = return_after_ms(reason, rand::random());
+    parts.metrics.count_request("refused");
+    log_event!(
+        info,
+        events::REFUSED,
+        request = request.id,
+        route = request.route.name,
+        reason = reason,
+        elapsed_ms = Moment::now().millis_since(request.arrived),
+        return_after_ms = return_after_ms
+    );
+    ServeOutcome::NotRun { reason, return_after_ms }
+}
+
+fn lost(parts: &ServeParts, request: &AcceptedRequest, is_over: bool, runs: u32) -> ServeOutcome {
+    parts.metrics.count_request(if is_over { "timed-out" } else { "lost" });
+    log_event!(
+        warn,
+        events::LOST,
+        request = request.id,
+        route = request.route.name,
+        timed_out = is_over,
+        runs = runs,
+        elapsed_ms = Moment::now().millis_since(request.arrived)
+    );
+    if is_over { ServeOutcome::TimedOut } else { ServeOutcome::Lost }
+}
+
+/// Logs that a caller left while it waited: its request is dropped with all that it uses.
+struct CallerWatch {
+    parts: Rc<ServeParts>,
+    request: Rc<AcceptedRequest>,
+    is_armed: bool,
+}
+
+impl CallerWatch {
+    fn new(parts: &Rc<ServeParts>, request: &Rc<AcceptedRequest>) -> Self {
+        Self { parts: Rc::clone(parts), request: Rc::clone(request), is_armed: true }
+    }
+
+    fn disarm(mut self) {
+        self.is_armed = false;
+    }
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if self.is_armed {
+            self.parts.metrics.count_request("caller-left");
+            let elapsed = Moment::now().millis_since(self.request.arrived);
+            log_event!(info, events::CALLER_LEFT, request = self.request.id, elapsed_ms = elapsed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -0,0 +1,267 @@
+//! Which engine gets a prompt, and which cached parts it fetches and saves.
+//!
+//! The router weighs waiting, recomputing and importing (`guava_policy::decide_route`); this module
+//! works out its inputs from what is known here, and turns its choice into instructions.
+
+use crate::accepted_request::{AcceptedRequest, PromptPart, PromptShape};
+use crate::cache_salt::cache_salt;
+use crate::part_index::{PartIndex, rendezvous_weight};
+use crate::serve_config::{EngineTraits, StoreTraits};
+use crate::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
+use crate::version_targets::{VersionTargets, VersionUse};
+use crate::work_table::WorkTable;
+use guava_policy::{CandidateCost, ImportOffer, RouteCandidate, RouteInput, decide_route};
+use guava_state::WeightProfile;
+use guava_types::{
+    ByteCount, DataCentre, FastMap, LinkRate, MemberName, Moment, ServiceName, TokenCount,
+    TokenRate, UpstreamId,
+};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Parts shorter than this are neither saved nor fetched: reading them takes an engine some ten
+/// milliseconds, as long as a transfer takes to begin.
+const LEAST_TRANSFER: TokenCount = TokenCount(512);
+/// Extra cost of an engine with stale weights, in milliseconds to the first token. Its answer is
+/// worth a fifth less, about as much as a response late by this time risks.
+const STALE_MS: f64 = 60.0;
+/// Extra cost of an engine that is about to load weights: it refuses what it can't start at once.
+const LOADING_MS: f64 = 2_000.0;
+/// Extra cost of an engine in another data centre, in milliseconds: the round trip is longer, and
+/// traffic between data centres is dear.
+const REMOTE_MS: f64 = 4.0;
+/// Requests beyond its slots that an engine counts as having while its memory is full: it would
+/// preempt somebody's run.
+const FULL_MEMORY_SLOTS: u32 = 4;
+/// Memory that is used for planning; the rest covers estimates that were too low.
+const MEMORY_PART: f64 = 0.95;
+/// Most milliseconds for which a fetch may hold a request up.
+const LONGEST_FETCH_MS: f64 = 1_500.0;
+/// Share of a store's link that a transfer gets on average, since most cross data centres, where
+/// they take twice as long.
+const LINK_PART: f64 = 0.6;
+/// Weights of time and recomputed tokens: a token recomputed is time of an engine that others
+/// wait for.
+const PROFILE: WeightProfile = WeightProfile { first_token: 100, recompute: 1, link: 0 };
+
+/// What a choice is made on.
+pub struct EngineInput<'a> {
+    /// The request.
+    pub request: &'a AcceptedRequest,
+    /// Its prompt.
+    pub prompt: &'a PromptShape,
+    /// Service whose engines are asked.
+    pub service: &'a ServiceName,
+    /// What they have in common.
+    pub traits: &'a EngineTraits,
+    /// Stores of cached parts.
+    pub stores: &'a [Rc<StoreTraits>],
+    /// The upstreams.
+    pub upstreams: &'a UpstreamTable,
+    /// Their work.
+    pub work: &'a WorkTable,
+    /// Where parts lie.
+    pub parts: &'a PartIndex,
+    /// Published weights.
+    pub targets: &'a VersionTargets,
+    /// Time limit for new weights, in milliseconds.
+    pub version_limit_ms: u64,
+    /// Prefill throughput, as learnt.
+    pub prefill: TokenRate,
+    /// This daemon.
+    pub me: &'a MemberName,
+    /// The other living daemons.
+    pub peers: &'a [MemberName],
+    /// Where this daemon stands.
+    pub data_centre: &'a DataCentre,
+    /// Engines that were tried for this request.
+    pub tried: &'a [UpstreamId],
+    /// The current moment.
+    pub now: Moment,
+    /// A random number that spreads equal choices.
+    pub draw: u64,
+}
+
+/// Where an engine gets the parts of a prompt from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FetchPlan {
+    /// For each part the store to fetch it from.
+    pub sources: Vec<Option<SocketAddr>>,
+    /// How long it may take, in milliseconds.
+    pub budget_ms: u64,
+    /// Tokens that it brings.
+    pub tokens: TokenCount,
+}
+
+/// The engine chosen, and what it is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineChoice {
+    /// Which.
+    pub upstream: UpstreamId,
+    /// Weights that it must have.
+    pub version: WeightVersion,
+    /// Text under which it keeps and looks up parts.
+    pub salt: Box<str>,
+    /// What to fetch.
+    pub fetch: Option<FetchPlan>,
+    /// For each part the store to save it to.
+    pub save: Vec<Option<SocketAddr>>,
+    /// Expected time to the first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Tokens that it is expected to read.
+    pub recompute: TokenCount,
+    /// Why, in a word.
+    pub reason: &'static str,
+    /// How many engines could have taken it.
+    pub candidates: usize,
+}
+
+/// Parts of a prompt that stores hold under one salt.
+struct SaltOffer {
+    salt: Box<str>,
+    sources: Vec<Option<SocketAddr>>,
+    offer: Option<ImportOffer>,
+}
+
+fn shared_parts(prompt: &PromptShape) -> &[PromptPart] {
+    let shared = prompt.parts.len().saturating_sub(1);
+    &prompt.parts[..shared]
+}
+
+/// The leading parts that stores hold; a part helps only if all before it are there.
+fn offer_for(input: &EngineInput<'_>, version: WeightVersion) -> SaltOffer {
+    let salt = cache_salt(&input.prompt.model, version, &input.request.caller);
+    let mut sources = vec![None; input.prompt.parts.len()];
+    let mut tokens = 0;
+    let mut transfer_ms = 0.0;
+    for (part, source) in shared_parts(input.prompt).iter().zip(&mut sources) {
+        let is_small = part.tokens < LEAST_TRANSFER;
+        let holder = input.parts.holder(input.stores, &salt, part, input.now).filter(|_| !is_small);
+        let Some(store) = holder else { break };
+        *source = Some(store.address);
+        tokens += part.tokens.0;
+        let bytes = (part.tokens.0 * input.traits.token_bytes) as f64;
+        transfer_ms +=
+            store.first_byte_ms + bytes * 1_000.0 / (store.bytes_per_s.max(1) as f64 * LINK_PART);
+    }
+    let bytes = tokens * input.traits.token_bytes;
+    let offer = (tokens > 0).then(|| ImportOffer {
+        tokens: TokenCount(tokens),
+        bytes: ByteCount(bytes),
+        rate: LinkRate((bytes as f64 * 1_000.0 / transfer_ms.max(0.1)) as u64),
+        queued: ByteCount(0),
+    });
+    SaltOffer { salt, sources, offer }
+}
+
+/// Engines that have the model in a version that may be used, with that version.
+fn usable<'a>(input: &EngineInput<'a>) -> Vec<(&'a UpstreamEntry, WeightVersion, VersionUse)> {
+    let judged = input.upstreams.serving(input.service).filter_map(|entry| {
+        let version = *entry.versions.get(&input.prompt.model)?;
+        let limit = input.version_limit_ms;
+        let verdict = input.targets.judge(&input.prompt.model, version, limit, input.now);
+        let is_usable = verdict != VersionUse::Forbidden && !input.tried.contains(&entry.id);
+        is_usable.then_some((entry, version, verdict))
+    });
+    judged.collect()
+}
+
+fn is_own(input: &EngineInput<'_>, upstream: &UpstreamId) -> bool {
+    let weight = |member: &MemberName| rendezvous_weight(&(upstream, member), 1.0);
+    let own = weight(input.me);
+    input.peers.iter().all(|peer| weight(peer) <= own)
+}
+
+fn candidate(
+    input: &EngineInput<'_>,
+    entry: &UpstreamEntry,
+    verdict: VersionUse,
+    salt: &str,
+) -> RouteCandidate {
+    let load = input.work.load(&entry.id);
+    let total = input.work.total(&entry.id);
+    let memory = (input.traits.memory.0 as f64 * MEMORY_PART) as u64;
+    let is_full = total.memory.0 + input.prompt.memory().0 > memory && total.running > 0;
+    let over_slots = (total.running + 1).saturating_sub(entry.slots.max(1));
+    let penalty = match verdict {
+        VersionUse::Stale => STALE_MS,
+        _ => 0.0,
+    };
+    let loading = if input.upstreams.is_loading(&entry.id, input.now) { LOADING_MS } else { 0.0 };
+    let remote = if entry.data_centre == *input.data_centre { 0.0 } else { REMOTE_MS };
+    let resident =
+        input.parts.resident(&entry.id, input.traits.memory, salt, shared_parts(input.prompt));
+    RouteCandidate {
+        upstream: entry.id.clone(),
+        wait_ms: load.wait_ms(input.now, input.prefill) + penalty + loading + remote,
+        prefill: input.prefill,
+        over_slots: over_slots + if is_full { FULL_MEMORY_SLOTS } else { 0 },
+        resident,
+        slowness: load.slowness(input.now),
+        is_own: is_own(input, &entry.id),
+    }
+}
+
+fn save_plan(input: &EngineInput<'_>, salt: &str) -> Vec<Option<SocketAddr>> {
+    let mut plan = vec![None; input.prompt.parts.len()];
+    for (part, target) in shared_parts(input.prompt).iter().zip(&mut plan) {
+        if part.tokens >= LEAST_TRANSFER {
+            let store = input.parts.store_for(input.stores, salt, part, input.now);
+            *target = store.map(|store| store.address);
+        }
+    }
+    plan
+}
+
+fn fetch_plan(cost: &CandidateCost, offer: &SaltOffer) -> Option<FetchPlan> {
+    let found = offer.offer.as_ref()?;
+    if !cost.import && !cost.import_if_missing {
+        return None;
+    }
+    let budget_ms = cost.import_budget_ms.min(LONGEST_FETCH_MS) as u64;
+    Some(FetchPlan { sources: offer.sources.clone(), budget_ms, tokens: found.tokens })
+}
+
+/// Chooses an engine; nothing if none may take the request.
+pub fn choose_engine(input: &EngineInput<'_>) -> Option<EngineChoice> {
+    let usable = usable(input);
+    let mut offers: FastMap<WeightVersion, SaltOffer> = FastMap::default();
+    let mut best: Option<(CandidateCost, WeightVersion, &'static str)> = None;
+    let mut versions: Vec<WeightVersion> = usable.iter().map(|(_, version, _)| *version).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    // Stores hold different parts for each version, so each version is decided on by itself.
+    for version in versions {
+        let offer = offers.entry(version).or_insert_with(|| offer_for(input, version));
+        let of_version = usable.iter().filter(|(_, own, _)| *own == version);
+        let candidates: Vec<RouteCandidate> = of_version
+            .map(|(entry, _, verdict)| candidate(input, entry, *verdict, &offer.salt))
+            .collect();
+        let route = RouteInput {
+            prompt: input.prompt.input,
+            candidates: &candidates,
+            import: offer.offer.as_ref(),
+            profile: PROFILE,
+            draw: input.draw,
+        };
+        let Some(decision) = decide_route(&route) else { continue };
+        if best.as_ref().is_none_or(|(cost, ..)| decision.chosen.cost < cost.cost) {
+            best = Some((decision.chosen, version, decision.reason));
+        }
+    }
+    let (cost, version, reason) = best?;
+    let offer = offers.remove(&version)?;
+    let fetch = fetch_plan(&cost, &offer);
+    let save = save_plan(input, &offer.salt);
+    Some(EngineChoice {
+        upstream: cost.upstream,
+        version,
+        salt: offer.salt,
+        fetch,
+        save,
+        expected_ms: cost.first_token_ms,
+        recompute: cost.recompute,
+        reason,
+        candidates: usable.len(),
+    })
+}
--- /dev/null
+++ b/crates/guava-serve/src/event_relay.rs
@@ -0,0 +1,169 @@
+//! Passes a stream's events on, and takes the stream up elsewhere when its upstream fails.
+
+use crate::answer_body::{AnswerBody, BrokenStream};
+use crate::attempt::{OpenStream, StreamSource, StreamStep};
+use crate::dispatch::{RequestRun, SendResult};
+use crate::event_framer::EventBatch;
+use crate::events;
+use crate::patience::EVENT_GAP_MS;
+use crate::serve_config::RepeatRule;
+use bytes::Bytes;
+use futures_util::stream::{self, StreamExt};
+use guava_log::log_event;
+use guava_types::{Deadline, Moment};
+use http::{Response, StatusCode};
+use tokio::time::timeout;
+
+/// A stream on its way to a caller.
+struct EventRelay {
+    run: RequestRun,
+    source: Option<StreamSource>,
+    first: Option<EventBatch>,
+    last_id: Option<Box<str>>,
+    is_over: bool,
+}
+
+/// The answer whose body is a stream's events.
+pub fn relay(run: RequestRun, opened: OpenStream) -> Response<AnswerBody> {
+    let OpenStream { status, headers, first, source } = opened;
+    let last_id = run.request.resume_after.clone();
+    let relay =
+        EventRelay { run, source: Some(source), first: Some(first), last_id, is_over: false };
+    let events = stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next, relay))
+    });
+    let mut response = Response::new(AnswerBody::Relayed(events.boxed_local()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+impl EventRelay {
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenStream>> {
+        if self.is_over {
+            return None;
+        }
+        if let Some(first) = self.first.take() {
+            // A stream without any event ends with its first, empty batch.
+            if !first.bytes.is_empty() {
+                return Some(Ok(self.pass(first)));
+            }
+        }
+        loop {
+            match self.step().await {
+                StreamStep::Events(batch) => return Some(Ok(self.pass(batch))),
+                StreamStep::End => {
+                    self.finish();
+                    return None;
+                }
+                StreamStep::Broken(reason) => match self.take_up(&reason).await {
+                    Ok(Some(batch)) => return Some(Ok(self.pass(batch))),
+                    Ok(None) => {}
+                    Err(broken) => return Some(Err(self.break_off(broken))),
+                },
+            }
+        }
+    }
+
+    fn pass(&mut self, batch: EventBatch) -> Bytes {
+        if batch.last_id.is_some() {
+            self.last_id = batch.last_id;
+        }
+        batch.bytes
+    }
+
+    /// The next step of the source, within the request's time and the longest pause.
+    async fn step(&mut self) -> StreamStep {
+        let deadline = self.run.request.deadline;
+        let Some(source) = &mut self.source else {
+            return StreamStep::Broken("no source".into());
+        };
+        let is_resumable = self.run.request.route.repeat == RepeatRule::ResumableStream;
+        let limit = if is_resumable {
+            deadline.earlier(Deadline::in_millis(EVENT_GAP_MS))
+        } else {
+            deadline
+        };
+        match timeout(limit.time_left(), source.next()).await {
+            Ok(step) => step,
+            Err(_) => StreamStep::Broken("no event in time".into()),
+        }
+    }
+
+    /// Goes on at another upstream after the last event that the caller got.
+    async fn take_up(&mut self, reason: &str) -> Result<Option<EventBatch>, BrokenStream> {
+        let broken = |reason: &str| BrokenStream { reason: reason.into() };
+        let failed = self.source.take().map(|source| source.upstream);
+        if let Some(upstream) = &failed {
+            self.run.parts.work.borrow_mut().stumbled(upstream, Moment::now());
+        }
+        if self.run.request.route.repeat != RepeatRule::ResumableStream {
+            return Err(broken(reason));
+        }
+        let last_id = self.last_id.clone();
+        let SendResult::Stream(opened) = self.run.send(last_id.as_deref()).await else {
+            return Err(broken(reason));
+        };
+        if opened.status != StatusCode::OK {
+            return Err(broken("the stream can't be taken up"));
+        }
+        log_event!(
+            info,
+            events::RESUMED,
+            request = self.run.request.id,
+            upstream = opened.source.upstream,
+            after = last_id.as_deref().unwrap_or("the beginning"),
+            reason = reason
+        );
+        self.source = Some(opened.source);
+        Ok(Some(opened.first).filter(|first| !first.bytes.is_empty()))
+    }
+
+    fn finish(&mut self) {
+        self.is_over = true;
+        let elapsed = Moment::now().millis_since(self.run.request.arrived);
+        self.run.parts.metrics.time_whole(elapsed);
+        self.run.parts.metrics.count_request("answered");
+        log_event!(
+            info,
+            events::ANSWERED,
+            request = self.run.request.id,
+            status = 200,
+            elapsed_ms = elapsed,
+            runs = self.run.record.runs
+        );
+        if let Some(source) = self.source.take() {
+            source.finish(&self.run.parts);
+        }
+    }
+
+    fn break_off(&mut self, broken: BrokenStream) -> BrokenStream {
+        self.is_over = true;
+        self.source = None;
+        self.run.parts.metrics.count_request("broken");
+        log_event!(
+            warn,
+            events::BROKEN,
+            request = self.run.request.id,
+            after = self.last_id.as_deref().unwrap_or("the beginning"),
+            elapsed_ms = Moment::now().millis_since(self.run.request.arrived),
+            reason = broken.reason
+        );
+        broken
+    }
+}
+
+impl Drop for EventRelay {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.run.parts.metrics.count_request("caller-left");
+            log_event!(
+                info,
+                events::CALLER_LEFT,
+                request = self.run.request.id,
+                elapsed_ms = Moment::now().millis_since(self.run.request.arrived)
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/events.rs
@@ -0,0 +1,30 @@
+//! Numbered log events of the request path; `docs/EVENTS.md` is their catalogue.
+
+use guava_log::events;
+
+events! {
+    SENT "G8001" "request sent to an upstream";
+    SEND_FAILED "G8002" "a send gave no answer";
+    UPSTREAM_REFUSED "G8003" "an upstream refused a request";
+    ANSWERED "G8004" "request answered";
+    REFUSED "G8005" "request refused, it has not run";
+    LOST "G8006" "request failed, it may have run";
+    RESUMED "G8007" "stream goes on at another upstream";
+    BROKEN "G8008" "stream broke off";
+    CALLER_LEFT "G8009" "the caller left";
+    LIST_CHANGED "G8101" "the list of upstreams changed";
+    LIST_AWAY "G8102" "the list of upstreams can't be read";
+    LIST_BACK "G8103" "the list of upstreams can be read again";
+    CONFIG_TAKEN "G8104" "a configuration is in force";
+    CONFIG_OLD "G8105" "an older configuration was passed over";
+    VERSION_PUBLISHED "G8106" "new weights were published";
+    MEMBER_HEARD "G8201" "a daemon is heard";
+    LEASE_TAKEN "G8301" "the lease for orders is held";
+    LEASE_LOST "G8302" "the lease for orders ended";
+    ORDERED "G8303" "an engine was ordered to load weights";
+    ORDER_FAILED "G8304" "an order to an engine failed";
+    WEIGHTS_LOADED "G8305" "an engine has the new weights";
+    STORE_KNOWN "G8401" "a store of cached parts is followed";
+    STORE_FORGOTTEN "G8402" "what a store of cached parts holds is not known any more";
+    PARTS_FREED "G8403" "useless parts were freed in a store";
+}
--- /dev/null
+++ b/crates/guava-serve/src/lib.rs
@@ -0,0 +1,66 @@
+//! The request path: from an accepted request to the answer's last byte, whoever speaks to us.
+//!
+//! What varies between deployments is passed in as plain parts and a [`Dialect`]; what decides is
+//! plain functions over these parts, testable without a network.
+
+mod accepted_request;
+mod admit;
+mod answer_body;
+mod attempt;
+mod cache_salt;
+mod connection_pool;
+mod dialect;
+mod dispatch;
+mod engine_choice;
+mod event_framer;
+mod event_relay;
+pub mod events;
+mod member_table;
+mod metrics;
+mod outcome;
+mod part_index;
+mod patience;
+mod peer_exchange;
+mod peer_message;
+mod prefill_rate;
+mod request_plan;
+mod retry_shares;
+mod rollout_state;
+mod serve_config;
+mod serve_parts;
+mod service_choice;
+mod upstream_table;
+mod version_rollout;
+mod version_targets;
+mod work_table;
+
+pub use accepted_request::{AcceptedRequest, PromptPart, PromptShape, RequestHead};
+pub use admit::{AdmitRefusal, AdmittedCaller, HeldBytes, admit};
+pub use answer_body::{AnswerBody, BrokenStream};
+pub use cache_salt::{cache_salt, salt_version};
+pub use connection_pool::{ConnectionPool, ExchangeError, UpstreamConnection};
+pub use dialect::{AnswerMarks, Dialect, EngineOrders, SendPlan};
+pub use dispatch::serve_request;
+pub use engine_choice::{EngineChoice, EngineInput, FetchPlan, choose_engine};
+pub use event_framer::{EventBatch, EventFramer};
+pub use member_table::{MemberNote, MemberTable};
+pub use metrics::{KindLabel, ServeMetrics};
+pub use outcome::{RefusalReason, SendRecord, ServeOutcome};
+pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey};
+pub use patience::{first_answer_patience, return_after_ms};
+pub use peer_exchange::{compose_message, take_message, take_version};
+pub use peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt};
+pub use prefill_rate::PrefillRate;
+pub use request_plan::draw_service;
+pub use retry_shares::{RetryLimit, RetryShares};
+pub use rollout_state::{VersionRollout, useless_salt};
+pub use serve_config::{
+    CallerIdentity, CallerLimits, ConfigKeeper, ConfigParts, ConfigVersion, CustomerRule,
+    EngineTraits, RepeatRule, RouteRule, ServeConfig, ServiceRule, StoreTraits,
+};
+pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
+pub use service_choice::{ServiceInput, choose_instance};
+pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
+pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
+pub use version_targets::{VersionTarget, VersionTargets, VersionUse};
+pub use work_table::{WorkShare, WorkTable, WorkTicket};
--- /dev/null
+++ b/crates/guava-serve/src/metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms, served as text.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the latency histograms, in seconds: objectives run from a tenth of a second to one.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// What a count is of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// In a word.
+    pub kind: &'static str,
+}
+
+/// The metrics of one daemon.
+#[derive(Debug)]
+pub struct ServeMetrics {
+    registry: Registry,
+    requests: Family<KindLabel, Counter>,
+    sends: Family<KindLabel, Counter>,
+    store_calls: Family<KindLabel, Counter>,
+    first_answer: Histogram,
+    whole_answer: Histogram,
+    config_version: Gauge,
+    upstreams: Gauge,
+    members: Gauge,
+    dropped_lines: Gauge,
+}
+
+impl Default for ServeMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("guavatiller");
+        let requests = Family::<KindLabel, Counter>::default();
+        let sends = Family::<KindLabel, Counter>::default();
+        let store_calls = Family::<KindLabel, Counter>::default();
+        let first_answer = Histogram::new(LATENCY_BOUNDS_S);
+        let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
+        let config_version = Gauge::default();
+        let upstreams = Gauge::default();
+        let members = Gauge::default();
+        let dropped_lines = Gauge::default();
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register("sends", "Sends to upstreams by result", sends.clone());
+        registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
+        registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
+        registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
+        registry.register("config_version", "In force", config_version.clone());
+        registry.register("upstreams", "Known upstreams", upstreams.clone());
+        registry.register("members", "Daemons heard lately", members.clone());
+        registry.register("dropped_log_lines", "Over the log's budget", dropped_lines.clone());
+        Self {
+            registry,
+            requests,
+            sends,
+            store_calls,
+            first_answer,
+            whole_answer,
+            config_version,
+            upstreams,
+            members,
+            dropped_lines,
+        }
+    }
+}
+
+fn seconds(millis: u64) -> f64 {
+    millis as f64 / 1_000.0
+}
+
+fn level(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+impl ServeMetrics {
+    /// Counts a request by its outcome.
+    pub fn count_request(&self, kind: &'static str) {
+        self.requests.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a send by its result.
+    pub fn count_send(&self, kind: &'static str) {
+        self.sends.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a call to the platform's store.
+    pub fn count_store_call(&self, kind: &'static str) {
+        self.store_calls.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Records the time to an answer's first byte.
+    pub fn time_first(&self, millis: u64) {
+        self.first_answer.observe(seconds(millis));
+    }
+
+    /// Records the time to an answer's last byte.
+    pub fn time_whole(&self, millis: u64) {
+        self.whole_answer.observe(seconds(millis));
+    }
+
+    /// Notes the configuration in force.
+    pub fn note_config(&self, version: u64) {
+        self.config_version.set(level(version));
+    }
+
+    /// Notes how many upstreams and daemons are known, and log lines dropped.
+    pub fn note_levels(&self, upstreams: usize, members: usize, dropped_lines: u64) {
+        self.upstreams.set(level(upstreams as u64));
+        self.members.set(level(members as u64));
+        self.dropped_lines.set(level(dropped_lines));
+    }
+
+    /// All metrics as OpenMetrics text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# not available: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/part_index.rs
@@ -0,0 +1,265 @@
+//! Where cached parts of prompts lie: in stores as these report it, in engines by what was sent.
+
+use crate::accepted_request::PromptPart;
+use crate::serve_config::StoreTraits;
+use guava_types::{FastMap, Moment, TokenCount, UpstreamId};
+use rustc_hash::FxHasher;
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Share of an engine's memory that is taken to hold parts of earlier prompts; the rest is taken
+/// by runs. The engine drops the least recently used parts.
+const CACHE_SHARE: f64 = 0.6;
+/// Prompts remembered for each engine: more than fit into any engine's memory.
+const REMEMBERED: usize = 64;
+/// A save that was not reported for so long is taken as lost, in milliseconds. Stores reserve
+/// space at once, and the longest transfers take about a second.
+const SAVE_EXPIRY_MS: u64 = 4_000;
+
+/// One part under one salt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PartKey(pub u64);
+
+impl PartKey {
+    /// The key of a part.
+    pub fn new(salt: &str, id: &str) -> Self {
+        let mut hasher = FxHasher::default();
+        salt.hash(&mut hasher);
+        id.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+/// A part that lies whole in a store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPart {
+    /// Salt that it was stored under.
+    pub salt: Box<str>,
+    /// Its id.
+    pub id: Box<str>,
+    /// Its length.
+    pub tokens: TokenCount,
+}
+
+/// A change that a store reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PartEvent {
+    /// A part is whole, with its length.
+    Stored(HeldPart),
+    /// A part is gone.
+    Dropped {
+        /// Salt.
+        salt: Box<str>,
+        /// Id.
+        id: Box<str>,
+    },
+}
+
+/// How long a store's word counts, in milliseconds.
+///
+/// A store that restarts is empty, and others begin to save to it anew. A fetch by older knowledge
+/// would read a part that is only partly written, and nothing in the store prevents it. Stores
+/// answer several times a second and take longer than this to restart.
+const CONFIRMED_MS: u64 = 1_000;
+
+#[derive(Debug, Default)]
+struct StoreContents {
+    epoch: u64,
+    confirmed: Moment,
+    held: FastMap<PartKey, HeldPart>,
+    used: u64,
+}
+
+#[derive(Debug, Default)]
+struct EnginePast {
+    /// Prompt tokens sent there so far.
+    passed: u64,
+    /// Parts sent there, newest last, with what had passed by then.
+    parts: VecDeque<(PartKey, u64)>,
+}
+
+/// Where parts lie.
+#[derive(Debug, Default)]
+pub struct PartIndex {
+    stores: FastMap<SocketAddr, StoreContents>,
+    engines: FastMap<UpstreamId, EnginePast>,
+    saving: FastMap<PartKey, Moment>,
+}
+
+impl PartIndex {
+    /// Forgets what a store holds: it can't be reached, or reported a gap.
+    ///
+    /// It may have restarted empty, and its address may stand for another store's contents. A
+    /// fetch from a store that is down costs a request some hundred milliseconds.
+    pub fn forget_store(&mut self, store: SocketAddr) {
+        self.stores.remove(&store);
+    }
+
+    /// Takes in a store's whole list.
+    pub fn note_list(&mut self, store: SocketAddr, epoch: u64, parts: Vec<HeldPart>, now: Moment) {
+        let mut contents = StoreContents { epoch, confirmed: now, ..StoreContents::default() };
+        parts.into_iter().for_each(|part| hold(&mut contents, part));
+        self.stores.insert(store, contents);
+    }
+
+    /// Takes in a store's changes; whether they follow on what is known.
+    pub fn note_events(
+        &mut self,
+        store: SocketAddr,
+        epoch: u64,
+        events: Vec<PartEvent>,
+        now: Moment,
+    ) -> bool {
+        let known = self.stores.get(&store).map(|contents| contents.epoch);
+        if known.is_some_and(|known| known != epoch) {
+            self.stores.remove(&store);
+            return false;
+        }
+        let contents = self.stores.entry(store).or_default();
+        contents.epoch = epoch;
+        contents.confirmed = now;
+        for event in events {
+            match event {
+                PartEvent::Stored(part) => {
+                    self.saving.remove(&PartKey::new(&part.salt, &part.id));
+                    hold(contents, part);
+                }
+                PartEvent::Dropped { salt, id } => drop_part(contents, &PartKey::new(&salt, &id)),
+            }
+        }
+        true
+    }
+
+    /// The store among these that holds a part whole.
+    pub fn holder<'a>(
+        &self,
+        stores: &'a [Rc<StoreTraits>],
+        salt: &str,
+        part: &PromptPart,
+        now: Moment,
+    ) -> Option<&'a Rc<StoreTraits>> {
+        let key = PartKey::new(salt, &part.id);
+        let holds = |store: &&Rc<StoreTraits>| {
+            let contents = self.confirmed(store.address, now);
+            let held = contents.and_then(|contents| contents.held.get(&key));
+            held.is_some_and(|held| held.id == part.id && &*held.salt == salt)
+        };
+        stores.iter().find(holds)
+    }
+
+    fn confirmed(&self, store: SocketAddr, now: Moment) -> Option<&StoreContents> {
+        let contents = self.stores.get(&store)?;
+        (now.millis_since(contents.confirmed) <= CONFIRMED_MS).then_some(contents)
+    }
+
+    /// The store that a part should be saved to: of those with room the one that its key and the
+    /// stores' sizes choose, so that all daemons choose the same.
+    pub fn store_for<'a>(
+        &self,
+        stores: &'a [Rc<StoreTraits>],
+        salt: &str,
+        part: &PromptPart,
+        now: Moment,
+    ) -> Option<&'a Rc<StoreTraits>> {
+        let key = PartKey::new(salt, &part.id);
+        let is_saving =
+            self.saving.get(&key).is_some_and(|since| now.millis_since(*since) < SAVE_EXPIRY_MS);
+        if is_saving || self.holder(stores, salt, part, now).is_some() {
+            return None;
+        }
+        let has_room = |store: &&Rc<StoreTraits>| {
+            let contents = self.confirmed(store.address, now);
+            contents.is_some_and(|contents| contents.used + part.tokens.0 <= store.memory.0)
+        };
+        let weight = |store: &Rc<StoreTraits>| {
+            rendezvous_weight(&(key, store.address), store.memory.0 as f64)
+        };
+        stores.iter().filter(has_room).max_by(|a, b| weight(a).total_cmp(&weight(b)))
+    }
+
+    /// Notes that a part is being saved.
+    pub fn note_saving(&mut self, salt: &str, part: &PromptPart, now: Moment) {
+        if self.saving.len() > 10_000 {
+            self.saving.retain(|_, since| now.millis_since(*since) < SAVE_EXPIRY_MS);
+        }
+        self.saving.insert(PartKey::new(salt, &part.id), now);
+    }
+
+    /// Notes a prompt sent to an engine, by this daemon or a peer.
+    pub fn note_sent(&mut self, engine: &UpstreamId, parts: &[PartKey], tokens: TokenCount) {
+        let past = self.engines.entry(engine.clone()).or_default();
+        past.passed += tokens.0;
+        let passed = past.passed;
+        past.parts.retain(|(key, _)| !parts.contains(key));
+        past.parts.extend(parts.iter().map(|key| (*key, passed)));
+        while past.parts.len() > REMEMBERED {
+            past.parts.pop_front();
+        }
+    }
+
+    /// Tokens at a prompt's beginning that an engine is believed to hold.
+    pub fn resident(
+        &self,
+        engine: &UpstreamId,
+        memory: TokenCount,
+        salt: &str,
+        parts: &[PromptPart],
+    ) -> TokenCount {
+        let Some(past) = self.engines.get(engine) else { return TokenCount(0) };
+        let kept = (memory.0 as f64 * CACHE_SHARE) as u64;
+        let is_kept = |part: &&PromptPart| {
+            let key = PartKey::new(salt, &part.id);
+            let sent = past.parts.iter().rev().find(|(other, _)| *other == key);
+            sent.is_some_and(|(_, passed)| past.passed - passed + part.tokens.0 <= kept)
+        };
+        TokenCount(parts.iter().take_while(is_kept).map(|part| part.tokens.0).sum())
+    }
+
+    /// Forgets engines that are gone.
+    pub fn retain_engines(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.engines.retain(|id, _| is_known(id));
+    }
+
+    /// Parts in a store whose salt is of no use any more, with the store's epoch.
+    pub fn useless_parts(
+        &self,
+        store: SocketAddr,
+        is_useless: impl Fn(&str) -> bool,
+    ) -> (u64, Vec<HeldPart>) {
+        let Some(contents) = self.stores.get(&store) else { return (0, Vec::new()) };
+        let useless = contents.held.values().filter(|part| is_useless(&part.salt));
+        (contents.epoch, useless.cloned().collect())
+    }
+
+    /// Tokens that a store holds, if that is known.
+    pub fn used(&self, store: SocketAddr) -> Option<TokenCount> {
+        self.stores.get(&store).map(|contents| TokenCount(contents.used))
+    }
+}
+
+fn hold(contents: &mut StoreContents, part: HeldPart) {
+    let key = PartKey::new(&part.salt, &part.id);
+    contents.used += part.tokens.0;
+    if let Some(before) = contents.held.insert(key, part) {
+        contents.used = contents.used.saturating_sub(before.tokens.0);
+    }
+}
+
+fn drop_part(contents: &mut StoreContents, key: &PartKey) {
+    if let Some(part) = contents.held.remove(key) {
+        contents.used = contents.used.saturating_sub(part.tokens.0);
+    }
+}
+
+/// Weight of a choice in weighted rendezvous hashing: the highest wins, and each is chosen in
+/// proportion to its size.
+pub fn rendezvous_weight(choice: &impl Hash, size: f64) -> f64 {
+    let mut hasher = FxHasher::default();
+    choice.hash(&mut hasher);
+    // The fast hasher leaves its low bits poorly mixed; a multiplicative mix spreads them.
+    let mixed = (hasher.finish() ^ (hasher.finish() >> 32)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let unit = ((mixed >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
+    -size / unit.min(1.0 - f64::EPSILON).ln()
+}
--- /dev/null
+++ b/crates/guava-serve/src/request_plan.rs
@@ -0,0 +1,194 @@
+//! Plans one send: service, upstream, and what the upstream is told.
+
+use crate::accepted_request::{AcceptedRequest, PromptShape};
+use crate::attempt::{AttemptPlan, ExpectedLoad};
+use crate::dialect::{EngineOrders, SendPlan};
+use crate::engine_choice::{EngineChoice, EngineInput, choose_engine};
+use crate::events;
+use crate::outcome::SendRecord;
+use crate::part_index::PartKey;
+use crate::patience::first_answer_patience;
+use crate::peer_message::SentPrompt;
+use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
+use crate::serve_parts::ServeParts;
+use crate::service_choice::{ServiceInput, choose_instance};
+use guava_log::log_event;
+use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
+
+/// Expected time of a plain request, in milliseconds, for telling slow instances from others.
+const PLAIN_ANSWER_MS: f64 = 25.0;
+/// Prompts remembered for peers between two messages.
+const REMEMBERED_PROMPTS: usize = 64;
+
+/// Draws a service by the route's weights.
+pub fn draw_service(route: &RouteRule, draw: u64) -> Option<&ServiceName> {
+    let total: u64 = route.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut left = draw % total.max(1);
+    for (service, weight) in &route.services {
+        if left < u64::from(*weight) {
+            return Some(service);
+        }
+        left -= u64::from(*weight);
+    }
+    route.services.first().map(|(service, _)| service)
+}
+
+/// Plans a send to a service; nothing if no upstream may take it.
+pub fn plan_attempt(
+    parts: &ServeParts,
+    config: &ServeConfig,
+    request: &AcceptedRequest,
+    service: &ServiceName,
+    record: &SendRecord,
+    resume_after: Option<&str>,
+) -> Option<AttemptPlan> {
+    let engine = config.service(service).and_then(|rule| rule.engine.as_ref());
+    let mut plan = match (engine, &request.prompt) {
+        (Some(traits), Some(prompt)) => {
+            plan_engine(parts, config, request, service, traits, prompt, record)
+        }
+        _ => plan_plain(parts, request, service, record),
+    }?;
+    plan.send.resume_after = resume_after.map(Into::into).or_else(|| request.resume_after.clone());
+    log_event!(
+        info,
+        events::SENT,
+        request = request.id,
+        route = request.route.name,
+        config = config.version,
+        service = service,
+        upstream = plan.send.upstream,
+        expected_ms = plan.load.answer_ms.round(),
+        left_ms = request.deadline.millis_left(Moment::now()),
+        tries = record.tried.len()
+    );
+    Some(plan)
+}
+
+fn attempt_plan(
+    parts: &ServeParts,
+    request: &AcceptedRequest,
+    service: &ServiceName,
+    upstream: UpstreamId,
+    load: ExpectedLoad,
+    record: &SendRecord,
+) -> Option<AttemptPlan> {
+    let address = parts.upstreams.borrow().entry(&upstream)?.address;
+    let now = Moment::now();
+    let patience = first_answer_patience(&request.route, record.runs, load.answer_ms);
+    let send = SendPlan {
+        upstream,
+        address,
+        left_ms: request.deadline.millis_left(now),
+        priority: request.priority(),
+        engine: None,
+        resume_after: None,
+    };
+    Some(AttemptPlan {
+        send,
+        service: service.clone(),
+        load,
+        patience: patience.map(|millis| Deadline::after(now, millis)),
+        deadline: request.deadline,
+    })
+}
+
+fn plan_plain(
+    parts: &ServeParts,
+    request: &AcceptedRequest,
+    service: &ServiceName,
+    record: &SendRecord,
+) -> Option<AttemptPlan> {
+    let upstream = choose_instance(&ServiceInput {
+        service,
+        upstreams: &parts.upstreams.borrow(),
+        work: &parts.work.borrow(),
+        data_centre: &parts.identity.data_centre,
+        tried: &record.tried,
+        now: Moment::now(),
+        draw: rand::random(),
+    })?;
+    let load = ExpectedLoad { answer_ms: PLAIN_ANSWER_MS, ..ExpectedLoad::default() };
+    attempt_plan(parts, request, service, upstream, load, record)
+}
+
+fn plan_engine(
+    parts: &ServeParts,
+    config: &ServeConfig,
+    request: &AcceptedRequest,
+    service: &ServiceName,
+    traits: &EngineTraits,
+    prompt: &PromptShape,
+    record: &SendRecord,
+) -> Option<AttemptPlan> {
+    let now = Moment::now();
+    let peers: Vec<MemberName> =
+        parts.members.borrow().living(now).map(|note| note.name.clone()).collect();
+    let choice = choose_engine(&EngineInput {
+        request,
+        prompt,
+        service,
+        traits,
+        stores: &config.stores,
+        upstreams: &parts.upstreams.borrow(),
+        work: &parts.work.borrow(),
+        parts: &parts.parts.borrow(),
+        targets: &parts.targets.borrow(),
+        version_limit_ms: parts.bounds.version_limit_ms,
+        prefill: parts.prefill.borrow().rate(),
+        me: &parts.identity.name,
+        peers: &peers,
+        data_centre: &parts.identity.data_centre,
+        tried: &record.tried,
+        now,
+        draw: rand::random(),
+    })?;
+    note_choice(parts, prompt, &choice, now);
+    let load = ExpectedLoad {
+        prompt: choice.recompute,
+        memory: prompt.memory(),
+        answer_ms: choice.expected_ms,
+    };
+    let upstream = choice.upstream.clone();
+    let mut plan = attempt_plan(parts, request, service, upstream, load, record)?;
+    plan.send.engine = Some(engine_orders(parts, choice, now));
+    Some(plan)
+}
+
+fn engine_orders(parts: &ServeParts, choice: EngineChoice, now: Moment) -> EngineOrders {
+    // Without the upstreams' clock a fetch can't be bounded, and is left out.
+    let fetch = choice.fetch.and_then(|fetch| {
+        let until = parts.upstream_clock_in(fetch.budget_ms, now)?;
+        Some((fetch.sources, until))
+    });
+    let (fetch, fetch_until_ms) = match fetch {
+        Some((sources, until)) => (sources, Some(until)),
+        None => (Vec::new(), None),
+    };
+    EngineOrders {
+        version: choice.version,
+        salt: choice.salt,
+        fetch,
+        fetch_until_ms,
+        save: choice.save,
+    }
+}
+
+/// Remembers where a prompt's parts go, here and for peers.
+fn note_choice(parts: &ServeParts, prompt: &PromptShape, choice: &EngineChoice, now: Moment) {
+    let keys: Vec<PartKey> =
+        prompt.parts.iter().map(|part| PartKey::new(&choice.salt, &part.id)).collect();
+    let mut index = parts.parts.borrow_mut();
+    index.note_sent(&choice.upstream, &keys, TokenCount(prompt.memory().0));
+    for (part, target) in prompt.parts.iter().zip(&choice.save) {
+        if target.is_some() {
+            index.note_saving(&choice.salt, part, now);
+        }
+    }
+    let mut sent = parts.sent_prompts.borrow_mut();
+    if sent.len() < REMEMBERED_PROMPTS {
+        let shared = keys.len().saturating_sub(1);
+        let parts = keys.into_iter().take(shared).collect();
+        sent.push(SentPrompt { engine: choice.upstream.clone(), parts, tokens: prompt.memory() });
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -0,0 +1,119 @@
+//! The parts that a request's way through a daemon uses.
+//!
+//! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
+
+use crate::connection_pool::ConnectionPool;
+use crate::dialect::Dialect;
+use crate::member_table::MemberTable;
+use crate::metrics::ServeMetrics;
+use crate::part_index::PartIndex;
+use crate::peer_message::SentPrompt;
+use crate::prefill_rate::PrefillRate;
+use crate::retry_shares::{RetryLimit, RetryShares};
+use crate::serve_config::ConfigKeeper;
+use crate::upstream_table::UpstreamTable;
+use crate::version_targets::VersionTargets;
+use crate::work_table::WorkTable;
+use guava_types::{DataCentre, MemberName, Moment};
+use std::cell::{Cell, RefCell};
+use std::net::IpAddr;
+
+/// Who this daemon is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServeIdentity {
+    /// Its name.
+    pub name: MemberName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Address that its connections leave from.
+    pub source: Option<IpAddr>,
+}
+
+/// Limits that the deployment sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServeBounds {
+    /// Time in which new weights must be in use everywhere, in milliseconds.
+    pub version_limit_ms: u64,
+    /// Retries to a service.
+    pub retries: RetryLimit,
+    /// Bytes of requests that may be held at a time.
+    pub held_bytes: usize,
+}
+
+/// What the upstreams' common clock showed at a moment of this daemon's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamClock {
+    /// Their clock, in milliseconds.
+    pub clock_ms: u64,
+    /// This daemon's.
+    pub read: Moment,
+}
+
+/// The parts.
+pub struct ServeParts {
+    /// Who this daemon is.
+    pub identity: ServeIdentity,
+    /// Limits that the deployment sets.
+    pub bounds: ServeBounds,
+    /// How upstreams are spoken to.
+    pub dialect: Dialect,
+    /// Connections to upstreams.
+    pub pool: ConnectionPool,
+    /// Counters.
+    pub metrics: ServeMetrics,
+    /// The configuration in force.
+    pub config: RefCell<ConfigKeeper>,
+    /// The upstreams.
+    pub upstreams: RefCell<UpstreamTable>,
+    /// Their work.
+    pub work: RefCell<WorkTable>,
+    /// Where cached parts lie.
+    pub parts: RefCell<PartIndex>,
+    /// Published weights.
+    pub targets: RefCell<VersionTargets>,
+    /// Budgets for retries.
+    pub retries: RefCell<RetryShares>,
+    /// The other daemons.
+    pub members: RefCell<MemberTable>,
+    /// Prefill throughput.
+    pub prefill: RefCell<PrefillRate>,
+    /// Prompts sent since peers were last told.
+    pub sent_prompts: RefCell<Vec<SentPrompt>>,
+    /// The upstreams' clock.
+    pub upstream_clock: Cell<Option<UpstreamClock>>,
+    /// When the configuration in force was last seen to be the newest.
+    pub config_confirmed: Cell<Moment>,
+    /// Bytes of requests held at present.
+    pub held_bytes: Cell<usize>,
+}
+
+impl ServeParts {
+    /// Parts that know nothing yet.
+    pub fn new(identity: ServeIdentity, bounds: ServeBounds, dialect: Dialect) -> Self {
+        Self {
+            pool: ConnectionPool::new(identity.source),
+            identity,
+            bounds,
+            dialect,
+            metrics: ServeMetrics::default(),
+            config: RefCell::default(),
+            upstreams: RefCell::default(),
+            work: RefCell::default(),
+            parts: RefCell::default(),
+            targets: RefCell::default(),
+            retries: RefCell::new(RetryShares::new(bounds.retries, 1)),
+            members: RefCell::default(),
+            prefill: RefCell::default(),
+            sent_prompts: RefCell::default(),
+            upstream_clock: Cell::new(None),
+            config_confirmed: Cell::default(),
+            held_bytes: Cell::new(0),
+        }
+    }
+
+    /// The upstreams' clock so many milliseconds from now, if it is known.
+    pub fn upstream_clock_in(&self, millis: u64, now: Moment) -> Option<u64> {
+        let clock = self.upstream_clock.get()?;
+        Some(clock.clock_ms + now.millis_since(clock.read) + millis)
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -0,0 +1,264 @@
+//! The upstreams as the platform's list has them, late and with outages.
+//!
+//! An id names one start of one upstream and is never used again. Leaving is final for an id.
+
+use guava_types::{DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Version of a model's weights; versions begin at 1 and grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WeightVersion(pub u64);
+
+impl fmt::Display for WeightVersion {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(out)
+    }
+}
+
+/// How long after the list's return an entry that lapsed meanwhile may still come back, in
+/// milliseconds. The list's contract: about two seconds.
+const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// An upstream as the list describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// This start of it.
+    pub id: UpstreamId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// Weights that it serves, by model.
+    pub versions: FastMap<ModelName, WeightVersion>,
+}
+
+#[derive(Clone, Debug)]
+struct ListedUpstream {
+    entry: UpstreamEntry,
+    /// Set while the entry is missing from the list and may still come back.
+    dropped_at: Option<Deadline>,
+    /// Set while new weights are being loaded, as far as is known.
+    loading_until: Deadline,
+}
+
+/// What a change of the list did, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListChange {
+    /// Nothing new.
+    Same,
+    /// A new upstream.
+    Added,
+    /// It takes no new work from now on.
+    Leaving,
+    /// Its entry is gone, but may come back: it lapsed while the list was away.
+    Lapsed,
+    /// It is gone.
+    Gone,
+}
+
+impl ListChange {
+    /// In a word, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Added => "added",
+            Self::Leaving => "leaving",
+            Self::Lapsed => "lapsed",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// The upstreams.
+#[derive(Debug, Default)]
+pub struct UpstreamTable {
+    listed: FastMap<UpstreamId, ListedUpstream>,
+    by_service: FastMap<ServiceName, Vec<UpstreamId>>,
+    is_known: bool,
+    is_away: bool,
+    returned: Moment,
+}
+
+impl UpstreamTable {
+    /// Whether the list was ever read.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Notes that the list can't be read; what is known stays in use. Whether that is news.
+    pub fn note_away(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_away, true)
+    }
+
+    /// Notes that the list was read, before what it says is taken in. Whether it was away.
+    pub fn note_read(&mut self, now: Moment) -> bool {
+        self.is_known = true;
+        let was_away = std::mem::replace(&mut self.is_away, false);
+        if was_away {
+            self.returned = now;
+        }
+        was_away
+    }
+
+    /// Takes an entry in.
+    pub fn note_entry(&mut self, entry: UpstreamEntry) -> ListChange {
+        match self.listed.get_mut(&entry.id) {
+            None => {
+                self.by_service.entry(entry.service.clone()).or_default().push(entry.id.clone());
+                let id = entry.id.clone();
+                let listed =
+                    ListedUpstream { entry, dropped_at: None, loading_until: Deadline::default() };
+                self.listed.insert(id, listed);
+                ListChange::Added
+            }
+            Some(listed) => {
+                listed.dropped_at = None;
+                let was_leaving = listed.entry.is_leaving;
+                let versions = newest_versions(&listed.entry.versions, &entry.versions);
+                listed.entry = entry;
+                listed.entry.versions = versions;
+                let is_news = listed.entry.is_leaving && !was_leaving;
+                // Leaving is final: an older copy of the entry must not bring new work back.
+                listed.entry.is_leaving |= was_leaving;
+                if is_news { ListChange::Leaving } else { ListChange::Same }
+            }
+        }
+    }
+
+    /// Notes that an entry was removed from the list.
+    ///
+    /// Entries lapse while the list is away, since upstreams can't renew them. Dropping all of
+    /// them at once would refuse every request though all upstreams serve; so after an outage an
+    /// entry counts for the time in which living upstreams register again.
+    pub fn note_removed(&mut self, id: &UpstreamId, now: Moment) -> ListChange {
+        let Some(listed) = self.listed.get_mut(id) else { return ListChange::Same };
+        let grace = Deadline::after(self.returned, LAPSE_GRACE_MS);
+        let may_return = !listed.entry.is_leaving && self.is_known && !grace.passed(now);
+        if may_return && self.returned != Moment::default() {
+            listed.dropped_at = Some(grace);
+            return ListChange::Lapsed;
+        }
+        self.drop_entry(id);
+        ListChange::Gone
+    }
+
+    /// Takes a whole list in: entries that are not in it are removed.
+    pub fn note_list(
+        &mut self,
+        entries: Vec<UpstreamEntry>,
+        now: Moment,
+    ) -> Vec<(UpstreamId, ListChange)> {
+        let missing: Vec<UpstreamId> = self
+            .listed
+            .iter()
+            .filter(|(id, listed)| {
+                listed.dropped_at.is_none() && !entries.iter().any(|entry| entry.id == **id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let removed = missing.into_iter().map(|id| {
+            let change = self.note_removed(&id, now);
+            (id, change)
+        });
+        let mut changes: Vec<(UpstreamId, ListChange)> = removed.collect();
+        for entry in entries {
+            let id = entry.id.clone();
+            changes.push((id, self.note_entry(entry)));
+        }
+        changes.retain(|(_, change)| *change != ListChange::Same);
+        changes
+    }
+
+    /// Drops the entries whose time to come back is over; which they were.
+    pub fn drop_lapsed(&mut self, now: Moment) -> Vec<UpstreamId> {
+        let is_over = |listed: &ListedUpstream| listed.dropped_at.is_some_and(|at| at.passed(now));
+        let over: Vec<UpstreamId> = self
+            .listed
+            .iter()
+            .filter(|(_, listed)| is_over(listed))
+            .map(|(id, _)| id.clone())
+            .collect();
+        over.iter().for_each(|id| self.drop_entry(id));
+        over
+    }
+
+    /// Notes that the upstream at an address is not the one with this id any more.
+    pub fn note_replaced(&mut self, id: &UpstreamId) {
+        self.drop_entry(id);
+    }
+
+    /// Notes which weights an upstream serves, by its own word.
+    pub fn note_version(&mut self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
+        let Some(listed) = self.listed.get_mut(id) else { return };
+        let known = listed.entry.versions.entry(model.clone()).or_default();
+        *known = version.max(*known);
+    }
+
+    /// Notes that an upstream loads new weights until about a deadline.
+    pub fn note_loading(&mut self, id: &UpstreamId, until: Deadline) {
+        if let Some(listed) = self.listed.get_mut(id) {
+            listed.loading_until = until;
+        }
+    }
+
+    /// Whether an upstream loads new weights, as far as is known.
+    pub fn is_loading(&self, id: &UpstreamId, now: Moment) -> bool {
+        self.listed.get(id).is_some_and(|listed| !listed.loading_until.passed(now))
+    }
+
+    /// Whether new work may go to an upstream; asked right before each send, since choosing one
+    /// and connecting to it take time in which it may have left.
+    pub fn may_send(&self, id: &UpstreamId) -> bool {
+        self.listed.get(id).is_some_and(|listed| !listed.entry.is_leaving)
+    }
+
+    /// An upstream by its id.
+    pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
+        self.listed.get(id).map(|listed| &listed.entry)
+    }
+
+    /// The upstreams of a service that may get new work.
+    pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamEntry> {
+        let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        ids.iter()
+            .filter_map(|id| self.listed.get(id))
+            .map(|listed| &listed.entry)
+            .filter(|entry| !entry.is_leaving)
+    }
+
+    /// How many upstreams are known.
+    pub fn count(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// All upstreams.
+    pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.listed.values().map(|listed| &listed.entry)
+    }
+
+    fn drop_entry(&mut self, id: &UpstreamId) {
+        let Some(listed) = self.listed.remove(id) else { return };
+        if let Some(ids) = self.by_service.get_mut(&listed.entry.service) {
+            ids.retain(|other| other != id);
+        }
+    }
+}
+
+/// The list lags behind what upstreams say themselves, and versions only grow.
+fn newest_versions(
+    known: &FastMap<ModelName, WeightVersion>,
+    listed: &FastMap<ModelName, WeightVersion>,
+) -> FastMap<ModelName, WeightVersion> {
+    let newest = |(model, version): (&ModelName, &WeightVersion)| {
+        let before = known.get(model).copied().unwrap_or_default();
+        (model.clone(), before.max(*version))
+    };
+    listed.iter().map(newest).collect()
+}
--- /dev/null
+++ b/crates/guava-serve/src/version_targets.rs
@@ -0,0 +1,100 @@
+//! Which weights each model should have, and since when that is known.
+
+use crate::upstream_table::WeightVersion;
+use guava_types::{Deadline, FastMap, ModelName, Moment};
+
+/// From this long after a newer version was published, an answer on the older one has less worth,
+/// in milliseconds.
+const FRESH_MS: u64 = 1_500;
+/// How long before the time limit for new weights no request starts on old ones, in milliseconds:
+/// reading the publication late, a queue at the upstream and slow links must fit in.
+const CUTOFF_MARGIN_MS: u64 = 1_500;
+
+/// Published weights of one model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionTarget {
+    /// The newest version.
+    pub version: WeightVersion,
+    /// When this daemon learnt of it.
+    pub learned: Moment,
+}
+
+/// Whether a request may start on some weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionUse {
+    /// The newest that is known.
+    Newest,
+    /// Old, and still as good.
+    Older,
+    /// Old, and worth less.
+    Stale,
+    /// Too old.
+    Forbidden,
+}
+
+/// The targets of all models; a lower version never replaces a higher one.
+#[derive(Debug, Default)]
+pub struct VersionTargets {
+    /// By model, newest last.
+    past: FastMap<ModelName, Vec<VersionTarget>>,
+}
+
+/// Publications remembered for each model, newest last: a version is judged from the publication
+/// of the one that follows it.
+const REMEMBERED: usize = 16;
+
+impl VersionTargets {
+    /// Takes in that a version was published by some moment at the latest; whether it is news.
+    ///
+    /// A daemon that starts reads the newest version without its age; one that counted from its
+    /// own start would go on using old weights long after the time limit. Peers know better, and
+    /// the earliest moment counts.
+    pub fn offer(&mut self, model: &ModelName, version: WeightVersion, learned: Moment) -> bool {
+        let past = self.past.entry(model.clone()).or_default();
+        if let Some(known) = past.iter_mut().find(|target| target.version == version) {
+            known.learned = known.learned.min(learned);
+            return false;
+        }
+        if past.last().is_some_and(|newest| newest.version > version) {
+            return false;
+        }
+        past.push(VersionTarget { version, learned });
+        if past.len() > REMEMBERED {
+            past.remove(0);
+        }
+        true
+    }
+
+    /// The target of a model, if one was published.
+    pub fn target(&self, model: &ModelName) -> Option<VersionTarget> {
+        self.past.get(model)?.last().copied()
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
+        self.past.iter().filter_map(|(model, past)| Some((model, past.last()?)))
+    }
+
+    /// Whether a request may start on a version now, where the newest must be in use everywhere
+    /// within a time limit in milliseconds.
+    pub fn judge(
+        &self,
+        model: &ModelName,
+        version: WeightVersion,
+        limit_ms: u64,
+        now: Moment,
+    ) -> VersionUse {
+        let past = self.past.get(model).map(Vec::as_slice).unwrap_or_default();
+        let Some(successor) = past.iter().find(|target| target.version > version) else {
+            return VersionUse::Newest;
+        };
+        let cutoff = Deadline::after(successor.learned, limit_ms.saturating_sub(CUTOFF_MARGIN_MS));
+        if cutoff.passed(now) {
+            VersionUse::Forbidden
+        } else if now.millis_since(successor.learned) >= FRESH_MS {
+            VersionUse::Stale
+        } else {
+            VersionUse::Older
+        }
+    }
+}
--- /dev/null
+++ b/crates/guava-serve/src/work_table.rs
@@ -0,0 +1,160 @@
+//! What runs and waits at each upstream: this daemon's own work, and what peers say of theirs.
+
+use guava_policy::{LoadTable, UpstreamLoad};
+use guava_types::{FastMap, MemberName, Moment, TokenCount, UpstreamId};
+
+/// A peer that has said nothing for so long is taken to have nothing running, in milliseconds.
+/// Peers speak four times a second, so this is several lost datagrams in a row.
+const PEER_EXPIRY_MS: u64 = 1_500;
+
+/// One daemon's work at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkShare {
+    /// Prompt tokens that wait to be read.
+    pub waiting: TokenCount,
+    /// Memory taken until the runs end.
+    pub memory: TokenCount,
+    /// Requests sent and not over.
+    pub running: u32,
+}
+
+impl WorkShare {
+    fn add(&mut self, other: &WorkShare) {
+        self.waiting.0 += other.waiting.0;
+        self.memory.0 += other.memory.0;
+        self.running += other.running;
+    }
+
+    fn subtract(&mut self, other: &WorkShare) {
+        self.waiting.0 = self.waiting.0.saturating_sub(other.waiting.0);
+        self.memory.0 = self.memory.0.saturating_sub(other.memory.0);
+        self.running = self.running.saturating_sub(other.running);
+    }
+}
+
+/// Names a piece of work until it is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkTicket {
+    upstream: UpstreamId,
+    number: u64,
+    memory: TokenCount,
+}
+
+#[derive(Debug, Default)]
+struct PeerWork {
+    shares: FastMap<UpstreamId, WorkShare>,
+    noted: Moment,
+}
+
+/// The work at all upstreams.
+#[derive(Debug, Default)]
+pub struct WorkTable {
+    loads: LoadTable,
+    own: FastMap<UpstreamId, WorkShare>,
+    peers: FastMap<MemberName, PeerWork>,
+    peers_total: FastMap<UpstreamId, WorkShare>,
+    idle_load: UpstreamLoad,
+}
+
+impl WorkTable {
+    /// Notes work sent to an upstream.
+    pub fn begin(
+        &mut self,
+        upstream: &UpstreamId,
+        prompt: TokenCount,
+        memory: TokenCount,
+        expected_ms: f64,
+        now: Moment,
+    ) -> WorkTicket {
+        let number = self.loads.sent(upstream, prompt, expected_ms, now);
+        let share = self.own.entry(upstream.clone()).or_default();
+        share.memory.0 += memory.0;
+        share.running += 1;
+        WorkTicket { upstream: upstream.clone(), number, memory }
+    }
+
+    /// Notes the first part of an answer.
+    pub fn started(&mut self, ticket: &WorkTicket, now: Moment) {
+        self.loads.started(&ticket.upstream, ticket.number, now);
+    }
+
+    /// Notes that work is over, however it ended.
+    pub fn end(&mut self, ticket: &WorkTicket) {
+        self.loads.finished(&ticket.upstream, ticket.number);
+        if let Some(share) = self.own.get_mut(&ticket.upstream) {
+            share.memory.0 = share.memory.0.saturating_sub(ticket.memory.0);
+            share.running = share.running.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an upstream gave no answer, a broken one, or an error.
+    pub fn stumbled(&mut self, upstream: &UpstreamId, now: Moment) {
+        self.loads.stumbled(upstream, now);
+    }
+
+    /// The load of an upstream.
+    pub fn load(&self, upstream: &UpstreamId) -> &UpstreamLoad {
+        self.loads.find(upstream).unwrap_or(&self.idle_load)
+    }
+
+    /// Memory taken and requests running there, of all daemons.
+    pub fn total(&self, upstream: &UpstreamId) -> WorkShare {
+        let mut total = self.own.get(upstream).copied().unwrap_or_default();
+        total.add(&self.peers_total.get(upstream).copied().unwrap_or_default());
+        total
+    }
+
+    /// This daemon's own work, for its peers.
+    pub fn own_shares(&self) -> impl Iterator<Item = (&UpstreamId, WorkShare)> {
+        let busy = self.own.iter().filter(|(_, share)| share.running > 0);
+        busy.map(|(id, share)| {
+            let waiting = self.load(id).pending_tokens();
+            (id, WorkShare { waiting, ..*share })
+        })
+    }
+
+    /// Takes in what a peer says of its work.
+    pub fn note_peer(
+        &mut self,
+        peer: &MemberName,
+        shares: FastMap<UpstreamId, WorkShare>,
+        now: Moment,
+    ) {
+        self.forget_peer(peer, now);
+        for (id, share) in &shares {
+            self.peers_total.entry(id.clone()).or_default().add(share);
+            self.refresh_load(id, now);
+        }
+        self.peers.insert(peer.clone(), PeerWork { shares, noted: now });
+    }
+
+    /// Forgets the work of peers that fell silent, and upstreams that are gone.
+    pub fn sweep(&mut self, now: Moment, is_known: impl Fn(&UpstreamId) -> bool) {
+        let is_silent = |work: &PeerWork| now.millis_since(work.noted) > PEER_EXPIRY_MS;
+        let silent: Vec<MemberName> = self
+            .peers
+            .iter()
+            .filter(|(_, work)| is_silent(work))
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        silent.iter().for_each(|peer| self.forget_peer(peer, now));
+        self.loads.retain(&is_known);
+        self.own.retain(|id, share| share.running > 0 || is_known(id));
+        self.peers_total.retain(|id, _| is_known(id));
+    }
+
+    fn forget_peer(&mut self, peer: &MemberName, now: Moment) {
+        let Some(work) = self.peers.remove(peer) else { return };
+        for (id, share) in &work.shares {
+            if let Some(total) = self.peers_total.get_mut(id) {
+                total.subtract(share);
+            }
+            self.refresh_load(id, now);
+        }
+    }
+
+    fn refresh_load(&mut self, upstream: &UpstreamId, now: Moment) {
+        let waiting = self.peers_total.get(upstream).map_or(TokenCount(0), |total| total.waiting);
+        self.loads.note_peers(upstream, waiting, now);
+    }
+}
--- a/crates/guavatiller/src/args.rs
+++ b/crates/guavatiller/src/args.rs
@@ -63,6 +63,7 @@
 #[argh(subcommand)]
 pub enum CommandArgs {
     Daemon(DaemonArgs),
+    Platform(PlatformArgs),
     CheckSettings(CheckArgs),
     Customer(CustomerArgs),
     Service(ServiceArgs),
@@ -86,6 +87,18 @@
     pub settings: PathBuf,
 }
 
+/// run a daemon on the users' platform until SIGTERM
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArgs {
+    /// settings file; by default the one that GUAVATILLER_CONFIG names
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// only check the settings
+    #[argh(switch)]
+    pub check: bool,
+}
+
 /// check a settings file and report all errors
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-settings")]
--- a/crates/guavatiller/src/main.rs
+++ b/crates/guavatiller/src/main.rs
@@ -8,6 +8,7 @@
 
 use args::{CommandArgs, TopArgs};
 use guava_daemon::{DaemonSettings, run_daemon};
+use guava_platform::run_platform;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -25,16 +26,21 @@
     ExitCode::from(EXIT_FAILED)
 }
 
+fn finish<E: std::fmt::Display>(result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error.to_string()),
+    }
+}
+
 fn main() -> ExitCode {
     let top: TopArgs = argh::from_env();
     match &top.command {
         CommandArgs::Daemon(args) => match read_settings(&args.settings) {
-            Ok(settings) => match run_daemon(settings) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(error) => fail(&error.to_string()),
-            },
+            Ok(settings) => finish(run_daemon(settings)),
             Err(errors) => fail(&errors),
         },
+        CommandArgs::Platform(args) => finish(run_platform(args.settings.clone(), args.check)),
         CommandArgs::CheckSettings(args) => match read_settings(&args.file) {
             Ok(_) => {
                 println!("{}: settings are valid", args.file.display());
--- a/crates/guava-daemon/tests/events.rs
+++ b/crates/guavatiller/tests/events.rs
@@ -2,9 +2,20 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_daemon::events::CATALOGUE;
+use guava_log::LogEvent;
 use std::collections::BTreeSet;
 
+/// The events of every crate that the binary is made of.
+fn catalogue() -> impl Iterator<Item = &'static LogEvent> {
+    let crates = [
+        guava_log::CATALOGUE,
+        guava_daemon::events::CATALOGUE,
+        guava_serve::events::CATALOGUE,
+        guava_platform::events::CATALOGUE,
+    ];
+    crates.into_iter().flatten()
+}
+
 fn documented() -> BTreeSet<(String, String)> {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
     let text = std::fs::read_to_string(path).unwrap();
@@ -19,14 +30,14 @@
 #[test]
 fn docs_list_every_event_and_no_other() {
     let coded: BTreeSet<(String, String)> =
-        CATALOGUE.iter().map(|event| (event.code.to_owned(), event.text.to_owned())).collect();
+        catalogue().map(|event| (event.code.to_owned(), event.text.to_owned())).collect();
 
     assert_eq!(documented(), coded);
 }
 
 #[test]
 fn codes_are_unique() {
-    let codes: BTreeSet<&str> = CATALOGUE.iter().map(|event| event.code).collect();
+    let codes: BTreeSet<&str> = catalogue().map(|event| event.code).collect();
 
-    assert_eq!(codes.len(), CATALOGUE.len());
+    assert_eq!(codes.len(), catalogue().count());
 }
