--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -40,6 +40,8 @@
 /// Share of a store's link that a transfer gets on average, since most cross data centres, where
 /// they take twice as long.
 const LINK_PART: f64 = 0.6;
+/// How many times longer than expected a request may wait for its start.
+const LATEST_START: f64 = 2.0;
 /// Weights of time and recomputed tokens: a token recomputed is time of an engine that others
 /// wait for.
 const PROFILE: WeightProfile = WeightProfile { first_token: 100, recompute: 1, link: 0 };
@@ -154,12 +156,22 @@
     SaltOffer { salt, sources, offer }
 }
 
+/// When a request would start there at the latest, as far as can be told.
+///
+/// What counts for weights is when a request starts, not when it is sent: one was seen to wait
+/// 2.7 s in an engine's queue, past the time limit for its old weights.
+fn expected_start(input: &EngineInput<'_>, engine: &UpstreamId) -> Moment {
+    let wait_ms = input.work.load(engine).wait_ms(input.now, input.prefill);
+    Moment(input.now.0 + (wait_ms * LATEST_START) as u64)
+}
+
 /// Engines that have the model in a version that may be used, with that version.
 fn usable<'a>(input: &EngineInput<'a>) -> Vec<(&'a UpstreamEntry, WeightVersion, VersionUse)> {
     let judged = input.upstreams.serving(input.service).filter_map(|entry| {
         let version = *entry.versions.get(&input.prompt.model)?;
         let limit = input.version_limit_ms;
-        let verdict = input.targets.judge(&input.prompt.model, version, limit, input.now);
+        let start = expected_start(input, &entry.id);
+        let verdict = input.targets.judge(&input.prompt.model, version, limit, start);
         let is_usable = verdict != VersionUse::Forbidden && !input.tried.contains(&entry.id);
         is_usable.then_some((entry, version, verdict))
     });
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -62,5 +62,5 @@
 pub use service_choice::{ServiceInput, choose_instance};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
-pub use version_targets::{VersionTarget, VersionTargets, VersionUse};
+pub use version_targets::{VersionTarget, VersionTargets, VersionUse, age_at_start};
 pub use work_table::{WorkShare, WorkTable, WorkTicket};
--- a/crates/guava-serve/src/rollout_state.rs
+++ b/crates/guava-serve/src/rollout_state.rs
@@ -3,14 +3,18 @@
 use crate::cache_salt::salt_version;
 use crate::serve_parts::ServeParts;
 use crate::upstream_table::{UpstreamTable, WeightVersion};
-use crate::version_rollout::RolloutEngine;
+use crate::version_rollout::{ORDER_EXPIRY_MS, RolloutEngine};
 use crate::version_targets::VersionTargets;
 use guava_types::{Deadline, FastMap, ModelName, Moment, UpstreamId};
 
 /// Pause between two looks at an engine that loads, in milliseconds.
-const LOOK_EVERY_MS: u64 = 250;
-/// How long an engine that could not be ordered is left alone, in milliseconds.
+const LOOK_EVERY_MS: u64 = 150;
+/// How long an engine counts as loading after each look that finds it so, in milliseconds.
+const LOADING_MS: u64 = 500;
+/// How long an engine that could not be asked is left alone, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 1_000;
+/// How long an engine that is still at work on another order is left alone, in milliseconds.
+const BUSY_PAUSE_MS: u64 = 300;
 /// How long after a publication parts of older weights are kept, in milliseconds: requests sent
 /// with older weights may still fetch them. Fetches end within two seconds.
 const USELESS_AFTER_MS: u64 = 6_000;
@@ -62,7 +66,7 @@
         }
         drop((targets, upstreams, work));
         for id in self.loading(now) {
-            let until = Deadline::after(now, 2 * LOOK_EVERY_MS);
+            let until = Deadline::after(now, LOADING_MS);
             parts.upstreams.borrow_mut().note_loading(&id, until);
         }
         self.models.values().any(ModelRollout::is_lagging)
@@ -128,7 +132,19 @@
 
     /// Notes that an engine could not be asked; it is left alone for a while.
     pub fn note_failed(&mut self, model: &ModelName, id: &UpstreamId, now: Moment) {
-        let back = crate::version_rollout::ORDER_EXPIRY_MS.saturating_sub(FAILED_PAUSE_MS);
+        self.leave_alone(model, id, FAILED_PAUSE_MS, now);
+    }
+
+    /// Notes that an engine is still at work on another order.
+    ///
+    /// Weights may be published while an engine loads older ones. Taken for an order of its own,
+    /// it would hold one of the few places for loads until the order expires, with nothing done.
+    pub fn note_busy(&mut self, model: &ModelName, id: &UpstreamId, now: Moment) {
+        self.leave_alone(model, id, BUSY_PAUSE_MS, now);
+    }
+
+    fn leave_alone(&mut self, model: &ModelName, id: &UpstreamId, pause_ms: u64, now: Moment) {
+        let back = ORDER_EXPIRY_MS.saturating_sub(pause_ms);
         if let Some(state) = self.state(model, id) {
             state.ordered = Some(now.minus_millis(back));
             state.looked = now;
--- a/crates/guava-serve/src/version_rollout.rs
+++ b/crates/guava-serve/src/version_rollout.rs
@@ -10,6 +10,9 @@
 const ENGINES_PER_LOAD: usize = 6;
 /// Loads that are always allowed at the same time.
 const LEAST_AT_ONCE: usize = 3;
+/// Engines that are ordered beyond that: they first finish their runs, about a quarter of the time
+/// from order to new weights, and load nothing meanwhile.
+const FINISHING: usize = 1;
 /// An order that had no effect for so long is given again, in milliseconds. Loading takes about a
 /// second, longer with several at once, after the runs at hand have ended.
 pub(crate) const ORDER_EXPIRY_MS: u64 = 5_000;
@@ -43,7 +46,7 @@
 /// The engines to order next.
 pub fn next_orders(engines: &[RolloutEngine], now: Moment) -> Vec<UpstreamId> {
     let loading = engines.iter().filter(|engine| engine.is_loading(now)).count();
-    let free = loads_at_once(engines.len()).saturating_sub(loading);
+    let free = (loads_at_once(engines.len()) + FINISHING).saturating_sub(loading);
     let mut waiting: Vec<&RolloutEngine> =
         engines.iter().filter(|engine| !engine.is_done && !engine.is_loading(now)).collect();
     waiting.sort_by_key(|engine| (engine.ordered.is_some(), engine.running));
--- a/crates/guava-serve/src/version_targets.rs
+++ b/crates/guava-serve/src/version_targets.rs
@@ -6,8 +6,8 @@
 /// From this long after a newer version was published, an answer on the older one has less worth,
 /// in milliseconds.
 const FRESH_MS: u64 = 1_500;
-/// How long before the time limit for new weights no request starts on old ones, in milliseconds:
-/// reading the publication late, a queue at the upstream and slow links must fit in.
+/// How long before the time limit for new weights no request is to start on old ones, in
+/// milliseconds: reading the publication late and slow links must fit in.
 const CUTOFF_MARGIN_MS: u64 = 1_500;
 
 /// Published weights of one model.
@@ -19,6 +19,26 @@
     pub learned: Moment,
 }
 
+/// Age of weights that nobody recorded when they were published, in milliseconds: whoever sees
+/// them first records them at once, so all daemons must have stopped right after it. Starting again
+/// takes about this long.
+const UNRECORDED_AGE_MS: u64 = 2_500;
+/// For how long old weights may still be used where the age is recorded but can't be read, in
+/// milliseconds: only as long as a daemon that just started may be behind.
+const UNREADABLE_LEFT_MS: u64 = 2_000;
+
+/// How long ago weights were published that a daemon finds when it starts, in milliseconds.
+///
+/// `recorded` is the age by the record of who saw them first: none if there is no record, and none
+/// within if it can't be compared yet.
+pub fn age_at_start(recorded: Option<Option<u64>>, limit_ms: u64) -> u64 {
+    match recorded {
+        None => UNRECORDED_AGE_MS,
+        Some(None) => limit_ms.saturating_sub(CUTOFF_MARGIN_MS + UNREADABLE_LEFT_MS),
+        Some(Some(age_ms)) => age_ms,
+    }
+}
+
 /// Whether a request may start on some weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionUse {
@@ -75,23 +95,23 @@
         self.past.iter().filter_map(|(model, past)| Some((model, past.last()?)))
     }
 
-    /// Whether a request may start on a version now, where the newest must be in use everywhere
-    /// within a time limit in milliseconds.
+    /// Whether a request may start on a version at a moment, where the newest must be in use
+    /// everywhere within a time limit in milliseconds.
     pub fn judge(
         &self,
         model: &ModelName,
         version: WeightVersion,
         limit_ms: u64,
-        now: Moment,
+        start: Moment,
     ) -> VersionUse {
         let past = self.past.get(model).map(Vec::as_slice).unwrap_or_default();
         let Some(successor) = past.iter().find(|target| target.version > version) else {
             return VersionUse::Newest;
         };
         let cutoff = Deadline::after(successor.learned, limit_ms.saturating_sub(CUTOFF_MARGIN_MS));
-        if cutoff.passed(now) {
+        if cutoff.passed(start) {
             VersionUse::Forbidden
-        } else if now.millis_since(successor.learned) >= FRESH_MS {
+        } else if start.millis_since(successor.learned) >= FRESH_MS {
             VersionUse::Stale
         } else {
             VersionUse::Older
--- a/crates/guava-state/src/lease.rs
+++ b/crates/guava-state/src/lease.rs
@@ -7,8 +7,14 @@
 use guava_types::{Deadline, Incarnation, Moment, Offset};
 use serde::{Deserialize, Serialize};
 
-/// Margin for clock drift within one term, in milliseconds.
-pub const CLOCK_MARGIN_MS: u64 = 1_000;
+/// Part of a term by which two clocks may drift apart within it, as one over this. Real clocks
+/// drift by far less; the rest covers late timers.
+const DRIFT_PART: u64 = 10;
+
+/// Margin for clock drift within one term, both in milliseconds.
+pub fn clock_margin_ms(term_ms: u64) -> u64 {
+    term_ms / DRIFT_PART
+}
 
 /// A lease as the log has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,7 +55,7 @@
         }
         self.seen = entry.cloned();
         let Some(entry) = entry else { return };
-        self.free_at = Deadline::after(now, entry.term_ms + CLOCK_MARGIN_MS);
+        self.free_at = Deadline::after(now, entry.term_ms + clock_margin_ms(entry.term_ms));
         if entry.holder != me {
             self.mine_until = None;
             return;
--- a/crates/guava-state/src/lib.rs
+++ b/crates/guava-state/src/lib.rs
@@ -15,7 +15,7 @@
 pub use eviction::{EVICT_AFTER_MS, EvictionWatch};
 pub use freshness::{FRESH_FOR_MS, FreshnessInput, FreshnessVerdict, LogSight, PeerSight};
 pub use intents::{HeldIntent, IntentTable, IntentVerdict};
-pub use lease::{CLOCK_MARGIN_MS, LeaseEntry, LeaseWatch};
+pub use lease::{LeaseEntry, LeaseWatch, clock_margin_ms};
 pub use objects::{
     ConfigObject, CustomerSpec, MethodRule, ModelSpec, ObjectError, ObjectKey, ObjectKind,
     ServiceSpec, StoredObject, UpstreamKind, UpstreamSpec, WeightProfile,
--- a/crates/guava-state/tests/lease.rs
+++ b/crates/guava-state/tests/lease.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_state::{CLOCK_MARGIN_MS, FleetState, LeaseRequest, LeaseWatch, LogRecord, RecordBody};
+use guava_state::{FleetState, LeaseRequest, LeaseWatch, LogRecord, RecordBody, clock_margin_ms};
 use guava_types::{Incarnation, Moment, Offset, RecordId, WallTime};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -102,6 +102,6 @@
 
     assert!(holder.token(woken).is_none());
     assert!(other.may_request(incarnation(1), woken).is_none(), "the margin is not over yet");
-    let free = Moment(1_500 + TERM_MS + CLOCK_MARGIN_MS);
+    let free = Moment(1_500 + TERM_MS + clock_margin_ms(TERM_MS));
     assert!(other.may_request(incarnation(1), free).is_some());
 }
