--- /dev/null
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -0,0 +1,213 @@
+//! Which engine gets a prompt, on the loads that decide it.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    AcceptedRequest, EngineChoice, EngineInput, HeldPart, PartEvent, PartIndex, PromptShape,
+    RepeatRule, StoreTraits, UpstreamTable, VersionTargets, WeightVersion, WorkTable,
+    choose_engine,
+};
+use guava_types::{FastMap, Moment, TokenCount, TokenRate, UpstreamId};
+use std::rc::Rc;
+use support::{engine, engine_traits, id, leaving, model, prompt, request, route, store};
+
+const NOW: Moment = Moment(100_000);
+const PREFILL: TokenRate = TokenRate(48_000);
+
+struct Scene {
+    upstreams: UpstreamTable,
+    work: WorkTable,
+    parts: PartIndex,
+    targets: VersionTargets,
+    stores: Vec<Rc<StoreTraits>>,
+    prompt: PromptShape,
+    request: AcceptedRequest,
+}
+
+fn scene(engines: &[(&str, u64)]) -> Scene {
+    let mut upstreams = UpstreamTable::default();
+    for (name, version) in engines {
+        upstreams.note_entry(engine(name, *version));
+    }
+    let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
+    let prompt = prompt("packet", 12_800, 4_200);
+    request.prompt = Some(prompt.clone());
+    Scene {
+        upstreams,
+        work: WorkTable::default(),
+        parts: PartIndex::default(),
+        targets: VersionTargets::default(),
+        stores: vec![store("s1", 1)],
+        prompt,
+        request,
+    }
+}
+
+fn choose(scene: &Scene, tried: &[UpstreamId]) -> Option<EngineChoice> {
+    choose_engine(&EngineInput {
+        request: &scene.request,
+        prompt: &scene.prompt,
+        service: &"llm".parse().unwrap(),
+        traits: &engine_traits(),
+        stores: &scene.stores,
+        upstreams: &scene.upstreams,
+        work: &scene.work,
+        parts: &scene.parts,
+        targets: &scene.targets,
+        version_limit_ms: 10_000,
+        prefill: PREFILL,
+        me: &"d1".parse().unwrap(),
+        peers: &[],
+        data_centre: &"east".parse().unwrap(),
+        tried,
+        now: NOW,
+        draw: 7,
+    })
+}
+
+fn hold_packet(scene: &mut Scene, salt: &str) {
+    let held = HeldPart { salt: salt.into(), id: "packet".into(), tokens: TokenCount(12_800) };
+    let store = scene.stores[0].address;
+    scene.parts.note_events(store, 1, vec![PartEvent::Stored(held)], NOW);
+}
+
+#[test]
+fn prompt_goes_to_the_engine_with_the_least_work() {
+    let mut scene = scene(&[("a", 1), ("b", 1)]);
+    scene.work.begin(&id("a"), TokenCount(17_000), TokenCount(17_000), 300.0, NOW);
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(choice.upstream, id("b"));
+    assert_eq!(&*choice.salt, "m0/1");
+}
+
+#[test]
+fn work_of_peers_counts_as_own() {
+    let mut scene = scene(&[("a", 1), ("b", 1)]);
+    let share = guava_serve::WorkShare {
+        waiting: TokenCount(30_000),
+        memory: TokenCount(30_000),
+        running: 2,
+    };
+    let shares = FastMap::from_iter([(id("a"), share)]);
+    scene.work.note_peer(&"d2".parse().unwrap(), shares, NOW);
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(choice.upstream, id("b"));
+}
+
+#[test]
+fn full_memory_is_avoided_though_nothing_waits() {
+    // Symptom: streams stand still for a second in the middle.
+    // Sequence: an engine whose memory is full of running prompts gets one more.
+    // Cause: only prefill and places were counted; the engine preempts a run to make room.
+    let mut scene = scene(&[("a", 1), ("b", 1)]);
+    let ticket = scene.work.begin(&id("a"), TokenCount(0), TokenCount(50_000), 10.0, NOW);
+    scene.work.started(&ticket, NOW);
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(choice.upstream, id("b"));
+}
+
+#[test]
+fn tried_and_leaving_engines_are_passed_over() {
+    let mut scene = scene(&[("a", 1), ("b", 1)]);
+    scene.upstreams.note_entry(leaving(engine("b", 1)));
+
+    assert_eq!(choose(&scene, &[]).unwrap().upstream, id("a"));
+    assert_eq!(choose(&scene, &[id("a")]), None);
+}
+
+#[test]
+fn shared_part_is_fetched_from_the_store_that_holds_it() {
+    let mut scene = scene(&[("a", 1)]);
+    hold_packet(&mut scene, "m0/1");
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    let fetch = choice.fetch.unwrap();
+    assert_eq!(fetch.sources, [Some(scene.stores[0].address), None]);
+    assert_eq!(fetch.tokens, TokenCount(12_800));
+    assert_eq!(choice.recompute, TokenCount(4_200));
+    assert_eq!(choice.save, [None, None]);
+}
+
+#[test]
+fn shared_part_that_no_store_holds_is_saved() {
+    let mut scene = scene(&[("a", 1)]);
+    let store = scene.stores[0].address;
+    scene.parts.note_events(store, 1, Vec::new(), NOW);
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(choice.fetch, None);
+    assert_eq!(choice.save, [Some(store), None]);
+}
+
+#[test]
+fn parts_of_other_weights_are_not_fetched() {
+    // Symptom: an answer is computed on cache of other weights.
+    // Sequence: a store holds the part of weights 1; the engine has weights 2.
+    // Cause: neither engine nor store compares versions.
+    let mut scene = scene(&[("a", 2)]);
+    hold_packet(&mut scene, "m0/1");
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(&*choice.salt, "m0/2");
+    assert_eq!(choice.fetch, None);
+}
+
+#[test]
+fn old_weights_are_left_when_their_time_is_over() {
+    let mut scene = scene(&[("old", 1), ("new", 2)]);
+    scene.work.begin(&id("new"), TokenCount(90_000), TokenCount(60_000), 2_000.0, NOW);
+    scene.targets.offer(&model(), WeightVersion(2), Moment(NOW.0 - 1_000));
+    let early = choose(&scene, &[]).unwrap();
+
+    scene.targets.offer(&model(), WeightVersion(2), Moment(NOW.0 - 8_600));
+    let late = choose(&scene, &[]).unwrap();
+
+    assert_eq!(early.upstream, id("old"));
+    assert_eq!(late.upstream, id("new"));
+}
+
+#[test]
+fn request_that_would_start_too_late_is_not_sent_to_old_weights() {
+    // Symptom: a request starts on old weights past the time limit though it was sent before.
+    // Sequence: it is sent two seconds before, and waits in the engine's queue.
+    // Cause: the time of sending was compared, not that of the start.
+    let mut scene = scene(&[("old", 1)]);
+    scene.targets.offer(&model(), WeightVersion(2), Moment(NOW.0 - 6_500));
+    assert!(choose(&scene, &[]).is_some());
+
+    scene.work.begin(&id("old"), TokenCount(96_000), TokenCount(60_000), 2_000.0, NOW);
+
+    assert_eq!(choose(&scene, &[]), None);
+}
+
+#[test]
+fn heavy_prompts_spread_over_all_engines() {
+    // The load: 24 prompts of 17,000 tokens in one second on 18 engines. Each engine reads 48,000
+    // tokens a second, so nobody needs to wait for another; drawing engines at random would leave
+    // a quarter of them without work and put three or more prompts on some.
+    let names: Vec<String> = (0..18).map(|index| format!("e{index}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let mut scene = scene(&engines);
+
+    for _ in 0..24 {
+        let choice = choose(&scene, &[]).unwrap();
+        let load = choice.recompute;
+        scene.work.begin(&choice.upstream, load, scene.prompt.memory(), choice.expected_ms, NOW);
+    }
+
+    let most = names.iter().map(|name| scene.work.total(&id(name)).running).max().unwrap();
+    let idle = names.iter().filter(|name| scene.work.total(&id(name)).running == 0).count();
+    assert_eq!(most, 2);
+    assert_eq!(idle, 0);
+}
--- /dev/null
+++ b/crates/guava-serve/tests/parts_index.rs
@@ -0,0 +1,127 @@
+//! Where cached parts lie, and when that knowledge counts.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{CallerIdentity, WeightVersion, salt_version};
+use guava_serve::{HeldPart, PartEvent, PartIndex, PartKey, StoreTraits, cache_salt};
+use guava_types::{Moment, TokenCount};
+use std::rc::Rc;
+use support::{customer, id, model, part, store};
+
+const NOW: Moment = Moment(50_000);
+
+fn stored(salt: &str, id: &str, tokens: u64) -> PartEvent {
+    PartEvent::Stored(HeldPart { salt: salt.into(), id: id.into(), tokens: TokenCount(tokens) })
+}
+
+fn stores() -> Vec<Rc<StoreTraits>> {
+    vec![store("s1", 1), store("s2", 2)]
+}
+
+fn index_with(events: Vec<PartEvent>) -> PartIndex {
+    let mut index = PartIndex::default();
+    index.note_events(stores()[0].address, 7, events, NOW);
+    index.note_events(stores()[1].address, 8, Vec::new(), NOW);
+    index
+}
+
+#[test]
+fn part_is_found_under_its_own_salt_only() {
+    let index = index_with(vec![stored("m0/1", "p", 9_000)]);
+
+    assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), NOW).is_some());
+    assert!(index.holder(&stores(), "m0/2", &part("p", 9_000), NOW).is_none());
+}
+
+#[test]
+fn word_of_a_store_that_fell_silent_does_not_count() {
+    // Symptom: a request reads a part that is only partly written.
+    // Sequence: a store restarts empty while its connection is silent; another daemon saves the
+    // part to it anew; this daemon still counts on what the store held before.
+    // Cause: knowledge had no age.
+    let index = index_with(vec![stored("m0/1", "p", 9_000)]);
+
+    let later = Moment(NOW.0 + 1_001);
+
+    assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), later).is_none());
+}
+
+#[test]
+fn restarted_store_holds_nothing() {
+    let mut index = index_with(vec![stored("m0/1", "p", 9_000)]);
+
+    let is_followed = index.note_events(stores()[0].address, 9, Vec::new(), NOW);
+
+    assert!(!is_followed);
+    assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), NOW).is_none());
+}
+
+#[test]
+fn part_is_saved_once_and_to_the_same_store_by_all() {
+    let mut one = index_with(Vec::new());
+    let other = index_with(Vec::new());
+    let wanted = part("p", 9_000);
+
+    let first = one.store_for(&stores(), "m0/1", &wanted, NOW).unwrap().address;
+    let second = other.store_for(&stores(), "m0/1", &wanted, NOW).unwrap().address;
+    one.note_saving("m0/1", &wanted, NOW);
+
+    assert_eq!(first, second);
+    assert!(one.store_for(&stores(), "m0/1", &wanted, NOW).is_none());
+    let later = Moment(NOW.0 + 900);
+    assert!(one.store_for(&stores(), "m0/1", &wanted, later).is_none());
+}
+
+#[test]
+fn full_store_is_passed_over() {
+    let index = index_with(vec![stored("m0/1", "big", 95_000)]);
+    let stores = stores();
+
+    let chosen: Vec<u16> = (0..20)
+        .filter_map(|n| index.store_for(&stores, "m0/1", &part(&format!("p{n}"), 9_000), NOW))
+        .map(|store| store.address.port())
+        .collect();
+
+    assert_eq!(chosen, [2; 20]);
+}
+
+#[test]
+fn dropped_part_gives_its_room_back() {
+    let mut index = index_with(vec![stored("m0/1", "big", 95_000)]);
+    let dropped = PartEvent::Dropped { salt: "m0/1".into(), id: "big".into() };
+
+    index.note_events(stores()[0].address, 7, vec![dropped], NOW);
+
+    assert_eq!(index.used(stores()[0].address), Some(TokenCount(0)));
+}
+
+#[test]
+fn engine_is_believed_to_hold_what_was_sent_until_as_much_went_after_it() {
+    let mut index = PartIndex::default();
+    let memory = TokenCount(60_000);
+    let keys = [PartKey::new("m0/1", "p")];
+
+    index.note_sent(&id("e"), &keys, TokenCount(20_000));
+    let soon = index.resident(&id("e"), memory, "m0/1", &[part("p", 10_000)]);
+    index.note_sent(&id("e"), &[PartKey::new("m0/1", "q")], TokenCount(40_000));
+    let late = index.resident(&id("e"), memory, "m0/1", &[part("p", 10_000)]);
+
+    assert_eq!(soon, TokenCount(10_000));
+    assert_eq!(late, TokenCount(0));
+}
+
+#[test]
+fn salts_differ_by_version_and_isolated_customer() {
+    let open = CallerIdentity::Customer(Rc::new(customer("acme", false)));
+    let other = CallerIdentity::Customer(Rc::new(customer("other", false)));
+    let walled = CallerIdentity::Customer(Rc::new(customer("walled", true)));
+
+    let salt = |version, caller| cache_salt(&model(), WeightVersion(version), caller);
+
+    assert_eq!(salt(1, &open), salt(1, &other));
+    assert_ne!(salt(1, &open), salt(2, &open));
+    assert_ne!(salt(1, &open), salt(1, &walled));
+    assert_eq!(salt_version(&salt(3, &walled)), Some(("m0", WeightVersion(3))));
+}
--- /dev/null
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -0,0 +1,255 @@
+//! Events cut whole, budgets shared, patience, members, messages.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    EventFramer, MemberNote, MemberTable, PeerMessage, PrefillRate, PublishedVersion,
+    RefusalReason, RepeatRule, RetryLimit, RetryShares, SendRecord, SentPrompt, ServiceInput,
+    UpstreamTable, WeightVersion, WorkShare, WorkTable, choose_instance, draw_service,
+    first_answer_patience, return_after_ms,
+};
+use guava_types::{FastMap, Incarnation, Moment, TokenCount};
+use support::{address, id, model, route, upstream};
+use yare::parameterized;
+
+fn framed(pieces: &[&str]) -> (String, Option<String>, bool) {
+    let mut framer = EventFramer::default();
+    let mut passed = String::new();
+    let mut last = None;
+    for piece in pieces {
+        assert!(framer.push(piece.as_bytes()));
+        while let Some(batch) = framer.take_whole() {
+            passed.push_str(std::str::from_utf8(&batch.bytes).unwrap());
+            last = batch.last_id.map(String::from).or(last);
+        }
+    }
+    (passed, last, framer.is_clean())
+}
+
+#[parameterized(
+    whole = { &["id: 1\ndata: a\n\n"], "id: 1\ndata: a\n\n", Some("1"), true },
+    half_is_held_back = { &["id: 1\ndata: a\n\nid: 2\nda"], "id: 1\ndata: a\n\n", Some("1"), false },
+    blank_line_in_two_reads = { &["id:7\ndata: a\n", "\n"], "id:7\ndata: a\n\n", Some("7"), true },
+    carriage_returns = { &["id: 3\r\ndata: a\r\n", "\r\n"], "id: 3\r\ndata: a\r\n\r\n", Some("3"), true },
+    two_at_once = { &["id: 1\n\nid: 2\n\n"], "id: 1\n\nid: 2\n\n", Some("2"), true },
+    without_id = { &["data: a\n\n"], "data: a\n\n", None, true },
+)]
+fn only_whole_events_are_passed_on(
+    pieces: &[&str],
+    passed: &str,
+    last: Option<&str>,
+    is_clean: bool,
+) {
+    let found = framed(pieces);
+
+    assert_eq!(found, (passed.to_owned(), last.map(str::to_owned), is_clean));
+}
+
+#[test]
+fn all_daemons_together_keep_the_retry_limit() {
+    // Symptom: a failing service gets eight times the retries that it is allowed.
+    // Sequence: eight daemons see it fail at the same time, and each spends the whole budget.
+    // Cause: the limit holds for all daemons together.
+    let limit = RetryLimit { ratio: 0.2, slack: 56.0 };
+    let service = "app".parse().unwrap();
+    let mut spent = 0;
+
+    for _ in 0..8 {
+        let mut shares = RetryShares::new(limit, 8);
+        for _ in 0..80 {
+            shares.earn(&service);
+            while shares.spend(&service) {
+                spent += 1;
+            }
+        }
+    }
+
+    assert!(spent > 0);
+    assert!(f64::from(spent) <= 0.2 * 640.0 + 56.0, "{spent}");
+}
+
+#[test]
+fn share_shrinks_when_more_daemons_are_heard() {
+    let limit = RetryLimit { ratio: 0.0, slack: 56.0 };
+    let service = "app".parse().unwrap();
+    let mut shares = RetryShares::new(limit, 1);
+    shares.note_daemons(8);
+
+    let spent = (0..100).filter(|_| shares.spend(&service)).count();
+
+    assert_eq!(spent, 3);
+}
+
+#[parameterized(
+    non_idempotent = { RepeatRule::NonIdempotent, 0, None },
+    stream_that_runs_once = { RepeatRule::Stream, 0, None },
+    idempotent = { RepeatRule::Idempotent, 0, Some(240) },
+    idempotent_last_attempt = { RepeatRule::Idempotent, 1, None },
+    resumable = { RepeatRule::ResumableStream, 0, Some(200) },
+)]
+fn only_what_may_be_repeated_is_given_up_for_another(
+    repeat: RepeatRule,
+    runs: u32,
+    expected: Option<u64>,
+) {
+    assert_eq!(first_answer_patience(&route("/x/", "app", repeat), runs, 30.0), expected);
+}
+
+#[test]
+fn slow_start_that_was_expected_is_no_reason_to_go_elsewhere() {
+    let route = route("/x/", "llm", RepeatRule::ResumableStream);
+
+    assert_eq!(first_answer_patience(&route, 0, 400.0), Some(1_000));
+}
+
+#[test]
+fn callers_refused_together_return_apart() {
+    let times: Vec<u64> =
+        (0..1_000).map(|draw| return_after_ms(RefusalReason::UpstreamsFull, draw)).collect();
+
+    let least = times.iter().min().unwrap();
+    let most = times.iter().max().unwrap();
+    assert!(*least >= 100 && *most >= least + 100 && *most <= 400, "{least} to {most}");
+}
+
+#[test]
+fn not_run_is_said_only_if_no_send_ended_in_silence() {
+    let refused = SendRecord { refusals: 1, ..SendRecord::default() };
+    let silent = SendRecord { refusals: 1, runs: 1, ..SendRecord::default() };
+
+    assert_eq!(refused.refusal(), Some(RefusalReason::UpstreamsFull));
+    assert_eq!(silent.refusal(), None);
+}
+
+#[test]
+fn services_get_requests_by_their_weights() {
+    let mut split = route("/x/", "a", RepeatRule::Idempotent);
+    split.services = vec![("a".parse().unwrap(), 90), ("b".parse().unwrap(), 10)];
+
+    let to_b = (0..100).filter(|draw| draw_service(&split, *draw).unwrap().as_str() == "b");
+
+    assert_eq!(to_b.count(), 10);
+}
+
+#[test]
+fn instance_that_stumbles_is_left_and_tried_again() {
+    let mut upstreams = UpstreamTable::default();
+    upstreams.note_entry(upstream("a", "app"));
+    upstreams.note_entry(upstream("b", "app"));
+    let mut work = WorkTable::default();
+    (0..4).for_each(|_| work.stumbled(&id("a"), Moment(1_000)));
+    let chosen_at = |now, work: &WorkTable| {
+        let chosen = |draw| {
+            choose_instance(&ServiceInput {
+                service: &"app".parse().unwrap(),
+                upstreams: &upstreams,
+                work,
+                data_centre: &"east".parse().unwrap(),
+                tried: &[],
+                now,
+                draw,
+            })
+        };
+        (0..2).filter_map(chosen).collect::<Vec<_>>()
+    };
+
+    assert_eq!(chosen_at(Moment(1_500), &work), [id("b"), id("b")]);
+    work.begin(&id("b"), TokenCount(0), TokenCount(0), 20.0, Moment(40_000));
+    assert_eq!(chosen_at(Moment(40_000), &work), [id("a"), id("a")]);
+}
+
+fn note(name: &str, is_ready: bool) -> MemberNote {
+    MemberNote {
+        name: name.parse().unwrap(),
+        incarnation: Incarnation(7),
+        peer_address: address(1),
+        caller_address: address(2),
+        is_ready,
+    }
+}
+
+#[test]
+fn only_ready_daemons_heard_lately_are_handed_out() {
+    let mut members = MemberTable::default();
+    members.note_heard(note("ready", true), Moment(10_000));
+    members.note_heard(note("leaving", false), Moment(10_000));
+    members.note_record(note("recorded", true), Moment(10_000));
+
+    assert_eq!(members.caller_addresses(Moment(10_500)).len(), 1);
+    assert_eq!(members.caller_addresses(Moment(12_000)).len(), 0);
+}
+
+#[test]
+fn daemons_with_the_same_view_agree_on_turns() {
+    let names = ["d1", "d2", "d3", "d4"];
+    let turn = |me: &str| {
+        let mut members = MemberTable::default();
+        for other in names.iter().filter(|other| **other != me) {
+            members.note_heard(note(other, true), Moment(10_000));
+        }
+        members.turn(&me.parse().unwrap(), "orders", Moment(10_000))
+    };
+
+    let mut turns: Vec<usize> = names.iter().map(|name| turn(name)).collect();
+    turns.sort_unstable();
+
+    assert_eq!(turns, [0, 1, 2, 3]);
+}
+
+#[test]
+fn peer_message_survives_its_datagram() {
+    let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
+    let message = PeerMessage {
+        note: note("d1", true),
+        shares: FastMap::from_iter([(id("e"), share)]),
+        sent: vec![SentPrompt {
+            engine: id("e"),
+            parts: vec![guava_serve::PartKey(9)],
+            tokens: TokenCount(100),
+        }],
+        loading: vec![id("f")],
+        targets: vec![PublishedVersion {
+            model: model(),
+            version: WeightVersion(3),
+            age_ms: 1_200,
+        }],
+    };
+
+    assert_eq!(PeerMessage::decode(&message.encode()), Some(message));
+}
+
+#[parameterized(
+    empty = { b"" },
+    noise = { b"\xff\xfe\xfd\x00\x01garbage" },
+    truncated = { b"\x0a\x02d" },
+)]
+fn bytes_that_are_no_message_are_passed_over(bytes: &[u8]) {
+    assert_eq!(PeerMessage::decode(bytes), None);
+}
+
+#[test]
+fn work_of_a_silent_peer_is_forgotten() {
+    let mut work = WorkTable::default();
+    let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
+    let shares = FastMap::from_iter([(id("e"), share)]);
+    work.note_peer(&"d2".parse().unwrap(), shares.clone(), Moment(1_000));
+    work.note_peer(&"d2".parse().unwrap(), shares, Moment(1_250));
+    assert_eq!(work.total(&id("e")).running, 2);
+
+    work.sweep(Moment(3_000), |_| true);
+
+    assert_eq!(work.total(&id("e")), WorkShare::default());
+}
+
+#[test]
+fn prefill_rate_rises_fast_and_falls_slowly() {
+    let mut rate = PrefillRate::default();
+    (0..10).for_each(|_| rate.note(17_000, 215));
+    let learnt = rate.rate().0;
+    rate.note(17_000, 3_000);
+
+    assert!((75_000..=85_000).contains(&learnt), "{learnt}");
+    assert!(rate.rate().0 > learnt * 9 / 10);
+}
--- /dev/null
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -0,0 +1,147 @@
+//! Fixtures of the request path's tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use guava_serve::{
+    AcceptedRequest, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule, EngineTraits,
+    PromptPart, PromptShape, RepeatRule, RequestHead, RouteRule, ServeConfig, ServiceRule,
+    StoreTraits, UpstreamEntry, WeightVersion,
+};
+use guava_types::{Deadline, FastMap, ModelName, Moment, TokenCount, UpstreamId};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub fn id(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+pub fn model() -> ModelName {
+    "m0".parse().unwrap()
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn upstream(name: &str, service: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id(name),
+        service: service.parse().unwrap(),
+        address: address(9),
+        data_centre: "east".parse().unwrap(),
+        slots: 8,
+        is_leaving: false,
+        versions: FastMap::default(),
+    }
+}
+
+pub fn engine(name: &str, version: u64) -> UpstreamEntry {
+    let mut entry = upstream(name, "llm");
+    entry.versions.insert(model(), WeightVersion(version));
+    entry
+}
+
+pub fn leaving(mut entry: UpstreamEntry) -> UpstreamEntry {
+    entry.is_leaving = true;
+    entry
+}
+
+pub fn route(prefix: &str, service: &str, repeat: RepeatRule) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        services: vec![(service.parse().unwrap(), 1)],
+        repeat,
+        time_limit_ms: 2_000,
+        objective_ms: 400,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+pub fn customer(name: &str, is_isolated: bool) -> CustomerRule {
+    CustomerRule { name: name.parse().unwrap(), priority: None, is_isolated }
+}
+
+pub fn engine_traits() -> EngineTraits {
+    EngineTraits {
+        slots: 64,
+        memory: TokenCount(64_000),
+        token_bytes: 18_432,
+        models: vec![model()],
+    }
+}
+
+pub fn store(name: &str, port: u16) -> Rc<StoreTraits> {
+    Rc::new(StoreTraits {
+        name: name.parse().unwrap(),
+        address: address(port),
+        data_centre: "east".parse().unwrap(),
+        memory: TokenCount(100_000),
+        bytes_per_s: 5_000_000_000,
+        first_byte_ms: 1.0,
+        is_managed: true,
+    })
+}
+
+/// A configuration with an engine service `llm`, a plain service `app`, and two customers.
+pub fn config_parts(version: u64) -> ConfigParts {
+    ConfigParts {
+        version: ConfigVersion(version),
+        routes: vec![
+            route("/llm/", "llm", RepeatRule::ResumableStream),
+            route("/llm/once/", "llm", RepeatRule::Stream),
+            route("/app/", "app", RepeatRule::NonIdempotent),
+            route("/get/", "app", RepeatRule::Idempotent),
+        ],
+        services: vec![
+            ServiceRule { name: "llm".parse().unwrap(), engine: Some(engine_traits()) },
+            ServiceRule { name: "app".parse().unwrap(), engine: None },
+        ],
+        customers: Some(vec![
+            (customer("acme", false), vec!["key-acme".into()]),
+            (customer("walled", true), vec!["key-walled".into()]),
+        ]),
+        ..ConfigParts::default()
+    }
+}
+
+pub fn config(version: u64) -> ServeConfig {
+    ServeConfig::new(config_parts(version))
+}
+
+pub fn part(id: &str, tokens: u64) -> PromptPart {
+    PromptPart { id: id.into(), tokens: TokenCount(tokens) }
+}
+
+/// A prompt of a shared part and one of its own.
+pub fn prompt(shared: &str, tokens: u64, own: u64) -> PromptShape {
+    PromptShape {
+        model: model(),
+        parts: vec![part(shared, tokens), part("own", own)],
+        input: TokenCount(tokens + own),
+        output: TokenCount(20),
+    }
+}
+
+pub fn request(route: RouteRule) -> AcceptedRequest {
+    let now = Moment::now();
+    AcceptedRequest {
+        id: "r1".into(),
+        deadline: Deadline::after(now, route.time_limit_ms),
+        route: Rc::new(route),
+        caller: CallerIdentity::Customer(Rc::new(customer("acme", false))),
+        arrived: now,
+        prompt: None,
+        resume_after: None,
+        head: RequestHead {
+            method: http::Method::POST,
+            target: "/x".parse().unwrap(),
+            headers: http::HeaderMap::new(),
+        },
+        body: bytes::Bytes::from_static(b"body"),
+    }
+}
