feat: few daemons read the store and follow the caches' stores, for all

Cause: every daemon read the list, the operator's records and each store's events itself. Change: three daemons read each topic and two follow each store; the others go by their words, each with the age of the read behind it, and read themselves when a word differs or is too old.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -29,6 +29,7 @@
 mod serve_config;
 mod serve_parts;
 mod service_choice;
+mod shared_words;
 mod upstream_table;
 mod version_rollout;
 mod version_targets;
@@ -46,10 +47,12 @@
 pub use member_table::{MemberNote, MemberTable};
 pub use metrics::{KindLabel, ServeMetrics};
 pub use outcome::{RefusalReason, SendRecord, ServeOutcome};
-pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey};
+pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey, PartNews, StoreWord};
 pub use patience::{first_answer_patience, return_after_ms};
-pub use peer_exchange::{compose_message, take_message, take_version};
-pub use peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt};
+pub use peer_exchange::{OwnNews, compose_message, take_message, take_version};
+pub use peer_message::{
+    LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
+};
 pub use prefill_rate::PrefillRate;
 pub use request_plan::draw_service;
 pub use retry_shares::{RetryLimit, RetryShares};
@@ -60,6 +63,7 @@
 };
 pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
 pub use service_choice::{ServiceInput, choose_instance};
+pub use shared_words::{READERS, ReadPace, SharedWord, SharedWords, WordKeeper};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/part_index.rs
+++ b/crates/guava-serve/src/part_index.rs
@@ -61,15 +61,46 @@
 ///
 /// A store that restarts is empty, and others begin to save to it anew. A fetch by older knowledge
 /// would read a part that is only partly written, and nothing in the store prevents it. Stores
-/// answer several times a second and take longer than this to restart.
-const CONFIRMED_MS: u64 = 1_000;
+/// are asked twice a second, daemons tell each other four times a second, and a store takes longer
+/// than this to restart.
+const CONFIRMED_MS: u64 = 1_400;
 
 #[derive(Debug, Default)]
 struct StoreContents {
     epoch: u64,
     confirmed: Moment,
-    held: FastMap<PartKey, HeldPart>,
+    /// When the store itself said something to this daemon.
+    heard: Moment,
+    held: FastMap<PartKey, TokenCount>,
+    /// Salt and id of parts that the store itself reported; peers only pass keys on.
+    names: FastMap<PartKey, (Box<str>, Box<str>)>,
     used: u64,
+    /// Changes since peers were last told.
+    news: Vec<PartNews>,
+}
+
+/// A change in a store, as daemons tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartNews {
+    /// Which part.
+    pub key: PartKey,
+    /// Its length; zero if it is gone.
+    pub tokens: TokenCount,
+}
+
+/// What a daemon that follows a store tells the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreWord {
+    /// Which store.
+    pub store: SocketAddr,
+    /// Changes with each restart of the store.
+    pub epoch: u64,
+    /// When the store said so, on this daemon's clock.
+    pub as_of: Moment,
+    /// Whether `parts` is all that the store holds.
+    pub is_whole: bool,
+    /// What it holds, or what changed.
+    pub parts: Vec<PartNews>,
 }
 
 #[derive(Debug, Default)]
@@ -99,8 +130,9 @@
 
     /// Takes in a store's whole list.
     pub fn note_list(&mut self, store: SocketAddr, epoch: u64, parts: Vec<HeldPart>, now: Moment) {
-        let mut contents = StoreContents { epoch, confirmed: now, ..StoreContents::default() };
-        parts.into_iter().for_each(|part| hold(&mut contents, part));
+        let mut contents =
+            StoreContents { epoch, confirmed: now, heard: now, ..StoreContents::default() };
+        parts.into_iter().for_each(|part| hold_named(&mut contents, part));
         self.stores.insert(store, contents);
     }
 
@@ -120,13 +152,18 @@
         let contents = self.stores.entry(store).or_default();
         contents.epoch = epoch;
         contents.confirmed = now;
+        contents.heard = now;
         for event in events {
             match event {
                 PartEvent::Stored(part) => {
                     self.saving.remove(&PartKey::new(&part.salt, &part.id));
-                    hold(contents, part);
+                    hold_named(contents, part);
+                }
+                PartEvent::Dropped { salt, id } => {
+                    let key = PartKey::new(&salt, &id);
+                    drop_part(contents, &key);
+                    contents.news.push(PartNews { key, tokens: TokenCount(0) });
                 }
-                PartEvent::Dropped { salt, id } => drop_part(contents, &PartKey::new(&salt, &id)),
             }
         }
         true
@@ -143,8 +180,7 @@
         let key = PartKey::new(salt, &part.id);
         let holds = |store: &&Rc<StoreTraits>| {
             let contents = self.confirmed(store.address, now);
-            let held = contents.and_then(|contents| contents.held.get(&key));
-            held.is_some_and(|held| held.id == part.id && &*held.salt == salt)
+            contents.is_some_and(|contents| contents.held.contains_key(&key))
         };
         stores.iter().find(holds)
     }
@@ -229,8 +265,57 @@
         is_useless: impl Fn(&str) -> bool,
     ) -> (u64, Vec<HeldPart>) {
         let Some(contents) = self.stores.get(&store) else { return (0, Vec::new()) };
-        let useless = contents.held.values().filter(|part| is_useless(&part.salt));
-        (contents.epoch, useless.cloned().collect())
+        let named = contents.names.iter().filter(|(_, (salt, _))| is_useless(salt));
+        let part = |(key, (salt, id)): (&PartKey, &(Box<str>, Box<str>))| HeldPart {
+            salt: salt.clone(),
+            id: id.clone(),
+            tokens: contents.held.get(key).copied().unwrap_or_default(),
+        };
+        (contents.epoch, named.map(part).collect())
+    }
+
+    /// What to tell peers of a store that this daemon follows: all of it, or what changed.
+    pub fn store_word(&mut self, store: SocketAddr, is_whole: bool) -> Option<StoreWord> {
+        let contents = self.stores.get_mut(&store)?;
+        let news = std::mem::take(&mut contents.news);
+        let all = || {
+            let held = contents.held.iter();
+            held.map(|(key, tokens)| PartNews { key: *key, tokens: *tokens }).collect()
+        };
+        let parts = if is_whole { all() } else { news };
+        let (epoch, as_of) = (contents.epoch, contents.confirmed);
+        Some(StoreWord { store, epoch, as_of, is_whole, parts })
+    }
+
+    /// Takes in what a peer says of a store that it follows; what the store says itself goes first.
+    pub fn note_word(&mut self, word: StoreWord) {
+        let heard = self.stores.get(&word.store).map(|contents| contents.heard);
+        if heard.is_some_and(|heard| word.as_of.millis_since(heard) <= CONFIRMED_MS) {
+            return;
+        }
+        let known = self.stores.get(&word.store).map(|contents| contents.epoch);
+        if known != Some(word.epoch) {
+            if self.stores.get(&word.store).is_some_and(|known| known.confirmed > word.as_of) {
+                return;
+            }
+            self.stores.remove(&word.store);
+        }
+        let contents = self.stores.entry(word.store).or_default();
+        contents.epoch = word.epoch;
+        if word.is_whole && word.as_of >= contents.confirmed {
+            contents.held.clear();
+            contents.names.clear();
+            contents.used = 0;
+        }
+        contents.confirmed = contents.confirmed.max(word.as_of);
+        for news in word.parts {
+            self.saving.remove(&news.key);
+            if news.tokens.0 > 0 {
+                hold(contents, news);
+            } else {
+                drop_part(contents, &news.key);
+            }
+        }
     }
 
     /// Tokens that a store holds, if that is known.
@@ -239,20 +324,29 @@
     }
 }
 
-fn hold(contents: &mut StoreContents, part: HeldPart) {
-    let key = PartKey::new(&part.salt, &part.id);
+fn hold(contents: &mut StoreContents, part: PartNews) {
     contents.used += part.tokens.0;
-    if let Some(before) = contents.held.insert(key, part) {
-        contents.used = contents.used.saturating_sub(before.tokens.0);
+    if let Some(before) = contents.held.insert(part.key, part.tokens) {
+        contents.used = contents.used.saturating_sub(before.0);
     }
 }
 
 fn drop_part(contents: &mut StoreContents, key: &PartKey) {
-    if let Some(part) = contents.held.remove(key) {
-        contents.used = contents.used.saturating_sub(part.tokens.0);
+    contents.names.remove(key);
+    if let Some(tokens) = contents.held.remove(key) {
+        contents.used = contents.used.saturating_sub(tokens.0);
     }
 }
 
+/// Holds a part that the store itself reported.
+fn hold_named(contents: &mut StoreContents, part: HeldPart) {
+    let key = PartKey::new(&part.salt, &part.id);
+    let news = PartNews { key, tokens: part.tokens };
+    hold(contents, news);
+    contents.news.push(news);
+    contents.names.insert(key, (part.salt, part.id));
+}
+
 /// Weight of a choice in weighted rendezvous hashing: the highest wins, and each is chosen in
 /// proportion to its size.
 pub fn rendezvous_weight(choice: &impl Hash, size: f64) -> f64 {
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -2,22 +2,44 @@
 
 use crate::events;
 use crate::member_table::MemberNote;
-use crate::peer_message::{PeerMessage, PublishedVersion};
-use crate::serve_parts::ServeParts;
+use crate::part_index::StoreWord;
+use crate::peer_message::{LoadedVersion, PeerMessage, PublishedVersion};
+use crate::serve_parts::{ServeParts, UpstreamClock};
+use crate::shared_words::SharedWord;
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, UpstreamId};
+use std::net::SocketAddr;
 
 /// How long an upstream counts as loading after a peer said so, in milliseconds; it says so again
 /// four times a second.
 const LOADING_MS: u64 = 600;
 
+/// How often peers are told all that a followed store holds, in messages: lost datagrams and
+/// daemons that start later make up for what they missed.
+const WHOLE_EVERY: u64 = 10;
+/// Parts told in one message at most, so that it fits into a datagram.
+const MOST_PARTS: usize = 300;
+/// How old this daemon's reading of the upstreams' clock gets before a peer's is taken, in
+/// milliseconds.
+const CLOCK_EXPIRY_MS: u64 = 2_000;
+
+/// What a daemon's duties have to tell the others.
+#[derive(Clone, Debug)]
+pub struct OwnNews {
+    /// This daemon.
+    pub note: MemberNote,
+    /// Upstreams that load new weights at its order.
+    pub loading: Vec<UpstreamId>,
+    /// Engines that lately got their weights by its order.
+    pub loaded: Vec<LoadedVersion>,
+    /// Stores of cached parts that it follows.
+    pub followed: Vec<SocketAddr>,
+    /// Number of the message.
+    pub number: u64,
+}
+
 /// What to tell the peers now.
-pub fn compose_message(
-    parts: &ServeParts,
-    note: MemberNote,
-    loading: Vec<UpstreamId>,
-    now: Moment,
-) -> PeerMessage {
+pub fn compose_message(parts: &ServeParts, news: OwnNews, now: Moment) -> PeerMessage {
     let work = parts.work.borrow();
     let shares = work.own_shares().map(|(id, share)| (id.clone(), share)).collect();
     let targets = parts.targets.borrow();
@@ -26,15 +48,42 @@
         version: target.version,
         age_ms: now.millis_since(target.learned),
     });
+    let words = parts.words.borrow();
     PeerMessage {
-        note,
+        note: news.note,
         shares,
         sent: std::mem::take(&mut parts.sent_prompts.borrow_mut()),
-        loading,
+        loading: news.loading,
         targets: published.collect(),
+        stores: store_words(parts, &news.followed, news.number),
+        operator: words.operator.own(),
+        list: words.list.own(),
+        loaded: news.loaded,
+        clock_ms: parts.upstream_clock_in(0, now),
     }
 }
 
+fn store_words(parts: &ServeParts, followed: &[SocketAddr], number: u64) -> Vec<StoreWord> {
+    let mut index = parts.parts.borrow_mut();
+    let mut told = 0;
+    let mut words = Vec::new();
+    for (place, store) in followed.iter().enumerate() {
+        let is_whole = (number + place as u64).is_multiple_of(WHOLE_EVERY);
+        let Some(mut word) = index.store_word(*store, is_whole) else { continue };
+        if told + word.parts.len() > MOST_PARTS {
+            // Told in part, it is no whole list; the rest follows in later ones.
+            word.is_whole = false;
+            let room = MOST_PARTS - told;
+            let from = rand::random::<u64>() as usize % word.parts.len().max(1);
+            word.parts.rotate_left(from);
+            word.parts.truncate(room);
+        }
+        told += word.parts.len();
+        words.push(word);
+    }
+    words
+}
+
 /// Takes a peer's message in.
 pub fn take_message(parts: &ServeParts, message: PeerMessage, now: Moment) {
     let name = message.note.name.clone();
@@ -56,12 +105,41 @@
         let until = Deadline::after(now, LOADING_MS);
         parts.upstreams.borrow_mut().note_loading(id, until);
     }
+    for loaded in &message.loaded {
+        let mut upstreams = parts.upstreams.borrow_mut();
+        upstreams.note_version(&loaded.engine, &loaded.model, loaded.version);
+    }
+    message.stores.into_iter().for_each(|word| parts.parts.borrow_mut().note_word(word));
+    take_words(parts, message.operator, message.list);
+    take_clock(parts, message.clock_ms, now);
     for target in message.targets {
         let learned = now.minus_millis(target.age_ms);
         take_version(parts, &target.model, target.version, learned, "peer");
     }
 }
 
+fn take_words(parts: &ServeParts, operator: Option<SharedWord>, list: Option<SharedWord>) {
+    let mut words = parts.words.borrow_mut();
+    if let Some(word) = operator {
+        words.operator.note_heard(word);
+    }
+    if let Some(word) = list {
+        words.list.note_heard(word);
+    }
+    if let Some(confirmed) = words.operator.confirmed() {
+        parts.config_confirmed.set(confirmed);
+    }
+}
+
+/// Only daemons that follow a store hear the upstreams' clock themselves.
+fn take_clock(parts: &ServeParts, clock_ms: Option<u64>, now: Moment) {
+    let Some(clock_ms) = clock_ms else { return };
+    let is_old = |clock: UpstreamClock| now.millis_since(clock.read) > CLOCK_EXPIRY_MS;
+    if parts.upstream_clock.get().is_none_or(is_old) {
+        parts.upstream_clock.set(Some(UpstreamClock { clock_ms, read: now }));
+    }
+}
+
 /// Takes in that weights were published by some moment at the latest.
 pub fn take_version(
     parts: &ServeParts,
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -1,10 +1,11 @@
 //! What daemons tell each other: one small datagram, a few times a second.
 
 use crate::member_table::MemberNote;
-use crate::part_index::PartKey;
+use crate::part_index::{PartKey, PartNews, StoreWord};
+use crate::shared_words::SharedWord;
 use crate::upstream_table::WeightVersion;
 use crate::work_table::WorkShare;
-use guava_types::{FastMap, Incarnation, ModelName, TokenCount, UpstreamId};
+use guava_types::{FastMap, Incarnation, ModelName, Moment, TokenCount, UpstreamId};
 use prost::Message;
 use std::net::SocketAddr;
 
@@ -44,6 +45,40 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireStore {
+    #[prost(string, tag = "1")]
+    store: String,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+    #[prost(bool, tag = "4")]
+    is_whole: bool,
+    #[prost(fixed64, repeated, tag = "5")]
+    keys: Vec<u64>,
+    #[prost(uint64, repeated, tag = "6")]
+    tokens: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireWord {
+    #[prost(fixed64, tag = "1")]
+    state: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireLoaded {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(string, tag = "2")]
+    model: String,
+    #[prost(uint64, tag = "3")]
+    version: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WirePeer {
     #[prost(string, tag = "1")]
@@ -64,6 +99,16 @@
     loading: Vec<String>,
     #[prost(message, repeated, tag = "9")]
     targets: Vec<WireTarget>,
+    #[prost(message, repeated, tag = "10")]
+    stores: Vec<WireStore>,
+    #[prost(message, optional, tag = "11")]
+    operator: Option<WireWord>,
+    #[prost(message, optional, tag = "12")]
+    list: Option<WireWord>,
+    #[prost(message, repeated, tag = "13")]
+    loaded: Vec<WireLoaded>,
+    #[prost(uint64, optional, tag = "14")]
+    clock_ms: Option<u64>,
 }
 
 /// A prompt that a peer sent to an engine.
@@ -88,7 +133,19 @@
     pub age_ms: u64,
 }
 
-/// What one daemon tells the others.
+/// Weights that an engine has, as the daemon found that orders it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedVersion {
+    /// Which engine.
+    pub engine: UpstreamId,
+    /// Of which model.
+    pub model: ModelName,
+    /// Which.
+    pub version: WeightVersion,
+}
+
+/// What one daemon tells the others. Moments are on the clock of the daemon that has the message
+/// in hand: only ages travel.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerMessage {
     /// Who speaks.
@@ -101,11 +158,36 @@
     pub loading: Vec<UpstreamId>,
     /// The newest published weights of each model.
     pub targets: Vec<PublishedVersion>,
+    /// The stores of cached parts that it follows.
+    pub stores: Vec<StoreWord>,
+    /// How far it has read the operator's records itself.
+    pub operator: Option<SharedWord>,
+    /// The list of upstreams as it has read it itself.
+    pub list: Option<SharedWord>,
+    /// Engines that lately got their weights by its order.
+    pub loaded: Vec<LoadedVersion>,
+    /// The upstreams' clock, in milliseconds.
+    pub clock_ms: Option<u64>,
 }
 
 impl PeerMessage {
     /// The bytes of one datagram.
-    pub fn encode(&self) -> Vec<u8> {
+    pub fn encode(&self, now: Moment) -> Vec<u8> {
+        let word =
+            |word: SharedWord| WireWord { state: word.state, age_ms: now.millis_since(word.as_of) };
+        let store = |store: &StoreWord| WireStore {
+            store: store.store.to_string(),
+            epoch: store.epoch,
+            age_ms: now.millis_since(store.as_of),
+            is_whole: store.is_whole,
+            keys: store.parts.iter().map(|part| part.key.0).collect(),
+            tokens: store.parts.iter().map(|part| part.tokens.0).collect(),
+        };
+        let loaded = |loaded: &LoadedVersion| WireLoaded {
+            upstream: loaded.engine.to_string(),
+            model: loaded.model.to_string(),
+            version: loaded.version.0,
+        };
         let share = |(id, share): (&UpstreamId, &WorkShare)| WireShare {
             upstream: id.to_string(),
             waiting: share.waiting.0,
@@ -132,12 +214,39 @@
             sent: self.sent.iter().map(sent).collect(),
             loading: self.loading.iter().map(UpstreamId::to_string).collect(),
             targets: self.targets.iter().map(target).collect(),
+            stores: self.stores.iter().map(store).collect(),
+            operator: self.operator.map(word),
+            list: self.list.map(word),
+            loaded: self.loaded.iter().map(loaded).collect(),
+            clock_ms: self.clock_ms,
         };
         wire.encode_to_vec()
     }
 
     /// Reads a datagram; nothing if it is none of ours.
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
+    pub fn decode(bytes: &[u8], now: Moment) -> Option<Self> {
+        let word =
+            |word: WireWord| SharedWord { state: word.state, as_of: now.minus_millis(word.age_ms) };
+        let store = |store: WireStore| {
+            let news = |(key, tokens): (u64, u64)| PartNews {
+                key: PartKey(key),
+                tokens: TokenCount(tokens),
+            };
+            Some(StoreWord {
+                store: store.store.parse().ok()?,
+                epoch: store.epoch,
+                as_of: now.minus_millis(store.age_ms),
+                is_whole: store.is_whole,
+                parts: store.keys.into_iter().zip(store.tokens).map(news).collect(),
+            })
+        };
+        let loaded = |loaded: WireLoaded| {
+            Some(LoadedVersion {
+                engine: loaded.upstream.parse().ok()?,
+                model: loaded.model.parse().ok()?,
+                version: WeightVersion(loaded.version),
+            })
+        };
         let wire = WirePeer::decode(bytes).ok()?;
         let incarnation: Incarnation = wire.incarnation.parse().ok()?;
         let address = |text: &str| text.parse::<SocketAddr>().ok();
@@ -175,6 +284,11 @@
             sent: wire.sent.iter().filter_map(sent).collect(),
             loading: wire.loading.iter().filter_map(|id| id.parse().ok()).collect(),
             targets: wire.targets.iter().filter_map(target).collect(),
+            stores: wire.stores.into_iter().filter_map(store).collect(),
+            operator: wire.operator.map(word),
+            list: wire.list.map(word),
+            loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
+            clock_ms: wire.clock_ms,
         })
     }
 }
--- a/crates/guava-serve/src/rollout_state.rs
+++ b/crates/guava-serve/src/rollout_state.rs
@@ -1,6 +1,7 @@
 //! How far the engines are with published weights.
 
 use crate::cache_salt::salt_version;
+use crate::peer_message::LoadedVersion;
 use crate::serve_parts::ServeParts;
 use crate::upstream_table::{UpstreamTable, WeightVersion};
 use crate::version_rollout::{ORDER_EXPIRY_MS, RolloutEngine};
@@ -9,6 +10,8 @@
 
 /// Pause between two looks at an engine that loads, in milliseconds.
 const LOOK_EVERY_MS: u64 = 150;
+/// For how long peers are told that an engine has its weights, in milliseconds.
+const TOLD_MS: u64 = 2_000;
 /// How long an engine counts as loading after each look that finds it so, in milliseconds.
 const LOADING_MS: u64 = 500;
 /// How long an engine that could not be asked is left alone, in milliseconds.
@@ -22,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 struct EngineState {
     is_done: bool,
+    /// When this daemon found that it has the weights.
+    found: Option<Moment>,
     ordered: Option<Moment>,
     looked: Moment,
 }
@@ -97,6 +102,24 @@
         engines.filter(|engine| engine.is_loading(now)).map(|engine| engine.id).collect()
     }
 
+    /// Engines that this daemon lately found to have their weights, for its peers: the list shows
+    /// it only with the engine's next heartbeat.
+    pub fn lately_loaded(&self, now: Moment) -> Vec<LoadedVersion> {
+        let is_late = |state: &EngineState| {
+            state.found.is_some_and(|found| now.millis_since(found) < TOLD_MS)
+        };
+        let mut loaded = Vec::new();
+        for (model, rollout) in &self.models {
+            let found = rollout.engines.iter().filter(|(_, (state, _))| is_late(state));
+            loaded.extend(found.map(|(id, _)| LoadedVersion {
+                engine: id.clone(),
+                model: model.clone(),
+                version: rollout.version,
+            }));
+        }
+        loaded
+    }
+
     /// Engines under way that should be asked again whether they are done.
     pub fn due_looks(&mut self, model: &ModelName, now: Moment) -> Vec<UpstreamId> {
         let Some(rollout) = self.models.get_mut(model) else { return Vec::new() };
@@ -116,9 +139,10 @@
     }
 
     /// Notes that an engine has the weights.
-    pub fn note_done(&mut self, model: &ModelName, id: &UpstreamId) {
+    pub fn note_done(&mut self, model: &ModelName, id: &UpstreamId, now: Moment) {
         if let Some(state) = self.state(model, id) {
             state.is_done = true;
+            state.found = Some(now);
         }
     }
 
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -11,6 +11,7 @@
 use crate::prefill_rate::PrefillRate;
 use crate::retry_shares::{RetryLimit, RetryShares};
 use crate::serve_config::ConfigKeeper;
+use crate::shared_words::SharedWords;
 use crate::upstream_table::UpstreamTable;
 use crate::version_targets::VersionTargets;
 use crate::work_table::WorkTable;
@@ -34,6 +35,10 @@
 pub struct ServeBounds {
     /// Time in which new weights must be in use everywhere, in milliseconds.
     pub version_limit_ms: u64,
+    /// Time in which an upstream that leaves must get no more work, in milliseconds.
+    pub leave_limit_ms: u64,
+    /// Time in which a configuration must be in force, in milliseconds.
+    pub config_limit_ms: u64,
     /// Retries to a service.
     pub retries: RetryLimit,
     /// Bytes of requests that may be held at a time.
@@ -81,6 +86,8 @@
     pub sent_prompts: RefCell<Vec<SentPrompt>>,
     /// The upstreams' clock.
     pub upstream_clock: Cell<Option<UpstreamClock>>,
+    /// What daemons know of the platform's store through each other.
+    pub words: RefCell<SharedWords>,
     /// When the configuration in force was last seen to be the newest.
     pub config_confirmed: Cell<Moment>,
     /// Bytes of requests held at present.
@@ -106,6 +113,7 @@
             prefill: RefCell::default(),
             sent_prompts: RefCell::default(),
             upstream_clock: Cell::new(None),
+            words: RefCell::default(),
             config_confirmed: Cell::default(),
             held_bytes: Cell::new(0),
         }
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -3,7 +3,9 @@
 //! An id names one start of one upstream and is never used again. Leaving is final for an id.
 
 use guava_types::{DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId};
+use rustc_hash::FxHasher;
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// Version of a model's weights; versions begin at 1 and grow.
@@ -233,6 +235,18 @@
             .filter(|entry| !entry.is_leaving)
     }
 
+    /// A number that is the same for all daemons that know the same upstreams as serving or
+    /// leaving, whatever order they learnt it in.
+    pub fn digest(&self) -> u64 {
+        let entries = self.listed.values().filter(|listed| listed.dropped_at.is_none());
+        let digest = |listed: &ListedUpstream| {
+            let mut hasher = FxHasher::default();
+            (&listed.entry.id, listed.entry.is_leaving).hash(&mut hasher);
+            hasher.finish()
+        };
+        entries.map(digest).fold(0, u64::wrapping_add)
+    }
+
     /// How many upstreams are known.
     pub fn count(&self) -> usize {
         self.listed.len()
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -53,6 +53,8 @@
     };
     let bounds = ServeBounds {
         version_limit_ms: 10_000,
+        leave_limit_ms: 2_000,
+        config_limit_ms: 2_000,
         retries: RetryLimit { ratio: 1.0, slack: 100.0 },
         held_bytes: 1 << 20,
     };
