--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -27,9 +27,10 @@
 const STALE_MS: f64 = 60.0;
 /// Extra cost of an engine that is about to load weights: it refuses what it can't start at once.
 const LOADING_MS: f64 = 2_000.0;
-/// Extra cost of an engine in another data centre, in milliseconds: the round trip is longer, and
-/// traffic between data centres is dear.
-const REMOTE_MS: f64 = 4.0;
+/// Extra cost of an engine in another data centre, in milliseconds, and more for each thousand
+/// tokens of the prompt: the round trip is longer, and traffic between data centres is dear.
+const REMOTE_MS: f64 = 5.0;
+const REMOTE_MS_PER_K: f64 = 4.0;
 /// Requests beyond its slots that an engine counts as having while its memory is full: it would
 /// preempt somebody's run.
 const FULL_MEMORY_SLOTS: u32 = 4;
@@ -200,7 +201,7 @@
         _ => 0.0,
     };
     let loading = if input.upstreams.is_loading(&entry.id, input.now) { LOADING_MS } else { 0.0 };
-    let remote = if entry.data_centre == *input.data_centre { 0.0 } else { REMOTE_MS };
+    let remote = remote_ms(input, entry);
     let resident =
         input.parts.resident(&entry.id, input.traits.memory, salt, shared_parts(input.prompt));
     RouteCandidate {
@@ -214,6 +215,13 @@
     }
 }
 
+fn remote_ms(input: &EngineInput<'_>, entry: &UpstreamEntry) -> f64 {
+    if entry.data_centre == *input.data_centre {
+        return 0.0;
+    }
+    REMOTE_MS + REMOTE_MS_PER_K * input.prompt.input.0 as f64 / 1_000.0
+}
+
 fn save_plan(input: &EngineInput<'_>, salt: &str) -> Vec<Option<SocketAddr>> {
     let mut plan = vec![None; input.prompt.parts.len()];
     for (part, target) in shared_parts(input.prompt).iter().zip(&mut plan) {
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_framer;
 mod event_relay;
 pub mod events;
+mod list_news;
 mod member_table;
 mod metrics;
 mod outcome;
@@ -44,14 +45,17 @@
 pub use dispatch::serve_request;
 pub use engine_choice::{EngineChoice, EngineInput, FetchPlan, choose_engine};
 pub use event_framer::{EventBatch, EventFramer};
+pub use list_news::ListNews;
 pub use member_table::{MemberNote, MemberTable};
 pub use metrics::{KindLabel, ServeMetrics};
 pub use outcome::{RefusalReason, SendRecord, ServeOutcome};
 pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey, PartNews, StoreWord};
 pub use patience::{first_answer_patience, return_after_ms};
-pub use peer_exchange::{OwnNews, compose_message, take_message, take_version};
+pub use peer_exchange::{
+    OwnNews, compose_message, compose_note, take_change, take_message, take_version,
+};
 pub use peer_message::{
-    LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
+    ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
 };
 pub use prefill_rate::PrefillRate;
 pub use request_plan::draw_service;
--- /dev/null
+++ b/crates/guava-serve/src/list_news.rs
@@ -0,0 +1,35 @@
+//! Changes of the list of upstreams that this daemon read and tells its peers.
+
+use crate::peer_message::ListedChange;
+use guava_types::{Deadline, Moment};
+use std::collections::VecDeque;
+
+/// For how long a change is told, in milliseconds: a few messages, so that a lost one is made up
+/// for. Who misses all of them notices by the list's digest, and reads the list.
+const TOLD_MS: u64 = 1_200;
+/// Changes told in one message at most; about a hundred bytes each.
+const MOST_TOLD: usize = 30;
+
+/// The changes.
+#[derive(Debug, Default)]
+pub struct ListNews {
+    changes: VecDeque<(ListedChange, Deadline)>,
+}
+
+impl ListNews {
+    /// Notes a change.
+    pub fn note(&mut self, change: ListedChange, now: Moment) {
+        if self.changes.len() >= MOST_TOLD {
+            self.changes.pop_front();
+        }
+        self.changes.push_back((change, Deadline::after(now, TOLD_MS)));
+    }
+
+    /// The changes to tell now.
+    pub fn told(&mut self, now: Moment) -> Vec<ListedChange> {
+        while self.changes.front().is_some_and(|(_, until)| until.passed(now)) {
+            self.changes.pop_front();
+        }
+        self.changes.iter().map(|(change, _)| change.clone()).collect()
+    }
+}
--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -1,11 +1,14 @@
 //! The daemons: who they are, where callers reach them, and who was heard lately.
 
-use guava_types::{FastMap, Incarnation, MemberName, Moment};
+use crate::part_index::rendezvous_weight;
+use guava_types::{DataCentre, FastMap, MemberName, Moment};
 use std::net::SocketAddr;
 
-/// A daemon that was not heard for so long is not recommended to callers, in milliseconds. Daemons
-/// speak four times a second: about six datagrams in a row are missing then.
+/// A daemon of the same data centre that was not heard for so long is not recommended to callers, in
+/// milliseconds. Daemons speak four times a second: about six datagrams in a row are missing then.
 const SILENT_MS: u64 = 1_500;
+/// The same for other data centres, to which daemons of a large deployment speak once a second.
+const REMOTE_SILENT_MS: u64 = 2_500;
 /// A daemon that was not heard for so long is forgotten until it speaks again, in milliseconds.
 const FORGOTTEN_MS: u64 = 120_000;
 
@@ -14,8 +17,8 @@
 pub struct MemberNote {
     /// Its name.
     pub name: MemberName,
-    /// This start of it.
-    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub data_centre: DataCentre,
     /// Where other daemons reach it.
     pub peer_address: SocketAddr,
     /// Where callers reach it.
@@ -33,12 +36,22 @@
 }
 
 /// The other daemons.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MemberTable {
+    data_centre: DataCentre,
     members: FastMap<MemberName, MemberEntry>,
 }
 
 impl MemberTable {
+    /// The daemons as one in a data centre sees them; none is known yet.
+    pub fn new(data_centre: DataCentre) -> Self {
+        Self { data_centre, members: FastMap::default() }
+    }
+
+    fn silent_ms(&self, note: &MemberNote) -> u64 {
+        if note.data_centre == self.data_centre { SILENT_MS } else { REMOTE_SILENT_MS }
+    }
+
     /// Takes in a daemon's record in the store; what the daemon says itself goes first.
     pub fn note_record(&mut self, note: MemberNote, now: Moment) {
         let entry = self.members.entry(note.name.clone());
@@ -52,9 +65,10 @@
     /// Takes in what a daemon says; whether it was silent or unknown before.
     pub fn note_heard(&mut self, note: MemberNote, now: Moment) -> bool {
         let before = self.members.get(&note.name).and_then(|entry| entry.heard);
+        let silent_ms = self.silent_ms(&note);
         let name = note.name.clone();
         self.members.insert(name, MemberEntry { note, heard: Some(now), listed: now });
-        before.is_none_or(|before| now.millis_since(before) > SILENT_MS)
+        before.is_none_or(|before| now.millis_since(before) > silent_ms)
     }
 
     /// Forgets daemons that were silent for long.
@@ -63,15 +77,18 @@
         self.members.retain(|_, entry| now.millis_since(last(entry)) < FORGOTTEN_MS);
     }
 
-    /// Addresses of all daemons that may be there.
-    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.members.values().map(|entry| entry.note.peer_address)
+    /// Addresses of all daemons that may be there, or only of those in this data centre.
+    pub fn peer_addresses(&self, only_near: bool) -> Vec<SocketAddr> {
+        let notes = self.members.values().map(|entry| &entry.note);
+        let addressed = notes.filter(|note| !only_near || note.data_centre == self.data_centre);
+        addressed.map(|note| note.peer_address).collect()
     }
 
     /// Daemons heard lately.
     pub fn living(&self, now: Moment) -> impl Iterator<Item = &MemberNote> {
         let is_living = move |entry: &&MemberEntry| {
-            entry.heard.is_some_and(|heard| now.millis_since(heard) <= SILENT_MS)
+            let silent_ms = self.silent_ms(&entry.note);
+            entry.heard.is_some_and(|heard| now.millis_since(heard) <= silent_ms)
         };
         self.members.values().filter(is_living).map(|entry| &entry.note)
     }
@@ -91,9 +108,33 @@
     /// daemons with the same view agree on who goes first, and different subjects have different
     /// orders.
     pub fn turn(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
-        let weight =
-            |name: &MemberName| crate::part_index::rendezvous_weight(&(subject, name), 1.0);
+        self.turn_among(me, subject, now, |_| true)
+    }
+
+    /// This daemon's place among the living daemons of its data centre.
+    pub fn near_turn(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
+        self.turn_among(me, subject, now, |note| note.data_centre == self.data_centre)
+    }
+
+    fn turn_among(
+        &self,
+        me: &MemberName,
+        subject: &str,
+        now: Moment,
+        counts: impl Fn(&MemberNote) -> bool,
+    ) -> usize {
+        let weight = |name: &MemberName| rendezvous_weight(&(subject, name), 1.0);
         let own = weight(me);
-        self.living(now).filter(|note| note.name != *me && weight(&note.name) > own).count()
+        let others = self.living(now).filter(|note| note.name != *me && counts(note));
+        others.filter(|note| weight(&note.name) > own).count()
+    }
+
+    /// Data centres with a living daemon, this one included.
+    pub fn data_centres(&self, now: Moment) -> usize {
+        let mut names: Vec<&DataCentre> = self.living(now).map(|note| &note.data_centre).collect();
+        names.push(&self.data_centre);
+        names.sort_unstable();
+        names.dedup();
+        names.len()
     }
 }
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -3,11 +3,12 @@
 use crate::events;
 use crate::member_table::MemberNote;
 use crate::part_index::StoreWord;
-use crate::peer_message::{LoadedVersion, PeerMessage, PublishedVersion};
+use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::shared_words::SharedWord;
+use crate::upstream_table::ListChange;
 use guava_log::log_event;
-use guava_types::{Deadline, Moment, UpstreamId};
+use guava_types::{Deadline, FastMap, Moment, UpstreamId};
 use std::net::SocketAddr;
 
 /// How long an upstream counts as loading after a peer said so, in milliseconds; it says so again
@@ -60,9 +61,34 @@
         list: words.list.own(),
         loaded: news.loaded,
         clock_ms: parts.upstream_clock_in(0, now),
+        listed: parts.list_news.borrow_mut().told(now),
+        is_note: false,
     }
 }
 
+/// A note on prompts that were just sent, if there are any: until the next message all daemons
+/// would else take the same idle engine, and each prompt would wait for the others.
+pub fn compose_note(parts: &ServeParts, note: MemberNote) -> Option<PeerMessage> {
+    let sent = std::mem::take(&mut *parts.just_sent.borrow_mut());
+    if sent.is_empty() {
+        return None;
+    }
+    Some(PeerMessage {
+        note,
+        shares: FastMap::default(),
+        sent,
+        loading: Vec::new(),
+        targets: Vec::new(),
+        stores: Vec::new(),
+        operator: None,
+        list: None,
+        loaded: Vec::new(),
+        clock_ms: None,
+        listed: Vec::new(),
+        is_note: true,
+    })
+}
+
 fn store_words(parts: &ServeParts, followed: &[SocketAddr], number: u64) -> Vec<StoreWord> {
     let mut index = parts.parts.borrow_mut();
     let mut told = 0;
@@ -97,6 +123,12 @@
         let count = parts.members.borrow().count();
         parts.retries.borrow_mut().note_daemons(count);
     }
+    if message.is_note {
+        for sent in &message.sent {
+            parts.work.borrow_mut().note_peer_sent(&name, sent, now);
+        }
+        return;
+    }
     parts.work.borrow_mut().note_peer(&name, message.shares, now);
     for sent in &message.sent {
         parts.parts.borrow_mut().note_sent(&sent.engine, &sent.parts, sent.tokens);
@@ -110,6 +142,9 @@
         upstreams.note_version(&loaded.engine, &loaded.model, loaded.version);
     }
     message.stores.into_iter().for_each(|word| parts.parts.borrow_mut().note_word(word));
+    for change in message.listed {
+        take_change(parts, change, now);
+    }
     take_words(parts, message.operator, message.list);
     take_clock(parts, message.clock_ms, now);
     for target in message.targets {
@@ -118,6 +153,25 @@
     }
 }
 
+/// Takes in a change of the list of upstreams, as read or as a peer has read it.
+pub fn take_change(parts: &ServeParts, change: ListedChange, now: Moment) -> ListChange {
+    let mut upstreams = parts.upstreams.borrow_mut();
+    let (id, found) = match change {
+        ListedChange::Removed(id) => {
+            let found = upstreams.note_removed(&id, now);
+            (id, found)
+        }
+        ListedChange::Entry(entry) => {
+            let id = entry.id.clone();
+            (id, upstreams.note_entry(entry))
+        }
+    };
+    if found != ListChange::Same {
+        log_event!(info, events::LIST_CHANGED, upstream = id, change = found.name());
+    }
+    found
+}
+
 fn take_words(parts: &ServeParts, operator: Option<SharedWord>, list: Option<SharedWord>) {
     let mut words = parts.words.borrow_mut();
     if let Some(word) = operator {
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -3,9 +3,9 @@
 use crate::member_table::MemberNote;
 use crate::part_index::{PartKey, PartNews, StoreWord};
 use crate::shared_words::SharedWord;
-use crate::upstream_table::WeightVersion;
+use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
-use guava_types::{FastMap, Incarnation, ModelName, Moment, TokenCount, UpstreamId};
+use guava_types::{FastMap, ModelName, Moment, TokenCount, UpstreamId};
 use prost::Message;
 use std::net::SocketAddr;
 
@@ -33,6 +33,8 @@
     parts: Vec<u64>,
     #[prost(uint64, tag = "3")]
     tokens: u64,
+    #[prost(uint64, tag = "4")]
+    waiting: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -79,12 +81,34 @@
     version: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireListed {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(bool, tag = "2")]
+    is_removed: bool,
+    #[prost(string, tag = "3")]
+    service: String,
+    #[prost(string, tag = "4")]
+    address: String,
+    #[prost(string, tag = "5")]
+    data_centre: String,
+    #[prost(uint32, tag = "6")]
+    slots: u32,
+    #[prost(bool, tag = "7")]
+    is_leaving: bool,
+    #[prost(string, repeated, tag = "8")]
+    models: Vec<String>,
+    #[prost(uint64, repeated, tag = "9")]
+    versions: Vec<u64>,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WirePeer {
     #[prost(string, tag = "1")]
     name: String,
     #[prost(string, tag = "2")]
-    incarnation: String,
+    data_centre: String,
     #[prost(string, tag = "3")]
     peer_address: String,
     #[prost(string, tag = "4")]
@@ -109,6 +133,10 @@
     loaded: Vec<WireLoaded>,
     #[prost(uint64, optional, tag = "14")]
     clock_ms: Option<u64>,
+    #[prost(message, repeated, tag = "15")]
+    listed: Vec<WireListed>,
+    #[prost(bool, tag = "16")]
+    is_note: bool,
 }
 
 /// A prompt that a peer sent to an engine.
@@ -118,8 +146,10 @@
     pub engine: UpstreamId,
     /// Its shared parts.
     pub parts: Vec<PartKey>,
-    /// Its length.
+    /// Memory that it takes.
     pub tokens: TokenCount,
+    /// Tokens of it that the engine must read.
+    pub waiting: TokenCount,
 }
 
 /// Weights that a peer knows to be published.
@@ -133,6 +163,15 @@
     pub age_ms: u64,
 }
 
+/// A change in the list of upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListedChange {
+    /// An upstream as it is listed now.
+    Entry(UpstreamEntry),
+    /// An upstream that is listed no more.
+    Removed(UpstreamId),
+}
+
 /// Weights that an engine has, as the daemon found that orders it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadedVersion {
@@ -168,6 +207,10 @@
     pub loaded: Vec<LoadedVersion>,
     /// The upstreams' clock, in milliseconds.
     pub clock_ms: Option<u64>,
+    /// What lately changed in the list of upstreams, as it has read it itself.
+    pub listed: Vec<ListedChange>,
+    /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
+    pub is_note: bool,
 }
 
 impl PeerMessage {
@@ -198,6 +241,7 @@
             upstream: sent.engine.to_string(),
             parts: sent.parts.iter().map(|part| part.0).collect(),
             tokens: sent.tokens.0,
+            waiting: sent.waiting.0,
         };
         let target = |target: &PublishedVersion| WireTarget {
             model: target.model.to_string(),
@@ -206,7 +250,7 @@
         };
         let wire = WirePeer {
             name: self.note.name.to_string(),
-            incarnation: self.note.incarnation.to_string(),
+            data_centre: self.note.data_centre.to_string(),
             peer_address: self.note.peer_address.to_string(),
             caller_address: self.note.caller_address.to_string(),
             is_ready: self.note.is_ready,
@@ -219,6 +263,8 @@
             list: self.list.map(word),
             loaded: self.loaded.iter().map(loaded).collect(),
             clock_ms: self.clock_ms,
+            listed: self.listed.iter().map(wire_listed).collect(),
+            is_note: self.is_note,
         };
         wire.encode_to_vec()
     }
@@ -248,11 +294,10 @@
             })
         };
         let wire = WirePeer::decode(bytes).ok()?;
-        let incarnation: Incarnation = wire.incarnation.parse().ok()?;
         let address = |text: &str| text.parse::<SocketAddr>().ok();
         let note = MemberNote {
             name: wire.name.parse().ok()?,
-            incarnation,
+            data_centre: wire.data_centre.parse().ok()?,
             peer_address: address(&wire.peer_address)?,
             caller_address: address(&wire.caller_address)?,
             is_ready: wire.is_ready,
@@ -268,7 +313,12 @@
         let sent = |sent: &WireSent| {
             let engine = sent.upstream.parse().ok()?;
             let parts = sent.parts.iter().map(|part| PartKey(*part)).collect();
-            Some(SentPrompt { engine, parts, tokens: TokenCount(sent.tokens) })
+            Some(SentPrompt {
+                engine,
+                parts,
+                tokens: TokenCount(sent.tokens),
+                waiting: TokenCount(sent.waiting),
+            })
         };
         let target = |target: &WireTarget| {
             let version = WeightVersion(target.version);
@@ -289,6 +339,45 @@
             list: wire.list.map(word),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
             clock_ms: wire.clock_ms,
+            listed: wire.listed.iter().filter_map(listed_change).collect(),
+            is_note: wire.is_note,
         })
     }
 }
+
+fn wire_listed(change: &ListedChange) -> WireListed {
+    match change {
+        ListedChange::Removed(id) => {
+            WireListed { upstream: id.to_string(), is_removed: true, ..WireListed::default() }
+        }
+        ListedChange::Entry(entry) => WireListed {
+            upstream: entry.id.to_string(),
+            is_removed: false,
+            service: entry.service.to_string(),
+            address: entry.address.to_string(),
+            data_centre: entry.data_centre.to_string(),
+            slots: entry.slots,
+            is_leaving: entry.is_leaving,
+            models: entry.versions.keys().map(ModelName::to_string).collect(),
+            versions: entry.versions.values().map(|version| version.0).collect(),
+        },
+    }
+}
+
+fn listed_change(wire: &WireListed) -> Option<ListedChange> {
+    let id: UpstreamId = wire.upstream.parse().ok()?;
+    if wire.is_removed {
+        return Some(ListedChange::Removed(id));
+    }
+    let version =
+        |(model, version): (&String, &u64)| Some((model.parse().ok()?, WeightVersion(*version)));
+    Some(ListedChange::Entry(UpstreamEntry {
+        id,
+        service: wire.service.parse().ok()?,
+        address: wire.address.parse().ok()?,
+        data_centre: wire.data_centre.parse().ok()?,
+        slots: wire.slots,
+        is_leaving: wire.is_leaving,
+        versions: wire.models.iter().zip(&wire.versions).filter_map(version).collect(),
+    }))
+}
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -17,6 +17,9 @@
 
 /// Expected time of a plain request, in milliseconds, for telling slow instances from others.
 const PLAIN_ANSWER_MS: f64 = 25.0;
+/// Prompts with so many tokens to read are told to peers at once: reading them keeps an engine busy
+/// for longer than the pause between messages matters.
+const NOTED_PROMPT: TokenCount = TokenCount(1_000);
 /// Prompts remembered for peers between two messages.
 const REMEMBERED_PROMPTS: usize = 64;
 
@@ -185,10 +188,19 @@
             index.note_saving(&choice.salt, part, now);
         }
     }
-    let mut sent = parts.sent_prompts.borrow_mut();
-    if sent.len() < REMEMBERED_PROMPTS {
-        let shared = keys.len().saturating_sub(1);
-        let parts = keys.into_iter().take(shared).collect();
-        sent.push(SentPrompt { engine: choice.upstream.clone(), parts, tokens: prompt.memory() });
+    let shared = keys.len().saturating_sub(1);
+    let sent = SentPrompt {
+        engine: choice.upstream.clone(),
+        parts: keys.into_iter().take(shared).collect(),
+        tokens: prompt.memory(),
+        waiting: choice.recompute,
+    };
+    if sent.waiting >= NOTED_PROMPT {
+        parts.just_sent.borrow_mut().push(SentPrompt { parts: Vec::new(), ..sent.clone() });
+        parts.note_due.notify_one();
+    }
+    let mut remembered = parts.sent_prompts.borrow_mut();
+    if remembered.len() < REMEMBERED_PROMPTS {
+        remembered.push(sent);
     }
 }
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -4,6 +4,7 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
+use crate::list_news::ListNews;
 use crate::member_table::MemberTable;
 use crate::metrics::ServeMetrics;
 use crate::part_index::PartIndex;
@@ -18,6 +19,7 @@
 use guava_types::{DataCentre, MemberName, Moment};
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
+use tokio::sync::Notify;
 
 /// Who this daemon is.
 #[derive(Clone, Debug, PartialEq)]
@@ -84,10 +86,16 @@
     pub prefill: RefCell<PrefillRate>,
     /// Prompts sent since peers were last told.
     pub sent_prompts: RefCell<Vec<SentPrompt>>,
+    /// Large prompts sent since peers were last sent a note.
+    pub just_sent: RefCell<Vec<SentPrompt>>,
+    /// Wakes whoever sends notes.
+    pub note_due: Notify,
     /// The upstreams' clock.
     pub upstream_clock: Cell<Option<UpstreamClock>>,
     /// What daemons know of the platform's store through each other.
     pub words: RefCell<SharedWords>,
+    /// Changes of the list of upstreams to tell peers.
+    pub list_news: RefCell<ListNews>,
     /// When the configuration in force was last seen to be the newest.
     pub config_confirmed: Cell<Moment>,
     /// Bytes of requests held at present.
@@ -99,7 +107,6 @@
     pub fn new(identity: ServeIdentity, bounds: ServeBounds, dialect: Dialect) -> Self {
         Self {
             pool: ConnectionPool::new(identity.source),
-            identity,
             bounds,
             dialect,
             metrics: ServeMetrics::default(),
@@ -109,13 +116,17 @@
             parts: RefCell::default(),
             targets: RefCell::default(),
             retries: RefCell::new(RetryShares::new(bounds.retries, 1)),
-            members: RefCell::default(),
+            members: RefCell::new(MemberTable::new(identity.data_centre.clone())),
             prefill: RefCell::default(),
             sent_prompts: RefCell::default(),
+            just_sent: RefCell::default(),
+            note_due: Notify::new(),
             upstream_clock: Cell::new(None),
             words: RefCell::default(),
+            list_news: RefCell::default(),
             config_confirmed: Cell::default(),
             held_bytes: Cell::new(0),
+            identity,
         }
     }
 
--- a/crates/guava-serve/src/shared_words.rs
+++ b/crates/guava-serve/src/shared_words.rs
@@ -7,8 +7,8 @@
 
 use guava_types::{Deadline, Moment};
 
-/// Daemons that read for all: two may be lost at the same moment.
-pub const READERS: usize = 3;
+/// Daemons of each data centre that read for all of it: one may be lost at any moment.
+pub const READERS: usize = 2;
 
 /// How often the store is read, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -238,13 +238,12 @@
     /// A number that is the same for all daemons that know the same upstreams as serving or
     /// leaving, whatever order they learnt it in.
     pub fn digest(&self) -> u64 {
-        let entries = self.listed.values().filter(|listed| listed.dropped_at.is_none());
         let digest = |listed: &ListedUpstream| {
             let mut hasher = FxHasher::default();
             (&listed.entry.id, listed.entry.is_leaving).hash(&mut hasher);
             hasher.finish()
         };
-        entries.map(digest).fold(0, u64::wrapping_add)
+        self.listed.values().map(digest).fold(0, u64::wrapping_add)
     }
 
     /// How many upstreams are known.
--- a/crates/guava-serve/src/work_table.rs
+++ b/crates/guava-serve/src/work_table.rs
@@ -1,5 +1,6 @@
 //! What runs and waits at each upstream: this daemon's own work, and what peers say of theirs.
 
+use crate::peer_message::SentPrompt;
 use guava_policy::{LoadTable, UpstreamLoad};
 use guava_types::{FastMap, MemberName, Moment, TokenCount, UpstreamId};
 
@@ -128,6 +129,15 @@
         self.peers.insert(peer.clone(), PeerWork { shares, noted: now });
     }
 
+    /// Takes in that a peer has just sent a prompt, before it next says how much it has there.
+    pub fn note_peer_sent(&mut self, peer: &MemberName, sent: &SentPrompt, now: Moment) {
+        let Some(work) = self.peers.get_mut(peer) else { return };
+        let added = WorkShare { waiting: sent.waiting, memory: sent.tokens, running: 1 };
+        work.shares.entry(sent.engine.clone()).or_default().add(&added);
+        self.peers_total.entry(sent.engine.clone()).or_default().add(&added);
+        self.refresh_load(&sent.engine, now);
+    }
+
     /// Forgets the work of peers that fell silent, and upstreams that are gone.
     pub fn sweep(&mut self, now: Moment, is_known: impl Fn(&UpstreamId) -> bool) {
         let is_silent = |work: &PeerWork| now.millis_since(work.noted) > PEER_EXPIRY_MS;
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -5,13 +5,13 @@
 mod support;
 
 use guava_serve::{
-    EventFramer, LoadedVersion, MemberNote, MemberTable, PartKey, PartNews, PeerMessage,
-    PrefillRate, PublishedVersion, RefusalReason, RepeatRule, RetryLimit, RetryShares, SendRecord,
-    SentPrompt, ServiceInput, SharedWord, StoreWord, UpstreamTable, WeightVersion, WorkShare,
-    WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
+    EventFramer, ListedChange, LoadedVersion, MemberNote, MemberTable, PartKey, PartNews,
+    PeerMessage, PrefillRate, PublishedVersion, RefusalReason, RepeatRule, RetryLimit, RetryShares,
+    SendRecord, SentPrompt, ServiceInput, SharedWord, StoreWord, UpstreamTable, WeightVersion,
+    WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
 };
-use guava_types::{FastMap, Incarnation, Moment, TokenCount};
-use support::{address, id, model, route, upstream};
+use guava_types::{FastMap, Moment, TokenCount};
+use support::{address, engine, id, model, route, upstream};
 use yare::parameterized;
 
 fn framed(pieces: &[&str]) -> (String, Option<String>, bool) {
@@ -163,7 +163,7 @@
 fn note(name: &str, is_ready: bool) -> MemberNote {
     MemberNote {
         name: name.parse().unwrap(),
-        incarnation: Incarnation(7),
+        data_centre: "east".parse().unwrap(),
         peer_address: address(1),
         caller_address: address(2),
         is_ready,
@@ -172,7 +172,7 @@
 
 #[test]
 fn only_ready_daemons_heard_lately_are_handed_out() {
-    let mut members = MemberTable::default();
+    let mut members = MemberTable::new("east".parse().unwrap());
     members.note_heard(note("ready", true), Moment(10_000));
     members.note_heard(note("leaving", false), Moment(10_000));
     members.note_record(note("recorded", true), Moment(10_000));
@@ -185,7 +185,7 @@
 fn daemons_with_the_same_view_agree_on_turns() {
     let names = ["d1", "d2", "d3", "d4"];
     let turn = |me: &str| {
-        let mut members = MemberTable::default();
+        let mut members = MemberTable::new("east".parse().unwrap());
         for other in names.iter().filter(|other| **other != me) {
             members.note_heard(note(other, true), Moment(10_000));
         }
@@ -208,6 +208,7 @@
             engine: id("e"),
             parts: vec![PartKey(9)],
             tokens: TokenCount(100),
+            waiting: TokenCount(60),
         }],
         loading: vec![id("f")],
         targets: vec![PublishedVersion {
@@ -226,6 +227,8 @@
         list: Some(SharedWord { state: 13, as_of: Moment(99_600) }),
         loaded: vec![LoadedVersion { engine: id("e"), model: model(), version: WeightVersion(3) }],
         clock_ms: Some(5),
+        listed: vec![ListedChange::Entry(engine("g", 2)), ListedChange::Removed(id("h"))],
+        is_note: false,
     };
 
     let bytes = message.encode(Moment(100_000));
