--- a/crates/guava-daemon/src/settings.rs
+++ b/crates/guava-daemon/src/settings.rs
@@ -108,7 +108,8 @@
     pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
         const ADDRESS: &str = "an IP address and port, as in \"10.0.0.1:7000\"";
         const NAME: &str = "1 to 64 of a-z 0-9 '.' '_' '-'";
-        let mut reader = FieldReader::open(text)?;
+        // Some editors begin a file with a byte order mark, which is no part of its text.
+        let mut reader = FieldReader::open(text.trim_start_matches('\u{feff}'))?;
         let read = &mut reader;
         let unset = unset_address();
         let settings = Self {
--- a/crates/guava-daemon/src/settings_check.rs
+++ b/crates/guava-daemon/src/settings_check.rs
@@ -24,7 +24,10 @@
 impl fmt::Display for SettingsError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { line, key, found, allowed } = self;
-        write!(out, "line {line}: {key}: found {found}, allowed: {allowed}")
+        match line {
+            0 => write!(out, "{key}: found {found}, allowed: {allowed}"),
+            line => write!(out, "line {line}: {key}: found {found}, allowed: {allowed}"),
+        }
     }
 }
 
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -130,6 +130,8 @@
     NotSent,
     /// The upstream says that it did not run it.
     Refused,
+    /// It did not run it since it has other weights than expected, which are known now.
+    OtherWeights,
     /// Given up for another upstream, whose try is paid for; it may have run.
     Abandoned,
     /// It may have run, and there is no answer.
@@ -188,6 +190,7 @@
         AttemptEnd::Whole(_) | AttemptEnd::Stream(_) => "answered",
         AttemptEnd::NotSent => "not-sent",
         AttemptEnd::Refused => "refused",
+        AttemptEnd::OtherWeights => "other-weights",
         AttemptEnd::Abandoned => "abandoned",
         AttemptEnd::Lost => "lost",
         AttemptEnd::TimedOut => "timed-out",
@@ -224,9 +227,9 @@
             return self.lost("the answer belongs to another request");
         }
         if marks.is_not_run {
-            self.note_refusal(&marks, answer.status());
+            let end = self.note_refusal(&marks, answer.status());
             self.keep_after(connection, answer, &marks).await;
-            return AttemptEnd::Refused;
+            return end;
         }
         let is_stream = self.request.route.repeat.is_stream();
         if is_stream && answer.status() == StatusCode::OK {
@@ -283,13 +286,16 @@
         );
     }
 
-    fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) {
+    fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) -> AttemptEnd {
+        let mut end = AttemptEnd::Refused;
         let upstream = &self.plan.send.upstream;
         let is_other = marks.instance.as_deref().is_some_and(|other| other != upstream.as_str());
         if marks.is_unexpected && is_other {
             self.parts.upstreams.borrow_mut().note_replaced(upstream);
         } else if marks.is_unexpected {
-            self.note_weights(marks);
+            if self.note_weights(marks) {
+                end = AttemptEnd::OtherWeights;
+            }
         } else {
             // Full, or loading weights: others are cheaper for a moment.
             let until = Deadline::in_millis(LOADING_GUESS_MS);
@@ -303,19 +309,26 @@
             status = status.as_u16(),
             other = is_other
         );
+        end
     }
 
     /// Takes note that an engine has other weights than expected.
     ///
     /// Weights only grow, so it has newer ones, and the newest published are the best guess. Without
     /// that it would be asked for the old ones, and refuse, until the list says so a second later.
-    fn note_weights(&self, marks: &AnswerMarks) {
-        let Some(model) = self.request.prompt.as_ref().map(|prompt| &prompt.model) else { return };
+    /// Whether they are known now.
+    fn note_weights(&self, marks: &AnswerMarks) -> bool {
+        let expected = self.plan.send.engine.as_ref().map(|orders| orders.version);
+        let Some(model) = self.request.prompt.as_ref().map(|prompt| &prompt.model) else {
+            return false;
+        };
         let published = self.parts.targets.borrow().target(model).map(|target| target.version);
-        if let Some(version) = marks.weights.or(published) {
+        let newer = marks.weights.or(published).filter(|version| Some(*version) > expected);
+        if let Some(version) = newer {
             let upstream = &self.plan.send.upstream;
             self.parts.upstreams.borrow_mut().note_version(upstream, model, version);
         }
+        newer.is_some()
     }
 
     /// Reads a refusal's short body, so that the connection can be used again.
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 
 /// Upstreams that are tried for one request at most, refusals and failed connections included.
-const MOST_TRIES: usize = 4;
+const MOST_TRIES: u32 = 4;
 
 /// A request that was accepted, on its way.
 pub struct RequestRun {
@@ -88,9 +88,11 @@
                     return SendResult::Stream(stream);
                 }
                 AttemptEnd::NotSent => self.record.unreached += 1,
-                AttemptEnd::Refused => {
-                    self.record.arrivals += 1;
-                    self.record.refusals += 1;
+                AttemptEnd::Refused => self.note_refusal(),
+                AttemptEnd::OtherWeights => {
+                    self.note_refusal();
+                    // It can be asked again, for the weights that it has.
+                    self.record.tried.pop();
                 }
                 AttemptEnd::Abandoned => {
                     self.note_run();
@@ -105,6 +107,11 @@
         }
     }
 
+    fn note_refusal(&mut self) {
+        self.record.arrivals += 1;
+        self.record.refusals += 1;
+    }
+
     fn note_run(&mut self) {
         self.record.arrivals += 1;
         self.record.runs += 1;
@@ -115,7 +122,8 @@
         let route = &self.request.route;
         let may_run = self.record.runs == 0
             || (route.repeat.may_repeat() && self.record.runs < route.max_attempts.max(1));
-        may_run && self.record.tried.len() < MOST_TRIES
+        let tries = self.record.arrivals + self.record.unreached;
+        may_run && tries < MOST_TRIES
     }
 
     /// Pays for a send; the first that reaches an upstream is free.
--- a/crates/guavatiller/src/client.rs
+++ b/crates/guavatiller/src/client.rs
@@ -124,7 +124,8 @@
             wait_ms: self.top.wait_ms,
         };
         let reply = self.change_until_known(&request).await?;
-        output::print(self.top.output, &reports::change(object, &id, &reply));
+        // The exit code tells the change's outcome, whether or not the table was read.
+        let _read = output::print(self.top.output, &reports::change(object, &id, &reply));
         Ok(match reply.verdict() {
             Verdict::Accepted => ExitCode::SUCCESS,
             Verdict::Raced => ExitCode::from(EXIT_RACED),
@@ -196,8 +197,7 @@
             }
             _ => reports::status(client.status(StatusRequest {}).await.map_err(failed)?.get_ref()),
         };
-        output::print(self.top.output, &tables);
-        Ok(ExitCode::SUCCESS)
+        Ok(output::print(self.top.output, &tables))
     }
 
     async fn run(&mut self) -> Result<ExitCode, String> {
@@ -244,7 +244,7 @@
     match result {
         Ok(code) => code,
         Err(message) => {
-            eprintln!("{message}");
+            output::complain(&message);
             ExitCode::from(EXIT_FAILED)
         }
     }
--- a/crates/guavatiller/src/main.rs
+++ b/crates/guavatiller/src/main.rs
@@ -22,7 +22,7 @@
 }
 
 fn fail(message: &str) -> ExitCode {
-    eprintln!("{}", message.trim_end());
+    output::complain(message);
     ExitCode::from(EXIT_FAILED)
 }
 
@@ -42,10 +42,7 @@
         },
         CommandArgs::Platform(args) => finish(run_platform(args.settings.clone(), args.check)),
         CommandArgs::CheckSettings(args) => match read_settings(&args.file) {
-            Ok(_) => {
-                println!("{}: settings are valid", args.file.display());
-                ExitCode::SUCCESS
-            }
+            Ok(_) => output::say(&format!("{}: settings are valid", args.file.display())),
             Err(errors) => fail(&errors),
         },
         _ => client::run(&top),
--- /dev/null
+++ b/crates/guavatiller/tests/platform.rs
@@ -0,0 +1,343 @@
+//! The whole path on the users' platform, with real daemons.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_platform_standins::{
+    DaemonProcess, PlatformDeployment, ServerFault, ServerKind, ServiceNames, StoreFault,
+};
+use guava_standins::harness::wait_until;
+use rustix::process::{Pid, Signal, kill_process};
+use std::path::Path;
+use std::time::{Duration, Instant};
+use support::platform::{PlainAnswer, ask, request_to, send};
+
+const SERVERS: [(&str, ServerKind); 4] = [
+    ("i-app1", ServerKind::Plain),
+    ("i-app2", ServerKind::Plain),
+    ("i-llm1", ServerKind::Engine),
+    ("i-llm2", ServerKind::Engine),
+];
+
+/// The deployment with so many daemons, all ready.
+fn deploy(daemons: usize) -> (PlatformDeployment, Vec<DaemonProcess>) {
+    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut deployment = PlatformDeployment::start(program, folder, &SERVERS);
+    let started: Vec<DaemonProcess> = (0..daemons).map(|_| deployment.daemon().unwrap()).collect();
+    for daemon in &started {
+        wait_until("a daemon is ready", || is_ready(daemon));
+    }
+    (deployment, started)
+}
+
+fn is_ready(daemon: &DaemonProcess) -> bool {
+    ask(daemon.readiness, "/api/readiness").is_some_and(|answer| answer.status == 200)
+}
+
+fn submit(daemon: &DaemonProcess, id: &str) -> Option<PlainAnswer> {
+    send(daemon.callers, &request_to("POST", "/submit/2f", id, ServiceNames::KEY, "answer"))
+}
+
+fn draft(daemon: &DaemonProcess, id: &str) -> Option<PlainAnswer> {
+    send(daemon.callers, &request_to("POST", "/draft/2f", id, ServiceNames::KEY, "prompt"))
+}
+
+fn whole_stream() -> String {
+    (1..=5).map(|number| format!("id: {number}\ndata: token {number}\n\n")).collect()
+}
+
+#[test]
+fn requests_of_each_kind_are_served() {
+    let (deployment, daemons) = deploy(1);
+
+    let submitted = submit(&daemons[0], "r1").unwrap();
+    let drafted = draft(&daemons[0], "r2").unwrap();
+
+    assert_eq!((submitted.status, &*submitted.body), (200, "answer"));
+    assert!(submitted.header("x-response-seal").unwrap().starts_with("seal-i-app"));
+    assert_eq!((drafted.status, drafted.body), (200, whole_stream()));
+    let runs: Vec<_> = deployment.servers.values().flat_map(|server| server.runs()).collect();
+    assert_eq!(runs.len(), 2);
+    for (_, headers) in &runs {
+        assert_eq!(headers["x-tenant"], "acme");
+        assert!(!headers.contains_key("authorization"));
+    }
+}
+
+#[test]
+fn callers_can_not_set_what_is_the_systems_to_set() {
+    let (deployment, daemons) = deploy(1);
+    let forged = "X-Tenant: other\r\nX-Cache-Salt: other\r\nX-Kv-Fetch: 1.2.3.4:5\r\n\
+                  X-Request-Priority: 0\r\nX-Hold: h\r\nKv-From: 1.2.3.4:5/x\r\n\
+                  X-Expect-Instance: nobody\r\nConnection: X-Request-Id\r\n";
+    let request = request_to("POST", "/submit/2f", "r1", ServiceNames::KEY, "answer");
+    let request = request.replacen("Host:", &format!("{forged}Host:"), 1);
+
+    let answer = send(daemons[0].callers, &request).unwrap();
+
+    assert_eq!(answer.status, 200);
+    let runs: Vec<_> = deployment.servers.values().flat_map(|server| server.runs()).collect();
+    let (id, headers) = &runs[0];
+    assert_eq!(id, "r1");
+    assert_eq!(headers["x-tenant"], "acme");
+    for name in ["x-cache-salt", "x-kv-fetch", "x-hold", "kv-from", "x-request-priority"] {
+        assert!(!headers.contains_key(name), "{name}");
+    }
+}
+
+#[yare::parameterized(
+    length_last = { true },
+    length_first = { false },
+)]
+fn request_hidden_in_another_does_not_run(chunks_first: bool) {
+    // Symptom: a server runs a request that no caller sent.
+    // Sequence: a request has both a length and chunks; its sender counts the second request as a
+    // part of the first one's body, and the reader, going by the chunks, as the next request.
+    // Cause: the connection was used again after a request with two possible ends.
+    let (deployment, daemons) = deploy(1);
+    let hidden = request_to("POST", "/submit/2f", "hidden", ServiceNames::KEY, "answer");
+    let outer = format!("0\r\n\r\n{hidden}");
+    let request = request_to("POST", "/submit/2f", "outer", ServiceNames::KEY, &outer);
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let request = match chunks_first {
+        true => request.replacen("Host:", &format!("{chunked}Host:"), 1),
+        false => request.replacen("\r\n\r\n", &format!("\r\n{chunked}\r\n"), 1),
+    };
+
+    let answer = send(daemons[0].callers, &request).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+
+    assert!(answer.status == 400 || answer.header("connection") == Some("close"), "{answer:?}");
+    let runs: Vec<_> = deployment.servers.values().flat_map(|server| server.runs()).collect();
+    assert!(runs.iter().all(|(id, _)| id != "hidden"), "{runs:?}");
+}
+
+#[test]
+fn unknown_keys_and_routes_are_final() {
+    let (_deployment, daemons) = deploy(1);
+    let unknown_key = request_to("POST", "/submit/2f", "r1", "nobody", "answer");
+    let unknown_route = request_to("POST", "/nothing/2f", "r2", ServiceNames::KEY, "answer");
+
+    assert_eq!(send(daemons[0].callers, &unknown_key).unwrap().status, 401);
+    assert_eq!(send(daemons[0].callers, &unknown_route).unwrap().status, 404);
+}
+
+#[test]
+fn revoked_key_is_refused_within_the_time_for_changes() {
+    let (deployment, daemons) = deploy(2);
+    assert_eq!(submit(&daemons[1], "r1").unwrap().status, 200);
+
+    deployment.configure(2, &["other-key"]);
+    std::thread::sleep(Duration::from_secs(2));
+
+    for daemon in &daemons {
+        assert_eq!(submit(daemon, "r2").unwrap().status, 401);
+    }
+}
+
+#[test]
+fn server_that_leaves_gets_no_work_within_its_time() {
+    let (deployment, daemons) = deploy(2);
+
+    deployment.list("i-app1", "draining");
+    std::thread::sleep(Duration::from_secs(2));
+    let before = deployment.servers["i-app1"].runs().len();
+    for number in 0..20 {
+        let daemon = &daemons[number % 2];
+        assert_eq!(submit(daemon, &format!("r{number}")).unwrap().status, 200);
+    }
+
+    assert_eq!(deployment.servers["i-app1"].runs().len(), before);
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_do_not_stop_service() {
+    // Symptom: after an outage of the store all requests are refused for seconds.
+    // Sequence: the store is away; all entries lapse; it returns, and two seconds later the
+    // servers are back in the list.
+    // Cause: an entry's end was taken for its server's.
+    let (deployment, daemons) = deploy(1);
+    deployment.store.set_fault(StoreFault::Busy);
+    std::thread::sleep(Duration::from_millis(2_500));
+    for (id, _) in SERVERS {
+        deployment.unlist(id);
+    }
+    let during = submit(&daemons[0], "r1").unwrap().status;
+
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the list is read again", || logged(&daemons[0], "G8103"));
+    let after = submit(&daemons[0], "r2").unwrap().status;
+    for (id, _) in SERVERS {
+        deployment.list(id, "ready");
+    }
+    std::thread::sleep(Duration::from_millis(2_500));
+    let later = submit(&daemons[0], "r3").unwrap().status;
+
+    assert_eq!((during, after, later), (200, 200, 200));
+}
+
+#[test]
+fn daemon_that_starts_without_the_store_says_not_run() {
+    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut deployment = PlatformDeployment::start(program, folder, &SERVERS);
+    deployment.store.set_fault(StoreFault::Silent);
+    let daemon = deployment.daemon().unwrap();
+    wait_until("it answers", || ask(daemon.readiness, "/api/readiness").is_some());
+
+    let answer = submit(&daemon, "r1").unwrap();
+
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0 && after < 5.0, "{after}");
+    assert!(!is_ready(&daemon));
+}
+
+#[test]
+fn weights_are_rolled_out_by_one_daemon_and_requests_follow() {
+    let (deployment, daemons) = deploy(3);
+    assert_eq!(draft(&daemons[0], "r1").unwrap().status, 200);
+
+    deployment.publish(2);
+    let engines = || deployment.servers.iter().filter(|(id, _)| id.starts_with("i-llm"));
+    wait_until("all engines have them", || engines().all(|(_, engine)| engine.version() == 2));
+    let drafted = draft(&daemons[1], "r2").unwrap();
+
+    assert_eq!((drafted.status, drafted.body), (200, whole_stream()));
+    let orders: Vec<_> = engines().flat_map(|(_, engine)| engine.orders()).collect();
+    let mut holders: Vec<&str> = orders.iter().map(|(holder, ..)| holder.as_str()).collect();
+    holders.dedup();
+    assert_eq!(holders.len(), 1, "{orders:?}");
+    assert_eq!(orders.len(), 2, "{orders:?}");
+}
+
+#[test]
+fn stream_whose_server_breaks_off_is_whole() {
+    let (deployment, daemons) = deploy(1);
+    deployment.servers["i-llm1"].set_fault(ServerFault::Breaks);
+
+    let drafted: Vec<PlainAnswer> =
+        (0..4).map(|number| draft(&daemons[0], &format!("r{number}")).unwrap()).collect();
+
+    assert!(drafted.iter().all(|answer| answer.body == whole_stream()), "{drafted:?}");
+}
+
+#[test]
+fn daemon_that_is_stopped_cuts_nothing_off_and_leaves_in_time() {
+    let (_deployment, mut daemons) = deploy(2);
+    let process = Pid::from_raw(i32::try_from(daemons[0].process()).unwrap()).unwrap();
+    let stopped = Instant::now();
+
+    kill_process(process, Signal::TERM).unwrap();
+    wait_until("it is no longer ready", || !is_ready(&daemons[0]));
+    let handed_out = || {
+        let path = "/api/resolve?name=club.example&region=r&zone=east";
+        ask(daemons[1].directory, path).unwrap().body
+    };
+    let leaving = daemons[0].callers.to_string();
+    wait_until("others do not hand it out", || !handed_out().contains(&leaving));
+    let meanwhile = draft(&daemons[0], "r1").unwrap();
+    wait_until("it has ended", || daemons[0].ended().is_some());
+
+    assert_eq!((meanwhile.status, meanwhile.body), (200, whole_stream()));
+    assert_eq!(daemons[0].ended(), Some(true));
+    assert!(stopped.elapsed() < Duration::from_secs(8), "{:?}", stopped.elapsed());
+}
+
+fn logged(daemon: &DaemonProcess, event: &str) -> bool {
+    daemon.lines().iter().any(|line| line.contains(event))
+}
+
+/// The lines about a request, as an engineer on call would find them.
+fn lines_about(daemon: &DaemonProcess, request: &str) -> Vec<serde_json::Value> {
+    let about = format!("\"request\":\"{request}\"");
+    let lines = daemon.lines();
+    let found = lines.iter().filter(|line| line.contains(&about));
+    found.map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+fn events_of(lines: &[serde_json::Value]) -> Vec<&str> {
+    lines.iter().map(|line| line["kv"]["event"].as_str().unwrap()).collect()
+}
+
+#[test]
+fn cause_of_a_failed_request_is_found_from_its_id() {
+    // The three kinds of failure that docs/OPERATIONS.md explains: refused; no answer and may have
+    // run; and, above, a stream that its server broke off.
+    let (deployment, daemons) = deploy(1);
+    for id in ["i-app1", "i-app2"] {
+        deployment.servers[id].set_fault(ServerFault::Full);
+    }
+    let refused = submit(&daemons[0], "full").unwrap();
+    for id in ["i-app1", "i-app2"] {
+        deployment.servers[id].set_fault(ServerFault::Mute);
+    }
+    let unknown = submit(&daemons[0], "mute").unwrap();
+
+    wait_until("the lines are written", || !lines_about(&daemons[0], "mute").len().lt(&3));
+    assert_eq!((refused.status, unknown.status), (503, 504));
+    let refused = lines_about(&daemons[0], "full");
+    assert_eq!(events_of(&refused), ["G8001", "G8003", "G8001", "G8003", "G8005"]);
+    assert_eq!(refused[4]["kv"]["reason"], "upstreams-full");
+    let unknown = lines_about(&daemons[0], "mute");
+    assert_eq!(events_of(&unknown), ["G8001", "G8002", "G8006"]);
+    assert_eq!(unknown[0]["kv"]["upstream"], unknown[1]["kv"]["upstream"]);
+}
+
+#[test]
+fn loss_and_return_of_the_store_are_logged_once() {
+    let (deployment, daemons) = deploy(1);
+
+    deployment.store.set_fault(StoreFault::Busy);
+    wait_until("the loss is logged", || {
+        logged(&daemons[0], "G9101") && logged(&daemons[0], "G8102")
+    });
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the return is logged", || {
+        logged(&daemons[0], "G9102") && logged(&daemons[0], "G8103")
+    });
+
+    let lines = daemons[0].lines();
+    assert_eq!(lines.iter().filter(|line| line.contains("G8102")).count(), 1);
+}
+
+#[test]
+fn metrics_count_requests_by_outcome() {
+    let (_deployment, daemons) = deploy(1);
+    submit(&daemons[0], "r1").unwrap();
+
+    let metrics = ask(daemons[0].metrics, "/metrics").unwrap().body;
+
+    assert!(metrics.contains("guavatiller_requests_total{kind=\"answered\"} 1"), "{metrics}");
+    assert!(metrics.contains("guavatiller_first_answer_seconds_bucket"), "{metrics}");
+}
+
+#[test]
+fn settings_that_are_wrong_are_named() {
+    let program = env!("CARGO_BIN_EXE_guavatiller");
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("wrong-platform.json");
+    std::fs::write(&path, "\u{feff}{\"node\": \"a\"}").unwrap();
+
+    let check = ["platform", "--check", "--settings"];
+    let output = std::process::Command::new(program).args(check).arg(&path).output().unwrap();
+
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("wrong-platform.json") && text.contains("missing field"), "{text}");
+}
+
+#[test]
+fn closed_pipe_is_no_panic() {
+    let program = env!("CARGO_BIN_EXE_guavatiller");
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/association.json");
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+
+    let mut command = std::process::Command::new(program);
+    let output = command.args(["check-settings", example]).stdout(writer).output().unwrap();
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(!String::from_utf8_lossy(&output.stderr).contains("panicked"));
+}
