--- a/platform/src/peers.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -1,9 +1,10 @@
 //! Datagrams between daemons.
 
-use guava_serve::{
-    MAX_DATAGRAM_BYTES, MemberNote, OwnNews, PeerMessage, ServeParts, VersionRollout,
-    compose_message, compose_note, take_message,
-};
+use crate::member_table::MemberNote;
+use crate::peer_exchange::{OwnNews, compose_message, compose_note, take_message};
+use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
+use crate::rollout_state::VersionRollout;
+use crate::serve_parts::ServeParts;
 use guava_types::Moment;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
