fix: outages of the store stop the clock for new weights; urgent requests go first among a customer's

Change: the limit counts time in which some daemon reached the store, in one stretch and in all; among requests of one rank those of more urgent routes go first.

--- a/crates/guava-serve/src/accepted_request.rs
+++ b/crates/guava-serve/src/accepted_request.rs
@@ -70,12 +70,17 @@
 }
 
 impl AcceptedRequest {
-    /// Rank among requests: the customer's if it has one, else the route's.
+    /// Rank among requests, 0 first: by the customer's rank if it has one, else by the route's; among
+    /// equals those of more urgent routes go first.
+    ///
+    /// By the customer's rank alone, a customer's short urgent requests would wait behind its long
+    /// ones: in a burst of three times the load, callers of the urgent kind gave up after two seconds.
     pub fn priority(&self) -> u8 {
         let own = match &self.caller {
             CallerIdentity::Customer(customer) => customer.priority,
             CallerIdentity::Anonymous => None,
         };
-        own.unwrap_or(self.route.priority)
+        let rank = own.unwrap_or(self.route.priority);
+        rank.saturating_mul(2).saturating_add(self.route.priority.min(1))
     }
 }
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -8,7 +8,7 @@
 use crate::part_index::{PartIndex, rendezvous_weight};
 use crate::serve_config::{EngineTraits, StoreTraits};
 use crate::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
-use crate::version_targets::{VersionTargets, VersionUse};
+use crate::version_targets::{VersionLimits, VersionTargets, VersionUse};
 use crate::work_table::WorkTable;
 use guava_policy::{CandidateCost, ImportOffer, RouteCandidate, RouteInput, decide_route};
 use guava_state::WeightProfile;
@@ -69,8 +69,8 @@
     pub parts: &'a PartIndex,
     /// Published weights.
     pub targets: &'a VersionTargets,
-    /// Time limit for new weights, in milliseconds.
-    pub version_limit_ms: u64,
+    /// Time limits for new weights.
+    pub version_limits: VersionLimits,
     /// Prefill throughput, as learnt.
     pub prefill: TokenRate,
     /// This daemon.
@@ -200,7 +200,7 @@
 fn usable<'a>(input: &EngineInput<'a>) -> Vec<(&'a UpstreamEntry, WeightVersion, VersionUse)> {
     let judged = input.upstreams.serving(input.service).filter_map(|entry| {
         let version = *entry.versions.get(&input.prompt.model)?;
-        let limit = input.version_limit_ms;
+        let limit = input.version_limits;
         let start = expected_start(input, &entry.id);
         let verdict = input.targets.judge(&input.prompt.model, version, limit, start);
         let is_usable = verdict != VersionUse::Forbidden && !input.tried.contains(&entry.id);
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -76,5 +76,5 @@
 pub use shared_words::{READERS, ReadPace, SharedWord, SharedWords, WordKeeper};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
-pub use version_targets::{VersionTarget, VersionTargets, VersionUse, age_at_start};
+pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
 pub use work_table::{WorkShare, WorkTable, WorkTicket};
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -164,7 +164,7 @@
         work: &parts.work.borrow(),
         parts: &parts.parts.borrow(),
         targets: &parts.targets.borrow(),
-        version_limit_ms: parts.bounds.version_limit_ms,
+        version_limits: parts.bounds.version_limits,
         prefill: parts.prefill.borrow().rate(),
         me: &parts.identity.name,
         peers: &peers,
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -14,7 +14,7 @@
 use crate::serve_config::ConfigKeeper;
 use crate::shared_words::SharedWords;
 use crate::upstream_table::UpstreamTable;
-use crate::version_targets::VersionTargets;
+use crate::version_targets::{VersionLimits, VersionTargets};
 use crate::work_table::WorkTable;
 use guava_types::{DataCentre, MemberName, Moment, UpstreamId};
 use std::cell::{Cell, RefCell};
@@ -35,8 +35,8 @@
 /// Limits that the deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServeBounds {
-    /// Time in which new weights must be in use everywhere, in milliseconds.
-    pub version_limit_ms: u64,
+    /// Times in which new weights must be in use everywhere.
+    pub version_limits: VersionLimits,
     /// Time in which an upstream that leaves must get no more work, in milliseconds.
     pub leave_limit_ms: u64,
     /// Time in which a configuration must be in force, in milliseconds.
--- a/crates/guava-serve/src/shared_words.rs
+++ b/crates/guava-serve/src/shared_words.rs
@@ -86,6 +86,12 @@
         Some(self.heard.filter(is_same).map_or(own.as_of, |heard| heard.as_of))
     }
 
+    /// The moment as of which any daemon, this one included, read last.
+    pub fn freshest(&self) -> Option<Moment> {
+        let heard = self.heard.map(|heard| heard.as_of);
+        self.own.map(|own| own.as_of).max(heard)
+    }
+
     /// Whether this daemon must read now.
     pub fn is_due(&self, is_reader: bool, pace: ReadPace, now: Moment) -> bool {
         let (Some(own), Some(confirmed)) = (self.own, self.confirmed()) else { return true };
--- a/crates/guava-serve/src/version_targets.rs
+++ b/crates/guava-serve/src/version_targets.rs
@@ -1,7 +1,7 @@
 //! Which weights each model should have, and since when that is known.
 
 use crate::upstream_table::WeightVersion;
-use guava_types::{Deadline, FastMap, ModelName, Moment};
+use guava_types::{FastMap, ModelName, Moment};
 
 /// From this long after a newer version was published, an answer on the older one has less worth,
 /// in milliseconds.
@@ -52,9 +52,31 @@
     Forbidden,
 }
 
+/// Time limits for new weights, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionLimits {
+    /// In one stretch in which the store was in reach.
+    pub stretch_ms: u64,
+    /// In all such stretches.
+    pub total_ms: u64,
+}
+
+/// A time in which no daemon reached the store.
+#[derive(Clone, Copy, Debug)]
+struct StoreOutage {
+    from: Moment,
+    until: Moment,
+}
+
 /// The targets of all models; a lower version never replaces a higher one.
+///
+/// Engines can't be ordered while the store is away, since nobody can hold the lease. If the time
+/// limit ran on meanwhile, the old weights would be given up with few engines on the new ones, and
+/// most requests refused for as long as the rollout then takes; it counts the time in reach only.
 #[derive(Debug, Default)]
 pub struct VersionTargets {
+    outages: Vec<StoreOutage>,
+    away_since: Option<Moment>,
     /// By model, newest last.
     past: FastMap<ModelName, Vec<VersionTarget>>,
 }
@@ -85,6 +107,31 @@
         true
     }
 
+    /// Notes since when no daemon has reached the store, or that one has.
+    pub fn note_store(&mut self, away_since: Option<Moment>, now: Moment) {
+        let ended = self.away_since.filter(|_| away_since.is_none());
+        if let Some(from) = ended {
+            self.outages.push(StoreOutage { from, until: now });
+            if self.outages.len() > REMEMBERED {
+                self.outages.remove(0);
+            }
+        }
+        self.away_since = away_since;
+    }
+
+    /// How much time counts since a moment: in the last stretch, and in all.
+    fn counted(&self, since: Moment, now: Moment) -> (u64, u64) {
+        let present = self.away_since.map(|from| StoreOutage { from, until: now });
+        let outages = self.outages.iter().copied().chain(present);
+        let mut stretch = now.millis_since(since);
+        let mut total = stretch;
+        for outage in outages.filter(|outage| outage.until > since) {
+            stretch = stretch.min(now.millis_since(outage.until));
+            total = total.saturating_sub(outage.until.millis_since(outage.from.max(since)));
+        }
+        (stretch, total)
+    }
+
     /// The target of a model, if one was published.
     pub fn target(&self, model: &ModelName) -> Option<VersionTarget> {
         self.past.get(model)?.last().copied()
@@ -96,20 +143,21 @@
     }
 
     /// Whether a request may start on a version at a moment, where the newest must be in use
-    /// everywhere within a time limit in milliseconds.
+    /// everywhere within time limits.
     pub fn judge(
         &self,
         model: &ModelName,
         version: WeightVersion,
-        limit_ms: u64,
+        limits: VersionLimits,
         start: Moment,
     ) -> VersionUse {
         let past = self.past.get(model).map(Vec::as_slice).unwrap_or_default();
         let Some(successor) = past.iter().find(|target| target.version > version) else {
             return VersionUse::Newest;
         };
-        let cutoff = Deadline::after(successor.learned, limit_ms.saturating_sub(CUTOFF_MARGIN_MS));
-        if cutoff.passed(start) {
+        let (stretch, total) = self.counted(successor.learned, start);
+        let is_over = |counted: u64, limit: u64| counted + CUTOFF_MARGIN_MS >= limit;
+        if is_over(stretch, limits.stretch_ms) || is_over(total, limits.total_ms) {
             VersionUse::Forbidden
         } else if start.millis_since(successor.learned) >= FRESH_MS {
             VersionUse::Stale
