test: three tests of the request path made to bite or put right

Cause: with a mechanism taken out, the tests of own connections and of full memory still passed: a kept connection was not yet idle when the second request came, and the tie was drawn the right way. 'many outages' judged moments before outages that it had noted already, and failed on the right code. Change: a pause, all draws, and outages that lie in the past. As strict as before.

--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -245,6 +245,8 @@
         for _ in 0..2 {
             let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
             got.push(read(serve_request(&parts, &Rc::new(config(1)), request).await).await);
+            // Time for the connection to become idle, so that it could be used again.
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
         got
     });
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -46,6 +46,11 @@
 }
 
 fn choose(scene: &Scene, tried: &[UpstreamId]) -> Option<EngineChoice> {
+    choose_drawn(scene, tried, 7)
+}
+
+/// The choice with a number that decides between equals.
+fn choose_drawn(scene: &Scene, tried: &[UpstreamId], draw: u64) -> Option<EngineChoice> {
     choose_engine(&EngineInput {
         request: &scene.request,
         prompt: &scene.prompt,
@@ -63,7 +68,7 @@
         data_centre: &"east".parse().unwrap(),
         tried,
         now: NOW,
-        draw: 7,
+        draw,
     })
 }
 
@@ -109,9 +114,10 @@
     let ticket = scene.work.begin(&id("a"), TokenCount(0), TokenCount(50_000), 10.0, NOW);
     scene.work.started(&ticket, NOW);
 
-    let choice = choose(&scene, &[]).unwrap();
+    let chosen: Vec<UpstreamId> =
+        (0..4).map(|draw| choose_drawn(&scene, &[], draw).unwrap().upstream).collect();
 
-    assert_eq!(choice.upstream, id("b"));
+    assert_eq!(chosen, [id("b"), id("b"), id("b"), id("b")]);
 }
 
 #[test]
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -211,7 +211,7 @@
 #[test]
 fn many_outages_do_not_put_new_weights_off_for_ever() {
     let mut targets = targets();
-    for number in 0..4 {
+    for number in 0..2 {
         let from = 104_000 + number * 5_000;
         targets.note_store(Some(Moment(from)), Moment(from + 500));
         targets.note_store(None, Moment(from + 1_000));
@@ -219,6 +219,6 @@
 
     let judged = |at| targets.judge(&model(), WeightVersion(1), LIMITS, Moment(at));
 
-    assert_eq!(judged(114_500), VersionUse::Stale);
-    assert_eq!(judged(116_000), VersionUse::Forbidden);
+    assert_eq!(judged(114_400), VersionUse::Stale);
+    assert_eq!(judged(114_500), VersionUse::Forbidden);
 }
