feat: long prompts wait in line here until an engine has memory for them

Engines had more prompts than their memory holds: they fetched the parts of those that waited, dropped them for the next ones, and read them in the end, or preempted runs.

Ruled out: fetches that come too late (6 of 743), parts that are not known (0.5 million tokens).

Change: a long prompt for which no engine has memory is held in the daemon, by rank and arrival, looked at every 20 ms, and refused once it could not be in time any more, with 1 to 2 s to come back.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod reply;
 mod retry;
 mod route;
+mod waiting_line;
 
 pub use admission::{
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
@@ -30,3 +31,4 @@
 pub use route::{
     CandidateCost, ImportOffer, NEAR_BEST, RouteCandidate, RouteDecision, RouteInput, decide_route,
 };
+pub use waiting_line::WaitingLine;
--- /dev/null
+++ b/crates/guava-policy/tests/waiting_line.rs
@@ -0,0 +1,33 @@
+//! The order of long prompts that wait for memory.
+
+use guava_policy::WaitingLine;
+use guava_types::Moment;
+
+#[test]
+fn line_goes_by_rank_and_then_by_arrival() {
+    let mut line = WaitingLine::default();
+    let late = line.join(3, Moment(2_000));
+    let early = line.join(3, Moment(1_000));
+    let urgent = line.join(2, Moment(3_000));
+
+    assert!(line.is_first(urgent));
+    assert_eq!(line.ahead_of(late), 2);
+    line.leave(urgent);
+    assert!(line.is_first(early));
+    line.leave(early);
+    assert!(line.is_first(late));
+}
+
+#[test]
+fn place_given_up_out_of_turn_holds_nobody_up() {
+    let mut line = WaitingLine::default();
+    let first = line.join(3, Moment(1_000));
+    let second = line.join(3, Moment(1_000));
+    let third = line.join(3, Moment(1_001));
+
+    line.leave(second);
+    line.leave(first);
+
+    assert!(line.is_first(third));
+    assert_eq!(line.ahead_of(third), 0);
+}
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -7,16 +7,21 @@
 use crate::events;
 use crate::outcome::{RefusalReason, SendRecord, ServeOutcome};
 use crate::patience::return_after_ms;
-use crate::request_plan::{draw_service, log_send, plan_attempt};
+use crate::request_plan::{PlanStep, choose_for, draw_service, log_send, plan_attempt};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
-use guava_types::{Moment, ServiceName};
+use guava_types::{Deadline, Moment, ServiceName};
 use http::Response;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
 
 /// Upstreams that are tried for one request at most, refusals and failed connections included.
 const MOST_TRIES: u32 = 4;
+/// Pause between two looks at whether an engine has memory for a prompt in line, in milliseconds: a
+/// tenth of the time that the shortest long prompt takes.
+const HOLD_TICK_MS: u64 = 20;
 
 /// A request that was accepted, on its way.
 pub struct RequestRun {
@@ -58,20 +63,20 @@
             if self.request.deadline.passed(now) {
                 return given_up(fallback, true);
             }
-            let may_try = self.may_try();
-            let plan = may_try
-                .then(|| {
-                    plan_attempt(
-                        &self.parts,
-                        &self.config,
-                        &self.request,
-                        &self.service,
-                        &self.record,
-                        resume_after,
-                    )
-                })
-                .flatten();
-            let Some(plan) = plan else { return given_up(fallback, false) };
+            if !self.may_try() {
+                return given_up(fallback, false);
+            }
+            let plan = match self.plan(resume_after) {
+                PlanStep::Send(plan) => plan,
+                PlanStep::Nowhere => return given_up(fallback, false),
+                PlanStep::Crowded => {
+                    self.record.was_held = !self.hold().await;
+                    if self.record.was_held {
+                        return given_up(fallback, false);
+                    }
+                    continue;
+                }
+            };
             if !self.pay() {
                 return given_up(fallback, false);
             }
@@ -110,6 +115,54 @@
         }
     }
 
+    fn plan(&self, resume_after: Option<&str>) -> PlanStep {
+        // What is under way already must not wait here as well.
+        let may_hold = resume_after.is_none() && self.record.arrivals == 0;
+        plan_attempt(
+            &self.parts,
+            &self.config,
+            &self.request,
+            &self.service,
+            &self.record,
+            resume_after,
+            may_hold,
+        )
+    }
+
+    /// Waits in line until an engine may have memory for a long prompt; false if it can't be in
+    /// time any more.
+    async fn hold(&self) -> bool {
+        let request = &self.request;
+        let place = LinePlace::join(&self.parts, request);
+        let until = Deadline::after(request.arrived, request.route.objective_ms);
+        let until = until.earlier(request.deadline);
+        log_event!(info, events::HELD, request = request.id, ahead = place.ahead());
+        loop {
+            sleep(Duration::from_millis(HOLD_TICK_MS)).await;
+            if until.passed(Moment::now()) {
+                return false;
+            }
+            if place.is_first() && !self.is_crowded() {
+                return true;
+            }
+        }
+    }
+
+    fn is_crowded(&self) -> bool {
+        let engine = self.config.service(&self.service).and_then(|rule| rule.engine.as_ref());
+        let (Some(traits), Some(prompt)) = (engine, &self.request.prompt) else { return false };
+        let choice = choose_for(
+            &self.parts,
+            &self.config,
+            &self.request,
+            &self.service,
+            traits,
+            prompt,
+            &self.record,
+        );
+        choice.is_some_and(|choice| choice.is_crowded)
+    }
+
     fn note_refusal(&mut self) {
         self.record.arrivals += 1;
         self.record.refusals += 1;
@@ -237,6 +290,33 @@
     if is_over { ServeOutcome::TimedOut } else { ServeOutcome::Lost }
 }
 
+/// A place in the line for memory at engines; given up when this is dropped.
+struct LinePlace {
+    parts: Rc<ServeParts>,
+    ticket: u64,
+}
+
+impl LinePlace {
+    fn join(parts: &Rc<ServeParts>, request: &AcceptedRequest) -> Self {
+        let ticket = parts.line.borrow_mut().join(request.priority(), request.arrived);
+        Self { parts: Rc::clone(parts), ticket }
+    }
+
+    fn is_first(&self) -> bool {
+        self.parts.line.borrow().is_first(self.ticket)
+    }
+
+    fn ahead(&self) -> usize {
+        self.parts.line.borrow().ahead_of(self.ticket)
+    }
+}
+
+impl Drop for LinePlace {
+    fn drop(&mut self) {
+        self.parts.line.borrow_mut().leave(self.ticket);
+    }
+}
+
 /// Logs that a caller left while it waited: its request is dropped with all that it uses.
 struct CallerWatch {
     parts: Rc<ServeParts>,
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -63,6 +63,9 @@
 /// prompt, four in five went to another data centre, where they met others unannounced.
 const NEAR_BEST: f64 = 0.02;
 
+/// A prompt that takes this part of an engine's memory, as one over it, is long.
+const LONG_PART: u64 = 16;
+
 /// What a choice is made on.
 pub struct EngineInput<'a> {
     /// The request.
@@ -139,6 +142,8 @@
     pub reason: &'static str,
     /// How many engines could have taken it.
     pub candidates: usize,
+    /// Whether it is long, and no engine has memory for it that is not costlier than waiting.
+    pub is_crowded: bool,
 }
 
 /// Parts of a prompt that stores hold under one salt.
@@ -253,8 +258,7 @@
 ) -> RouteCandidate {
     let load = input.work.load(&entry.id);
     let total = input.work.total(&entry.id);
-    let memory = (input.traits.memory.0 as f64 * MEMORY_PART) as u64;
-    let is_full = total.memory.0 + input.prompt.memory().0 > memory && total.running > 0;
+    let is_full = is_full(input, &entry.id);
     let over_slots = (total.running + 1).saturating_sub(entry.slots.max(1));
     let penalty = match verdict {
         VersionUse::Stale => STALE_MS,
@@ -275,6 +279,18 @@
     }
 }
 
+/// Whether an engine's memory would not hold the prompt beside what runs or waits there.
+fn is_full(input: &EngineInput<'_>, engine: &UpstreamId) -> bool {
+    let total = input.work.total(engine);
+    let memory = (input.traits.memory.0 as f64 * MEMORY_PART) as u64;
+    total.memory.0 + input.prompt.memory().0 > memory && total.running > 0
+}
+
+/// Whether a prompt is long: a few of them fill an engine's memory.
+fn is_long(input: &EngineInput<'_>) -> bool {
+    input.prompt.memory().0 * LONG_PART >= input.traits.memory.0
+}
+
 fn remote_ms(input: &EngineInput<'_>, entry: &UpstreamEntry) -> f64 {
     if entry.data_centre == *input.data_centre {
         return 0.0;
@@ -367,7 +383,9 @@
     let save = save_plan(input, &offer.salt);
     let centre = input.upstreams.entry(&cost.upstream).map(|entry| &entry.data_centre);
     let transfers = transfers(input, fetch.as_ref(), &save, centre.unwrap_or(input.data_centre));
+    let is_crowded = is_long(input) && is_full(input, &cost.upstream);
     Some(EngineChoice {
+        is_crowded,
         transfers,
         upstream: cost.upstream,
         version,
--- a/crates/guava-serve/src/outcome.rs
+++ b/crates/guava-serve/src/outcome.rs
@@ -14,6 +14,8 @@
     UpstreamsFull,
     /// No upstream could be reached.
     Unreachable,
+    /// It waited for memory at an engine until it could not be in time any more.
+    Crowded,
     /// It can't be answered before its caller gives up.
     TooLate,
     /// Too many requests are held here.
@@ -29,6 +31,7 @@
             Self::NoUpstream => "no-upstream",
             Self::UpstreamsFull => "upstreams-full",
             Self::Unreachable => "unreachable",
+            Self::Crowded => "crowded",
             Self::TooLate => "too-late",
             Self::Overloaded => "overloaded",
             Self::NotReady => "not-ready",
@@ -75,6 +78,8 @@
     pub unreached: u32,
     /// Refusals by upstreams.
     pub refusals: u32,
+    /// Whether it was held here until its time to start was over.
+    pub was_held: bool,
 }
 
 impl SendRecord {
@@ -83,7 +88,9 @@
         if self.runs > 0 {
             return None;
         }
-        Some(if self.refusals > 0 {
+        Some(if self.was_held {
+            RefusalReason::Crowded
+        } else if self.refusals > 0 {
             RefusalReason::UpstreamsFull
         } else if self.unreached > 0 {
             RefusalReason::Unreachable
--- a/crates/guava-serve/src/patience.rs
+++ b/crates/guava-serve/src/patience.rs
@@ -39,6 +39,8 @@
         // Lists and configurations are read within about this time.
         RefusalReason::NoUpstream | RefusalReason::NotReady => 300,
         RefusalReason::TooLate => 200,
+        // A burst that fills all engines lasts for seconds; their runs end within two.
+        RefusalReason::Crowded => 1_000,
     };
     base + draw % base
 }
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -38,7 +38,17 @@
     route.services.first().map(|(service, _)| service)
 }
 
-/// Plans a send to a service; nothing if no upstream may take it.
+/// What to do with a request next.
+pub enum PlanStep {
+    /// Send it.
+    Send(Box<AttemptPlan>),
+    /// Hold it: it is long, and no engine has memory for it.
+    Crowded,
+    /// No upstream may take it.
+    Nowhere,
+}
+
+/// Plans a send to a service. A long prompt may be held until an engine has memory for it.
 pub fn plan_attempt(
     parts: &ServeParts,
     config: &ServeConfig,
@@ -46,16 +56,21 @@
     service: &ServiceName,
     record: &SendRecord,
     resume_after: Option<&str>,
-) -> Option<AttemptPlan> {
+    may_hold: bool,
+) -> PlanStep {
     let engine = config.service(service).and_then(|rule| rule.engine.as_ref());
-    let mut plan = match (engine, &request.prompt) {
+    let mut step = match (engine, &request.prompt) {
         (Some(traits), Some(prompt)) => {
-            plan_engine(parts, config, request, service, traits, prompt, record)
+            plan_engine(parts, config, request, service, traits, prompt, record, may_hold)
         }
-        _ => plan_plain(parts, request, service, record),
-    }?;
-    plan.send.resume_after = resume_after.map(Into::into).or_else(|| request.resume_after.clone());
-    Some(plan)
+        _ => plan_plain(parts, request, service, record)
+            .map_or(PlanStep::Nowhere, |plan| PlanStep::Send(Box::new(plan))),
+    };
+    if let PlanStep::Send(plan) = &mut step {
+        let own = || request.resume_after.clone();
+        plan.send.resume_after = resume_after.map(Into::into).or_else(own);
+    }
+    step
 }
 
 /// Logs a send with what decided it.
@@ -156,14 +171,49 @@
     traits: &EngineTraits,
     prompt: &PromptShape,
     record: &SendRecord,
-) -> Option<AttemptPlan> {
+    may_hold: bool,
+) -> PlanStep {
+    let now = Moment::now();
+    let choice = choose_for(parts, config, request, service, traits, prompt, record);
+    let Some(choice) = choice else { return PlanStep::Nowhere };
+    let load = ExpectedLoad {
+        prompt: choice.recompute,
+        memory: prompt.memory(),
+        answer_ms: choice.expected_ms,
+        service_ms: parts.prefill.borrow().read_ms(choice.recompute),
+        priority: request.priority(),
+    };
+    if choice.is_crowded && may_hold {
+        return PlanStep::Crowded;
+    }
+    note_choice(parts, prompt, &choice, load.priority, now);
+    let upstream = choice.upstream.clone();
+    match attempt_plan(parts, request, service, upstream, load, record) {
+        None => PlanStep::Nowhere,
+        Some(mut plan) => {
+            plan.send.engine = Some(engine_orders(parts, choice, now));
+            PlanStep::Send(Box::new(plan))
+        }
+    }
+}
+
+/// Chooses an engine for a prompt by what is known now; nothing if none may take it.
+pub fn choose_for(
+    parts: &ServeParts,
+    config: &ServeConfig,
+    request: &AcceptedRequest,
+    service: &ServiceName,
+    traits: &EngineTraits,
+    prompt: &PromptShape,
+    record: &SendRecord,
+) -> Option<EngineChoice> {
     let now = Moment::now();
     let members = parts.members.borrow();
     let is_near = |note: &&MemberNote| note.data_centre == parts.identity.data_centre;
     let peers: Vec<MemberName> =
         members.living(now).filter(is_near).map(|note| note.name.clone()).collect();
     drop(members);
-    let choice = choose_engine(&EngineInput {
+    choose_engine(&EngineInput {
         request,
         prompt,
         service,
@@ -183,19 +233,7 @@
         tried: &record.tried,
         now,
         draw: rand::random(),
-    })?;
-    let load = ExpectedLoad {
-        prompt: choice.recompute,
-        memory: prompt.memory(),
-        answer_ms: choice.expected_ms,
-        service_ms: parts.prefill.borrow().read_ms(choice.recompute),
-        priority: request.priority(),
-    };
-    note_choice(parts, prompt, &choice, load.priority, now);
-    let upstream = choice.upstream.clone();
-    let mut plan = attempt_plan(parts, request, service, upstream, load, record)?;
-    plan.send.engine = Some(engine_orders(parts, choice, now));
-    Some(plan)
+    })
 }
 
 fn engine_orders(parts: &ServeParts, choice: EngineChoice, now: Moment) -> EngineOrders {
