--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::events;
 use crate::outcome::{RefusalReason, SendRecord, ServeOutcome};
 use crate::patience::return_after_ms;
-use crate::request_plan::{PlanStep, choose_for, draw_service, log_send, plan_attempt};
+use crate::request_plan::{PlanInput, PlanStep, draw_service, is_crowded, log_send, plan_attempt};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
@@ -115,18 +115,20 @@
         }
     }
 
+    fn plan_input(&self) -> PlanInput<'_> {
+        PlanInput {
+            parts: &self.parts,
+            config: &self.config,
+            request: &self.request,
+            service: &self.service,
+            record: &self.record,
+        }
+    }
+
     fn plan(&self, resume_after: Option<&str>) -> PlanStep {
         // What is under way already must not wait here as well.
         let may_hold = resume_after.is_none() && self.record.arrivals == 0;
-        plan_attempt(
-            &self.parts,
-            &self.config,
-            &self.request,
-            &self.service,
-            &self.record,
-            resume_after,
-            may_hold,
-        )
+        plan_attempt(self.plan_input(), resume_after, may_hold)
     }
 
     /// Waits in line until an engine may have memory for a long prompt; false if it can't be in
@@ -142,27 +144,12 @@
             if until.passed(Moment::now()) {
                 return false;
             }
-            if place.is_first() && !self.is_crowded() {
+            if place.is_first() && !is_crowded(self.plan_input()) {
                 return true;
             }
         }
     }
 
-    fn is_crowded(&self) -> bool {
-        let engine = self.config.service(&self.service).and_then(|rule| rule.engine.as_ref());
-        let (Some(traits), Some(prompt)) = (engine, &self.request.prompt) else { return false };
-        let choice = choose_for(
-            &self.parts,
-            &self.config,
-            &self.request,
-            &self.service,
-            traits,
-            prompt,
-            &self.record,
-        );
-        choice.is_some_and(|choice| choice.is_crowded)
-    }
-
     fn note_refusal(&mut self) {
         self.record.arrivals += 1;
         self.record.refusals += 1;
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -38,6 +38,21 @@
     route.services.first().map(|(service, _)| service)
 }
 
+/// What a plan is made on.
+#[derive(Clone, Copy)]
+pub struct PlanInput<'a> {
+    /// The parts of the request path.
+    pub parts: &'a ServeParts,
+    /// The configuration that the request was accepted under.
+    pub config: &'a ServeConfig,
+    /// The request.
+    pub request: &'a AcceptedRequest,
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Its sends so far.
+    pub record: &'a SendRecord,
+}
+
 /// What to do with a request next.
 pub enum PlanStep {
     /// Send it.
@@ -49,30 +64,31 @@
 }
 
 /// Plans a send to a service. A long prompt may be held until an engine has memory for it.
-pub fn plan_attempt(
-    parts: &ServeParts,
-    config: &ServeConfig,
-    request: &AcceptedRequest,
-    service: &ServiceName,
-    record: &SendRecord,
-    resume_after: Option<&str>,
-    may_hold: bool,
-) -> PlanStep {
-    let engine = config.service(service).and_then(|rule| rule.engine.as_ref());
-    let mut step = match (engine, &request.prompt) {
-        (Some(traits), Some(prompt)) => {
-            plan_engine(parts, config, request, service, traits, prompt, record, may_hold)
-        }
-        _ => plan_plain(parts, request, service, record)
-            .map_or(PlanStep::Nowhere, |plan| PlanStep::Send(Box::new(plan))),
+pub fn plan_attempt(input: PlanInput<'_>, resume_after: Option<&str>, may_hold: bool) -> PlanStep {
+    let engine = engine_of(input);
+    let mut step = match engine {
+        Some((traits, prompt)) => plan_engine(input, traits, prompt, may_hold),
+        None => plan_plain(input).map_or(PlanStep::Nowhere, |plan| PlanStep::Send(Box::new(plan))),
     };
     if let PlanStep::Send(plan) = &mut step {
-        let own = || request.resume_after.clone();
+        let own = || input.request.resume_after.clone();
         plan.send.resume_after = resume_after.map(Into::into).or_else(own);
     }
     step
 }
 
+/// What the engines have in common and the prompt, of a request for a language model.
+fn engine_of<'a>(input: PlanInput<'a>) -> Option<(&'a EngineTraits, &'a PromptShape)> {
+    let traits = input.config.service(input.service)?.engine.as_ref()?;
+    Some((traits, input.request.prompt.as_ref()?))
+}
+
+/// Whether a request is long and no engine has memory for it.
+pub fn is_crowded(input: PlanInput<'_>) -> bool {
+    let Some((traits, prompt)) = engine_of(input) else { return false };
+    choose_for(input, traits, prompt).is_some_and(|choice| choice.is_crowded)
+}
+
 /// Logs a send with what decided it.
 pub fn log_send(
     request: &AcceptedRequest,
@@ -113,16 +129,14 @@
 }
 
 fn attempt_plan(
-    parts: &ServeParts,
-    request: &AcceptedRequest,
-    service: &ServiceName,
+    input: PlanInput<'_>,
     upstream: UpstreamId,
     load: ExpectedLoad,
-    record: &SendRecord,
 ) -> Option<AttemptPlan> {
-    let address = parts.upstreams.borrow().entry(&upstream)?.address;
+    let request = input.request;
+    let address = input.parts.upstreams.borrow().entry(&upstream)?.address;
     let now = Moment::now();
-    let patience = first_answer_patience(&request.route, record.runs, load.answer_ms);
+    let patience = first_answer_patience(&request.route, input.record.runs, load.answer_ms);
     let send = SendPlan {
         upstream,
         address,
@@ -133,62 +147,52 @@
     };
     Some(AttemptPlan {
         send,
-        service: service.clone(),
+        service: input.service.clone(),
         load,
         patience: patience.map(|millis| Deadline::after(now, millis)),
         deadline: request.deadline,
     })
 }
 
-fn plan_plain(
-    parts: &ServeParts,
-    request: &AcceptedRequest,
-    service: &ServiceName,
-    record: &SendRecord,
-) -> Option<AttemptPlan> {
+fn plan_plain(input: PlanInput<'_>) -> Option<AttemptPlan> {
     let upstream = choose_instance(&ServiceInput {
-        service,
-        upstreams: &parts.upstreams.borrow(),
-        work: &parts.work.borrow(),
-        data_centre: &parts.identity.data_centre,
-        tried: &record.tried,
+        service: input.service,
+        upstreams: &input.parts.upstreams.borrow(),
+        work: &input.parts.work.borrow(),
+        data_centre: &input.parts.identity.data_centre,
+        tried: &input.record.tried,
         now: Moment::now(),
         draw: rand::random(),
     })?;
     let load = ExpectedLoad {
         answer_ms: PLAIN_ANSWER_MS,
-        priority: request.priority(),
+        priority: input.request.priority(),
         ..ExpectedLoad::default()
     };
-    attempt_plan(parts, request, service, upstream, load, record)
+    attempt_plan(input, upstream, load)
 }
 
 fn plan_engine(
-    parts: &ServeParts,
-    config: &ServeConfig,
-    request: &AcceptedRequest,
-    service: &ServiceName,
+    input: PlanInput<'_>,
     traits: &EngineTraits,
     prompt: &PromptShape,
-    record: &SendRecord,
     may_hold: bool,
 ) -> PlanStep {
+    let parts = input.parts;
+    let Some(choice) = choose_for(input, traits, prompt) else { return PlanStep::Nowhere };
+    if choice.is_crowded && may_hold {
+        return PlanStep::Crowded;
+    }
     let now = Moment::now();
-    let choice = choose_for(parts, config, request, service, traits, prompt, record);
-    let Some(choice) = choice else { return PlanStep::Nowhere };
     let load = ExpectedLoad {
         prompt: choice.recompute,
         memory: prompt.memory(),
         answer_ms: choice.expected_ms,
         service_ms: parts.prefill.borrow().read_ms(choice.recompute),
-        priority: request.priority(),
+        priority: input.request.priority(),
     };
-    if choice.is_crowded && may_hold {
-        return PlanStep::Crowded;
-    }
     note_choice(parts, prompt, &choice, load.priority, now);
-    let upstream = choice.upstream.clone();
-    match attempt_plan(parts, request, service, upstream, load, record) {
+    match attempt_plan(input, choice.upstream.clone(), load) {
         None => PlanStep::Nowhere,
         Some(mut plan) => {
             plan.send.engine = Some(engine_orders(parts, choice, now));
@@ -198,15 +202,12 @@
 }
 
 /// Chooses an engine for a prompt by what is known now; nothing if none may take it.
-pub fn choose_for(
-    parts: &ServeParts,
-    config: &ServeConfig,
-    request: &AcceptedRequest,
-    service: &ServiceName,
+fn choose_for(
+    input: PlanInput<'_>,
     traits: &EngineTraits,
     prompt: &PromptShape,
-    record: &SendRecord,
 ) -> Option<EngineChoice> {
+    let parts = input.parts;
     let now = Moment::now();
     let members = parts.members.borrow();
     let is_near = |note: &&MemberNote| note.data_centre == parts.identity.data_centre;
@@ -214,11 +215,11 @@
         members.living(now).filter(is_near).map(|note| note.name.clone()).collect();
     drop(members);
     choose_engine(&EngineInput {
-        request,
+        request: input.request,
         prompt,
-        service,
+        service: input.service,
         traits,
-        stores: &config.stores,
+        stores: &input.config.stores,
         upstreams: &parts.upstreams.borrow(),
         work: &parts.work.borrow(),
         parts: &parts.parts.borrow(),
@@ -230,7 +231,7 @@
         me: &parts.identity.name,
         peers: &peers,
         data_centre: &parts.identity.data_centre,
-        tried: &record.tried,
+        tried: &input.record.tried,
         now,
         draw: rand::random(),
     })
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -5,10 +5,11 @@
 mod support;
 
 use guava_serve::{
-    AnswerMarks, Dialect, RepeatRule, RetryLimit, ServeBounds, ServeIdentity, ServeOutcome,
-    ServeParts, UpstreamEntry, VersionLimits, WeightVersion, serve_request,
+    AcceptedRequest, AnswerMarks, Dialect, ExpectedLoad, RefusalReason, RepeatRule, RetryLimit,
+    ServeBounds, ServeIdentity, ServeOutcome, ServeParts, UpstreamEntry, VersionLimits,
+    WeightVersion, WorkTicket, serve_request,
 };
-use guava_types::Moment;
+use guava_types::{Moment, TokenCount};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use std::rc::Rc;
@@ -450,3 +451,87 @@
     assert_eq!(got, ok("id: 1\n\n"));
     assert_eq!(known, WeightVersion(2));
 }
+
+/// An engine whose memory is full of another run, and a long prompt for it.
+fn crowded(engine_at: &ScriptedUpstream) -> (Rc<ServeParts>, WorkTicket, AcceptedRequest) {
+    let parts = parts(&[]);
+    let entry = UpstreamEntry { address: engine_at.address, ..engine("e", 1) };
+    parts.upstreams.borrow_mut().note_entry(entry);
+    let full = ExpectedLoad { memory: TokenCount(60_000), ..ExpectedLoad::default() };
+    let running = parts.work.borrow_mut().begin(&id("e"), &full, Moment::now());
+    let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
+    request.prompt = Some(prompt("packet", 12_800, 4_200));
+    (parts, running, request)
+}
+
+#[test]
+fn long_prompt_waits_here_until_an_engine_has_memory_for_it() {
+    // Symptom: in a burst half of all tokens read have been read before.
+    // Sequence: engines are sent more long prompts than their memory holds; they fetch the parts of
+    // those that wait, drop them for the next ones, and read them in the end.
+    // Cause: prompts were sent whether or not there was memory for them.
+    let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
+
+    let (got, waited) = run(async {
+        let (parts, running, request) = crowded(&upstream);
+        let begun = Instant::now();
+        let frees = Rc::clone(&parts);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            frees.work.borrow_mut().end(&running, Moment::now());
+        });
+        let outcome = serve_request(&parts, &Rc::new(config(1)), request).await;
+        (read(outcome).await, begun.elapsed())
+    });
+
+    assert_eq!(got, ok("id: 1\n\n"));
+    assert!(waited >= Duration::from_millis(120), "{waited:?}");
+}
+
+#[test]
+fn long_prompt_that_finds_no_memory_in_time_is_refused_without_a_send() {
+    let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
+
+    let (outcome, waited) = run(async {
+        let (parts, _running, request) = crowded(&upstream);
+        let begun = Instant::now();
+        let outcome = serve_request(&parts, &Rc::new(config(1)), request).await;
+        (outcome, begun.elapsed())
+    });
+
+    let ServeOutcome::NotRun { reason, return_after_ms } = outcome else { panic!("not refused") };
+    assert_eq!(reason, RefusalReason::Crowded);
+    assert!((1_000..2_000).contains(&return_after_ms), "{return_after_ms}");
+    assert!(waited < Duration::from_millis(1_200), "{waited:?}");
+    assert_eq!(upstream.requests().len(), 0);
+}
+
+#[test]
+fn long_prompt_whose_caller_leaves_gives_its_place_up() {
+    let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
+
+    let is_next = run(async {
+        let (parts, _running, request) = crowded(&upstream);
+        let config = Rc::new(config(1));
+        let served = serve_request(&parts, &config, request);
+        let left = tokio::time::timeout(Duration::from_millis(60), served).await;
+        assert!(left.is_err());
+        let next = parts.line.borrow_mut().join(9, Moment::now());
+        parts.line.borrow().is_first(next)
+    });
+
+    assert!(is_next);
+}
+
+#[test]
+fn short_prompts_do_not_wait_for_the_memory_that_long_ones_need() {
+    let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
+
+    let got = run(async {
+        let (parts, _running, mut request) = crowded(&upstream);
+        request.prompt = Some(prompt("greeting", 300, 80));
+        read(serve_request(&parts, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(got, ok("id: 1\n\n"));
+}
