--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -2,16 +2,14 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-mod support;
-
 use guava_platform_standins::{
-    DaemonProcess, PlatformDeployment, ServerFault, ServerKind, ServiceNames, StoreFault,
+    DaemonProcess, PlainAnswer, PlatformDeployment, ServerFault, ServerKind, ServiceNames,
+    StoreFault, ask, request_to, send, whole_stream,
 };
 use guava_standins::harness::wait_until;
 use rustix::process::{Pid, Signal, kill_process};
 use std::path::Path;
 use std::time::{Duration, Instant};
-use support::platform::{PlainAnswer, ask, request_to, send};
 
 const SERVERS: [(&str, ServerKind); 4] = [
     ("i-app1", ServerKind::Plain),
@@ -44,10 +42,6 @@
     send(daemon.callers, &request_to("POST", "/draft/2f", id, ServiceNames::KEY, "prompt"))
 }
 
-fn whole_stream() -> String {
-    (1..=5).map(|number| format!("id: {number}\ndata: token {number}\n\n")).collect()
-}
-
 #[test]
 fn requests_of_each_kind_are_served() {
     let (deployment, daemons) = deploy(1);
--- a/crates/guavatiller/tests/support/mod.rs
+++ b/crates/guavatiller/tests/support/mod.rs
@@ -3,8 +3,6 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-pub mod platform;
-
 use guava_standins::caller::{Caller, CallerAnswer, CallerCall, StreamedAnswer};
 use guava_standins::deployment::{Deployment, DeploymentPlan, ProgramPaths, ask, block_on, tell};
 use guava_standins::engine_server::{EngineStats, expected_chunk};
