--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -23,10 +23,12 @@
     MEMBER_HEARD "G8201" "a daemon is heard";
     LEASE_TAKEN "G8301" "the lease for orders is held";
     LEASE_LOST "G8302" "the lease for orders ended";
+    LEASE_UNREAD "G8306" "the lease for orders can't be read or asked for";
     ORDERED "G8303" "an engine was ordered to load weights";
     ORDER_FAILED "G8304" "an order to an engine failed";
     WEIGHTS_LOADED "G8305" "an engine has the new weights";
     STORE_KNOWN "G8401" "a store of cached parts is followed";
     STORE_FORGOTTEN "G8402" "what a store of cached parts holds is not known any more";
     PARTS_FREED "G8403" "useless parts were freed in a store";
+    FREEING_FAILED "G8404" "useless parts could not be freed in a store";
 }
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -20,12 +20,15 @@
 mod list_news;
 mod member_table;
 mod metrics;
+mod order_duty;
 mod outcome;
+mod part_duty;
 mod part_index;
 mod patience;
 mod peer_duty;
 mod peer_exchange;
 mod peer_message;
+mod ports;
 mod prefill_rate;
 mod request_plan;
 mod retry_shares;
@@ -54,7 +57,9 @@
 pub use list_news::ListNews;
 pub use member_table::{MemberNote, MemberTable};
 pub use metrics::{KindLabel, ServeMetrics};
+pub use order_duty::OrderDuty;
 pub use outcome::{RefusalReason, SendRecord, ServeOutcome};
+pub use part_duty::follow_stores;
 pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey, PartNews, StoreWord};
 pub use patience::{first_answer_patience, return_after_ms};
 pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers};
@@ -64,6 +69,10 @@
 pub use peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
 };
+pub use ports::{
+    EnginePort, EngineReport, FreeOrder, LeaseNews, LeasePort, LoadOrder, PartList, PartPort,
+    PartReport, PortError, PortFuture,
+};
 pub use prefill_rate::PrefillRate;
 pub use request_plan::draw_service;
 pub use retry_shares::{RetryLimit, RetryShares};
--- a/platform/src/orders.rs
+++ b/crates/guava-serve/src/order_duty.rs
@@ -1,12 +1,12 @@
 //! Brings engines to published weights, while this daemon holds the lease for orders.
 
-use crate::engine_calls::{LoadOrder, order, report};
 use crate::events;
-use crate::store_client::{LogRead, StoreClient, StoreError};
-use crate::store_records::encode_record;
+use crate::ports::{EnginePort, LeasePort, LoadOrder, PortError};
+use crate::rollout_state::VersionRollout;
+use crate::serve_parts::ServeParts;
+use crate::upstream_table::WeightVersion;
+use crate::version_rollout::{RolloutEngine, next_orders};
 use guava_log::log_event;
-use guava_serve::events as serve_events;
-use guava_serve::{RolloutEngine, ServeParts, VersionRollout, WeightVersion, next_orders};
 use guava_state::{LeaseEntry, LeaseWatch};
 use guava_types::{Deadline, Incarnation, ModelName, Moment, Offset, UpstreamId};
 use std::cell::RefCell;
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Records of who holds the lease.
-const LEASE_TOPIC: &str = "orders.lease";
+/// What the daemons' turns at the lease depend on.
+const LEASE_SUBJECT: &str = "orders.lease";
 /// Pause between two rounds while engines lag behind, in milliseconds.
 const ROUND_MS: u64 = 100;
 /// Pause between two looks at whether engines lag behind, in milliseconds.
@@ -43,7 +43,8 @@
 /// This daemon's part in orders.
 pub struct OrderDuty {
     parts: Rc<ServeParts>,
-    store: Rc<StoreClient>,
+    lease_port: LeasePort,
+    engine_port: EnginePort,
     me: Incarnation,
     /// Orders of two holders must lie so far apart, in milliseconds.
     apart_ms: u64,
@@ -59,15 +60,16 @@
     /// A duty that has done nothing yet.
     pub fn new(
         parts: Rc<ServeParts>,
-        store: Rc<StoreClient>,
-        me: Incarnation,
+        ports: (LeasePort, EnginePort),
         apart_ms: u64,
         rollout: Rc<RefCell<VersionRollout>>,
     ) -> Self {
+        let (lease_port, engine_port) = ports;
         Self {
+            me: parts.identity.lease_holder(),
             parts,
-            store,
-            me,
+            lease_port,
+            engine_port,
             apart_ms,
             lease: LeaseWatch::default(),
             entry: None,
@@ -90,13 +92,7 @@
             }
             let since = *wanted_since.get_or_insert_with(Moment::now);
             if let Err(error) = self.keep_lease(since).await {
-                log_event!(
-                    warn,
-                    events::CALL_FAILED,
-                    call = "lease",
-                    address = "store",
-                    reason = error
-                );
+                log_event!(warn, events::LEASE_UNREAD, reason = error);
             }
             self.note_lease();
             if self.fence().is_some() {
@@ -118,21 +114,21 @@
         if fence.is_some() != self.was_held {
             self.was_held = fence.is_some();
             match fence {
-                Some(fence) => log_event!(info, serve_events::LEASE_TAKEN, fence = fence),
-                None => log_event!(info, serve_events::LEASE_LOST, next = self.next),
+                Some(fence) => log_event!(info, events::LEASE_TAKEN, fence = fence),
+                None => log_event!(info, events::LEASE_LOST, next = self.next),
             }
         }
     }
 
     /// Renews the lease, takes it if it is free, or watches its holder.
-    async fn keep_lease(&mut self, wanted_since: Moment) -> Result<(), StoreError> {
+    async fn keep_lease(&mut self, wanted_since: Moment) -> Result<(), PortError> {
         let now = Moment::now();
         let renew_at = Moment(now.0 + self.apart_ms + RENEW_MS);
         if self.lease.token(renew_at).is_some() {
             return Ok(());
         }
         let is_holder = self.fence().is_some();
-        let turn = self.parts.members.borrow().turn(&self.parts.identity.name, LEASE_TOPIC, now);
+        let turn = self.parts.members.borrow().turn(&self.parts.identity.name, LEASE_SUBJECT, now);
         if !is_holder && turn >= STANDBYS {
             sleep(Duration::from_millis(WATCH_MS)).await;
             return Ok(());
@@ -151,52 +147,27 @@
         self.request_lease(now).await
     }
 
-    async fn request_lease(&mut self, now: Moment) -> Result<(), StoreError> {
+    async fn request_lease(&mut self, now: Moment) -> Result<(), PortError> {
         let term_ms = TERM_MS + self.apart_ms;
         // The token stays the same while one holder renews.
         let held = self.entry.as_ref().filter(|entry| entry.holder == self.me);
         let token = held.map_or(Offset(self.next + 1), |entry| entry.token);
         let entry = LeaseEntry { holder: self.me, token, renewed: Offset(self.next + 1), term_ms };
-        let Ok(record) = serde_json::to_vec(&entry) else { return Ok(()) };
         self.lease.request_sent(now, term_ms);
-        self.store.append(LEASE_TOPIC, encode_record(&record), Some(self.next)).await?;
+        (self.lease_port.request)(entry, self.next).await?;
         // Whether it was written or another's record came first, the log says what holds.
         self.read_lease(0).await
     }
 
     /// Takes in the newest record of the lease.
-    async fn read_lease(&mut self, wait_ms: u64) -> Result<(), StoreError> {
-        let mut wait_ms = wait_ms;
-        loop {
-            match self.store.read(LEASE_TOPIC, self.next, wait_ms).await? {
-                LogRead::Expired(first) => self.next = first,
-                LogRead::Page(page) => {
-                    let count = page.records.len() as u64;
-                    self.next += count;
-                    if let Some(record) = page.records.last() {
-                        self.take_entry(record);
-                    }
-                    wait_ms = 0;
-                    if count == 0 || self.next >= page.end {
-                        // A topic whose records have all expired still has its end.
-                        self.next = self.next.max(page.end);
-                        return Ok(());
-                    }
-                }
-            }
-        }
-    }
-
-    fn take_entry(&mut self, record: &[u8]) {
-        match serde_json::from_slice::<LeaseEntry>(record) {
-            Ok(entry) => {
-                self.lease.observe(Some(&entry), self.me, Moment::now());
-                self.entry = Some(entry);
-            }
-            Err(error) => {
-                log_event!(error, events::RECORD_BAD, key = LEASE_TOPIC, reason = error);
-            }
+    async fn read_lease(&mut self, wait_ms: u64) -> Result<(), PortError> {
+        let news = (self.lease_port.read)(self.next, wait_ms).await?;
+        self.next = news.next;
+        if let Some(entry) = news.newest {
+            self.lease.observe(Some(&entry), self.me, Moment::now());
+            self.entry = Some(entry);
         }
+        Ok(())
     }
 
     /// One round: looks at engines under way, and orders the next ones.
@@ -239,7 +210,7 @@
         let due = self.rollout.borrow_mut().due_looks(model, Moment::now());
         for id in due {
             let Some(address) = self.address(&id) else { continue };
-            let Ok(found) = report(&self.parts, &id, address).await else { continue };
+            let Ok(found) = (self.engine_port.report)(id.clone(), address).await else { continue };
             let known = found.versions.get(model).copied().unwrap_or_default();
             if known >= version {
                 self.note_loaded(&id, model, known);
@@ -250,16 +221,16 @@
     fn note_loaded(&self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
         self.parts.upstreams.borrow_mut().note_version(id, model, version);
         self.rollout.borrow_mut().note_done(model, id, Moment::now());
-        log_event!(info, serve_events::WEIGHTS_LOADED, upstream = id, version = version);
+        log_event!(info, events::WEIGHTS_LOADED, upstream = id, version = version);
     }
 
     async fn order_one(&mut self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
         let Some(address) = self.address(id) else { return };
-        let found = match report(&self.parts, id, address).await {
+        let found = match (self.engine_port.report)(id.clone(), address).await {
             Ok(found) => found,
             Err(error) => {
                 self.rollout.borrow_mut().note_failed(model, id, Moment::now());
-                log_event!(warn, serve_events::ORDER_FAILED, upstream = id, reason = error);
+                log_event!(warn, events::ORDER_FAILED, upstream = id, reason = error);
                 return;
             }
         };
@@ -284,17 +255,17 @@
             orders_before: found.orders,
         };
         self.rollout.borrow_mut().note_ordered(model, id, Moment::now());
-        match order(&self.parts, &load).await {
+        match (self.engine_port.order)(load).await {
             Ok(()) => log_event!(
                 info,
-                serve_events::ORDERED,
+                events::ORDERED,
                 upstream = id,
                 model = model,
                 version = version,
                 fence = fence
             ),
             Err(error) => {
-                log_event!(warn, serve_events::ORDER_FAILED, upstream = id, reason = error);
+                log_event!(warn, events::ORDER_FAILED, upstream = id, reason = error);
             }
         }
     }
--- a/platform/src/part_stores.rs
+++ b/crates/guava-serve/src/part_duty.rs
@@ -1,10 +1,10 @@
 //! Follows the stores of cached parts, and frees what is of no use in them.
 
-use crate::engine_calls::{EngineError, free_parts, part_events, part_list};
 use crate::events;
+use crate::ports::{FreeOrder, PartPort, PortError};
+use crate::rollout_state::useless_salt;
+use crate::serve_parts::{ServeParts, UpstreamClock};
 use guava_log::log_event;
-use guava_serve::events as serve_events;
-use guava_serve::{ServeParts, UpstreamClock, useless_salt};
 use guava_types::{FastMap, Moment};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -30,7 +30,11 @@
 const FEW_DATA_CENTRES: usize = 4;
 
 /// Follows those of the stores that the configuration names that are this daemon's turn, for ever.
-pub async fn follow_stores(parts: Rc<ServeParts>, followed: Rc<RefCell<Vec<SocketAddr>>>) {
+pub async fn follow_stores(
+    parts: Rc<ServeParts>,
+    port: Rc<PartPort>,
+    followed: Rc<RefCell<Vec<SocketAddr>>>,
+) {
     let mut followers: FastMap<SocketAddr, JoinHandle<()>> = FastMap::default();
     loop {
         let config = parts.config.borrow().current().cloned();
@@ -52,11 +56,14 @@
             });
             *followed.borrow_mut() = own.clone();
             for address in own {
-                let start = || tokio::task::spawn_local(follow_store(Rc::clone(&parts), address));
+                let start = || {
+                    let follow = follow_store(Rc::clone(&parts), Rc::clone(&port), address);
+                    tokio::task::spawn_local(follow)
+                };
                 followers.entry(address).or_insert_with(start);
             }
         }
-        free_useless(&parts).await;
+        free_useless(&parts, &port).await;
         sleep(Duration::from_millis(LOOK_PAUSE_MS)).await;
     }
 }
@@ -71,25 +78,25 @@
     parts.members.borrow().turn(&parts.identity.name, &store.to_string(), now)
 }
 
-async fn follow_store(parts: Rc<ServeParts>, store: SocketAddr) {
+async fn follow_store(parts: Rc<ServeParts>, port: Rc<PartPort>, store: SocketAddr) {
     let mut since = 0;
     let mut is_known = false;
     loop {
         let was_known = is_known;
-        match follow_once(&parts, store, &mut since).await {
+        match follow_once(&parts, &port, store, &mut since).await {
             Ok(is_followed) => is_known = is_followed,
             Err(error) => {
                 is_known = false;
                 since = 0;
                 parts.parts.borrow_mut().forget_store(store);
                 if was_known {
-                    log_event!(warn, serve_events::STORE_FORGOTTEN, store = store, reason = error);
+                    log_event!(warn, events::STORE_FORGOTTEN, store = store, reason = error);
                 }
                 sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
             }
         }
         if is_known && !was_known {
-            log_event!(info, serve_events::STORE_KNOWN, store = store, since = since);
+            log_event!(info, events::STORE_KNOWN, store = store, since = since);
         }
     }
 }
@@ -97,20 +104,21 @@
 /// Takes one report in; whether the store's contents are known after it.
 async fn follow_once(
     parts: &ServeParts,
+    port: &PartPort,
     store: SocketAddr,
     since: &mut u64,
-) -> Result<bool, EngineError> {
+) -> Result<bool, PortError> {
     let asked = Moment::now();
-    let report = part_events(parts, store, *since, WAIT_MS).await?;
+    let report = (port.events)(store, *since, WAIT_MS).await?;
     let now = Moment::now();
     if let Some(clock_ms) = report.clock_ms {
         parts.upstream_clock.set(Some(UpstreamClock { clock_ms, read: now }));
     }
     if report.is_gapped {
         parts.parts.borrow_mut().forget_store(store);
-        let (epoch, next, held) = part_list(parts, store).await?;
-        parts.parts.borrow_mut().note_list(store, epoch, held, asked);
-        *since = next;
+        let list = (port.list)(store).await?;
+        parts.parts.borrow_mut().note_list(store, list.epoch, list.held, asked);
+        *since = list.next;
         return Ok(true);
     }
     let mut index = parts.parts.borrow_mut();
@@ -124,7 +132,7 @@
 }
 
 /// Frees parts of weights that no engine has any more, in the stores that are this daemon's turn.
-async fn free_useless(parts: &ServeParts) {
+async fn free_useless(parts: &ServeParts, port: &PartPort) {
     let Some(config) = parts.config.borrow().current().cloned() else { return };
     for store in config.stores.iter().filter(|store| store.is_managed) {
         let now = Moment::now();
@@ -139,21 +147,16 @@
         };
         for chunk in useless.chunks(FREED_AT_ONCE) {
             let until_ms = parts.upstream_clock_in(FREE_MS, now);
-            match free_parts(parts, store.address, chunk, epoch, until_ms).await {
+            let order = FreeOrder { store: store.address, epoch, parts: chunk.to_vec(), until_ms };
+            match (port.free)(order).await {
                 Ok(()) => log_event!(
                     info,
-                    serve_events::PARTS_FREED,
+                    events::PARTS_FREED,
                     store = store.address,
                     parts = chunk.len()
                 ),
                 Err(error) => {
-                    log_event!(
-                        warn,
-                        events::CALL_FAILED,
-                        call = "free",
-                        address = store.address,
-                        reason = error
-                    );
+                    log_event!(warn, events::FREEING_FAILED, store = store.address, reason = error);
                     break;
                 }
             }
