feat: a long prompt that the line would hold too long is refused at once

Cause: in a long overload prompts waited in line for their whole objective and were refused then, though the line's pace had been known when they came.

Change: the line keeps the mean time between two prompts that got memory; a prompt that would wait past its objective is refused on arrival.

--- a/crates/guava-policy/src/waiting_line.rs
+++ b/crates/guava-policy/src/waiting_line.rs
@@ -15,11 +15,21 @@
     ticket: u64,
 }
 
+/// Weight of the newest interval between two prompts that got memory.
+const INTERVAL_WEIGHT: f64 = 0.25;
+/// Intervals are known for so long after the last one, in milliseconds: what drained the line
+/// seconds ago says little of the present load.
+const INTERVAL_EXPIRY_MS: u64 = 3_000;
+
 /// The line of one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingLine {
     places: Vec<LinePlace>,
     next_ticket: u64,
+    /// When the last prompt in line got memory.
+    last_start: Option<Moment>,
+    /// Mean time between two of them while prompts waited, in milliseconds.
+    interval_ms: Option<f64>,
 }
 
 impl WaitingLine {
@@ -38,6 +48,31 @@
         self.places.retain(|place| place.ticket != ticket);
     }
 
+    /// Notes that the first in line got memory.
+    pub fn note_start(&mut self, now: Moment) {
+        let last = self.last_start.replace(now);
+        let Some(last) = last else { return };
+        let found = now.millis_since(last) as f64;
+        if found > INTERVAL_EXPIRY_MS as f64 {
+            // The line was empty meanwhile.
+            self.interval_ms = None;
+            return;
+        }
+        let known = self.interval_ms.unwrap_or(found);
+        self.interval_ms = Some(known + (found - known) * INTERVAL_WEIGHT);
+    }
+
+    /// Milliseconds that a prompt which joins now would wait, as the line has lately drained;
+    /// nothing if that is not known.
+    pub fn expected_wait_ms(&self, rank: u8, now: Moment) -> Option<u64> {
+        let last = self.last_start?;
+        if now.millis_since(last) > INTERVAL_EXPIRY_MS {
+            return None;
+        }
+        let ahead = self.places.iter().filter(|place| place.rank <= rank).count();
+        Some((ahead as f64 * self.interval_ms?) as u64)
+    }
+
     /// Whether it is a place's turn.
     pub fn is_first(&self, ticket: u64) -> bool {
         self.places.first().is_some_and(|place| place.ticket == ticket)
--- a/crates/guava-policy/tests/waiting_line.rs
+++ b/crates/guava-policy/tests/waiting_line.rs
@@ -31,3 +31,25 @@
     assert!(line.is_first(third));
     assert_eq!(line.ahead_of(third), 0);
 }
+
+#[test]
+fn expected_wait_follows_how_the_line_drains() {
+    let mut line = WaitingLine::default();
+    assert_eq!(line.expected_wait_ms(3, Moment(1_000)), None);
+    for _ in 0..4 {
+        line.join(3, Moment(1_000));
+    }
+    [2_000, 2_200, 2_400].into_iter().for_each(|at| line.note_start(Moment(at)));
+
+    assert_eq!(line.expected_wait_ms(3, Moment(2_500)), Some(800));
+    assert_eq!(line.expected_wait_ms(2, Moment(2_500)), Some(0));
+    assert_eq!(line.expected_wait_ms(3, Moment(5_500)), None);
+}
+
+#[test]
+fn line_that_was_empty_for_long_forgets_how_it_drained() {
+    let mut line = WaitingLine::default();
+    [1_000, 1_100, 9_000].into_iter().for_each(|at| line.note_start(Moment(at)));
+
+    assert_eq!(line.expected_wait_ms(3, Moment(9_001)), None);
+}
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -132,12 +132,18 @@
     }
 
     /// Waits in line until an engine may have memory for a long prompt; false if it can't be in
-    /// time any more.
+    /// time, as the line drains or by now.
     async fn hold(&self) -> bool {
         let request = &self.request;
-        let place = LinePlace::join(&self.parts, request);
         let until = Deadline::after(request.arrived, request.route.objective_ms);
         let until = until.earlier(request.deadline);
+        let now = Moment::now();
+        let wait = self.parts.line.borrow().expected_wait_ms(request.priority(), now);
+        if wait.is_some_and(|wait_ms| Deadline::after(now, wait_ms) > until) {
+            // It would be refused after that time anyway; told at once, its caller can go elsewhere.
+            return false;
+        }
+        let place = LinePlace::join(&self.parts, request);
         log_event!(info, events::HELD, request = request.id, ahead = place.ahead());
         loop {
             sleep(Duration::from_millis(HOLD_TICK_MS)).await;
@@ -145,6 +151,7 @@
                 return false;
             }
             if place.is_first() && !is_crowded(self.plan_input()) {
+                self.parts.line.borrow_mut().note_start(Moment::now());
                 return true;
             }
         }
