fix: engines whose memory is not told are never taken for full

Found on reading: a configuration without the engines' memory would have held every long prompt until it was refused. The test failed before.

--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -285,7 +285,8 @@
 fn is_full(input: &EngineInput<'_>, engine: &UpstreamId) -> bool {
     let total = input.work.total(engine);
     let memory = (input.traits.memory.0 as f64 * MEMORY_PART) as u64;
-    total.memory.0 + input.prompt.memory().0 > memory && total.running > 0
+    // A configuration that does not say how much memory engines have gives no reason to wait.
+    memory > 0 && total.memory.0 + input.prompt.memory().0 > memory && total.running > 0
 }
 
 /// Whether a prompt is long: a few of them fill an engine's memory.
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use guava_serve::{
-    AcceptedRequest, EngineChoice, EngineInput, ExpectedLoad, HeldPart, PartEvent, PartIndex,
-    PromptShape, RepeatRule, StoreLinks, StoreTraits, StoreTransfer, UpstreamEntry, UpstreamTable,
-    VersionLimits, VersionTargets, WeightVersion, WorkTable, choose_engine,
+    AcceptedRequest, EngineChoice, EngineInput, EngineTraits, ExpectedLoad, HeldPart, PartEvent,
+    PartIndex, PromptShape, RepeatRule, StoreLinks, StoreTraits, StoreTransfer, UpstreamEntry,
+    UpstreamTable, VersionLimits, VersionTargets, WeightVersion, WorkTable, choose_engine,
 };
 use guava_types::{FastMap, Moment, TokenCount, TokenRate, UpstreamId};
 use std::rc::Rc;
@@ -21,6 +21,7 @@
     work: WorkTable,
     parts: PartIndex,
     links: StoreLinks,
+    traits: EngineTraits,
     targets: VersionTargets,
     stores: Vec<Rc<StoreTraits>>,
     prompt: PromptShape,
@@ -40,6 +41,7 @@
         work: WorkTable::default(),
         parts: PartIndex::default(),
         links: StoreLinks::default(),
+        traits: engine_traits(),
         targets: VersionTargets::default(),
         stores: vec![store("s1", 1)],
         prompt,
@@ -299,3 +301,18 @@
     assert_eq!(links.wait_ms(address(5), Moment(NOW.0 + 450)), 50.0);
     assert_eq!(links.wait_ms(address(6), NOW), 0.0);
 }
+
+#[test]
+fn engines_whose_memory_is_not_told_are_never_taken_for_full() {
+    // Symptom: every long prompt waits in line and is refused.
+    // Sequence: the configuration leaves the engines' memory out; an engine runs something.
+    // Cause: no memory was taken for a memory of nothing.
+    let mut scene = scene(&[("a", 1)]);
+    let running = load(TokenCount(0), TokenCount(20_000), 10.0);
+    scene.work.begin(&id("a"), &running, NOW);
+    scene.traits.memory = TokenCount(0);
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert!(!choice.is_crowded);
+}
