--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -66,7 +66,7 @@
         request: &scene.request,
         prompt: &scene.prompt,
         service: &"llm".parse().unwrap(),
-        traits: &engine_traits(),
+        traits: &scene.traits,
         stores: &scene.stores,
         upstreams: &scene.upstreams,
         work: &scene.work,
