--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -44,6 +44,8 @@
     stores: Vec<String>,
     #[prost(uint32, repeated, tag = "8")]
     transfers_ms: Vec<u32>,
+    #[prost(bool, tag = "9")]
+    is_for_all: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -167,6 +169,9 @@
     pub is_saved: bool,
     /// What it puts on the links of stores.
     pub transfers: Vec<StoreTransfer>,
+    /// Whether daemons of other data centres are told at once: of parts that they should not read
+    /// again, and of engines of theirs.
+    pub is_for_all: bool,
 }
 
 /// Weights that a peer knows to be published.
@@ -253,13 +258,12 @@
         }
     }
 
-    /// The note for the relays of other data centres: only prompts whose parts others should not
-    /// read again; nothing if there is none.
+    /// The note for the relays of other data centres; nothing if no prompt concerns them.
     pub fn note_for_relay(&self) -> Option<Self> {
-        let saved = self.sent.iter().filter(|sent| sent.is_saved);
+        let for_all = self.sent.iter().filter(|sent| sent.is_for_all);
         // Transfers begun in another data centre are reckoned there from its own.
         let plain = |sent: &SentPrompt| SentPrompt { transfers: Vec::new(), ..sent.clone() };
-        let sent: Vec<SentPrompt> = saved.map(plain).collect();
+        let sent: Vec<SentPrompt> = for_all.map(plain).collect();
         (!sent.is_empty()).then(|| Self { sent, is_for_relay: true, ..self.clone() })
     }
 
@@ -299,6 +303,7 @@
             priority: sent.priority.into(),
             is_saved: sent.is_saved,
             stores: sent.transfers.iter().map(|one| one.store.to_string()).collect(),
+            is_for_all: sent.is_for_all,
             transfers_ms: sent.transfers.iter().map(|one| one.transfer_ms).collect(),
         };
         let target = |target: &PublishedVersion| WireTarget {
@@ -382,6 +387,7 @@
                 waiting: TokenCount(sent.waiting),
                 priority: u8::try_from(sent.priority).unwrap_or(u8::MAX),
                 is_saved: sent.is_saved,
+                is_for_all: sent.is_for_all,
                 transfers: sent
                     .stores
                     .iter()
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -13,6 +13,7 @@
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_parts::ServeParts;
 use crate::service_choice::{ServiceInput, choose_instance};
+use crate::upstream_table::UpstreamEntry;
 use crate::work_table::ExpectedLoad;
 use guava_log::log_event;
 use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
@@ -274,13 +275,17 @@
             index.note_saving(*key, now);
         }
     }
+    let is_saved = choice.save.iter().any(Option::is_some);
+    let is_far = |entry: &UpstreamEntry| entry.data_centre != parts.identity.data_centre;
+    let is_elsewhere = parts.upstreams.borrow().entry(&choice.upstream).is_some_and(is_far);
     let sent = SentPrompt {
         engine: choice.upstream.clone(),
         parts: keys.into_iter().take(shared).collect(),
         tokens: prompt.memory(),
         waiting: choice.recompute,
         priority,
-        is_saved: choice.save.iter().any(Option::is_some),
+        is_saved,
+        is_for_all: is_saved || is_elsewhere,
         transfers: choice.transfers.clone(),
     };
     let stands_for = parts.members.borrow().stands_for();
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -75,6 +75,7 @@
         waiting: TokenCount(12_000),
         priority: 3,
         is_saved: false,
+        is_for_all: false,
         transfers: Vec::new(),
     };
     one.just_sent.borrow_mut().push(sent);
@@ -102,10 +103,11 @@
         waiting: TokenCount(17_000),
         priority: 3,
         is_saved: true,
+        is_for_all: true,
         transfers: Vec::new(),
     };
     one.just_sent.borrow_mut().push(sent.clone());
-    one.just_sent.borrow_mut().push(SentPrompt { is_saved: false, ..sent });
+    one.just_sent.borrow_mut().push(SentPrompt { is_for_all: false, ..sent });
     let note = compose_note(&one, note("d1")).unwrap();
     let far = note.note_for_relay().unwrap();
 
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -242,6 +242,7 @@
             waiting: TokenCount(60),
             priority: 3,
             is_saved: true,
+            is_for_all: true,
             transfers: vec![StoreTransfer { store: address(5), transfer_ms: 90 }],
         }],
         loading: vec![id("f")],
