--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -457,7 +457,7 @@
     let parts = parts(&[]);
     let entry = UpstreamEntry { address: engine_at.address, ..engine("e", 1) };
     parts.upstreams.borrow_mut().note_entry(entry);
-    let full = ExpectedLoad { memory: TokenCount(60_000), ..ExpectedLoad::default() };
+    let full = ExpectedLoad { memory: TokenCount(60_700), ..ExpectedLoad::default() };
     let running = parts.work.borrow_mut().begin(&id("e"), &full, Moment::now());
     let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
     request.prompt = Some(prompt("packet", 12_800, 4_200));
@@ -506,6 +506,32 @@
     assert_eq!(upstream.requests().len(), 0);
 }
 
+#[test]
+fn long_prompt_that_the_line_would_hold_too_long_is_refused_at_once() {
+    // Symptom: in a long overload prompts wait for their whole objective and are refused then.
+    // Sequence: the line gives memory to one prompt in 300 ms; two wait; a third one comes.
+    // Cause: the line's pace was not taken into account.
+    let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
+
+    let (outcome, waited) = run(async {
+        let (parts, _running, request) = crowded(&upstream);
+        let now = Moment::now();
+        for ago in [600, 300, 0] {
+            parts.line.borrow_mut().note_start(now.minus_millis(ago));
+        }
+        for _ in 0..2 {
+            parts.line.borrow_mut().join(request.priority(), now);
+        }
+        let begun = Instant::now();
+        let outcome = serve_request(&parts, &Rc::new(config(1)), request).await;
+        (outcome, begun.elapsed())
+    });
+
+    let ServeOutcome::NotRun { reason, .. } = outcome else { panic!("not refused") };
+    assert_eq!(reason, RefusalReason::Crowded);
+    assert!(waited < Duration::from_millis(200), "{waited:?}");
+}
+
 #[test]
 fn long_prompt_whose_caller_leaves_gives_its_place_up() {
     let upstream = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "id: 1\n\n")]]);
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -9,7 +9,7 @@
     PartIndex, PromptShape, RepeatRule, StoreLinks, StoreTraits, StoreTransfer, UpstreamEntry,
     UpstreamTable, VersionLimits, VersionTargets, WeightVersion, WorkTable, choose_engine,
 };
-use guava_types::{FastMap, Moment, TokenCount, TokenRate, UpstreamId};
+use guava_types::{FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 use std::rc::Rc;
 use support::{address, engine, engine_traits, id, leaving, model, prompt, request, route, store};
 
@@ -22,6 +22,7 @@
     parts: PartIndex,
     links: StoreLinks,
     traits: EngineTraits,
+    peers: Vec<MemberName>,
     targets: VersionTargets,
     stores: Vec<Rc<StoreTraits>>,
     prompt: PromptShape,
@@ -42,6 +43,7 @@
         parts: PartIndex::default(),
         links: StoreLinks::default(),
         traits: engine_traits(),
+        peers: Vec::new(),
         targets: VersionTargets::default(),
         stores: vec![store("s1", 1)],
         prompt,
@@ -77,7 +79,7 @@
         prefill: PREFILL,
         fixed_ms: 25.0,
         me: &"d1".parse().unwrap(),
-        peers: &[],
+        peers: &scene.peers,
         data_centre: &"east".parse().unwrap(),
         tried,
         now: NOW,
@@ -260,6 +262,8 @@
         let far = UpstreamEntry { data_centre: "west".parse().unwrap(), ..engine(name, 1) };
         scene.upstreams.note_entry(far);
     }
+    // Enough that the engine here is another daemon's to take first.
+    scene.peers = (2..40).map(|number| format!("d{number}").parse().unwrap()).collect();
 
     let chosen: Vec<UpstreamId> =
         (0..10).map(|draw| choose_drawn(&scene, &[], draw).unwrap().upstream).collect();
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,12 +5,13 @@
 mod support;
 
 use guava_serve::{
-    AnswerMarks, Dialect, ListChange, ListNews, ListedChange, MemberNote, OwnNews, PartKey,
-    PeerMessage, RetryLimit, SentPrompt, ServeBounds, ServeIdentity, ServeParts, SharedWord,
-    VersionLimits, WeightVersion, compose_message, compose_note, take_change, take_message,
+    AnswerMarks, Dialect, HeldPart, ListChange, ListNews, ListedChange, MemberNote, OwnNews,
+    PartEvent, PartKey, PeerMessage, RetryLimit, SentPrompt, ServeBounds, ServeIdentity,
+    ServeParts, SharedWord, VersionLimits, WeightVersion, compose_message, compose_note,
+    take_change, take_message,
 };
 use guava_types::{Moment, TokenCount};
-use support::{address, engine, id, leaving, model, part, upstream};
+use support::{address, engine, id, leaving, model, part, store, upstream};
 
 const NOW: Moment = Moment(100_000);
 
@@ -116,7 +117,11 @@
     assert_eq!(far.sent.len(), 1);
     let memory = TokenCount(70_000);
     let shared = part("p", 12_800);
-    let index = two.parts.borrow();
+    let stores = vec![store("s1", 1)];
+    let mut index = two.parts.borrow_mut();
+    let held = HeldPart { salt: "m0/1".into(), id: "other".into(), tokens: TokenCount(9_000) };
+    index.note_events(stores[0].address, 1, vec![PartEvent::Stored(held)], NOW);
+    assert_eq!(index.store_for(&stores, "m0/1", &shared, NOW), None);
     assert_eq!(index.resident(&id("e"), memory, "m0/1", &[shared]), TokenCount(12_800));
 }
 
@@ -191,11 +196,14 @@
     one.words.borrow_mut().list.note_own(13, NOW);
     let message = compose_message(&one, news("d1"), NOW);
     assert!(message.operator.is_some() && message.list.is_some());
+    let read = NOW.minus_millis(5_000);
+    two.words.borrow_mut().operator.note_own(12, read);
+    two.words.borrow_mut().list.note_own(13, read);
 
     pass(&message.for_relay().relayed(), &two);
 
-    assert_eq!(two.words.borrow().operator.confirmed(), None);
-    assert_eq!(two.words.borrow().list.confirmed(), None);
+    assert_eq!(two.words.borrow().operator.confirmed(), Some(read));
+    assert_eq!(two.words.borrow().list.confirmed(), Some(read));
 }
 
 #[test]
