fix: an upstream that starts again under its name is another one; bad records spoil no others

Now the start belongs to the id (NAME@START) wherever it is told: in entries, in reports, in peers' messages. A newer start drops the one before with all that was learnt of it, idle connections too; words on an older one change nothing. Entries need all their fields; a record that can't be read is counted by kind, logged in a bounded line, and passed over. Entries of services that the configuration does not name are no engines to bring to new weights.

Ruled out: a start for stores of cached parts beside their epoch, which changes with each start.

Taking a configuration in moves from platform/ into the product.

--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -274,7 +274,7 @@
     fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) -> AttemptEnd {
         let mut end = AttemptEnd::Refused;
         let upstream = &self.plan.send.upstream;
-        let is_other = marks.instance.as_deref().is_some_and(|other| other != upstream.as_str());
+        let is_other = marks.instance.as_deref().is_some_and(|other| other != upstream.name());
         if marks.is_unexpected && is_other {
             self.parts.upstreams.borrow_mut().note_replaced(upstream);
         } else if marks.is_unexpected {
--- a/crates/guava-serve/src/connection_pool.rs
+++ b/crates/guava-serve/src/connection_pool.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Closes the idle connections to an address: whoever listened there has ended, and a request
+    /// written to one of them would be lost, or believed to have run.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes idle connections that may not be used any more.
     pub fn sweep(&self) {
         let now = Moment::now();
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer_body;
 mod attempt;
 mod cache_salt;
+mod config_intake;
 mod connection_pool;
 mod dialect;
 mod dispatch;
@@ -47,6 +48,7 @@
 pub use admit::{AdmitRefusal, AdmittedCaller, HeldBytes, admit};
 pub use answer_body::{AnswerBody, BrokenStream};
 pub use cache_salt::{cache_salt, salt_version};
+pub use config_intake::take_config;
 pub use connection_pool::{ConnectionPool, ExchangeError, UpstreamConnection};
 pub use dialect::{AnswerMarks, Dialect, EngineOrders, SendPlan};
 pub use dispatch::serve_request;
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -25,6 +25,7 @@
     requests: Family<KindLabel, Counter>,
     sends: Family<KindLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
+    bad_records: Family<KindLabel, Counter>,
     first_answer: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -39,6 +40,7 @@
         let requests = Family::<KindLabel, Counter>::default();
         let sends = Family::<KindLabel, Counter>::default();
         let store_calls = Family::<KindLabel, Counter>::default();
+        let bad_records = Family::<KindLabel, Counter>::default();
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
         let config_version = Gauge::default();
@@ -48,6 +50,7 @@
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("sends", "Sends to upstreams by result", sends.clone());
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
+        registry.register("bad_records", "Unreadable records by kind", bad_records.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -59,6 +62,7 @@
             requests,
             sends,
             store_calls,
+            bad_records,
             first_answer,
             whole_answer,
             config_version,
@@ -93,6 +97,11 @@
         self.store_calls.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a record that can't be read.
+    pub fn count_bad_record(&self, kind: &'static str) {
+        self.bad_records.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Records the time to an answer's first byte.
     pub fn time_first(&self, millis: u64) {
         self.first_answer.observe(seconds(millis));
--- a/crates/guava-serve/src/order_duty.rs
+++ b/crates/guava-serve/src/order_duty.rs
@@ -1,7 +1,7 @@
 //! Brings engines to published weights, while this daemon holds the lease for orders.
 
 use crate::events;
-use crate::ports::{EnginePort, LeasePort, LoadOrder, PortError};
+use crate::ports::{EnginePort, EngineReport, LeasePort, LoadOrder, PortError};
 use crate::rollout_state::VersionRollout;
 use crate::serve_parts::ServeParts;
 use crate::upstream_table::WeightVersion;
@@ -210,7 +210,7 @@
         let due = self.rollout.borrow_mut().due_looks(model, Moment::now());
         for id in due {
             let Some(address) = self.address(&id) else { continue };
-            let Ok(found) = (self.engine_port.report)(id.clone(), address).await else { continue };
+            let Ok(found) = self.ask(&id, address).await else { continue };
             let known = found.versions.get(model).copied().unwrap_or_default();
             if known >= version {
                 self.note_loaded(&id, model, known);
@@ -218,6 +218,21 @@
         }
     }
 
+    /// Asks an engine for its report. One that started again under its name is another engine: what
+    /// it had before, its count of orders too, says nothing of it.
+    async fn ask(&self, id: &UpstreamId, address: SocketAddr) -> Result<EngineReport, PortError> {
+        let found = (self.engine_port.report)(id.clone(), address).await?;
+        let told = found.start_ms.map_or_else(|| id.clone(), |start_ms| id.started_at(start_ms));
+        if told == *id {
+            return Ok(found);
+        }
+        if self.parts.upstreams.borrow_mut().note_start(&told) {
+            self.parts.pool.forget(address);
+            log_event!(info, events::LIST_CHANGED, upstream = told, change = "restarted");
+        }
+        Err(PortError::new(&format_args!("{told} answers for it")))
+    }
+
     fn note_loaded(&self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
         self.parts.upstreams.borrow_mut().note_version(id, model, version);
         self.rollout.borrow_mut().note_done(model, id, Moment::now());
@@ -226,7 +241,7 @@
 
     async fn order_one(&mut self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
         let Some(address) = self.address(id) else { return };
-        let found = match (self.engine_port.report)(id.clone(), address).await {
+        let found = match self.ask(id, address).await {
             Ok(found) => found,
             Err(error) => {
                 self.rollout.borrow_mut().note_failed(model, id, Moment::now());
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -132,6 +132,9 @@
         let until = Deadline::after(now, LOADING_MS);
         parts.upstreams.borrow_mut().note_loading(id, until);
     }
+    let spoken_of = message.sent.iter().map(|sent| &sent.engine);
+    let spoken_of = spoken_of.chain(message.loaded.iter().map(|loaded| &loaded.engine));
+    spoken_of.chain(&message.loading).for_each(|id| note_start(parts, id));
     if message.is_note {
         for sent in &message.sent {
             let service_ms = parts.prefill.borrow().read_ms(sent.waiting);
@@ -174,6 +177,23 @@
     }
 }
 
+/// Takes in that a peer speaks of a start of an upstream: it may know before this daemon that the
+/// upstream started again. Until its entry is there, nothing more goes to the one before.
+fn note_start(parts: &ServeParts, id: &UpstreamId) {
+    let mut upstreams = parts.upstreams.borrow_mut();
+    let before = upstreams.newest_start(id.name()).and_then(|before| upstreams.entry(before));
+    let address = before.map(|before| before.address);
+    if upstreams.note_start(id) {
+        address.iter().for_each(|address| parts.pool.forget(*address));
+        log_event!(
+            info,
+            events::LIST_CHANGED,
+            upstream = id,
+            change = ListChange::Restarted.name()
+        );
+    }
+}
+
 /// Takes in a change of the list of upstreams, as read or as a peer has read it.
 pub fn take_change(parts: &ServeParts, change: ListedChange, now: Moment) -> ListChange {
     let mut upstreams = parts.upstreams.borrow_mut();
@@ -184,7 +204,12 @@
         }
         ListedChange::Entry(entry) => {
             let id = entry.id.clone();
-            (id, upstreams.note_entry(entry))
+            let address = entry.address;
+            let found = upstreams.note_entry(entry);
+            if found == ListChange::Restarted {
+                parts.pool.forget(address);
+            }
+            (id, found)
         }
     };
     if found != ListChange::Same {
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -56,8 +56,10 @@
     pub versions: FastMap<ModelName, WeightVersion>,
     /// Whether an order is being carried out.
     pub is_busy: bool,
-    /// Orders accepted so far; an order may be made conditional on it.
+    /// Orders accepted since its start; an order may be made conditional on it.
     pub orders: u64,
+    /// When it started, in milliseconds of Unix time, if it tells.
+    pub start_ms: Option<u64>,
 }
 
 /// An order to load weights.
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -1,8 +1,12 @@
 //! The upstreams as the platform's list has them, late and with outages.
 //!
-//! An id names one start of one upstream and is never used again. Leaving is final for an id.
+//! An id names one start of one upstream and is never used again. Leaving is final for an id. An
+//! upstream that starts again under its name replaces its earlier start at once; words on that one
+//! that come late change nothing.
 
-use guava_types::{DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId};
+use guava_types::{
+    DataCentre, Deadline, FastMap, FastSet, ModelName, Moment, ServiceName, UpstreamId,
+};
 use rustc_hash::FxHasher;
 use std::fmt;
 use std::hash::{Hash, Hasher};
@@ -22,6 +26,10 @@
 /// milliseconds. The list's contract: about two seconds.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// Names whose newest start is remembered, beyond the upstreams that are listed: late words come
+/// within seconds, and within these no deployment replaces so many.
+const REMEMBERED_NAMES: usize = 4_096;
+
 /// For how long versions that an engine has refused are ruled out, in milliseconds: its heartbeat and
 /// the list's readers tell its weights within about that time.
 const RULED_OUT_MS: u64 = 2_000;
@@ -70,6 +78,8 @@
     Same,
     /// A new upstream.
     Added,
+    /// It started again under its name; nothing that was learnt of the one before holds.
+    Restarted,
     /// It has newer weights.
     Weights,
     /// It takes no new work from now on.
@@ -86,6 +96,7 @@
         match self {
             Self::Same => "same",
             Self::Added => "added",
+            Self::Restarted => "restarted",
             Self::Weights => "weights",
             Self::Leaving => "leaving",
             Self::Lapsed => "lapsed",
@@ -99,6 +110,10 @@
 pub struct UpstreamTable {
     listed: FastMap<UpstreamId, ListedUpstream>,
     by_service: FastMap<ServiceName, Vec<UpstreamId>>,
+    /// The newest start known of each name, kept for a while after it is gone.
+    newest: FastMap<Box<str>, UpstreamId>,
+    /// Services that the configuration names, once there is one.
+    services: Option<FastSet<ServiceName>>,
     is_known: bool,
     is_away: bool,
     returned: Moment,
@@ -125,8 +140,41 @@
         was_away
     }
 
-    /// Takes an entry in.
+    /// Notes which services the configuration names: an entry of another is nobody's engine.
+    pub fn note_services(&mut self, services: FastSet<ServiceName>) {
+        self.services = Some(services);
+    }
+
+    /// The newest start known of an upstream.
+    pub fn newest_start(&self, name: &str) -> Option<&UpstreamId> {
+        self.newest.get(name)
+    }
+
+    /// Takes in that somebody speaks of a start of an upstream; whether an earlier one was listed,
+    /// which is dropped with all that was learnt of it.
+    pub fn note_start(&mut self, id: &UpstreamId) -> bool {
+        let before = self.newest.get(id.name());
+        if before.is_some_and(|before| !before.is_before(id)) {
+            return false;
+        }
+        let before = before.cloned();
+        if self.newest.len() >= self.listed.len() + REMEMBERED_NAMES {
+            let listed = &self.listed;
+            self.newest.retain(|_, id| listed.contains_key(id));
+        }
+        self.newest.insert(id.name().into(), id.clone());
+        let was_listed = before.as_ref().is_some_and(|before| self.listed.contains_key(before));
+        before.iter().for_each(|before| self.drop_entry(before));
+        was_listed
+    }
+
+    /// Takes an entry in; one of an earlier start than the newest known changes nothing.
     pub fn note_entry(&mut self, entry: UpstreamEntry) -> ListChange {
+        let is_restart = self.note_start(&entry.id);
+        let newest = self.newest.get(entry.id.name());
+        if newest.is_some_and(|newest| entry.id.is_before(newest)) {
+            return ListChange::Same;
+        }
         match self.listed.get_mut(&entry.id) {
             None => {
                 self.by_service.entry(entry.service.clone()).or_default().push(entry.id.clone());
@@ -138,7 +186,7 @@
                     doubt: None,
                 };
                 self.listed.insert(id, listed);
-                ListChange::Added
+                if is_restart { ListChange::Restarted } else { ListChange::Added }
             }
             Some(listed) => {
                 listed.dropped_at = None;
@@ -182,12 +230,12 @@
         entries: Vec<UpstreamEntry>,
         now: Moment,
     ) -> Vec<(UpstreamId, ListChange)> {
+        // An entry of another start of it: that one replaces it, or is older.
+        let is_named = |id: &UpstreamId| entries.iter().any(|entry| entry.id.name() == id.name());
         let missing: Vec<UpstreamId> = self
             .listed
             .iter()
-            .filter(|(id, listed)| {
-                listed.dropped_at.is_none() && !entries.iter().any(|entry| entry.id == **id)
-            })
+            .filter(|(id, listed)| listed.dropped_at.is_none() && !is_named(id))
             .map(|(id, _)| id.clone())
             .collect();
         let removed = missing.into_iter().map(|id| {
@@ -321,9 +369,12 @@
         self.listed.len()
     }
 
-    /// All upstreams.
+    /// All upstreams of services that the configuration names.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
-        self.listed.values().map(|listed| &listed.entry)
+        let is_named = |entry: &&UpstreamEntry| {
+            self.services.as_ref().is_none_or(|services| services.contains(&entry.service))
+        };
+        self.listed.values().map(|listed| &listed.entry).filter(is_named)
     }
 
     fn drop_entry(&mut self, id: &UpstreamId) {
--- /dev/null
+++ b/crates/guava-serve/tests/order_duty.rs
@@ -0,0 +1,110 @@
+//! Orders to engines, with scripted calls in place of engines and of the lease.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    AnswerMarks, Dialect, EnginePort, EngineReport, LeaseNews, LeasePort, LoadOrder, OrderDuty,
+    RetryLimit, ServeBounds, ServeIdentity, ServeParts, UpstreamEntry, VersionLimits,
+    VersionRollout, WeightVersion,
+};
+use guava_types::{FastMap, Moment};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use support::{engine, id, model};
+use tokio::time::sleep;
+
+fn parts() -> Rc<ServeParts> {
+    let identity = ServeIdentity {
+        name: "d1".parse().unwrap(),
+        data_centre: "east".parse().unwrap(),
+        source: None,
+    };
+    let bounds = ServeBounds {
+        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
+        leave_limit_ms: 2_000,
+        config_limit_ms: 2_000,
+        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
+        held_bytes: 1 << 20,
+    };
+    let dialect = Dialect {
+        encode: |_, _| http::Request::default(),
+        marks: |_, _| AnswerMarks::default(),
+        strip: |_| {},
+    };
+    Rc::new(ServeParts::new(identity, bounds, dialect))
+}
+
+/// A lease that whoever asks for it gets.
+fn free_lease() -> LeasePort {
+    let written = Rc::new(RefCell::new(LeaseNews::default()));
+    let read = Rc::clone(&written);
+    LeasePort {
+        read: Rc::new(move |_, _| {
+            let news = read.borrow().clone();
+            Box::pin(async move { Ok(news) })
+        }),
+        request: Rc::new(move |entry, only_at| {
+            *written.borrow_mut() = LeaseNews { newest: Some(entry), next: only_at + 1 };
+            Box::pin(async { Ok(()) })
+        }),
+    }
+}
+
+/// Engines that report this, and orders that they were given.
+fn engines(report: EngineReport) -> (EnginePort, Rc<RefCell<Vec<LoadOrder>>>) {
+    let orders = Rc::new(RefCell::new(Vec::new()));
+    let taken = Rc::clone(&orders);
+    let port = EnginePort {
+        report: Rc::new(move |_, _| {
+            let report = report.clone();
+            Box::pin(async move { Ok(report) })
+        }),
+        order: Rc::new(move |order| {
+            taken.borrow_mut().push(order);
+            Box::pin(async { Ok(()) })
+        }),
+    };
+    (port, orders)
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn engine_that_started_again_is_not_ordered_by_what_it_was_before() {
+    // Symptom: an order takes effect at an engine that it was not meant for.
+    // Sequence: weights are published; the engine crashes and starts again under its name; its
+    // report, which nobody expected to be of another start, comes before its entry.
+    // Cause: the report was taken for one of the engine known here.
+    let parts = parts();
+    let listed = engine("e", 1);
+    let before = UpstreamEntry { id: listed.id.started_at(100), ..listed.clone() };
+    let after = UpstreamEntry { id: listed.id.started_at(200), ..listed };
+    parts.upstreams.borrow_mut().note_entry(before.clone());
+    parts.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment::now());
+    let versions: FastMap<_, _> = [(model(), WeightVersion(1))].into_iter().collect();
+    let (port, orders) =
+        engines(EngineReport { versions, start_ms: Some(200), ..EngineReport::default() });
+    let rollout = Rc::new(RefCell::new(VersionRollout::default()));
+    let duty = OrderDuty::new(Rc::clone(&parts), (free_lease(), port), 0, rollout);
+
+    let run = async {
+        while parts.upstreams.borrow().may_send(&before.id) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let was_ordered = !orders.borrow().is_empty();
+        parts.upstreams.borrow_mut().note_entry(after.clone());
+        while orders.borrow().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        was_ordered
+    };
+    let was_ordered = tokio::select! {
+        was_ordered = run => was_ordered,
+        () = duty.run() => unreachable!("the duty goes on for ever"),
+        () = sleep(Duration::from_secs(20)) => panic!("no order came"),
+    };
+
+    assert!(!was_ordered);
+    assert_eq!(orders.borrow()[0].engine, id("e@200"));
+}
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -7,8 +7,8 @@
 use guava_serve::{
     AnswerMarks, Dialect, HeldPart, ListChange, ListNews, ListedChange, MemberNote, OwnNews,
     PartEvent, PartKey, PeerMessage, RetryLimit, SentPrompt, ServeBounds, ServeIdentity,
-    ServeParts, SharedWord, VersionLimits, WeightVersion, compose_message, compose_note,
-    take_change, take_message,
+    ServeParts, SharedWord, UpstreamEntry, VersionLimits, WeightVersion, compose_message,
+    compose_note, take_change, take_message,
 };
 use guava_types::{Moment, TokenCount};
 use support::{address, engine, id, leaving, model, part, store, upstream};
@@ -251,3 +251,35 @@
     assert_ne!(identity("d2", "10.0.0.1").lease_holder(), holder);
     assert_ne!(identity("d1", "10.0.0.2").lease_holder(), holder);
 }
+
+#[test]
+fn peers_word_on_a_new_start_ends_work_for_the_one_before() {
+    // Symptom: prompts are sent by the cached parts and weights of an engine that has crashed.
+    // Sequence: the engine starts again under its name; a peer knows and sends it a prompt; this
+    // daemon hears of that before it reads the list.
+    // Cause: the peer's word was taken for one on the start known here.
+    let (one, two) = (parts("d1"), parts("d2"));
+    let entry = engine("e", 1);
+    let before = UpstreamEntry { id: entry.id.started_at(100), ..entry.clone() };
+    let after = UpstreamEntry { id: entry.id.started_at(200), ..entry };
+    two.upstreams.borrow_mut().note_entry(before.clone());
+    let sent = SentPrompt {
+        engine: after.id.clone(),
+        parts: Vec::new(),
+        tokens: TokenCount(17_000),
+        waiting: TokenCount(12_000),
+        priority: 3,
+        is_saved: false,
+        is_for_all: false,
+        transfers: Vec::new(),
+    };
+    one.just_sent.borrow_mut().push(sent);
+
+    pass(&compose_note(&one, note("d1")).unwrap(), &two);
+
+    assert!(!two.upstreams.borrow().may_send(&before.id));
+    let late = take_change(&two, ListedChange::Entry(before), NOW);
+    assert_eq!(late, ListChange::Same);
+    take_change(&two, ListedChange::Entry(after.clone()), NOW);
+    assert!(two.upstreams.borrow().may_send(&after.id));
+}
--- a/crates/guava-serve/tests/upstream_table.rs
+++ b/crates/guava-serve/tests/upstream_table.rs
@@ -4,8 +4,8 @@
 
 mod support;
 
-use guava_serve::{ListChange, UpstreamTable, WeightVersion};
-use guava_types::Moment;
+use guava_serve::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
+use guava_types::{Deadline, Moment};
 use support::{engine, id, leaving, model, upstream};
 
 fn table() -> UpstreamTable {
@@ -103,3 +103,80 @@
 
     assert_eq!(table.entry(&id("e")).unwrap().versions[&model()], WeightVersion(2));
 }
+
+fn engine_started(start_ms: u64, version: u64) -> UpstreamEntry {
+    let entry = engine("e", version);
+    UpstreamEntry { id: entry.id.started_at(start_ms), ..entry }
+}
+
+#[test]
+fn upstream_that_starts_again_is_served_though_the_one_before_was_leaving() {
+    // Symptom: a healthy upstream gets no request for good.
+    // Sequence: it announces that it leaves, crashes, and starts again under its name.
+    // Cause: leaving was final for the name, not for the start.
+    let mut table = UpstreamTable::default();
+    table.note_entry(leaving(engine_started(100, 1)));
+
+    let change = table.note_entry(engine_started(200, 1));
+
+    assert_eq!(change, ListChange::Restarted);
+    assert!(table.may_send(&id("e@200")));
+    assert!(!table.may_send(&id("e@100")));
+    assert_eq!(table.count(), 1);
+}
+
+#[test]
+fn nothing_learnt_of_an_earlier_start_holds_for_the_next() {
+    // Symptom: an engine that starts again refuses every request for two seconds.
+    // Sequence: it was found to have weights 2, and to be loading; it crashes, and starts again with
+    // the weights 1 that its list entry names.
+    // Cause: weights only grow, and the ones of the start before were kept.
+    let mut table = UpstreamTable::default();
+    table.note_entry(engine_started(100, 1));
+    table.note_version(&id("e@100"), &model(), WeightVersion(2));
+    table.note_loading(&id("e@100"), Deadline(Moment(90_000)));
+
+    table.note_entry(engine_started(200, 1));
+    table.note_version(&id("e@100"), &model(), WeightVersion(3));
+
+    let known = table.version(&id("e@200"), &model(), &[], Moment(50_000));
+    assert_eq!(known, Some(WeightVersion(1)));
+    assert!(!table.is_loading(&id("e@200"), Moment(50_000)));
+}
+
+#[test]
+fn late_word_on_an_earlier_start_changes_nothing() {
+    // Symptom: requests go to an upstream that is gone.
+    // Sequence: its second start is listed; an entry, a removal and a whole list of before arrive
+    // late; then the second start is removed, and an entry of the first arrives once more.
+    // Cause: the last word was taken for the newest.
+    let mut table = UpstreamTable::default();
+    table.note_entry(engine_started(200, 1));
+
+    let entry = table.note_entry(leaving(engine_started(100, 1)));
+    let removal = table.note_removed(&id("e@100"), Moment(60_000));
+    let list = table.note_list(vec![engine_started(100, 1)], Moment(60_000));
+
+    assert_eq!((entry, removal), (ListChange::Same, ListChange::Same));
+    assert_eq!(list, []);
+    assert!(table.may_send(&id("e@200")));
+    table.note_removed(&id("e@200"), Moment(61_000));
+    assert_eq!(table.note_entry(engine_started(100, 1)), ListChange::Same);
+    assert_eq!(table.count(), 0);
+}
+
+#[test]
+fn entry_of_a_service_that_nobody_named_is_no_engine_to_bring_to_new_weights() {
+    // Symptom: parts of old weights are never freed, and the stores stay full.
+    // Sequence: another writer lists an engine of a service that the configuration does not name;
+    // its weights never change.
+    // Cause: it counted among the engines that new weights must reach.
+    let mut table = UpstreamTable::default();
+    table.note_entry(engine("known", 2));
+    table.note_entry(UpstreamEntry { service: "odd".parse().unwrap(), ..engine("odd", 1) });
+
+    table.note_services(["llm".parse().unwrap()].into_iter().collect());
+
+    let names: Vec<&str> = table.entries().map(|entry| entry.id.as_str()).collect();
+    assert_eq!(names, ["known"]);
+}
--- a/crates/guava-types/src/lib.rs
+++ b/crates/guava-types/src/lib.rs
@@ -6,12 +6,14 @@
 mod moments;
 mod names;
 mod units;
+mod upstream_id;
 
 pub use collections::{FastMap, FastSet};
 pub use ids::{IdError, Incarnation, Offset, RecordId};
 pub use keys::{CallKey, CallerKey, KeyError, PinnedKey};
 pub use moments::{Deadline, Moment, WallTime};
 pub use names::{
-    CustomerId, DataCentre, MemberName, ModelName, NameError, ServiceName, UpstreamId, VersionName,
+    CustomerId, DataCentre, MemberName, ModelName, NameError, ServiceName, VersionName,
 };
 pub use units::{ByteCount, LinkRate, RequestRate, TokenCount, TokenRate, UnitError};
+pub use upstream_id::UpstreamId;
--- a/crates/guava-types/src/names.rs
+++ b/crates/guava-types/src/names.rs
@@ -1,4 +1,4 @@
-//! Names that operators choose: customers, models, services, upstreams, data centres.
+//! Names that operators choose: customers, models, services, data centres.
 
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use snafu::Snafu;
@@ -21,7 +21,15 @@
     found: Box<str>,
 }
 
-fn is_name(text: &str) -> bool {
+impl NameError {
+    /// The error for a text that is no name.
+    pub fn of(text: &str) -> Self {
+        Self { found: text.chars().take(MAX_NAME_BYTES).collect() }
+    }
+}
+
+/// Whether a text is a name.
+pub(crate) fn is_name(text: &str) -> bool {
     let inner = |byte: u8| {
         byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'.' | b'_' | b'-')
     };
@@ -69,7 +77,7 @@
                 if is_name(text) {
                     Ok(Self(text.into()))
                 } else {
-                    Err(NameError { found: text.chars().take(MAX_NAME_BYTES).collect() })
+                    Err(NameError::of(text))
                 }
             }
         }
@@ -100,7 +108,3 @@
     /// A plain service beside the engines.
     ServiceName
 );
-name!(
-    /// A server that does work: engine, service instance or KV store.
-    UpstreamId
-);
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -335,3 +335,51 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(!String::from_utf8_lossy(&output.stderr).contains("panicked"));
 }
+
+#[test]
+fn server_that_starts_again_under_its_id_is_used_again() {
+    // Symptom: a service whose servers all started again serves nothing.
+    // Sequence: each announces that it leaves, crashes, and starts again under its id.
+    // Cause: leaving was final for the id, not for the start.
+    let (deployment, daemons) = deploy(1);
+    for id in ["i-app1", "i-app2"] {
+        deployment.list_start(id, "ready", Some(1_000));
+        deployment.list_start(id, "draining", Some(1_000));
+    }
+    wait_until("nobody serves", || submit(&daemons[0], "r1").is_some_and(|it| it.status == 503));
+
+    for id in ["i-app1", "i-app2"] {
+        deployment.list_start(id, "ready", Some(2_000));
+    }
+
+    wait_until("it is used again", || submit(&daemons[0], "r2").is_some_and(|it| it.status == 200));
+}
+
+#[test]
+fn records_of_other_writers_leave_the_others_in_force() {
+    // Symptom: a daemon that starts is never ready.
+    // Sequence: somebody else wrote records beside the operator's and the servers': no text, no
+    // entry, an item without a value.
+    // Cause: one record that can't be read spoilt the whole list.
+    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut deployment = PlatformDeployment::start(program, folder, &SERVERS);
+    let long = "x".repeat(4_000);
+    for topic in ["keyed.servers", "keyed.op", "keyed.members"] {
+        deployment.store.list_odd(topic, serde_json::json!({ "key": "odd" }));
+        deployment.store.list_odd(topic, serde_json::json!({ "key": 7, "value": "" }));
+        deployment.store.list_odd(topic, serde_json::json!({ "key": "odd", "value": "%%" }));
+        deployment.store.put(topic, "version/odd", &serde_json::json!([long]).to_string());
+    }
+    let daemon = deployment.daemon().unwrap();
+
+    wait_until("the daemon is ready", || is_ready(&daemon));
+
+    assert_eq!(submit(&daemon, "r1").unwrap().status, 200);
+    let bad: Vec<String> =
+        daemon.lines().into_iter().filter(|line| line.contains("G9103")).collect();
+    assert!(bad.len() >= 9, "{bad:#?}");
+    assert!(bad.iter().all(|line| line.len() < 800), "{bad:#?}");
+    let metrics = ask(daemon.metrics, "/metrics").unwrap();
+    assert!(metrics.body.contains("bad_records_total{kind=\"item\"}"), "{}", metrics.body);
+}
