--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -116,6 +116,7 @@
                 prefill: spec.prefill,
                 over_slots: (load.running(now) + 1).saturating_sub(spec.slots),
                 resident: resident(id),
+                missing: None,
                 slowness: load.slowness(now),
                 is_own: peers.owner(context.me, upstream_seed(id), now).is_none(),
             }
--- a/crates/guava-policy/src/route.rs
+++ b/crates/guava-policy/src/route.rs
@@ -40,6 +40,9 @@
     pub over_slots: u32,
     /// Tokens of the prompt that it is believed to have cached.
     pub resident: TokenCount,
+    /// The import that is left of the block on offer, where it is known to hold a part: the same
+    /// tokens, fewer bytes. Nothing where all would be imported.
+    pub missing: Option<ImportOffer>,
     /// How many times slower than expected it has been.
     pub slowness: f64,
     /// Whether it is one of those that this daemon takes first among equals.
@@ -157,7 +160,8 @@
     let resident = candidate.resident.0.min(input.prompt.0);
     let plain = recompute_way(input, candidate, resident);
     let from_nothing = recompute_way(input, candidate, 0);
-    let imported = input.import.map(|offer| import_way(input, candidate, offer));
+    let offer = candidate.missing.as_ref().or(input.import);
+    let imported = offer.map(|offer| import_way(input, candidate, offer));
     let is_import = imported.as_ref().is_some_and(|way| way.cost < plain.cost);
     let import_if_missing = imported.as_ref().is_some_and(|way| way.cost < from_nothing.cost);
     let import_budget_ms = imported.as_ref().map_or(0.0, |way| {
--- a/crates/guava-policy/tests/route.rs
+++ b/crates/guava-policy/tests/route.rs
@@ -22,6 +22,7 @@
         prefill: PREFILL,
         over_slots: 0,
         resident: TokenCount(resident),
+        missing: None,
         slowness: 1.0,
         is_own: false,
     }
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -150,10 +150,11 @@
     pub is_crowded: bool,
 }
 
-/// Parts of a prompt that stores hold under one salt.
+/// Parts of a prompt that stores or engines hold under one salt.
 struct SaltOffer {
     salt: Box<str>,
-    sources: Vec<Option<SocketAddr>>,
+    /// Where each of the leading parts can be fetched from.
+    sources: Vec<PartSource>,
     offer: Option<ImportOffer>,
 }
 
@@ -172,6 +173,7 @@
 /// Where a part can be fetched from.
 struct PartSource {
     address: SocketAddr,
+    tokens: TokenCount,
     /// Milliseconds until it is there.
     ready_ms: f64,
 }
@@ -186,7 +188,7 @@
     let store = input.parts.holder(input.stores, salt, part, input.now)?;
     let wait_ms = input.links.wait_ms(store.address, input.now);
     let alone_ms = transfer_ms(store, part.tokens, input.traits.token_bytes, input.data_centre);
-    Some(PartSource { address: store.address, ready_ms: wait_ms + alone_ms })
+    Some(PartSource { address: store.address, tokens: part.tokens, ready_ms: wait_ms + alone_ms })
 }
 
 fn engine_source(input: &EngineInput<'_>, salt: &str, part: &PromptPart) -> Option<PartSource> {
@@ -196,29 +198,47 @@
     let bytes = (part.tokens.0 * input.traits.token_bytes) as f64;
     let rate = input.traits.bytes_per_s.max(1) as f64 * LINK_PART;
     let ready_ms = ENGINE_FIRST_BYTE_MS + bytes * 1_000.0 / rate;
-    (!is_loading).then_some(PartSource { address: entry.address, ready_ms })
+    let source = PartSource { address: entry.address, tokens: part.tokens, ready_ms };
+    (!is_loading).then_some(source)
 }
 
 /// The leading parts that stores or engines hold; a part helps only if all before it are there.
 fn offer_for(input: &EngineInput<'_>, version: WeightVersion) -> SaltOffer {
     let salt = cache_salt(&input.prompt.model, version, &input.request.caller);
-    let mut sources = vec![None; input.prompt.parts.len()];
-    let mut tokens = 0;
-    let mut ready_ms = 0.0;
-    for (part, source) in moved_parts(input.prompt).iter().zip(&mut sources) {
-        let Some(found) = source_for(input, &salt, part) else { break };
-        *source = Some(found.address);
-        tokens += part.tokens.0;
-        ready_ms += found.ready_ms;
-    }
-    let bytes = tokens * input.traits.token_bytes;
-    let offer = (tokens > 0).then(|| ImportOffer {
+    let found = moved_parts(input.prompt).iter().map_while(|part| source_for(input, &salt, part));
+    let sources: Vec<PartSource> = found.collect();
+    let offer = import_offer(input, &sources, TokenCount(0));
+    SaltOffer { salt, sources, offer }
+}
+
+/// The import of parts by an engine that holds so many tokens of them: the rest is transferred.
+fn import_offer(
+    input: &EngineInput<'_>,
+    sources: &[PartSource],
+    resident: TokenCount,
+) -> Option<ImportOffer> {
+    let tokens: u64 = sources.iter().map(|source| source.tokens.0).sum();
+    let lacking = lacking_sources(sources, resident);
+    let ready_ms: f64 = lacking.iter().map(|source| source.ready_ms).sum();
+    let bytes =
+        lacking.iter().map(|source| source.tokens.0).sum::<u64>() * input.traits.token_bytes;
+    (tokens > 0).then(|| ImportOffer {
         tokens: TokenCount(tokens),
         bytes: ByteCount(bytes),
         rate: LinkRate((bytes as f64 * 1_000.0 / ready_ms.max(0.1)) as u64),
         queued: ByteCount(0),
-    });
-    SaltOffer { salt, sources, offer }
+    })
+}
+
+/// The sources of parts beyond what an engine holds of a prompt's beginning.
+fn lacking_sources(sources: &[PartSource], resident: TokenCount) -> &[PartSource] {
+    let mut end = 0;
+    let is_held = |source: &&PartSource| {
+        end += source.tokens.0;
+        end <= resident.0
+    };
+    let held = sources.iter().take_while(is_held).count();
+    &sources[held..]
 }
 
 /// When a request would start there at the latest, as far as can be told.
@@ -264,7 +284,7 @@
     input: &EngineInput<'_>,
     entry: &UpstreamEntry,
     verdict: VersionUse,
-    salt: &str,
+    offer: &SaltOffer,
 ) -> RouteCandidate {
     let load = input.work.load(&entry.id);
     let total = input.work.total(&entry.id);
@@ -276,19 +296,25 @@
     };
     let loading = if input.upstreams.is_loading(&entry.id, input.now) { LOADING_MS } else { 0.0 };
     let remote = remote_ms(input, entry);
-    let resident =
-        input.parts.resident(&entry.id, input.traits.memory, salt, shared_parts(input.prompt));
+    let resident = resident(input, &entry.id, &offer.salt);
+    let missing = (resident.0 > 0).then(|| import_offer(input, &offer.sources, resident)).flatten();
     RouteCandidate {
         upstream: entry.id.clone(),
         wait_ms: wait_at(input, &entry.id) + input.fixed_ms + penalty + loading + remote,
         prefill: input.prefill,
         over_slots: over_slots + if is_full { FULL_MEMORY_SLOTS } else { 0 },
         resident,
+        missing,
         slowness: load.slowness(input.now),
         is_own: entry.data_centre == *input.data_centre && is_own(input, &entry.id),
     }
 }
 
+/// Tokens at the prompt's beginning that an engine is believed to hold.
+fn resident(input: &EngineInput<'_>, engine: &UpstreamId, salt: &str) -> TokenCount {
+    input.parts.resident(engine, input.traits.memory, salt, shared_parts(input.prompt))
+}
+
 /// Whether an engine's memory would not hold the prompt beside what runs or waits there.
 fn is_full(input: &EngineInput<'_>, engine: &UpstreamId) -> bool {
     let total = input.work.total(engine);
@@ -319,6 +345,7 @@
 }
 
 fn fetch_plan(
+    input: &EngineInput<'_>,
     cost: &CandidateCost,
     offer: &SaltOffer,
     own: Option<&UpstreamEntry>,
@@ -331,23 +358,27 @@
     let budget_ms = budget_ms.min(LONGEST_FETCH_MS);
     // What the chosen engine holds itself it need not fetch from itself.
     let own = own.map(|entry| entry.address);
-    let foreign = |source: &Option<SocketAddr>| source.filter(|source| Some(*source) != own);
-    let sources: Vec<Option<SocketAddr>> = offer.sources.iter().map(foreign).collect();
+    let foreign = |source: &PartSource| Some(source.address).filter(|it| Some(*it) != own);
+    let mut sources: Vec<Option<SocketAddr>> = offer.sources.iter().map(foreign).collect();
+    sources.resize(input.prompt.parts.len(), None);
     let has_source = sources.iter().any(Option::is_some);
     has_source.then_some(FetchPlan { sources, budget_ms, tokens: found.tokens })
 }
 
-/// What fetches and saves of a prompt put on the stores' links.
+/// What fetches and saves of a prompt put on the stores' links. Parts that the engine holds are not
+/// fetched: counted as fetched, what all prompts begin with kept its store's link busy by itself, and
+/// half of the parts that lay in stores were read again for the wait believed there.
 fn transfers(
     input: &EngineInput<'_>,
     fetch: Option<&FetchPlan>,
     save: &[Option<SocketAddr>],
+    held: usize,
     centre: &DataCentre,
 ) -> Vec<StoreTransfer> {
     let fetched = fetch.map(|fetch| &fetch.sources[..]).unwrap_or_default();
     let mut transfers = Vec::new();
-    for targets in [fetched, save] {
-        for (part, target) in input.prompt.parts.iter().zip(targets) {
+    for (targets, from) in [(fetched, held), (save, 0)] {
+        for (part, target) in input.prompt.parts.iter().zip(targets).skip(from) {
             let store = input.stores.iter().find(|store| Some(store.address) == *target);
             let Some(store) = store else { continue };
             let alone_ms = transfer_ms(store, part.tokens, input.traits.token_bytes, centre);
@@ -371,7 +402,7 @@
         let offer = offers.entry(version).or_insert_with(|| offer_for(input, version));
         let of_version = usable.iter().filter(|(_, own, _)| *own == version);
         let candidates: Vec<RouteCandidate> = of_version
-            .map(|(entry, _, verdict)| candidate(input, entry, *verdict, &offer.salt))
+            .map(|(entry, _, verdict)| candidate(input, entry, *verdict, offer))
             .collect();
         let route = RouteInput {
             prompt: input.prompt.input,
@@ -388,10 +419,13 @@
     }
     let (cost, version, reason) = best?;
     let offer = offers.remove(&version)?;
-    let fetch = fetch_plan(&cost, &offer, input.upstreams.entry(&cost.upstream));
+    let fetch = fetch_plan(input, &cost, &offer, input.upstreams.entry(&cost.upstream));
     let save = save_plan(input, &offer.salt);
     let centre = input.upstreams.entry(&cost.upstream).map(|entry| &entry.data_centre);
-    let transfers = transfers(input, fetch.as_ref(), &save, centre.unwrap_or(input.data_centre));
+    let resident = resident(input, &cost.upstream, &offer.salt);
+    let held = offer.sources.len() - lacking_sources(&offer.sources, resident).len();
+    let centre = centre.unwrap_or(input.data_centre);
+    let transfers = transfers(input, fetch.as_ref(), &save, held, centre);
     let is_crowded = is_long(input) && is_full(input, &cost.upstream);
     Some(EngineChoice {
         is_crowded,
--- a/crates/guava-standins/src/slopes.rs
+++ b/crates/guava-standins/src/slopes.rs
@@ -198,6 +198,7 @@
                 prefill: TokenRate(20_000),
                 over_slots: 0,
                 resident: TokenCount(0),
+                missing: None,
                 slowness: 1.0,
                 is_own: false,
             })
