--- /dev/null
+++ b/crates/guava-policy/tests/link_watch.rs
@@ -0,0 +1,84 @@
+//! How slow a link is, by what was fetched over it.
+
+use guava_policy::{AwaitedFetch, LinkWatch};
+use guava_types::Moment;
+
+/// A fetch of 50 ms, sent at a moment.
+fn fetch(sent: u64, slowness: f64) -> AwaitedFetch {
+    AwaitedFetch { sent: Moment(sent), other_ms: 40.0, expected_ms: 50.0 * slowness, slowness }
+}
+
+/// A link over which fetches took so long, to the first token, one sent every 100 ms.
+fn watch(taken_ms: &[u64]) -> LinkWatch {
+    let mut watch = LinkWatch::default();
+    for (ticket, taken_ms) in (0..).zip(taken_ms) {
+        let sent = 1_000 + ticket * 100;
+        watch.begin(ticket, fetch(sent, 1.0));
+        watch.arrived(ticket, Moment(sent + taken_ms));
+    }
+    watch
+}
+
+#[test]
+fn link_is_slow_when_all_fetches_of_late_were() {
+    let slow = watch(&[90, 90, 440, 440, 440]);
+
+    let slowness = slow.slowness(Moment(2_000));
+
+    assert!((slowness - 8.0).abs() < 0.1, "{slowness}");
+}
+
+#[test]
+fn one_late_fetch_says_nothing_of_the_link() {
+    // Symptom: a store with a healthy link is not fetched from for seconds.
+    // Sequence: an engine stands still with a fetch under way, between fetches that are in time.
+    // Cause: the time was laid on the link alone.
+    let healthy = watch(&[90, 2_000, 90]);
+
+    assert!(healthy.slowness(Moment(3_500)) < 1.01);
+}
+
+#[test]
+fn overdue_fetches_tell_before_they_are_over() {
+    // Symptom: prompts fetch from a slow link until the first late one is over, two seconds later.
+    // Sequence: a link turns slow; fetches are awaited.
+    // Cause: only what was over counted.
+    let mut watch = LinkWatch::default();
+    watch.begin(1, fetch(1_000, 1.0));
+    watch.begin(2, fetch(1_050, 1.0));
+
+    let early = watch.slowness(Moment(1_120));
+    let late = watch.slowness(Moment(1_290));
+
+    assert!(early < 1.01, "{early}");
+    assert!((late - 4.0).abs() < 0.1, "{late}");
+}
+
+#[test]
+fn fetch_that_was_given_up_still_tells_that_it_was_late() {
+    let mut watch = LinkWatch::default();
+    for ticket in 0..2 {
+        watch.begin(ticket, fetch(1_000, 1.0));
+        watch.dropped(ticket, Moment(1_440));
+    }
+
+    assert!(watch.slowness(Moment(1_500)) > 7.0);
+}
+
+#[test]
+fn link_that_recovers_is_seen_by_the_first_fetch_in_time() {
+    let mut watch = watch(&[440, 440, 440]);
+    watch.begin(9, fetch(2_000, 8.0));
+
+    watch.arrived(9, Moment(2_090));
+
+    assert!(watch.slowness(Moment(2_100)) < 1.1);
+}
+
+#[test]
+fn link_is_tried_again_though_nobody_fetches_over_it() {
+    let slow = watch(&[440, 440, 440]);
+
+    assert!(slow.slowness(Moment(2_500)) > 7.0);
+    assert!(slow.slowness(Moment(4_000)) < 1.01);
+}
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::event_framer::{EventBatch, EventFramer};
 use crate::events;
 use crate::serve_parts::ServeParts;
+use crate::store_links::{FetchTicket, FetchWait};
 use crate::upstream_table::WeightVersion;
 use crate::work_table::{ExpectedLoad, WorkTicket};
 use bytes::{Bytes, BytesMut};
@@ -26,23 +27,35 @@
 pub struct WorkGuard {
     parts: Rc<ServeParts>,
     ticket: WorkTicket,
+    fetch: Option<FetchTicket>,
 }
 
 impl WorkGuard {
     /// Notes work from now on.
-    pub fn begin(parts: &Rc<ServeParts>, load: &ExpectedLoad, upstream: &UpstreamId) -> Self {
-        let ticket = parts.work.borrow_mut().begin(upstream, load, Moment::now());
-        Self { parts: Rc::clone(parts), ticket }
+    pub fn begin(parts: &Rc<ServeParts>, plan: &AttemptPlan) -> Self {
+        let now = Moment::now();
+        let ticket = parts.work.borrow_mut().begin(&plan.send.upstream, &plan.load, now);
+        let wait = plan.wait.as_ref().filter(|wait| !wait.stores.is_empty());
+        let fetch = wait.map(|wait| parts.links.borrow_mut().begin(wait, now));
+        Self { parts: Rc::clone(parts), ticket, fetch }
     }
 
-    fn started(&self) {
-        self.parts.work.borrow_mut().started(&self.ticket, Moment::now());
+    fn started(&mut self) {
+        let now = Moment::now();
+        self.parts.work.borrow_mut().started(&self.ticket, now);
+        if let Some(fetch) = self.fetch.take() {
+            self.parts.links.borrow_mut().arrived(&fetch, now);
+        }
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.parts.work.borrow_mut().end(&self.ticket, Moment::now());
+        let now = Moment::now();
+        self.parts.work.borrow_mut().end(&self.ticket, now);
+        if let Some(fetch) = &self.fetch {
+            self.parts.links.borrow_mut().dropped(fetch, now);
+        }
     }
 }
 
@@ -55,6 +68,8 @@
     pub service: ServiceName,
     /// What it is expected to cost.
     pub load: ExpectedLoad,
+    /// What it waits for at the links of stores, if it fetches parts.
+    pub wait: Option<FetchWait>,
     /// When another upstream is tried, if one may be.
     pub patience: Option<Deadline>,
     /// When nobody waits any more.
@@ -187,7 +202,7 @@
         let send = &self.plan.send;
         let was_idle = self.parts.work.borrow().is_idle(&send.upstream, Moment::now());
         // Listed from the choice on, so that choices made meanwhile see it.
-        let work = WorkGuard::begin(self.parts, &self.plan.load, &send.upstream);
+        let work = WorkGuard::begin(self.parts, self.plan);
         let Some(mut connection) = self.connect().await else { return AttemptEnd::NotSent };
         // The upstream may have left while the connection was opened.
         if !self.parts.upstreams.borrow().may_send(&send.upstream) {
@@ -346,7 +361,7 @@
         connection: UpstreamConnection,
         answer: Response<Incoming>,
         marks: AnswerMarks,
-        work: WorkGuard,
+        mut work: WorkGuard,
     ) -> AttemptEnd {
         let (head, body) = answer.into_parts();
         let body = match wait_for(self.parts, self.plan, collect(body)).await {
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -7,7 +7,7 @@
 use crate::cache_salt::cache_salt;
 use crate::part_index::{LONGEST_FETCH_MS, PartIndex, rendezvous_weight};
 use crate::serve_config::{EngineTraits, StoreTraits};
-use crate::store_links::{StoreLinks, StoreTransfer, transfer_ms};
+use crate::store_links::{FetchWait, StoreLinks, StoreTransfer, transfer_ms};
 use crate::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
 use crate::version_targets::{VersionLimits, VersionTargets, VersionUse};
 use crate::work_table::WorkTable;
@@ -121,6 +121,8 @@
     pub budget_ms: u64,
     /// Tokens that it brings.
     pub tokens: TokenCount,
+    /// What it waits for at the links of stores.
+    pub wait: FetchWait,
 }
 
 /// The engine chosen, and what it is told.
@@ -187,7 +189,8 @@
 fn store_source(input: &EngineInput<'_>, salt: &str, part: &PromptPart) -> Option<PartSource> {
     let store = input.parts.holder(input.stores, salt, part, input.now)?;
     let wait_ms = input.links.wait_ms(store.address, input.now);
-    let alone_ms = transfer_ms(store, part.tokens, input.traits.token_bytes, input.data_centre);
+    let alone_ms = transfer_ms(store, part.tokens, input.traits.token_bytes, input.data_centre)
+        * input.links.slowness(store.address, input.now);
     Some(PartSource { address: store.address, tokens: part.tokens, ready_ms: wait_ms + alone_ms })
 }
 
@@ -348,7 +351,7 @@
     input: &EngineInput<'_>,
     cost: &CandidateCost,
     offer: &SaltOffer,
-    own: Option<&UpstreamEntry>,
+    held: usize,
 ) -> Option<FetchPlan> {
     let found = offer.offer.as_ref()?;
     if !cost.import && !cost.import_if_missing {
@@ -357,12 +360,22 @@
     let budget_ms = (cost.import_budget_ms * FETCH_TIMES).max(SHORTEST_FETCH_MS) as u64;
     let budget_ms = budget_ms.min(LONGEST_FETCH_MS);
     // What the chosen engine holds itself it need not fetch from itself.
-    let own = own.map(|entry| entry.address);
+    let own = input.upstreams.entry(&cost.upstream).map(|entry| entry.address);
     let foreign = |source: &PartSource| Some(source.address).filter(|it| Some(*it) != own);
     let mut sources: Vec<Option<SocketAddr>> = offer.sources.iter().map(foreign).collect();
     sources.resize(input.prompt.parts.len(), None);
     let has_source = sources.iter().any(Option::is_some);
-    has_source.then_some(FetchPlan { sources, budget_ms, tokens: found.tokens })
+    let wait = fetch_wait(input, cost, &offer.sources[held..]);
+    has_source.then_some(FetchPlan { sources, budget_ms, tokens: found.tokens, wait })
+}
+
+/// What a prompt waits for, of the parts that its engine lacks.
+fn fetch_wait(input: &EngineInput<'_>, cost: &CandidateCost, lacking: &[PartSource]) -> FetchWait {
+    let is_store = |address: &SocketAddr| input.stores.iter().any(|it| it.address == *address);
+    let stores = lacking.iter().map(|source| source.address).filter(is_store).collect();
+    let expected_ms = lacking.iter().map(|source| source.ready_ms).sum();
+    let read_ms = cost.recompute.0 as f64 * 1_000.0 / input.prefill.0.max(1) as f64;
+    FetchWait { stores, expected_ms, other_ms: read_ms + input.fixed_ms }
 }
 
 /// What fetches and saves of a prompt put on the stores' links. Parts that the engine holds are not
@@ -419,11 +432,11 @@
     }
     let (cost, version, reason) = best?;
     let offer = offers.remove(&version)?;
-    let fetch = fetch_plan(input, &cost, &offer, input.upstreams.entry(&cost.upstream));
-    let save = save_plan(input, &offer.salt);
-    let centre = input.upstreams.entry(&cost.upstream).map(|entry| &entry.data_centre);
     let resident = resident(input, &cost.upstream, &offer.salt);
     let held = offer.sources.len() - lacking_sources(&offer.sources, resident).len();
+    let fetch = fetch_plan(input, &cost, &offer, held);
+    let save = save_plan(input, &offer.salt);
+    let centre = input.upstreams.entry(&cost.upstream).map(|entry| &entry.data_centre);
     let centre = centre.unwrap_or(input.data_centre);
     let transfers = transfers(input, fetch.as_ref(), &save, held, centre);
     let is_crowded = is_long(input) && is_full(input, &cost.upstream);
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -150,6 +150,7 @@
         send,
         service: input.service.clone(),
         load,
+        wait: None,
         patience: patience.map(|millis| Deadline::after(now, millis)),
         deadline: request.deadline,
     })
@@ -196,6 +197,7 @@
     match attempt_plan(input, choice.upstream.clone(), load) {
         None => PlanStep::Nowhere,
         Some(mut plan) => {
+            plan.wait = choice.fetch.as_ref().map(|fetch| fetch.wait.clone());
             plan.send.engine = Some(engine_orders(parts, choice, now));
             PlanStep::Send(Box::new(plan))
         }
--- a/crates/guava-serve/src/store_links.rs
+++ b/crates/guava-serve/src/store_links.rs
@@ -1,7 +1,7 @@
 //! What the links of stores of cached parts have to carry.
 
 use crate::serve_config::StoreTraits;
-use guava_policy::LinkQueue;
+use guava_policy::{AwaitedFetch, LinkQueue, LinkWatch};
 use guava_types::{DataCentre, FastMap, Moment, TokenCount};
 use std::net::SocketAddr;
 
@@ -29,18 +29,75 @@
     store.first_byte_ms + times * bytes * 1_000.0 / store.bytes_per_s.max(1) as f64
 }
 
+/// What a prompt waits for at the links of stores.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FetchWait {
+    /// The stores that it fetches from.
+    pub stores: Vec<SocketAddr>,
+    /// Milliseconds that the fetches are expected to take, waits for the links included.
+    pub expected_ms: f64,
+    /// Milliseconds of the way to the first token that have nothing to do with them.
+    pub other_ms: f64,
+}
+
+/// Names a wait until it is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FetchTicket {
+    stores: Vec<SocketAddr>,
+    number: u64,
+}
+
 /// The links of all stores.
 #[derive(Debug, Default)]
 pub struct StoreLinks {
     queues: FastMap<SocketAddr, LinkQueue>,
+    watches: FastMap<SocketAddr, LinkWatch>,
+    next_ticket: u64,
 }
 
 impl StoreLinks {
     /// Notes a transfer. Daemons of a large deployment hear only of those begun in their own data
     /// centre; each stands for as many as there are daemons for one of these.
     pub fn note(&mut self, transfer: StoreTransfer, stands_for: f64, now: Moment) {
+        let slowness = self.slowness(transfer.store, now);
         let queue = self.queues.entry(transfer.store).or_default();
-        queue.push(f64::from(transfer.transfer_ms) * stands_for, now);
+        queue.push(f64::from(transfer.transfer_ms) * slowness * stands_for, now);
+    }
+
+    /// How many times slower than configured a store's link is.
+    pub fn slowness(&self, store: SocketAddr, now: Moment) -> f64 {
+        self.watches.get(&store).map_or(1.0, |watch| watch.slowness(now))
+    }
+
+    /// Notes that a prompt is sent and waits for its parts.
+    pub fn begin(&mut self, wait: &FetchWait, now: Moment) -> FetchTicket {
+        let number = self.next_ticket;
+        self.next_ticket += 1;
+        for store in &wait.stores {
+            let slowness = self.slowness(*store, now);
+            let (other_ms, expected_ms) = (wait.other_ms, wait.expected_ms);
+            let fetch = AwaitedFetch { sent: now, other_ms, expected_ms, slowness };
+            self.watches.entry(*store).or_default().begin(number, fetch);
+        }
+        FetchTicket { stores: wait.stores.clone(), number }
+    }
+
+    /// Notes that the first token is there, and the parts were before it.
+    pub fn arrived(&mut self, ticket: &FetchTicket, now: Moment) {
+        self.each_watch(ticket, |watch, number| watch.arrived(number, now));
+    }
+
+    /// Notes that nobody waits for the parts any more.
+    pub fn dropped(&mut self, ticket: &FetchTicket, now: Moment) {
+        self.each_watch(ticket, |watch, number| watch.dropped(number, now));
+    }
+
+    fn each_watch(&mut self, ticket: &FetchTicket, note: impl Fn(&mut LinkWatch, u64)) {
+        for store in &ticket.stores {
+            if let Some(watch) = self.watches.get_mut(store) {
+                note(watch, ticket.number);
+            }
+        }
     }
 
     /// Milliseconds that a transfer waits at a store's link.
