--- a/crates/guava-policy/src/link_watch.rs
+++ b/crates/guava-policy/src/link_watch.rs
@@ -90,16 +90,15 @@
         self.seen.push_back((now, bound));
     }
 
-    /// How many times slower than configured the link is, at least one.
-    pub fn slowness(&self, now: Moment) -> f64 {
+    /// How many times slower than configured the link is, at least one; nothing if too few fetches
+    /// speak for it.
+    pub fn slowness(&self, now: Moment) -> Option<f64> {
         let overdue = self.awaited.iter().map(|(_, fetch)| fetch);
         let overdue = overdue.filter(|fetch| fetch.is_overdue(now)).map(|fetch| fetch.bound(now));
         let is_recent = |(at, _): &&(Moment, f64)| now.millis_since(*at) < EXPIRY_MS;
         let seen = self.seen.iter().rev().filter(is_recent).map(|(_, bound)| *bound);
         let judged: Vec<f64> = overdue.chain(seen).take(JUDGED).collect();
-        if judged.len() < LEAST_JUDGED {
-            return 1.0;
-        }
-        judged.into_iter().fold(MOST_SLOWNESS, f64::min)
+        let is_known = judged.len() >= LEAST_JUDGED;
+        is_known.then(|| judged.into_iter().fold(MOST_SLOWNESS, f64::min))
     }
 }
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -86,7 +86,7 @@
 pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
 pub use service_choice::{ServiceInput, choose_instance};
 pub use shared_words::{READERS, ReadPace, SharedWord, SharedWords, WordKeeper};
-pub use store_links::{FetchTicket, FetchWait, StoreLinks, StoreTransfer, transfer_ms};
+pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -62,6 +62,7 @@
         loaded: news.loaded,
         clock_ms: parts.upstream_clock_in(0, now),
         listed: parts.list_news.borrow_mut().told(now),
+        slow_links: parts.links.borrow().slow_links(now),
         is_note: false,
         is_for_relay: false,
     }
@@ -88,6 +89,7 @@
         loaded: Vec::new(),
         clock_ms: None,
         listed: Vec::new(),
+        slow_links: Vec::new(),
         is_note: true,
         is_for_relay: false,
     })
@@ -166,6 +168,9 @@
         upstreams.note_version(&loaded.engine, &loaded.model, loaded.version);
     }
     message.stores.into_iter().for_each(|word| parts.parts.borrow_mut().note_word(word, now));
+    for link in message.slow_links {
+        parts.links.borrow_mut().note_told(link, now);
+    }
     for change in message.listed {
         take_change(parts, change, now);
     }
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -3,7 +3,7 @@
 use crate::member_table::MemberNote;
 use crate::part_index::{PartKey, PartNews, StoreWord};
 use crate::shared_words::SharedWord;
-use crate::store_links::StoreTransfer;
+use crate::store_links::{SlowLink, StoreTransfer};
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
 use guava_types::{FastMap, ModelName, Moment, TokenCount, UpstreamId};
@@ -150,6 +150,16 @@
     is_note: bool,
     #[prost(bool, tag = "17")]
     is_for_relay: bool,
+    #[prost(message, repeated, tag = "18")]
+    slow_links: Vec<WireLink>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireLink {
+    #[prost(string, tag = "1")]
+    store: String,
+    #[prost(uint32, tag = "2")]
+    hundredths: u32,
 }
 
 /// A prompt that a peer sent to an engine.
@@ -231,6 +241,8 @@
     pub clock_ms: Option<u64>,
     /// What lately changed in the list of upstreams, as it has read it itself.
     pub listed: Vec<ListedChange>,
+    /// Links of stores that its own fetches show to be slow.
+    pub slow_links: Vec<SlowLink>,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
     pub is_note: bool,
     /// Whether the receiver passes this on to the daemons of its own data centre.
@@ -253,6 +265,7 @@
             operator: None,
             list: None,
             clock_ms: None,
+            slow_links: Vec::new(),
             is_for_relay: true,
             ..self
         }
@@ -311,6 +324,10 @@
             version: target.version.0,
             age_ms: target.age_ms,
         };
+        let slow_link = |link: &SlowLink| WireLink {
+            store: link.store.to_string(),
+            hundredths: link.hundredths,
+        };
         let wire = WirePeer {
             name: self.note.name.to_string(),
             data_centre: self.note.data_centre.to_string(),
@@ -327,6 +344,7 @@
             loaded: self.loaded.iter().map(loaded).collect(),
             clock_ms: self.clock_ms,
             listed: self.listed.iter().map(wire_listed).collect(),
+            slow_links: self.slow_links.iter().map(slow_link).collect(),
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
         };
@@ -404,6 +422,9 @@
                 age_ms: target.age_ms,
             })
         };
+        let slow_link = |link: &WireLink| {
+            Some(SlowLink { store: link.store.parse().ok()?, hundredths: link.hundredths })
+        };
         Some(Self {
             note,
             shares: wire.shares.iter().filter_map(share).collect(),
@@ -416,6 +437,7 @@
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
             clock_ms: wire.clock_ms,
             listed: wire.listed.iter().filter_map(listed_change).collect(),
+            slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
         })
--- a/crates/guava-serve/src/store_links.rs
+++ b/crates/guava-serve/src/store_links.rs
@@ -47,11 +47,27 @@
     number: u64,
 }
 
+/// How long a peer's word on a link counts, in milliseconds; peers speak four times a second.
+const TOLD_EXPIRY_MS: u64 = 700;
+/// Slowness from which peers are told of a link, in hundredths.
+const TOLD_HUNDREDTHS: u32 = 150;
+
+/// A link that is slow, as daemons tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowLink {
+    /// Which store's.
+    pub store: SocketAddr,
+    /// How many times slower than configured, in hundredths.
+    pub hundredths: u32,
+}
+
 /// The links of all stores.
 #[derive(Debug, Default)]
 pub struct StoreLinks {
     queues: FastMap<SocketAddr, LinkQueue>,
     watches: FastMap<SocketAddr, LinkWatch>,
+    /// What peers said last, and when.
+    told: FastMap<SocketAddr, (SlowLink, Moment)>,
     next_ticket: u64,
 }
 
@@ -64,9 +80,29 @@
         queue.push(f64::from(transfer.transfer_ms) * slowness * stands_for, now);
     }
 
-    /// How many times slower than configured a store's link is.
+    /// How many times slower than configured a store's link is: by this daemon's own fetches, or if
+    /// there are too few, by a peer's. Each daemon fetches from a store about twice a second; alone it
+    /// would need a second to notice, and its prompts would be late meanwhile.
     pub fn slowness(&self, store: SocketAddr, now: Moment) -> f64 {
-        self.watches.get(&store).map_or(1.0, |watch| watch.slowness(now))
+        let own = self.watches.get(&store).and_then(|watch| watch.slowness(now));
+        let is_recent = |(_, told): &&(SlowLink, Moment)| now.millis_since(*told) < TOLD_EXPIRY_MS;
+        let told = || self.told.get(&store).filter(is_recent);
+        own.or_else(|| told().map(|(link, _)| f64::from(link.hundredths) / 100.0))
+            .map_or(1.0, |slowness| slowness.max(1.0))
+    }
+
+    /// The links that this daemon's own fetches show to be slow.
+    pub fn slow_links(&self, now: Moment) -> Vec<SlowLink> {
+        let slow = self.watches.iter().filter_map(|(store, watch)| {
+            let hundredths = (watch.slowness(now)? * 100.0) as u32;
+            (hundredths >= TOLD_HUNDREDTHS).then_some(SlowLink { store: *store, hundredths })
+        });
+        slow.collect()
+    }
+
+    /// Takes in that a peer's fetches show a link to be slow.
+    pub fn note_told(&mut self, link: SlowLink, now: Moment) {
+        self.told.insert(link.store, (link, now));
     }
 
     /// Notes that a prompt is sent and waits for its parts.
