--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -373,7 +373,9 @@
 fn fetch_wait(input: &EngineInput<'_>, cost: &CandidateCost, lacking: &[PartSource]) -> FetchWait {
     let is_store = |address: &SocketAddr| input.stores.iter().any(|it| it.address == *address);
     let stores = lacking.iter().map(|source| source.address).filter(is_store).collect();
-    let expected_ms = lacking.iter().map(|source| source.ready_ms).sum();
+    let ready_ms: f64 = lacking.iter().map(|source| source.ready_ms).sum();
+    // A first token waits for the prompts before it as well, and would accuse the link of that.
+    let expected_ms = ready_ms.max(wait_at(input, &cost.upstream));
     let read_ms = cost.recompute.0 as f64 * 1_000.0 / input.prefill.0.max(1) as f64;
     FetchWait { stores, expected_ms, other_ms: read_ms + input.fixed_ms }
 }
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -169,7 +169,7 @@
     }
     message.stores.into_iter().for_each(|word| parts.parts.borrow_mut().note_word(word, now));
     for link in message.slow_links {
-        parts.links.borrow_mut().note_told(link, now);
+        parts.links.borrow_mut().note_told(&name, link, now);
     }
     for change in message.listed {
         take_change(parts, change, now);
--- a/crates/guava-serve/src/store_links.rs
+++ b/crates/guava-serve/src/store_links.rs
@@ -2,7 +2,7 @@
 
 use crate::serve_config::StoreTraits;
 use guava_policy::{AwaitedFetch, LinkQueue, LinkWatch};
-use guava_types::{DataCentre, FastMap, Moment, TokenCount};
+use guava_types::{DataCentre, FastMap, MemberName, Moment, TokenCount};
 use std::net::SocketAddr;
 
 /// How many times longer a transfer to another data centre takes. The upstreams' contract.
@@ -49,6 +49,8 @@
 
 /// How long a peer's word on a link counts, in milliseconds; peers speak four times a second.
 const TOLD_EXPIRY_MS: u64 = 700;
+/// Peers that must say so before a link is taken to be slow.
+const TOLD_BY: usize = 2;
 /// Slowness from which peers are told of a link, in hundredths.
 const TOLD_HUNDREDTHS: u32 = 150;
 
@@ -66,8 +68,8 @@
 pub struct StoreLinks {
     queues: FastMap<SocketAddr, LinkQueue>,
     watches: FastMap<SocketAddr, LinkWatch>,
-    /// What peers said last, and when.
-    told: FastMap<SocketAddr, (SlowLink, Moment)>,
+    /// What each peer said last of a link, and when.
+    told: FastMap<SocketAddr, FastMap<MemberName, (u32, Moment)>>,
     next_ticket: u64,
 }
 
@@ -81,14 +83,20 @@
     }
 
     /// How many times slower than configured a store's link is: by this daemon's own fetches, or if
-    /// there are too few, by a peer's. Each daemon fetches from a store about twice a second; alone it
-    /// would need a second to notice, and its prompts would be late meanwhile.
+    /// there are too few, by those of two peers. Each daemon fetches from a store about twice a
+    /// second; alone it would need a second to notice, and its prompts would be late meanwhile.
     pub fn slowness(&self, store: SocketAddr, now: Moment) -> f64 {
         let own = self.watches.get(&store).and_then(|watch| watch.slowness(now));
-        let is_recent = |(_, told): &&(SlowLink, Moment)| now.millis_since(*told) < TOLD_EXPIRY_MS;
-        let told = || self.told.get(&store).filter(is_recent);
-        own.or_else(|| told().map(|(link, _)| f64::from(link.hundredths) / 100.0))
-            .map_or(1.0, |slowness| slowness.max(1.0))
+        own.or_else(|| self.told_slowness(store, now)).map_or(1.0, |slowness| slowness.max(1.0))
+    }
+
+    /// What at least [`TOLD_BY`] peers say; one alone may be wrong, and its mistake would spread.
+    fn told_slowness(&self, store: SocketAddr, now: Moment) -> Option<f64> {
+        let told = self.told.get(&store)?.values();
+        let recent = told.filter(|(_, noted)| now.millis_since(*noted) < TOLD_EXPIRY_MS);
+        let mut hundredths: Vec<u32> = recent.map(|(hundredths, _)| *hundredths).collect();
+        hundredths.sort_unstable_by(|left, right| right.cmp(left));
+        hundredths.get(TOLD_BY - 1).map(|hundredths| f64::from(*hundredths) / 100.0)
     }
 
     /// The links that this daemon's own fetches show to be slow.
@@ -101,8 +109,10 @@
     }
 
     /// Takes in that a peer's fetches show a link to be slow.
-    pub fn note_told(&mut self, link: SlowLink, now: Moment) {
-        self.told.insert(link.store, (link, now));
+    pub fn note_told(&mut self, peer: &MemberName, link: SlowLink, now: Moment) {
+        let told = self.told.entry(link.store).or_default();
+        told.retain(|_, (_, noted)| now.millis_since(*noted) < TOLD_EXPIRY_MS);
+        told.insert(peer.clone(), (link.hundredths, now));
     }
 
     /// Notes that a prompt is sent and waits for its parts.
