fix: played queues of links end where transfers are not begun any more

Cause: a link believed slow was played to have 36 s waiting, long after it had recovered; the stores' contract is that a transfer that would wait over two seconds is not begun.

--- a/crates/guava-policy/src/link_queue.rs
+++ b/crates/guava-policy/src/link_queue.rs
@@ -5,6 +5,11 @@
 
 use guava_types::Moment;
 
+/// Longest wait at a link, in milliseconds: a transfer that would wait longer is not begun. The stores'
+/// contract. Played without this bound, a link believed slow was thought to have 36 s of work waiting
+/// seconds after it had recovered.
+const LONGEST_WAIT_MS: f64 = 2_000.0;
+
 /// One link.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkQueue {
@@ -15,7 +20,9 @@
 impl LinkQueue {
     /// Notes a transfer that takes so many milliseconds alone.
     pub fn push(&mut self, transfer_ms: f64, now: Moment) {
-        self.free_at_ms = self.free_at_ms.max(now.0 as f64) + transfer_ms;
+        if self.wait_ms(now) <= LONGEST_WAIT_MS {
+            self.free_at_ms = self.free_at_ms.max(now.0 as f64) + transfer_ms;
+        }
     }
 
     /// Milliseconds that a transfer waits before it begins.
