fix: a daemon that just started follows the stores as soon as it knows them

Cause: it looked for stores at once, before it had read a configuration, and then half a second later; what it took meanwhile was read anew. The test waits 490 ms before, under 30 ms after.

--- a/crates/guava-serve/src/part_duty.rs
+++ b/crates/guava-serve/src/part_duty.rs
@@ -19,6 +19,10 @@
 const FAILED_PAUSE_MS: u64 = 300;
 /// Pause between two looks at which stores there are, in milliseconds.
 const LOOK_PAUSE_MS: u64 = 500;
+/// The same until there is a configuration, in milliseconds: a daemon that has just started reads it
+/// within a few calls, and prompts that it takes before it follows the stores are read anew. After all
+/// daemons started together, those of half a second were.
+const FIRST_LOOK_PAUSE_MS: u64 = 25;
 /// Parts freed in one call.
 const FREED_AT_ONCE: usize = 200;
 /// How long a call to free parts may be under way, in milliseconds.
@@ -64,7 +68,9 @@
             }
         }
         free_useless(&parts, &port).await;
-        sleep(Duration::from_millis(LOOK_PAUSE_MS)).await;
+        let is_configured = parts.config.borrow().current().is_some();
+        let pause_ms = if is_configured { LOOK_PAUSE_MS } else { FIRST_LOOK_PAUSE_MS };
+        sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- /dev/null
+++ b/crates/guava-serve/tests/part_duty.rs
@@ -0,0 +1,82 @@
+//! Following stores of cached parts, with scripted calls in their place.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    AnswerMarks, Dialect, PartList, PartPort, PartReport, RetryLimit, ServeBounds, ServeConfig,
+    ServeIdentity, ServeParts, VersionLimits, follow_stores, take_config,
+};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use support::{config_parts, store};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+fn parts() -> Rc<ServeParts> {
+    let identity = ServeIdentity {
+        name: "d1".parse().unwrap(),
+        data_centre: "east".parse().unwrap(),
+        source: None,
+    };
+    let bounds = ServeBounds {
+        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
+        leave_limit_ms: 2_000,
+        config_limit_ms: 2_000,
+        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
+        held_bytes: 1 << 20,
+    };
+    let dialect = Dialect {
+        encode: |_, _| http::Request::default(),
+        marks: |_, _| AnswerMarks::default(),
+        strip: |_| {},
+    };
+    Rc::new(ServeParts::new(identity, bounds, dialect))
+}
+
+/// Stores that are empty.
+fn empty_stores() -> PartPort {
+    PartPort {
+        events: Rc::new(|_, _, wait_ms| {
+            Box::pin(async move {
+                sleep(Duration::from_millis(wait_ms)).await;
+                let events = Vec::new();
+                Ok(PartReport { epoch: 1, next: 0, is_gapped: false, events, clock_ms: Some(5) })
+            })
+        }),
+        list: Rc::new(|_| Box::pin(async { Ok(PartList { epoch: 1, next: 0, held: Vec::new() }) })),
+        free: Rc::new(|_| Box::pin(async { Ok(()) })),
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn daemon_that_just_started_follows_the_stores_as_soon_as_it_knows_them() {
+    // Symptom: after all daemons start together, every prompt of the next second is read anew.
+    // Sequence: a daemon starts; it reads the configuration some milliseconds later, and takes
+    // prompts.
+    // Cause: it looked for stores once, without a configuration, and then half a second later.
+    let parts = parts();
+    let followed = Rc::new(RefCell::new(Vec::new()));
+    let duty = follow_stores(Rc::clone(&parts), Rc::new(empty_stores()), Rc::clone(&followed));
+
+    let waited = LocalSet::new()
+        .run_until(async {
+            tokio::task::spawn_local(duty);
+            sleep(Duration::from_millis(10)).await;
+            let stores = vec![store("s1", 1)];
+            take_config(
+                &parts,
+                ServeConfig::new(guava_serve::ConfigParts { stores, ..config_parts(1) }),
+            );
+            let known = Instant::now();
+            while followed.borrow().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            known.elapsed()
+        })
+        .await;
+
+    assert!(waited < Duration::from_millis(200), "{waited:?}");
+}
