--- a/crates/guava-serve/tests/part_duty.rs
+++ b/crates/guava-serve/tests/part_duty.rs
@@ -65,7 +65,7 @@
         .run_until(async {
             tokio::task::spawn_local(duty);
             sleep(Duration::from_millis(10)).await;
-            let stores = vec![store("s1", 1)];
+            let stores = vec![(*store("s1", 1)).clone()];
             take_config(
                 &parts,
                 ServeConfig::new(guava_serve::ConfigParts { stores, ..config_parts(1) }),
