feat: transfers are reckoned for the data centre of each engine

Cause: a fetch's time was reckoned for the daemon's data centre, whichever engine it went to. All stores may stand in one data centre; from elsewhere a transfer keeps their links busy twice as long, and these bind: what was fetched took as long as reckoned (medians 20 to 60 ms, the last tenth 100 to 280 ms, for each of seven stores), and half of what was read again was read since its store's link was busy.

--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -3,7 +3,8 @@
 use crate::accepted_request::{AcceptedRequest, PromptShape};
 use crate::attempt::AttemptPlan;
 use crate::dialect::{EngineOrders, SendPlan};
-use crate::engine_choice::{EngineChoice, EngineInput, choose_engine};
+use crate::engine_choice::{EngineChoice, choose_engine};
+use crate::engine_input::EngineInput;
 use crate::events;
 use crate::member_table::MemberNote;
 use crate::outcome::SendRecord;
--- a/crates/guava-serve/src/store_links.rs
+++ b/crates/guava-serve/src/store_links.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// How many times longer a transfer to another data centre takes. The upstreams' contract.
-const REMOTE_TIMES: f64 = 2.0;
+pub(crate) const REMOTE_TIMES: f64 = 2.0;
 
 /// A transfer over a store's link, as daemons tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -382,3 +382,27 @@
 
     assert_eq!(choice.save, [Some(store), Some(store), None]);
 }
+
+#[test]
+fn prompt_that_fetches_much_goes_to_an_engine_beside_the_store() {
+    // Symptom: a store's link is busy for twice as long as need be, and prompts wait for it.
+    // Sequence: a prompt arrives at a daemon in another data centre than the store's; engines there
+    // and beside the store are idle.
+    // Cause: a transfer's time was reckoned for the daemon's data centre, whichever engine it went to.
+    let mut scene = scene(&[("near-me", 1)]);
+    let beside = UpstreamEntry { data_centre: "west".parse().unwrap(), ..engine("beside", 1) };
+    scene.upstreams.note_entry(beside);
+    let slow = StoreTraits {
+        data_centre: "west".parse().unwrap(),
+        bytes_per_s: 2_000_000_000,
+        ..(*scene.stores[0]).clone()
+    };
+    scene.stores = vec![Rc::new(slow)];
+    hold_packet(&mut scene, "m0/1");
+
+    let choice = choose(&scene, &[]).unwrap();
+
+    assert_eq!(choice.upstream, id("beside"));
+    let transfer = choice.transfers[0].transfer_ms;
+    assert!((118..=120).contains(&transfer), "{transfer}");
+}
