feat: memory of engines is planned with as far as first tokens come in time

Cause: with a quarter of the engines away daemons sent engines more than they hold, by knowledge that is late; runs were preempted, what was fetched was dropped and read again, and the overload went on for ten seconds after its cause. Now each daemon's part shrinks by 0.85 with each long prompt that is late by three times and 600 ms, to 0.35 at least, and grows by 0.015 with each in time.

--- /dev/null
+++ b/crates/guava-policy/tests/memory_trust.rs
@@ -0,0 +1,77 @@
+//! How much memory is planned with, by what became of what was sent.
+
+use guava_policy::MemoryTrust;
+use guava_types::Moment;
+
+const EXPECTED_MS: f64 = 300.0;
+
+/// Sends prompts one every 100 ms whose first tokens take so long.
+fn play(trust: &mut MemoryTrust, from: u64, taken_ms: &[u64]) -> Moment {
+    let mut events: Vec<(u64, u64, bool)> = Vec::new();
+    for (ticket, taken_ms) in (0..).zip(taken_ms) {
+        let sent = from + ticket * 100;
+        events.push((sent, ticket, true));
+        events.push((sent + taken_ms, ticket, false));
+    }
+    events.sort_unstable();
+    for (at, ticket, is_sent) in &events {
+        if *is_sent {
+            trust.begin(*ticket, EXPECTED_MS, Moment(*at));
+        } else {
+            trust.started(*ticket, Moment(*at));
+        }
+    }
+    Moment(events.last().map_or(from, |(at, ..)| *at))
+}
+
+#[test]
+fn memory_shrinks_while_first_tokens_are_late_and_grows_back() {
+    // Symptom: engines go on preempting runs ten seconds after the cause of an overload is gone.
+    // Sequence: a quarter of the engines is lost; what is known of the others' memory is late, so
+    // they are sent more than they hold; each prompt takes ten times as long and makes the next late.
+    // Cause: what became of the prompts changed nothing in what was sent.
+    let mut trust = MemoryTrust::default();
+    let before = trust.part(Moment(0));
+
+    let overloaded = play(&mut trust, 1_000, &[3_000; 8]);
+    let during = trust.part(overloaded);
+    let recovered = play(&mut trust, 10_000, &[250; 40]);
+    let after = trust.part(recovered);
+
+    assert!(before > 0.9, "{before}");
+    assert!((0.3..0.6).contains(&during), "{during}");
+    assert!(after > 0.9, "{after}");
+}
+
+#[test]
+fn late_first_token_counts_before_it_comes_and_only_once() {
+    let mut trust = MemoryTrust::default();
+    trust.begin(1, EXPECTED_MS, Moment(1_000));
+    let best = trust.part(Moment(2_400));
+
+    let awaited = trust.part(Moment(2_600));
+    trust.dropped(1, Moment(6_000));
+
+    assert!(awaited < best, "{awaited} {best}");
+    assert!((trust.part(Moment(6_000)) - awaited).abs() < 1e-9);
+}
+
+#[test]
+fn some_memory_is_always_planned_with() {
+    let mut trust = MemoryTrust::default();
+
+    let end = play(&mut trust, 1_000, &[9_000; 200]);
+
+    assert!(trust.part(end) > 0.3);
+}
+
+#[test]
+fn prompt_that_was_given_up_in_time_says_nothing() {
+    let mut trust = MemoryTrust::default();
+    let best = trust.part(Moment(0));
+
+    trust.begin(1, EXPECTED_MS, Moment(1_000));
+    trust.dropped(1, Moment(1_200));
+
+    assert!((trust.part(Moment(9_000)) - best).abs() < 1e-9);
+}
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -28,6 +28,7 @@
     parts: Rc<ServeParts>,
     ticket: WorkTicket,
     fetch: Option<FetchTicket>,
+    is_long: bool,
 }
 
 impl WorkGuard {
@@ -37,12 +38,18 @@
         let ticket = parts.work.borrow_mut().begin(&plan.send.upstream, &plan.load, now);
         let wait = plan.wait.as_ref().filter(|wait| !wait.stores.is_empty());
         let fetch = wait.map(|wait| parts.links.borrow_mut().begin(wait, now));
-        Self { parts: Rc::clone(parts), ticket, fetch }
+        if plan.is_long {
+            parts.trust.borrow_mut().begin(ticket.number(), plan.load.answer_ms, now);
+        }
+        Self { parts: Rc::clone(parts), ticket, fetch, is_long: plan.is_long }
     }
 
     fn started(&mut self) {
         let now = Moment::now();
         self.parts.work.borrow_mut().started(&self.ticket, now);
+        if std::mem::take(&mut self.is_long) {
+            self.parts.trust.borrow_mut().started(self.ticket.number(), now);
+        }
         if let Some(fetch) = self.fetch.take() {
             self.parts.links.borrow_mut().arrived(&fetch, now);
         }
@@ -53,6 +60,9 @@
     fn drop(&mut self) {
         let now = Moment::now();
         self.parts.work.borrow_mut().end(&self.ticket, now);
+        if self.is_long {
+            self.parts.trust.borrow_mut().dropped(self.ticket.number(), now);
+        }
         if let Some(fetch) = &self.fetch {
             self.parts.links.borrow_mut().dropped(fetch, now);
         }
@@ -70,6 +80,8 @@
     pub load: ExpectedLoad,
     /// What it waits for at the links of stores, if it fetches parts.
     pub wait: Option<FetchWait>,
+    /// Whether it is a long prompt, which shows how full engines are.
+    pub is_long: bool,
     /// When another upstream is tried, if one may be.
     pub patience: Option<Deadline>,
     /// When nobody waits any more.
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -26,8 +26,6 @@
 /// Requests beyond its slots that an engine counts as having while its memory is full: it would
 /// preempt somebody's run.
 const FULL_MEMORY_SLOTS: u32 = 4;
-/// Memory that is used for planning; the rest covers estimates that were too low.
-const MEMORY_PART: f64 = 0.95;
 /// How many times longer than expected a request may wait for its start.
 const LATEST_START: f64 = 2.0;
 /// Further wait at an engine that has other work, in milliseconds: for memory, or behind requests
@@ -142,7 +140,7 @@
 /// Whether an engine's memory would not hold the prompt beside what runs or waits there.
 fn is_full(input: &EngineInput<'_>, engine: &UpstreamId) -> bool {
     let total = input.work.total(engine);
-    let memory = (input.traits.memory.0 as f64 * MEMORY_PART) as u64;
+    let memory = (input.traits.memory.0 as f64 * input.memory_part) as u64;
     // A configuration that does not say how much memory engines have gives no reason to wait.
     memory > 0 && total.memory.0 + input.prompt.memory().0 > memory && total.running > 0
 }
--- a/crates/guava-serve/src/engine_input.rs
+++ b/crates/guava-serve/src/engine_input.rs
@@ -38,6 +38,8 @@
     pub prefill: TokenRate,
     /// Time to a first token beside the prefill, as learnt, in milliseconds.
     pub fixed_ms: f64,
+    /// Part of the engines' memory that is planned with.
+    pub memory_part: f64,
     /// This daemon.
     pub me: &'a MemberName,
     /// The other living daemons of this data centre.
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -152,6 +152,7 @@
         service: input.service.clone(),
         load,
         wait: None,
+        is_long: false,
         patience: patience.map(|millis| Deadline::after(now, millis)),
         deadline: request.deadline,
     })
@@ -198,6 +199,7 @@
     match attempt_plan(input, choice.upstream.clone(), load) {
         None => PlanStep::Nowhere,
         Some(mut plan) => {
+            plan.is_long = choice.is_long;
             plan.wait = choice.fetch.as_ref().map(|fetch| fetch.wait.clone());
             plan.send.engine = Some(engine_orders(parts, choice, now));
             PlanStep::Send(Box::new(plan))
@@ -232,6 +234,7 @@
         version_limits: parts.bounds.version_limits,
         prefill: parts.prefill.borrow().rate(),
         fixed_ms: parts.prefill.borrow().fixed_ms(),
+        memory_part: parts.trust.borrow_mut().part(now),
         me: &parts.identity.name,
         peers: &peers,
         data_centre: &parts.identity.data_centre,
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -17,7 +17,7 @@
 use crate::upstream_table::UpstreamTable;
 use crate::version_targets::{VersionLimits, VersionTargets};
 use crate::work_table::WorkTable;
-use guava_policy::WaitingLine;
+use guava_policy::{MemoryTrust, WaitingLine};
 use guava_types::{DataCentre, Incarnation, MemberName, Moment, UpstreamId};
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
@@ -122,6 +122,8 @@
     pub list_news: RefCell<ListNews>,
     /// When the configuration in force was last seen to be the newest.
     pub config_confirmed: Cell<Moment>,
+    /// How much of the engines' memory is planned with.
+    pub trust: RefCell<MemoryTrust>,
     /// Long prompts that wait for memory at an engine.
     pub line: RefCell<WaitingLine>,
     /// Bytes of requests held at present.
@@ -153,6 +155,7 @@
             words: RefCell::default(),
             list_news: RefCell::default(),
             config_confirmed: Cell::default(),
+            trust: RefCell::default(),
             line: RefCell::default(),
             held_bytes: Cell::new(0),
             identity,
--- a/crates/guava-serve/src/work_table.rs
+++ b/crates/guava-serve/src/work_table.rs
@@ -67,6 +67,13 @@
     memory: TokenCount,
 }
 
+impl WorkTicket {
+    /// A number that no other piece of this daemon's work has.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+}
+
 #[derive(Debug, Default)]
 struct PeerWork {
     shares: FastMap<UpstreamId, WorkShare>,
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -82,6 +82,7 @@
         version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
         prefill: PREFILL,
         fixed_ms: 25.0,
+        memory_part: 0.95,
         me: &"d1".parse().unwrap(),
         peers: &scene.peers,
         data_centre: &"east".parse().unwrap(),
