--- a/crates/guava-serve/tests/order_duty.rs
+++ b/crates/guava-serve/tests/order_duty.rs
@@ -5,38 +5,16 @@
 mod support;
 
 use guava_serve::{
-    AnswerMarks, Dialect, EnginePort, EngineReport, LeaseNews, LeasePort, LoadOrder, OrderDuty,
-    RetryLimit, ServeBounds, ServeIdentity, ServeParts, UpstreamEntry, VersionLimits,
+    EnginePort, EngineReport, LeaseNews, LeasePort, LoadOrder, OrderDuty, UpstreamEntry,
     VersionRollout, WeightVersion,
 };
 use guava_types::{FastMap, Moment};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{engine, id, model};
+use support::{engine, id, model, serve_parts};
 use tokio::time::sleep;
 
-fn parts() -> Rc<ServeParts> {
-    let identity = ServeIdentity {
-        name: "d1".parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        source: None,
-    };
-    let bounds = ServeBounds {
-        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
-        leave_limit_ms: 2_000,
-        config_limit_ms: 2_000,
-        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
-        held_bytes: 1 << 20,
-    };
-    let dialect = Dialect {
-        encode: |_, _| http::Request::default(),
-        marks: |_, _| AnswerMarks::default(),
-        strip: |_| {},
-    };
-    Rc::new(ServeParts::new(identity, bounds, dialect))
-}
-
 /// A lease that whoever asks for it gets.
 fn free_lease() -> LeasePort {
     let written = Rc::new(RefCell::new(LeaseNews::default()));
@@ -76,7 +54,7 @@
     // Sequence: weights are published; the engine crashes and starts again under its name; its
     // report, which nobody expected to be of another start, comes before its entry.
     // Cause: the report was taken for one of the engine known here.
-    let parts = parts();
+    let parts = Rc::new(serve_parts("d1"));
     let listed = engine("e", 1);
     let before = UpstreamEntry { id: listed.id.started_at(100), ..listed.clone() };
     let after = UpstreamEntry { id: listed.id.started_at(200), ..listed };
--- a/crates/guava-serve/tests/part_duty.rs
+++ b/crates/guava-serve/tests/part_duty.rs
@@ -4,38 +4,14 @@
 
 mod support;
 
-use guava_serve::{
-    AnswerMarks, Dialect, PartList, PartPort, PartReport, RetryLimit, ServeBounds, ServeConfig,
-    ServeIdentity, ServeParts, VersionLimits, follow_stores, take_config,
-};
+use guava_serve::{PartList, PartPort, PartReport, ServeConfig, follow_stores, take_config};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use support::{config_parts, store};
+use support::{config_parts, serve_parts, store};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-fn parts() -> Rc<ServeParts> {
-    let identity = ServeIdentity {
-        name: "d1".parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        source: None,
-    };
-    let bounds = ServeBounds {
-        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
-        leave_limit_ms: 2_000,
-        config_limit_ms: 2_000,
-        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
-        held_bytes: 1 << 20,
-    };
-    let dialect = Dialect {
-        encode: |_, _| http::Request::default(),
-        marks: |_, _| AnswerMarks::default(),
-        strip: |_| {},
-    };
-    Rc::new(ServeParts::new(identity, bounds, dialect))
-}
-
 /// Stores that are empty.
 fn empty_stores() -> PartPort {
     PartPort {
@@ -57,7 +33,7 @@
     // Sequence: a daemon starts; it reads the configuration some milliseconds later, and takes
     // prompts.
     // Cause: it looked for stores once, without a configuration, and then half a second later.
-    let parts = parts();
+    let parts = Rc::new(serve_parts("d1"));
     let followed = Rc::new(RefCell::new(Vec::new()));
     let duty = follow_stores(Rc::clone(&parts), Rc::new(empty_stores()), Rc::clone(&followed));
 
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,37 +5,15 @@
 mod support;
 
 use guava_serve::{
-    AnswerMarks, Dialect, FetchWait, HeldPart, ListChange, ListNews, ListedChange, MemberNote,
-    OwnNews, PartEvent, PartKey, PeerMessage, RetryLimit, SentPrompt, ServeBounds, ServeIdentity,
-    ServeParts, SharedWord, UpstreamEntry, VersionLimits, WeightVersion, compose_message,
-    compose_note, take_change, take_message,
+    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MemberNote, OwnNews, PartEvent,
+    PartKey, PeerMessage, SentPrompt, ServeIdentity, ServeParts, SharedWord, UpstreamEntry,
+    WeightVersion, compose_message, compose_note, take_change, take_message,
 };
 use guava_types::{Moment, TokenCount};
-use support::{address, engine, id, leaving, model, part, store, upstream};
+use support::{address, engine, id, leaving, model, part, serve_parts, store, upstream};
 
 const NOW: Moment = Moment(100_000);
 
-fn parts(name: &str) -> ServeParts {
-    let identity = ServeIdentity {
-        name: name.parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        source: None,
-    };
-    let bounds = ServeBounds {
-        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
-        leave_limit_ms: 2_000,
-        config_limit_ms: 2_000,
-        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
-        held_bytes: 1 << 20,
-    };
-    let dialect = Dialect {
-        encode: |_, _| http::Request::default(),
-        marks: |_, _| AnswerMarks::default(),
-        strip: |_| {},
-    };
-    ServeParts::new(identity, bounds, dialect)
-}
-
 fn note(name: &str) -> MemberNote {
     MemberNote {
         name: name.parse().unwrap(),
@@ -67,7 +45,7 @@
     // Symptom: heavy prompts arrive late though most engines are idle.
     // Sequence: two daemons choose an engine within a quarter of a second; both take the same.
     // Cause: a daemon's work was told only with its next message.
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     pass(&compose_message(&one, news("d1"), NOW), &two);
     let sent = SentPrompt {
         engine: id("e"),
@@ -95,7 +73,7 @@
     // daemon gets a request with it, and has it read on another engine.
     // Cause: which parts a prompt has was told only with the next message, and to other data
     // centres not at all.
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     let key = PartKey::new("m0/1", "p");
     let sent = SentPrompt {
         engine: id("e"),
@@ -127,7 +105,7 @@
 
 #[test]
 fn engines_that_will_load_are_known_before_they_refuse() {
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     two.upstreams.borrow_mut().note_entry(engine("e", 1));
     one.just_loading.borrow_mut().push(id("e"));
 
@@ -138,7 +116,7 @@
 
 #[test]
 fn publication_keeps_its_age_from_daemon_to_daemon() {
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     one.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment(NOW.0 - 7_000));
 
     pass(&compose_message(&one, news("d1"), NOW), &two);
@@ -152,7 +130,7 @@
     // Symptom: each change of the list makes all daemons read it at the same moment.
     // Sequence: the reader's digest changes, and the others' do not.
     // Cause: only the digest was told.
-    let (reader, other) = (parts("d1"), parts("d2"));
+    let (reader, other) = (serve_parts("d1"), serve_parts("d2"));
     for parts in [&reader, &other] {
         parts.upstreams.borrow_mut().note_entry(upstream("a", "app"));
         let digest = parts.upstreams.borrow().digest();
@@ -175,7 +153,7 @@
 
 #[test]
 fn message_for_other_data_centres_leaves_out_what_they_read_themselves() {
-    let one = parts("d1");
+    let one = serve_parts("d1");
     one.list_news.borrow_mut().note(ListedChange::Removed(id("a")), NOW);
     let message = compose_message(&one, news("d1"), NOW);
     assert_eq!(message.listed.len(), 1);
@@ -191,7 +169,7 @@
     // Sequence: a relay is suspended with a message in its socket's buffer, and passes it on
     // seconds later.
     // Cause: ages are taken from the moment of arrival, and the wait at the relay is not in them.
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     one.words.borrow_mut().operator.note_own(12, NOW);
     one.words.borrow_mut().list.note_own(13, NOW);
     let message = compose_message(&one, news("d1"), NOW);
@@ -209,7 +187,7 @@
 #[test]
 fn message_is_passed_on_once() {
     // Symptom: daemons of a data centre send each other the same message for ever.
-    let one = parts("d1");
+    let one = serve_parts("d1");
 
     let received = compose_message(&one, news("d1"), NOW).for_relay();
 
@@ -219,7 +197,7 @@
 
 #[test]
 fn own_message_that_comes_back_is_passed_over() {
-    let one = parts("d1");
+    let one = serve_parts("d1");
     let mut message = compose_message(&one, news("d1"), NOW);
     message.list = Some(SharedWord { state: 1, as_of: NOW });
 
@@ -258,7 +236,7 @@
     // Sequence: the engine starts again under its name; a peer knows and sends it a prompt; this
     // daemon hears of that before it reads the list.
     // Cause: the peer's word was taken for one on the start known here.
-    let (one, two) = (parts("d1"), parts("d2"));
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     let entry = engine("e", 1);
     let before = UpstreamEntry { id: entry.id.started_at(100), ..entry.clone() };
     let after = UpstreamEntry { id: entry.id.started_at(200), ..entry };
@@ -289,7 +267,7 @@
     // Symptom: after some daemons have noticed a slow link, the prompts of the others are late on it.
     // Sequence: each daemon fetches from the store twice a second, and needs a few late fetches.
     // Cause: each learnt for itself.
-    let (one, two, three) = (parts("d1"), parts("d2"), parts("d3"));
+    let (one, two, three) = (serve_parts("d1"), serve_parts("d2"), serve_parts("d3"));
     let store = address(5);
     let wait = FetchWait { stores: vec![store], expected_ms: 50.0, other_ms: 40.0 };
     for daemon in [&one, &two] {
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -6,9 +6,10 @@
 pub mod scripted;
 
 use guava_serve::{
-    AcceptedRequest, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule, EngineTraits,
-    PromptPart, PromptShape, RepeatRule, RequestHead, RouteRule, ServeConfig, ServiceRule,
-    StoreTraits, UpstreamEntry, WeightVersion,
+    AcceptedRequest, AnswerMarks, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule,
+    Dialect, EngineTraits, PromptPart, PromptShape, RepeatRule, RequestHead, RetryLimit, RouteRule,
+    ServeBounds, ServeConfig, ServeIdentity, ServeParts, ServiceRule, StoreTraits, UpstreamEntry,
+    VersionLimits, WeightVersion,
 };
 use guava_types::{Deadline, FastMap, ModelName, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
@@ -148,3 +149,25 @@
         body: bytes::Bytes::from_static(b"body"),
     }
 }
+
+/// The parts of a daemon with a name, which speaks to nobody.
+pub fn serve_parts(name: &str) -> ServeParts {
+    let identity = ServeIdentity {
+        name: name.parse().unwrap(),
+        data_centre: "east".parse().unwrap(),
+        source: None,
+    };
+    let bounds = ServeBounds {
+        version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
+        leave_limit_ms: 2_000,
+        config_limit_ms: 2_000,
+        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
+        held_bytes: 1 << 20,
+    };
+    let dialect = Dialect {
+        encode: |_, _| http::Request::default(),
+        marks: |_, _| AnswerMarks::default(),
+        strip: |_| {},
+    };
+    ServeParts::new(identity, bounds, dialect)
+}
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -5,12 +5,11 @@
 mod support;
 
 use guava_serve::{
-    Dialect, RetryLimit, RolloutEngine, ServeBounds, ServeIdentity, ServeParts, UpstreamTable,
-    VersionLimits, VersionRollout, VersionTargets, VersionUse, WeightVersion, age_at_start,
-    loads_at_once, next_orders, useless_salt,
+    RolloutEngine, ServeParts, UpstreamTable, VersionLimits, VersionRollout, VersionTargets,
+    VersionUse, WeightVersion, age_at_start, loads_at_once, next_orders, useless_salt,
 };
 use guava_types::Moment;
-use support::{engine, id, model};
+use support::{engine, id, model, serve_parts};
 use yare::parameterized;
 
 const LIMIT_MS: u64 = 10_000;
@@ -114,24 +113,7 @@
 }
 
 fn parts_with_engines(versions: &[(&str, u64)]) -> ServeParts {
-    let identity = ServeIdentity {
-        name: "d1".parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        source: None,
-    };
-    let bounds = ServeBounds {
-        version_limits: LIMITS,
-        leave_limit_ms: 2_000,
-        config_limit_ms: 2_000,
-        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
-        held_bytes: 1 << 20,
-    };
-    let dialect = Dialect {
-        encode: |_, _| http::Request::default(),
-        marks: |_, _| guava_serve::AnswerMarks::default(),
-        strip: |_| {},
-    };
-    let parts = ServeParts::new(identity, bounds, dialect);
+    let parts = serve_parts("d1");
     for (name, version) in versions {
         parts.upstreams.borrow_mut().note_entry(engine(name, *version));
     }
