--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
+pub mod played;
 pub mod scripted;
 
 use guava_serve::{
--- /dev/null
+++ b/crates/guava-serve/tests/support/played.rs
@@ -0,0 +1,238 @@
+//! A load, played without a network: the decisions as they are, before a small model of engines and
+//! stores of cached parts. Time is an argument; a run repeats exactly.
+
+use super::{engine, engine_traits, id, model, part, request, route};
+use guava_serve::{
+    EngineChoice, EngineInput, ExpectedLoad, FetchTicket, HeldPart, PartEvent, PartIndex,
+    PromptShape, RepeatRule, StoreLinks, StoreTraits, UpstreamEntry, UpstreamTable, VersionLimits,
+    VersionTargets, WorkTable, WorkTicket, choose_engine, transfer_ms,
+};
+use guava_types::{FastMap, Moment, TokenCount, TokenRate};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Prefill of a modelled engine, and its time to a first token beside it.
+const PREFILL: TokenRate = TokenRate(48_000);
+const FIXED_MS: f64 = 25.0;
+/// A transfer that would wait longer is not begun, in milliseconds.
+const LONGEST_WAIT_MS: f64 = 2_000.0;
+/// Lengths of a prompt's parts: shared by many, shared by its session, its own.
+const PARTS: [u64; 3] = [400, 8_600, 500];
+/// Sessions that return.
+const SESSIONS: u64 = 60;
+
+/// What is played.
+pub struct PlayedLoad {
+    /// The stores; sessions are spread over them.
+    pub stores: Vec<Rc<StoreTraits>>,
+    /// Engines by name, with their data centres. The daemon stands in `east`.
+    pub engines: Vec<(&'static str, &'static str)>,
+    /// Pause between two prompts, in milliseconds.
+    pub pause_ms: u64,
+    /// The first store's link is slow between these moments, and how many times.
+    pub slow: (u64, u64, f64),
+    /// Whether the daemon watches what it fetches.
+    pub is_watched: bool,
+    /// When the last prompt comes, in milliseconds.
+    pub end_ms: u64,
+}
+
+/// A prompt that was answered.
+#[derive(Clone, Copy, Debug)]
+pub struct PlayedAnswer {
+    /// When it came.
+    pub at: u64,
+    /// Milliseconds to its first token.
+    pub first_ms: u64,
+    /// Shared tokens that were read again.
+    pub read_again: u64,
+}
+
+struct Pending {
+    first_at: u64,
+    work: WorkTicket,
+    fetch: Option<FetchTicket>,
+}
+
+struct Player<'a> {
+    load: &'a PlayedLoad,
+    upstreams: UpstreamTable,
+    work: WorkTable,
+    parts: PartIndex,
+    links: StoreLinks,
+    pending: Vec<Pending>,
+    link_free: FastMap<SocketAddr, f64>,
+    engine_free: FastMap<String, f64>,
+}
+
+/// Plays a load; the answers in the order of the prompts.
+pub fn play(load: &PlayedLoad) -> Vec<PlayedAnswer> {
+    let mut player = Player::new(load);
+    let mut answers = Vec::new();
+    for (number, at) in (0..).zip((1_000..load.end_ms).step_by(load.pause_ms as usize)) {
+        player.advance(at);
+        answers.push(player.take_prompt(number, at));
+    }
+    answers
+}
+
+/// Share of the prompts that came between two moments and had their first token in time.
+pub fn share_in_time(answers: &[PlayedAnswer], from: u64, until: u64, limit_ms: u64) -> f64 {
+    let came: Vec<_> = answers.iter().filter(|it| (from..until).contains(&it.at)).collect();
+    let in_time = came.iter().filter(|it| it.first_ms <= limit_ms).count();
+    in_time as f64 / came.len().max(1) as f64
+}
+
+fn session(number: u64) -> u64 {
+    // Spread without a pattern that a store or an engine could share.
+    (number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % SESSIONS
+}
+
+fn prompt(session: u64) -> PromptShape {
+    let [common, shared, own] = PARTS;
+    let parts = vec![
+        part(&format!("c{}", session % 3), common),
+        part(&format!("s{session}"), shared),
+        part("own", own),
+    ];
+    PromptShape {
+        model: model(),
+        parts,
+        input: TokenCount(PARTS.iter().sum()),
+        output: TokenCount(20),
+    }
+}
+
+impl<'a> Player<'a> {
+    fn new(load: &'a PlayedLoad) -> Self {
+        let mut upstreams = UpstreamTable::default();
+        for (name, centre) in &load.engines {
+            let data_centre = centre.parse().unwrap();
+            upstreams.note_entry(UpstreamEntry { data_centre, ..engine(name, 1) });
+        }
+        Self {
+            load,
+            upstreams,
+            work: WorkTable::default(),
+            parts: PartIndex::default(),
+            links: StoreLinks::default(),
+            pending: Vec::new(),
+            link_free: FastMap::default(),
+            engine_free: FastMap::default(),
+        }
+    }
+
+    /// First tokens that came by now.
+    fn advance(&mut self, now: u64) {
+        self.pending.sort_by_key(|pending| pending.first_at);
+        let due = self.pending.iter().take_while(|pending| pending.first_at <= now).count();
+        for pending in self.pending.drain(..due) {
+            let at = Moment(pending.first_at);
+            self.work.started(&pending.work, at);
+            self.work.end(&pending.work, at);
+            if let Some(fetch) = pending.fetch {
+                self.links.arrived(&fetch, at);
+            }
+        }
+        self.confirm_stores(now);
+    }
+
+    /// The stores hold everything, and say so.
+    fn confirm_stores(&mut self, now: u64) {
+        let stores = self.load.stores.len() as u64;
+        for (index, store) in (0..).zip(&self.load.stores) {
+            let held = |id: String, tokens: u64| {
+                let (salt, id) = ("m0/1".into(), id.into());
+                PartEvent::Stored(HeldPart { salt, id, tokens: TokenCount(tokens) })
+            };
+            let own = (0..SESSIONS).filter(|session| session % stores == index);
+            let mut events: Vec<PartEvent> =
+                own.map(|session| held(format!("s{session}"), PARTS[1])).collect();
+            if index + 1 == stores {
+                events.extend((0..3).map(|common| held(format!("c{common}"), PARTS[0])));
+            }
+            self.parts.note_events(store.address, 1, events, Moment(now));
+        }
+    }
+
+    fn take_prompt(&mut self, number: u64, at: u64) -> PlayedAnswer {
+        let now = Moment(at);
+        let prompt = prompt(session(number));
+        let choice = self.choose(&prompt, number, now);
+        for transfer in &choice.transfers {
+            self.links.note(*transfer, 1.0, now);
+        }
+        let wait = choice.fetch.as_ref().map(|fetch| &fetch.wait);
+        let wait = wait.filter(|wait| self.load.is_watched && !wait.stores.is_empty());
+        let fetch = wait.map(|wait| self.links.begin(wait, now));
+        let read_ms = choice.recompute.0 as f64 * 1_000.0 / PREFILL.0 as f64;
+        let expected = ExpectedLoad {
+            prompt: choice.recompute,
+            memory: prompt.memory(),
+            answer_ms: choice.expected_ms,
+            service_ms: read_ms,
+            priority: 1,
+        };
+        let work = self.work.begin(&choice.upstream, &expected, now);
+        let (first_at, read) = self.serve(&choice, &prompt, at);
+        self.pending.push(Pending { first_at, work, fetch });
+        PlayedAnswer { at, first_ms: first_at - at, read_again: read - PARTS[2] }
+    }
+
+    /// When the first token comes, and how many tokens were read for it.
+    fn serve(&mut self, choice: &EngineChoice, prompt: &PromptShape, at: u64) -> (u64, u64) {
+        let centre = self.upstreams.entry(&choice.upstream).unwrap().data_centre.clone();
+        let mut there = at as f64;
+        let mut read = prompt.input.0;
+        let sources = choice.fetch.as_ref().map(|fetch| fetch.sources.clone()).unwrap_or_default();
+        for (part, source) in prompt.parts.iter().zip(sources) {
+            let store = self.load.stores.iter().find(|store| Some(store.address) == source);
+            let Some(store) = store else { break };
+            let free = self.link_free.entry(store.address).or_insert(0.0);
+            let begin = free.max(there);
+            if begin - there > LONGEST_WAIT_MS {
+                there += LONGEST_WAIT_MS;
+                break;
+            }
+            let (from, until, times) = self.load.slow;
+            let is_slow = store.address == self.load.stores[0].address
+                && (from as f64..until as f64).contains(&begin);
+            let alone_ms = transfer_ms(store, part.tokens, engine_traits().token_bytes, &centre);
+            *free = begin + if is_slow { alone_ms * times } else { alone_ms };
+            there = *free;
+            read -= part.tokens.0;
+        }
+        let engine = self.engine_free.entry(choice.upstream.to_string()).or_insert(0.0);
+        let begin = engine.max(there);
+        *engine = begin + read as f64 * 1_000.0 / PREFILL.0 as f64;
+        ((*engine + FIXED_MS) as u64, read)
+    }
+
+    fn choose(&self, prompt: &PromptShape, number: u64, now: Moment) -> EngineChoice {
+        let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
+        request.prompt = Some(prompt.clone());
+        choose_engine(&EngineInput {
+            request: &request,
+            prompt,
+            service: &"llm".parse().unwrap(),
+            traits: &engine_traits(),
+            stores: &self.load.stores,
+            upstreams: &self.upstreams,
+            work: &self.work,
+            parts: &self.parts,
+            links: &self.links,
+            targets: &VersionTargets::default(),
+            version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
+            prefill: PREFILL,
+            fixed_ms: FIXED_MS,
+            memory_part: 0.95,
+            me: &"d1".parse().unwrap(),
+            peers: &[],
+            data_centre: &"east".parse().unwrap(),
+            tried: &[],
+            now,
+            draw: number,
+        })
+        .unwrap_or_else(|| panic!("no engine for {}", id("e")))
+    }
+}
