feat: one daemon reads the store for all data centres; messages at a bounded rate

And each daemon sent four messages a second to all 58 near it and one to all others, whatever their number.

Change: one reader with two standbys, in turn among all daemons; its words go to all data centres directly, twice a second and at once if they are news; a read that found nothing is right as of the end of its wait. Daemons just found by their record count in turns before they are heard. Pauses between messages grow from 31 daemons near by and 125 elsewhere on. A send that was suspended stops. Prompts concern the engine's data centre; long ones all, as before.

What is left: reads while the store refuses, one read a daemon at each change, four calls a start.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -68,9 +68,9 @@
 pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey, PartNews, StoreWord};
 pub use part_transfers::FetchPlan;
 pub use patience::{first_answer_patience, return_after_ms};
-pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers};
+pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
 pub use peer_exchange::{
-    OwnNews, compose_message, compose_note, take_change, take_message, take_version,
+    OwnNews, compose_message, compose_note, compose_words, take_change, take_message, take_version,
 };
 pub use peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
@@ -89,7 +89,7 @@
 };
 pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
 pub use service_choice::{ServiceInput, choose_instance};
-pub use shared_words::{READERS, ReadPace, SharedWord, SharedWords, WordKeeper};
+pub use shared_words::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
 pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -4,10 +4,22 @@
 use guava_types::{DataCentre, FastMap, MemberName, Moment};
 use std::net::SocketAddr;
 
+/// Pause between two messages to a daemon of the same data centre at least, in milliseconds.
+const NEAR_PAUSE_MS: u64 = 250;
+/// The same to those of other data centres in a large deployment: with 84 daemons in five data
+/// centres, telling all of them once a second was 0.058 of the 0.19 GB that crossed between data
+/// centres on a quiet day of half a minute.
+const FAR_PAUSE_MS: u64 = 1_000;
+/// Messages that a daemon gets from each of these two groups are bounded, to one in so many
+/// milliseconds: a VM with 0.12 of a core spent all of it on messages when 300 daemons spoke as often
+/// as 80 do. Up to 31 daemons near by and 125 elsewhere speak as often as they may.
+const MESSAGE_MS: u64 = 8;
+
 /// A daemon of the same data centre that was not heard for so long is not recommended to callers, in
-/// milliseconds. Daemons speak four times a second: about six datagrams in a row are missing then.
+/// milliseconds, and three of its pauses at least: about six datagrams in a row are missing then.
 const SILENT_MS: u64 = 1_500;
-/// The same for other data centres, to which daemons of a large deployment speak once a second.
+const SILENT_PAUSES: u64 = 3;
+/// The same for other data centres, and five halves of their pause.
 const REMOTE_SILENT_MS: u64 = 2_500;
 /// A daemon that was not heard for so long is forgotten until it speaks again, in milliseconds.
 const FORGOTTEN_MS: u64 = 120_000;
@@ -15,6 +27,9 @@
 /// Daemons above which a deployment is large: other data centres are told less, and through relays.
 const LARGE_DEPLOYMENT: usize = 16;
 
+/// What the daemons' turns at reading the platform's store depend on.
+const READ_SUBJECT: &str = "store";
+
 /// What a daemon says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberNote {
@@ -43,16 +58,38 @@
 pub struct MemberTable {
     data_centre: DataCentre,
     members: FastMap<MemberName, MemberEntry>,
+    /// How many of them stand in this data centre.
+    near: usize,
 }
 
 impl MemberTable {
     /// The daemons as one in a data centre sees them; none is known yet.
     pub fn new(data_centre: DataCentre) -> Self {
-        Self { data_centre, members: FastMap::default() }
+        Self { data_centre, members: FastMap::default(), near: 0 }
+    }
+
+    /// Pause between two of this daemon's messages to those of its data centre, in milliseconds.
+    pub fn near_pause_ms(&self) -> u64 {
+        NEAR_PAUSE_MS.max(self.near as u64 * MESSAGE_MS)
+    }
+
+    /// Pause between two of this daemon's messages to other data centres, in milliseconds.
+    pub fn far_pause_ms(&self) -> u64 {
+        FAR_PAUSE_MS.max((self.members.len() - self.near) as u64 * MESSAGE_MS)
+    }
+
+    /// Time after which a daemon of a data centre counts as silent, in milliseconds.
+    pub fn silent_ms(&self, data_centre: &DataCentre) -> u64 {
+        if *data_centre == self.data_centre {
+            SILENT_MS.max(self.near_pause_ms() * SILENT_PAUSES)
+        } else {
+            REMOTE_SILENT_MS.max(self.far_pause_ms() * 5 / 2)
+        }
     }
 
-    fn silent_ms(&self, note: &MemberNote) -> u64 {
-        if note.data_centre == self.data_centre { SILENT_MS } else { REMOTE_SILENT_MS }
+    fn count_near(&mut self) {
+        let is_near = |entry: &&MemberEntry| entry.note.data_centre == self.data_centre;
+        self.near = self.members.values().filter(is_near).count();
     }
 
     /// Takes in a daemon's record in the store; what the daemon says itself goes first.
@@ -63,14 +100,18 @@
         if entry.heard.is_none() {
             entry.note = note;
         }
+        self.count_near();
     }
 
     /// Takes in what a daemon says; whether it was silent or unknown before.
     pub fn note_heard(&mut self, note: MemberNote, now: Moment) -> bool {
         let before = self.members.get(&note.name).and_then(|entry| entry.heard);
-        let silent_ms = self.silent_ms(&note);
+        let silent_ms = self.silent_ms(&note.data_centre);
         let name = note.name.clone();
-        self.members.insert(name, MemberEntry { note, heard: Some(now), listed: now });
+        let entry = MemberEntry { note, heard: Some(now), listed: now };
+        if self.members.insert(name, entry).is_none() {
+            self.count_near();
+        }
         before.is_none_or(|before| now.millis_since(before) > silent_ms)
     }
 
@@ -78,20 +119,26 @@
     pub fn sweep(&mut self, now: Moment) {
         let last = |entry: &MemberEntry| entry.heard.unwrap_or(entry.listed);
         self.members.retain(|_, entry| now.millis_since(last(entry)) < FORGOTTEN_MS);
+        self.count_near();
     }
 
-    /// Addresses of all daemons that may be there, or only of those in this data centre.
-    pub fn peer_addresses(&self, only_near: bool) -> Vec<SocketAddr> {
+    /// Addresses of the daemons that may be there and stand in one of these data centres.
+    pub fn peer_addresses(&self, is_meant: impl Fn(&DataCentre) -> bool) -> Vec<SocketAddr> {
         let notes = self.members.values().map(|entry| &entry.note);
-        let addressed = notes.filter(|note| !only_near || note.data_centre == self.data_centre);
+        let addressed = notes.filter(|note| is_meant(&note.data_centre));
         addressed.map(|note| note.peer_address).collect()
     }
 
+    /// Addresses of the daemons of this data centre that may be there.
+    pub fn near_addresses(&self) -> Vec<SocketAddr> {
+        self.peer_addresses(|data_centre| *data_centre == self.data_centre)
+    }
+
     /// One daemon in each other data centre, a different one for each number in turn.
     ///
     /// Living ones go first. Where none is known to live, those that are only known by their
     /// record are tried: a data centre that was cut off must be found again.
-    pub fn relays(&self, number: u64, now: Moment) -> Vec<SocketAddr> {
+    pub fn relays(&self, number: u64, now: Moment) -> Vec<(DataCentre, SocketAddr)> {
         let mut by_centre: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
         let mut silent: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
         for entry in self.members.values().filter(|e| e.note.data_centre != self.data_centre) {
@@ -101,10 +148,10 @@
         for (centre, notes) in silent {
             by_centre.entry(centre).or_insert(notes);
         }
-        let chosen = by_centre.into_values().filter_map(|mut notes| {
+        let chosen = by_centre.into_iter().filter_map(|(centre, mut notes)| {
             notes.sort_unstable_by(|one, other| one.name.cmp(&other.name));
             let place = usize::try_from(number % notes.len().max(1) as u64).unwrap_or(0);
-            notes.get(place).map(|note| note.peer_address)
+            notes.get(place).map(|note| (centre.clone(), note.peer_address))
         });
         chosen.collect()
     }
@@ -116,8 +163,7 @@
     }
 
     fn is_living(&self, entry: &MemberEntry, now: Moment) -> bool {
-        let silent_ms = self.silent_ms(&entry.note);
-        entry.heard.is_some_and(|heard| now.millis_since(heard) <= silent_ms)
+        entry.heard.is_some() && self.is_expected(entry, now)
     }
 
     /// Number of daemons known, this one included.
@@ -155,6 +201,11 @@
         self.turn_among(me, subject, now, |_| true)
     }
 
+    /// This daemon's place among those that read the platform's store for all.
+    pub fn read_turn(&self, me: &MemberName, now: Moment) -> usize {
+        self.turn(me, READ_SUBJECT, now)
+    }
+
     /// This daemon's place among the living daemons of its data centre.
     pub fn near_turn(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
         self.turn_among(me, subject, now, |note| note.data_centre == self.data_centre)
@@ -169,10 +220,19 @@
     ) -> usize {
         let weight = |name: &MemberName| rendezvous_weight(&(subject, name), 1.0);
         let own = weight(me);
-        let others = self.living(now).filter(|note| note.name != *me && counts(note));
+        let expected = self.members.values().filter(|entry| self.is_expected(entry, now));
+        let others = expected.map(|entry| &entry.note);
+        let others = others.filter(|note| note.name != *me && counts(note));
         others.filter(|note| weight(&note.name) > own).count()
     }
 
+    /// Whether a daemon lives as far as can be told, or has only just been found: one that starts
+    /// hears nobody yet, and would do every duty of a daemon that is alone.
+    fn is_expected(&self, entry: &MemberEntry, now: Moment) -> bool {
+        let silent_ms = self.silent_ms(&entry.note.data_centre);
+        now.millis_since(entry.heard.unwrap_or(entry.listed)) <= silent_ms
+    }
+
     /// Data centres with a living daemon, this one included.
     pub fn data_centres(&self, now: Moment) -> usize {
         let mut names: Vec<&DataCentre> = self.living(now).map(|note| &note.data_centre).collect();
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -1,25 +1,25 @@
 //! Datagrams between daemons.
 
 use crate::member_table::MemberNote;
-use crate::peer_exchange::{OwnNews, compose_message, compose_note, take_message};
-use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
+use crate::peer_exchange::{OwnNews, compose_message, compose_note, compose_words, take_message};
+use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, SentPrompt};
 use crate::rollout_state::VersionRollout;
 use crate::serve_parts::ServeParts;
-use guava_types::Moment;
+use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-/// Pause between two messages, in milliseconds.
-const MESSAGE_MS: u64 = 250;
-
-/// Other data centres of a large deployment are told one message in this many, and through a relay in
-/// each: with 84 daemons in five data centres, telling all of them once a second was 0.058 of the
-/// 0.19 GB that crossed between data centres on a quiet day of half a minute.
-const REMOTE_EVERY: u64 = 4;
+/// Pause between two words on the platform's store, in milliseconds, so that one that is lost is made
+/// up for in time.
+const WORDS_PAUSE_MS: u64 = 500;
+/// Age of a message in sending from which it is sent no further, in milliseconds. A daemon that is
+/// suspended between two of some hundred datagrams would send the others with ages that are wrong by
+/// seconds.
+const STALE_MS: u64 = 200;
 
 /// What this daemon tells the others about itself.
 #[derive(Clone)]
@@ -36,53 +36,99 @@
 
 /// Tells all daemons about this one, for ever.
 pub async fn tell_peers(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
+    let mut far_due = Deadline::default();
     for number in 0.. {
         let now = Moment::now();
         let news = OwnNews {
-            note: MemberNote { is_ready: state.is_ready.get(), ..state.me.clone() },
+            note: own_note(&state),
             loading: state.rollout.borrow().loading(now),
             loaded: state.rollout.borrow().lately_loaded(now),
             followed: state.followed.borrow().clone(),
             number,
         };
         let message = compose_message(&parts, news, now);
-        let is_large = parts.members.borrow().is_large();
+        let (is_large, near_pause_ms, far_pause_ms) = {
+            let members = parts.members.borrow();
+            (members.is_large(), members.near_pause_ms(), members.far_pause_ms())
+        };
         send_to_all(&socket, &message.encode(now), &parts, is_large).await;
-        if is_large && number.is_multiple_of(REMOTE_EVERY) {
-            let relays = parts.members.borrow().relays(number / REMOTE_EVERY, now);
+        if is_large && far_due.passed(now) {
+            far_due = Deadline::after(now, far_pause_ms);
+            let relays = parts.members.borrow().relays(number, now);
+            let relays = relays.into_iter().map(|(_, address)| address).collect();
             send(&socket, &message.for_relay().encode(now), relays).await;
         }
-        sleep(Duration::from_millis(MESSAGE_MS)).await;
+        sleep(Duration::from_millis(near_pause_ms)).await;
+    }
+}
+
+fn own_note(state: &OwnState) -> MemberNote {
+    MemberNote { is_ready: state.is_ready.get(), ..state.me.clone() }
+}
+
+/// Tells the daemons of all data centres what this one reads of the platform's store, for ever: now
+/// and then, and at once where they would read themselves otherwise.
+pub async fn tell_words(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
+    loop {
+        let now = Moment::now();
+        if let Some(words) = compose_words(&parts, own_note(&state), now) {
+            send_to_all(&socket, &words.encode(now), &parts, false).await;
+        }
+        let pause = Duration::from_millis(WORDS_PAUSE_MS);
+        // Whether it is time or there is news makes no difference.
+        drop(timeout(pause, parts.words_due.notified()).await);
     }
 }
 
 /// Sends to all daemons, or only to those in this data centre.
 async fn send_to_all(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, only_near: bool) {
-    let addresses = parts.members.borrow().peer_addresses(only_near);
+    let addresses = {
+        let members = parts.members.borrow();
+        if only_near { members.near_addresses() } else { members.peer_addresses(|_| true) }
+    };
     send(socket, bytes, addresses).await;
 }
 
 async fn send(socket: &UdpSocket, bytes: &[u8], addresses: Vec<SocketAddr>) {
+    let stale = Deadline::in_millis(STALE_MS);
     for address in addresses {
+        if stale.passed(Moment::now()) {
+            return;
+        }
         // A datagram that can't be sent is as good as lost; the next one follows soon.
         drop(socket.send_to(bytes, address).await);
     }
 }
 
 /// Tells the daemons nearby about large prompts at once, for ever; those elsewhere of the ones that
-/// are read for the first time.
-pub async fn tell_notes(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, me: MemberNote) {
+/// concern them.
+pub async fn tell_notes(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
     for number in 0.. {
         parts.note_due.notified().await;
-        let Some(note) = compose_note(&parts, me.clone()) else { continue };
+        let Some(note) = compose_note(&parts, own_note(&state)) else { continue };
         let now = Moment::now();
         let is_large = parts.members.borrow().is_large();
         // Engines that load concern daemons everywhere.
         let only_near = is_large && note.loading.is_empty();
         send_to_all(&socket, &note.encode(now), &parts, only_near).await;
-        if let Some(far) = note.note_for_relay().filter(|_| only_near) {
-            let relays = parts.members.borrow().relays(number, now);
-            send(&socket, &far.encode(now), relays).await;
+        if only_near {
+            tell_far(&parts, &socket, &note, number).await;
+        }
+    }
+}
+
+/// Tells each other data centre, by way of a relay, of the prompts that concern it.
+async fn tell_far(parts: &ServeParts, socket: &UdpSocket, note: &PeerMessage, number: u64) {
+    let now = Moment::now();
+    let relays = parts.members.borrow().relays(number, now);
+    for (data_centre, relay) in relays {
+        let concerns = |sent: &SentPrompt| {
+            let engine =
+                parts.upstreams.borrow().entry(&sent.engine).map(|e| e.data_centre.clone());
+            sent.is_for_all || engine.is_some_and(|engine| engine == data_centre)
+        };
+        if let Some(far) = note.note_for_relay(concerns) {
+            send(socket, &far.encode(now), vec![relay]).await;
         }
     }
 }
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -5,14 +5,14 @@
 use crate::part_index::StoreWord;
 use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::serve_parts::{ServeParts, UpstreamClock};
-use crate::shared_words::SharedWord;
+use crate::shared_words::{STANDBYS, SharedWord, WordKeeper};
 use crate::upstream_table::ListChange;
 use guava_log::log_event;
 use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
 
 /// How long an upstream counts as loading after a peer said so, in milliseconds; it says so again
-/// four times a second, to other data centres of a large deployment once.
+/// with each message, and this is more than a pause between two.
 const LOADING_MS: u64 = 1_200;
 
 /// How often peers are told all that a followed store holds, in messages: lost datagrams and
@@ -68,20 +68,13 @@
     }
 }
 
-/// A note on prompts that were just sent and upstreams that will load weights, if there are any.
-/// Until the next message all daemons would else take the same idle engine, and each prompt would
-/// wait for the others; or be refused by an engine that loads.
-pub fn compose_note(parts: &ServeParts, note: MemberNote) -> Option<PeerMessage> {
-    let sent = std::mem::take(&mut *parts.just_sent.borrow_mut());
-    let loading = std::mem::take(&mut *parts.just_loading.borrow_mut());
-    if sent.is_empty() && loading.is_empty() {
-        return None;
-    }
-    Some(PeerMessage {
+/// A message that leaves all as it was said before.
+fn empty_note(note: MemberNote) -> PeerMessage {
+    PeerMessage {
         note,
         shares: FastMap::default(),
-        sent,
-        loading,
+        sent: Vec::new(),
+        loading: Vec::new(),
         targets: Vec::new(),
         stores: Vec::new(),
         operator: None,
@@ -92,7 +85,35 @@
         slow_links: Vec::new(),
         is_note: true,
         is_for_relay: false,
-    })
+    }
+}
+
+/// A note on prompts that were just sent and upstreams that will load weights, if there are any.
+/// Until the next message all daemons would else take the same idle engine, and each prompt would
+/// wait for the others; or be refused by an engine that loads.
+pub fn compose_note(parts: &ServeParts, note: MemberNote) -> Option<PeerMessage> {
+    let sent = std::mem::take(&mut *parts.just_sent.borrow_mut());
+    let loading = std::mem::take(&mut *parts.just_loading.borrow_mut());
+    if sent.is_empty() && loading.is_empty() {
+        return None;
+    }
+    Some(PeerMessage { sent, loading, ..empty_note(note) })
+}
+
+/// What this daemon has read of the platform's store, if it reads for all: told to the daemons of
+/// all data centres directly, since a relay that is suspended would pass an old word on as a new one.
+pub fn compose_words(parts: &ServeParts, note: MemberNote, now: Moment) -> Option<PeerMessage> {
+    if parts.members.borrow().read_turn(&parts.identity.name, now) > STANDBYS {
+        return None;
+    }
+    let words = parts.words.borrow();
+    let freshest = |keeper: &WordKeeper| keeper.own().filter(|_| keeper.is_freshest());
+    let (operator, list) = (freshest(&words.operator), freshest(&words.list));
+    if operator.is_none() && list.is_none() {
+        return None;
+    }
+    let listed = parts.list_news.borrow_mut().told(now);
+    Some(PeerMessage { operator, list, listed, ..empty_note(note) })
 }
 
 fn store_words(parts: &ServeParts, followed: &[SocketAddr], number: u64) -> Vec<StoreWord> {
@@ -124,19 +145,25 @@
     }
     let address = message.note.peer_address;
     let is_ready = message.note.is_ready;
-    let is_told_at_once = parts.members.borrow().is_told_at_once(&message.note.data_centre);
+    let data_centre = message.note.data_centre.clone();
+    let is_told_at_once = parts.members.borrow().is_told_at_once(&data_centre);
     if parts.members.borrow_mut().note_heard(message.note, now) {
         log_event!(info, events::MEMBER_HEARD, member = name, address = address, ready = is_ready);
         let count = parts.members.borrow().count();
         parts.retries.borrow_mut().note_daemons(count);
     }
+    let silent_ms = parts.members.borrow().silent_ms(&data_centre);
     for id in &message.loading {
-        let until = Deadline::after(now, LOADING_MS);
+        let until = Deadline::after(now, LOADING_MS.max(silent_ms / 2));
         parts.upstreams.borrow_mut().note_loading(id, until);
     }
     let spoken_of = message.sent.iter().map(|sent| &sent.engine);
     let spoken_of = spoken_of.chain(message.loaded.iter().map(|loaded| &loaded.engine));
     spoken_of.chain(&message.loading).for_each(|id| note_start(parts, id));
+    for change in message.listed {
+        take_change(parts, change, now);
+    }
+    take_words(parts, message.operator, message.list);
     if message.is_note {
         for sent in &message.sent {
             let service_ms = parts.prefill.borrow().read_ms(sent.waiting);
@@ -158,11 +185,7 @@
         // Its prompts were told one by one; their sum would count what has been read by now.
         shares.values_mut().for_each(|share| share.waiting = TokenCount(0));
     }
-    if is_told_at_once {
-        parts.work.borrow_mut().note_peer(&name, shares, now);
-    } else {
-        parts.work.borrow_mut().note_far_peer(&name, shares, now);
-    }
+    parts.work.borrow_mut().note_peer(&name, shares, Deadline::after(now, silent_ms), now);
     for sent in &message.sent {
         parts.parts.borrow_mut().note_sent(&sent.engine, &sent.parts, sent.tokens, now);
     }
@@ -175,10 +198,6 @@
     for link in message.slow_links {
         parts.links.borrow_mut().note_told(&name, link, now);
     }
-    for change in message.listed {
-        take_change(parts, change, now);
-    }
-    take_words(parts, message.operator, message.list);
     take_clock(parts, message.clock_ms, now);
     for target in message.targets {
         let learned = now.minus_millis(target.age_ms);
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -179,8 +179,8 @@
     pub is_saved: bool,
     /// What it puts on the links of stores.
     pub transfers: Vec<StoreTransfer>,
-    /// Whether daemons of other data centres are told at once: of parts that they should not read
-    /// again, and of engines of theirs.
+    /// Whether daemons of all data centres are told at once, not only those near by and those where
+    /// the engine stands: of parts that they should not read again, and of long prompts.
     pub is_for_all: bool,
 }
 
@@ -271,9 +271,9 @@
         }
     }
 
-    /// The note for the relays of other data centres; nothing if no prompt concerns them.
-    pub fn note_for_relay(&self) -> Option<Self> {
-        let for_all = self.sent.iter().filter(|sent| sent.is_for_all);
+    /// The note for the relay of another data centre; nothing if no prompt concerns it.
+    pub fn note_for_relay(&self, concerns: impl Fn(&SentPrompt) -> bool) -> Option<Self> {
+        let for_all = self.sent.iter().filter(|sent| concerns(sent));
         // Transfers begun in another data centre are reckoned there from its own.
         let plain = |sent: &SentPrompt| SentPrompt { transfers: Vec::new(), ..sent.clone() };
         let sent: Vec<SentPrompt> = for_all.map(plain).collect();
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -14,7 +14,6 @@
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_parts::ServeParts;
 use crate::service_choice::{ServiceInput, choose_instance};
-use crate::upstream_table::UpstreamEntry;
 use crate::work_table::ExpectedLoad;
 use guava_log::log_event;
 use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
@@ -282,8 +281,6 @@
         }
     }
     let is_saved = choice.save.iter().any(Option::is_some);
-    let is_far = |entry: &UpstreamEntry| entry.data_centre != parts.identity.data_centre;
-    let is_elsewhere = parts.upstreams.borrow().entry(&choice.upstream).is_some_and(is_far);
     let sent = SentPrompt {
         engine: choice.upstream.clone(),
         parts: keys.into_iter().take(shared).collect(),
@@ -294,7 +291,7 @@
         // Every data centre sends long prompts to engines of all. Told once a second of what the others
         // sent, they met at the same engines, which preempted runs: with 79 daemons and a quarter of
         // the engines away 1,829 of 4,400, and 1,446 since all are told.
-        is_for_all: is_saved || is_elsewhere || choice.is_long,
+        is_for_all: is_saved || choice.is_long,
         transfers: choice.transfers.clone(),
     };
     let stands_for = parts.members.borrow().stands_for();
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -118,6 +118,8 @@
     pub upstream_clock: Cell<Option<UpstreamClock>>,
     /// What daemons know of the platform's store through each other.
     pub words: RefCell<SharedWords>,
+    /// Wakes whoever tells the others what this daemon read of the store.
+    pub words_due: Notify,
     /// Changes of the list of upstreams to tell peers.
     pub list_news: RefCell<ListNews>,
     /// When the configuration in force was last seen to be the newest.
@@ -153,6 +155,7 @@
             note_due: Notify::new(),
             upstream_clock: Cell::new(None),
             words: RefCell::default(),
+            words_due: Notify::new(),
             list_news: RefCell::default(),
             config_confirmed: Cell::default(),
             trust: RefCell::default(),
--- a/crates/guava-serve/src/shared_words.rs
+++ b/crates/guava-serve/src/shared_words.rs
@@ -1,43 +1,62 @@
 //! What daemons know of the platform's store through each other.
 //!
-//! Calls to the store are dear, and all daemons would read the same. So a few read, and tell the
-//! others how far they have read and when; the others read only when that shows a change, or when
-//! nobody's word is fresh enough. A word is as old as the read behind it, so readers that are cut
-//! off or gone are noticed by its age alone.
+//! Calls to the store are dear, and all daemons would read the same. So one reads for all data
+//! centres, and tells the others how far it has read and when; the others read only when that shows
+//! a change, or when nobody's word is fresh enough. A word is as old as the read behind it, so a
+//! reader that is cut off or gone is noticed by its age alone: first by its standbys, which then
+//! read for all, and only if these are gone too by everybody.
 
 use guava_types::{Deadline, Moment};
 
-/// Daemons of each data centre that read for all of it. When it is lost the others read themselves
-/// until another one's turn comes, so one is enough.
-pub const READERS: usize = 1;
+/// Daemons that take over when the reader's word grows old. Two, so that the loss of the reader and
+/// one more at the same moment does not make all daemons read at once.
+pub const STANDBYS: usize = 2;
 
 /// How often the store is read, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadPace {
-    /// Pause between two reads of a reader.
+    /// Pause between two reads of the reader.
     pub pause_ms: u64,
-    /// Wait of a read that returns at the next change. Such a read is worth what it was when it was
-    /// asked, so others see its age grow to twice the wait.
+    /// Wait of a read that returns at the next change.
     pub wait_ms: u64,
+    /// Age of a word at which the standbys read.
+    pub standby_ms: u64,
     /// Age at which a word no longer counts.
     pub expiry_ms: u64,
 }
 
-/// Part of the time allowed for a change to be in force after which a reader reads again, and after
-/// which others no longer count on a reader's word. The rest is for the messages between them, a
-/// read of their own, and requests under way.
-const PAUSE_PART: f64 = 0.4;
-const WAIT_PART: f64 = 0.26;
+/// Parts of the time allowed for a change to be in force: after which the reader reads again, from
+/// which the standbys read, and after which nobody counts on a word any more. Between the first two
+/// lies the pause between two words of the reader; between the last two a read of a standby and its
+/// way to the others; the rest is for reads of their own, and requests under way.
+const PAUSE_PART: f64 = 0.36;
+const STANDBY_PART: f64 = 0.55;
 const EXPIRY_PART: f64 = 0.65;
 
 impl ReadPace {
     /// The pace where a change must be in force within so many milliseconds.
     pub fn within(limit_ms: u64) -> Self {
         let part = |part: f64| (limit_ms as f64 * part) as u64;
-        Self { pause_ms: part(PAUSE_PART), wait_ms: part(WAIT_PART), expiry_ms: part(EXPIRY_PART) }
+        Self {
+            pause_ms: part(PAUSE_PART),
+            wait_ms: part(PAUSE_PART),
+            standby_ms: part(STANDBY_PART),
+            expiry_ms: part(EXPIRY_PART),
+        }
     }
 }
 
+/// The moment as of which a read is known to be right that was to wait so many milliseconds for the
+/// first change, and found one or not.
+///
+/// A read that found nothing was answered when its wait was over, no sooner; its word is younger by
+/// that wait than the question. Taken to be as old as the question, a word would look two waits old
+/// before the next one comes, and reads would have to be twice as frequent.
+pub fn read_as_of(asked: Moment, wait_ms: u64, is_empty: bool, answered: Moment) -> Moment {
+    let waited = Deadline::after(asked, wait_ms);
+    if is_empty && waited.passed(answered) { Moment(asked.0 + wait_ms) } else { asked }
+}
+
 /// A state as somebody read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedWord {
@@ -60,6 +79,13 @@
         self.own = Some(SharedWord { state, as_of });
     }
 
+    /// Whether a read that brought this state is to be told at once: it is news, or nobody has read
+    /// for so long that all daemons are about to read themselves.
+    pub fn is_urgent(&self, state: u64, as_of: Moment, pace: ReadPace) -> bool {
+        let is_late = |before: Moment| Deadline::after(before, pace.standby_ms).passed(as_of);
+        self.own.is_some_and(|own| own.state != state) || self.freshest().is_some_and(is_late)
+    }
+
     /// Notes that this daemon's state changed without a read.
     pub fn note_state(&mut self, state: u64) {
         if let Some(own) = &mut self.own {
@@ -92,15 +118,22 @@
         self.own.map(|own| own.as_of).max(heard)
     }
 
-    /// Whether this daemon must read now.
-    pub fn is_due(&self, is_reader: bool, pace: ReadPace, now: Moment) -> bool {
+    /// Whether this daemon's own word is the freshest that it knows.
+    pub fn is_freshest(&self) -> bool {
+        self.own.is_some_and(|own| self.heard.is_none_or(|heard| heard.as_of <= own.as_of))
+    }
+
+    /// Whether a daemon must read now that has this turn among all, 0 first.
+    pub fn is_due(&self, turn: usize, pace: ReadPace, now: Moment) -> bool {
         let (Some(own), Some(confirmed)) = (self.own, self.confirmed()) else { return true };
-        if is_reader {
-            return Deadline::after(own.as_of, pace.pause_ms).passed(now);
-        }
         let is_news = |heard: SharedWord| heard.state != own.state && heard.as_of > own.as_of;
-        let is_expired = Deadline::after(confirmed, pace.expiry_ms).passed(now);
-        self.heard.is_some_and(is_news) || is_expired
+        let is_older = |read: Moment, limit_ms: u64| Deadline::after(read, limit_ms).passed(now);
+        let is_old = match turn {
+            0 => is_older(own.as_of, pace.pause_ms),
+            1..=STANDBYS => is_older(confirmed, pace.standby_ms),
+            _ => is_older(confirmed, pace.expiry_ms),
+        };
+        is_old || self.heard.is_some_and(is_news)
     }
 }
 
--- a/crates/guava-serve/src/work_table.rs
+++ b/crates/guava-serve/src/work_table.rs
@@ -4,13 +4,6 @@
 use guava_policy::{EngineBacklog, LoadTable, UpstreamLoad};
 use guava_types::{Deadline, FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 
-/// A peer that has said nothing for so long is taken to have nothing running, in milliseconds.
-/// Peers speak four times a second, so this is several lost datagrams in a row.
-const PEER_EXPIRY_MS: u64 = 1_500;
-/// The same for peers of other data centres in a large deployment, which speak once a second: by the
-/// shorter time one lost datagram would make all that they have running look gone.
-const FAR_PEER_EXPIRY_MS: u64 = 2_500;
-
 /// How much later than expected a healthy engine's first token may come, in milliseconds: behind
 /// prompts that this daemon has not been told of, or while its batch decodes.
 ///
@@ -167,27 +160,8 @@
         })
     }
 
-    /// Takes in what a peer says of its work.
+    /// Takes in what a peer says of its work; it counts until the peer is silent for too long.
     pub fn note_peer(
-        &mut self,
-        peer: &MemberName,
-        shares: FastMap<UpstreamId, WorkShare>,
-        now: Moment,
-    ) {
-        self.take_shares(peer, shares, Deadline::after(now, PEER_EXPIRY_MS), now);
-    }
-
-    /// The same of a peer in another data centre of a large deployment.
-    pub fn note_far_peer(
-        &mut self,
-        peer: &MemberName,
-        shares: FastMap<UpstreamId, WorkShare>,
-        now: Moment,
-    ) {
-        self.take_shares(peer, shares, Deadline::after(now, FAR_PEER_EXPIRY_MS), now);
-    }
-
-    fn take_shares(
         &mut self,
         peer: &MemberName,
         shares: FastMap<UpstreamId, WorkShare>,
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -118,7 +118,7 @@
         running: 2,
     };
     let shares = FastMap::from_iter([(id("a"), share)]);
-    scene.work.note_peer(&"d2".parse().unwrap(), shares, NOW);
+    scene.work.note_peer(&"d2".parse().unwrap(), shares, NOW.into(), NOW);
 
     let choice = choose(&scene, &[]).unwrap();
 
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -6,8 +6,9 @@
 
 use guava_serve::{
     FetchWait, HeldPart, ListChange, ListNews, ListedChange, MemberNote, OwnNews, PartEvent,
-    PartKey, PeerMessage, SentPrompt, ServeIdentity, ServeParts, SharedWord, UpstreamEntry,
-    WeightVersion, compose_message, compose_note, take_change, take_message,
+    PartKey, PeerMessage, STANDBYS, SentPrompt, ServeIdentity, ServeParts, SharedWord,
+    UpstreamEntry, WeightVersion, WorkShare, compose_message, compose_note, compose_words,
+    take_change, take_message,
 };
 use guava_types::{Moment, TokenCount};
 use support::{address, engine, id, leaving, model, part, serve_parts, store, upstream};
@@ -88,7 +89,7 @@
     one.just_sent.borrow_mut().push(sent.clone());
     one.just_sent.borrow_mut().push(SentPrompt { is_for_all: false, ..sent });
     let note = compose_note(&one, note("d1")).unwrap();
-    let far = note.note_for_relay().unwrap();
+    let far = note.note_for_relay(|sent| sent.is_for_all).unwrap();
 
     pass(&far.clone().relayed(), &two);
 
@@ -288,3 +289,70 @@
     assert!(told.slow_links(NOW).is_empty());
     assert!(told.slowness(store, Moment(NOW.0 + 1_000)) < 1.01);
 }
+
+#[test]
+fn words_of_the_reader_reach_daemons_of_all_data_centres_with_their_age() {
+    // Symptom: five data centres pay for five readers of the same records.
+    // Sequence: words on the store have an age that counts and can't be relayed, so each data centre
+    // had a reader of its own.
+    // Cause: the reader told only those near it.
+    let (reader, far) = (serve_parts("d1"), serve_parts("d2"));
+    far.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 2_000));
+    reader.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 300));
+
+    pass(&compose_words(&reader, note("d1"), NOW).unwrap(), &far);
+
+    let words = far.words.borrow();
+    assert_eq!(words.operator.confirmed(), Some(Moment(NOW.0 - 300)));
+    assert!(compose_words(&far, note("d2"), NOW).is_none(), "its own word is older");
+}
+
+#[test]
+fn words_leave_what_a_daemon_said_before_of_its_work() {
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
+    let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
+    let mut message = compose_message(&one, news("d1"), NOW);
+    message.shares.insert(id("e"), share);
+    pass(&message, &two);
+    one.words.borrow_mut().operator.note_own(12, NOW);
+
+    pass(&compose_words(&one, note("d1"), NOW).unwrap(), &two);
+
+    assert_eq!(two.work.borrow().total(&id("e")).running, 2);
+}
+
+#[test]
+fn daemons_that_come_far_behind_in_turn_tell_no_words() {
+    let one = serve_parts("d1");
+    one.words.borrow_mut().operator.note_own(12, NOW);
+    for place in 0..100 {
+        one.members.borrow_mut().note_heard(note(&format!("other{place}")), NOW);
+    }
+    let turn = one.members.borrow().read_turn(&one.identity.name, NOW);
+    assert!(turn > STANDBYS, "{turn}");
+
+    assert!(compose_words(&one, note("d1"), NOW).is_none());
+}
+
+#[test]
+fn prompt_for_an_engine_elsewhere_concerns_its_data_centre() {
+    let one = serve_parts("d1");
+    let sent = SentPrompt {
+        engine: id("e"),
+        parts: Vec::new(),
+        tokens: TokenCount(17_000),
+        waiting: TokenCount(12_000),
+        priority: 3,
+        is_saved: false,
+        is_for_all: false,
+        transfers: Vec::new(),
+    };
+    one.just_sent.borrow_mut().push(sent);
+    let note = compose_note(&one, note("d1")).unwrap();
+
+    let concerned = note.note_for_relay(|sent| sent.engine == id("e"));
+    let other = note.note_for_relay(|sent| sent.engine == id("f"));
+
+    assert!(concerned.is_some_and(|far| far.is_for_relay && far.sent.len() == 1));
+    assert!(other.is_none());
+}
--- a/crates/guava-serve/tests/shared_words.rs
+++ b/crates/guava-serve/tests/shared_words.rs
@@ -2,11 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_serve::{ReadPace, SharedWord, WordKeeper};
+use guava_serve::{ReadPace, STANDBYS, SharedWord, WordKeeper, read_as_of};
 use guava_types::Moment;
 use yare::parameterized;
 
-const PACE: ReadPace = ReadPace { pause_ms: 800, wait_ms: 500, expiry_ms: 1_300 };
+const PACE: ReadPace =
+    ReadPace { pause_ms: 800, wait_ms: 500, standby_ms: 1_100, expiry_ms: 1_300 };
+/// Turns: the reader's, the last standby's, and one behind it.
+const READER: usize = 0;
+const STANDBY: usize = STANDBYS;
+const OTHER: usize = STANDBYS + 1;
 
 /// A daemon that read state 5 at 10 s.
 fn keeper() -> WordKeeper {
@@ -21,17 +26,19 @@
 
 #[test]
 fn daemon_that_knows_nothing_reads() {
-    assert!(WordKeeper::default().is_due(false, PACE, Moment(1)));
+    assert!(WordKeeper::default().is_due(OTHER, PACE, Moment(1)));
 }
 
 #[parameterized(
-    reader_soon = { true, 10_700, false },
-    reader_after_its_pause = { true, 10_800, true },
-    other_soon = { false, 11_200, false },
-    other_after_the_words_expiry = { false, 11_300, true },
+    reader_soon = { READER, 10_700, false },
+    reader_after_its_pause = { READER, 10_800, true },
+    standby_soon = { STANDBY, 11_000, false },
+    standby_before_the_others = { STANDBY, 11_100, true },
+    other_soon = { OTHER, 11_200, false },
+    other_after_the_words_expiry = { OTHER, 11_300, true },
 )]
-fn readers_read_in_turn_and_others_when_words_are_old(is_reader: bool, now: u64, expected: bool) {
-    assert_eq!(keeper().is_due(is_reader, PACE, Moment(now)), expected);
+fn readers_read_in_turn_and_others_when_words_are_old(turn: usize, now: u64, expected: bool) {
+    assert_eq!(keeper().is_due(turn, PACE, Moment(now)), expected);
 }
 
 #[test]
@@ -41,8 +48,8 @@
     keeper.note_heard(heard(5, 11_000));
 
     assert_eq!(keeper.confirmed(), Some(Moment(11_000)));
-    assert!(!keeper.is_due(false, PACE, Moment(12_200)));
-    assert!(keeper.is_due(false, PACE, Moment(12_300)));
+    assert!(!keeper.is_due(OTHER, PACE, Moment(12_200)));
+    assert!(keeper.is_due(OTHER, PACE, Moment(12_300)));
 }
 
 #[test]
@@ -51,7 +58,7 @@
 
     keeper.note_heard(heard(6, 10_100));
 
-    assert!(keeper.is_due(false, PACE, Moment(10_150)));
+    assert!(keeper.is_due(OTHER, PACE, Moment(10_150)));
 }
 
 #[test]
@@ -60,7 +67,7 @@
 
     keeper.note_heard(heard(4, 9_900));
 
-    assert!(!keeper.is_due(false, PACE, Moment(10_150)));
+    assert!(!keeper.is_due(OTHER, PACE, Moment(10_150)));
     assert_eq!(keeper.confirmed(), Some(Moment(10_000)));
 }
 
@@ -73,21 +80,59 @@
     let mut keeper = keeper();
     keeper.note_heard(heard(5, 10_900));
 
-    let due = (11_000..).find(|now| keeper.is_due(false, pace, Moment(*now))).unwrap();
+    let due = (11_000..).find(|now| keeper.is_due(OTHER, pace, Moment(*now))).unwrap();
 
     assert!(due <= 10_900 + 2_000 * 3 / 4, "{due}");
 }
 
-#[test]
-fn others_do_not_read_while_a_reader_waits_for_changes() {
+#[parameterized(small = { 2_000, 250 }, grown = { 3_000, 500 }, large = { 4_000, 500 })]
+fn others_do_not_read_while_a_reader_waits_for_changes(limit_ms: u64, message_ms: u64) {
     // Symptom: all daemons read the operator's records all the time, though one reads for all.
-    // Sequence: a reader's call waits for the next change; its word is as old as the call, and the
+    // Sequence: the reader's call waits for the next change; its word is as old as the call, and the
     // next word comes only when the next call has ended.
-    // Cause: the wait was as long as a pause, and twice that is older than words may be.
-    let pace = ReadPace::within(2_000);
-    let message_ms = 250;
+    // Cause: the wait was as long as a pause, and with the pause between two words that is older
+    // than words may be.
+    let pace = ReadPace::within(limit_ms);
+
+    let oldest = pace.wait_ms.max(pace.pause_ms) + message_ms;
+
+    assert!(oldest + 10 <= pace.standby_ms, "{oldest} of {}", pace.standby_ms);
+    assert!(pace.standby_ms < pace.expiry_ms);
+}
+
+#[parameterized(
+    nothing_after_the_whole_wait = { true, 10_500, 10_500 },
+    nothing_and_too_soon = { true, 10_300, 10_000 },
+    a_change = { false, 10_700, 10_000 },
+)]
+fn read_that_waited_in_vain_is_right_as_of_its_end(is_empty: bool, answered: u64, expected: u64) {
+    let as_of = read_as_of(Moment(10_000), 500, is_empty, Moment(answered));
+
+    assert_eq!(as_of, Moment(expected));
+}
 
-    let oldest = 2 * pace.wait_ms + message_ms;
+#[test]
+fn standby_reads_for_all_when_the_reader_is_cut_off_from_the_store() {
+    // Symptom: a daemon is cut off from the store alone, and 295 daemons read at the same moment.
+    // Sequence: it is the one that reads for all; its word grows old at all others together.
+    // Cause: nobody was next in turn.
+    let pace = ReadPace::within(4_000);
+    let (mut standby, mut other) = (keeper(), keeper());
+    let taken_over = (10_000..).find(|now| standby.is_due(STANDBY, pace, Moment(*now))).unwrap();
+    let read = taken_over + 150;
+
+    assert!(standby.is_urgent(5, Moment(read), pace));
+    standby.note_own(5, Moment(read));
+    other.note_heard(standby.own().unwrap());
+
+    assert!(!(10_000..read).any(|now| other.is_due(OTHER, pace, Moment(now))));
+    assert!(!other.is_due(OTHER, pace, Moment(read + pace.expiry_ms - 1)));
+}
+
+#[test]
+fn news_is_told_at_once_and_the_rest_now_and_then() {
+    let keeper = keeper();
 
-    assert!(oldest + 10 <= pace.expiry_ms, "{oldest} of {}", pace.expiry_ms);
+    assert!(keeper.is_urgent(6, Moment(10_100), PACE));
+    assert!(!keeper.is_urgent(5, Moment(10_100), PACE));
 }
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -11,7 +11,7 @@
     SlowLink, StoreTransfer, StoreWord, UpstreamTable, WeightVersion, WorkShare, WorkTable,
     choose_instance, draw_service, first_answer_patience, return_after_ms,
 };
-use guava_types::{FastMap, Moment, TokenCount};
+use guava_types::{Deadline, FastMap, Moment, TokenCount};
 use std::rc::Rc;
 use support::{address, customer, engine, id, model, request, route, upstream};
 use yare::parameterized;
@@ -208,8 +208,9 @@
 
     first.sort_unstable();
     second.sort_unstable();
-    assert_eq!(first, [address(11), address(21)]);
-    assert_eq!(second, [address(12), address(21)]);
+    let relay = |centre: &str, port| (centre.parse().unwrap(), address(port));
+    assert_eq!(first, [relay("south", 21), relay("west", 11)]);
+    assert_eq!(second, [relay("south", 21), relay("west", 12)]);
 }
 
 #[test]
@@ -287,8 +288,8 @@
     let mut work = WorkTable::default();
     let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
     let shares = FastMap::from_iter([(id("e"), share)]);
-    work.note_peer(&"d2".parse().unwrap(), shares.clone(), Moment(1_000));
-    work.note_peer(&"d2".parse().unwrap(), shares, Moment(1_250));
+    work.note_peer(&"d2".parse().unwrap(), shares.clone(), Moment(2_500).into(), Moment(1_000));
+    work.note_peer(&"d2".parse().unwrap(), shares, Moment(2_750).into(), Moment(1_250));
     assert_eq!(work.total(&id("e")).running, 2);
 
     work.sweep(Moment(3_000), |_| true);
@@ -302,8 +303,11 @@
     // Sequence: those speak once a second; one of their datagrams is lost.
     // Cause: after 1.5 s of silence all their work was taken to be over.
     let mut work = WorkTable::default();
+    let members = MemberTable::new("east".parse().unwrap());
     let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
-    work.note_far_peer(&"d2".parse().unwrap(), FastMap::from_iter([(id("e"), share)]), Moment(0));
+    let shares = FastMap::from_iter([(id("e"), share)]);
+    let silent_at = Deadline::after(Moment(0), members.silent_ms(&"west".parse().unwrap()));
+    work.note_peer(&"d2".parse().unwrap(), shares, silent_at, Moment(0));
 
     work.sweep(Moment(2_200), |_| true);
     let missed_one = work.total(&id("e")).running;
@@ -372,3 +376,58 @@
     assert!(rank(None, 0) < rank(None, 1));
     assert!(rank(None, 0) < rank(Some(1), 0));
 }
+
+/// A table in a data centre of five that hold so many daemons in all.
+fn fleet(daemons: u16) -> MemberTable {
+    let centres = ["east", "west", "south", "north", "middle"];
+    let mut members = MemberTable::new("east".parse().unwrap());
+    for place in 0..daemons {
+        let centre = centres[usize::from(place) % centres.len()];
+        members.note_heard(far_note(&format!("d{place}"), centre, 1_000 + place), Moment(10_000));
+    }
+    members
+}
+
+#[parameterized(thirty = { 30 }, hundred = { 100 }, three_hundred = { 300 }, thousand = { 1_000 })]
+fn messages_that_a_daemon_gets_are_bounded_whatever_the_fleets_size(daemons: u16) {
+    // Symptom: with 300 daemons a VM with 0.12 of a core spends all of it on messages.
+    // Sequence: each daemon speaks four times a second to those near it, and once to all others.
+    // Cause: the pauses were the same however many speak.
+    let members = fleet(daemons);
+    let near = f64::from(daemons) / 5.0;
+    let far = f64::from(daemons) - near;
+
+    let near_per_s = near * 1_000.0 / members.near_pause_ms() as f64;
+    let far_per_s = far * 1_000.0 / members.far_pause_ms() as f64;
+
+    assert!(near_per_s <= 126.0 && far_per_s <= 126.0, "{near_per_s} and {far_per_s}");
+}
+
+#[test]
+fn daemons_that_speak_more_rarely_are_not_taken_for_gone() {
+    let members = fleet(300);
+
+    assert!(members.silent_ms(&"east".parse().unwrap()) >= 3 * members.near_pause_ms());
+    assert!(members.silent_ms(&"west".parse().unwrap()) >= 2 * members.far_pause_ms());
+    assert_eq!(fleet(80).near_pause_ms(), 250);
+    assert_eq!(fleet(80).far_pause_ms(), 1_000);
+}
+
+#[test]
+fn daemon_that_starts_in_a_crowd_takes_no_turn_of_others() {
+    // Symptom: after 295 daemons started together each read the store for all, and told all others.
+    // Sequence: a daemon reads the others' records, and has not heard any of them yet.
+    // Cause: only those that were heard came before it in turn.
+    let me = "d0".parse().unwrap();
+    let mut members = MemberTable::new("east".parse().unwrap());
+    let started = Moment(10_000);
+    for place in 1..100 {
+        members.note_record(far_note(&format!("d{place}"), "west", 1_000 + place), started);
+    }
+
+    let turn = members.read_turn(&me, started);
+    let later = members.read_turn(&me, Moment(started.0 + 10_000));
+
+    assert!(turn > 0, "{turn}");
+    assert_eq!(later, 0, "none of them was ever heard");
+}
