--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -34,6 +34,7 @@
 mod ports;
 mod prefill_rate;
 mod request_plan;
+mod retry_pause;
 mod retry_shares;
 mod rollout_state;
 mod serve_config;
@@ -81,6 +82,7 @@
 };
 pub use prefill_rate::PrefillRate;
 pub use request_plan::draw_service;
+pub use retry_pause::{RetryPause, is_read_urgent};
 pub use retry_shares::{RetryLimit, RetryShares};
 pub use rollout_state::{VersionRollout, useless_salt};
 pub use serve_config::{
--- a/crates/guava-serve/src/order_duty.rs
+++ b/crates/guava-serve/src/order_duty.rs
@@ -26,11 +26,12 @@
 const TERM_MS: u64 = 1_200;
 /// The lease is asked for anew when less than this is left, in milliseconds.
 const RENEW_MS: u64 = 700;
-/// Wait of one read by a daemon that watches the lease, in milliseconds.
+/// Pause between two reads of a daemon that watches the lease, in milliseconds. A read that waits for
+/// the next record would return at each renewal, twice a second.
 const WATCH_MS: u64 = 700;
-/// Daemons that watch the lease, to take it over when its holder is gone: reads are dear, and all
-/// of three daemons are rarely lost at once. If they are, others take their turns.
-const STANDBYS: usize = 3;
+/// Daemons that watch the lease, to take it over when its holder is gone: reads are dear, and its
+/// holder and two more are rarely lost at once. If they are, others take their turns.
+const STANDBYS: usize = 2;
 /// Daemons ask for a free lease one after the other, so many milliseconds apart.
 const TURN_MS: u64 = 120;
 
@@ -134,9 +135,11 @@
             return Ok(());
         }
         if !is_holder {
-            // Only one daemon orders; the others learn of a renewal once it is written.
-            let wait_ms = if self.is_read { WATCH_MS } else { 0 };
-            self.read_lease(wait_ms).await?;
+            // Only one daemon orders; the others look now and then whether it still does.
+            if self.is_read {
+                sleep(Duration::from_millis(WATCH_MS)).await;
+            }
+            self.read_lease(0).await?;
             self.is_read = true;
         }
         let now = Moment::now();
--- /dev/null
+++ b/crates/guava-serve/src/retry_pause.rs
@@ -0,0 +1,55 @@
+//! How long a daemon pauses between calls to the platform's store that fail.
+//!
+//! A store that is down or turns a daemon away is asked again by every daemon of the deployment, and
+//! each refused call is paid for. The reader and its standbys ask often, since the others learn from
+//! them that the store is back; so does a daemon that has no configuration and serves nothing. The
+//! others ask ever more rarely.
+
+use crate::serve_parts::ServeParts;
+use crate::shared_words::STANDBYS;
+use guava_types::Moment;
+use std::time::Duration;
+
+/// The first pause, in milliseconds: lost answers and short refusals are over by then.
+const FIRST_MS: u64 = 250;
+/// The longest pause of a daemon on which others wait, in milliseconds: listed upstreams that lapsed
+/// are to be back two seconds after the store is.
+const URGENT_MOST_MS: u64 = 500;
+/// The longest pause of the others, in milliseconds. They may be behind for so long after the store
+/// is back, and must not be for longer than about three seconds.
+const MOST_MS: u64 = 1_600;
+
+/// The pause after the next failure.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryPause {
+    next_ms: u64,
+}
+
+impl Default for RetryPause {
+    fn default() -> Self {
+        Self { next_ms: FIRST_MS }
+    }
+}
+
+impl RetryPause {
+    /// Notes that a call succeeded.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The pause after one more failure, twice as long as the one before; `draw` in 0..1 spreads
+    /// daemons that lost the store together by a quarter, so that they don't return together.
+    pub fn after_failure(&mut self, is_urgent: bool, draw: f64) -> Duration {
+        let most_ms = if is_urgent { URGENT_MOST_MS } else { MOST_MS };
+        let pause_ms = self.next_ms.min(most_ms);
+        self.next_ms = pause_ms * 2;
+        Duration::from_millis(pause_ms + (pause_ms as f64 * draw / 4.0) as u64)
+    }
+}
+
+/// Whether others wait for what this daemon reads of the store, or it can't serve without.
+pub fn is_read_urgent(parts: &ServeParts) -> bool {
+    let has_config = parts.config.borrow().current().is_some();
+    let turn = parts.members.borrow().read_turn(&parts.identity.name, Moment::now());
+    !has_config || turn <= STANDBYS
+}
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -20,9 +20,15 @@
 
 /// The deployment with so many daemons, all ready.
 fn deploy(daemons: usize) -> (PlatformDeployment, Vec<DaemonProcess>) {
+    deploy_with(daemons, StoreFault::None)
+}
+
+/// The same while something is wrong at the store.
+fn deploy_with(daemons: usize, fault: StoreFault) -> (PlatformDeployment, Vec<DaemonProcess>) {
     let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let mut deployment = PlatformDeployment::start(program, folder, &SERVERS);
+    deployment.store.set_fault(fault);
     let started: Vec<DaemonProcess> = (0..daemons).map(|_| deployment.daemon().unwrap()).collect();
     for daemon in &started {
         wait_until("a daemon is ready", || is_ready(daemon));
@@ -383,3 +389,37 @@
     let metrics = ask(daemon.metrics, "/metrics").unwrap();
     assert!(metrics.body.contains("bad_records_total{kind=\"item\"}"), "{}", metrics.body);
 }
+
+fn count_logged(daemon: &DaemonProcess, event: &str) -> usize {
+    daemon.lines().iter().filter(|line| line.contains(event)).count()
+}
+
+#[test]
+fn daemons_that_start_together_find_each_other() {
+    // Symptom: prompts meet at the same engines, each daemon reads the store for itself, and retries
+    // are over their common budget.
+    // Sequence: some daemons start in the same moment; each reads the others' records first, and
+    // writes its own after that.
+    // Cause: of two that read before either wrote, neither ever learnt of the other.
+    let count = 4;
+
+    let (_deployment, daemons) = deploy_with(count, StoreFault::SlowAppends);
+
+    for daemon in &daemons {
+        wait_until("all others are heard", || count_logged(daemon, "G8201") >= count - 1);
+    }
+}
+
+#[test]
+fn daemon_that_starts_again_is_registered_by_its_old_record() {
+    let (_deployment, mut daemons) = deploy(2);
+    let registered = |daemon: &DaemonProcess| count_logged(daemon, "G9104");
+    let is_settled = |daemon| registered(daemon) == 1 && count_logged(daemon, "G8201") == 1;
+    wait_until("they are registered and heard", || daemons.iter().all(is_settled));
+
+    daemons[0].restart().unwrap();
+    wait_until("it is ready again", || is_ready(&daemons[0]));
+    wait_until("it hears the other", || count_logged(&daemons[0], "G8201") == 2);
+
+    assert_eq!(registered(&daemons[0]), 1);
+}
