--- a/crates/guava-serve/src/part_duty.rs
+++ b/crates/guava-serve/src/part_duty.rs
@@ -4,6 +4,7 @@
 use crate::ports::{FreeOrder, PartPort, PortError};
 use crate::rollout_state::useless_salt;
 use crate::serve_parts::{ServeParts, UpstreamClock};
+use crate::shared_words::read_as_of;
 use guava_log::log_event;
 use guava_types::{FastMap, Moment};
 use std::cell::RefCell;
@@ -127,8 +128,9 @@
         *since = list.next;
         return Ok(true);
     }
+    let as_of = read_as_of(asked, WAIT_MS, report.events.is_empty(), now);
     let mut index = parts.parts.borrow_mut();
-    if !index.note_events(store, report.epoch, report.events, asked) {
+    if !index.note_events(store, report.epoch, report.events, as_of) {
         // It restarted, so its numbers begin anew.
         *since = 0;
         return Ok(false);
