feat: daemons that leave hand over their duties; longer pauses after refused calls

Change: who was ready and is no more does not count in turns of others, and goes on itself until it ends. The first pause of those on whom nobody waits is 0.8 s.

--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -53,6 +53,8 @@
     /// Nothing if it is only known by its record in the store.
     heard: Option<Moment>,
     listed: Moment,
+    /// Whether it was ready and is no more: it is about to end.
+    is_leaving: bool,
 }
 
 /// The other daemons.
@@ -97,8 +99,12 @@
     /// Takes in a daemon's record in the store; what the daemon says itself goes first.
     pub fn note_record(&mut self, note: MemberNote, now: Moment) {
         let entry = self.members.entry(note.name.clone());
-        let entry =
-            entry.or_insert_with(|| MemberEntry { note: note.clone(), heard: None, listed: now });
+        let entry = entry.or_insert_with(|| MemberEntry {
+            note: note.clone(),
+            heard: None,
+            listed: now,
+            is_leaving: false,
+        });
         if entry.heard.is_none() {
             entry.note = note;
         }
@@ -107,10 +113,13 @@
 
     /// Takes in what a daemon says; whether it was silent or unknown before.
     pub fn note_heard(&mut self, note: MemberNote, now: Moment) -> bool {
-        let before = self.members.get(&note.name).and_then(|entry| entry.heard);
+        let entry = self.members.get(&note.name);
+        let before = entry.and_then(|entry| entry.heard);
+        let was_serving = entry.is_some_and(|entry| entry.note.is_ready || entry.is_leaving);
+        let is_leaving = was_serving && !note.is_ready;
         let silent_ms = self.silent_ms(&note.data_centre);
         let name = note.name.clone();
-        let entry = MemberEntry { note, heard: Some(now), listed: now };
+        let entry = MemberEntry { note, heard: Some(now), listed: now, is_leaving };
         if self.members.insert(name, entry).is_none() {
             self.count_near();
         }
@@ -222,12 +231,19 @@
     ) -> usize {
         let weight = |name: &MemberName| rendezvous_weight(&(subject, name), 1.0);
         let own = weight(me);
-        let expected = self.members.values().filter(|entry| self.is_expected(entry, now));
+        let expected = self.members.values().filter(|entry| self.has_duties(entry, now));
         let others = expected.map(|entry| &entry.note);
         let others = others.filter(|note| note.name != *me && counts(note));
         others.filter(|note| weight(&note.name) > own).count()
     }
 
+    /// Whether duties are shared with a daemon. One that leaves hands its duties over while it still
+    /// does them itself; taken over only once it is silent, what it read and followed for others would
+    /// be too old by then.
+    fn has_duties(&self, entry: &MemberEntry, now: Moment) -> bool {
+        !entry.is_leaving && self.is_expected(entry, now)
+    }
+
     /// Whether a daemon lives as far as can be told, or has only just been found: one that starts
     /// hears nobody yet, and would do every duty of a daemon that is alone.
     fn is_expected(&self, entry: &MemberEntry, now: Moment) -> bool {
--- a/crates/guava-serve/src/retry_pause.rs
+++ b/crates/guava-serve/src/retry_pause.rs
@@ -10,8 +10,12 @@
 use guava_types::Moment;
 use std::time::Duration;
 
-/// The first pause, in milliseconds: lost answers and short refusals are over by then.
+/// The first pause of a daemon on which others wait, in milliseconds: lost answers and short
+/// refusals are over by then.
 const FIRST_MS: u64 = 250;
+/// The first pause of the others, in milliseconds: if the store is away for all, the reader tells
+/// when it is back.
+const OTHER_FIRST_MS: u64 = 800;
 /// The longest pause of a daemon on which others wait, in milliseconds: listed upstreams that lapsed
 /// are to be back two seconds after the store is.
 const URGENT_MOST_MS: u64 = 500;
@@ -20,17 +24,12 @@
 const MOST_MS: u64 = 1_600;
 
 /// The pause after the next failure.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RetryPause {
+    /// Zero after a success.
     next_ms: u64,
 }
 
-impl Default for RetryPause {
-    fn default() -> Self {
-        Self { next_ms: FIRST_MS }
-    }
-}
-
 impl RetryPause {
     /// Notes that a call succeeded.
     pub fn reset(&mut self) {
@@ -40,8 +39,9 @@
     /// The pause after one more failure, twice as long as the one before; `draw` in 0..1 spreads
     /// daemons that lost the store together by a quarter, so that they don't return together.
     pub fn after_failure(&mut self, is_urgent: bool, draw: f64) -> Duration {
-        let most_ms = if is_urgent { URGENT_MOST_MS } else { MOST_MS };
-        let pause_ms = self.next_ms.min(most_ms);
+        let (first_ms, most_ms) =
+            if is_urgent { (FIRST_MS, URGENT_MOST_MS) } else { (OTHER_FIRST_MS, MOST_MS) };
+        let pause_ms = self.next_ms.clamp(first_ms, most_ms);
         self.next_ms = pause_ms * 2;
         Duration::from_millis(pause_ms + (pause_ms as f64 * draw / 4.0) as u64)
     }
--- a/crates/guava-serve/tests/retry_pause.rs
+++ b/crates/guava-serve/tests/retry_pause.rs
@@ -29,19 +29,19 @@
     let other = calls_in(8_000, false);
 
     assert!((14..=18).contains(&urgent), "{urgent}");
-    assert!(other <= 8, "{other}");
+    assert!(other <= 6, "{other}");
 }
 
 #[test]
 fn one_lost_answer_is_made_up_for_at_once() {
     let mut retry = RetryPause::default();
     for _ in 0..5 {
-        retry.after_failure(false, 0.0);
+        retry.after_failure(true, 0.0);
     }
 
     retry.reset();
 
-    assert_eq!(retry.after_failure(false, 0.0).as_millis(), 250);
+    assert_eq!(retry.after_failure(true, 0.0).as_millis(), 250);
 }
 
 #[test]
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -434,3 +434,39 @@
     assert!(turn > 0, "{turn}");
     assert_eq!(later, 0, "none of them was ever heard");
 }
+
+#[test]
+fn daemon_that_leaves_hands_its_duties_over_before_it_is_silent() {
+    // Symptom: while all VMs are restarted in turn, daemons read the store for themselves and prompts
+    // are read again.
+    // Sequence: the daemon that reads for all is told to stop; it is silent some seconds later, and
+    // not followed by another before that.
+    // Cause: it counted in turns for as long as it was heard.
+    let names = ["d1", "d2"];
+    let now = Moment(10_000);
+    let table = |me: &str, is_other_ready: bool| {
+        let mut members = MemberTable::new("east".parse().unwrap());
+        let other = names.iter().find(|name| **name != me).unwrap();
+        members.note_heard(note(other, true), now);
+        members.note_heard(note(other, is_other_ready), now);
+        members.read_turn(&me.parse().unwrap(), now)
+    };
+    let first = *names.iter().find(|name| table(name, true) == 0).unwrap();
+    let second = *names.iter().find(|name| **name != first).unwrap();
+
+    let turn_of_second = table(second, false);
+
+    assert_eq!(turn_of_second, 0);
+    assert_eq!(table(first, true), 0, "who leaves goes on as before");
+}
+
+#[test]
+fn daemon_that_has_just_started_is_not_taken_for_one_that_leaves() {
+    let mut members = MemberTable::new("east".parse().unwrap());
+    let now = Moment(10_000);
+    for place in 0..50 {
+        members.note_heard(note(&format!("d{place}"), false), now);
+    }
+
+    assert!(members.read_turn(&"d99".parse().unwrap(), now) > 0);
+}
