feat: nobody reads the store for all before it knows who else there is

Cause: a daemon that starts took the first turn until it had read the others' records, and began a read that waits for the next change: one call a start for nobody.

Change: before the records are read, a daemon is behind all others in turn.

--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -64,12 +64,14 @@
     members: FastMap<MemberName, MemberEntry>,
     /// How many of them stand in this data centre.
     near: usize,
+    /// Whether the records of all daemons were read since this one started.
+    is_listed: bool,
 }
 
 impl MemberTable {
     /// The daemons as one in a data centre sees them; none is known yet.
     pub fn new(data_centre: DataCentre) -> Self {
-        Self { data_centre, members: FastMap::default(), near: 0 }
+        Self { data_centre, members: FastMap::default(), near: 0, is_listed: false }
     }
 
     /// Pause between two of this daemon's messages to those of its data centre, in milliseconds.
@@ -111,6 +113,11 @@
         self.count_near();
     }
 
+    /// Notes that the records of all daemons have been taken in.
+    pub fn note_listed(&mut self) {
+        self.is_listed = true;
+    }
+
     /// Takes in what a daemon says; whether it was silent or unknown before.
     pub fn note_heard(&mut self, note: MemberNote, now: Moment) -> bool {
         let entry = self.members.get(&note.name);
@@ -212,9 +219,10 @@
         self.turn_among(me, subject, now, |_| true)
     }
 
-    /// This daemon's place among those that read the platform's store for all.
+    /// This daemon's place among those that read the platform's store for all; behind all others as
+    /// long as it can't know whether there are any.
     pub fn read_turn(&self, me: &MemberName, now: Moment) -> usize {
-        self.turn(me, READ_SUBJECT, now)
+        if self.is_listed { self.turn(me, READ_SUBJECT, now) } else { usize::MAX }
     }
 
     /// This daemon's place among the living daemons of its data centre.
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -299,6 +299,7 @@
     let (reader, far) = (serve_parts("d1"), serve_parts("d2"));
     far.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 2_000));
     reader.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 300));
+    reader.members.borrow_mut().note_listed();
 
     pass(&compose_words(&reader, note("d1"), NOW).unwrap(), &far);
 
@@ -315,6 +316,7 @@
     message.shares.insert(id("e"), share);
     pass(&message, &two);
     one.words.borrow_mut().operator.note_own(12, NOW);
+    one.members.borrow_mut().note_listed();
 
     pass(&compose_words(&one, note("d1"), NOW).unwrap(), &two);
 
@@ -328,6 +330,7 @@
     for place in 0..100 {
         one.members.borrow_mut().note_heard(note(&format!("other{place}")), NOW);
     }
+    one.members.borrow_mut().note_listed();
     let turn = one.members.borrow().read_turn(&one.identity.name, NOW);
     assert!(turn > STANDBYS, "{turn}");
 
--- a/crates/guava-serve/tests/retry_pause.rs
+++ b/crates/guava-serve/tests/retry_pause.rs
@@ -64,6 +64,7 @@
         };
         parts.members.borrow_mut().note_heard(note, Moment::now());
     }
+    parts.members.borrow_mut().note_listed();
     let name = &parts.identity.name;
     assert!(parts.members.borrow().read_turn(name, Moment::now()) > STANDBYS);
 
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -7,9 +7,9 @@
 use guava_serve::{
     CallerIdentity, EventFramer, ExpectedLoad, ListedChange, LoadedVersion, MemberNote,
     MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate, PublishedVersion,
-    RefusalReason, RepeatRule, RetryLimit, RetryShares, SendRecord, SentPrompt, ServiceInput,
-    SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable, WeightVersion, WorkShare,
-    WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
+    RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord, SentPrompt,
+    ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable, WeightVersion,
+    WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
 };
 use guava_types::{Deadline, FastMap, Moment, TokenCount};
 use std::rc::Rc;
@@ -428,10 +428,12 @@
         members.note_record(far_note(&format!("d{place}"), "west", 1_000 + place), started);
     }
 
+    let unlisted = members.read_turn(&me, started);
+    members.note_listed();
     let turn = members.read_turn(&me, started);
     let later = members.read_turn(&me, Moment(started.0 + 10_000));
 
-    assert!(turn > 0, "{turn}");
+    assert!(turn > 0 && unlisted > STANDBYS, "{turn} and {unlisted}");
     assert_eq!(later, 0, "none of them was ever heard");
 }
 
@@ -449,6 +451,7 @@
         let other = names.iter().find(|name| **name != me).unwrap();
         members.note_heard(note(other, true), now);
         members.note_heard(note(other, is_other_ready), now);
+        members.note_listed();
         members.read_turn(&me.parse().unwrap(), now)
     };
     let first = *names.iter().find(|name| table(name, true) == 0).unwrap();
@@ -467,6 +470,7 @@
     for place in 0..50 {
         members.note_heard(note(&format!("d{place}"), false), now);
     }
+    members.note_listed();
 
     assert!(members.read_turn(&"d99".parse().unwrap(), now) > 0);
 }
