feat: any number of changes of the list is told, in several datagrams

Change: changes are kept up to 1,000 and told 40 a datagram; the digest goes with the last. A summary says nothing of the list while there are more. The new test plays 160 changes; it was not run on the code before, whose limit of 30 it exceeds.

--- a/crates/guava-serve/src/list_news.rs
+++ b/crates/guava-serve/src/list_news.rs
@@ -7,8 +7,12 @@
 /// For how long a change is told, in milliseconds: a few messages, so that a lost one is made up
 /// for. Who misses all of them notices by the list's digest, and reads the list.
 const TOLD_MS: u64 = 1_200;
-/// Changes told in one message at most; about a hundred bytes each.
-const MOST_TOLD: usize = 30;
+/// Changes told in one datagram at most; about a hundred bytes each.
+pub(crate) const MOST_TOLD: usize = 40;
+/// Changes remembered at most. A quarter of some hundred upstreams may be lost or added in one moment,
+/// and whoever is not told of each reads the list: 295 daemons read it three times when the fleet
+/// started, when no more changes were kept than one datagram holds.
+const MOST_KEPT: usize = 1_000;
 
 /// The changes.
 #[derive(Debug, Default)]
@@ -19,13 +23,13 @@
 impl ListNews {
     /// Notes a change.
     pub fn note(&mut self, change: ListedChange, now: Moment) {
-        if self.changes.len() >= MOST_TOLD {
+        if self.changes.len() >= MOST_KEPT {
             self.changes.pop_front();
         }
         self.changes.push_back((change, Deadline::after(now, TOLD_MS)));
     }
 
-    /// The changes to tell now.
+    /// The changes to tell now; more than one datagram holds, if many came at once.
     pub fn told(&mut self, now: Moment) -> Vec<ListedChange> {
         while self.changes.front().is_some_and(|(_, until)| until.passed(now)) {
             self.changes.pop_front();
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -71,7 +71,7 @@
 pub async fn tell_words(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
     loop {
         let now = Moment::now();
-        if let Some(words) = compose_words(&parts, own_note(&state), now) {
+        for words in compose_words(&parts, &own_note(&state), now) {
             send_to_all(&socket, &words.encode(now), &parts, false).await;
         }
         let pause = Duration::from_millis(WORDS_PAUSE_MS);
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -1,6 +1,7 @@
 //! What a daemon tells its peers, and what it takes from their messages.
 
 use crate::events;
+use crate::list_news::MOST_TOLD;
 use crate::member_table::MemberNote;
 use crate::part_index::StoreWord;
 use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
@@ -50,6 +51,9 @@
         age_ms: now.millis_since(target.learned),
     });
     let words = parts.words.borrow();
+    let listed = parts.list_news.borrow_mut().told(now);
+    // A digest without all changes behind it would make everybody read the list.
+    let is_list_told = listed.len() <= MOST_TOLD;
     PeerMessage {
         note: news.note,
         shares,
@@ -58,10 +62,10 @@
         targets: published.collect(),
         stores: store_words(parts, &news.followed, news.number),
         operator: words.operator.own(),
-        list: words.list.own(),
+        list: words.list.own().filter(|_| is_list_told),
         loaded: news.loaded,
         clock_ms: parts.upstream_clock_in(0, now),
-        listed: parts.list_news.borrow_mut().told(now),
+        listed: if is_list_told { listed } else { Vec::new() },
         slow_links: parts.links.borrow().slow_links(now),
         is_note: false,
         is_for_relay: false,
@@ -100,20 +104,29 @@
     Some(PeerMessage { sent, loading, ..empty_note(note) })
 }
 
-/// What this daemon has read of the platform's store, if it reads for all: told to the daemons of
-/// all data centres directly, since a relay that is suspended would pass an old word on as a new one.
-pub fn compose_words(parts: &ServeParts, note: MemberNote, now: Moment) -> Option<PeerMessage> {
+/// What this daemon has read of the platform's store, if it reads for all; in several messages where
+/// the list changed much. Told to the daemons of all data centres directly, since a relay that is
+/// suspended would pass an old word on as a new one.
+pub fn compose_words(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
     if parts.members.borrow().read_turn(&parts.identity.name, now) > STANDBYS {
-        return None;
+        return Vec::new();
     }
     let words = parts.words.borrow();
     let freshest = |keeper: &WordKeeper| keeper.own().filter(|_| keeper.is_freshest());
     let (operator, list) = (freshest(&words.operator), freshest(&words.list));
     if operator.is_none() && list.is_none() {
-        return None;
+        return Vec::new();
     }
     let listed = parts.list_news.borrow_mut().told(now);
-    Some(PeerMessage { operator, list, listed, ..empty_note(note) })
+    let told = |listed: &[ListedChange]| PeerMessage {
+        listed: listed.to_vec(),
+        ..empty_note(note.clone())
+    };
+    let mut messages: Vec<PeerMessage> = listed.chunks(MOST_TOLD).map(told).collect();
+    // The digest goes with the last of the changes that lead to it.
+    let last = messages.pop().unwrap_or_else(|| told(&[]));
+    messages.push(PeerMessage { operator, list, ..last });
+    messages
 }
 
 fn store_words(parts: &ServeParts, followed: &[SocketAddr], number: u64) -> Vec<StoreWord> {
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,10 +5,10 @@
 mod support;
 
 use guava_serve::{
-    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MemberNote, OwnNews, PartEvent,
-    PartKey, PartSave, PeerMessage, STANDBYS, SentPrompt, ServeIdentity, ServeParts, SharedWord,
-    UpstreamEntry, WeightVersion, WorkShare, compose_message, compose_note, compose_words,
-    take_change, take_message,
+    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MAX_DATAGRAM_BYTES, MemberNote,
+    OwnNews, PartEvent, PartKey, PartSave, PeerMessage, STANDBYS, SentPrompt, ServeIdentity,
+    ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare, compose_message, compose_note,
+    compose_words, take_change, take_message,
 };
 use guava_types::{Moment, TokenCount};
 use support::{address, engine, id, leaving, model, part, serve_parts, store, upstream};
@@ -301,11 +301,11 @@
     reader.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 300));
     reader.members.borrow_mut().note_listed();
 
-    pass(&compose_words(&reader, note("d1"), NOW).unwrap(), &far);
+    compose_words(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &far));
 
     let words = far.words.borrow();
     assert_eq!(words.operator.confirmed(), Some(Moment(NOW.0 - 300)));
-    assert!(compose_words(&far, note("d2"), NOW).is_none(), "its own word is older");
+    assert!(compose_words(&far, &note("d2"), NOW).is_empty(), "its own word is older");
 }
 
 #[test]
@@ -318,7 +318,7 @@
     one.words.borrow_mut().operator.note_own(12, NOW);
     one.members.borrow_mut().note_listed();
 
-    pass(&compose_words(&one, note("d1"), NOW).unwrap(), &two);
+    compose_words(&one, &note("d1"), NOW).iter().for_each(|words| pass(words, &two));
 
     assert_eq!(two.work.borrow().total(&id("e")).running, 2);
 }
@@ -334,7 +334,7 @@
     let turn = one.members.borrow().read_turn(&one.identity.name, NOW);
     assert!(turn > STANDBYS, "{turn}");
 
-    assert!(compose_words(&one, note("d1"), NOW).is_none());
+    assert!(compose_words(&one, &note("d1"), NOW).is_empty());
 }
 
 #[test]
@@ -359,3 +359,35 @@
     assert!(concerned.is_some_and(|far| far.is_for_relay && far.sent.len() == 1));
     assert!(other.is_none());
 }
+
+#[test]
+fn many_changes_at_once_spare_the_others_a_read_of_the_list() {
+    // Symptom: 295 daemons read the list three times when a fleet starts.
+    // Sequence: some hundred upstreams are listed within a second; the reader tells what one datagram
+    // holds, and the digest of them all.
+    // Cause: changes beyond that were forgotten, and the digest differed at all others.
+    let (reader, other) = (serve_parts("d1"), serve_parts("d2"));
+    reader.members.borrow_mut().note_listed();
+    for parts in [&reader, &other] {
+        let digest = parts.upstreams.borrow().digest();
+        parts.words.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
+    }
+    for number in 0..160 {
+        let change = ListedChange::Entry(upstream(&format!("u{number}"), "app"));
+        take_change(&reader, change.clone(), NOW);
+        reader.list_news.borrow_mut().note(change, NOW);
+    }
+    let digest = reader.upstreams.borrow().digest();
+    reader.words.borrow_mut().list.note_own(digest, NOW);
+
+    let summary = compose_message(&reader, news("d1"), NOW);
+    let words = compose_words(&reader, &note("d1"), NOW);
+    words.iter().for_each(|words| pass(words, &other));
+
+    assert!(summary.list.is_none() && summary.listed.is_empty());
+    assert!(words.iter().all(|words| words.encode(NOW).len() <= MAX_DATAGRAM_BYTES));
+    assert_eq!(other.upstreams.borrow().digest(), digest);
+    let mut known = other.words.borrow_mut();
+    known.list.note_state(digest);
+    assert_eq!(known.list.confirmed(), Some(NOW));
+}
