feat: followers of stores greet daemons that start

Following all stores until the others are heard makes 295 daemons list 47 stores at once after all were lost; a list stalls a store, and a store answers a dozen at a time.

Change: turns at following count daemons known by their records again; who follows a store tells a daemon of its data centre that it has just heard all that the store holds, at once and directly.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -72,7 +72,8 @@
 pub use patience::{first_answer_patience, return_after_ms};
 pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
 pub use peer_exchange::{
-    OwnNews, compose_message, compose_note, compose_words, take_change, take_message, take_version,
+    OwnNews, compose_greeting, compose_message, compose_note, compose_words, take_change,
+    take_message, take_version,
 };
 pub use peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -225,16 +225,10 @@
         if self.is_listed { self.turn(me, READ_SUBJECT, now) } else { usize::MAX }
     }
 
-    /// This daemon's place among the living daemons of its data centre, to follow a store.
-    ///
-    /// Those that are only known by their records don't count: a daemon that starts follows all stores
-    /// until it hears the others, and so knows at once what they hold. Told by the others alone, it
-    /// would know after three seconds, and with VMs restarted in turn and all lost once 32.9 million
-    /// tokens were read again on a day where 24.5 had been.
+    /// This daemon's place among the daemons of its data centre that share a duty.
     pub fn near_turn(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
         let is_near = |entry: &MemberEntry| entry.note.data_centre == self.data_centre;
-        let is_heard = |entry: &MemberEntry| entry.heard.is_some() && self.has_duties(entry, now);
-        self.turn_among(me, subject, |entry| is_near(entry) && is_heard(entry))
+        self.turn_among(me, subject, |entry| is_near(entry) && self.has_duties(entry, now))
     }
 
     fn turn_among(
--- a/crates/guava-serve/src/part_index.rs
+++ b/crates/guava-serve/src/part_index.rs
@@ -346,15 +346,18 @@
 
     /// What to tell peers of a store that this daemon follows: all of it, or what changed.
     pub fn store_word(&mut self, store: SocketAddr, is_whole: bool) -> Option<StoreWord> {
-        let contents = self.stores.get_mut(&store)?;
-        let news = std::mem::take(&mut contents.news);
-        let all = || {
-            let held = contents.held.iter();
-            held.map(|(key, tokens)| PartNews { key: *key, tokens: *tokens }).collect()
-        };
-        let parts = if is_whole { all() } else { news };
+        let news = std::mem::take(&mut self.stores.get_mut(&store)?.news);
+        let word = self.whole_word(store)?;
+        Some(if is_whole { word } else { StoreWord { is_whole, parts: news, ..word } })
+    }
+
+    /// All that a store holds, for a peer that has just been heard.
+    pub fn whole_word(&self, store: SocketAddr) -> Option<StoreWord> {
+        let contents = self.stores.get(&store)?;
+        let held = contents.held.iter();
+        let parts = held.map(|(key, tokens)| PartNews { key: *key, tokens: *tokens }).collect();
         let (epoch, as_of) = (contents.epoch, contents.confirmed);
-        Some(StoreWord { store, epoch, as_of, is_whole, parts })
+        Some(StoreWord { store, epoch, as_of, is_whole: true, parts })
     }
 
     /// Takes in what a peer says of a store that it follows; what the store says itself goes first.
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -1,7 +1,9 @@
 //! Datagrams between daemons.
 
 use crate::member_table::MemberNote;
-use crate::peer_exchange::{OwnNews, compose_message, compose_note, compose_words, take_message};
+use crate::peer_exchange::{
+    OwnNews, compose_greeting, compose_message, compose_note, compose_words, take_message,
+};
 use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, SentPrompt};
 use crate::rollout_state::VersionRollout;
 use crate::serve_parts::ServeParts;
@@ -39,14 +41,7 @@
     let mut far_due = Deadline::default();
     for number in 0.. {
         let now = Moment::now();
-        let news = OwnNews {
-            note: own_note(&state),
-            loading: state.rollout.borrow().loading(now),
-            loaded: state.rollout.borrow().lately_loaded(now),
-            followed: state.followed.borrow().clone(),
-            number,
-        };
-        let message = compose_message(&parts, news, now);
+        let message = compose_message(&parts, own_news(&state, number, now), now);
         let (is_large, near_pause_ms, far_pause_ms) = {
             let members = parts.members.borrow();
             (members.is_large(), members.near_pause_ms(), members.far_pause_ms())
@@ -62,6 +57,16 @@
     }
 }
 
+fn own_news(state: &OwnState, number: u64, now: Moment) -> OwnNews {
+    OwnNews {
+        note: own_note(state),
+        loading: state.rollout.borrow().loading(now),
+        loaded: state.rollout.borrow().lately_loaded(now),
+        followed: state.followed.borrow().clone(),
+        number,
+    }
+}
+
 fn own_note(state: &OwnState) -> MemberNote {
     MemberNote { is_ready: state.is_ready.get(), ..state.me.clone() }
 }
@@ -105,6 +110,7 @@
 pub async fn tell_notes(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
     for number in 0.. {
         parts.note_due.notified().await;
+        greet_newcomers(&parts, &socket, &state).await;
         let Some(note) = compose_note(&parts, own_note(&state)) else { continue };
         let now = Moment::now();
         let is_large = parts.members.borrow().is_large();
@@ -117,6 +123,17 @@
     }
 }
 
+async fn greet_newcomers(parts: &ServeParts, socket: &UdpSocket, state: &OwnState) {
+    let newcomers = std::mem::take(&mut *parts.newcomers.borrow_mut());
+    if newcomers.is_empty() {
+        return;
+    }
+    let now = Moment::now();
+    for greeting in compose_greeting(parts, &own_news(state, 0, now), now) {
+        send(socket, &greeting.encode(now), newcomers.clone()).await;
+    }
+}
+
 /// Tells each other data centre, by way of a relay, of the prompts that concern it.
 async fn tell_far(parts: &ServeParts, socket: &UdpSocket, note: &PeerMessage, number: u64) {
     let now = Moment::now();
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -138,21 +138,44 @@
     published.collect()
 }
 
+/// What to tell a daemon of this data centre that has just been heard: all that the followed stores
+/// hold, one in a message. Otherwise it would know after three seconds, when whole words come next,
+/// and have the parts read again until then.
+pub fn compose_greeting(parts: &ServeParts, news: &OwnNews, now: Moment) -> Vec<PeerMessage> {
+    let work = parts.work.borrow();
+    let index = parts.parts.borrow();
+    let words = news.followed.iter().filter_map(|store| index.whole_word(*store));
+    let told = words.map(|word| PeerMessage {
+        shares: work.own_shares().map(|(id, share)| (id.clone(), share)).collect(),
+        targets: published(parts, now),
+        stores: vec![cut_to(word, MOST_PARTS)],
+        clock_ms: parts.upstream_clock_in(0, now),
+        is_note: false,
+        ..empty_note(news.note.clone())
+    });
+    told.collect()
+}
+
+/// A word with so many parts at most; told in part, it is no whole list.
+fn cut_to(mut word: StoreWord, room: usize) -> StoreWord {
+    if word.parts.len() > room {
+        word.is_whole = false;
+        let from = rand::random::<u64>() as usize % word.parts.len().max(1);
+        // The rest follows in later ones.
+        word.parts.rotate_left(from);
+        word.parts.truncate(room);
+    }
+    word
+}
+
 fn store_words(parts: &ServeParts, followed: &[SocketAddr], number: u64) -> Vec<StoreWord> {
     let mut index = parts.parts.borrow_mut();
     let mut told = 0;
     let mut words = Vec::new();
     for (place, store) in followed.iter().enumerate() {
         let is_whole = (number + place as u64).is_multiple_of(WHOLE_EVERY);
-        let Some(mut word) = index.store_word(*store, is_whole) else { continue };
-        if told + word.parts.len() > MOST_PARTS {
-            // Told in part, it is no whole list; the rest follows in later ones.
-            word.is_whole = false;
-            let room = MOST_PARTS - told;
-            let from = rand::random::<u64>() as usize % word.parts.len().max(1);
-            word.parts.rotate_left(from);
-            word.parts.truncate(room);
-        }
+        let Some(word) = index.store_word(*store, is_whole) else { continue };
+        let word = cut_to(word, MOST_PARTS - told);
         told += word.parts.len();
         words.push(word);
     }
@@ -173,6 +196,10 @@
         log_event!(info, events::MEMBER_HEARD, member = name, address = address, ready = is_ready);
         let count = parts.members.borrow().count();
         parts.retries.borrow_mut().note_daemons(count);
+        if data_centre == parts.identity.data_centre {
+            parts.newcomers.borrow_mut().push(address);
+            parts.note_due.notify_one();
+        }
     }
     let silent_ms = parts.members.borrow().silent_ms(&data_centre);
     for id in &message.loading {
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -22,7 +22,7 @@
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
 use std::hash::{Hash, Hasher};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use tokio::sync::Notify;
 
 /// Who this daemon is.
@@ -112,7 +112,9 @@
     pub just_sent: RefCell<Vec<SentPrompt>>,
     /// Upstreams about to be ordered to load weights, since peers were last sent a note.
     pub just_loading: RefCell<Vec<UpstreamId>>,
-    /// Wakes whoever sends notes.
+    /// Daemons of this data centre that were just heard, and not greeted.
+    pub newcomers: RefCell<Vec<SocketAddr>>,
+    /// Wakes whoever sends notes and greetings.
     pub note_due: Notify,
     /// The upstreams' clock.
     pub upstream_clock: Cell<Option<UpstreamClock>>,
@@ -152,6 +154,7 @@
             sent_prompts: RefCell::default(),
             just_sent: RefCell::default(),
             just_loading: RefCell::default(),
+            newcomers: RefCell::default(),
             note_due: Notify::new(),
             upstream_clock: Cell::new(None),
             words: RefCell::default(),
