fix: watchers of the lease wait for renewals again

Cause: with watchers that looked every 0.7 s the next holder came half a second later, and weights published twice within four seconds were rolled out late.

The test fails on the code that looks (its waits are all zero).

--- a/crates/guava-serve/src/order_duty.rs
+++ b/crates/guava-serve/src/order_duty.rs
@@ -24,10 +24,13 @@
 /// Time in which the holder may order after it asked for the lease, in milliseconds: a few rounds,
 /// so that one lost answer of the store does not end it.
 const TERM_MS: u64 = 1_200;
-/// The lease is asked for anew when less than this is left, in milliseconds.
-const RENEW_MS: u64 = 700;
-/// Pause between two reads of a daemon that watches the lease, in milliseconds. A read that waits for
-/// the next record would return at each renewal, twice a second.
+/// The lease is asked for anew when less than this is left, in milliseconds. Each renewal is two calls
+/// to the store, and one of each daemon that watches.
+const RENEW_MS: u64 = 500;
+/// Wait of one read by a daemon that watches the lease, in milliseconds. The read returns at each
+/// renewal, so that the end of the lease is known to some milliseconds: looking every 0.7 s instead,
+/// the next holder came half a second later, and weights published twice within four seconds were
+/// rolled out late.
 const WATCH_MS: u64 = 700;
 /// Daemons that watch the lease, to take it over when its holder is gone: reads are dear, and its
 /// holder and two more are rarely lost at once. If they are, others take their turns.
@@ -135,11 +138,9 @@
             return Ok(());
         }
         if !is_holder {
-            // Only one daemon orders; the others look now and then whether it still does.
-            if self.is_read {
-                sleep(Duration::from_millis(WATCH_MS)).await;
-            }
-            self.read_lease(0).await?;
+            // Only one daemon orders; the others learn of a renewal once it is written.
+            let wait_ms = if self.is_read { WATCH_MS } else { 0 };
+            self.read_lease(wait_ms).await?;
             self.is_read = true;
         }
         let now = Moment::now();
--- a/crates/guava-serve/tests/order_duty.rs
+++ b/crates/guava-serve/tests/order_duty.rs
@@ -8,7 +8,8 @@
     EnginePort, EngineReport, LeaseNews, LeasePort, LoadOrder, OrderDuty, UpstreamEntry,
     VersionRollout, WeightVersion,
 };
-use guava_types::{FastMap, Moment};
+use guava_state::LeaseEntry;
+use guava_types::{FastMap, Incarnation, Moment, Offset};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,3 +87,44 @@
     assert!(!was_ordered);
     assert_eq!(orders.borrow()[0].engine, id("e@200"));
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn daemon_that_watches_the_lease_learns_of_each_renewal_as_it_is_written() {
+    // Symptom: weights published twice within four seconds are rolled out half a second later, and
+    // prompts are late for as long.
+    // Sequence: the holder is cut off from the store; the others look at its lease every 0.7 s, and
+    // count its end from when they saw the last renewal.
+    // Cause: their reads did not wait for the next renewal.
+    let parts = Rc::new(serve_parts("d1"));
+    parts.upstreams.borrow_mut().note_entry(engine("e", 1));
+    parts.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment::now());
+    let waits = Rc::new(RefCell::new(Vec::new()));
+    let asked = Rc::clone(&waits);
+    let held =
+        LeaseEntry { holder: Incarnation(9), token: Offset(1), renewed: Offset(1), term_ms: 4_200 };
+    let lease = LeasePort {
+        read: Rc::new(move |_, wait_ms| {
+            asked.borrow_mut().push(wait_ms);
+            let news = LeaseNews { newest: Some(held.clone()), next: 1 };
+            Box::pin(async move { Ok(news) })
+        }),
+        request: Rc::new(|_, _| Box::pin(async { Ok(()) })),
+    };
+    let (port, _) = engines(EngineReport::default());
+    let duty = OrderDuty::new(parts, (lease, port), 0, Rc::default());
+
+    let watched = async {
+        while waits.borrow().len() < 3 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::select! {
+        () = watched => {}
+        () = duty.run() => unreachable!("the duty goes on for ever"),
+        () = sleep(Duration::from_secs(20)) => panic!("the lease is not read"),
+    }
+
+    let waits = waits.borrow();
+    assert_eq!(waits[0], 0, "what holds now is not waited for");
+    assert!(waits[1..].iter().all(|wait_ms| *wait_ms > 0), "{waits:?}");
+}
