fix: the reader tells its word whoever else has read

The reader told its word only if it knew of no later one; who reads for itself tells only those near by, and all others waited for the reader's word until theirs expired, and read in their turn.

Change: the first in turn always tells; standbys tell what is freshest. The test fails on the code before (no words at all).

--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -104,23 +104,26 @@
 /// the list changed much. Told to the daemons of all data centres directly, since a relay that is
 /// suspended would pass an old word on as a new one.
 pub fn compose_words(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
-    if parts.members.borrow().read_turn(&parts.identity.name, now) > STANDBYS {
+    let turn = parts.members.borrow().read_turn(&parts.identity.name, now);
+    if turn > STANDBYS {
         return Vec::new();
     }
     let words = parts.words.borrow();
-    let freshest = |keeper: &WordKeeper| keeper.own().filter(|_| keeper.is_freshest());
-    let (operator, list) = (freshest(&words.operator), freshest(&words.list));
+    // The reader tells its word also when it has heard of a later read: whoever read for itself tells
+    // only those near by, and all others would wait for the reader's until they read too.
+    let told = |keeper: &WordKeeper| keeper.own().filter(|_| turn == 0 || keeper.is_freshest());
+    let (operator, list) = (told(&words.operator), told(&words.list));
     if operator.is_none() && list.is_none() {
         return Vec::new();
     }
     let listed = parts.list_news.borrow_mut().told(now);
-    let told = |listed: &[ListedChange]| PeerMessage {
+    let message = |listed: &[ListedChange]| PeerMessage {
         listed: listed.to_vec(),
         ..empty_note(note.clone())
     };
-    let mut messages: Vec<PeerMessage> = listed.chunks(MOST_TOLD).map(told).collect();
+    let mut messages: Vec<PeerMessage> = listed.chunks(MOST_TOLD).map(message).collect();
     // The digest goes with the last of the changes that lead to it.
-    let last = messages.pop().unwrap_or_else(|| told(&[]));
+    let last = messages.pop().unwrap_or_else(|| message(&[]));
     let published_since = words.published_since;
     let targets = published(parts, now);
     messages.push(PeerMessage { operator, published_since, targets, list, ..last });
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -35,6 +35,18 @@
     }
 }
 
+/// Makes a daemon that knows the others' records one that stands by to read the store.
+fn behind_another(parts: &ServeParts) {
+    parts.members.borrow_mut().note_listed();
+    let name = &parts.identity.name;
+    for place in 0.. {
+        if parts.members.borrow().read_turn(name, NOW) > 0 {
+            return;
+        }
+        parts.members.borrow_mut().note_heard(note(&format!("other{place}")), NOW);
+    }
+}
+
 /// Passes a message on as bytes.
 fn pass(message: &PeerMessage, to: &ServeParts) {
     let received = PeerMessage::decode(&message.encode(NOW), NOW).unwrap();
@@ -305,6 +317,8 @@
 
     let words = far.words.borrow();
     assert_eq!(words.operator.confirmed(), Some(Moment(NOW.0 - 300)));
+    drop(words);
+    behind_another(&far);
     assert!(compose_words(&far, &note("d2"), NOW).is_empty(), "its own word is older");
 }
 
@@ -476,3 +490,21 @@
 
     assert_eq!(compose_message(&follower, news, NOW).stores[0].parts.len(), 1);
 }
+
+#[test]
+fn reader_goes_on_telling_when_others_have_read_for_themselves() {
+    // Symptom: for five seconds after a fleet started, and whenever one daemon was cut off, two or
+    // three hundred daemons read the list of upstreams every other second.
+    // Sequence: some daemons read for themselves, later than the reader; it hears of that, and says
+    // nothing of its older word until it has read again; the others wait for it, and read.
+    // Cause: the reader told only what was the freshest word that it knew.
+    let reader = serve_parts("d1");
+    reader.members.borrow_mut().note_listed();
+    reader.words.borrow_mut().list.note_own(7, Moment(NOW.0 - 900));
+    let later = SharedWord { state: 7, as_of: Moment(NOW.0 - 100) };
+    reader.words.borrow_mut().list.note_heard(later);
+
+    let words = compose_words(&reader, &note("d1"), NOW);
+
+    assert_eq!(words[0].list.map(|word| word.as_of), Some(Moment(NOW.0 - 900)));
+}
