--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -10,7 +10,7 @@
     ServeIdentity, ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare,
     compose_greeting, compose_message, compose_note, compose_words, take_change, take_message,
 };
-use guava_types::{Moment, TokenCount};
+use guava_types::{Moment, TokenCount, UpstreamId};
 use support::{address, engine, id, leaving, model, part, serve_parts, store, upstream};
 
 const NOW: Moment = Moment(100_000);
@@ -35,6 +35,20 @@
     }
 }
 
+/// A long prompt that was sent to an engine, of which it must read 12,000 tokens.
+fn long_prompt(engine: UpstreamId) -> SentPrompt {
+    SentPrompt {
+        engine,
+        parts: Vec::new(),
+        tokens: TokenCount(17_000),
+        waiting: TokenCount(12_000),
+        priority: 3,
+        saves: Vec::new(),
+        is_for_all: false,
+        transfers: Vec::new(),
+    }
+}
+
 /// Makes a daemon that knows the others' records one that stands by to read the store.
 fn behind_another(parts: &ServeParts) {
     parts.members.borrow_mut().note_listed();
@@ -60,17 +74,7 @@
     // Cause: a daemon's work was told only with its next message.
     let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     pass(&compose_message(&one, news("d1"), NOW), &two);
-    let sent = SentPrompt {
-        engine: id("e"),
-        parts: Vec::new(),
-        tokens: TokenCount(17_000),
-        waiting: TokenCount(12_000),
-        priority: 3,
-        saves: Vec::new(),
-        is_for_all: false,
-        transfers: Vec::new(),
-    };
-    one.just_sent.borrow_mut().push(sent);
+    one.just_sent.borrow_mut().push(long_prompt(id("e")));
 
     pass(&compose_note(&one, note("d1")).unwrap(), &two);
 
@@ -254,17 +258,7 @@
     let before = UpstreamEntry { id: entry.id.started_at(100), ..entry.clone() };
     let after = UpstreamEntry { id: entry.id.started_at(200), ..entry };
     two.upstreams.borrow_mut().note_entry(before.clone());
-    let sent = SentPrompt {
-        engine: after.id.clone(),
-        parts: Vec::new(),
-        tokens: TokenCount(17_000),
-        waiting: TokenCount(12_000),
-        priority: 3,
-        saves: Vec::new(),
-        is_for_all: false,
-        transfers: Vec::new(),
-    };
-    one.just_sent.borrow_mut().push(sent);
+    one.just_sent.borrow_mut().push(long_prompt(after.id.clone()));
 
     pass(&compose_note(&one, note("d1")).unwrap(), &two);
 
@@ -354,17 +348,7 @@
 #[test]
 fn prompt_for_an_engine_elsewhere_concerns_its_data_centre() {
     let one = serve_parts("d1");
-    let sent = SentPrompt {
-        engine: id("e"),
-        parts: Vec::new(),
-        tokens: TokenCount(17_000),
-        waiting: TokenCount(12_000),
-        priority: 3,
-        saves: Vec::new(),
-        is_for_all: false,
-        transfers: Vec::new(),
-    };
-    one.just_sent.borrow_mut().push(sent);
+    one.just_sent.borrow_mut().push(long_prompt(id("e")));
     let note = compose_note(&one, note("d1")).unwrap();
 
     let concerned = note.note_for_relay(|sent| sent.engine == id("e"));
