fix: a save that is begun again takes room again

A part whose save was lost was still remembered when it was saved once more, and not entered with its store a second time; a part saved to another store neither.

Change: each begin is a save of its own with a number, and counts while it is the last of its part. A save that two peers tell takes its room once.

--- a/crates/guava-serve/src/save_ledger.rs
+++ b/crates/guava-serve/src/save_ledger.rs
@@ -31,6 +31,8 @@
 struct BegunSave {
     save: PartSave,
     since: Moment,
+    /// Tells this save from an earlier one of the same part.
+    number: u64,
 }
 
 impl BegunSave {
@@ -42,8 +44,11 @@
 /// The saves under way.
 #[derive(Debug, Default)]
 pub struct SaveLedger {
+    /// The last save of each part.
     begun: FastMap<PartKey, BegunSave>,
-    by_store: FastMap<SocketAddr, VecDeque<PartKey>>,
+    /// In the order in which they began; those that are over, or were begun again, count no more.
+    by_store: FastMap<SocketAddr, VecDeque<BegunSave>>,
+    last_number: u64,
 }
 
 impl SaveLedger {
@@ -52,14 +57,14 @@
         if self.begun.len() > REMEMBERED {
             self.begun.retain(|_, begun| !begun.is_over(now));
         }
-        let keys = self.by_store.entry(save.store).or_default();
-        let is_over = |key: &PartKey| self.begun.get(key).is_none_or(|begun| begun.is_over(now));
-        while keys.front().is_some_and(is_over) {
-            keys.pop_front();
-        }
-        if self.begun.insert(save.key, BegunSave { save, since: now }).is_none() {
-            keys.push_back(save.key);
+        self.last_number += 1;
+        let begun = BegunSave { save, since: now, number: self.last_number };
+        self.begun.insert(save.key, begun);
+        let queue = self.by_store.entry(save.store).or_default();
+        while queue.front().is_some_and(|first| first.is_over(now)) {
+            queue.pop_front();
         }
+        queue.push_back(begun);
     }
 
     /// Notes that a store reported a part.
@@ -74,9 +79,12 @@
 
     /// Room that a store has set aside for parts under way.
     pub fn reserved(&self, store: SocketAddr, now: Moment) -> TokenCount {
-        let keys = self.by_store.get(&store).into_iter().flatten();
-        let begun = keys.filter_map(|key| self.begun.get(key));
-        let here = begun.filter(|begun| begun.save.store == store && !begun.is_over(now));
-        TokenCount(here.map(|begun| begun.save.tokens.0).sum())
+        let is_last = |begun: &&BegunSave| {
+            let last = self.begun.get(&begun.save.key);
+            last.is_some_and(|last| last.number == begun.number)
+        };
+        let queue = self.by_store.get(&store).into_iter().flatten();
+        let under_way = queue.filter(|begun| !begun.is_over(now)).filter(is_last);
+        TokenCount(under_way.map(|begun| begun.save.tokens.0).sum())
     }
 }
--- a/crates/guava-serve/tests/parts_index.rs
+++ b/crates/guava-serve/tests/parts_index.rs
@@ -6,8 +6,8 @@
 
 use guava_serve::{CallerIdentity, WeightVersion, salt_version};
 use guava_serve::{
-    HeldPart, PartEvent, PartIndex, PartKey, PartNews, PartSave, PromptPart, StoreTraits,
-    StoreWord, cache_salt,
+    HeldPart, PartEvent, PartIndex, PartKey, PartNews, PartSave, PromptPart, SaveLedger,
+    StoreTraits, StoreWord, cache_salt,
 };
 use guava_types::{Moment, TokenCount};
 use std::net::SocketAddr;
@@ -320,3 +320,40 @@
 
     assert!(index.store_for(&stores, "m0/1", &big, later).is_some());
 }
+
+#[test]
+fn save_that_is_begun_again_takes_room_again() {
+    // Symptom: parts find no room in a store that was believed to have some.
+    // Sequence: a save is lost, and after its time the part is saved once more, to the same store or
+    // to another one.
+    // Cause: the part was still remembered from the first time, and not counted a second.
+    let stores = stores();
+    let (first, second) = (stores[0].address, stores[1].address);
+    let wanted = part("p", 9_000);
+    let later = Moment(NOW.0 + 5_000);
+    let reserved_after = |store| {
+        let mut ledger = SaveLedger::default();
+        ledger.begin(save(&wanted, first), NOW);
+        ledger.begin(save(&part("other", 1_000), first), later);
+        ledger.begin(save(&wanted, store), later);
+        (ledger.reserved(first, later), ledger.reserved(second, later))
+    };
+
+    assert_eq!(reserved_after(first), (TokenCount(10_000), TokenCount(0)));
+    assert_eq!(reserved_after(second), (TokenCount(1_000), TokenCount(9_000)));
+}
+
+#[test]
+fn save_that_peers_tell_twice_takes_its_room_once() {
+    let store = stores()[0].address;
+    let wanted = part("p", 9_000);
+    let mut ledger = SaveLedger::default();
+
+    ledger.begin(save(&wanted, store), NOW);
+    ledger.begin(save(&wanted, store), Moment(NOW.0 + 10));
+    let under_way = ledger.reserved(store, Moment(NOW.0 + 20));
+    ledger.end(&PartKey::new("m0/1", &wanted.id));
+
+    assert_eq!(under_way, TokenCount(9_000));
+    assert_eq!(ledger.reserved(store, Moment(NOW.0 + 20)), TokenCount(0));
+}
