--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -140,18 +140,13 @@
         self.count_near();
     }
 
-    /// Addresses of the daemons that may be there and stand in one of these data centres.
-    pub fn peer_addresses(&self, is_meant: impl Fn(&DataCentre) -> bool) -> Vec<SocketAddr> {
+    /// Addresses of all daemons that may be there, or only of those in this data centre.
+    pub fn peer_addresses(&self, only_near: bool) -> Vec<SocketAddr> {
         let notes = self.members.values().map(|entry| &entry.note);
-        let addressed = notes.filter(|note| is_meant(&note.data_centre));
+        let addressed = notes.filter(|note| !only_near || note.data_centre == self.data_centre);
         addressed.map(|note| note.peer_address).collect()
     }
 
-    /// Addresses of the daemons of this data centre that may be there.
-    pub fn near_addresses(&self) -> Vec<SocketAddr> {
-        self.peer_addresses(|data_centre| *data_centre == self.data_centre)
-    }
-
     /// One daemon in each other data centre, a different one for each number in turn.
     ///
     /// Living ones go first. Where none is known to live, those that are only known by their
--- a/crates/guava-serve/src/part_index.rs
+++ b/crates/guava-serve/src/part_index.rs
@@ -346,9 +346,13 @@
 
     /// What to tell peers of a store that this daemon follows: all of it, or what changed.
     pub fn store_word(&mut self, store: SocketAddr, is_whole: bool) -> Option<StoreWord> {
-        let news = std::mem::take(&mut self.stores.get_mut(&store)?.news);
-        let word = self.whole_word(store)?;
-        Some(if is_whole { word } else { StoreWord { is_whole, parts: news, ..word } })
+        let contents = self.stores.get_mut(&store)?;
+        let news = std::mem::take(&mut contents.news);
+        if is_whole {
+            return self.whole_word(store);
+        }
+        let (epoch, as_of) = (contents.epoch, contents.confirmed);
+        Some(StoreWord { store, epoch, as_of, is_whole, parts: news })
     }
 
     /// All that a store holds, for a peer that has just been heard.
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -87,10 +87,7 @@
 
 /// Sends to all daemons, or only to those in this data centre.
 async fn send_to_all(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, only_near: bool) {
-    let addresses = {
-        let members = parts.members.borrow();
-        if only_near { members.near_addresses() } else { members.peer_addresses(|_| true) }
-    };
+    let addresses = parts.members.borrow().peer_addresses(only_near);
     send(socket, bytes, addresses).await;
 }
 
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -12,8 +12,9 @@
 use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
 
-/// How long an upstream counts as loading after a peer said so, in milliseconds; it says so again
-/// with each message, and this is more than a pause between two.
+/// How long an upstream counts as loading after a peer said so, in milliseconds, and half of the time
+/// at least after which the peer would count as silent: it says so again with each message, and this
+/// is more than a pause between two.
 const LOADING_MS: u64 = 1_200;
 
 /// How often peers are told all that a followed store holds, in messages: lost datagrams and
--- a/crates/guava-serve/src/shared_words.rs
+++ b/crates/guava-serve/src/shared_words.rs
@@ -156,3 +156,16 @@
     /// The list of upstreams: its digest.
     pub list: WordKeeper,
 }
+
+impl SharedWords {
+    /// Notes which records of the operator this daemon read from an offset on. Where they only publish
+    /// weights, the others need not read them: with 295 daemons they are as many calls at each
+    /// publication.
+    pub fn note_records(&mut self, from: u64, count: usize, only_publications: bool) {
+        if !only_publications {
+            self.published_since = None;
+        } else if count > 0 {
+            self.published_since.get_or_insert(from);
+        }
+    }
+}
--- a/crates/guava-serve/tests/shared_words.rs
+++ b/crates/guava-serve/tests/shared_words.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_serve::{ReadPace, STANDBYS, SharedWord, WordKeeper, read_as_of};
+use guava_serve::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
 use guava_types::Moment;
 use yare::parameterized;
 
@@ -136,3 +136,23 @@
     assert!(keeper.is_urgent(6, Moment(10_100), PACE));
     assert!(!keeper.is_urgent(5, Moment(10_100), PACE));
 }
+
+#[parameterized(
+    first_publication = { None, 1, true, Some(12) },
+    further_publication = { Some(9), 2, true, Some(9) },
+    nothing_new = { Some(9), 0, true, Some(9) },
+    nothing_ever = { None, 0, true, None },
+    configuration = { Some(9), 1, false, None },
+)]
+fn others_are_spared_what_only_publishes_weights(
+    before: Option<u64>,
+    count: usize,
+    only_publications: bool,
+    expected: Option<u64>,
+) {
+    let mut words = SharedWords { published_since: before, ..SharedWords::default() };
+
+    words.note_records(12, count, only_publications);
+
+    assert_eq!(words.published_since, expected);
+}
