--- a/crates/guava-serve/src/accepted_request.rs
+++ b/crates/guava-serve/src/accepted_request.rs
@@ -2,7 +2,7 @@
 
 use crate::serve_config::{CallerIdentity, RouteRule};
 use bytes::Bytes;
-use guava_types::{Deadline, ModelName, Moment, TokenCount};
+use guava_types::{Deadline, ModelName, Moment, RequestDigest, TokenCount};
 use http::{HeaderMap, Method, Uri};
 use std::rc::Rc;
 
@@ -70,6 +70,17 @@
 }
 
 impl AcceptedRequest {
+    /// What the request is, whichever attempt of its caller's: worked out anew each time, since few
+    /// requests need it.
+    pub fn digest(&self) -> RequestDigest {
+        let caller = match &self.caller {
+            CallerIdentity::Customer(customer) => customer.name.as_str(),
+            CallerIdentity::Anonymous => "",
+        };
+        let path = self.head.target.path_and_query().map_or("", |path| path.as_str());
+        RequestDigest::of(caller, path, &self.body)
+    }
+
     /// Rank among requests, 0 first: by the customer's rank if it has one, else by the route's; among
     /// equals those of more urgent routes go first.
     ///
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::events;
 use crate::serve_parts::ServeParts;
 use crate::store_links::{FetchTicket, FetchWait};
+use crate::upstream_ends::{note_break, note_refused};
 use crate::upstream_table::WeightVersion;
 use crate::work_table::{ExpectedLoad, WorkTicket};
 use bytes::{Bytes, BytesMut};
@@ -268,12 +269,26 @@
     }
 
     fn failed(&self, error: &ExchangeError) -> AttemptEnd {
-        let end = match error {
-            ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
-            ExchangeError::NoAnswer { .. } => AttemptEnd::Lost,
-        };
+        let upstream = &self.plan.send.upstream;
         self.note_failure(&error.to_string());
-        end
+        match error {
+            ExchangeError::NotSent { is_refused, .. } => {
+                if *is_refused {
+                    note_refused(self.parts, upstream);
+                }
+                AttemptEnd::NotSent
+            }
+            ExchangeError::NoAnswer { .. } => {
+                note_break(self.parts, upstream, self.request.digest());
+                AttemptEnd::Lost
+            }
+        }
+    }
+
+    /// The connection ended before the answer was whole.
+    fn broken(&self, reason: &str) -> AttemptEnd {
+        note_break(self.parts, &self.plan.send.upstream, self.request.digest());
+        self.lost(reason)
     }
 
     fn lost(&self, reason: &str) -> AttemptEnd {
@@ -293,6 +308,7 @@
             warn,
             events::SEND_FAILED,
             request = self.request.id,
+            digest = self.request.digest(),
             upstream = upstream,
             reason = reason
         );
@@ -378,7 +394,7 @@
         let (head, body) = answer.into_parts();
         let body = match wait_for(self.parts, self.plan, collect(body)).await {
             Waited::Done(Some(body)) => body,
-            Waited::Done(None) => return self.lost("the answer broke off"),
+            Waited::Done(None) => return self.broken("the answer broke off"),
             Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
             Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
         };
@@ -407,7 +423,7 @@
         let first = match wait_for(self.parts, self.plan, source.next()).await {
             Waited::Done(StreamStep::Events(batch)) => batch,
             Waited::Done(StreamStep::End) => EventBatch { bytes: Bytes::new(), last_id: None },
-            Waited::Done(StreamStep::Broken(reason)) => return self.lost(&reason),
+            Waited::Done(StreamStep::Broken(reason)) => return self.broken(&reason),
             Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
             Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
         };
--- a/crates/guava-serve/src/connection_pool.rs
+++ b/crates/guava-serve/src/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::net::TcpSocket;
@@ -44,6 +45,8 @@
         address: SocketAddr,
         /// Why.
         reason: Box<str>,
+        /// Whether nobody listens there.
+        is_refused: bool,
     },
     /// The request was written at least in part, and no answer came: it may have run.
     #[snafu(display("no answer from {address}: {reason}"))]
@@ -99,7 +102,7 @@
                 let is_unsent = error.take_message().is_some();
                 let reason = error.error().to_string().into();
                 Err(if is_unsent {
-                    ExchangeError::NotSent { address, reason }
+                    ExchangeError::NotSent { address, reason, is_refused: false }
                 } else {
                     ExchangeError::NoAnswer { address, reason }
                 })
@@ -140,11 +143,19 @@
 
     /// A new connection.
     pub async fn open(&self, address: SocketAddr) -> Result<UpstreamConnection, ExchangeError> {
-        let not_sent = |reason: String| ExchangeError::NotSent { address, reason: reason.into() };
+        let not_sent = |reason: String| ExchangeError::NotSent {
+            address,
+            reason: reason.into(),
+            is_refused: false,
+        };
         let stream = timeout(Duration::from_millis(CONNECT_MS), self.connect(address)).await;
         let stream = match stream {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(error.to_string())),
+            Ok(Err(error)) => {
+                let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+                let reason = error.to_string().into();
+                return Err(ExchangeError::NotSent { address, reason, is_refused });
+            }
             Err(_) => return Err(not_sent(format!("no connection within {CONNECT_MS} ms"))),
         };
         let handshake =
@@ -157,6 +168,16 @@
         Ok(UpstreamConnection { address, sender, _driver: ConnectionDriver(driver) })
     }
 
+    /// Whether somebody listens at an address; nothing if that can't be told.
+    pub async fn is_listening(&self, address: SocketAddr) -> Option<bool> {
+        let connected = timeout(Duration::from_millis(CONNECT_MS), self.connect(address)).await;
+        match connected {
+            Ok(Ok(_)) => Some(true),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Some(false),
+            Ok(Err(_)) | Err(_) => None,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
         let socket = TcpSocket::new_v4()?;
         if let Some(source) = self.source {
--- a/crates/guava-serve/src/event_relay.rs
+++ b/crates/guava-serve/src/event_relay.rs
@@ -7,6 +7,7 @@
 use crate::events;
 use crate::patience::EVENT_GAP_MS;
 use crate::serve_config::RepeatRule;
+use crate::upstream_ends::note_break;
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
@@ -86,6 +87,10 @@
             deadline
         };
         match timeout(limit.time_left(), source.next()).await {
+            Ok(StreamStep::Broken(reason)) => {
+                note_break(&self.run.parts, &source.upstream, self.run.request.digest());
+                StreamStep::Broken(reason)
+            }
             Ok(step) => step,
             Err(_) => StreamStep::Broken("no event in time".into()),
         }
@@ -147,6 +152,7 @@
             warn,
             events::BROKEN,
             request = self.run.request.id,
+            digest = self.run.request.digest(),
             after = self.last_id.as_deref().unwrap_or("the beginning"),
             elapsed_ms = Moment::now().millis_since(self.run.request.arrived),
             reason = broken.reason
--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -14,6 +14,7 @@
     RESUMED "G8007" "stream goes on at another upstream";
     BROKEN "G8008" "stream broke off";
     CALLER_LEFT "G8009" "the caller left";
+    UPSTREAM_ENDED "G8012" "an upstream ended";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_AWAY "G8102" "the list of upstreams can't be read";
     LIST_BACK "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -4,6 +4,7 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::Dialect;
+use crate::end_watch::EndWatch;
 use crate::list_news::ListNews;
 use crate::member_table::MemberTable;
 use crate::metrics::ServeMetrics;
@@ -92,6 +93,8 @@
     pub config: RefCell<ConfigKeeper>,
     /// The upstreams.
     pub upstreams: RefCell<UpstreamTable>,
+    /// Those that ended, and sends that broke off.
+    pub ends: RefCell<EndWatch>,
     /// Their work.
     pub work: RefCell<WorkTable>,
     /// Where cached parts lie.
@@ -144,6 +147,7 @@
             metrics: ServeMetrics::default(),
             config: RefCell::default(),
             upstreams: RefCell::default(),
+            ends: RefCell::default(),
             work: RefCell::default(),
             parts: RefCell::default(),
             links: RefCell::default(),
--- a/crates/guava-types/src/ids.rs
+++ b/crates/guava-types/src/ids.rs
@@ -22,7 +22,7 @@
     },
 }
 
-macro_rules! random_id {
+macro_rules! hex_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(
@@ -30,13 +30,6 @@
         )]
         pub struct $name(pub u128);
 
-        impl $name {
-            /// A fresh random value.
-            pub fn random() -> Self {
-                Self(rand::random())
-            }
-        }
-
         impl fmt::Display for $name {
             fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
                 write!(out, "{:032x}", self.0)
@@ -63,14 +56,48 @@
     };
 }
 
-random_id!(
+hex_id!(
     /// One start of a daemon; never reused.
     Incarnation
 );
-random_id!(
+hex_id!(
     /// Identity of one log record or intent, kept across retries of its append.
     RecordId
 );
+hex_id!(
+    /// What a request is, whichever attempt of its caller's: the same for the same caller, path and
+    /// body. A hash, so that it tells nothing of them.
+    RequestDigest
+);
+
+impl Incarnation {
+    /// A fresh random value.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl RecordId {
+    /// A fresh random value.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl RequestDigest {
+    /// The digest of a caller's name, a path with its query, and a body.
+    pub fn of(caller: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [caller.as_bytes(), path.as_bytes(), body] {
+            // Lengths keep two requests apart whose parts only run together to the same bytes.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut half = [0; 16];
+        hasher.finalize_xof().fill(&mut half);
+        Self(u128::from_be_bytes(half))
+    }
+}
 
 /// Position of a record in the platform's log; also the revision of a configured object.
 #[derive(
--- a/crates/guava-types/src/lib.rs
+++ b/crates/guava-types/src/lib.rs
@@ -9,7 +9,7 @@
 mod upstream_id;
 
 pub use collections::{FastMap, FastSet};
-pub use ids::{IdError, Incarnation, Offset, RecordId};
+pub use ids::{IdError, Incarnation, Offset, RecordId, RequestDigest};
 pub use keys::{CallKey, CallerKey, KeyError, PinnedKey};
 pub use moments::{Deadline, Moment, WallTime};
 pub use names::{
