fix: a request under which upstreams end is stopped at all daemons

Cause: nobody remembered under which requests upstreams had ended. A request that ends what runs it used both of its attempts, and its caller came again at any daemon, under another id, for which it was a new request.

Ruled out: load (the first engines ended at a usual load, and under overload none counts as ended); sends to engines that are gone (they take callers' tries, but the requests that break off first run twice, at two engines that end).

Now: an upstream that refuses connections after a send broke off has ended; what was under way there is told to all daemons, which judge alike (CrashLedger). Stopped requests are told with every summary and kept in the platform's store, for daemons that start when all are lost. An upstream that has ended gets no more work at once, instead of when its entry lapses 3.5 s later.

Before: poison_requests.rs ran the request 14 to 17 times more in two seconds, three seconds after the third end; after: at most three times more, as its checks ask.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backlog;
+mod crash_ledger;
 mod export;
 mod link;
 mod link_queue;
@@ -22,6 +23,7 @@
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
 pub use backlog::EngineBacklog;
+pub use crash_ledger::{CrashLedger, ENDS_TO_STOP, FIRST_STOP_MS, LedgerNews, StopNotice};
 pub use export::{ExportInput, should_export};
 pub use link::LinkTable;
 pub use link_queue::LinkQueue;
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::events;
 use crate::serve_parts::ServeParts;
 use crate::store_links::{FetchTicket, FetchWait};
-use crate::upstream_ends::{note_break, note_refused};
+use crate::upstream_ends::{note_answer, note_break, note_refused};
 use crate::upstream_table::WeightVersion;
 use crate::work_table::{ExpectedLoad, WorkTicket};
 use bytes::{Bytes, BytesMut};
@@ -399,6 +399,7 @@
             Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
         };
         work.started();
+        note_answer(self.parts, || self.request.digest());
         if !marks.is_last && marks.is_framed {
             self.parts.pool.keep(connection, marks.idle_limit_ms);
         }
--- /dev/null
+++ b/crates/guava-serve/src/crash_words.rs
@@ -0,0 +1,72 @@
+//! What this daemon tells the others of upstreams' ends.
+//!
+//! Each end is told at once, and again with the summaries of the next two seconds: a datagram that is
+//! lost must not hide what a request has ended until it has ended more. Stopped requests are told
+//! with every summary, so that daemons that start, or were cut off, know them within a second.
+
+use crate::upstream_ends::EndNotice;
+use guava_types::{Deadline, Moment, RequestDigest};
+
+/// For how long an end is told again, in milliseconds: two summaries to other data centres.
+const TOLD_MS: u64 = 2_200;
+/// Requests told in one message at most, of 18 bytes each: with all else that it holds it stays one
+/// datagram.
+const MOST_REQUESTS: usize = 80;
+/// Ends remembered for telling at most.
+const MOST_ENDS: usize = 128;
+
+/// Ends to tell.
+#[derive(Debug, Default)]
+pub struct CrashWords {
+    fresh: Vec<EndNotice>,
+    recent: Vec<(EndNotice, Deadline)>,
+}
+
+impl CrashWords {
+    /// Notes an end to be told.
+    pub fn note_end(&mut self, notice: EndNotice, now: Moment) {
+        if self.recent.len() >= MOST_ENDS {
+            self.recent.remove(0);
+        }
+        self.recent.push((notice.clone(), Deadline::after(now, TOLD_MS)));
+        self.fresh.push(notice);
+    }
+
+    /// Takes what was not told yet, in pieces of a message each.
+    pub fn take_fresh(&mut self) -> Vec<Vec<EndNotice>> {
+        in_messages(std::mem::take(&mut self.fresh))
+    }
+
+    /// What a summary repeats: the newest ends.
+    pub fn repeated(&mut self, now: Moment) -> Vec<EndNotice> {
+        self.recent.retain(|(_, until)| !until.passed(now));
+        let newest = self.recent.iter().rev().map(|(notice, _)| notice.clone()).collect();
+        in_messages(newest).into_iter().next().unwrap_or_default()
+    }
+}
+
+/// Ends in as many messages as they need.
+fn in_messages(notices: Vec<EndNotice>) -> Vec<Vec<EndNotice>> {
+    let mut messages: Vec<Vec<EndNotice>> = Vec::new();
+    let mut room = 0;
+    for notice in notices {
+        let pieces = notice.requests.chunks(MOST_REQUESTS);
+        let pieces: Vec<&[RequestDigest]> =
+            if notice.requests.is_empty() { vec![&[]] } else { pieces.collect() };
+        for requests in pieces {
+            let piece =
+                EndNotice { upstream: notice.upstream.clone(), requests: requests.to_vec() };
+            // An upstream's id takes about as much as two digests.
+            let size = requests.len() + 2;
+            match messages.last_mut().filter(|_| room >= size) {
+                Some(message) => message.push(piece),
+                None => {
+                    messages.push(vec![piece]);
+                    room = MOST_REQUESTS + 2;
+                }
+            }
+            room = room.saturating_sub(size);
+        }
+    }
+    messages
+}
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::request_plan::{PlanInput, PlanStep, draw_service, is_crowded, log_send, plan_attempt};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
+use crate::upstream_ends::stopped_until;
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, ServiceName};
 use http::Response;
@@ -23,6 +24,10 @@
 /// tenth of the time that the shortest long prompt takes.
 const HOLD_TICK_MS: u64 = 20;
 
+/// When a stopped request whose time is just over may come back at the earliest, in milliseconds:
+/// its end is not known to the millisecond at all daemons.
+const LEAST_STOP_MS: u64 = 1_000;
+
 /// A request that was accepted, on its way.
 pub struct RequestRun {
     /// The parts it uses.
@@ -66,6 +71,11 @@
             if !self.may_try() {
                 return given_up(fallback, false);
             }
+            // Looked up before each send: what other daemons saw meanwhile counts.
+            self.record.stopped_until = stopped_until(&self.parts, || self.request.digest());
+            if self.record.stopped_until.is_some() {
+                return given_up(fallback, false);
+            }
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::Nowhere => return given_up(fallback, false),
@@ -229,6 +239,9 @@
             ServeOutcome::Answered(relay(run, *stream))
         }
         SendResult::GivenUp { is_over } => match run.record.refusal() {
+            Some(RefusalReason::Stopped) => {
+                stopped(parts, &request, run.record.stopped_until.unwrap_or_default())
+            }
             Some(_) if is_over => refused(parts, &request, RefusalReason::TooLate),
             Some(reason) => refused(parts, &request, reason),
             None => lost(parts, &request, is_over, run.record.runs),
@@ -255,8 +268,22 @@
     ServeOutcome::Answered(response)
 }
 
+/// Refuses a request that is stopped until some moment, and can't be served before.
+fn stopped(parts: &ServeParts, request: &AcceptedRequest, until: Deadline) -> ServeOutcome {
+    let left_ms = until.millis_left(Moment::now()).max(LEAST_STOP_MS);
+    refused_for(parts, request, RefusalReason::Stopped, left_ms)
+}
+
 fn refused(parts: &ServeParts, request: &AcceptedRequest, reason: RefusalReason) -> ServeOutcome {
-    let return_after_ms = return_after_ms(reason, rand::random());
+    refused_for(parts, request, reason, return_after_ms(reason, rand::random()))
+}
+
+fn refused_for(
+    parts: &ServeParts,
+    request: &AcceptedRequest,
+    reason: RefusalReason,
+    return_after_ms: u64,
+) -> ServeOutcome {
     parts.metrics.count_request("refused");
     log_event!(
         info,
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -89,7 +89,7 @@
 /// Engines that have the model in a version that may be used, with that version.
 fn usable<'a>(input: &EngineInput<'a>) -> Vec<(&'a UpstreamEntry, WeightVersion, VersionUse)> {
     let published = input.targets.published(&input.prompt.model);
-    let judged = input.upstreams.serving(input.service).filter_map(|entry| {
+    let judged = input.upstreams.serving(input.service, input.now).filter_map(|entry| {
         let model = &input.prompt.model;
         let version = input.upstreams.version(&entry.id, model, &published, input.now)?;
         let limit = input.version_limits;
--- a/crates/guava-serve/src/event_relay.rs
+++ b/crates/guava-serve/src/event_relay.rs
@@ -7,7 +7,7 @@
 use crate::events;
 use crate::patience::EVENT_GAP_MS;
 use crate::serve_config::RepeatRule;
-use crate::upstream_ends::note_break;
+use crate::upstream_ends::{note_answer, note_break};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
@@ -127,6 +127,7 @@
 
     fn finish(&mut self) {
         self.is_over = true;
+        note_answer(&self.run.parts, || self.run.request.digest());
         let elapsed = Moment::now().millis_since(self.run.request.arrived);
         self.run.parts.metrics.time_whole(elapsed);
         self.run.parts.metrics.count_request("answered");
--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -15,6 +15,9 @@
     BROKEN "G8008" "stream broke off";
     CALLER_LEFT "G8009" "the caller left";
     UPSTREAM_ENDED "G8012" "an upstream ended";
+    REQUEST_STOPPED "G8013" "a request is stopped: upstreams end under it";
+    REQUEST_CLEARED "G8014" "a request is not held against upstreams' ends any more";
+    STOPS_UNREAD "G8015" "records of stopped requests can't be read or written";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_AWAY "G8102" "the list of upstreams can't be read";
     LIST_BACK "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod cache_salt;
 mod config_intake;
 mod connection_pool;
+mod crash_words;
 mod dialect;
 mod dispatch;
 mod end_watch;
@@ -43,6 +44,7 @@
 mod serve_parts;
 mod service_choice;
 mod shared_words;
+mod stop_duty;
 mod store_links;
 mod upstream_ends;
 mod upstream_table;
@@ -56,9 +58,10 @@
 pub use cache_salt::{cache_salt, salt_version};
 pub use config_intake::take_config;
 pub use connection_pool::{ConnectionPool, ExchangeError, UpstreamConnection};
+pub use crash_words::CrashWords;
 pub use dialect::{AnswerMarks, Dialect, EngineOrders, SendPlan};
 pub use dispatch::serve_request;
-pub use end_watch::{BreakStep, ENDED_MS, EndWatch};
+pub use end_watch::EndWatch;
 pub use engine_choice::{EngineChoice, choose_engine};
 pub use engine_input::EngineInput;
 pub use event_framer::{EventBatch, EventFramer};
@@ -75,15 +78,15 @@
 pub use patience::{first_answer_patience, return_after_ms};
 pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
 pub use peer_exchange::{
-    OwnNews, compose_greeting, compose_message, compose_note, compose_words, take_change,
-    take_message, take_version,
+    OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
+    take_change, take_message, take_version,
 };
 pub use peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
 };
 pub use ports::{
     EnginePort, EngineReport, FreeOrder, LeaseNews, LeasePort, LoadOrder, PartList, PartPort,
-    PartReport, PortError, PortFuture,
+    PartReport, PortError, PortFuture, StopPort,
 };
 pub use prefill_rate::PrefillRate;
 pub use request_plan::draw_service;
@@ -98,7 +101,9 @@
 pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
 pub use service_choice::{ServiceInput, choose_instance};
 pub use shared_words::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
+pub use stop_duty::{StopRecord, StopSight, is_read_due, keep_stops};
 pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
+pub use upstream_ends::EndNotice;
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/outcome.rs
+++ b/crates/guava-serve/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What a request comes to, and how its runs are accounted for.
 
 use crate::answer_body::AnswerBody;
-use guava_types::UpstreamId;
+use guava_types::{Deadline, UpstreamId};
 use http::Response;
 use std::fmt;
 
@@ -22,6 +22,8 @@
     Overloaded,
     /// No configuration is known yet.
     NotReady,
+    /// Upstreams end under it.
+    Stopped,
 }
 
 impl RefusalReason {
@@ -35,6 +37,7 @@
             Self::TooLate => "too-late",
             Self::Overloaded => "overloaded",
             Self::NotReady => "not-ready",
+            Self::Stopped => "stopped",
         }
     }
 }
@@ -80,6 +83,8 @@
     pub refusals: u32,
     /// Whether it was held here until its time to start was over.
     pub was_held: bool,
+    /// Until when it is stopped, if upstreams end under it.
+    pub stopped_until: Option<Deadline>,
 }
 
 impl SendRecord {
@@ -88,7 +93,9 @@
         if self.runs > 0 {
             return None;
         }
-        Some(if self.was_held {
+        Some(if self.stopped_until.is_some() {
+            RefusalReason::Stopped
+        } else if self.was_held {
             RefusalReason::Crowded
         } else if self.refusals > 0 {
             RefusalReason::UpstreamsFull
--- a/crates/guava-serve/src/patience.rs
+++ b/crates/guava-serve/src/patience.rs
@@ -2,6 +2,7 @@
 
 use crate::outcome::RefusalReason;
 use crate::serve_config::{RepeatRule, RouteRule};
+use guava_policy::FIRST_STOP_MS;
 
 /// Part of a plain request's objective after which another upstream is tried. Answers take a
 /// fraction of it, and what is left must suffice for the second try.
@@ -41,6 +42,8 @@
         RefusalReason::TooLate => 200,
         // A burst that fills all engines lasts for seconds; their runs end within two.
         RefusalReason::Crowded => 1_000,
+        // Where it is known for how long, that is said instead.
+        RefusalReason::Stopped => FIRST_STOP_MS,
     };
     base + draw % base
 }
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -2,7 +2,8 @@
 
 use crate::member_table::MemberNote;
 use crate::peer_exchange::{
-    OwnNews, compose_greeting, compose_message, compose_note, compose_words, take_message,
+    OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
+    take_message,
 };
 use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, SentPrompt};
 use crate::rollout_state::VersionRollout;
@@ -108,9 +109,15 @@
     for number in 0.. {
         parts.note_due.notified().await;
         greet_newcomers(&parts, &socket, &state).await;
+        let is_large = parts.members.borrow().is_large();
+        for ends in compose_end_notes(&parts, &own_note(&state), Moment::now()) {
+            send_to_all(&socket, &ends.encode(Moment::now()), &parts, is_large).await;
+            if is_large {
+                tell_far(&parts, &socket, &ends, number).await;
+            }
+        }
         let Some(note) = compose_note(&parts, own_note(&state)) else { continue };
         let now = Moment::now();
-        let is_large = parts.members.borrow().is_large();
         // Engines that load concern daemons everywhere.
         let only_near = is_large && note.loading.is_empty();
         send_to_all(&socket, &note.encode(now), &parts, only_near).await;
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -7,9 +7,12 @@
 use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::shared_words::{STANDBYS, SharedWord, WordKeeper};
+use crate::stop_duty::StopSight;
+use crate::upstream_ends::{EndNotice, take_end, take_stop};
 use crate::upstream_table::ListChange;
 use guava_log::log_event;
-use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
+use guava_policy::StopNotice;
+use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount, UpstreamId};
 use std::net::SocketAddr;
 
 /// How long an upstream counts as loading after a peer said so, in milliseconds, and half of the time
@@ -22,6 +25,8 @@
 const WHOLE_EVERY: u64 = 10;
 /// Parts told in one message at most, so that it fits into a datagram.
 const MOST_PARTS: usize = 300;
+/// Stopped requests told in one message at most, of 24 bytes each.
+const MOST_STOPS: usize = 32;
 /// How old this daemon's reading of the upstreams' clock gets before a peer's is taken, in
 /// milliseconds.
 const CLOCK_EXPIRY_MS: u64 = 2_000;
@@ -63,11 +68,35 @@
         clock_ms: parts.upstream_clock_in(0, now),
         listed: if is_list_told { listed } else { Vec::new() },
         slow_links: parts.links.borrow().slow_links(now),
+        ended: parts.crash_words.borrow_mut().repeated(now),
+        stops: told_stops(parts, now),
+        cleared: told_cleared(parts),
+        knows_stops: tells_all_stops(parts, now),
         is_note: false,
         is_for_relay: false,
     }
 }
 
+/// Stopped requests as told: nearly always none. Where there are more than fit, others each time.
+fn told_stops(parts: &ServeParts, now: Moment) -> Vec<StopNotice> {
+    let mut stops: Vec<StopNotice> = parts.ledger.borrow().stops(now).collect();
+    if stops.len() > MOST_STOPS {
+        let from = rand::random::<u64>() as usize % stops.len();
+        stops.rotate_left(from);
+        stops.truncate(MOST_STOPS);
+    }
+    stops
+}
+
+/// Whether a message holds all that the records of stopped requests say.
+fn tells_all_stops(parts: &ServeParts, now: Moment) -> bool {
+    parts.stop_sight.get().is_known && parts.ledger.borrow().stops(now).count() <= MOST_STOPS
+}
+
+fn told_cleared(parts: &ServeParts) -> Vec<RequestDigest> {
+    parts.ledger.borrow().cleared().take(MOST_STOPS).collect()
+}
+
 /// A message that leaves all as it was said before.
 fn empty_note(note: MemberNote) -> PeerMessage {
     PeerMessage {
@@ -84,6 +113,10 @@
         clock_ms: None,
         listed: Vec::new(),
         slow_links: Vec::new(),
+        ended: Vec::new(),
+        stops: Vec::new(),
+        cleared: Vec::new(),
+        knows_stops: false,
         is_note: true,
         is_for_relay: false,
     }
@@ -101,6 +134,20 @@
     Some(PeerMessage { sent, loading, ..empty_note(note) })
 }
 
+/// Notes on upstreams that just ended, with the requests that are stopped or cleared for it. Told a
+/// second later, a request that ends what runs it would have been sent to some upstreams more.
+pub fn compose_end_notes(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
+    let ends = parts.crash_words.borrow_mut().take_fresh();
+    let message = |ended: Vec<EndNotice>| PeerMessage { ended, ..empty_note(note.clone()) };
+    let mut messages: Vec<PeerMessage> = ends.into_iter().map(message).collect();
+    if parts.verdicts_due.take() {
+        let (stops, cleared) = (told_stops(parts, now), told_cleared(parts));
+        let last = messages.pop().unwrap_or_else(|| message(Vec::new()));
+        messages.push(PeerMessage { stops, cleared, ..last });
+    }
+    messages
+}
+
 /// What this daemon has read of the platform's store, if it reads for all; in several messages where
 /// the list changed much. Told to the daemons of all data centres directly, since a relay that is
 /// suspended would pass an old word on as a new one.
@@ -127,7 +174,16 @@
     let last = messages.pop().unwrap_or_else(|| message(&[]));
     let published_since = words.published_since;
     let targets = published(parts, now);
-    messages.push(PeerMessage { operator, published_since, targets, list, ..last });
+    let (stops, knows_stops) = (told_stops(parts, now), tells_all_stops(parts, now));
+    messages.push(PeerMessage {
+        operator,
+        published_since,
+        targets,
+        list,
+        stops,
+        knows_stops,
+        ..last
+    });
     messages
 }
 
@@ -224,6 +280,18 @@
         parts.words.borrow_mut().operator.note_spared(since, word.state);
     }
     take_words(parts, message.operator, message.list);
+    for end in &message.ended {
+        take_end(parts, end, now);
+    }
+    for request in message.cleared {
+        parts.ledger.borrow_mut().note_cleared(request, now);
+    }
+    for stop in message.stops {
+        take_stop(parts, stop, now);
+    }
+    if message.knows_stops {
+        parts.stop_sight.set(StopSight { is_known: true, told: now });
+    }
     if message.is_note {
         for sent in &message.sent {
             let service_ms = parts.prefill.borrow().read_ms(sent.waiting);
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -5,9 +5,11 @@
 use crate::save_ledger::PartSave;
 use crate::shared_words::SharedWord;
 use crate::store_links::{SlowLink, StoreTransfer};
+use crate::upstream_ends::EndNotice;
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
-use guava_types::{FastMap, ModelName, Moment, TokenCount, UpstreamId};
+use guava_policy::StopNotice;
+use guava_types::{FastMap, ModelName, Moment, RequestDigest, TokenCount, UpstreamId};
 use prost::Message;
 use std::net::SocketAddr;
 
@@ -165,6 +167,32 @@
     slow_links: Vec<WireLink>,
     #[prost(fixed64, optional, tag = "19")]
     published_since: Option<u64>,
+    #[prost(message, repeated, tag = "20")]
+    ended: Vec<WireEnded>,
+    #[prost(message, repeated, tag = "21")]
+    stops: Vec<WireStop>,
+    #[prost(bytes = "vec", repeated, tag = "22")]
+    cleared: Vec<Vec<u8>>,
+    #[prost(bool, tag = "23")]
+    knows_stops: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireEnded {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    requests: Vec<Vec<u8>>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireStop {
+    #[prost(bytes = "vec", tag = "1")]
+    request: Vec<u8>,
+    #[prost(uint64, tag = "2")]
+    left_ms: u64,
+    #[prost(uint32, tag = "3")]
+    times: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -258,6 +286,14 @@
     pub listed: Vec<ListedChange>,
     /// Links of stores that its own fetches show to be slow.
     pub slow_links: Vec<SlowLink>,
+    /// Upstreams that lately ended, with its requests that broke off there.
+    pub ended: Vec<EndNotice>,
+    /// Requests that are stopped, as far as it knows.
+    pub stops: Vec<StopNotice>,
+    /// Requests that it has lately found to do no harm.
+    pub cleared: Vec<RequestDigest>,
+    /// Whether it knows the records of stopped requests.
+    pub knows_stops: bool,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
     pub is_note: bool,
     /// Whether the receiver passes this on to the daemons of its own data centre.
@@ -293,7 +329,14 @@
         // Transfers begun in another data centre are reckoned there from its own.
         let plain = |sent: &SentPrompt| SentPrompt { transfers: Vec::new(), ..sent.clone() };
         let sent: Vec<SentPrompt> = for_all.map(plain).collect();
-        (!sent.is_empty()).then(|| Self { sent, is_for_relay: true, ..self.clone() })
+        let concerns_all = !self.ended.is_empty() || self.tells_verdicts();
+        let is_due = concerns_all || !sent.is_empty();
+        is_due.then(|| Self { sent, is_for_relay: true, ..self.clone() })
+    }
+
+    /// Whether it says of requests that they are stopped, or are not any more.
+    pub fn tells_verdicts(&self) -> bool {
+        !self.stops.is_empty() || !self.cleared.is_empty()
     }
 
     /// The message as a relay passes it on.
@@ -367,6 +410,10 @@
             clock_ms: self.clock_ms,
             listed: self.listed.iter().map(wire_listed).collect(),
             slow_links: self.slow_links.iter().map(slow_link).collect(),
+            ended: self.ended.iter().map(wire_ended).collect(),
+            stops: self.stops.iter().map(wire_stop).collect(),
+            cleared: self.cleared.iter().map(digest_bytes).collect(),
+            knows_stops: self.knows_stops,
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
         };
@@ -465,12 +512,44 @@
             clock_ms: wire.clock_ms,
             listed: wire.listed.iter().filter_map(listed_change).collect(),
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
+            ended: wire.ended.iter().filter_map(end_notice).collect(),
+            stops: wire.stops.iter().filter_map(stop_notice).collect(),
+            cleared: wire.cleared.iter().filter_map(|bytes| digest(bytes)).collect(),
+            knows_stops: wire.knows_stops,
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
         })
     }
 }
 
+fn digest_bytes(digest: &RequestDigest) -> Vec<u8> {
+    digest.0.to_be_bytes().to_vec()
+}
+
+fn digest(bytes: &[u8]) -> Option<RequestDigest> {
+    bytes.try_into().ok().map(|bytes| RequestDigest(u128::from_be_bytes(bytes)))
+}
+
+fn wire_ended(notice: &EndNotice) -> WireEnded {
+    let requests = notice.requests.iter().map(digest_bytes).collect();
+    WireEnded { upstream: notice.upstream.to_string(), requests }
+}
+
+fn end_notice(wire: &WireEnded) -> Option<EndNotice> {
+    let requests = wire.requests.iter().filter_map(|bytes| digest(bytes)).collect();
+    Some(EndNotice { upstream: wire.upstream.parse().ok()?, requests })
+}
+
+fn wire_stop(stop: &StopNotice) -> WireStop {
+    let request = digest_bytes(&stop.request);
+    WireStop { request, left_ms: stop.left_ms, times: stop.times }
+}
+
+fn stop_notice(wire: &WireStop) -> Option<StopNotice> {
+    let request = digest(&wire.request)?;
+    Some(StopNotice { request, left_ms: wire.left_ms, times: wire.times })
+}
+
 fn wire_listed(change: &ListedChange) -> WireListed {
     match change {
         ListedChange::Removed(id) => {
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -4,10 +4,11 @@
 //! types. Which call is made when, and what follows from its result, is decided by the duties.
 
 use crate::part_index::{HeldPart, PartEvent};
+use crate::stop_duty::StopRecord;
 use crate::upstream_table::WeightVersion;
 use futures_util::future::LocalBoxFuture;
 use guava_state::LeaseEntry;
-use guava_types::{FastMap, ModelName, UpstreamId};
+use guava_types::{FastMap, ModelName, RequestDigest, UpstreamId};
 use snafu::Snafu;
 use std::fmt;
 use std::net::SocketAddr;
@@ -138,3 +139,13 @@
     /// Frees parts.
     pub free: Rc<dyn Fn(FreeOrder) -> PortFuture<()>>,
 }
+
+/// Records of stopped requests, where they outlast the daemons.
+pub struct StopPort {
+    /// Reads all.
+    pub read: Rc<dyn Fn() -> PortFuture<Vec<StopRecord>>>,
+    /// Writes one.
+    pub write: Rc<dyn Fn(StopRecord) -> PortFuture<()>>,
+    /// Drops one.
+    pub remove: Rc<dyn Fn(RequestDigest) -> PortFuture<()>>,
+}
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -3,6 +3,7 @@
 //! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
 
 use crate::connection_pool::ConnectionPool;
+use crate::crash_words::CrashWords;
 use crate::dialect::Dialect;
 use crate::end_watch::EndWatch;
 use crate::list_news::ListNews;
@@ -14,11 +15,12 @@
 use crate::retry_shares::{RetryLimit, RetryShares};
 use crate::serve_config::ConfigKeeper;
 use crate::shared_words::SharedWords;
+use crate::stop_duty::StopSight;
 use crate::store_links::StoreLinks;
 use crate::upstream_table::UpstreamTable;
 use crate::version_targets::{VersionLimits, VersionTargets};
 use crate::work_table::WorkTable;
-use guava_policy::{MemoryTrust, WaitingLine};
+use guava_policy::{CrashLedger, MemoryTrust, WaitingLine};
 use guava_types::{DataCentre, Incarnation, MemberName, Moment, UpstreamId};
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
@@ -93,8 +95,18 @@
     pub config: RefCell<ConfigKeeper>,
     /// The upstreams.
     pub upstreams: RefCell<UpstreamTable>,
-    /// Those that ended, and sends that broke off.
+    /// Sends that broke off, until it is known whether their upstreams ended.
     pub ends: RefCell<EndWatch>,
+    /// Upstreams' ends, and requests that are stopped for them.
+    pub ledger: RefCell<CrashLedger>,
+    /// Ends to tell peers.
+    pub crash_words: RefCell<CrashWords>,
+    /// Whether requests were stopped or cleared here that peers were not told of at once.
+    pub verdicts_due: Cell<bool>,
+    /// How much is known of the records of stopped requests.
+    pub stop_sight: Cell<StopSight>,
+    /// Wakes whoever keeps these records.
+    pub stops_due: Notify,
     /// Their work.
     pub work: RefCell<WorkTable>,
     /// Where cached parts lie.
@@ -148,6 +160,11 @@
             config: RefCell::default(),
             upstreams: RefCell::default(),
             ends: RefCell::default(),
+            ledger: RefCell::default(),
+            crash_words: RefCell::default(),
+            verdicts_due: Cell::default(),
+            stop_sight: Cell::default(),
+            stops_due: Notify::new(),
             work: RefCell::default(),
             parts: RefCell::default(),
             links: RefCell::default(),
--- a/crates/guava-serve/src/service_choice.rs
+++ b/crates/guava-serve/src/service_choice.rs
@@ -29,7 +29,7 @@
 /// Chooses an instance: the least work for its slots, times how slow it has been.
 pub fn choose_instance(input: &ServiceInput<'_>) -> Option<UpstreamId> {
     let mut costs: Vec<(f64, &UpstreamId)> = Vec::new();
-    for entry in input.upstreams.serving(input.service) {
+    for entry in input.upstreams.serving(input.service, input.now) {
         if input.tried.contains(&entry.id) {
             continue;
         }
--- /dev/null
+++ b/crates/guava-serve/src/stop_duty.rs
@@ -0,0 +1,156 @@
+//! Keeps stopped requests where they outlast all daemons.
+//!
+//! Daemons tell each other which requests are stopped; but when all of them are lost at once, nobody
+//! is left who knows, and the requests would end three upstreams more each. So each stopped request
+//! has a record in the platform's store, written by those that read it for all, and read by whoever
+//! starts and is told by nobody, or hears nobody any more.
+
+use crate::events;
+use crate::ports::{PortError, StopPort};
+use crate::retry_pause::{RetryPause, is_read_urgent};
+use crate::serve_parts::ServeParts;
+use crate::shared_words::STANDBYS;
+use guava_log::log_event;
+use guava_types::{Deadline, FastMap, Moment, RequestDigest};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a daemon that starts waits for a peer that knows the records, in milliseconds, unless it
+/// is one of those that read for all. A second later its time to know them is over by a third.
+const TOLD_MS: u64 = 1_000;
+/// Time without a peer's word after which the records are read again, in milliseconds: a daemon that
+/// reaches the store and none of its peers must still learn of requests stopped meanwhile.
+const ALONE_MS: u64 = 2_000;
+/// Pause between two looks at whether something is due, in milliseconds.
+const LOOK_MS: u64 = 250;
+
+/// A stopped request's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopRecord {
+    /// Which.
+    pub request: RequestDigest,
+    /// How often it has been stopped.
+    pub times: u32,
+}
+
+/// When the records were last read, or told by a peer that knows them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StopSight {
+    /// Whether this daemon knows the records.
+    pub is_known: bool,
+    /// When a peer that knows them last spoke.
+    pub told: Moment,
+}
+
+/// Whether the records are to be read: by those that read for all at their start, by the others if
+/// nobody tells them; and again where nobody speaks any more.
+pub fn is_read_due(
+    sight: StopSight,
+    started: Moment,
+    turn: usize,
+    peers: usize,
+    now: Moment,
+) -> bool {
+    if !sight.is_known {
+        return turn <= STANDBYS || now.millis_since(started) >= TOLD_MS;
+    }
+    peers > 0 && now.millis_since(sight.told) >= ALONE_MS
+}
+
+/// Reads and writes the records of stopped requests, for ever.
+pub async fn keep_stops(parts: Rc<ServeParts>, port: StopPort) {
+    let started = Moment::now();
+    let mut duty = StopDuty { parts, port, started, written: FastMap::default(), read: None };
+    let mut retry = RetryPause::default();
+    loop {
+        let pause = match duty.step().await {
+            Ok(()) => {
+                retry.reset();
+                Duration::from_millis(LOOK_MS)
+            }
+            Err(reason) => {
+                log_event!(debug, events::STOPS_UNREAD, reason = reason);
+                let is_urgent = is_read_urgent(&duty.parts);
+                retry.after_failure(is_urgent, rand::random())
+            }
+        };
+        if retry.is_waiting() {
+            sleep(pause).await;
+        } else {
+            // Whether it is time or there is news makes no difference.
+            drop(timeout(pause, duty.parts.stops_due.notified()).await);
+        }
+    }
+}
+
+struct StopDuty {
+    parts: Rc<ServeParts>,
+    port: StopPort,
+    started: Moment,
+    /// Records that stand in the store, as far as this daemon wrote or read them.
+    written: FastMap<RequestDigest, u32>,
+    /// When the records were last read here.
+    read: Option<Deadline>,
+}
+
+impl StopDuty {
+    async fn step(&mut self) -> Result<(), PortError> {
+        let now = Moment::now();
+        let (turn, peers) = {
+            let members = self.parts.members.borrow();
+            (members.read_turn(&self.parts.identity.name, now), members.count() - 1)
+        };
+        let sight = self.parts.stop_sight.get();
+        for request in self.parts.ledger.borrow_mut().sweep(now) {
+            log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "over");
+        }
+        let may_read = self.read.is_none_or(|again| again.passed(now));
+        if may_read && is_read_due(sight, self.started, turn, peers, now) {
+            self.read_records().await?;
+        }
+        if turn <= STANDBYS {
+            self.write_records(turn).await?;
+        }
+        Ok(())
+    }
+
+    async fn read_records(&mut self) -> Result<(), PortError> {
+        let records = (self.port.read)().await?;
+        let now = Moment::now();
+        self.read = Some(Deadline::after(now, ALONE_MS));
+        let sight = self.parts.stop_sight.get();
+        self.parts.stop_sight.set(StopSight { is_known: true, ..sight });
+        for record in records {
+            self.written.insert(record.request, record.times);
+            self.parts.ledger.borrow_mut().note_record(record.request, record.times, now);
+        }
+        Ok(())
+    }
+
+    /// Writes what is stopped and has no record, and drops the records of what is not any more. The
+    /// first reader drops: a standby that was cut off may not know why a request is stopped.
+    async fn write_records(&mut self, turn: usize) -> Result<(), PortError> {
+        let known: Vec<StopRecord> = {
+            let ledger = self.parts.ledger.borrow();
+            let remembered = ledger.remembered();
+            remembered.map(|(request, times)| StopRecord { request, times }).collect()
+        };
+        for record in &known {
+            if self.written.get(&record.request).is_none_or(|times| *times < record.times) {
+                (self.port.write)(*record).await?;
+                self.written.insert(record.request, record.times);
+            }
+        }
+        let is_known = |request: &RequestDigest| known.iter().any(|one| one.request == *request);
+        let over: Vec<RequestDigest> =
+            self.written.keys().filter(|request| !is_known(request)).copied().collect();
+        for request in over {
+            if turn == 0 {
+                (self.port.remove)(request).await?;
+            }
+            self.written.remove(&request);
+        }
+        Ok(())
+    }
+}
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -1,35 +1,39 @@
-//! Finds out whether upstreams ended under requests.
+//! Upstreams that end under requests: found out, told to the other daemons, and no more used.
 
-use crate::end_watch::BreakStep;
 use crate::events;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
-use guava_types::{Moment, RequestDigest, UpstreamId};
+use guava_policy::{LedgerNews, StopNotice};
+use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Pause before the look, in milliseconds: a process that ends closes its connections one after the
-/// other, and its listener may come last.
+/// Pause before the look whether an upstream has ended, in milliseconds: a process that ends closes
+/// its connections one after the other, and its listener may come last.
 const LOOK_MS: u64 = 5;
+/// For how long an upstream counts as ended, in milliseconds: its entry lapses after three of its
+/// heartbeats, and is read within a second of that. One that was taken for ended by mistake is used
+/// again after that time.
+const ENDED_MS: u64 = 4_500;
+/// Digests in one log line at most.
+const LOGGED_DIGESTS: usize = 24;
 
-/// Takes in that a send broke off after its upstream may have begun to run the request.
-pub fn note_break(parts: &Rc<ServeParts>, upstream: &UpstreamId, request: RequestDigest) {
-    let step = parts.ends.borrow_mut().note_break(upstream, request, Moment::now());
-    match step {
-        BreakStep::Wait => {}
-        BreakStep::Ended => note_crash(parts, upstream, &[request]),
-        BreakStep::Look => {
-            drop(tokio::task::spawn_local(look(Rc::clone(parts), upstream.clone())));
-        }
-    }
+/// An upstream's end, as daemons tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndNotice {
+    /// Which start of which upstream.
+    pub upstream: UpstreamId,
+    /// The speaker's requests that broke off with it.
+    pub requests: Vec<RequestDigest>,
 }
 
-/// Takes in that nobody listens at an upstream's address.
-pub fn note_refused(parts: &ServeParts, upstream: &UpstreamId) {
-    let (requests, is_news) = parts.ends.borrow_mut().note_ended(upstream, Moment::now());
-    if is_news {
-        note_crash(parts, upstream, &requests);
+/// Takes in that a send broke off after its upstream may have begun to run the request.
+pub fn note_break(parts: &Rc<ServeParts>, upstream: &UpstreamId, request: RequestDigest) {
+    if parts.upstreams.borrow().has_ended(upstream, Moment::now()) {
+        note_end(parts, upstream, vec![request]);
+    } else if parts.ends.borrow_mut().note_break(upstream, request) {
+        drop(tokio::task::spawn_local(look(Rc::clone(parts), upstream.clone())));
     }
 }
 
@@ -40,19 +44,108 @@
         Some(address) => parts.pool.is_listening(address).await,
         None => None,
     };
-    match is_listening {
-        Some(false) => note_refused(&parts, &upstream),
-        Some(true) | None => parts.ends.borrow_mut().note_living(&upstream),
+    if is_listening == Some(false) {
+        note_refused(&parts, &upstream);
+    } else {
+        // It lives, or that can't be told: what broke off there is nobody's fault.
+        parts.ends.borrow_mut().take(&upstream);
     }
 }
 
-fn note_crash(_parts: &ServeParts, upstream: &UpstreamId, requests: &[RequestDigest]) {
-    let list: Vec<String> = requests.iter().map(RequestDigest::to_string).collect();
+/// Takes in that nobody listens at an upstream's address.
+pub fn note_refused(parts: &ServeParts, upstream: &UpstreamId) {
+    let requests = parts.ends.borrow_mut().take(upstream);
+    let is_known = parts.upstreams.borrow().has_ended(upstream, Moment::now());
+    if !is_known || !requests.is_empty() {
+        note_end(parts, upstream, requests);
+    }
+}
+
+/// Takes in that an upstream has ended under requests of this daemon's.
+fn note_end(parts: &ServeParts, upstream: &UpstreamId, requests: Vec<RequestDigest>) {
+    let now = Moment::now();
+    let list: Vec<String> =
+        requests.iter().take(LOGGED_DIGESTS).map(RequestDigest::to_string).collect();
     log_event!(
         info,
         events::UPSTREAM_ENDED,
         upstream = upstream,
-        under = list.len(),
+        under = requests.len(),
         digests = list.join(" ")
     );
+    let notice = EndNotice { upstream: upstream.clone(), requests };
+    if take_end(parts, &notice, now) {
+        parts.crash_words.borrow_mut().note_end(notice, now);
+        parts.note_due.notify_one();
+    }
+}
+
+/// Takes in that an upstream has ended, as seen here or told by a peer; whether it is news.
+pub fn take_end(parts: &ServeParts, notice: &EndNotice, now: Moment) -> bool {
+    let Some(entry) = parts.upstreams.borrow().entry(&notice.upstream).cloned() else {
+        return false;
+    };
+    let was_known = parts.upstreams.borrow().has_ended(&notice.upstream, now);
+    if !was_known {
+        let until = Deadline::after(now, ENDED_MS);
+        parts.upstreams.borrow_mut().note_ended(&notice.upstream, until);
+        parts.pool.forget(entry.address);
+    }
+    if entry.is_leaving {
+        // It ended as it had announced: no request is to blame.
+        return !was_known;
+    }
+    let news = parts.ledger.borrow_mut().note_end(&notice.upstream, &notice.requests, now);
+    log_verdicts(parts, &news);
+    !was_known || news.is_news
+}
+
+fn log_verdicts(parts: &ServeParts, news: &LedgerNews) {
+    for request in &news.stopped {
+        parts.metrics.count_request("stopped");
+        log_event!(warn, events::REQUEST_STOPPED, digest = request, source = "evidence");
+    }
+    for request in &news.lifted {
+        log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "explained");
+    }
+    if !news.stopped.is_empty() || !news.lifted.is_empty() {
+        note_verdicts(parts);
+    }
+}
+
+/// Has peers and the store told of verdicts that were just found here.
+fn note_verdicts(parts: &ServeParts) {
+    parts.verdicts_due.set(true);
+    parts.note_due.notify_one();
+    parts.stops_due.notify_one();
+}
+
+/// Takes in that a peer has stopped a request.
+pub fn take_stop(parts: &ServeParts, stop: StopNotice, now: Moment) {
+    if parts.ledger.borrow_mut().note_told(stop, now) {
+        log_event!(warn, events::REQUEST_STOPPED, digest = stop.request, source = "peer");
+        parts.stops_due.notify_one();
+    }
+}
+
+/// Takes in that a request was answered whole by an upstream.
+pub fn note_answer(parts: &ServeParts, digest: impl FnOnce() -> RequestDigest) {
+    // Nearly always nothing is known of any request, and none need be looked up.
+    if parts.ledger.borrow().is_empty() {
+        return;
+    }
+    let digest = digest();
+    if parts.ledger.borrow_mut().note_answer(digest, Moment::now()) {
+        log_event!(info, events::REQUEST_CLEARED, digest = digest, reason = "answered");
+        note_verdicts(parts);
+    }
+}
+
+/// Until when a request is stopped, if it is.
+pub fn stopped_until(
+    parts: &ServeParts,
+    digest: impl FnOnce() -> RequestDigest,
+) -> Option<Deadline> {
+    let ledger = parts.ledger.borrow();
+    if ledger.is_empty() { None } else { ledger.stopped_until(digest(), Moment::now()) }
 }
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -68,6 +68,8 @@
     dropped_at: Option<Deadline>,
     /// Set while new weights are being loaded, as far as is known.
     loading_until: Deadline,
+    /// Set while nobody listens at its address.
+    ended_until: Deadline,
     doubt: Option<VersionDoubt>,
 }
 
@@ -183,6 +185,7 @@
                     entry,
                     dropped_at: None,
                     loading_until: Deadline::default(),
+                    ended_until: Deadline::default(),
                     doubt: None,
                 };
                 self.listed.insert(id, listed);
@@ -333,6 +336,20 @@
         self.listed.get(id).is_some_and(|listed| !listed.loading_until.passed(now))
     }
 
+    /// Notes that nobody listens at an upstream's address: it gets no work until a deadline. Its entry
+    /// lapses only seconds after it ended, and until then each request that went there took one of
+    /// its few tries.
+    pub fn note_ended(&mut self, id: &UpstreamId, until: Deadline) {
+        if let Some(listed) = self.listed.get_mut(id) {
+            listed.ended_until = until;
+        }
+    }
+
+    /// Whether an upstream has ended, as far as is known.
+    pub fn has_ended(&self, id: &UpstreamId, now: Moment) -> bool {
+        self.listed.get(id).is_some_and(|listed| !listed.ended_until.passed(now))
+    }
+
     /// Whether new work may go to an upstream; asked right before each send, since choosing one
     /// and connecting to it take time in which it may have left.
     pub fn may_send(&self, id: &UpstreamId) -> bool {
@@ -345,10 +362,15 @@
     }
 
     /// The upstreams of a service that may get new work.
-    pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamEntry> {
+    pub fn serving(
+        &self,
+        service: &ServiceName,
+        now: Moment,
+    ) -> impl Iterator<Item = &UpstreamEntry> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
         ids.iter()
             .filter_map(|id| self.listed.get(id))
+            .filter(move |listed| listed.ended_until.passed(now))
             .map(|listed| &listed.entry)
             .filter(|entry| !entry.is_leaving)
     }
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -4,14 +4,15 @@
 
 mod support;
 
+use guava_policy::StopNotice;
 use guava_serve::{
-    CallerIdentity, EventFramer, ExpectedLoad, ListedChange, LoadedVersion, MemberNote,
+    CallerIdentity, EndNotice, EventFramer, ExpectedLoad, ListedChange, LoadedVersion, MemberNote,
     MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate, PublishedVersion,
     RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord, SentPrompt,
     ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable, WeightVersion,
     WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
 };
-use guava_types::{Deadline, FastMap, Moment, TokenCount};
+use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount};
 use std::rc::Rc;
 use support::{address, customer, engine, id, model, request, route, upstream};
 use yare::parameterized;
@@ -266,6 +267,10 @@
         clock_ms: Some(5),
         listed: vec![ListedChange::Entry(engine("g", 2)), ListedChange::Removed(id("h"))],
         slow_links: vec![SlowLink { store: address(5), hundredths: 420 }],
+        ended: vec![EndNotice { upstream: id("e"), requests: vec![RequestDigest(7)] }],
+        stops: vec![StopNotice { request: RequestDigest(8), left_ms: 9_000, times: 2 }],
+        cleared: vec![RequestDigest(9)],
+        knows_stops: true,
         is_note: false,
         is_for_relay: true,
     };
--- a/crates/guava-serve/tests/upstream_table.rs
+++ b/crates/guava-serve/tests/upstream_table.rs
@@ -19,7 +19,7 @@
 fn serving(table: &UpstreamTable) -> Vec<String> {
     let service = "app".parse().unwrap();
     let mut names: Vec<String> =
-        table.serving(&service).map(|entry| entry.id.to_string()).collect();
+        table.serving(&service, Moment::now()).map(|entry| entry.id.to_string()).collect();
     names.sort();
     names
 }
