--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -3,6 +3,7 @@
 
 use crate::engine_cache::EngineCache;
 use crate::engine_stream::{Run, RunBuffer, stream_run};
+use crate::process_end::end_under;
 use crate::serve::Shared;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
@@ -71,6 +72,8 @@
     pub close_after: u64,
     /// Every other cache event is lost.
     pub gap_events: bool,
+    /// It ends soon after it has begun to run a prompt that begins with this; empty for none.
+    pub ends_on: Box<str>,
 }
 
 /// What happened at the engine.
@@ -319,6 +322,7 @@
         state.runs.insert(run_id.clone(), run.clone());
         run
     };
+    end_under(&server.faults().ends_on, order.prompt.as_bytes());
     tokio::spawn(server.clone().run(order, run.clone()));
     stream_run(server.faults(), &run_id, run, 0)
 }
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod measure;
 pub mod overhead;
 pub mod process_cost;
+mod process_end;
 pub mod serve;
 pub mod service_server;
 pub mod slopes;
--- a/crates/guava-standins/src/service_server.rs
+++ b/crates/guava-standins/src/service_server.rs
@@ -1,5 +1,6 @@
 //! A plain service whose calls may not all be repeated: it counts its runs by customer and key.
 
+use crate::process_end::end_under;
 use crate::serve::Shared;
 use axum::body::{Body, Bytes};
 use axum::extract::State;
@@ -23,6 +24,9 @@
     pub lose_answers: bool,
     /// The report says that it is leaving.
     pub leaving: bool,
+    /// It ends soon after it has begun to run a call whose path or body begins with this; empty for
+    /// none.
+    pub ends_on: Box<str>,
 }
 
 /// What ran.
@@ -61,6 +65,8 @@
         stats.total
     };
     let faults = server.faults.lock().clone();
+    end_under(&faults.ends_on, &body);
+    end_under(&faults.ends_on, uri.path().trim_start_matches('/').as_bytes());
     sleep(Duration::from_millis(faults.run_ms)).await;
     if faults.lose_answers {
         // The connection breaks inside the body: the run happened, its answer is lost.
