fix: a request under which upstreams end is stopped on the product's own interface

The same cause as on the platform, found by looking for it elsewhere: completions and calls, repeatable and keyed, were sent on and on, at any daemon, under any key. The same judgement (CrashLedger) is made here; ends and verdicts travel with the gossip, verdicts stand in the log as well, for when all daemons are lost.

An upstream keeps its name here; it has ended if nobody listens at its address any more, or if its next report comes from another instance.

The stand-ins' fatal requests answered before they ended their process; they give no answer now.

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -9,6 +9,7 @@
 use crate::call_forward::{attach, forward_pinned};
 use crate::call_table::{CallEntry, CallFingerprint, wait_outcome};
 use crate::context::{DaemonContext, locked};
+use crate::crash_watch::{note_answer, note_break, stop_refusal};
 use crate::events;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
@@ -17,7 +18,8 @@
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
 use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
 use guava_types::{
-    CallKey, CallerKey, Deadline, Moment, PinnedKey, RecordId, ServiceName, UpstreamId, WallTime,
+    CallKey, CallerKey, CustomerId, Deadline, Moment, PinnedKey, RecordId, RequestDigest,
+    ServiceName, UpstreamId, WallTime,
 };
 use http::Method;
 use std::net::SocketAddr;
@@ -74,6 +76,11 @@
         *hasher.finalize().as_bytes()
     }
 
+    /// What is asked for, whichever attempt and key.
+    pub fn digest(&self) -> RequestDigest {
+        call_digest(&self.key.customer, &self.service, &self.path, &self.body)
+    }
+
     fn keep_until(&self) -> Deadline {
         match &self.key.key {
             CallerKey::Pinned(key) => key.window_end(),
@@ -100,6 +107,16 @@
     }
 }
 
+/// What a call asks for, whichever attempt and key.
+pub fn call_digest(
+    customer: &CustomerId,
+    service: &ServiceName,
+    path: &str,
+    body: &[u8],
+) -> RequestDigest {
+    RequestDigest::of(customer.as_str(), &format!("/v1/services/{service}{path}"), body)
+}
+
 /// How a run that this daemon was to start ended.
 enum RunEnd {
     /// It was dispatched: the outcome is kept for repeats.
@@ -295,6 +312,10 @@
 /// Sends the call to one instance. Another is tried only while no connection could be opened;
 /// after the first byte there is no second send.
 async fn dispatch(context: &Arc<DaemonContext>, call: &KeyedCall) -> RunEnd {
+    let digest = call.digest();
+    if let Some(refusal) = stop_refusal(context, digest) {
+        return RunEnd::Elsewhere(call.refused_for(refusal));
+    }
     let mut instances = service_instances(context, &call.service);
     while !instances.is_empty() {
         // A daemon that was frozen between its intent and here must not start what its caller has
@@ -321,6 +342,7 @@
         let sent = client.call(&service_call(call), Deadline::in_millis(RUN_MS)).await;
         match sent {
             Ok(answer) => {
+                note_answer(context, digest);
                 return RunEnd::Dispatched(CallOutcome::Done {
                     status: answer.status.as_u16(),
                     content_type: answer.content_type,
@@ -328,6 +350,9 @@
                 });
             }
             Err(error) if error.may_have_run() => {
+                if let HttpError::Broken { .. } = error {
+                    note_break(context, &upstream, digest);
+                }
                 return RunEnd::Dispatched(CallOutcome::failed(error.to_string()));
             }
             Err(HttpError::Connect { .. }) => continue,
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -3,6 +3,7 @@
 use crate::admission_queue::{AdmitGuard, admit};
 use crate::cache_messages::note_computed;
 use crate::context::{DaemonContext, locked};
+use crate::crash_watch::{note_break, stop_refusal};
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::events;
 use crate::export_ring::PrefixNote;
@@ -15,7 +16,8 @@
 use guava_policy::{AdmitDecision, ReplyChunk, ReturnAfter};
 use guava_state::ModelSpec;
 use guava_types::{
-    ByteCount, CustomerId, Deadline, ModelName, Moment, TokenCount, UpstreamId, VersionName,
+    ByteCount, CustomerId, Deadline, ModelName, Moment, RequestDigest, TokenCount, UpstreamId,
+    VersionName,
 };
 use serde::Deserialize;
 use std::sync::Arc;
@@ -99,6 +101,8 @@
     pub attempt: Option<u32>,
     /// When the caller stops waiting.
     pub deadline: Deadline,
+    /// What is asked for, whichever attempt; nothing if that is not known yet.
+    pub digest: Option<RequestDigest>,
 }
 
 /// A run whose first chunk is there.
@@ -205,6 +209,15 @@
     }
 }
 
+/// Refuses a request under which upstreams end; asked before each try, since other daemons may have
+/// seen more ends meanwhile.
+fn check_stopped(context: &DaemonContext, caller: &CallerInfo) -> Result<(), CallOutcome> {
+    match caller.digest.and_then(|digest| stop_refusal(context, digest)) {
+        Some(refusal) => Err(CallOutcome::refused(caller.attempt, refusal)),
+        None => Ok(()),
+    }
+}
+
 /// One try at one engine, as far as the first chunk.
 enum TryEnd {
     Started(Box<StartedTry>),
@@ -261,6 +274,9 @@
         }
         Err(error) => {
             locked(&context.loads).failed(upstream, Moment::now());
+            if let (HttpError::Broken { .. }, Some(digest)) = (&error, caller.digest) {
+                note_break(context, upstream, digest);
+            }
             let text = error.to_string();
             let lost = error.may_have_run();
             return if lost { TryEnd::Lost(text) } else { TryEnd::Refused(text) };
@@ -279,6 +295,9 @@
         }
         Ok(Err(error)) => {
             locked(&context.loads).failed(upstream, Moment::now());
+            if let Some(digest) = caller.digest {
+                note_break(context, upstream, digest);
+            }
             TryEnd::Lost(error.to_string())
         }
         Err(_) => {
@@ -296,6 +315,7 @@
 ) -> Result<StartedRun, CallOutcome> {
     let work = context.work.enter();
     check_readiness(context, caller)?;
+    check_stopped(context, caller)?;
     let found = context.state.read(|state| {
         (state.model(&request.model).cloned(), state.customer(&caller.customer).cloned())
     });
@@ -355,6 +375,9 @@
     let mut may_have_run = false;
     let mut last = String::from("no engine has the model loaded");
     for _ in 0..MAX_ATTEMPTS {
+        if let Err(refusal) = check_stopped(context, caller) {
+            return Err(if may_have_run { CallOutcome::failed(last) } else { refusal });
+        }
         let work = PromptWork {
             request: &caller.request,
             customer: &caller.customer,
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -7,6 +7,7 @@
 use crate::append_ring::AppendRing;
 use crate::cache_index::CacheIndex;
 use crate::call_table::CallTable;
+use crate::crash_watch::CrashWatch;
 use crate::decision_log::DecisionLog;
 use crate::export_ring::ExportRing;
 use crate::leaving_table::LeavingTable;
@@ -108,6 +109,8 @@
     pub reports: Mutex<ReportTable>,
     /// Upstreams that get no new work.
     pub leaving: Mutex<LeavingTable>,
+    /// Upstreams that ended under requests.
+    pub crashes: CrashWatch,
     /// Limits and queue.
     pub admission: AdmissionQueue,
     /// Non-idempotent calls of this incarnation.
@@ -168,6 +171,7 @@
             loads: Mutex::default(),
             reports: Mutex::default(),
             leaving: Mutex::default(),
+            crashes: CrashWatch::default(),
             admission: AdmissionQueue::default(),
             calls: CallTable::default(),
             index: Mutex::default(),
--- a/crates/guava-daemon/src/event_stream.rs
+++ b/crates/guava-daemon/src/event_stream.rs
@@ -2,6 +2,7 @@
 
 use crate::completion::{StartedRun, note_import};
 use crate::context::DaemonContext;
+use crate::crash_watch::{note_answer, note_break};
 use crate::events;
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, refusal_json};
 use crate::run_feed::{FeedError, FeedStep};
@@ -14,7 +15,7 @@
 use guava_log::log_event;
 use guava_outside::Usage;
 use guava_policy::ReplyChunk;
-use guava_types::{CustomerId, ModelName};
+use guava_types::{CustomerId, ModelName, RequestDigest, UpstreamId};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +39,20 @@
     pub customer: CustomerId,
     /// The model.
     pub model: ModelName,
+    /// What was asked for, whichever attempt; nothing where a run is only read on.
+    pub digest: Option<RequestDigest>,
+}
+
+impl StreamOwner {
+    /// Takes in that the answer was whole.
+    pub fn note_answer(&self, context: &DaemonContext) {
+        self.digest.iter().for_each(|digest| note_answer(context, *digest));
+    }
+
+    /// Takes in that the run broke off.
+    pub fn note_break(&self, context: &Arc<DaemonContext>, upstream: &UpstreamId) {
+        self.digest.iter().for_each(|digest| note_break(context, upstream, *digest));
+    }
 }
 
 fn chunk_event(
@@ -130,6 +145,7 @@
             }
             Ok(FeedStep::End(usage)) => {
                 note_import(&context, run.import.as_ref(), &usage);
+                owner.note_answer(&context);
                 log_event!(
                     info,
                     events::COMPLETED,
@@ -144,6 +160,7 @@
                 return;
             }
             Err(error) => {
+                owner.note_break(&context, &run.upstream);
                 log_event!(warn, events::INCOMPLETE, request = owner.request, error = error);
                 let outcome = CallOutcome::failed(format!("incomplete answer: {error}"));
                 pass_on(&sender, error_event(&outcome)).await;
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -20,9 +20,11 @@
 use axum::{Json, Router};
 use guava_log::log_event;
 use guava_outside::EngineClient;
-use guava_types::{CallerKey, CustomerId, Deadline, Moment, PinnedKey};
+use guava_types::{CallerKey, CustomerId, Deadline, Moment, PinnedKey, RequestDigest};
 use std::sync::Arc;
 
+/// Path of completions.
+const COMPLETIONS_PATH: &str = "/v1/completions";
 pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
 const MAX_DEADLINE_MS: u64 = 600_000;
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
@@ -93,7 +95,7 @@
         };
         return Err(CallOutcome::refused(attempt, refusal));
     };
-    Ok(CallerInfo { request: request.into(), customer, attempt, deadline })
+    Ok(CallerInfo { request: request.into(), customer, attempt, deadline, digest: None })
 }
 
 pub(crate) fn new_request_id() -> Box<str> {
@@ -142,6 +144,8 @@
         }
     };
     context.metrics.count("completion.requests");
+    let digest = RequestDigest::of(caller.customer.as_str(), COMPLETIONS_PATH, &body);
+    let caller = CallerInfo { digest: Some(digest), ..caller };
     match start_completion(&context, &caller, &completion).await {
         Ok(run) => {
             let first_token = Moment::now().millis_since(arrived);
@@ -150,6 +154,7 @@
                 request: request.clone(),
                 customer: caller.customer,
                 model: completion.model.clone(),
+                digest: Some(digest),
             };
             let response = if completion.stream {
                 stream_response(&context, owner, run)
@@ -166,13 +171,14 @@
 }
 
 async fn whole_response(
-    context: &DaemonContext,
+    context: &Arc<DaemonContext>,
     owner: &StreamOwner,
     mut run: StartedRun,
 ) -> Response<Body> {
     match collect_run(&mut run).await {
         Ok((chunks, usage)) => {
             note_import(context, run.import.as_ref(), &usage);
+            owner.note_answer(context);
             let text: String = chunks.iter().map(|chunk| &*chunk.text).collect();
             let body = serde_json::json!({
                 "id": owner.request, "object": "text_completion", "model": owner.model,
@@ -182,7 +188,10 @@
             });
             ([(OUTCOME_HEADER, "done")], Json(body)).into_response()
         }
-        Err(error) => CallOutcome::failed(format!("incomplete answer: {error}")).into_response(),
+        Err(error) => {
+            owner.note_break(context, &run.upstream);
+            CallOutcome::failed(format!("incomplete answer: {error}")).into_response()
+        }
     }
 }
 
@@ -224,6 +233,7 @@
         request: request.into(),
         customer: caller.customer,
         model: place.model.clone(),
+        digest: None,
     };
     let run = StartedRun {
         feed,
@@ -277,7 +287,7 @@
 pub fn router(context: Arc<DaemonContext>) -> Router {
     Router::new()
         .route("/v1/address", get(get_address).post(post_address))
-        .route("/v1/completions", post(complete).get(resume))
+        .route(COMPLETIONS_PATH, post(complete).get(resume))
         .route("/v1/keys", post(mint_key))
         .route("/v1/services/{service}/{*path}", any(call_service))
         .route("/readyz", get(ready))
--- a/crates/guava-daemon/src/gossip_codec.rs
+++ b/crates/guava-daemon/src/gossip_codec.rs
@@ -1,6 +1,7 @@
 //! Gossip entries as messages.
 
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::crash_watch;
 use crate::peer_table::{PeerEntry, PeerIdentity, short_hash};
 use guava_schema::peers::{CustomerLoad, GossipEntry, LeavingUpstream, MemberInfo, UpstreamLoad};
 use guava_state::LogSight;
@@ -61,7 +62,7 @@
 /// This daemon's own entry.
 pub fn own_entry(context: &DaemonContext) -> GossipEntry {
     let sight = context.state.log_sight();
-    GossipEntry {
+    let mut entry = GossipEntry {
         incarnation: context.me.0.to_be_bytes().to_vec(),
         version: context.entry_version(),
         age_ms: 0,
@@ -80,7 +81,10 @@
                 instance: instance.to_string(),
             })
             .collect(),
-    }
+        ..GossipEntry::default()
+    };
+    crash_watch::tell(context, &mut entry);
+    entry
 }
 
 /// Another daemon's entry, to be passed on.
@@ -127,6 +131,8 @@
                 instance: instance.to_string(),
             })
             .collect(),
+        // What it knows of ends is told by whoever learnt it.
+        ..GossipEntry::default()
     }
 }
 
@@ -169,6 +175,7 @@
     let Some(identity) = identity_of(context, incarnation, message.member.as_ref()) else {
         return;
     };
+    crash_watch::learn(context, &message);
     let leaving = message
         .leaving
         .iter()
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -5,6 +5,7 @@
 
 use crate::append_commit::own_record;
 use crate::context::{DaemonContext, locked};
+use crate::crash_watch;
 use crate::events;
 use crate::gossip_codec::{learn, own_entry, to_message};
 use crate::peer_table::version_every_ms;
@@ -145,6 +146,7 @@
             });
         }
         evict_silent(&context, &mut evictions);
+        crash_watch::tend(&context, fleet);
         locked(&context.peer_table).forget_old(Moment::now());
         let current = context.freshness();
         if freshness.replace(current) != Some(current) {
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod call_table;
 mod completion;
 mod context;
+mod crash_watch;
 mod decision_log;
 mod engine_choice;
 mod event_stream;
--- a/crates/guava-daemon/src/outcome.rs
+++ b/crates/guava-daemon/src/outcome.rs
@@ -46,6 +46,7 @@
     OVERLOADED SERVICE_UNAVAILABLE "overloaded";
     STALE SERVICE_UNAVAILABLE "configuration_unknown";
     LEAVING SERVICE_UNAVAILABLE "leaving";
+    STOPPED SERVICE_UNAVAILABLE "stopped";
     NO_UPSTREAM SERVICE_UNAVAILABLE "no_upstream";
     LOG_OUT SERVICE_UNAVAILABLE "log_out";
     FAILED BAD_GATEWAY "failed";
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -1,8 +1,9 @@
 //! Calls of plain services.
 
-use crate::call_dispatch::{KeyedCall, call_once, service_instances};
+use crate::call_dispatch::{KeyedCall, call_digest, call_once, service_instances};
 use crate::completion::{CallerInfo, check_readiness};
 use crate::context::{DaemonContext, locked};
+use crate::crash_watch::{note_answer, note_break, stop_refusal};
 use crate::events;
 use crate::front::{
     KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
@@ -13,7 +14,7 @@
 use axum::extract::{Path, Request, State};
 use axum::http::Response;
 use guava_log::log_event;
-use guava_outside::{ServiceCall, ServiceClient};
+use guava_outside::{HttpError, ServiceCall, ServiceClient};
 use guava_types::{CallKey, CallerKey, ServiceName};
 use std::sync::Arc;
 
@@ -111,11 +112,18 @@
     if let Err(outcome) = check_readiness(context, caller) {
         return outcome;
     }
+    let digest = call_digest(&caller.customer, service, &call.path, &call.body);
     locked(&context.retries).earn();
     let mut instances = service_instances(context, service);
     let mut may_have_run = false;
     let mut last = String::from("no instance of the service takes work");
     for attempt in 0..SERVICE_TRIES {
+        if let Some(refusal) = stop_refusal(context, digest) {
+            if may_have_run {
+                break;
+            }
+            return CallOutcome::refused(caller.attempt, refusal);
+        }
         if instances.is_empty() || (attempt > 0 && !locked(&context.retries).spend()) {
             break;
         }
@@ -132,6 +140,7 @@
         );
         match (ServiceClient { address }).call(&call, caller.deadline).await {
             Ok(answer) => {
+                note_answer(context, digest);
                 return CallOutcome::Done {
                     status: answer.status.as_u16(),
                     content_type: answer.content_type,
@@ -139,6 +148,9 @@
                 };
             }
             Err(error) => {
+                if let HttpError::Broken { .. } = error {
+                    note_break(context, &upstream, digest);
+                }
                 may_have_run |= error.may_have_run();
                 last = error.to_string();
             }
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -4,6 +4,7 @@
 //! in a small deployment that is all of them.
 
 use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::crash_watch;
 use crate::events;
 use guava_log::log_event;
 use guava_outside::{CacheEvents, EngineClient, EngineReport};
@@ -151,6 +152,7 @@
     report: EngineReport,
     asked: Moment,
 ) {
+    crash_watch::note_instance(context, upstream, &report.instance);
     locked(&context.leaving).note_report(upstream, &report.instance, report.leaving);
     if spec.kind == UpstreamKind::Engine {
         let now = Moment::now();
--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu, ensure};
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
@@ -102,6 +103,15 @@
     Ok(stream)
 }
 
+/// Whether somebody listens at an address; nothing if that can't be told.
+pub async fn is_listening(address: SocketAddr, deadline: Deadline) -> Option<bool> {
+    match timeout(deadline.time_left(), open(address)).await {
+        Ok(Ok(_)) => Some(true),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Some(false),
+        Ok(Err(_)) | Err(_) => None,
+    }
+}
+
 /// Opens a connection; the request sent on it is the only one.
 pub async fn connect(
     address: SocketAddr,
--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -200,6 +200,15 @@
         })
     }
 
+    /// Ends noted since a moment, with the requests that were under way there.
+    pub fn ends_since(
+        &self,
+        moment: Moment,
+    ) -> impl Iterator<Item = (&UpstreamId, impl Iterator<Item = &RequestDigest>)> {
+        let recent = self.ends.iter().filter(move |(_, end)| end.noted >= moment);
+        recent.map(|(upstream, end)| (upstream, end.requests.iter()))
+    }
+
     /// All requests that were stopped and are remembered, and how often each was.
     pub fn remembered(&self) -> impl Iterator<Item = (RequestDigest, u32)> {
         self.stops.iter().map(|(request, stop)| (*request, stop.times))
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -3,7 +3,7 @@
 
 use crate::engine_cache::EngineCache;
 use crate::engine_stream::{Run, RunBuffer, stream_run};
-use crate::process_end::end_under;
+use crate::process_end::ends_under;
 use crate::serve::Shared;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
@@ -322,8 +322,9 @@
         state.runs.insert(run_id.clone(), run.clone());
         run
     };
-    end_under(&server.faults().ends_on, order.prompt.as_bytes());
-    tokio::spawn(server.clone().run(order, run.clone()));
+    if !ends_under(&server.faults().ends_on, order.prompt.as_bytes()) {
+        tokio::spawn(server.clone().run(order, run.clone()));
+    }
     stream_run(server.faults(), &run_id, run, 0)
 }
 
--- a/crates/guava-standins/src/service_server.rs
+++ b/crates/guava-standins/src/service_server.rs
@@ -1,6 +1,6 @@
 //! A plain service whose calls may not all be repeated: it counts its runs by customer and key.
 
-use crate::process_end::end_under;
+use crate::process_end::ends_under;
 use crate::serve::Shared;
 use axum::body::{Body, Bytes};
 use axum::extract::State;
@@ -65,8 +65,10 @@
         stats.total
     };
     let faults = server.faults.lock().clone();
-    end_under(&faults.ends_on, &body);
-    end_under(&faults.ends_on, uri.path().trim_start_matches('/').as_bytes());
+    let path = uri.path().trim_start_matches('/').as_bytes();
+    if ends_under(&faults.ends_on, &body) || ends_under(&faults.ends_on, path) {
+        std::future::pending::<()>().await;
+    }
     sleep(Duration::from_millis(faults.run_ms)).await;
     if faults.lose_answers {
         // The connection breaks inside the body: the run happened, its answer is lost.
--- a/crates/guava-state/src/record.rs
+++ b/crates/guava-state/src/record.rs
@@ -1,7 +1,9 @@
 //! Records of the platform's log and their codec.
 
 use crate::{ConfigObject, ObjectKey};
-use guava_types::{CallKey, DataCentre, Incarnation, MemberName, Offset, RecordId, WallTime};
+use guava_types::{
+    CallKey, DataCentre, Incarnation, MemberName, Offset, RecordId, RequestDigest, WallTime,
+};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddr;
@@ -78,6 +80,18 @@
     },
     /// A lease is taken or renewed by the author.
     Lease(LeaseRequest),
+    /// A request is stopped: upstreams end under it.
+    Stop {
+        /// Which.
+        request: RequestDigest,
+        /// How often it has been stopped.
+        times: u32,
+    },
+    /// A request is not stopped any more.
+    Unstop {
+        /// Which.
+        request: RequestDigest,
+    },
     /// A part of the whole state as of an offset.
     Snapshot(SnapshotPart),
 }
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -6,7 +6,8 @@
     StoredObject, UpstreamSpec, WeightProfile,
 };
 use guava_types::{
-    CustomerId, Incarnation, ModelName, Offset, RecordId, ServiceName, UpstreamId, WallTime,
+    CustomerId, Incarnation, ModelName, Offset, RecordId, RequestDigest, ServiceName, UpstreamId,
+    WallTime,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -16,6 +17,9 @@
 /// Departed incarnations whose successors are kept.
 const SUCCESSORS_LEN: usize = 4_096;
 
+/// Stopped requests kept: each has cost some upstreams.
+const STOPS_LEN: usize = 256;
+
 /// How a change ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,6 +101,9 @@
     history: VecDeque<HistoryEntry>,
     snapshot_at: Offset,
     superseded: VecDeque<Incarnation>,
+    /// Requests under which upstreams end, and how often each was stopped.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    stops: BTreeMap<RequestDigest, u32>,
 }
 
 impl FleetState {
@@ -125,6 +132,11 @@
         &self.intents
     }
 
+    /// Requests under which upstreams end, and how often each was stopped.
+    pub fn stops(&self) -> &BTreeMap<RequestDigest, u32> {
+        &self.stops
+    }
+
     /// A lease.
     pub fn lease(&self, name: &str) -> Option<&LeaseEntry> {
         self.leases.get(name)
@@ -260,6 +272,14 @@
                 self.judge_lease(offset, author, request);
                 FoldOutcome::Other { id }
             }
+            RecordBody::Stop { request, times } => {
+                self.note_stop(request, times);
+                FoldOutcome::Other { id }
+            }
+            RecordBody::Unstop { request } => {
+                self.stops.remove(&request);
+                FoldOutcome::Other { id }
+            }
             RecordBody::Snapshot(part) => {
                 if part.part + 1 == part.parts {
                     self.snapshot_at = offset;
@@ -307,6 +327,14 @@
         self.successors.push_back((from, successor));
     }
 
+    fn note_stop(&mut self, request: RequestDigest, times: u32) {
+        if self.stops.len() >= STOPS_LEN && !self.stops.contains_key(&request) {
+            self.stops.pop_first();
+        }
+        let known = self.stops.entry(request).or_default();
+        *known = times.max(*known);
+    }
+
     fn judge_change(
         &mut self,
         offset: Offset,
