--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -103,7 +103,7 @@
 pub use shared_words::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
 pub use stop_duty::{StopRecord, StopSight, is_read_due, keep_stops};
 pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
-pub use upstream_ends::EndNotice;
+pub use upstream_ends::{EndNotice, note_upstream_end};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -17,7 +17,7 @@
 /// again after that time.
 const ENDED_MS: u64 = 4_500;
 /// Digests in one log line at most.
-const LOGGED_DIGESTS: usize = 24;
+const LOGGED_DIGESTS: usize = 12;
 
 /// An upstream's end, as daemons tell each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,7 +31,7 @@
 /// Takes in that a send broke off after its upstream may have begun to run the request.
 pub fn note_break(parts: &Rc<ServeParts>, upstream: &UpstreamId, request: RequestDigest) {
     if parts.upstreams.borrow().has_ended(upstream, Moment::now()) {
-        note_end(parts, upstream, vec![request]);
+        note_upstream_end(parts, upstream, vec![request]);
     } else if parts.ends.borrow_mut().note_break(upstream, request) {
         drop(tokio::task::spawn_local(look(Rc::clone(parts), upstream.clone())));
     }
@@ -57,13 +57,21 @@
     let requests = parts.ends.borrow_mut().take(upstream);
     let is_known = parts.upstreams.borrow().has_ended(upstream, Moment::now());
     if !is_known || !requests.is_empty() {
-        note_end(parts, upstream, requests);
+        note_upstream_end(parts, upstream, requests);
     }
 }
 
-/// Takes in that an upstream has ended under requests of this daemon's.
-fn note_end(parts: &ServeParts, upstream: &UpstreamId, requests: Vec<RequestDigest>) {
+/// Takes in that an upstream has ended under requests of this daemon's, and has the others told.
+pub fn note_upstream_end(
+    parts: &ServeParts,
+    upstream: &UpstreamId,
+    mut requests: Vec<RequestDigest>,
+) {
     let now = Moment::now();
+    if parts.upstreams.borrow().entry(upstream).is_some_and(|entry| entry.is_leaving) {
+        // It ended as it had announced: no request is to blame.
+        requests.clear();
+    }
     let list: Vec<String> =
         requests.iter().take(LOGGED_DIGESTS).map(RequestDigest::to_string).collect();
     log_event!(
@@ -82,22 +90,26 @@
 
 /// Takes in that an upstream has ended, as seen here or told by a peer; whether it is news.
 pub fn take_end(parts: &ServeParts, notice: &EndNotice, now: Moment) -> bool {
-    let Some(entry) = parts.upstreams.borrow().entry(&notice.upstream).cloned() else {
-        return false;
-    };
-    let was_known = parts.upstreams.borrow().has_ended(&notice.upstream, now);
-    if !was_known {
-        let until = Deadline::after(now, ENDED_MS);
-        parts.upstreams.borrow_mut().note_ended(&notice.upstream, until);
-        parts.pool.forget(entry.address);
-    }
-    if entry.is_leaving {
-        // It ended as it had announced: no request is to blame.
-        return !was_known;
+    let is_ended_news = take_off(parts, &notice.upstream, now);
+    if notice.requests.is_empty() {
+        return is_ended_news;
     }
+    // Also of an upstream that is not, or no more, listed here: what it ended under counts.
     let news = parts.ledger.borrow_mut().note_end(&notice.upstream, &notice.requests, now);
     log_verdicts(parts, &news);
-    !was_known || news.is_news
+    is_ended_news || news.is_news
+}
+
+/// Sends an upstream no more work; whether it got any until now.
+fn take_off(parts: &ServeParts, upstream: &UpstreamId, now: Moment) -> bool {
+    let mut upstreams = parts.upstreams.borrow_mut();
+    let address = upstreams.entry(upstream).map(|entry| entry.address);
+    let Some(address) = address.filter(|_| !upstreams.has_ended(upstream, now)) else {
+        return false;
+    };
+    upstreams.note_ended(upstream, Deadline::after(now, ENDED_MS));
+    parts.pool.forget(address);
+    true
 }
 
 fn log_verdicts(parts: &ServeParts, news: &LedgerNews) {
--- /dev/null
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -0,0 +1,346 @@
+//! Upstreams that end under requests: what daemons tell each other, and what is kept of it.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    EndNotice, MAX_DATAGRAM_BYTES, MemberNote, OwnNews, PeerMessage, PortError, ServeParts,
+    ServiceInput, StopPort, StopRecord, StopSight, UpstreamTable, WorkTable, choose_instance,
+    compose_end_notes, compose_message, compose_words, is_read_due, keep_stops, note_upstream_end,
+    take_message,
+};
+use guava_types::{Deadline, Moment, RequestDigest};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use support::{address, id, serve_parts, upstream};
+use yare::parameterized;
+
+const POISON: RequestDigest = RequestDigest(7);
+const BESIDE: RequestDigest = RequestDigest(8);
+
+fn note(name: &str) -> MemberNote {
+    MemberNote {
+        name: name.parse().unwrap(),
+        data_centre: "east".parse().unwrap(),
+        peer_address: address(1),
+        caller_address: address(2),
+        is_ready: true,
+    }
+}
+
+fn summary(parts: &ServeParts, name: &str) -> PeerMessage {
+    let news = OwnNews {
+        note: note(name),
+        loading: Vec::new(),
+        loaded: Vec::new(),
+        followed: Vec::new(),
+        number: 1,
+    };
+    compose_message(parts, news, Moment::now())
+}
+
+/// A daemon that knows some upstreams.
+fn daemon(name: &str) -> Rc<ServeParts> {
+    let parts = serve_parts(name);
+    for number in 0..200 {
+        parts.upstreams.borrow_mut().note_entry(upstream(&format!("u{number}"), "app"));
+    }
+    Rc::new(parts)
+}
+
+/// An upstream ends at a daemon under these requests.
+fn end_at(parts: &ServeParts, number: usize, requests: &[RequestDigest]) {
+    note_upstream_end(parts, &id(&format!("u{number}")), requests.to_vec());
+}
+
+/// Passes messages on as bytes.
+fn pass(messages: &[PeerMessage], to: &ServeParts) {
+    let now = Moment::now();
+    for message in messages {
+        let bytes = message.encode(now);
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+        take_message(to, PeerMessage::decode(&bytes, now).unwrap(), now);
+    }
+}
+
+fn tell_at_once(from: &ServeParts, name: &str, to: &ServeParts) {
+    pass(&compose_end_notes(from, &note(name), Moment::now()), to);
+}
+
+fn is_stopped(parts: &ServeParts, request: RequestDigest) -> bool {
+    parts.ledger.borrow().stopped_until(request, Moment::now()).is_some()
+}
+
+#[test]
+fn ends_that_several_daemons_saw_are_counted_together() {
+    // Symptom: a request ends three upstreams at each daemon before it is stopped there.
+    // Sequence: its caller comes to another daemon each time.
+    // Cause: each daemon counted what it saw itself.
+    let (one, two, three) = (daemon("d1"), daemon("d2"), daemon("d3"));
+    let all = [("d1", &one), ("d2", &two), ("d3", &three)];
+
+    for (number, (name, from)) in all.iter().enumerate() {
+        end_at(from, number, &[POISON, RequestDigest(100 + number as u128)]);
+        let told = compose_end_notes(from, &note(name), Moment::now());
+        all.iter().for_each(|(_, to)| pass(&told, to));
+    }
+
+    assert!(is_stopped(&three, POISON));
+    assert!(!is_stopped(&three, RequestDigest(100)));
+}
+
+#[test]
+fn end_whose_note_was_lost_comes_with_the_next_summary() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    (0..3).for_each(|number| end_at(&one, number, &[POISON]));
+    drop(compose_end_notes(&one, &note("d1"), Moment::now()));
+    let lost_for = PeerMessage { stops: Vec::new(), ..summary(&one, "d1") };
+
+    pass(&[lost_for], &two);
+
+    assert!(is_stopped(&two, POISON));
+}
+
+#[test]
+fn verdict_reaches_a_daemon_that_saw_none_of_the_ends() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    (0..3).for_each(|number| end_at(&one, number, &[POISON]));
+    let told = PeerMessage { ended: Vec::new(), ..summary(&one, "d1") };
+
+    pass(&[told.for_relay().relayed()], &two);
+
+    assert!(is_stopped(&two, POISON));
+}
+
+#[test]
+fn verdict_is_in_the_readers_words() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    one.members.borrow_mut().note_listed();
+    let now = Moment::now();
+    one.words.borrow_mut().operator.note_own(5, now);
+    (0..3).for_each(|number| end_at(&one, number, &[POISON]));
+
+    pass(&compose_words(&one, &note("d1"), now), &two);
+
+    assert!(is_stopped(&two, POISON));
+}
+
+#[test]
+fn upstream_that_ended_elsewhere_gets_no_work_here() {
+    // Symptom: some seconds after an upstream ended each daemon still sends requests there.
+    // Sequence: its entry lapses after three of its heartbeats; until then each request that goes
+    // there takes one of its four tries.
+    // Cause: a refused connection was forgotten at once, and told to nobody.
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    end_at(&one, 0, &[]);
+
+    tell_at_once(&one, "d1", &two);
+
+    assert!(two.upstreams.borrow().has_ended(&id("u0"), Moment::now()));
+    assert!(one.upstreams.borrow().has_ended(&id("u0"), Moment::now()));
+}
+
+#[test]
+fn upstream_that_ended_is_not_chosen_until_its_time_is_over() {
+    let mut upstreams = UpstreamTable::default();
+    upstreams.note_entry(upstream("a", "app"));
+    upstreams.note_entry(upstream("b", "app"));
+    let now = Moment(1_000);
+    upstreams.note_ended(&id("a"), Deadline::after(now, 500));
+    let choose = |now, draw| {
+        choose_instance(&ServiceInput {
+            service: &"app".parse().unwrap(),
+            upstreams: &upstreams,
+            work: &WorkTable::default(),
+            data_centre: &"east".parse().unwrap(),
+            tried: &[],
+            now,
+            draw,
+        })
+    };
+
+    let while_ended: Vec<_> = (0..4).map(|draw| choose(now, draw).unwrap()).collect();
+    let later: Vec<_> = (0..4).map(|draw| choose(Moment(1_600), draw).unwrap()).collect();
+
+    assert!(while_ended.iter().all(|chosen| *chosen == id("b")), "{while_ended:?}");
+    assert!(later.contains(&id("a")), "{later:?}");
+}
+
+#[test]
+fn upstream_that_leaves_ends_through_nobodys_fault() {
+    let parts = daemon("d1");
+    for number in 0..3 {
+        let mut entry = upstream(&format!("u{number}"), "app");
+        entry.is_leaving = true;
+        parts.upstreams.borrow_mut().note_entry(entry);
+        end_at(&parts, number, &[BESIDE]);
+    }
+
+    assert!(!is_stopped(&parts, BESIDE) && parts.ledger.borrow().is_empty());
+}
+
+#[test]
+fn a_hundred_ends_at_once_are_told_in_whole_datagrams() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    let requests: Vec<RequestDigest> = (1_000..1_060).map(RequestDigest).collect();
+    (0..100).for_each(|number| end_at(&one, number, &requests));
+
+    tell_at_once(&one, "d1", &two);
+    pass(&[summary(&one, "d1")], &two);
+
+    assert_eq!(two.ledger.borrow().count_of_ends(), 100);
+}
+
+#[test]
+fn answer_at_one_daemon_clears_a_request_at_the_others() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    (0..2).for_each(|number| end_at(&one, number, &[BESIDE]));
+    tell_at_once(&one, "d1", &two);
+
+    one.ledger.borrow_mut().note_answer(BESIDE, Moment::now());
+    pass(&[summary(&one, "d1")], &two);
+    end_at(&two, 5, &[BESIDE]);
+
+    assert!(!is_stopped(&two, BESIDE));
+}
+
+#[parameterized(
+    reader_at_its_start = { false, 0, 0, 0, true },
+    standby_at_its_start = { false, 0, 0, 2, true },
+    other_waits_to_be_told = { false, 0, 300, 9, false },
+    other_that_nobody_tells = { false, 0, 1_000, 9, true },
+    told_just_now = { true, 900, 1_000, 9, false },
+    cut_off_from_its_peers = { true, 900, 3_000, 9, true },
+)]
+fn records_are_read_only_where_nobody_tells_them(
+    is_known: bool,
+    told: u64,
+    now: u64,
+    turn: usize,
+    is_due: bool,
+) {
+    let sight = StopSight { is_known, told: Moment(told) };
+
+    assert_eq!(is_read_due(sight, Moment(0), turn, 5, Moment(now)), is_due);
+}
+
+#[test]
+fn daemon_without_peers_reads_the_records_once() {
+    let sight = StopSight { is_known: true, told: Moment(0) };
+
+    assert!(!is_read_due(sight, Moment(0), 0, 0, Moment(60_000)));
+}
+
+/// Records in a store that can be away.
+#[derive(Default)]
+struct PlayedStore {
+    records: RefCell<Vec<StopRecord>>,
+    is_away: Cell<bool>,
+    reads: Cell<usize>,
+}
+
+impl PlayedStore {
+    fn port(self: &Rc<Self>) -> StopPort {
+        let [reading, writing, removing] = [(); 3].map(|()| Rc::clone(self));
+        StopPort {
+            read: Rc::new(move || {
+                reading.reads.set(reading.reads.get() + 1);
+                let read = reading.answer().map(|()| reading.records.borrow().clone());
+                Box::pin(async { read })
+            }),
+            write: Rc::new(move |record| {
+                let written = writing.answer().map(|()| writing.records.borrow_mut().push(record));
+                Box::pin(async { written })
+            }),
+            remove: Rc::new(move |request| {
+                let kept = |record: &StopRecord| record.request != request;
+                let removed =
+                    removing.answer().map(|()| removing.records.borrow_mut().retain(kept));
+                Box::pin(async { removed })
+            }),
+        }
+    }
+
+    fn answer(&self) -> Result<(), PortError> {
+        if self.is_away.get() { Err(PortError::new(&"away")) } else { Ok(()) }
+    }
+}
+
+/// Runs the duty of a daemon that is the only one until something holds.
+fn keep_until(parts: &Rc<ServeParts>, store: &Rc<PlayedStore>, holds: impl Fn() -> bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let duty = tokio::task::spawn_local(keep_stops(Rc::clone(parts), store.port()));
+        let deadline = Deadline::in_millis(10_000);
+        while !holds() {
+            assert!(!deadline.passed(Moment::now()), "it does not come to hold");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        duty.abort();
+    });
+}
+
+fn alone() -> Rc<ServeParts> {
+    let parts = daemon("d1");
+    parts.members.borrow_mut().note_listed();
+    parts
+}
+
+#[test]
+fn stopped_request_outlasts_all_daemons() {
+    let store = Rc::new(PlayedStore::default());
+    let (before, after) = (alone(), alone());
+    (0..3).for_each(|number| end_at(&before, number, &[POISON]));
+
+    keep_until(&before, &store, || !store.records.borrow().is_empty());
+    keep_until(&after, &store, || is_stopped(&after, POISON));
+
+    assert_eq!(*store.records.borrow(), [StopRecord { request: POISON, times: 1 }]);
+    assert!(after.stop_sight.get().is_known);
+}
+
+#[test]
+fn stopped_request_is_written_once_the_store_is_back() {
+    let store = Rc::new(PlayedStore::default());
+    store.is_away.set(true);
+    let parts = alone();
+    (0..3).for_each(|number| end_at(&parts, number, &[POISON]));
+
+    keep_until(&parts, &store, || store.reads.get() >= 2);
+    store.is_away.set(false);
+    keep_until(&parts, &store, || store.records.borrow().len() == 1);
+
+    assert!(is_stopped(&parts, POISON));
+}
+
+#[test]
+fn record_of_a_request_that_was_cleared_is_dropped() {
+    let store = Rc::new(PlayedStore::default());
+    let parts = alone();
+    store.records.borrow_mut().push(StopRecord { request: BESIDE, times: 1 });
+    let (clearing, stored) = (Rc::clone(&parts), Rc::clone(&store));
+
+    keep_until(&parts, &store, move || {
+        // It is answered after all: its run was under way when it was stopped.
+        clearing.ledger.borrow_mut().note_answer(BESIDE, Moment::now());
+        stored.records.borrow().is_empty()
+    });
+
+    assert!(!is_stopped(&parts, BESIDE));
+}
+
+#[test]
+fn end_of_an_upstream_that_is_not_listed_here_counts() {
+    let parts = daemon("d1");
+    let strangers = (0..3).map(|number| EndNotice {
+        upstream: id(&format!("stranger{number}")),
+        requests: vec![POISON],
+    });
+    let message = PeerMessage { ended: strangers.collect(), ..summary(&daemon("d2"), "d2") };
+
+    pass(&[message], &parts);
+
+    assert!(is_stopped(&parts, POISON));
+}
--- a/crates/guava-state/tests/reducer.rs
+++ b/crates/guava-state/tests/reducer.rs
@@ -7,7 +7,7 @@
     IntentVerdict, LogRecord, MemberEntry, ObjectKey, RecordBody, WeightProfile, restore,
     snapshot_parts, state_from_json, state_text,
 };
-use guava_types::{CallKey, Incarnation, Offset, RecordId, WallTime};
+use guava_types::{CallKey, Incarnation, Offset, RecordId, RequestDigest, WallTime};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -70,6 +70,10 @@
         2 => (0..12_u64, 0..9_u32).prop_map(|(against, link)| weights(against, link)),
         1 => (0..4_u8).prop_map(|number| RecordBody::Join(member(number))),
         1 => (0..4_u128).prop_map(|id| RecordBody::Evict { incarnation: Incarnation(id) }),
+        1 => (0..4_u128, 1..4_u32).prop_map(|(request, times)| {
+            RecordBody::Stop { request: RequestDigest(request), times }
+        }),
+        1 => (0..4_u128).prop_map(|id| RecordBody::Unstop { request: RequestDigest(id) }),
     ];
     // Wall clocks may be off by hours in either direction.
     (0..4_u8, 0..40_u128, 0..20_000_000_u64, body)
@@ -301,3 +305,26 @@
     assert_eq!(first, second);
     assert_eq!(state.object(&ObjectKey::profile()).revision, Offset(1));
 }
+
+#[test]
+fn stopped_requests_are_kept_until_they_are_let_go_and_never_too_many() {
+    let stop = |request: u128, times| RecordBody::Stop { request: RequestDigest(request), times };
+    let mut state = FleetState::default();
+    let mut fold = |number: u64, body| {
+        let encoded = record(1, u128::from(number), 0, body).encode().unwrap();
+        state.fold(Offset(number), &encoded);
+    };
+
+    fold(0, stop(1, 2));
+    fold(1, stop(1, 1));
+    fold(2, stop(2, 1));
+    fold(3, RecordBody::Unstop { request: RequestDigest(2) });
+    let kept = state.stops().clone();
+    (0..1_000).for_each(|number| {
+        let encoded = record(1, 100 + u128::from(number), 0, stop(u128::from(number) + 9, 1));
+        state.fold(Offset(number + 4), &encoded.encode().unwrap());
+    });
+
+    assert_eq!(kept.into_iter().collect::<Vec<_>>(), [(RequestDigest(1), 2)]);
+    assert!(state.stops().len() <= 256);
+}
