--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -109,6 +109,7 @@
             service = plan.service,
             upstream = plan.send.upstream,
             left_ms = left_ms,
+            objective_ms = request.route.objective_ms,
             tries = record.tried.len()
         ),
         Some(orders) => log_event!(
@@ -125,6 +126,7 @@
             fetches = orders.fetch.iter().flatten().count(),
             saves = orders.save.iter().flatten().count(),
             left_ms = left_ms,
+            objective_ms = request.route.objective_ms,
             tries = record.tried.len()
         ),
     }
--- a/crates/guavatiller/src/args.rs
+++ b/crates/guavatiller/src/args.rs
@@ -65,6 +65,7 @@
     Daemon(DaemonArgs),
     Platform(PlatformArgs),
     CheckSettings(CheckArgs),
+    Losses(LossesArgs),
     Customer(CustomerArgs),
     Service(ServiceArgs),
     Model(ModelArgs),
@@ -108,6 +109,22 @@
     pub file: PathBuf,
 }
 
+/// tell from daemons' logs which requests were late, refused or lost, and why;
+/// as in: guavatiller losses --chart losses.svg edge-*.log
+#[derive(FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub struct LossesArgs {
+    /// log files, one JSON object a line; - for standard input
+    #[argh(positional)]
+    pub logs: Vec<String>,
+    /// causes and upstreams to list at most
+    #[argh(option, default = "20")]
+    pub top: usize,
+    /// file for a chart of losses by second, as SVG
+    #[argh(option)]
+    pub chart: Option<PathBuf>,
+}
+
 /// create or change a customer
 #[derive(FromArgs)]
 #[argh(subcommand, name = "customer")]
--- a/crates/guavatiller/src/main.rs
+++ b/crates/guavatiller/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod changes;
 mod client;
+mod losses;
 mod output;
 mod reports;
 
@@ -45,6 +46,7 @@
             Ok(_) => output::say(&format!("{}: settings are valid", args.file.display())),
             Err(errors) => fail(&errors),
         },
+        CommandArgs::Losses(args) => losses::run(args, top.output),
         _ => client::run(&top),
     }
 }
