--- a/crates/guava-daemon/src/address.rs
+++ b/crates/guava-daemon/src/address.rs
@@ -1,7 +1,9 @@
 //! Which addresses callers are told to use.
 
-use crate::context::{DaemonContext, DaemonPhase, locked};
-use crate::front::{SharedContext, authenticate};
+use crate::caller_request::{SharedContext, authenticate};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
+use crate::lock::locked;
 use axum::Json;
 use axum::body::Body;
 use axum::extract::{Query, State};
@@ -12,16 +14,6 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// Addresses of the other daemons that hand theirs out.
-pub fn other_addresses(context: &DaemonContext) -> Vec<SocketAddr> {
-    let peers = locked(&context.peer_table);
-    let serving = peers.alive(Moment::now());
-    serving
-        .filter(|(_, entry)| entry.phase == DaemonPhase::Serving)
-        .map(|(_, entry)| entry.identity.caller_address)
-        .collect()
-}
-
 /// Where the caller stands.
 #[derive(Deserialize)]
 pub struct AddressQuery {
--- a/crates/guava-daemon/src/admission_queue.rs
+++ b/crates/guava-daemon/src/admission_queue.rs
@@ -1,14 +1,12 @@
 //! Limits and queue of this daemon, and the requests that wait in it.
 
-use crate::context::{DaemonContext, locked};
+use crate::lock::locked;
 use guava_policy::{
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
-use guava_state::CustomerSpec;
 use guava_types::{CustomerId, Deadline, FastMap, Moment};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 /// Requests that may wait at one daemon.
 const QUEUE_LEN: usize = 512;
@@ -34,12 +32,19 @@
     state: Mutex<QueueState>,
 }
 
-/// A place among the running, given back when dropped; its slot is free from the first token on.
-pub struct AdmitGuard {
-    context: Arc<DaemonContext>,
-    customer: CustomerId,
-    admitted: Moment,
-    is_starting: bool,
+/// What becomes of a request that arrives.
+pub(crate) enum QueueArrival {
+    /// It may start.
+    Admitted,
+    /// It waits.
+    Queued {
+        /// Its place.
+        ticket: u64,
+        /// Tells whether it may start.
+        turn: oneshot::Receiver<bool>,
+    },
+    /// It may not start.
+    Refused(AdmitDecision),
 }
 
 fn options(state: &QueueState) -> AdmitOptions {
@@ -90,7 +95,8 @@
         }
     }
 
-    fn first_token(&self, admitted: Moment) {
+    /// Notes the first token of a request that was admitted at a moment: its slot is free.
+    pub(crate) fn first_token(&self, admitted: Moment) {
         let mut state = locked(&self.state);
         state.fair.started();
         let took = Moment::now().millis_since(admitted) as f64;
@@ -99,13 +105,15 @@
         Self::wake(&mut state);
     }
 
-    fn leave(&self, customer: &CustomerId) {
+    /// Notes that a request of a customer is over.
+    pub(crate) fn leave(&self, customer: &CustomerId) {
         let mut state = locked(&self.state);
         state.fair.finish(customer);
         Self::wake(&mut state);
     }
 
-    fn return_after(&self) -> ReturnAfter {
+    /// When whoever is refused now should come back.
+    pub(crate) fn return_after(&self) -> ReturnAfter {
         let state = locked(&self.state);
         let options = options(&state);
         let waiting = state.fair.waiting() as f64 + 1.0;
@@ -113,96 +121,36 @@
         ReturnAfter(wait.ceil() as u64)
     }
 
-    fn abandon(&self, customer: &CustomerId, ticket: u64) {
+    /// Gives a place in the queue up.
+    pub(crate) fn abandon(&self, customer: &CustomerId, ticket: u64) {
         let mut state = locked(&self.state);
         state.waiting.remove(&ticket);
         state.fair.abandon(customer, ticket);
     }
-}
-
-impl AdmitGuard {
-    /// Frees the slot: the first token is there.
-    pub fn first_token(&mut self) {
-        if std::mem::replace(&mut self.is_starting, false) {
-            self.context.admission.first_token(self.admitted);
-        }
-    }
-}
-
-impl Drop for AdmitGuard {
-    fn drop(&mut self) {
-        self.first_token();
-        self.context.admission.leave(&self.customer);
-    }
-}
-
-fn usage(context: &DaemonContext, customer: &CustomerId, spec: &CustomerSpec) -> CustomerUse {
-    let now = Moment::now();
-    let peers = locked(&context.peer_table);
-    CustomerUse {
-        rate: spec.rate,
-        concurrency: spec.concurrency,
-        peers_running: peers.customer_running(customer, now),
-        daemons: u32::try_from(peers.alive(now).count() + 1).unwrap_or(u32::MAX),
-    }
-}
 
-/// Asks for a place among the running; waits in the queue if need be. The error is the decision
-/// that refuses, with when to come back.
-pub async fn admit(
-    context: &Arc<DaemonContext>,
-    customer: &CustomerId,
-    spec: &CustomerSpec,
-    engines: u32,
-    deadline: Deadline,
-) -> Result<AdmitGuard, AdmitDecision> {
-    let now = Moment::now();
-    let usage = usage(context, customer, spec);
-    let peers_starting = locked(&context.peer_table).all_starting(now);
-    let guard = || AdmitGuard {
-        context: Arc::clone(context),
-        customer: customer.clone(),
-        admitted: Moment::now(),
-        is_starting: true,
-    };
-    let (ticket, turn) = {
-        let mut state = locked(&context.admission.state);
-        state.slots = daemon_slots(engines, peers_starting, usage.daemons);
+    /// Takes a request in: admits it, gives it a place in the queue, or refuses it.
+    pub(crate) fn arrive(
+        &self,
+        customer: &CustomerId,
+        deadline: Deadline,
+        usage: &CustomerUse,
+        slots: u32,
+        now: Moment,
+    ) -> QueueArrival {
+        let mut state = locked(&self.state);
+        state.slots = slots;
         state.next_ticket += 1;
         let ticket = state.next_ticket;
         let request = WaitingRequest { ticket, customer: customer.clone(), deadline };
         let options = options(&state);
-        match state.fair.arrive(request, &usage, &options, now) {
-            AdmitDecision::Admit => return Ok(guard()),
-            AdmitDecision::Queue => {}
-            refused => return Err(refused),
-        }
-        let (sender, turn) = oneshot::channel();
-        state.waiting.insert(ticket, sender);
-        (ticket, turn)
-    };
-    let mut place = QueuePlace { context, customer, ticket, is_left: false };
-    match timeout(deadline.time_left(), turn).await {
-        Ok(Ok(true)) => {
-            place.is_left = true;
-            Ok(guard())
-        }
-        _ => Err(AdmitDecision::TooLate(context.admission.return_after())),
-    }
-}
-
-/// A place in the queue, left also when the caller's connection goes and the wait is dropped.
-struct QueuePlace<'a> {
-    context: &'a Arc<DaemonContext>,
-    customer: &'a CustomerId,
-    ticket: u64,
-    is_left: bool,
-}
-
-impl Drop for QueuePlace<'_> {
-    fn drop(&mut self) {
-        if !self.is_left {
-            self.context.admission.abandon(self.customer, self.ticket);
+        match state.fair.arrive(request, usage, &options, now) {
+            AdmitDecision::Admit => QueueArrival::Admitted,
+            AdmitDecision::Queue => {
+                let (sender, turn) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                QueueArrival::Queued { ticket, turn }
+            }
+            refused => QueueArrival::Refused(refused),
         }
     }
 }
--- a/crates/guava-daemon/src/append_commit.rs
+++ b/crates/guava-daemon/src/append_commit.rs
@@ -2,8 +2,9 @@
 //! and tells those who wait what the reducer made of theirs.
 
 use crate::append_ring::{AppendBody, AppendCommand, AppendVerdict};
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::events;
+use crate::lock::locked;
 use bytes::Bytes;
 use guava_log::log_event;
 use guava_state::{IntentEntry, IntentVerdict, LogRecord, RecordBody};
--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -2,9 +2,10 @@
 //! frees blocks; and answers where a prompt is cached.
 
 use crate::cache_index::{SealedEntry, SeenBefore};
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::events;
 use crate::export_ring::PrefixNote;
+use crate::lock::locked;
 use guava_log::log_event;
 use guava_outside::{EngineClient, ExportOrder, StoreClient, StoreReport};
 use guava_policy::{BLOCK_TOKENS, ExportInput, PrefixHash, should_export};
--- a/crates/guava-daemon/src/cache_messages.rs
+++ b/crates/guava-daemon/src/cache_messages.rs
@@ -1,8 +1,9 @@
 //! Where a prompt is cached: asked of the owner of its family, and answered by it.
 
 use crate::cache_index::{PrefixFound, ReadGrant, SealedEntry};
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::export_ring::PrefixNote;
+use crate::lock::locked;
 use guava_policy::PrefixHash;
 use guava_schema::peers::{
     AdoptRequest, LookupReply, LookupRequest, NoteRequest, ResidentPrefix, SealedBlock,
--- a/crates/guava-daemon/src/call_table.rs
+++ b/crates/guava-daemon/src/call_table.rs
@@ -1,7 +1,7 @@
 //! Non-idempotent calls of this incarnation: at most one run for each key, its outcome kept for
 //! repeats until the key's window ends.
 
-use crate::context::locked;
+use crate::lock::locked;
 use crate::outcome::CallOutcome;
 use guava_types::{CallKey, Deadline, FastMap, Moment};
 use std::sync::Mutex;
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -1,12 +1,13 @@
 //! Completions: admitted, routed, started on an engine, and read until the first chunk is there.
 
-use crate::admission_queue::{AdmitGuard, admit};
+use crate::admit::{AdmitGuard, admit};
 use crate::cache_messages::note_computed;
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::crash_watch::{note_break, stop_refusal};
 use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
 use crate::events;
 use crate::export_ring::PrefixNote;
+use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -7,10 +7,12 @@
 use crate::append_ring::AppendRing;
 use crate::cache_index::CacheIndex;
 use crate::call_table::CallTable;
-use crate::crash_watch::CrashWatch;
+use crate::crash_table::CrashTable;
+use crate::daemon_phase::DaemonPhase;
 use crate::decision_log::DecisionLog;
 use crate::export_ring::ExportRing;
 use crate::leaving_table::LeavingTable;
+use crate::lock::locked;
 use crate::metrics::MetricSink;
 use crate::peer_links::PeerLinks;
 use crate::peer_table::PeerTable;
@@ -23,58 +25,8 @@
 use guava_policy::{LinkTable, LoadTable, RetryBudget};
 use guava_state::{FreshnessInput, FreshnessVerdict, PeerSight};
 use guava_types::{FastMap, Incarnation, Moment, UpstreamId};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
-/// Takes a lock; a panic in another holder doesn't take the daemon down with it.
-pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Where a daemon is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DaemonPhase {
-    /// No state yet.
-    Starting,
-    /// Takes work.
-    Serving,
-    /// Its addresses are no longer handed out; still takes work from those who hold them.
-    Leaving,
-    /// Takes no new work; finishes what runs.
-    Draining,
-}
-
-impl DaemonPhase {
-    /// The phase as gossiped.
-    pub fn code(self) -> u8 {
-        match self {
-            Self::Starting => 0,
-            Self::Serving => 1,
-            Self::Leaving => 2,
-            Self::Draining => 3,
-        }
-    }
-
-    /// The phase of a gossiped code.
-    pub fn from_code(code: u32) -> Self {
-        match code {
-            1 => Self::Serving,
-            2 => Self::Leaving,
-            3 => Self::Draining,
-            _ => Self::Starting,
-        }
-    }
-
-    /// Its name for operators.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Starting => "starting",
-            Self::Serving => "serving",
-            Self::Leaving => "leaving",
-            Self::Draining => "draining",
-        }
-    }
-}
 
 /// Clients of the platform's services.
 #[derive(Clone, Copy, Debug)]
@@ -110,7 +62,7 @@
     /// Upstreams that get no new work.
     pub leaving: Mutex<LeavingTable>,
     /// Upstreams that ended under requests.
-    pub crashes: CrashWatch,
+    pub crashes: CrashTable,
     /// Limits and queue.
     pub admission: AdmissionQueue,
     /// Non-idempotent calls of this incarnation.
@@ -171,7 +123,7 @@
             loads: Mutex::default(),
             reports: Mutex::default(),
             leaving: Mutex::default(),
-            crashes: CrashWatch::default(),
+            crashes: CrashTable::default(),
             admission: AdmissionQueue::default(),
             calls: CallTable::default(),
             index: Mutex::default(),
--- a/crates/guava-daemon/src/crash_watch.rs
+++ b/crates/guava-daemon/src/crash_watch.rs
@@ -1,6 +1,6 @@
 //! Upstreams that end under requests, and the requests that are stopped for it.
 //!
-//! Who has ended what is judged by [`CrashLedger`], alike at all daemons: ends, stopped requests and
+//! Who has ended what is judged by the ledger of ends (`guava_policy::CrashLedger`), alike at all daemons: ends, stopped requests and
 //! cleared ones travel with the gossip. Stopped requests also stand in the shared state, so that they
 //! are known when all daemons were lost at once.
 //!
@@ -8,16 +8,18 @@
 //! at its address any more, or if its next report comes from another instance.
 
 use crate::append_commit::own_record;
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
+use crate::crash_table::BrokenSend;
 use crate::events;
+use crate::lock::locked;
 use crate::outcome::{Refusal, RefusalKind};
 use guava_log::log_event;
 use guava_outside::is_listening;
-use guava_policy::{CrashLedger, LedgerNews, StopNotice};
+use guava_policy::{LedgerNews, StopNotice};
 use guava_schema::peers::{EndedUpstream, GossipEntry, StoppedRequest};
 use guava_state::RecordBody;
-use guava_types::{Deadline, FastMap, FastSet, Moment, RequestDigest, UpstreamId};
-use std::sync::{Arc, Mutex};
+use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
+use std::sync::Arc;
 
 /// How long a send that broke off waits for a sign that its upstream ended, in milliseconds: an
 /// upstream that ended is back within seconds, and is asked for its report every second or more often.
@@ -33,24 +35,6 @@
 /// Time for a record's append, in milliseconds; what was not appended is tried again.
 const APPEND_MS: u64 = 5_000;
 
-/// A request that broke off at an upstream.
-#[derive(Clone, Debug)]
-struct BrokenSend {
-    request: RequestDigest,
-    /// The upstream's instance then, as last reported.
-    instance: Box<str>,
-    until: Deadline,
-}
-
-/// What is known of ends.
-#[derive(Debug, Default)]
-pub struct CrashWatch {
-    ledger: Mutex<CrashLedger>,
-    broken: Mutex<FastMap<UpstreamId, Vec<BrokenSend>>>,
-    /// Stopped requests of the shared state that were taken in.
-    taken: Mutex<FastSet<(RequestDigest, u32)>>,
-}
-
 /// One start of an upstream, by the instance that it reports.
 fn start_of(upstream: &UpstreamId, instance: &str) -> UpstreamId {
     let mut start = [0; 8];
--- a/crates/guava-daemon/src/decision_log.rs
+++ b/crates/guava-daemon/src/decision_log.rs
@@ -1,6 +1,6 @@
 //! The latest routing decisions, for operators who ask why.
 
-use crate::context::locked;
+use crate::lock::locked;
 use std::collections::VecDeque;
 use std::sync::Mutex;
 
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -2,8 +2,9 @@
 
 use crate::cache_index::ReadGrant;
 use crate::cache_messages::{CacheAnswer, lookup};
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::events;
+use crate::lock::locked;
 use guava_log::log_event;
 use guava_outside::{EngineClient, ImportOrder};
 use guava_policy::{
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -1,131 +1,34 @@
 //! The callers' side: addresses, completions, plain services, keys, over HTTP/1.1 and HTTP/2.
 
-use crate::address::{get_address, other_addresses, post_address};
+use crate::address::{get_address, post_address};
+use crate::caller_request::{
+    MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header, new_request_id,
+    parse_attempt, with_request,
+};
 use crate::completion::{
     CallerInfo, CompletionRequest, RunHolds, StartedRun, check_readiness, collect_run, note_import,
     start_completion,
 };
-use crate::context::{DaemonContext, DaemonPhase};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
 use crate::event_stream::{StreamOwner, stream_response, usage_json};
 use crate::events;
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, Refusal, RefusalKind};
 use crate::run_feed::{FeedStep, RunFeed};
 use crate::service_front::call_service;
-use crate::stream_id::token_hash;
 use axum::body::{Body, Bytes};
 use axum::extract::{DefaultBodyLimit, State};
-use axum::http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use axum::http::{HeaderMap, Method, Response, StatusCode};
 use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
 use guava_log::log_event;
 use guava_outside::EngineClient;
-use guava_types::{CallerKey, CustomerId, Deadline, Moment, PinnedKey, RequestDigest};
+use guava_types::{CallerKey, Moment, PinnedKey, RequestDigest};
 use std::sync::Arc;
 
 /// Path of completions.
 const COMPLETIONS_PATH: &str = "/v1/completions";
-pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
-const MAX_DEADLINE_MS: u64 = 600_000;
-const DEFAULT_DEADLINE_MS: u64 = 30_000;
-const COME_BACK_MS: u64 = 500;
-/// Header with the milliseconds that the caller still waits.
-pub const TIMEOUT_HEADER: &str = "guavatiller-timeout-ms";
-/// Header with the number of the attempt, from one.
-pub const ATTEMPT_HEADER: &str = "idempotency-attempt";
-/// Header with the idempotency key.
-pub const KEY_HEADER: &str = "idempotency-key";
-/// Header with the request's id, in each answer.
-pub const REQUEST_HEADER: &str = "guavatiller-request";
-
-pub(crate) type SharedContext = State<Arc<DaemonContext>>;
-
-pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-pub(crate) fn bad_request(attempt: Option<u32>, reason: impl Into<Box<str>>) -> CallOutcome {
-    let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, reason);
-    CallOutcome::refused(attempt, refusal)
-}
-
-/// The customer of a bearer token. Only the token's hash is compared, as only that is kept.
-pub(crate) fn authenticate(context: &DaemonContext, headers: &HeaderMap) -> Option<CustomerId> {
-    let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
-    let hash = token_hash(token);
-    context.state.view().customers.get(hash.as_str()).cloned()
-}
-
-fn parse_attempt(headers: &HeaderMap) -> Result<Option<u32>, CallOutcome> {
-    let has_key = headers.contains_key(KEY_HEADER);
-    match header(headers, ATTEMPT_HEADER) {
-        // Without a key nothing ties two requests together: each is a first attempt.
-        None => Ok((!has_key).then_some(1)),
-        Some(text) => match text.parse() {
-            Ok(attempt @ 1..) => Ok(Some(attempt)),
-            _ => Err(bad_request(None, format!("{ATTEMPT_HEADER}: a whole number from 1"))),
-        },
-    }
-}
-
-fn parse_deadline(headers: &HeaderMap) -> Result<Deadline, String> {
-    let Some(text) = header(headers, TIMEOUT_HEADER) else {
-        return Ok(Deadline::in_millis(DEFAULT_DEADLINE_MS));
-    };
-    match text.parse::<u64>() {
-        Ok(millis) if (1..=MAX_DEADLINE_MS).contains(&millis) => Ok(Deadline::in_millis(millis)),
-        _ => Err(format!("{TIMEOUT_HEADER}: found {text:?}, allowed: 1 to {MAX_DEADLINE_MS}")),
-    }
-}
-
-pub(crate) fn caller_info(
-    context: &DaemonContext,
-    request: &str,
-    headers: &HeaderMap,
-) -> Result<CallerInfo, CallOutcome> {
-    let attempt = parse_attempt(headers)?;
-    let deadline = parse_deadline(headers).map_err(|reason| bad_request(attempt, reason))?;
-    let Some(customer) = authenticate(context, headers) else {
-        let known = context.freshness().is_fresh();
-        let refusal = if known {
-            Refusal::final_one(RefusalKind::NO_KEY, "authorization: no customer has this key")
-        } else {
-            let reason = "this daemon can't know the configuration in force";
-            Refusal::later(RefusalKind::STALE, reason, COME_BACK_MS)
-        };
-        return Err(CallOutcome::refused(attempt, refusal));
-    };
-    Ok(CallerInfo { request: request.into(), customer, attempt, deadline, digest: None })
-}
-
-pub(crate) fn new_request_id() -> Box<str> {
-    uuid::Uuid::new_v4().simple().to_string().into()
-}
-
-/// Adds what every answer carries; a refusal of a daemon that leaves names others to use.
-pub(crate) fn finish(
-    context: &DaemonContext,
-    request: &str,
-    outcome: CallOutcome,
-) -> Response<Body> {
-    let outcome = match outcome {
-        CallOutcome::NotRun(refusal) => {
-            log_event!(info, events::REFUSED, request = request, code = refusal.kind.code);
-            let others = other_addresses(context);
-            CallOutcome::NotRun(refusal.with_addresses(others))
-        }
-        other => other,
-    };
-    with_request(request, outcome.into_response())
-}
-
-fn with_request(request: &str, mut response: Response<Body>) -> Response<Body> {
-    if let Ok(value) = HeaderValue::from_str(request) {
-        response.headers_mut().insert(REQUEST_HEADER, value);
-    }
-    response
-}
-
 async fn complete(
     State(context): SharedContext,
     headers: HeaderMap,
--- a/crates/guava-daemon/src/gossip_codec.rs
+++ b/crates/guava-daemon/src/gossip_codec.rs
@@ -1,7 +1,9 @@
 //! Gossip entries as messages.
 
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::DaemonContext;
 use crate::crash_watch;
+use crate::daemon_phase::DaemonPhase;
+use crate::lock::locked;
 use crate::peer_table::{PeerEntry, PeerIdentity, short_hash};
 use guava_schema::peers::{CustomerLoad, GossipEntry, LeavingUpstream, MemberInfo, UpstreamLoad};
 use guava_state::LogSight;
--- a/crates/guava-daemon/src/gossip_duty.rs
+++ b/crates/guava-daemon/src/gossip_duty.rs
@@ -4,10 +4,11 @@
 //! centre, so that the bytes a daemon spends stay within its budget whatever the fleet's size.
 
 use crate::append_commit::own_record;
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::crash_watch;
 use crate::events;
 use crate::gossip_codec::{learn, own_entry, to_message};
+use crate::lock::locked;
 use crate::peer_table::version_every_ms;
 use guava_log::log_event;
 use guava_schema::peers::Gossip;
--- a/crates/guava-daemon/src/log_duty.rs
+++ b/crates/guava-daemon/src/log_duty.rs
@@ -3,8 +3,10 @@
 
 use crate::append_commit::{AppendCommitter, commit_appends, own_record};
 use crate::append_ring::{AppendCommand, AppendVerdict};
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
 use crate::events;
+use crate::lock::locked;
 use crate::snapshot_turn::SnapshotTurn;
 use guava_log::log_event;
 use guava_outside::{HttpError, LogPage};
--- a/crates/guava-daemon/src/operator_server.rs
+++ b/crates/guava-daemon/src/operator_server.rs
@@ -1,7 +1,8 @@
 //! The operators' calls, answered by any daemon.
 
 use crate::append_ring::{AppendBody, AppendError, AppendVerdict};
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
+use crate::lock::locked;
 use crate::object_codec::{message_of, object_of};
 use crate::stream_id::token_hash;
 use guava_schema::operators::change_reply::Verdict;
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -5,8 +5,10 @@
 //! last holder's orders is over before it reads what is and orders what should be.
 
 use crate::append_commit::own_record;
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
 use crate::events;
+use crate::lock::locked;
 use guava_log::log_event;
 use guava_outside::{EngineClient, LoadOrder};
 use guava_state::{LeaseRequest, LeaseWatch, RecordBody, UpstreamKind, UpstreamSpec};
--- a/crates/guava-daemon/src/peer_links.rs
+++ b/crates/guava-daemon/src/peer_links.rs
@@ -3,7 +3,7 @@
 //! Every call has a deadline. A channel on which a call ran out of time or broke is dropped and
 //! the next call opens a new one: a connection that a middlebox has forgotten never comes back.
 
-use crate::context::locked;
+use crate::lock::locked;
 use crate::tls::PeerTls;
 use guava_schema::peers::peers_client::PeersClient;
 use guava_schema::peers::{
--- a/crates/guava-daemon/src/peer_server.rs
+++ b/crates/guava-daemon/src/peer_server.rs
@@ -1,7 +1,7 @@
 //! The daemons' calls among each other, answered.
 
 use crate::cache_messages::{answer_adopt, answer_lookup, answer_note};
-use crate::call_forward::{answer_attach, answer_pinned};
+use crate::call_answer::{answer_attach, answer_pinned};
 use crate::context::DaemonContext;
 use crate::gossip_duty::answer_exchange;
 use crate::outcome::CallOutcome;
--- a/crates/guava-daemon/src/peer_table.rs
+++ b/crates/guava-daemon/src/peer_table.rs
@@ -4,7 +4,7 @@
 //! daemon with their age, so that two clocks are never compared. An entry is passed on only a few
 //! times, enough to reach everybody with high probability, and then rests until a newer version.
 
-use crate::context::DaemonPhase;
+use crate::daemon_phase::DaemonPhase;
 use guava_policy::PrefixHash;
 use guava_state::{LogSight, PeerSight};
 use guava_types::{
--- a/crates/guava-daemon/src/readiness.rs
+++ b/crates/guava-daemon/src/readiness.rs
@@ -1,6 +1,7 @@
 //! Readiness: whether this daemon may take new work at all.
 
-use crate::context::{DaemonContext, DaemonPhase};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
 use crate::outcome::{Refusal, RefusalKind};
 
 const COME_BACK_MS: u64 = 500;
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -1,14 +1,16 @@
 //! Calls of plain services.
 
-use crate::call_dispatch::{KeyedCall, call_digest, call_once, service_instances};
-use crate::completion::{CallerInfo, check_readiness};
-use crate::context::{DaemonContext, locked};
-use crate::crash_watch::{note_answer, note_break, stop_refusal};
-use crate::events;
-use crate::front::{
+use crate::call_dispatch::{call_once, service_instances};
+use crate::caller_request::{
     KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
     new_request_id,
 };
+use crate::completion::{CallerInfo, check_readiness};
+use crate::context::DaemonContext;
+use crate::crash_watch::{note_answer, note_break, stop_refusal};
+use crate::events;
+use crate::keyed_call::{KeyedCall, call_digest};
+use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use axum::body::{Body, to_bytes};
 use axum::extract::{Path, Request, State};
--- a/crates/guava-daemon/src/shutdown.rs
+++ b/crates/guava-daemon/src/shutdown.rs
@@ -6,8 +6,10 @@
 
 use crate::append_commit::own_record;
 use crate::cache_messages::pack_hashes;
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::DaemonContext;
+use crate::daemon_phase::DaemonPhase;
 use crate::events;
+use crate::lock::locked;
 use crate::peer_table::PeerEntry;
 use guava_log::log_event;
 use guava_schema::peers::{AdoptRequest, AdoptedFamily, HandOverRequest, KeptOutcome, SealedBlock};
--- a/crates/guava-daemon/src/snapshot_turn.rs
+++ b/crates/guava-daemon/src/snapshot_turn.rs
@@ -1,8 +1,9 @@
 //! Snapshots: when one is due, and whose turn it is to write it.
 
 use crate::append_commit::own_record;
-use crate::context::{DaemonContext, locked};
+use crate::context::DaemonContext;
 use crate::events;
+use crate::lock::locked;
 use guava_log::log_event;
 use guava_state::{FleetState, PART_BYTES, RecordBody, snapshot_parts, state_text};
 use guava_types::{Deadline, Incarnation, Moment, Offset};
--- a/crates/guava-daemon/src/watch_duty.rs
+++ b/crates/guava-daemon/src/watch_duty.rs
@@ -3,9 +3,11 @@
 //! A daemon watches a bounded number of upstreams, chosen by rendezvous, and routes among those;
 //! in a small deployment that is all of them.
 
-use crate::context::{DaemonContext, DaemonPhase, locked};
+use crate::context::DaemonContext;
 use crate::crash_watch;
+use crate::daemon_phase::DaemonPhase;
 use crate::events;
+use crate::lock::locked;
 use guava_log::log_event;
 use guava_outside::{CacheEvents, EngineClient, EngineReport};
 use guava_policy::LoadReport;
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/dispatch.rs
@@ -1,212 +1,25 @@
-//! A request's way: sends it until it has an answer, may not be sent again, or is over.
+//! A request's way: from the choice of its service to its final answer.
 
 use crate::accepted_request::AcceptedRequest;
 use crate::answer_body::AnswerBody;
-use crate::attempt::{AttemptEnd, OpenStream, WholeAnswer, attempt};
+use crate::attempt::WholeAnswer;
 use crate::event_relay::relay;
 use crate::events;
 use crate::outcome::{RefusalReason, SendRecord, ServeOutcome};
 use crate::patience::return_after_ms;
-use crate::request_plan::{PlanInput, PlanStep, draw_service, is_crowded, log_send, plan_attempt};
+use crate::request_plan::draw_service;
+use crate::request_run::{RequestRun, SendResult};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
-use crate::upstream_ends::stopped_until;
 use guava_log::log_event;
-use guava_types::{Deadline, Moment, ServiceName};
+use guava_types::{Deadline, Moment};
 use http::Response;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::sleep;
-
-/// Upstreams that are tried for one request at most, refusals and failed connections included.
-const MOST_TRIES: u32 = 4;
-/// Pause between two looks at whether an engine has memory for a prompt in line, in milliseconds: a
-/// tenth of the time that the shortest long prompt takes.
-const HOLD_TICK_MS: u64 = 20;
 
 /// When a stopped request whose time is just over may come back at the earliest, in milliseconds:
 /// its end is not known to the millisecond at all daemons.
 const LEAST_STOP_MS: u64 = 1_000;
 
-/// A request that was accepted, on its way.
-pub struct RequestRun {
-    /// The parts it uses.
-    pub parts: Rc<ServeParts>,
-    /// The configuration that it was accepted under.
-    pub config: Rc<ServeConfig>,
-    /// The request.
-    pub request: Rc<AcceptedRequest>,
-    /// Its service.
-    pub service: ServiceName,
-    /// Its sends so far.
-    pub record: SendRecord,
-    /// Whether the next try is paid for already.
-    pub is_paid: bool,
-    /// How long the first event took, in milliseconds.
-    pub first_ms: Option<u64>,
-}
-
-/// What a round of sends gave.
-pub enum SendResult {
-    /// A whole answer.
-    Whole(WholeAnswer),
-    /// A stream.
-    Stream(Box<OpenStream>),
-    /// Nothing more may be tried.
-    GivenUp {
-        /// Whether its time is over.
-        is_over: bool,
-    },
-}
-
-impl RequestRun {
-    /// Sends until there is an answer or nothing more may be tried.
-    pub async fn send(&mut self, resume_after: Option<&str>) -> SendResult {
-        let mut fallback: Option<WholeAnswer> = None;
-        loop {
-            let now = Moment::now();
-            if self.request.deadline.passed(now) {
-                return given_up(fallback, true);
-            }
-            if !self.may_try() {
-                return given_up(fallback, false);
-            }
-            // Looked up before each send: what other daemons saw meanwhile counts.
-            self.record.stopped_until = stopped_until(&self.parts, || self.request.digest());
-            if self.record.stopped_until.is_some() {
-                return given_up(fallback, false);
-            }
-            let plan = match self.plan(resume_after) {
-                PlanStep::Send(plan) => plan,
-                PlanStep::Nowhere => return given_up(fallback, false),
-                PlanStep::Crowded => {
-                    self.record.was_held = !self.hold().await;
-                    if self.record.was_held {
-                        return given_up(fallback, false);
-                    }
-                    continue;
-                }
-            };
-            if !self.pay() {
-                return given_up(fallback, false);
-            }
-            log_send(&self.request, &self.config, &plan, &self.record);
-            self.record.tried.push(plan.send.upstream.clone());
-            match attempt(&self.parts, &self.request, &plan).await {
-                AttemptEnd::Whole(answer) => {
-                    self.note_run();
-                    if !self.is_worth_retry(&answer) {
-                        return SendResult::Whole(answer);
-                    }
-                    self.parts.work.borrow_mut().stumbled(&plan.send.upstream, Moment::now());
-                    fallback = Some(answer);
-                }
-                AttemptEnd::Stream(stream) => {
-                    self.note_run();
-                    return SendResult::Stream(stream);
-                }
-                AttemptEnd::NotSent => self.record.unreached += 1,
-                AttemptEnd::Refused => self.note_refusal(),
-                AttemptEnd::OtherWeights => {
-                    self.note_refusal();
-                    // It can be asked again, for the weights that it has.
-                    self.record.tried.pop();
-                }
-                AttemptEnd::Abandoned => {
-                    self.note_run();
-                    self.is_paid = true;
-                }
-                AttemptEnd::Lost => self.note_run(),
-                AttemptEnd::TimedOut => {
-                    self.note_run();
-                    return given_up(fallback, true);
-                }
-            }
-        }
-    }
-
-    fn plan_input(&self) -> PlanInput<'_> {
-        PlanInput {
-            parts: &self.parts,
-            config: &self.config,
-            request: &self.request,
-            service: &self.service,
-            record: &self.record,
-        }
-    }
-
-    fn plan(&self, resume_after: Option<&str>) -> PlanStep {
-        // What is under way already must not wait here as well.
-        let may_hold = resume_after.is_none() && self.record.arrivals == 0;
-        plan_attempt(self.plan_input(), resume_after, may_hold)
-    }
-
-    /// Waits in line until an engine may have memory for a long prompt; false if it can't be in
-    /// time, as the line drains or by now.
-    async fn hold(&self) -> bool {
-        let request = &self.request;
-        let until = Deadline::after(request.arrived, request.route.objective_ms);
-        let until = until.earlier(request.deadline);
-        let now = Moment::now();
-        let wait = self.parts.line.borrow().expected_wait_ms(request.priority(), now);
-        if wait.is_some_and(|wait_ms| Deadline::after(now, wait_ms) > until) {
-            // It would be refused after that time anyway; told at once, its caller can go elsewhere.
-            return false;
-        }
-        let place = LinePlace::join(&self.parts, request);
-        log_event!(info, events::HELD, request = request.id, ahead = place.ahead());
-        loop {
-            sleep(Duration::from_millis(HOLD_TICK_MS)).await;
-            if until.passed(Moment::now()) {
-                return false;
-            }
-            if place.is_first() && !is_crowded(self.plan_input()) {
-                self.parts.line.borrow_mut().note_start(Moment::now());
-                return true;
-            }
-        }
-    }
-
-    fn note_refusal(&mut self) {
-        self.record.arrivals += 1;
-        self.record.refusals += 1;
-    }
-
-    fn note_run(&mut self) {
-        self.record.arrivals += 1;
-        self.record.runs += 1;
-    }
-
-    /// Whether another upstream may get the request.
-    fn may_try(&self) -> bool {
-        let route = &self.request.route;
-        let may_run = self.record.runs == 0
-            || (route.repeat.may_repeat() && self.record.runs < route.max_attempts.max(1));
-        let tries = self.record.arrivals + self.record.unreached;
-        may_run && tries < MOST_TRIES
-    }
-
-    /// Pays for a send; the first that reaches an upstream is free.
-    fn pay(&mut self) -> bool {
-        if self.record.arrivals == 0 || std::mem::take(&mut self.is_paid) {
-            return true;
-        }
-        self.parts.retries.borrow_mut().spend(&self.service)
-    }
-
-    /// An upstream's own error may not be another's.
-    fn is_worth_retry(&self, answer: &WholeAnswer) -> bool {
-        answer.status.is_server_error() && self.may_try()
-    }
-}
-
-fn given_up(fallback: Option<WholeAnswer>, is_over: bool) -> SendResult {
-    match fallback {
-        Some(answer) => SendResult::Whole(answer),
-        None => SendResult::GivenUp { is_over },
-    }
-}
-
 /// Serves a request: from the choice of an upstream to its answer.
 pub async fn serve_request(
     parts: &Rc<ServeParts>,
@@ -311,33 +124,6 @@
     if is_over { ServeOutcome::TimedOut } else { ServeOutcome::Lost }
 }
 
-/// A place in the line for memory at engines; given up when this is dropped.
-struct LinePlace {
-    parts: Rc<ServeParts>,
-    ticket: u64,
-}
-
-impl LinePlace {
-    fn join(parts: &Rc<ServeParts>, request: &AcceptedRequest) -> Self {
-        let ticket = parts.line.borrow_mut().join(request.priority(), request.arrived);
-        Self { parts: Rc::clone(parts), ticket }
-    }
-
-    fn is_first(&self) -> bool {
-        self.parts.line.borrow().is_first(self.ticket)
-    }
-
-    fn ahead(&self) -> usize {
-        self.parts.line.borrow().ahead_of(self.ticket)
-    }
-}
-
-impl Drop for LinePlace {
-    fn drop(&mut self) {
-        self.parts.line.borrow_mut().leave(self.ticket);
-    }
-}
-
 /// Logs that a caller left while it waited: its request is dropped with all that it uses.
 struct CallerWatch {
     parts: Rc<ServeParts>,
--- a/crates/guava-serve/src/event_relay.rs
+++ b/crates/guava-serve/src/event_relay.rs
@@ -2,10 +2,10 @@
 
 use crate::answer_body::{AnswerBody, BrokenStream};
 use crate::attempt::{OpenStream, StreamSource, StreamStep};
-use crate::dispatch::{RequestRun, SendResult};
 use crate::event_framer::EventBatch;
 use crate::events;
 use crate::patience::EVENT_GAP_MS;
+use crate::request_run::{RequestRun, SendResult};
 use crate::serve_config::RepeatRule;
 use crate::upstream_ends::{note_answer, note_break};
 use bytes::Bytes;
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_words;
 mod dialect;
 mod dispatch;
+mod end_notice;
 mod end_watch;
 mod engine_choice;
 mod engine_input;
@@ -28,6 +29,7 @@
 mod outcome;
 mod part_duty;
 mod part_index;
+mod part_key;
 mod part_transfers;
 mod patience;
 mod peer_duty;
@@ -36,15 +38,18 @@
 mod ports;
 mod prefill_rate;
 mod request_plan;
+mod request_run;
 mod retry_pause;
 mod retry_shares;
 mod rollout_state;
 mod save_ledger;
+mod sent_prompt;
 mod serve_config;
 mod serve_parts;
 mod service_choice;
 mod shared_words;
 mod stop_duty;
+mod stop_record;
 mod store_links;
 mod upstream_ends;
 mod upstream_table;
@@ -61,6 +66,7 @@
 pub use crash_words::CrashWords;
 pub use dialect::{AnswerMarks, Dialect, EngineOrders, SendPlan};
 pub use dispatch::serve_request;
+pub use end_notice::EndNotice;
 pub use end_watch::EndWatch;
 pub use engine_choice::{EngineChoice, choose_engine};
 pub use engine_input::EngineInput;
@@ -73,7 +79,8 @@
 pub use order_duty::OrderDuty;
 pub use outcome::{RefusalReason, SendRecord, ServeOutcome};
 pub use part_duty::follow_stores;
-pub use part_index::{HeldPart, PartEvent, PartIndex, PartKey, PartNews, StoreWord};
+pub use part_index::{HeldPart, PartEvent, PartIndex, PartNews, StoreWord};
+pub use part_key::PartKey;
 pub use part_transfers::FetchPlan;
 pub use patience::{first_answer_patience, return_after_ms};
 pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
@@ -82,7 +89,7 @@
     take_change, take_message, take_version,
 };
 pub use peer_message::{
-    ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion, SentPrompt,
+    ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
 };
 pub use ports::{
     EnginePort, EngineReport, FreeOrder, LeaseNews, LeasePort, LoadOrder, PartList, PartPort,
@@ -94,6 +101,7 @@
 pub use retry_shares::{RetryLimit, RetryShares};
 pub use rollout_state::{VersionRollout, useless_salt};
 pub use save_ledger::{PartSave, SaveLedger};
+pub use sent_prompt::SentPrompt;
 pub use serve_config::{
     CallerIdentity, CallerLimits, ConfigKeeper, ConfigParts, ConfigVersion, CustomerRule,
     EngineTraits, RepeatRule, RouteRule, ServeConfig, ServiceRule, StoreTraits,
@@ -101,9 +109,10 @@
 pub use serve_parts::{ServeBounds, ServeIdentity, ServeParts, UpstreamClock};
 pub use service_choice::{ServiceInput, choose_instance};
 pub use shared_words::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
-pub use stop_duty::{StopRecord, StopSight, is_read_due, keep_stops};
+pub use stop_duty::{is_read_due, keep_stops};
+pub use stop_record::{StopRecord, StopSight};
 pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
-pub use upstream_ends::{EndNotice, note_upstream_end};
+pub use upstream_ends::note_upstream_end;
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/part_index.rs
+++ b/crates/guava-serve/src/part_index.rs
@@ -1,6 +1,7 @@
 //! Where cached parts of prompts lie: in stores as these report it, in engines by what was sent.
 
 use crate::accepted_request::PromptPart;
+use crate::part_key::PartKey;
 use crate::save_ledger::{PartSave, SaveLedger};
 use crate::serve_config::StoreTraits;
 use guava_types::{FastMap, Moment, TokenCount, UpstreamId};
@@ -23,20 +24,6 @@
 /// Time after which an engine has read a part that was sent to it, in milliseconds.
 const READ_MS: u64 = 700;
 
-/// One part under one salt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct PartKey(pub u64);
-
-impl PartKey {
-    /// The key of a part.
-    pub fn new(salt: &str, id: &str) -> Self {
-        let mut hasher = FxHasher::default();
-        salt.hash(&mut hasher);
-        id.hash(&mut hasher);
-        Self(hasher.finish())
-    }
-}
-
 /// A part that lies whole in a store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldPart {
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -5,8 +5,9 @@
     OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
     take_message,
 };
-use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage, SentPrompt};
+use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
 use crate::rollout_state::VersionRollout;
+use crate::sent_prompt::SentPrompt;
 use crate::serve_parts::ServeParts;
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -1,5 +1,6 @@
 //! What a daemon tells its peers, and what it takes from their messages.
 
+use crate::end_notice::EndNotice;
 use crate::events;
 use crate::list_news::MOST_TOLD;
 use crate::member_table::MemberNote;
@@ -7,8 +8,8 @@
 use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::shared_words::{STANDBYS, SharedWord, WordKeeper};
-use crate::stop_duty::StopSight;
-use crate::upstream_ends::{EndNotice, take_end, take_stop};
+use crate::stop_record::StopSight;
+use crate::upstream_ends::{take_end, take_stop};
 use crate::upstream_table::ListChange;
 use guava_log::log_event;
 use guava_policy::StopNotice;
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -1,11 +1,13 @@
 //! What daemons tell each other: one small datagram, a few times a second.
 
+use crate::end_notice::EndNotice;
 use crate::member_table::MemberNote;
-use crate::part_index::{PartKey, PartNews, StoreWord};
+use crate::part_index::{PartNews, StoreWord};
+use crate::part_key::PartKey;
 use crate::save_ledger::PartSave;
+use crate::sent_prompt::SentPrompt;
 use crate::shared_words::SharedWord;
 use crate::store_links::{SlowLink, StoreTransfer};
-use crate::upstream_ends::EndNotice;
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
 use guava_policy::StopNotice;
@@ -203,28 +205,6 @@
     hundredths: u32,
 }
 
-/// A prompt that a peer sent to an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SentPrompt {
-    /// Which engine.
-    pub engine: UpstreamId,
-    /// Its shared parts.
-    pub parts: Vec<PartKey>,
-    /// Memory that it takes.
-    pub tokens: TokenCount,
-    /// Tokens of it that the engine must read.
-    pub waiting: TokenCount,
-    /// Rank at the engine; 0 goes first.
-    pub priority: u8,
-    /// Its shared parts that are read for the first time, and saved to stores.
-    pub saves: Vec<PartSave>,
-    /// What it puts on the links of stores.
-    pub transfers: Vec<StoreTransfer>,
-    /// Whether daemons of all data centres are told at once, not only those near by and those where
-    /// the engine stands: of parts that they should not read again, and of long prompts.
-    pub is_for_all: bool,
-}
-
 /// Weights that a peer knows to be published.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedVersion {
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -4,7 +4,7 @@
 //! types. Which call is made when, and what follows from its result, is decided by the duties.
 
 use crate::part_index::{HeldPart, PartEvent};
-use crate::stop_duty::StopRecord;
+use crate::stop_record::StopRecord;
 use crate::upstream_table::WeightVersion;
 use futures_util::future::LocalBoxFuture;
 use guava_state::LeaseEntry;
--- a/crates/guava-serve/src/stop_duty.rs
+++ b/crates/guava-serve/src/stop_duty.rs
@@ -10,6 +10,7 @@
 use crate::retry_pause::{RetryPause, is_read_urgent};
 use crate::serve_parts::ServeParts;
 use crate::shared_words::STANDBYS;
+use crate::stop_record::{StopRecord, StopSight};
 use guava_log::log_event;
 use guava_types::{Deadline, FastMap, Moment, RequestDigest};
 use std::rc::Rc;
@@ -25,24 +26,6 @@
 /// Pause between two looks at whether something is due, in milliseconds.
 const LOOK_MS: u64 = 250;
 
-/// A stopped request's record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StopRecord {
-    /// Which.
-    pub request: RequestDigest,
-    /// How often it has been stopped.
-    pub times: u32,
-}
-
-/// When the records were last read, or told by a peer that knows them.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StopSight {
-    /// Whether this daemon knows the records.
-    pub is_known: bool,
-    /// When a peer that knows them last spoke.
-    pub told: Moment,
-}
-
 /// Whether the records are to be read: by those that read for all at their start, by the others if
 /// nobody tells them; and again where nobody speaks any more.
 pub fn is_read_due(
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -1,5 +1,6 @@
 //! Upstreams that end under requests: found out, told to the other daemons, and no more used.
 
+use crate::end_notice::EndNotice;
 use crate::events;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
@@ -19,15 +20,6 @@
 /// Digests in one log line at most.
 const LOGGED_DIGESTS: usize = 12;
 
-/// An upstream's end, as daemons tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EndNotice {
-    /// Which start of which upstream.
-    pub upstream: UpstreamId,
-    /// The speaker's requests that broke off with it.
-    pub requests: Vec<RequestDigest>,
-}
-
 /// Takes in that a send broke off after its upstream may have begun to run the request.
 pub fn note_break(parts: &Rc<ServeParts>, upstream: &UpstreamId, request: RequestDigest) {
     if parts.upstreams.borrow().has_ended(upstream, Moment::now()) {
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -2,6 +2,7 @@
 //! import, late and gapped cache events, lagging reports, orders with fencing numbers.
 
 use crate::engine_cache::EngineCache;
+use crate::engine_faults::EngineFaults;
 use crate::engine_stream::{Run, RunBuffer, stream_run};
 use crate::process_end::ends_under;
 use crate::serve::Shared;
@@ -56,26 +57,6 @@
     pub weights: Option<SocketAddr>,
 }
 
-/// What goes wrong with the engine.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct EngineFaults {
-    /// So many times slower; 0 for none.
-    pub slower: u64,
-    /// The report says that it is leaving.
-    pub leaving: bool,
-    /// Chunks come repeated and out of order.
-    pub shuffle: bool,
-    /// A stream falls silent after so many chunks, the first time; 0 for never.
-    pub stall_after: u64,
-    /// A stream ends cleanly after so many chunks, the first time; 0 for never.
-    pub close_after: u64,
-    /// Every other cache event is lost.
-    pub gap_events: bool,
-    /// It ends soon after it has begun to run a prompt that begins with this; empty for none.
-    pub ends_on: Box<str>,
-}
-
 /// What happened at the engine.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct EngineStats {
--- a/crates/guava-standins/src/engine_stream.rs
+++ b/crates/guava-standins/src/engine_stream.rs
@@ -1,6 +1,6 @@
 //! A stand-in engine's runs as streams, with what goes wrong on them.
 
-use crate::engine_server::EngineFaults;
+use crate::engine_faults::EngineFaults;
 use crate::serve::Shared;
 use axum::body::Body;
 use axum::response::{IntoResponse, Response};
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod deployment_plan;
 pub mod engine_cache;
+pub mod engine_faults;
 pub mod engine_server;
 mod engine_stream;
 pub mod fault_proxy;
