--- a/crates/guava-daemon/src/crash_watch.rs
+++ b/crates/guava-daemon/src/crash_watch.rs
@@ -1,8 +1,8 @@
 //! Upstreams that end under requests, and the requests that are stopped for it.
 //!
-//! Who has ended what is judged by the ledger of ends (`guava_policy::CrashLedger`), alike at all daemons: ends, stopped requests and
-//! cleared ones travel with the gossip. Stopped requests also stand in the shared state, so that they
-//! are known when all daemons were lost at once.
+//! Who has ended what is judged by the ledger of ends (`guava_policy::CrashLedger`), alike at all
+//! daemons: ends, stopped requests and cleared ones travel with the gossip. Stopped requests also
+//! stand in the shared state, so that they are known when all daemons were lost at once.
 //!
 //! A connection that breaks off may have been cut on the way. An upstream has ended if nobody listens
 //! at its address any more, or if its next report comes from another instance.
@@ -156,8 +156,9 @@
         taken.retain(|(request, _)| stops.contains_key(request));
         let mut ledger = locked(&context.crashes.ledger);
         for (request, times) in &stops {
-            if taken.insert((*request, *times)) {
-                ledger.note_record(*request, *times, now);
+            let is_new = taken.insert((*request, *times));
+            if is_new && ledger.note_record(*request, *times, now) {
+                log_event!(warn, events::REQUEST_STOPPED, digest = request, source = "log");
             }
         }
     }
--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -184,10 +184,10 @@
         true
     }
 
-    /// Takes in that a request had been stopped when this daemon started: how long ago nobody tells,
-    /// so the whole time begins anew.
-    pub fn note_record(&mut self, request: RequestDigest, times: u32, now: Moment) {
-        self.note_told(StopNotice { request, left_ms: stop_ms(times), times }, now);
+    /// Takes in the record of a stopped request: how long ago it was stopped nobody tells, so the
+    /// whole time begins anew. Whether that is news.
+    pub fn note_record(&mut self, request: RequestDigest, times: u32, now: Moment) -> bool {
+        self.note_told(StopNotice { request, left_ms: stop_ms(times), times }, now)
     }
 
     /// The stopped requests.
--- a/crates/guava-serve/src/stop_duty.rs
+++ b/crates/guava-serve/src/stop_duty.rs
@@ -106,7 +106,10 @@
         self.parts.stop_sight.set(StopSight { is_known: true, ..sight });
         for record in records {
             self.written.insert(record.request, record.times);
-            self.parts.ledger.borrow_mut().note_record(record.request, record.times, now);
+            let StopRecord { request, times } = record;
+            if self.parts.ledger.borrow_mut().note_record(request, times, now) {
+                log_event!(warn, events::REQUEST_STOPPED, digest = request, source = "store");
+            }
         }
         Ok(())
     }
