fix: an upstream that one daemon does not reach is still used by the others

Cause, found by reading: a refused connection was told to all as an upstream's end, and believed. One daemon behind a cut that refuses connections would have taken every upstream from everybody, for as long as it was cut off. Told are only the requests that broke off; that somebody does not listen is for each daemon to see. Where none listens all are tried.

--- a/crates/guava-serve/src/crash_words.rs
+++ b/crates/guava-serve/src/crash_words.rs
@@ -5,7 +5,7 @@
 //! with every summary, so that daemons that start, or were cut off, know them within a second.
 
 use crate::end_notice::EndNotice;
-use guava_types::{Deadline, Moment, RequestDigest};
+use guava_types::{Deadline, Moment};
 
 /// For how long an end is told again, in milliseconds: two summaries to other data centres.
 const TOLD_MS: u64 = 2_200;
@@ -50,10 +50,7 @@
     let mut messages: Vec<Vec<EndNotice>> = Vec::new();
     let mut room = 0;
     for notice in notices {
-        let pieces = notice.requests.chunks(MOST_REQUESTS);
-        let pieces: Vec<&[RequestDigest]> =
-            if notice.requests.is_empty() { vec![&[]] } else { pieces.collect() };
-        for requests in pieces {
+        for requests in notice.requests.chunks(MOST_REQUESTS) {
             let piece =
                 EndNotice { upstream: notice.upstream.clone(), requests: requests.to_vec() };
             // An upstream's id takes about as much as two digests.
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -1,4 +1,4 @@
-//! Upstreams that end under requests: found out, told to the other daemons, and no more used.
+//! Upstreams that end under requests: found out, no more used, and held against the requests.
 
 use crate::end_notice::EndNotice;
 use crate::events;
@@ -53,7 +53,11 @@
     }
 }
 
-/// Takes in that an upstream has ended under requests of this daemon's, and has the others told.
+/// Takes in that an upstream has ended, with the requests of this daemon's that broke off there, and
+/// has the others told of these.
+///
+/// That it ended is not told: what this daemon can't reach others may. Believed by all, one daemon
+/// behind a cut that refuses connections would take every upstream from everybody.
 pub fn note_upstream_end(
     parts: &ServeParts,
     upstream: &UpstreamId,
@@ -64,6 +68,7 @@
         // It ended as it had announced: no request is to blame.
         requests.clear();
     }
+    take_off(parts, upstream, now);
     let list: Vec<String> =
         requests.iter().take(LOGGED_DIGESTS).map(RequestDigest::to_string).collect();
     log_event!(
@@ -80,28 +85,23 @@
     }
 }
 
-/// Takes in that an upstream has ended, as seen here or told by a peer; whether it is news.
+/// Sends an upstream no more work.
+fn take_off(parts: &ServeParts, upstream: &UpstreamId, now: Moment) {
+    let mut upstreams = parts.upstreams.borrow_mut();
+    let Some(address) = upstreams.entry(upstream).map(|entry| entry.address) else { return };
+    upstreams.note_ended(upstream, Deadline::after(now, ENDED_MS));
+    parts.pool.forget(address);
+}
+
+/// Takes in under which requests an upstream ended, as seen here or told by a peer; whether it is
+/// news. Also of an upstream that is not, or no more, listed here.
 pub fn take_end(parts: &ServeParts, notice: &EndNotice, now: Moment) -> bool {
-    let is_ended_news = take_off(parts, &notice.upstream, now);
     if notice.requests.is_empty() {
-        return is_ended_news;
+        return false;
     }
-    // Also of an upstream that is not, or no more, listed here: what it ended under counts.
     let news = parts.ledger.borrow_mut().note_end(&notice.upstream, &notice.requests, now);
     log_verdicts(parts, &news);
-    is_ended_news || news.is_news
-}
-
-/// Sends an upstream no more work; whether it got any until now.
-fn take_off(parts: &ServeParts, upstream: &UpstreamId, now: Moment) -> bool {
-    let mut upstreams = parts.upstreams.borrow_mut();
-    let address = upstreams.entry(upstream).map(|entry| entry.address);
-    let Some(address) = address.filter(|_| !upstreams.has_ended(upstream, now)) else {
-        return false;
-    };
-    upstreams.note_ended(upstream, Deadline::after(now, ENDED_MS));
-    parts.pool.forget(address);
-    true
+    news.is_news
 }
 
 fn log_verdicts(parts: &ServeParts, news: &LedgerNews) {
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -336,9 +336,9 @@
         self.listed.get(id).is_some_and(|listed| !listed.loading_until.passed(now))
     }
 
-    /// Notes that nobody listens at an upstream's address: it gets no work until a deadline. Its entry
-    /// lapses only seconds after it ended, and until then each request that went there took one of
-    /// its few tries.
+    /// Notes that nobody listens at an upstream's address: it gets no work from this daemon until a
+    /// deadline. Its entry lapses only seconds after it ended, and until then each request that went
+    /// there took one of its few tries.
     pub fn note_ended(&mut self, id: &UpstreamId, until: Deadline) {
         if let Some(listed) = self.listed.get_mut(id) {
             listed.ended_until = until;
@@ -361,16 +361,22 @@
         self.listed.get(id).map(|listed| &listed.entry)
     }
 
-    /// The upstreams of a service that may get new work.
+    /// The upstreams of a service that may get new work: those that have not ended, or all if nobody
+    /// of them listens. Then this daemon may be the one that is cut off, and has to see when it is
+    /// not any more; a refused connection costs nothing.
     pub fn serving(
         &self,
         service: &ServiceName,
         now: Moment,
     ) -> impl Iterator<Item = &UpstreamEntry> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
-        ids.iter()
-            .filter_map(|id| self.listed.get(id))
-            .filter(move |listed| listed.ended_until.passed(now))
+        let is_there = move |listed: &&ListedUpstream| {
+            listed.ended_until.passed(now) && !listed.entry.is_leaving
+        };
+        let listed = || ids.iter().filter_map(|id| self.listed.get(id));
+        let is_any_there = listed().any(|listed| is_there(&listed));
+        listed()
+            .filter(move |listed| !is_any_there || is_there(listed))
             .map(|listed| &listed.entry)
             .filter(|entry| !entry.is_leaving)
     }
--- a/crates/guava-serve/tests/upstream_ends.rs
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -128,18 +128,22 @@
 }
 
 #[test]
-fn upstream_that_ended_elsewhere_gets_no_work_here() {
-    // Symptom: some seconds after an upstream ended each daemon still sends requests there.
-    // Sequence: its entry lapses after three of its heartbeats; until then each request that goes
-    // there takes one of its four tries.
-    // Cause: a refused connection was forgotten at once, and told to nobody.
+fn upstream_that_one_daemon_does_not_reach_is_still_used_by_the_others() {
+    // Symptom: nobody is served, though all upstreams are well.
+    // Sequence: one daemon is behind a cut that refuses connections; it takes every upstream for
+    // ended, and tells the others.
+    // Cause: what one daemon can't reach was taken for gone by all.
     let (one, two) = (daemon("d1"), daemon("d2"));
-    end_at(&one, 0, &[]);
+    (0..200).for_each(|number| end_at(&one, number, &[RequestDigest(1_000 + number as u128)]));
 
     tell_at_once(&one, "d1", &two);
 
-    assert!(two.upstreams.borrow().has_ended(&id("u0"), Moment::now()));
-    assert!(one.upstreams.borrow().has_ended(&id("u0"), Moment::now()));
+    let now = Moment::now();
+    let has_ended = |parts: &ServeParts, number| {
+        parts.upstreams.borrow().has_ended(&id(&format!("u{number}")), now)
+    };
+    assert!((0..200).all(|number| has_ended(&one, number)));
+    assert!(!(0..200).any(|number| has_ended(&two, number)));
 }
 
 #[test]
@@ -168,6 +172,21 @@
     assert!(later.contains(&id("a")), "{later:?}");
 }
 
+#[test]
+fn upstreams_that_all_refuse_are_tried_all_the_same() {
+    // Symptom: a daemon refuses everything for seconds after a cut has healed.
+    // Sequence: the cut refuses connections; the daemon takes all upstreams for ended.
+    // Cause: what was taken for ended was not tried any more, though nothing else was left.
+    let mut upstreams = UpstreamTable::default();
+    let now = Moment(1_000);
+    for name in ["a", "b"] {
+        upstreams.note_entry(upstream(name, "app"));
+        upstreams.note_ended(&id(name), Deadline::after(now, 500));
+    }
+
+    assert_eq!(upstreams.serving(&"app".parse().unwrap(), now).count(), 2);
+}
+
 #[test]
 fn upstream_that_leaves_ends_through_nobodys_fault() {
     let parts = daemon("d1");
