--- a/crates/guavatiller/tests/poison_requests.rs
+++ b/crates/guavatiller/tests/poison_requests.rs
@@ -72,7 +72,7 @@
     /// How often upstreams began to run the fatal request.
     fn poison_runs(&self) -> usize {
         let runs = self.servers.iter().flat_map(MortalServer::runs);
-        runs.filter(|id| id.starts_with(POISON)).count()
+        runs.filter(|(id, _)| id.starts_with(POISON)).count()
     }
 
     fn ends(&self) -> usize {
