--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -42,8 +42,8 @@
 /// stops it again.
 const REMEMBERED_MS: u64 = 3_600_000;
 /// For how long a request that was cleared can't be stopped by others' older word, in milliseconds:
-/// daemons repeat their words for some seconds.
-const CLEARED_MS: u64 = 5_000;
+/// daemons repeat their words on ends for ten seconds at most.
+const CLEARED_MS: u64 = 12_000;
 /// Ends remembered at most: some minutes of the worst wave seen, four ends a second.
 const MOST_ENDS: usize = 512;
 /// Requests remembered of one end: more than an upstream runs at a time with its queue.
@@ -98,6 +98,7 @@
 /// A request against which nothing is held any more.
 #[derive(Clone, Copy, Debug)]
 struct ClearedRequest {
+    at: Moment,
     until: Deadline,
     /// Whether this daemon found it, and tells the others. If all passed it on, it would never end.
     is_own: bool,
@@ -137,6 +138,12 @@
         });
         let mut is_at_limit = false;
         for request in requests {
+            // Daemons repeat their words: an end from before a request was cleared is no new one.
+            // Taken for new, a request that met one end now and then would be stopped, though it
+            // was answered each time.
+            if self.cleared.get(request).is_some_and(|cleared| end.noted <= cleared.at) {
+                continue;
+            }
             if end.requests.len() >= MOST_REQUESTS || !end.requests.insert(*request) {
                 continue;
             }
@@ -253,7 +260,7 @@
     fn note_clear(&mut self, request: RequestDigest, now: Moment, is_own: bool) {
         if self.cleared.len() < MOST_STOPS {
             let until = Deadline::after(now, CLEARED_MS);
-            self.cleared.insert(request, ClearedRequest { until, is_own });
+            self.cleared.insert(request, ClearedRequest { at: now, until, is_own });
         }
     }
 
--- a/crates/guava-policy/tests/crash_ledger.rs
+++ b/crates/guava-policy/tests/crash_ledger.rs
@@ -139,6 +139,23 @@
     assert_eq!(ledger.cleared().count(), 0);
 }
 
+#[test]
+fn end_told_again_after_an_answer_does_not_count_anew() {
+    // Symptom: a request that comes again and again is refused, though each time it is answered in
+    // the end.
+    // Sequence: an upstream ends while it runs there; it is answered elsewhere, which clears it; a
+    // peer's summary repeats the end.
+    // Cause: what was repeated was taken for new.
+    let mut ledger = ledger(&[&[BESIDE], &[BESIDE]]);
+    ledger.note_cleared(BESIDE, later(10));
+
+    ledger.note_end(&id(0), &[BESIDE], later(20));
+    ledger.note_end(&id(1), &[BESIDE], later(20));
+    ledger.note_end(&id(2), &[BESIDE], later(30));
+
+    assert!(ledger.stopped_until(BESIDE, later(30)).is_none());
+}
+
 #[test]
 fn stop_that_a_peer_tells_explains_ends_here() {
     let mut ledger = ledger(&[&[POISON, BESIDE], &[POISON, BESIDE]]);
--- a/crates/guava-serve/src/crash_words.rs
+++ b/crates/guava-serve/src/crash_words.rs
@@ -5,7 +5,7 @@
 //! with every summary, so that daemons that start, or were cut off, know them within a second.
 
 use crate::end_notice::EndNotice;
-use guava_types::{Deadline, Moment};
+use guava_types::{Deadline, Moment, RequestDigest};
 
 /// For how long an end is told again, in milliseconds: two summaries to other data centres.
 const TOLD_MS: u64 = 2_200;
@@ -32,6 +32,12 @@
         self.fresh.push(notice);
     }
 
+    /// Forgets a request that was cleared: what it was held for is not told any more.
+    pub fn forget(&mut self, request: RequestDigest) {
+        let told = self.fresh.iter_mut().chain(self.recent.iter_mut().map(|(notice, _)| notice));
+        told.for_each(|notice| notice.requests.retain(|other| *other != request));
+    }
+
     /// Takes what was not told yet, in pieces of a message each.
     pub fn take_fresh(&mut self) -> Vec<Vec<EndNotice>> {
         in_messages(std::mem::take(&mut self.fresh))
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -112,7 +112,7 @@
 pub use stop_duty::{is_read_due, keep_stops};
 pub use stop_record::{StopRecord, StopSight};
 pub use store_links::{FetchTicket, FetchWait, SlowLink, StoreLinks, StoreTransfer, transfer_ms};
-pub use upstream_ends::note_upstream_end;
+pub use upstream_ends::{note_request_answered, note_upstream_end};
 pub use upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use version_rollout::{RolloutEngine, loads_at_once, next_orders};
 pub use version_targets::{VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start};
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -9,7 +9,7 @@
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::shared_words::{STANDBYS, SharedWord, WordKeeper};
 use crate::stop_record::StopSight;
-use crate::upstream_ends::{take_end, take_stop};
+use crate::upstream_ends::{take_cleared, take_end, take_stop};
 use crate::upstream_table::ListChange;
 use guava_log::log_event;
 use guava_policy::StopNotice;
@@ -285,7 +285,7 @@
         take_end(parts, end, now);
     }
     for request in message.cleared {
-        parts.ledger.borrow_mut().note_cleared(request, now);
+        take_cleared(parts, request, now);
     }
     for stop in message.stops {
         take_stop(parts, stop, now);
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -138,13 +138,24 @@
     if parts.ledger.borrow().is_empty() {
         return;
     }
-    let digest = digest();
-    if parts.ledger.borrow_mut().note_answer(digest, Moment::now()) {
-        log_event!(info, events::REQUEST_CLEARED, digest = digest, reason = "answered");
+    note_request_answered(parts, digest());
+}
+
+/// The same of a request whose digest is known.
+pub fn note_request_answered(parts: &ServeParts, request: RequestDigest) {
+    if parts.ledger.borrow_mut().note_answer(request, Moment::now()) {
+        parts.crash_words.borrow_mut().forget(request);
+        log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "answered");
         note_verdicts(parts);
     }
 }
 
+/// Takes in that a peer has nothing against a request any more.
+pub fn take_cleared(parts: &ServeParts, request: RequestDigest, now: Moment) {
+    parts.ledger.borrow_mut().note_cleared(request, now);
+    parts.crash_words.borrow_mut().forget(request);
+}
+
 /// Until when a request is stopped, if it is.
 pub fn stopped_until(
     parts: &ServeParts,
--- a/crates/guava-serve/tests/upstream_ends.rs
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -7,8 +7,8 @@
 use guava_serve::{
     EndNotice, MAX_DATAGRAM_BYTES, MemberNote, OwnNews, PeerMessage, PortError, ServeParts,
     ServiceInput, StopPort, StopRecord, StopSight, UpstreamTable, WorkTable, choose_instance,
-    compose_end_notes, compose_message, compose_words, is_read_due, keep_stops, note_upstream_end,
-    take_message,
+    compose_end_notes, compose_message, compose_words, is_read_due, keep_stops,
+    note_request_answered, note_upstream_end, take_message,
 };
 use guava_types::{Deadline, Moment, RequestDigest};
 use std::cell::{Cell, RefCell};
@@ -225,6 +225,19 @@
     assert!(!is_stopped(&two, BESIDE));
 }
 
+#[test]
+fn end_is_not_told_again_for_a_request_that_was_answered() {
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    (0..3).for_each(|number| end_at(&one, number, &[BESIDE, RequestDigest(100 + number as u128)]));
+    note_request_answered(&one, BESIDE);
+
+    // The first word that this daemon gets of all that.
+    pass(&[PeerMessage { cleared: Vec::new(), ..summary(&one, "d1") }], &two);
+
+    assert!(!is_stopped(&two, BESIDE));
+    assert_eq!(two.ledger.borrow().count_of_ends(), 3);
+}
+
 #[parameterized(
     reader_at_its_start = { false, 0, 0, 0, true },
     standby_at_its_start = { false, 0, 0, 2, true },
