refactor: read once more: bytes of digests, a pause and a fixture stand once

Digests were written to and read from bytes in both request paths' messages; whether to sleep after a failed call was asked of the pause that had just been taken; a verdict's count was looked for in a copy of all, also where it was at hand; two test files had the same daemon.

--- a/crates/guava-daemon/src/crash_watch.rs
+++ b/crates/guava-daemon/src/crash_watch.rs
@@ -114,7 +114,10 @@
         let start = start_of(upstream, &send.instance);
         let news = locked(&context.crashes.ledger).note_end(&start, &[send.request], now);
         take_news(context, &news);
-        news.stopped.iter().for_each(|request| record_stop(context, *request));
+        for request in news.stopped {
+            let times = locked(&context.crashes.ledger).times_stopped(request);
+            times.iter().for_each(|times| record_stop(context, request, *times));
+        }
     }
 }
 
@@ -128,11 +131,7 @@
     }
 }
 
-fn record_stop(context: &DaemonContext, request: RequestDigest) {
-    let remembered: Vec<(RequestDigest, u32)> =
-        locked(&context.crashes.ledger).remembered().collect();
-    let times = remembered.iter().find(|(other, _)| *other == request).map(|(_, times)| *times);
-    let Some(times) = times else { return };
+fn record_stop(context: &DaemonContext, request: RequestDigest, times: u32) {
     let body = own_record(context, RecordBody::Stop { request, times });
     context.appends.append_later(body, Deadline::in_millis(APPEND_MS));
 }
@@ -172,40 +171,36 @@
             stops.get(request).is_none_or(|known| known < times)
         };
         let missing = remembered.iter().filter(is_missing);
-        missing.for_each(|(request, _)| record_stop(context, *request));
+        missing.for_each(|(request, times)| record_stop(context, *request, *times));
     }
 }
 
 /// Adds what is known to this daemon's own entry.
 pub fn tell(context: &DaemonContext, entry: &mut GossipEntry) {
     let now = Moment::now();
-    let bytes = |request: &RequestDigest| request.0.to_be_bytes().to_vec();
     let ledger = locked(&context.crashes.ledger);
     let recent = ledger.ends_since(now.minus_millis(GOSSIPED_MS)).take(GOSSIPED_ENDS);
     entry.ended = recent
         .map(|(upstream, requests)| EndedUpstream {
             upstream: upstream.to_string(),
-            requests: requests.take(GOSSIPED_REQUESTS).map(bytes).collect(),
+            requests: requests.take(GOSSIPED_REQUESTS).map(|digest| digest.to_bytes()).collect(),
         })
         .collect();
     let stops = ledger.stops(now).take(GOSSIPED_STOPS);
     entry.stopped = stops
         .map(|stop| StoppedRequest {
-            request: bytes(&stop.request),
+            request: stop.request.to_bytes(),
             left_ms: stop.left_ms,
             times: stop.times,
         })
         .collect();
-    entry.cleared = ledger.cleared().map(|request| bytes(&request)).collect();
+    entry.cleared = ledger.cleared().map(RequestDigest::to_bytes).collect();
 }
 
 /// Takes in what a peer's own entry tells.
 pub fn learn(context: &DaemonContext, entry: &GossipEntry) {
     let now = Moment::now();
-    let digest = |bytes: &Vec<u8>| {
-        let bytes = bytes.as_slice().try_into().ok()?;
-        Some(RequestDigest(u128::from_be_bytes(bytes)))
-    };
+    let digest = |bytes: &Vec<u8>| RequestDigest::from_bytes(bytes);
     for ended in &entry.ended {
         let Ok(upstream) = ended.upstream.parse::<UpstreamId>() else { continue };
         let requests: Vec<RequestDigest> = ended.requests.iter().filter_map(digest).collect();
--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -221,6 +221,11 @@
         self.stops.iter().map(|(request, stop)| (*request, stop.times))
     }
 
+    /// How often a request has been stopped, if it is remembered.
+    pub fn times_stopped(&self, request: RequestDigest) -> Option<u32> {
+        self.stops.get(&request).map(|stop| stop.times)
+    }
+
     /// How many ends are remembered.
     pub fn count_of_ends(&self) -> usize {
         self.ends.len()
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -315,7 +315,7 @@
     }
 
     /// Whether it says of requests that they are stopped, or are not any more.
-    pub fn tells_verdicts(&self) -> bool {
+    fn tells_verdicts(&self) -> bool {
         !self.stops.is_empty() || !self.cleared.is_empty()
     }
 
@@ -392,7 +392,7 @@
             slow_links: self.slow_links.iter().map(slow_link).collect(),
             ended: self.ended.iter().map(wire_ended).collect(),
             stops: self.stops.iter().map(wire_stop).collect(),
-            cleared: self.cleared.iter().map(digest_bytes).collect(),
+            cleared: self.cleared.iter().map(|digest| digest.to_bytes()).collect(),
             knows_stops: self.knows_stops,
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
@@ -494,7 +494,11 @@
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
             ended: wire.ended.iter().filter_map(end_notice).collect(),
             stops: wire.stops.iter().filter_map(stop_notice).collect(),
-            cleared: wire.cleared.iter().filter_map(|bytes| digest(bytes)).collect(),
+            cleared: wire
+                .cleared
+                .iter()
+                .filter_map(|bytes| RequestDigest::from_bytes(bytes))
+                .collect(),
             knows_stops: wire.knows_stops,
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
@@ -502,31 +506,24 @@
     }
 }
 
-fn digest_bytes(digest: &RequestDigest) -> Vec<u8> {
-    digest.0.to_be_bytes().to_vec()
-}
-
-fn digest(bytes: &[u8]) -> Option<RequestDigest> {
-    bytes.try_into().ok().map(|bytes| RequestDigest(u128::from_be_bytes(bytes)))
-}
-
 fn wire_ended(notice: &EndNotice) -> WireEnded {
-    let requests = notice.requests.iter().map(digest_bytes).collect();
+    let requests = notice.requests.iter().map(|digest| digest.to_bytes()).collect();
     WireEnded { upstream: notice.upstream.to_string(), requests }
 }
 
 fn end_notice(wire: &WireEnded) -> Option<EndNotice> {
-    let requests = wire.requests.iter().filter_map(|bytes| digest(bytes)).collect();
+    let requests =
+        wire.requests.iter().filter_map(|bytes| RequestDigest::from_bytes(bytes)).collect();
     Some(EndNotice { upstream: wire.upstream.parse().ok()?, requests })
 }
 
 fn wire_stop(stop: &StopNotice) -> WireStop {
-    let request = digest_bytes(&stop.request);
+    let request = stop.request.to_bytes();
     WireStop { request, left_ms: stop.left_ms, times: stop.times }
 }
 
 fn stop_notice(wire: &WireStop) -> Option<StopNotice> {
-    let request = digest(&wire.request)?;
+    let request = RequestDigest::from_bytes(&wire.request)?;
     Some(StopNotice { request, left_ms: wire.left_ms, times: wire.times })
 }
 
--- a/crates/guava-serve/src/retry_pause.rs
+++ b/crates/guava-serve/src/retry_pause.rs
@@ -31,11 +31,6 @@
 }
 
 impl RetryPause {
-    /// Whether the last call failed.
-    pub fn is_waiting(&self) -> bool {
-        self.next_ms > 0
-    }
-
     /// Notes that a call succeeded.
     pub fn reset(&mut self) {
         *self = Self::default();
--- a/crates/guava-serve/src/stop_duty.rs
+++ b/crates/guava-serve/src/stop_duty.rs
@@ -47,22 +47,18 @@
     let mut duty = StopDuty { parts, port, started, written: FastMap::default(), read: None };
     let mut retry = RetryPause::default();
     loop {
-        let pause = match duty.step().await {
+        match duty.step().await {
             Ok(()) => {
                 retry.reset();
-                Duration::from_millis(LOOK_MS)
+                let pause = Duration::from_millis(LOOK_MS);
+                // Whether it is time or there is news makes no difference.
+                drop(timeout(pause, duty.parts.stops_due.notified()).await);
             }
             Err(reason) => {
                 log_event!(debug, events::STOPS_UNREAD, reason = reason);
                 let is_urgent = is_read_urgent(&duty.parts);
-                retry.after_failure(is_urgent, rand::random())
+                sleep(retry.after_failure(is_urgent, rand::random())).await;
             }
-        };
-        if retry.is_waiting() {
-            sleep(pause).await;
-        } else {
-            // Whether it is time or there is news makes no difference.
-            drop(timeout(pause, duty.parts.stops_due.notified()).await);
         }
     }
 }
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,36 +5,18 @@
 mod support;
 
 use guava_serve::{
-    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MAX_DATAGRAM_BYTES, MemberNote,
-    OwnNews, PartEvent, PartKey, PartSave, PeerMessage, ReadPace, STANDBYS, SentPrompt,
-    ServeIdentity, ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare,
-    compose_greeting, compose_message, compose_note, compose_words, take_change, take_message,
+    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MAX_DATAGRAM_BYTES, OwnNews,
+    PartEvent, PartKey, PartSave, PeerMessage, ReadPace, STANDBYS, SentPrompt, ServeIdentity,
+    ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare, compose_greeting,
+    compose_message, compose_note, compose_words, take_change, take_message,
 };
 use guava_types::{Moment, TokenCount, UpstreamId};
-use support::{address, engine, id, leaving, model, part, serve_parts, store, upstream};
+use support::{
+    address, engine, id, leaving, model, news, note, part, serve_parts, store, upstream,
+};
 
 const NOW: Moment = Moment(100_000);
 
-fn note(name: &str) -> MemberNote {
-    MemberNote {
-        name: name.parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        peer_address: address(1),
-        caller_address: address(2),
-        is_ready: true,
-    }
-}
-
-fn news(name: &str) -> OwnNews {
-    OwnNews {
-        note: note(name),
-        loading: Vec::new(),
-        loaded: Vec::new(),
-        followed: Vec::new(),
-        number: 1,
-    }
-}
-
 /// A long prompt that was sent to an engine, of which it must read 12,000 tokens.
 fn long_prompt(engine: UpstreamId) -> SentPrompt {
     SentPrompt {
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -8,9 +8,9 @@
 
 use guava_serve::{
     AcceptedRequest, AnswerMarks, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule,
-    Dialect, EngineTraits, PromptPart, PromptShape, RepeatRule, RequestHead, RetryLimit, RouteRule,
-    ServeBounds, ServeConfig, ServeIdentity, ServeParts, ServiceRule, StoreTraits, UpstreamEntry,
-    VersionLimits, WeightVersion,
+    Dialect, EngineTraits, MemberNote, OwnNews, PromptPart, PromptShape, RepeatRule, RequestHead,
+    RetryLimit, RouteRule, ServeBounds, ServeConfig, ServeIdentity, ServeParts, ServiceRule,
+    StoreTraits, UpstreamEntry, VersionLimits, WeightVersion,
 };
 use guava_types::{Deadline, FastMap, ModelName, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
@@ -172,3 +172,25 @@
     };
     ServeParts::new(identity, bounds, dialect)
 }
+
+/// What a daemon says of itself.
+pub fn note(name: &str) -> MemberNote {
+    MemberNote {
+        name: name.parse().unwrap(),
+        data_centre: "east".parse().unwrap(),
+        peer_address: address(1),
+        caller_address: address(2),
+        is_ready: true,
+    }
+}
+
+/// What a daemon without duties has to tell.
+pub fn news(name: &str) -> OwnNews {
+    OwnNews {
+        note: note(name),
+        loading: Vec::new(),
+        loaded: Vec::new(),
+        followed: Vec::new(),
+        number: 1,
+    }
+}
--- a/crates/guava-serve/tests/upstream_ends.rs
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -5,40 +5,23 @@
 mod support;
 
 use guava_serve::{
-    EndNotice, MAX_DATAGRAM_BYTES, MemberNote, OwnNews, PeerMessage, PortError, ServeParts,
-    ServiceInput, StopPort, StopRecord, StopSight, UpstreamTable, WorkTable, choose_instance,
-    compose_end_notes, compose_message, compose_words, is_read_due, keep_stops,
-    note_request_answered, note_upstream_end, take_message,
+    EndNotice, MAX_DATAGRAM_BYTES, PeerMessage, PortError, ServeParts, ServiceInput, StopPort,
+    StopRecord, StopSight, UpstreamTable, WorkTable, choose_instance, compose_end_notes,
+    compose_message, compose_words, is_read_due, keep_stops, note_request_answered,
+    note_upstream_end, take_message,
 };
 use guava_types::{Deadline, Moment, RequestDigest};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use support::{address, id, serve_parts, upstream};
+use support::{id, news, note, serve_parts, upstream};
 use yare::parameterized;
 
 const POISON: RequestDigest = RequestDigest(7);
 const BESIDE: RequestDigest = RequestDigest(8);
 
-fn note(name: &str) -> MemberNote {
-    MemberNote {
-        name: name.parse().unwrap(),
-        data_centre: "east".parse().unwrap(),
-        peer_address: address(1),
-        caller_address: address(2),
-        is_ready: true,
-    }
-}
-
 fn summary(parts: &ServeParts, name: &str) -> PeerMessage {
-    let news = OwnNews {
-        note: note(name),
-        loading: Vec::new(),
-        loaded: Vec::new(),
-        followed: Vec::new(),
-        number: 1,
-    };
-    compose_message(parts, news, Moment::now())
+    compose_message(parts, news(name), Moment::now())
 }
 
 /// A daemon that knows some upstreams.
--- a/crates/guava-types/src/ids.rs
+++ b/crates/guava-types/src/ids.rs
@@ -97,6 +97,16 @@
         hasher.finalize_xof().fill(&mut half);
         Self(u128::from_be_bytes(half))
     }
+
+    /// Its bytes, for messages.
+    pub fn to_bytes(self) -> Vec<u8> {
+        self.0.to_be_bytes().to_vec()
+    }
+
+    /// A digest from a message's bytes; nothing if they are none.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(|bytes| Self(u128::from_be_bytes(bytes)))
+    }
 }
 
 /// Position of a record in the platform's log; also the revision of a configured object.
