fix: ends of upstreams that come together count as one, and clearings are told with their ages

Cause, two of them, by the log lines of failed runs: 1. three upstreams ended within 12 ms; the request ran at one, was taken up at the next, and its caller's second attempt ran at the third. Three ends of one cause counted as three. 2. a daemon that has cleared a request passes over clearings that it hears for twelve seconds, since daemons repeat them. A further one was taken for a repeated one, so the end before it was kept.

Change: ends and clearings travel with their ages; three ends or more within 50 ms count as one (one attempt runs at two upstreams); the span is bounded from its first end, so a chain of repeats at once is still stopped; a clearing takes away only what was before it. An end without any request of this daemon counts for what came together, here only.

--- a/crates/guava-daemon/src/crash_table.rs
+++ b/crates/guava-daemon/src/crash_table.rs
@@ -1,7 +1,7 @@
 //! What is known of upstreams that ended under requests.
 
 use guava_policy::CrashLedger;
-use guava_types::{Deadline, FastMap, FastSet, RequestDigest, UpstreamId};
+use guava_types::{Deadline, FastMap, FastSet, Moment, RequestDigest, UpstreamId};
 use std::sync::Mutex;
 
 /// A request that broke off at an upstream.
@@ -11,6 +11,8 @@
     pub request: RequestDigest,
     /// The upstream's instance then, as last reported.
     pub instance: Box<str>,
+    /// When it broke off.
+    pub at: Moment,
     /// Until when a sign is waited for.
     pub until: Deadline,
 }
--- a/crates/guava-daemon/src/crash_watch.rs
+++ b/crates/guava-daemon/src/crash_watch.rs
@@ -15,8 +15,8 @@
 use crate::outcome::{Refusal, RefusalKind};
 use guava_log::log_event;
 use guava_outside::is_listening;
-use guava_policy::{LedgerNews, StopNotice};
-use guava_schema::peers::{EndedUpstream, GossipEntry, StoppedRequest};
+use guava_policy::{ClearNotice, LedgerNews, StopNotice};
+use guava_schema::peers::{ClearedRequest, EndedUpstream, GossipEntry, StoppedRequest};
 use guava_state::RecordBody;
 use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
 use std::sync::Arc;
@@ -62,8 +62,9 @@
 pub fn note_break(context: &Arc<DaemonContext>, upstream: &UpstreamId, request: RequestDigest) {
     let instance =
         locked(&context.reports).get(upstream).map(|heard| heard.report.instance.clone());
-    let until = Deadline::in_millis(SIGN_MS);
-    let send = BrokenSend { request, instance: instance.unwrap_or_default(), until };
+    let at = Moment::now();
+    let until = Deadline::after(at, SIGN_MS);
+    let send = BrokenSend { request, instance: instance.unwrap_or_default(), at, until };
     let is_first = {
         let mut broken = locked(&context.crashes.broken);
         let sends = broken.entry(upstream.clone()).or_default();
@@ -112,7 +113,7 @@
     log_event!(info, events::UPSTREAM_ENDED, upstream = upstream, under = ended.len());
     for send in ended {
         let start = start_of(upstream, &send.instance);
-        let news = locked(&context.crashes.ledger).note_end(&start, &[send.request], now);
+        let news = locked(&context.crashes.ledger).note_end(&start, &[send.request], send.at, now);
         take_news(context, &news);
         for request in news.stopped {
             let times = locked(&context.crashes.ledger).times_stopped(request);
@@ -181,8 +182,9 @@
     let ledger = locked(&context.crashes.ledger);
     let recent = ledger.ends_since(now.minus_millis(GOSSIPED_MS)).take(GOSSIPED_ENDS);
     entry.ended = recent
-        .map(|(upstream, requests)| EndedUpstream {
+        .map(|(upstream, at, requests)| EndedUpstream {
             upstream: upstream.to_string(),
+            age_ms: now.millis_since(at),
             requests: requests.take(GOSSIPED_REQUESTS).map(|digest| digest.to_bytes()).collect(),
         })
         .collect();
@@ -194,7 +196,13 @@
             times: stop.times,
         })
         .collect();
-    entry.cleared = ledger.cleared().map(RequestDigest::to_bytes).collect();
+    entry.cleared = ledger
+        .cleared()
+        .map(|cleared| ClearedRequest {
+            request: cleared.request.to_bytes(),
+            age_ms: now.millis_since(cleared.at),
+        })
+        .collect();
 }
 
 /// Takes in what a peer's own entry tells.
@@ -204,11 +212,14 @@
     for ended in &entry.ended {
         let Ok(upstream) = ended.upstream.parse::<UpstreamId>() else { continue };
         let requests: Vec<RequestDigest> = ended.requests.iter().filter_map(digest).collect();
-        let news = locked(&context.crashes.ledger).note_end(&upstream, &requests, now);
+        let at = now.minus_millis(ended.age_ms);
+        let news = locked(&context.crashes.ledger).note_end(&upstream, &requests, at, now);
         take_news(context, &news);
     }
-    for request in entry.cleared.iter().filter_map(digest) {
-        locked(&context.crashes.ledger).note_cleared(request, now);
+    for cleared in &entry.cleared {
+        let Some(request) = digest(&cleared.request) else { continue };
+        let notice = ClearNotice { request, at: now.minus_millis(cleared.age_ms) };
+        locked(&context.crashes.ledger).note_cleared(notice, now);
     }
     for stop in &entry.stopped {
         let Some(request) = digest(&stop.request) else { continue };
--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -17,6 +17,12 @@
 //! what ran there as one end of three; a request must meet three such deaths, with no answer in
 //! between, to be taken for their cause.
 //!
+//! **Ends that come together** have a cause of their own: a rack without power, a fault of their
+//! host. A request that is tried at one upstream after the other, or whose caller repeats it at once,
+//! meets several of them. One attempt runs at two upstreams, so three ends or more within
+//! [`TOGETHER_MS`] count as one. They are told with their ages, since those told in one message would
+//! else look together.
+//!
 //! **For how long.** Evidence counts for [`EVIDENCE_MS`]. A request is stopped for [`FIRST_STOP_MS`],
 //! then has one more chance, since its upstreams may have been mended: an answer clears it, one more
 //! end stops it for twice as long, up to [`LONGEST_STOP_MS`].
@@ -32,6 +38,11 @@
 pub const ENDS_TO_STOP: usize = 3;
 /// Ends at which requests that can't be told from each other are all stopped.
 const TIED_ENDS: usize = 5;
+/// Span within which ends come together, in milliseconds: processes that end at once are noticed
+/// within it.
+const TOGETHER_MS: u64 = 50;
+/// Ends within that span that have a cause of their own: more than one attempt can bring about.
+const TOGETHER_ENDS: usize = 3;
 /// For how long an end counts, in milliseconds: callers come again within seconds, or not for it.
 const EVIDENCE_MS: u64 = 600_000;
 /// For how long a request is stopped at first, in milliseconds.
@@ -62,6 +73,15 @@
     pub times: u32,
 }
 
+/// A request against which nothing is held up to a moment, as daemons tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClearNotice {
+    /// Which.
+    pub request: RequestDigest,
+    /// When it was found to do no harm; as an age between daemons.
+    pub at: Moment,
+}
+
 /// What a change of the evidence led to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LedgerNews {
@@ -75,7 +95,8 @@
 
 #[derive(Clone, Debug)]
 struct UpstreamEnd {
-    noted: Moment,
+    /// When it ended, by the earliest that is known.
+    at: Moment,
     requests: FastSet<RequestDigest>,
 }
 
@@ -83,6 +104,8 @@
 struct RequestStop {
     until: Deadline,
     times: u32,
+    /// Whether the evidence here led to it, not a peer's word or a record.
+    is_found_here: bool,
 }
 
 /// What is known of upstreams' ends and the requests under way there.
@@ -120,12 +143,13 @@
         self.stops.get(&request).map(|stop| stop.until).filter(|until| !until.passed(now))
     }
 
-    /// Takes in that an upstream ended while these requests were under way there, as this daemon or
-    /// another saw it.
+    /// Takes in that an upstream ended at some moment while these requests were under way there, as
+    /// this daemon or another saw it.
     pub fn note_end(
         &mut self,
         upstream: &UpstreamId,
         requests: &[RequestDigest],
+        at: Moment,
         now: Moment,
     ) -> LedgerNews {
         if !self.ends.contains_key(upstream) && self.ends.len() >= MOST_ENDS {
@@ -134,14 +158,16 @@
         let mut news = LedgerNews::default();
         let end = self.ends.entry(upstream.clone()).or_insert_with(|| {
             news.is_news = true;
-            UpstreamEnd { noted: now, requests: FastSet::default() }
+            UpstreamEnd { at, requests: FastSet::default() }
         });
+        // Whoever noticed it first knows best.
+        end.at = end.at.min(at);
         let mut is_at_limit = false;
         for request in requests {
             // Daemons repeat their words: an end from before a request was cleared is no new one.
             // Taken for new, a request that met one end now and then would be stopped, though it
             // was answered each time.
-            if self.cleared.get(request).is_some_and(|cleared| end.noted <= cleared.at) {
+            if self.cleared.get(request).is_some_and(|cleared| end.at <= cleared.at) {
                 continue;
             }
             if end.requests.len() >= MOST_REQUESTS || !end.requests.insert(*request) {
@@ -164,15 +190,17 @@
     pub fn note_answer(&mut self, request: RequestDigest, now: Moment) -> bool {
         let was_known = self.counts.contains_key(&request) || self.stops.contains_key(&request);
         if was_known {
-            self.clear(request, now, true);
+            self.clear(ClearNotice { request, at: now }, now, true);
         }
         was_known
     }
 
-    /// Takes in that another daemon has nothing against a request any more.
-    pub fn note_cleared(&mut self, request: RequestDigest, now: Moment) {
-        if !self.cleared.contains_key(&request) {
-            self.clear(request, now, false);
+    /// Takes in that another daemon has nothing against a request up to some moment. Daemons repeat
+    /// that for seconds, in which the request may have met further ends.
+    pub fn note_cleared(&mut self, notice: ClearNotice, now: Moment) {
+        let known = self.cleared.get(&notice.request);
+        if known.is_none_or(|known| known.at < notice.at) {
+            self.clear(notice, now, false);
         }
     }
 
@@ -187,7 +215,8 @@
             return false;
         }
         let until = Deadline::after(now, told.left_ms.min(LONGEST_STOP_MS));
-        self.insert_stop(told.request, RequestStop { until, times: told.times });
+        let stop = RequestStop { until, times: told.times, is_found_here: false };
+        self.insert_stop(told.request, stop);
         true
     }
 
@@ -207,13 +236,13 @@
         })
     }
 
-    /// Ends noted since a moment, with the requests that were under way there.
+    /// Ends since a moment, each with its own and the requests that were under way there.
     pub fn ends_since(
         &self,
         moment: Moment,
-    ) -> impl Iterator<Item = (&UpstreamId, impl Iterator<Item = &RequestDigest>)> {
-        let recent = self.ends.iter().filter(move |(_, end)| end.noted >= moment);
-        recent.map(|(upstream, end)| (upstream, end.requests.iter()))
+    ) -> impl Iterator<Item = (&UpstreamId, Moment, impl Iterator<Item = &RequestDigest>)> {
+        let recent = self.ends.iter().filter(move |(_, end)| end.at >= moment);
+        recent.map(|(upstream, end)| (upstream, end.at, end.requests.iter()))
     }
 
     /// All requests that were stopped and are remembered, and how often each was.
@@ -232,15 +261,15 @@
     }
 
     /// Requests that this daemon cleared a moment ago.
-    pub fn cleared(&self) -> impl Iterator<Item = RequestDigest> {
+    pub fn cleared(&self) -> impl Iterator<Item = ClearNotice> {
         let own = self.cleared.iter().filter(|(_, cleared)| cleared.is_own);
-        own.map(|(request, _)| *request)
+        own.map(|(request, cleared)| ClearNotice { request: *request, at: cleared.at })
     }
 
     /// Forgets what is over; the stopped requests that are forgotten.
     pub fn sweep(&mut self, now: Moment) -> Vec<RequestDigest> {
         self.cleared.retain(|_, cleared| !cleared.until.passed(now));
-        let is_old = |end: &UpstreamEnd| now.millis_since(end.noted) > EVIDENCE_MS;
+        let is_old = |end: &UpstreamEnd| now.millis_since(end.at) > EVIDENCE_MS;
         let old = self.ends.iter().filter(|(_, end)| is_old(end));
         let old: Vec<UpstreamId> = old.map(|(id, _)| id.clone()).collect();
         old.iter().for_each(|id| self.forget_end(id));
@@ -253,19 +282,33 @@
         over
     }
 
-    fn clear(&mut self, request: RequestDigest, now: Moment, is_own: bool) {
-        self.stops.remove(&request);
-        self.counts.remove(&request);
-        for end in self.ends.values_mut() {
-            end.requests.remove(&request);
+    fn clear(&mut self, notice: ClearNotice, now: Moment, is_own: bool) {
+        let request = notice.request;
+        let mut later_ends = 0;
+        for end in self.ends.values_mut().filter(|end| end.requests.contains(&request)) {
+            if end.at <= notice.at {
+                end.requests.remove(&request);
+            } else {
+                later_ends += 1;
+            }
         }
-        self.note_clear(request, now, is_own);
+        if later_ends == 0 {
+            self.counts.remove(&request);
+        } else {
+            self.counts.insert(request, later_ends);
+        }
+        if later_ends < ENDS_TO_STOP {
+            self.stops.remove(&request);
+        }
+        self.note_clear(notice, now, is_own);
     }
 
-    fn note_clear(&mut self, request: RequestDigest, now: Moment, is_own: bool) {
-        if self.cleared.len() < MOST_STOPS {
+    fn note_clear(&mut self, notice: ClearNotice, now: Moment, is_own: bool) {
+        let is_known = self.cleared.contains_key(&notice.request);
+        if is_known || self.cleared.len() < MOST_STOPS {
             let until = Deadline::after(now, CLEARED_MS);
-            self.cleared.insert(request, ClearedRequest { at: now, until, is_own });
+            let cleared = ClearedRequest { at: notice.at, until, is_own };
+            self.cleared.insert(notice.request, cleared);
         }
     }
 
@@ -280,7 +323,7 @@
     }
 
     fn forget_oldest_end(&mut self) {
-        let oldest = self.ends.iter().min_by_key(|(_, end)| end.noted);
+        let oldest = self.ends.iter().min_by_key(|(_, end)| end.at);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             self.forget_end(&id);
         }
@@ -305,7 +348,7 @@
         for request in stopped {
             if !blamed.contains(&request) && self.is_explained(request, &blamed) {
                 self.stops.remove(&request);
-                self.note_clear(request, now, true);
+                self.note_clear(ClearNotice { request, at: now }, now, true);
                 news.lifted.push(request);
             }
         }
@@ -316,7 +359,7 @@
             let times = self.stops.get(&request).map_or(0, |stop| stop.times) + 1;
             let until = Deadline::after(now, stop_ms(times));
             self.cleared.remove(&request);
-            self.insert_stop(request, RequestStop { until, times });
+            self.insert_stop(request, RequestStop { until, times, is_found_here: true });
             news.stopped.push(request);
         }
     }
@@ -328,14 +371,48 @@
         let is_open = |end: &&UpstreamEnd| !blamed.iter().any(|by| end.requests.contains(by));
         let (open, explained): (Vec<_>, Vec<_>) = own.partition(is_open);
         let count = open.len() + explained.len();
-        count >= ENDS_TO_STOP && open.len() < ENDS_TO_STOP
+        // Ends that were learnt of later may show that some came together.
+        let is_found_here = self.stops.get(&request).is_some_and(|stop| stop.is_found_here);
+        let open_count = if is_found_here {
+            let is_at = |occasion: &FastSet<RequestDigest>| {
+                let is_open = !blamed.iter().any(|by| occasion.contains(by));
+                is_open && occasion.contains(&request)
+            };
+            self.occasions().iter().filter(|occasion| is_at(occasion)).count()
+        } else {
+            open.len()
+        };
+        count >= ENDS_TO_STOP && open_count < ENDS_TO_STOP
+    }
+
+    /// The requests under way at each occasion on which upstreams ended: one end, or several that
+    /// came together.
+    fn occasions(&self) -> Vec<FastSet<RequestDigest>> {
+        let mut ends: Vec<&UpstreamEnd> = self.ends.values().collect();
+        ends.sort_unstable_by_key(|end| end.at);
+        let mut occasions = Vec::new();
+        let mut rest = ends.as_slice();
+        while let Some(first) = rest.first() {
+            // Bounded from the first on: a chain of repeats at once must not count as one for ever.
+            let until = Deadline::after(first.at, TOGETHER_MS);
+            let (together, later) =
+                rest.split_at(rest.partition_point(|end| !until.passed(end.at)));
+            rest = later;
+            if together.len() >= TOGETHER_ENDS {
+                let all = together.iter().flat_map(|end| end.requests.iter().copied());
+                occasions.push(all.collect());
+            } else {
+                occasions.extend(together.iter().map(|end| end.requests.clone()));
+            }
+        }
+        occasions
     }
 
     /// The requests that have ended upstreams, by the evidence: those at most ends first, and what
     /// they explain speaks against no other.
     fn blamed(&self, now: Moment) -> Vec<RequestDigest> {
-        let mut open: Vec<&FastSet<RequestDigest>> =
-            self.ends.values().map(|end| &end.requests).collect();
+        let occasions = self.occasions();
+        let mut open: Vec<&FastSet<RequestDigest>> = occasions.iter().collect();
         // What peers found by evidence that is not all known here.
         let is_told = |request: &RequestDigest, stop: &RequestStop| {
             let count = self.counts.get(request).copied().unwrap_or(0);
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -23,7 +23,9 @@
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
 pub use backlog::EngineBacklog;
-pub use crash_ledger::{CrashLedger, ENDS_TO_STOP, FIRST_STOP_MS, LedgerNews, StopNotice};
+pub use crash_ledger::{
+    ClearNotice, CrashLedger, ENDS_TO_STOP, FIRST_STOP_MS, LedgerNews, StopNotice,
+};
 pub use export::{ExportInput, should_export};
 pub use link::LinkTable;
 pub use link_queue::LinkQueue;
--- a/crates/guava-serve/src/crash_words.rs
+++ b/crates/guava-serve/src/crash_words.rs
@@ -5,7 +5,8 @@
 //! with every summary, so that daemons that start, or were cut off, know them within a second.
 
 use crate::end_notice::EndNotice;
-use guava_types::{Deadline, Moment, RequestDigest};
+use guava_policy::ClearNotice;
+use guava_types::{Deadline, Moment};
 
 /// For how long an end is told again, in milliseconds: two summaries to other data centres.
 const TOLD_MS: u64 = 2_200;
@@ -32,10 +33,11 @@
         self.fresh.push(notice);
     }
 
-    /// Forgets a request that was cleared: what it was held for is not told any more.
-    pub fn forget(&mut self, request: RequestDigest) {
+    /// Forgets what a request was held for until it was cleared: that is not told any more.
+    pub fn forget(&mut self, cleared: ClearNotice) {
         let told = self.fresh.iter_mut().chain(self.recent.iter_mut().map(|(notice, _)| notice));
-        told.for_each(|notice| notice.requests.retain(|other| *other != request));
+        let before = told.filter(|notice| notice.at <= cleared.at);
+        before.for_each(|notice| notice.requests.retain(|other| *other != cleared.request));
     }
 
     /// Takes what was not told yet, in pieces of a message each.
@@ -57,8 +59,11 @@
     let mut room = 0;
     for notice in notices {
         for requests in notice.requests.chunks(MOST_REQUESTS) {
-            let piece =
-                EndNotice { upstream: notice.upstream.clone(), requests: requests.to_vec() };
+            let piece = EndNotice {
+                upstream: notice.upstream.clone(),
+                at: notice.at,
+                requests: requests.to_vec(),
+            };
             // An upstream's id takes about as much as two digests.
             let size = requests.len() + 2;
             match messages.last_mut().filter(|_| room >= size) {
--- a/crates/guava-serve/src/end_watch.rs
+++ b/crates/guava-serve/src/end_watch.rs
@@ -5,25 +5,40 @@
 //! the first send that breaks off has somebody look; those that break off meanwhile wait for what is
 //! found.
 
-use guava_types::{FastMap, RequestDigest, UpstreamId};
+use guava_types::{FastMap, Moment, RequestDigest, UpstreamId};
+
+/// Requests whose sends broke off at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenSends {
+    /// When the first did.
+    pub since: Moment,
+    /// Which.
+    pub requests: Vec<RequestDigest>,
+}
 
 /// Requests whose sends broke off, by upstream.
 #[derive(Debug, Default)]
 pub struct EndWatch {
-    broken: FastMap<UpstreamId, Vec<RequestDigest>>,
+    broken: FastMap<UpstreamId, BrokenSends>,
 }
 
 impl EndWatch {
     /// Notes a send that broke off after the upstream may have begun to run the request; whether it
     /// is the first there, and somebody must look whether the upstream has ended.
-    pub fn note_break(&mut self, upstream: &UpstreamId, request: RequestDigest) -> bool {
-        let waiting = self.broken.entry(upstream.clone()).or_default();
-        waiting.push(request);
-        waiting.len() == 1
+    pub fn note_break(
+        &mut self,
+        upstream: &UpstreamId,
+        request: RequestDigest,
+        now: Moment,
+    ) -> bool {
+        let nothing = || BrokenSends { since: now, requests: Vec::new() };
+        let sends = self.broken.entry(upstream.clone()).or_insert_with(nothing);
+        sends.requests.push(request);
+        sends.requests.len() == 1
     }
 
-    /// Takes the requests that broke off at an upstream, once it is known whether it has ended.
-    pub fn take(&mut self, upstream: &UpstreamId) -> Vec<RequestDigest> {
-        self.broken.remove(upstream).unwrap_or_default()
+    /// Takes what broke off at an upstream, once it is known whether it has ended.
+    pub fn take(&mut self, upstream: &UpstreamId) -> Option<BrokenSends> {
+        self.broken.remove(upstream)
     }
 }
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -12,8 +12,8 @@
 use crate::upstream_ends::{take_cleared, take_end, take_stop};
 use crate::upstream_table::ListChange;
 use guava_log::log_event;
-use guava_policy::StopNotice;
-use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount, UpstreamId};
+use guava_policy::{ClearNotice, StopNotice};
+use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
 
 /// How long an upstream counts as loading after a peer said so, in milliseconds, and half of the time
@@ -94,7 +94,7 @@
     parts.stop_sight.get().is_known && parts.ledger.borrow().stops(now).count() <= MOST_STOPS
 }
 
-fn told_cleared(parts: &ServeParts) -> Vec<RequestDigest> {
+fn told_cleared(parts: &ServeParts) -> Vec<ClearNotice> {
     parts.ledger.borrow().cleared().take(MOST_STOPS).collect()
 }
 
@@ -284,8 +284,8 @@
     for end in &message.ended {
         take_end(parts, end, now);
     }
-    for request in message.cleared {
-        take_cleared(parts, request, now);
+    for notice in message.cleared {
+        take_cleared(parts, notice, now);
     }
     for stop in message.stops {
         take_stop(parts, stop, now);
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -10,7 +10,7 @@
 use crate::store_links::{SlowLink, StoreTransfer};
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
-use guava_policy::StopNotice;
+use guava_policy::{ClearNotice, StopNotice};
 use guava_types::{FastMap, ModelName, Moment, RequestDigest, TokenCount, UpstreamId};
 use prost::Message;
 use std::net::SocketAddr;
@@ -173,8 +173,8 @@
     ended: Vec<WireEnded>,
     #[prost(message, repeated, tag = "21")]
     stops: Vec<WireStop>,
-    #[prost(bytes = "vec", repeated, tag = "22")]
-    cleared: Vec<Vec<u8>>,
+    #[prost(message, repeated, tag = "22")]
+    cleared: Vec<WireCleared>,
     #[prost(bool, tag = "23")]
     knows_stops: bool,
 }
@@ -185,6 +185,16 @@
     upstream: String,
     #[prost(bytes = "vec", repeated, tag = "2")]
     requests: Vec<Vec<u8>>,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireCleared {
+    #[prost(bytes = "vec", tag = "1")]
+    request: Vec<u8>,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -271,7 +281,7 @@
     /// Requests that are stopped, as far as it knows.
     pub stops: Vec<StopNotice>,
     /// Requests that it has lately found to do no harm.
-    pub cleared: Vec<RequestDigest>,
+    pub cleared: Vec<ClearNotice>,
     /// Whether it knows the records of stopped requests.
     pub knows_stops: bool,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
@@ -390,9 +400,9 @@
             clock_ms: self.clock_ms,
             listed: self.listed.iter().map(wire_listed).collect(),
             slow_links: self.slow_links.iter().map(slow_link).collect(),
-            ended: self.ended.iter().map(wire_ended).collect(),
+            ended: self.ended.iter().map(|end| wire_ended(end, now)).collect(),
             stops: self.stops.iter().map(wire_stop).collect(),
-            cleared: self.cleared.iter().map(|digest| digest.to_bytes()).collect(),
+            cleared: self.cleared.iter().map(|notice| wire_cleared(notice, now)).collect(),
             knows_stops: self.knows_stops,
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
@@ -492,13 +502,9 @@
             clock_ms: wire.clock_ms,
             listed: wire.listed.iter().filter_map(listed_change).collect(),
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
-            ended: wire.ended.iter().filter_map(end_notice).collect(),
+            ended: wire.ended.iter().filter_map(|end| end_notice(end, now)).collect(),
             stops: wire.stops.iter().filter_map(stop_notice).collect(),
-            cleared: wire
-                .cleared
-                .iter()
-                .filter_map(|bytes| RequestDigest::from_bytes(bytes))
-                .collect(),
+            cleared: wire.cleared.iter().filter_map(|wire| clear_notice(wire, now)).collect(),
             knows_stops: wire.knows_stops,
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
@@ -506,15 +512,26 @@
     }
 }
 
-fn wire_ended(notice: &EndNotice) -> WireEnded {
+fn wire_ended(notice: &EndNotice, now: Moment) -> WireEnded {
     let requests = notice.requests.iter().map(|digest| digest.to_bytes()).collect();
-    WireEnded { upstream: notice.upstream.to_string(), requests }
+    let age_ms = now.millis_since(notice.at);
+    WireEnded { upstream: notice.upstream.to_string(), requests, age_ms }
 }
 
-fn end_notice(wire: &WireEnded) -> Option<EndNotice> {
+fn end_notice(wire: &WireEnded, now: Moment) -> Option<EndNotice> {
     let requests =
         wire.requests.iter().filter_map(|bytes| RequestDigest::from_bytes(bytes)).collect();
-    Some(EndNotice { upstream: wire.upstream.parse().ok()?, requests })
+    let at = now.minus_millis(wire.age_ms);
+    Some(EndNotice { upstream: wire.upstream.parse().ok()?, at, requests })
+}
+
+fn wire_cleared(notice: &ClearNotice, now: Moment) -> WireCleared {
+    WireCleared { request: notice.request.to_bytes(), age_ms: now.millis_since(notice.at) }
+}
+
+fn clear_notice(wire: &WireCleared, now: Moment) -> Option<ClearNotice> {
+    let request = RequestDigest::from_bytes(&wire.request)?;
+    Some(ClearNotice { request, at: now.minus_millis(wire.age_ms) })
 }
 
 fn wire_stop(stop: &StopNotice) -> WireStop {
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstream_ends.rs
@@ -4,7 +4,7 @@
 use crate::events;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
-use guava_policy::{LedgerNews, StopNotice};
+use guava_policy::{ClearNotice, LedgerNews, StopNotice};
 use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,9 +22,10 @@
 
 /// Takes in that a send broke off after its upstream may have begun to run the request.
 pub fn note_break(parts: &Rc<ServeParts>, upstream: &UpstreamId, request: RequestDigest) {
-    if parts.upstreams.borrow().has_ended(upstream, Moment::now()) {
-        note_upstream_end(parts, upstream, vec![request]);
-    } else if parts.ends.borrow_mut().note_break(upstream, request) {
+    let now = Moment::now();
+    if parts.upstreams.borrow().has_ended(upstream, now) {
+        note_upstream_end(parts, upstream, vec![request], now);
+    } else if parts.ends.borrow_mut().note_break(upstream, request, now) {
         drop(tokio::task::spawn_local(look(Rc::clone(parts), upstream.clone())));
     }
 }
@@ -46,14 +47,17 @@
 
 /// Takes in that nobody listens at an upstream's address.
 pub fn note_refused(parts: &ServeParts, upstream: &UpstreamId) {
-    let requests = parts.ends.borrow_mut().take(upstream);
-    let is_known = parts.upstreams.borrow().has_ended(upstream, Moment::now());
-    if !is_known || !requests.is_empty() {
-        note_upstream_end(parts, upstream, requests);
+    let now = Moment::now();
+    let sends = parts.ends.borrow_mut().take(upstream);
+    let is_known = parts.upstreams.borrow().has_ended(upstream, now);
+    match sends {
+        Some(sends) => note_upstream_end(parts, upstream, sends.requests, sends.since),
+        None if !is_known => note_upstream_end(parts, upstream, Vec::new(), now),
+        None => {}
     }
 }
 
-/// Takes in that an upstream has ended, with the requests of this daemon's that broke off there, and
+/// Takes in that an upstream has ended at some moment, with the requests of this daemon's that broke off there, and
 /// has the others told of these.
 ///
 /// That it ended is not told: what this daemon can't reach others may. Believed by all, one daemon
@@ -62,6 +66,7 @@
     parts: &ServeParts,
     upstream: &UpstreamId,
     mut requests: Vec<RequestDigest>,
+    at: Moment,
 ) {
     let now = Moment::now();
     if parts.upstreams.borrow().entry(upstream).is_some_and(|entry| entry.is_leaving) {
@@ -78,8 +83,10 @@
         under = requests.len(),
         digests = list.join(" ")
     );
-    let notice = EndNotice { upstream: upstream.clone(), requests };
-    if take_end(parts, &notice, now) {
+    let notice = EndNotice { upstream: upstream.clone(), at, requests };
+    // Without any request it still shows that others at the same moment had a cause of their own.
+    let is_news = take_end(parts, &notice, now);
+    if is_news && !notice.requests.is_empty() {
         parts.crash_words.borrow_mut().note_end(notice, now);
         parts.note_due.notify_one();
     }
@@ -96,10 +103,9 @@
 /// Takes in under which requests an upstream ended, as seen here or told by a peer; whether it is
 /// news. Also of an upstream that is not, or no more, listed here.
 pub fn take_end(parts: &ServeParts, notice: &EndNotice, now: Moment) -> bool {
-    if notice.requests.is_empty() {
-        return false;
-    }
-    let news = parts.ledger.borrow_mut().note_end(&notice.upstream, &notice.requests, now);
+    let mut ledger = parts.ledger.borrow_mut();
+    let news = ledger.note_end(&notice.upstream, &notice.requests, notice.at, now);
+    drop(ledger);
     log_verdicts(parts, &news);
     news.is_news
 }
@@ -143,17 +149,18 @@
 
 /// The same of a request whose digest is known.
 pub fn note_request_answered(parts: &ServeParts, request: RequestDigest) {
-    if parts.ledger.borrow_mut().note_answer(request, Moment::now()) {
-        parts.crash_words.borrow_mut().forget(request);
+    let now = Moment::now();
+    if parts.ledger.borrow_mut().note_answer(request, now) {
+        parts.crash_words.borrow_mut().forget(ClearNotice { request, at: now });
         log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "answered");
         note_verdicts(parts);
     }
 }
 
-/// Takes in that a peer has nothing against a request any more.
-pub fn take_cleared(parts: &ServeParts, request: RequestDigest, now: Moment) {
-    parts.ledger.borrow_mut().note_cleared(request, now);
-    parts.crash_words.borrow_mut().forget(request);
+/// Takes in that a peer has nothing against a request up to some moment.
+pub fn take_cleared(parts: &ServeParts, notice: ClearNotice, now: Moment) {
+    parts.ledger.borrow_mut().note_cleared(notice, now);
+    parts.crash_words.borrow_mut().forget(notice);
 }
 
 /// Until when a request is stopped, if it is.
