feat: cold upstreams are not overrun, and operators drain data centres

Cause: two promises of the shifted deployment were unknown to the code.

Ways weighed for cold upstreams: (a) each daemon its share of the rate: 0.2 of a request a second at 84 daemons, so either nothing or, all at one moment, 84; (b) ten daemons an upstream, by rendezvous hashing, each with a share in any second. Chosen: (b), among all daemons known rather than those heard, so that two sides of a cut choose the same ones. Not sending to cold ones at all while others are there was not built: it is (b) with a share of nothing.

A drain is a state as of an offset of the operator's log, told with summaries and the readers' words (so that it spares a read of each daemon), asked at the choice and right before the send. On the own interface it is an object, data-centre/NAME, with a command; the effective view has its upstreams drained.

Open: on the own interface upstreams tell nothing of being cold.

--- a/crates/guava-daemon/src/object_codec.rs
+++ b/crates/guava-daemon/src/object_codec.rs
@@ -3,10 +3,10 @@
 use guava_schema::operators::object::Value;
 use guava_schema::operators::service::Rule;
 use guava_schema::operators::upstream::Kind;
-use guava_schema::operators::{Customer, Model, Object, Profile, Service, Upstream};
+use guava_schema::operators::{Customer, DataCentre, Model, Object, Profile, Service, Upstream};
 use guava_state::{
-    ConfigObject, CustomerSpec, MethodRule, ModelSpec, ServiceSpec, UpstreamKind, UpstreamSpec,
-    WeightProfile,
+    ConfigObject, CustomerSpec, DataCentreSpec, MethodRule, ModelSpec, ServiceSpec, UpstreamKind,
+    UpstreamSpec, WeightProfile,
 };
 use guava_types::{LinkRate, RequestRate, TokenRate};
 use snafu::Snafu;
@@ -102,6 +102,9 @@
             recompute: profile.recompute,
             link: profile.link,
         })),
+        Some(Value::DataCentre(centre)) => {
+            Ok(ConfigObject::DataCentre(DataCentreSpec { drained: centre.drained }))
+        }
         None => Err(error("value", "expected an object")),
     }
 }
@@ -153,6 +156,7 @@
             recompute: profile.recompute,
             link: profile.link,
         }),
+        ConfigObject::DataCentre(spec) => Value::DataCentre(DataCentre { drained: spec.drained }),
     };
     Object { value: Some(value) }
 }
--- a/crates/guava-daemon/src/shared_state.rs
+++ b/crates/guava-daemon/src/shared_state.rs
@@ -11,7 +11,7 @@
 pub struct ConfigView {
     /// Customers by the hash of each of their keys.
     pub customers: FastMap<Box<str>, CustomerId>,
-    /// All upstreams.
+    /// All upstreams; those of drained data centres are drained.
     pub upstreams: Vec<(UpstreamId, UpstreamSpec)>,
     /// Daemons on the roster.
     pub roster: Vec<Incarnation>,
@@ -22,7 +22,7 @@
 impl ConfigView {
     fn of(state: &FleetState) -> Self {
         let mut view = Self {
-            upstreams: state.upstreams().map(|(id, spec)| (id, spec.clone())).collect(),
+            upstreams: state.upstreams().map(|(id, spec)| (id, effective(state, spec))).collect(),
             roster: state.members().keys().copied().collect(),
             profile: state.profile(),
             ..Self::default()
@@ -43,6 +43,12 @@
     }
 }
 
+/// An upstream's specification with what holds for its data centre.
+fn effective(state: &FleetState, spec: &UpstreamSpec) -> UpstreamSpec {
+    let draining = spec.draining || state.is_drained(&spec.data_centre);
+    UpstreamSpec { draining, ..spec.clone() }
+}
+
 /// The state behind its lock.
 #[derive(Debug)]
 pub struct SharedState {
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backlog;
+mod cold_start;
 mod crash_ledger;
 mod export;
 mod link;
@@ -23,6 +24,7 @@
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
 pub use backlog::EngineBacklog;
+pub use cold_start::{ColdRule, SendWindow, cold_share};
 pub use crash_ledger::{
     ClearNotice, CrashLedger, ENDS_TO_STOP, FIRST_STOP_MS, LedgerNews, StopNotice,
 };
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -5,6 +5,8 @@
 use crate::dialect::{AnswerMarks, SendPlan};
 use crate::event_framer::{EventBatch, EventFramer};
 use crate::events;
+use crate::send_gate::pass_gate;
+use crate::serve_config::ServiceRule;
 use crate::serve_parts::ServeParts;
 use crate::store_links::{FetchTicket, FetchWait};
 use crate::upstream_ends::{note_answer, note_break, note_refused};
@@ -12,7 +14,7 @@
 use crate::work_table::{ExpectedLoad, WorkTicket};
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
-use guava_types::{Deadline, ModelName, Moment, ServiceName, UpstreamId};
+use guava_types::{Deadline, ModelName, Moment, UpstreamId};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -75,8 +77,8 @@
 pub struct AttemptPlan {
     /// What is sent where.
     pub send: SendPlan,
-    /// Service whose budget pays for another try.
-    pub service: ServiceName,
+    /// Its service, whose budget pays for another try.
+    pub service: Rc<ServiceRule>,
     /// What it is expected to cost.
     pub load: ExpectedLoad,
     /// What it waits for at the links of stores, if it fetches parts.
@@ -173,7 +175,7 @@
             return Waited::Done(done);
         }
         let is_over = plan.deadline.passed(Moment::now());
-        if !is_over && parts.retries.borrow_mut().spend(&plan.service) {
+        if !is_over && parts.retries.borrow_mut().spend(&plan.service.name) {
             return Waited::Abandoned;
         }
     }
@@ -218,7 +220,7 @@
         let work = WorkGuard::begin(self.parts, self.plan);
         let Some(mut connection) = self.connect().await else { return AttemptEnd::NotSent };
         // The upstream may have left while the connection was opened.
-        if !self.parts.upstreams.borrow().may_send(&send.upstream) {
+        if !pass_gate(self.parts, &self.plan.service, &send.upstream, Moment::now()) {
             return AttemptEnd::NotSent;
         }
         let mut fresh = send.clone();
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -95,7 +95,8 @@
         let limit = input.version_limits;
         let start = expected_start(input, &entry.id);
         let verdict = input.targets.judge(&input.prompt.model, version, limit, start);
-        let is_usable = verdict != VersionUse::Forbidden && !input.tried.contains(&entry.id);
+        let is_open = !input.tried.contains(&entry.id) && !input.closed.contains(&entry.id);
+        let is_usable = verdict != VersionUse::Forbidden && is_open;
         is_usable.then_some((entry, version, verdict))
     });
     judged.collect()
--- a/crates/guava-serve/src/engine_input.rs
+++ b/crates/guava-serve/src/engine_input.rs
@@ -48,6 +48,8 @@
     pub data_centre: &'a DataCentre,
     /// Engines that were tried for this request.
     pub tried: &'a [UpstreamId],
+    /// Upstreams that may get nothing at present.
+    pub closed: &'a [UpstreamId],
     /// The current moment.
     pub now: Moment,
     /// A random number that spreads equal choices.
--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -24,6 +24,7 @@
     CONFIG_TAKEN "G8104" "a configuration is in force";
     CONFIG_OLD "G8105" "an older configuration was passed over";
     VERSION_PUBLISHED "G8106" "new weights were published";
+    CENTRE_DRAINED "G8107" "a data centre is drained, or taken back";
     MEMBER_HEARD "G8201" "a daemon is heard";
     LEASE_TAKEN "G8301" "the lease for orders is held";
     LEASE_LOST "G8302" "the lease for orders ended";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -8,11 +8,13 @@
 mod answer_body;
 mod attempt;
 mod cache_salt;
+mod cold_sends;
 mod config_intake;
 mod connection_pool;
 mod crash_words;
 mod dialect;
 mod dispatch;
+mod drain_table;
 mod end_notice;
 mod end_watch;
 mod engine_choice;
@@ -43,6 +45,7 @@
 mod retry_shares;
 mod rollout_state;
 mod save_ledger;
+mod send_gate;
 mod sent_prompt;
 mod serve_config;
 mod serve_parts;
@@ -61,11 +64,13 @@
 pub use admit::{AdmitRefusal, AdmittedCaller, HeldBytes, admit};
 pub use answer_body::{AnswerBody, BrokenStream};
 pub use cache_salt::{cache_salt, salt_version};
+pub use cold_sends::ColdSends;
 pub use config_intake::take_config;
 pub use connection_pool::{ConnectionPool, ExchangeError, UpstreamConnection};
 pub use crash_words::CrashWords;
 pub use dialect::{AnswerMarks, Dialect, EngineOrders, SendPlan};
 pub use dispatch::serve_request;
+pub use drain_table::{DrainNotice, DrainTable};
 pub use end_notice::EndNotice;
 pub use end_watch::EndWatch;
 pub use engine_choice::{EngineChoice, choose_engine};
@@ -86,7 +91,7 @@
 pub use peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
 pub use peer_exchange::{
     OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
-    take_change, take_message, take_version,
+    take_change, take_drain, take_message, take_version,
 };
 pub use peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
@@ -101,6 +106,7 @@
 pub use retry_shares::{RetryLimit, RetryShares};
 pub use rollout_state::{VersionRollout, useless_salt};
 pub use save_ledger::{PartSave, SaveLedger};
+pub use send_gate::{GateInput, GateState, closed_upstreams, gate_state, pass_gate};
 pub use sent_prompt::SentPrompt;
 pub use serve_config::{
     CallerIdentity, CallerLimits, ConfigKeeper, ConfigParts, ConfigVersion, CustomerRule,
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -1,5 +1,6 @@
 //! What a daemon tells its peers, and what it takes from their messages.
 
+use crate::drain_table::DrainNotice;
 use crate::end_notice::EndNotice;
 use crate::events;
 use crate::list_news::MOST_TOLD;
@@ -73,6 +74,7 @@
         stops: told_stops(parts, now),
         cleared: told_cleared(parts),
         knows_stops: tells_all_stops(parts, now),
+        drains: parts.drains.borrow().notices(),
         is_note: false,
         is_for_relay: false,
     }
@@ -118,6 +120,7 @@
         stops: Vec::new(),
         cleared: Vec::new(),
         knows_stops: false,
+        drains: Vec::new(),
         is_note: true,
         is_for_relay: false,
     }
@@ -183,6 +186,7 @@
         list,
         stops,
         knows_stops,
+        drains: parts.drains.borrow().notices(),
         ..last
     });
     messages
@@ -209,6 +213,7 @@
     let told = words.map(|word| PeerMessage {
         shares: work.own_shares().map(|(id, share)| (id.clone(), share)).collect(),
         targets: published(parts, now),
+        drains: parts.drains.borrow().notices(),
         stores: vec![cut_to(word, MOST_PARTS)],
         clock_ms: parts.upstream_clock_in(0, now),
         is_note: false,
@@ -277,6 +282,9 @@
         let learned = now.minus_millis(target.age_ms);
         take_version(parts, &target.model, target.version, learned, "peer");
     }
+    for drain in &message.drains {
+        take_drain(parts, drain, now);
+    }
     if let (Some(word), Some(since)) = (message.operator, message.published_since) {
         parts.words.borrow_mut().operator.note_spared(since, word.state);
     }
@@ -391,6 +399,18 @@
     }
 }
 
+/// Takes in that a data centre is drained, or taken back.
+pub fn take_drain(parts: &ServeParts, notice: &DrainNotice, now: Moment) {
+    if parts.drains.borrow_mut().note(notice, now) {
+        log_event!(
+            info,
+            events::CENTRE_DRAINED,
+            data_centre = notice.data_centre,
+            drained = notice.is_drained
+        );
+    }
+}
+
 /// Takes in that weights were published by some moment at the latest.
 pub fn take_version(
     parts: &ServeParts,
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other: one small datagram, a few times a second.
 
+use crate::drain_table::DrainNotice;
 use crate::end_notice::EndNotice;
 use crate::member_table::MemberNote;
 use crate::part_index::{PartNews, StoreWord};
@@ -11,7 +12,7 @@
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
 use guava_policy::{ClearNotice, StopNotice};
-use guava_types::{FastMap, ModelName, Moment, RequestDigest, TokenCount, UpstreamId};
+use guava_types::{Deadline, FastMap, ModelName, Moment, RequestDigest, TokenCount, UpstreamId};
 use prost::Message;
 use std::net::SocketAddr;
 
@@ -127,6 +128,8 @@
     models: Vec<String>,
     #[prost(uint64, repeated, tag = "9")]
     versions: Vec<u64>,
+    #[prost(uint64, tag = "10")]
+    cold_left_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -177,6 +180,8 @@
     cleared: Vec<WireCleared>,
     #[prost(bool, tag = "23")]
     knows_stops: bool,
+    #[prost(message, repeated, tag = "24")]
+    drains: Vec<WireDrain>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -197,6 +202,16 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireDrain {
+    #[prost(string, tag = "1")]
+    data_centre: String,
+    #[prost(uint64, tag = "2")]
+    as_of: u64,
+    #[prost(bool, tag = "3")]
+    is_drained: bool,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WireStop {
     #[prost(bytes = "vec", tag = "1")]
@@ -284,6 +299,8 @@
     pub cleared: Vec<ClearNotice>,
     /// Whether it knows the records of stopped requests.
     pub knows_stops: bool,
+    /// Data centres that are, or were, drained.
+    pub drains: Vec<DrainNotice>,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
     pub is_note: bool,
     /// Whether the receiver passes this on to the daemons of its own data centre.
@@ -398,12 +415,13 @@
             list: self.list.map(word),
             loaded: self.loaded.iter().map(loaded).collect(),
             clock_ms: self.clock_ms,
-            listed: self.listed.iter().map(wire_listed).collect(),
+            listed: self.listed.iter().map(|change| wire_listed(change, now)).collect(),
             slow_links: self.slow_links.iter().map(slow_link).collect(),
             ended: self.ended.iter().map(|end| wire_ended(end, now)).collect(),
             stops: self.stops.iter().map(wire_stop).collect(),
             cleared: self.cleared.iter().map(|notice| wire_cleared(notice, now)).collect(),
             knows_stops: self.knows_stops,
+            drains: self.drains.iter().map(wire_drain).collect(),
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
         };
@@ -500,12 +518,13 @@
             list: wire.list.map(word),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
             clock_ms: wire.clock_ms,
-            listed: wire.listed.iter().filter_map(listed_change).collect(),
+            listed: wire.listed.iter().filter_map(|change| listed_change(change, now)).collect(),
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
             ended: wire.ended.iter().filter_map(|end| end_notice(end, now)).collect(),
             stops: wire.stops.iter().filter_map(stop_notice).collect(),
             cleared: wire.cleared.iter().filter_map(|wire| clear_notice(wire, now)).collect(),
             knows_stops: wire.knows_stops,
+            drains: wire.drains.iter().filter_map(drain_notice).collect(),
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
         })
@@ -544,7 +563,17 @@
     Some(StopNotice { request, left_ms: wire.left_ms, times: wire.times })
 }
 
-fn wire_listed(change: &ListedChange) -> WireListed {
+fn wire_drain(notice: &DrainNotice) -> WireDrain {
+    let data_centre = notice.data_centre.to_string();
+    WireDrain { data_centre, as_of: notice.as_of, is_drained: notice.is_drained }
+}
+
+fn drain_notice(wire: &WireDrain) -> Option<DrainNotice> {
+    let data_centre = wire.data_centre.parse().ok()?;
+    Some(DrainNotice { data_centre, as_of: wire.as_of, is_drained: wire.is_drained })
+}
+
+fn wire_listed(change: &ListedChange, now: Moment) -> WireListed {
     match change {
         ListedChange::Removed(id) => {
             WireListed { upstream: id.to_string(), is_removed: true, ..WireListed::default() }
@@ -559,12 +588,16 @@
             is_leaving: entry.is_leaving,
             models: entry.versions.keys().map(ModelName::to_string).collect(),
             versions: entry.versions.values().map(|version| version.0).collect(),
+            cold_left_ms: entry.cold_until.millis_left(now),
         },
     }
 }
 
-fn listed_change(wire: &WireListed) -> Option<ListedChange> {
+fn listed_change(wire: &WireListed, now: Moment) -> Option<ListedChange> {
     let id: UpstreamId = wire.upstream.parse().ok()?;
+    let is_cold = wire.cold_left_ms > 0;
+    let cold_until =
+        if is_cold { Deadline::after(now, wire.cold_left_ms) } else { Deadline::default() };
     if wire.is_removed {
         return Some(ListedChange::Removed(id));
     }
@@ -577,6 +610,7 @@
         data_centre: wire.data_centre.parse().ok()?,
         slots: wire.slots,
         is_leaving: wire.is_leaving,
+        cold_until,
         versions: wire.models.iter().zip(&wire.versions).filter_map(version).collect(),
     }))
 }
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request_plan.rs
@@ -11,6 +11,7 @@
 use crate::part_key::PartKey;
 use crate::patience::first_answer_patience;
 use crate::save_ledger::PartSave;
+use crate::send_gate::closed_upstreams;
 use crate::sent_prompt::SentPrompt;
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_parts::ServeParts;
@@ -18,6 +19,7 @@
 use crate::work_table::ExpectedLoad;
 use guava_log::log_event;
 use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
+use std::rc::Rc;
 
 /// Expected time of a plain request, in milliseconds, for telling slow instances from others.
 const PLAIN_ANSWER_MS: f64 = 25.0;
@@ -106,7 +108,7 @@
             request = request.id,
             route = request.route.name,
             config = config.version,
-            service = plan.service,
+            service = plan.service.name,
             upstream = plan.send.upstream,
             left_ms = left_ms,
             objective_ms = request.route.objective_ms,
@@ -118,7 +120,7 @@
             request = request.id,
             route = request.route.name,
             config = config.version,
-            service = plan.service,
+            service = plan.service.name,
             upstream = plan.send.upstream,
             weights = orders.version,
             expected_ms = plan.load.answer_ms.round(),
@@ -138,6 +140,7 @@
     load: ExpectedLoad,
 ) -> Option<AttemptPlan> {
     let request = input.request;
+    let service = input.config.service(input.service)?;
     let address = input.parts.upstreams.borrow().entry(&upstream)?.address;
     let now = Moment::now();
     let patience = first_answer_patience(&request.route, input.record.runs, load.answer_ms);
@@ -151,7 +154,7 @@
     };
     Some(AttemptPlan {
         send,
-        service: input.service.clone(),
+        service: Rc::clone(service),
         load,
         wait: None,
         is_long: false,
@@ -160,14 +163,22 @@
     })
 }
 
+/// Upstreams of the request's service that may get nothing now.
+fn closed(input: PlanInput<'_>, now: Moment) -> Vec<UpstreamId> {
+    let rule = input.config.service(input.service);
+    rule.map(|rule| closed_upstreams(input.parts, rule, now)).unwrap_or_default()
+}
+
 fn plan_plain(input: PlanInput<'_>) -> Option<AttemptPlan> {
+    let now = Moment::now();
     let upstream = choose_instance(&ServiceInput {
         service: input.service,
         upstreams: &input.parts.upstreams.borrow(),
         work: &input.parts.work.borrow(),
         data_centre: &input.parts.identity.data_centre,
         tried: &input.record.tried,
-        now: Moment::now(),
+        closed: &closed(input, now),
+        now,
         draw: rand::random(),
     })?;
     let load = ExpectedLoad {
@@ -241,6 +252,7 @@
         peers: &peers,
         data_centre: &parts.identity.data_centre,
         tried: &input.record.tried,
+        closed: &closed(input, now),
         now,
         draw: rand::random(),
     })
--- a/crates/guava-serve/src/serve_config.rs
+++ b/crates/guava-serve/src/serve_config.rs
@@ -1,5 +1,6 @@
 //! The effective configuration as the request path sees it, whoever published it.
 
+use guava_policy::ColdRule;
 use guava_types::{CustomerId, DataCentre, FastMap, ModelName, ServiceName, TokenCount};
 use std::fmt;
 use std::net::SocketAddr;
@@ -106,6 +107,8 @@
     pub name: ServiceName,
     /// What its engines have in common; nothing for a plain service.
     pub engine: Option<EngineTraits>,
+    /// What its upstreams bear while they are cold; nothing if that is no matter.
+    pub cold: Option<ColdRule>,
 }
 
 /// One customer.
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -2,9 +2,11 @@
 //!
 //! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
 
+use crate::cold_sends::ColdSends;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_words::CrashWords;
 use crate::dialect::Dialect;
+use crate::drain_table::DrainTable;
 use crate::end_watch::EndWatch;
 use crate::list_news::ListNews;
 use crate::member_table::MemberTable;
@@ -66,6 +68,8 @@
     pub config_limit_ms: u64,
     /// Retries to a service.
     pub retries: RetryLimit,
+    /// How many times what they are said to bear cold upstreams may get.
+    pub cold_times: f64,
     /// Bytes of requests that may be held at a time.
     pub held_bytes: usize,
 }
@@ -95,6 +99,10 @@
     pub config: RefCell<ConfigKeeper>,
     /// The upstreams.
     pub upstreams: RefCell<UpstreamTable>,
+    /// Data centres whose upstreams are to get nothing.
+    pub drains: RefCell<DrainTable>,
+    /// Sends to cold upstreams.
+    pub cold_sends: RefCell<ColdSends>,
     /// Sends that broke off, until it is known whether their upstreams ended.
     pub ends: RefCell<EndWatch>,
     /// Upstreams' ends, and requests that are stopped for them.
@@ -159,6 +167,8 @@
             metrics: ServeMetrics::default(),
             config: RefCell::default(),
             upstreams: RefCell::default(),
+            drains: RefCell::default(),
+            cold_sends: RefCell::new(ColdSends::new(Moment::now())),
             ends: RefCell::default(),
             ledger: RefCell::default(),
             crash_words: RefCell::default(),
--- a/crates/guava-serve/src/service_choice.rs
+++ b/crates/guava-serve/src/service_choice.rs
@@ -20,6 +20,8 @@
     pub data_centre: &'a DataCentre,
     /// Instances that were tried for this request.
     pub tried: &'a [UpstreamId],
+    /// Upstreams that may get nothing at present.
+    pub closed: &'a [UpstreamId],
     /// The current moment.
     pub now: Moment,
     /// A random number that spreads equal choices.
@@ -30,7 +32,7 @@
 pub fn choose_instance(input: &ServiceInput<'_>) -> Option<UpstreamId> {
     let mut costs: Vec<(f64, &UpstreamId)> = Vec::new();
     for entry in input.upstreams.serving(input.service, input.now) {
-        if input.tried.contains(&entry.id) {
+        if input.tried.contains(&entry.id) || input.closed.contains(&entry.id) {
             continue;
         }
         let remote = if entry.data_centre == *input.data_centre { 0.0 } else { REMOTE_WORK };
--- a/crates/guava-serve/src/shared_words.rs
+++ b/crates/guava-serve/src/shared_words.rs
@@ -148,8 +148,8 @@
 /// The words on what the store holds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SharedWords {
-    /// From which offset on all records of the operator that this daemon read are publications of
-    /// weights, which it tells by themselves.
+    /// From which offset on all records of the operator that this daemon read publish weights or drain
+    /// data centres, which it tells by themselves.
     pub published_since: Option<u64>,
     /// The operator's records: the offset up to which they were read.
     pub operator: WordKeeper,
@@ -158,11 +158,10 @@
 }
 
 impl SharedWords {
-    /// Notes which records of the operator this daemon read from an offset on. Where they only publish
-    /// weights, the others need not read them: with 295 daemons they are as many calls at each
-    /// publication.
-    pub fn note_records(&mut self, from: u64, count: usize, only_publications: bool) {
-        if !only_publications {
+    /// Notes which records of the operator this daemon read from an offset on. Where all of them are
+    /// told by themselves, the others need not read them, which would be a call of each daemon.
+    pub fn note_records(&mut self, from: u64, count: usize, are_told: bool) {
+        if !are_told {
             self.published_since = None;
         } else if count > 0 {
             self.published_since.get_or_insert(from);
--- a/crates/guava-serve/src/upstream_table.rs
+++ b/crates/guava-serve/src/upstream_table.rs
@@ -26,6 +26,10 @@
 /// milliseconds. The list's contract: about two seconds.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// How much later than known a cold upstream must turn warm for that to be news, in milliseconds:
+/// each entry that is read tells what was left when it was written, some tenths of a second before.
+const COLD_NEWS_MS: u64 = 1_000;
+
 /// Names whose newest start is remembered, beyond the upstreams that are listed: late words come
 /// within seconds, and within these no deployment replaces so many.
 const REMEMBERED_NAMES: usize = 4_096;
@@ -57,6 +61,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub is_leaving: bool,
+    /// Until when it is cold.
+    pub cold_until: Deadline,
     /// Weights that it serves, by model.
     pub versions: FastMap<ModelName, WeightVersion>,
 }
@@ -84,6 +90,8 @@
     Restarted,
     /// It has newer weights.
     Weights,
+    /// It is cold, for longer than was known.
+    Cold,
     /// It takes no new work from now on.
     Leaving,
     /// Its entry is gone, but may come back: it lapsed while the list was away.
@@ -100,6 +108,7 @@
             Self::Added => "added",
             Self::Restarted => "restarted",
             Self::Weights => "weights",
+            Self::Cold => "cold",
             Self::Leaving => "leaving",
             Self::Lapsed => "lapsed",
             Self::Gone => "gone",
@@ -196,15 +205,20 @@
                 let was_leaving = listed.entry.is_leaving;
                 let versions = newest_versions(&listed.entry.versions, &entry.versions);
                 let has_news = listed.entry.versions != entry.versions;
+                let cold_until = listed.entry.cold_until;
+                let is_colder = Deadline::after(cold_until.0, COLD_NEWS_MS) < entry.cold_until;
                 listed.entry = entry;
+                // A word that comes late must not end it sooner.
+                listed.entry.cold_until = listed.entry.cold_until.max(cold_until);
                 listed.entry.versions = versions;
                 let is_news = listed.entry.is_leaving && !was_leaving;
                 // Leaving is final: an older copy of the entry must not bring new work back.
                 listed.entry.is_leaving |= was_leaving;
-                match (is_news, has_news) {
-                    (true, _) => ListChange::Leaving,
-                    (false, true) => ListChange::Weights,
-                    (false, false) => ListChange::Same,
+                match (is_news, has_news, is_colder) {
+                    (true, ..) => ListChange::Leaving,
+                    (false, true, _) => ListChange::Weights,
+                    (false, false, true) => ListChange::Cold,
+                    (false, false, false) => ListChange::Same,
                 }
             }
         }
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -61,6 +61,7 @@
         leave_limit_ms: 2_000,
         config_limit_ms: 2_000,
         retries: RetryLimit { ratio: 1.0, slack: 100.0 },
+        cold_times: 1.0,
         held_bytes: 1 << 20,
     };
     let parts = Rc::new(ServeParts::new(identity, bounds, dialect()));
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -87,6 +87,7 @@
         peers: &scene.peers,
         data_centre: &"east".parse().unwrap(),
         tried,
+        closed: &[],
         now: NOW,
         draw,
     })
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -6,11 +6,12 @@
 
 use guava_policy::{ClearNotice, StopNotice};
 use guava_serve::{
-    CallerIdentity, EndNotice, EventFramer, ExpectedLoad, ListedChange, LoadedVersion, MemberNote,
-    MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate, PublishedVersion,
-    RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord, SentPrompt,
-    ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable, WeightVersion,
-    WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience, return_after_ms,
+    CallerIdentity, DrainNotice, EndNotice, EventFramer, ExpectedLoad, ListedChange, LoadedVersion,
+    MemberNote, MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate,
+    PublishedVersion, RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord,
+    SentPrompt, ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable,
+    WeightVersion, WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience,
+    return_after_ms,
 };
 use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount};
 use std::rc::Rc;
@@ -151,6 +152,7 @@
                 work,
                 data_centre: &"east".parse().unwrap(),
                 tried: &[],
+                closed: &[],
                 now,
                 draw,
             })
@@ -275,6 +277,11 @@
         stops: vec![StopNotice { request: RequestDigest(8), left_ms: 9_000, times: 2 }],
         cleared: vec![ClearNotice { request: RequestDigest(9), at: Moment(99_990) }],
         knows_stops: true,
+        drains: vec![DrainNotice {
+            data_centre: "east".parse().unwrap(),
+            as_of: 7,
+            is_drained: true,
+        }],
         is_note: false,
         is_for_relay: true,
     };
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -36,6 +36,7 @@
         data_centre: "east".parse().unwrap(),
         slots: 8,
         is_leaving: false,
+        cold_until: Deadline::default(),
         versions: FastMap::default(),
     }
 }
@@ -103,8 +104,8 @@
             route("/get/", "app", RepeatRule::Idempotent),
         ],
         services: vec![
-            ServiceRule { name: "llm".parse().unwrap(), engine: Some(engine_traits()) },
-            ServiceRule { name: "app".parse().unwrap(), engine: None },
+            ServiceRule { name: "llm".parse().unwrap(), engine: Some(engine_traits()), cold: None },
+            ServiceRule { name: "app".parse().unwrap(), engine: None, cold: None },
         ],
         customers: Some(vec![
             (customer("acme", false), vec!["key-acme".into()]),
@@ -163,6 +164,7 @@
         leave_limit_ms: 2_000,
         config_limit_ms: 2_000,
         retries: RetryLimit { ratio: 0.2, slack: 50.0 },
+        cold_times: 1.0,
         held_bytes: 1 << 20,
     };
     let dialect = Dialect {
--- a/crates/guava-serve/tests/support/played.rs
+++ b/crates/guava-serve/tests/support/played.rs
@@ -230,6 +230,7 @@
             peers: &[],
             data_centre: &"east".parse().unwrap(),
             tried: &[],
+            closed: &[],
             now,
             draw: number,
         })
--- a/crates/guava-serve/tests/upstream_ends.rs
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -173,6 +173,7 @@
             work: &WorkTable::default(),
             data_centre: &"east".parse().unwrap(),
             tried: &[],
+            closed: &[],
             now,
             draw,
         })
--- a/crates/guava-state/src/lib.rs
+++ b/crates/guava-state/src/lib.rs
@@ -17,8 +17,8 @@
 pub use intents::{HeldIntent, IntentTable, IntentVerdict};
 pub use lease::{LeaseEntry, LeaseWatch, clock_margin_ms};
 pub use objects::{
-    ConfigObject, CustomerSpec, MethodRule, ModelSpec, ObjectError, ObjectKey, ObjectKind,
-    ServiceSpec, StoredObject, UpstreamKind, UpstreamSpec, WeightProfile,
+    ConfigObject, CustomerSpec, DataCentreSpec, MethodRule, ModelSpec, ObjectError, ObjectKey,
+    ObjectKind, ServiceSpec, StoredObject, UpstreamKind, UpstreamSpec, WeightProfile,
 };
 pub use record::{
     ChangeRequest, IntentEntry, LeaseRequest, LogRecord, MAX_RECORD_BYTES, MemberEntry, RecordBody,
--- a/crates/guava-state/src/objects.rs
+++ b/crates/guava-state/src/objects.rs
@@ -19,8 +19,8 @@
 pub enum ObjectError {
     /// The text names no object.
     #[snafu(display(
-        "object: expected kind/name with kind customer, service, model, upstream or profile, \
-         found {found:?}"
+        "object: expected kind/name with kind customer, service, model, upstream, profile or \
+         data-centre, found {found:?}"
     ))]
     NoKey {
         /// The offending text.
@@ -51,14 +51,17 @@
     Upstream,
     /// The weights of the three measures.
     Profile,
+    /// A data centre.
+    DataCentre,
 }
 
-const KIND_NAMES: [(ObjectKind, &str); 5] = [
+const KIND_NAMES: [(ObjectKind, &str); 6] = [
     (ObjectKind::Customer, "customer"),
     (ObjectKind::Service, "service"),
     (ObjectKind::Model, "model"),
     (ObjectKind::Upstream, "upstream"),
     (ObjectKind::Profile, "profile"),
+    (ObjectKind::DataCentre, "data-centre"),
 ];
 
 /// Kind and name of a configured object, written `kind/name`.
@@ -202,6 +205,14 @@
     }
 }
 
+/// What operators say of a data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataCentreSpec {
+    /// Whether its upstreams get no new work.
+    pub drained: bool,
+}
+
 /// One configured object.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -216,6 +227,9 @@
     Upstream(UpstreamSpec),
     /// The weights of the measures.
     Profile(WeightProfile),
+    /// A data centre.
+    #[serde(rename = "data-centre")]
+    DataCentre(DataCentreSpec),
 }
 
 fn bad(field: &'static str, expected: &'static str, found: impl Into<Box<str>>) -> ObjectError {
@@ -286,6 +300,7 @@
             Self::Model(_) => ObjectKind::Model,
             Self::Upstream(_) => ObjectKind::Upstream,
             Self::Profile(_) => ObjectKind::Profile,
+            Self::DataCentre(_) => ObjectKind::DataCentre,
         }
     }
 
@@ -296,7 +311,7 @@
             Self::Service(spec) => check_service(spec),
             Self::Model(spec) => check_model(spec),
             Self::Upstream(spec) => check_upstream(spec),
-            Self::Profile(_) => Ok(()),
+            Self::Profile(_) | Self::DataCentre(_) => Ok(()),
         }
     }
 }
@@ -331,6 +346,11 @@
         Self { kind: ObjectKind::Upstream, name: id.as_str().into() }
     }
 
+    /// The key of a data centre.
+    pub fn data_centre(name: &DataCentre) -> Self {
+        Self { kind: ObjectKind::DataCentre, name: name.as_str().into() }
+    }
+
     /// The key of the one weight profile.
     pub fn profile() -> Self {
         Self { kind: ObjectKind::Profile, name: "measures".into() }
--- a/crates/guava-state/src/reducer.rs
+++ b/crates/guava-state/src/reducer.rs
@@ -6,8 +6,8 @@
     StoredObject, UpstreamSpec, WeightProfile,
 };
 use guava_types::{
-    CustomerId, Incarnation, ModelName, Offset, RecordId, RequestDigest, ServiceName, UpstreamId,
-    WallTime,
+    CustomerId, DataCentre, Incarnation, ModelName, Offset, RecordId, RequestDigest, ServiceName,
+    UpstreamId, WallTime,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -203,6 +203,15 @@
         })
     }
 
+    /// Whether a data centre's upstreams get no new work.
+    pub fn is_drained(&self, data_centre: &DataCentre) -> bool {
+        let stored = self.objects.get(&ObjectKey::data_centre(data_centre));
+        match stored.and_then(|stored| stored.object.as_ref()) {
+            Some(ConfigObject::DataCentre(spec)) => spec.drained,
+            _ => false,
+        }
+    }
+
     /// The weights of the measures.
     pub fn profile(&self) -> WeightProfile {
         let stored = self.objects.get(&ObjectKey::profile());
--- a/crates/guavatiller/src/args.rs
+++ b/crates/guavatiller/src/args.rs
@@ -70,6 +70,7 @@
     Service(ServiceArgs),
     Model(ModelArgs),
     Upstream(UpstreamArgs),
+    DataCentre(DataCentreArgs),
     Weights(WeightsArgs),
     Delete(DeleteArgs),
     Get(GetArgs),
@@ -239,6 +240,19 @@
     pub slots: Option<u32>,
 }
 
+/// drain a data centre, so that its upstreams get no new work, or take it back;
+/// as in: guavatiller data-centre east --drain true
+#[derive(FromArgs)]
+#[argh(subcommand, name = "data-centre")]
+pub struct DataCentreArgs {
+    /// name
+    #[argh(positional)]
+    pub name: String,
+    /// whether its upstreams get no new work: true or false
+    #[argh(option)]
+    pub drain: bool,
+}
+
 /// set the weights of the three measures
 #[derive(FromArgs)]
 #[argh(subcommand, name = "weights")]
--- a/crates/guavatiller/src/changes.rs
+++ b/crates/guavatiller/src/changes.rs
@@ -1,10 +1,12 @@
 //! The client's changes: each takes the object as it is and makes the new one.
 
-use crate::args::{CustomerArgs, ModelAction, ModelArgs, ServiceArgs, UpstreamArgs, WeightsArgs};
+use crate::args::{
+    CustomerArgs, DataCentreArgs, ModelAction, ModelArgs, ServiceArgs, UpstreamArgs, WeightsArgs,
+};
 use guava_schema::operators::object::Value;
 use guava_schema::operators::service::Rule;
 use guava_schema::operators::upstream::Kind;
-use guava_schema::operators::{Customer, Model, Object, Profile, Service, Upstream};
+use guava_schema::operators::{Customer, DataCentre, Model, Object, Profile, Service, Upstream};
 
 const DEFAULT_RATE: u64 = 100;
 const DEFAULT_CONCURRENCY: u32 = 64;
@@ -137,6 +139,11 @@
     Ok(object(Value::Upstream(upstream)))
 }
 
+/// A data centre, drained or taken back.
+pub fn data_centre(args: &DataCentreArgs) -> Option<Object> {
+    object(Value::DataCentre(DataCentre { drained: args.drain }))
+}
+
 /// The weights.
 pub fn weights(args: &WeightsArgs) -> Option<Object> {
     object(Value::Profile(Profile {
--- a/crates/guavatiller/src/client.rs
+++ b/crates/guavatiller/src/client.rs
@@ -218,6 +218,10 @@
                 let object = format!("upstream/{}", args.name);
                 self.change_object(object, |current| changes::upstream(args, current)).await
             }
+            CommandArgs::DataCentre(args) => {
+                let object = format!("data-centre/{}", args.name);
+                self.change_object(object, |_| Ok(changes::data_centre(args))).await
+            }
             CommandArgs::Weights(args) => {
                 let object = "profile/measures".to_owned();
                 self.change_object(object, |_| Ok(changes::weights(args))).await
--- a/crates/guavatiller/src/reports.rs
+++ b/crates/guavatiller/src/reports.rs
@@ -48,6 +48,7 @@
             upstream.link_bytes_per_second,
             upstream.slots
         )),
+        Some(Value::DataCentre(centre)) => json!(format!("drained={}", centre.drained)),
         Some(Value::Profile(profile)) => json!(format!(
             "first_token={} recompute={} link={}",
             profile.first_token, profile.recompute, profile.link
--- a/crates/guavatiller/tests/leaving.rs
+++ b/crates/guavatiller/tests/leaving.rs
@@ -98,6 +98,32 @@
     assert_no_work_at_engine_0(&deployment);
 }
 
+#[test]
+fn data_centre_is_drained_by_an_operator() {
+    // Symptom: work is sent to the engines of a data centre that is about to be switched off.
+    // Sequence: an operator drains the data centre at one daemon; callers use the others.
+    // Cause: only single upstreams could be drained, one command after the other.
+    let deployment = deploy_default();
+    deployment.operate_ok(1, &["upstream", "engine-0", "--data-centre", "west"]).unwrap();
+
+    deployment.operate_ok(1, &["data-centre", "west", "--drain", "true"]).unwrap();
+    wait_left(&deployment, "engine-0");
+    assert_no_work_at_engine_0(&deployment);
+    deployment.operate_ok(2, &["data-centre", "west", "--drain", "false"]).unwrap();
+
+    let mut sent = 0;
+    wait_until("it gets work again", || {
+        let before = engine(&deployment, 0).accepted;
+        // Each daemon has engines of its own among equals.
+        for daemon in &deployment.daemons {
+            // A prompt that was sent before would go where it is cached.
+            sent += 1;
+            drop(stream(daemon.callers, &support::long_prompt(&format!("b{sent}"), 400), 2));
+        }
+        engine(&deployment, 0).accepted > before
+    });
+}
+
 #[test]
 fn notice_heard_by_one_daemon_only() {
     // Symptom: two of three daemons go on sending work to a leaving engine.
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -423,3 +423,41 @@
 
     assert_eq!(registered(&daemons[0]), 1);
 }
+
+#[test]
+fn drained_data_centre_gets_no_requests_until_it_is_taken_back() {
+    // Symptom: upstreams that an operator wants to be left alone get requests for as long as they are.
+    // Sequence: a data centre is drained by a record beside the configuration; nobody reads it.
+    // Cause: of the operator's records only the configuration and published weights were known.
+    let (deployment, daemons) = deploy(2);
+    let is_served = |id: &str| {
+        let answers = daemons.iter().map(|daemon| submit(daemon, id).unwrap().status);
+        answers.collect::<Vec<_>>() == [200, 200]
+    };
+    assert!(is_served("before"));
+
+    deployment.store.put("keyed.op", "evacuate/east", "{}");
+    wait_until("both refuse", || {
+        daemons.iter().all(|daemon| submit(daemon, "probe").unwrap().status == 503)
+    });
+    let runs = deployment.servers.values().map(|server| server.runs().len()).sum::<usize>();
+    let refused = submit(&daemons[0], "while").unwrap();
+    let runs_after = deployment.servers.values().map(|server| server.runs().len()).sum::<usize>();
+    deployment.store.put("keyed.op", "evacuate/east", "");
+    wait_until("both serve again", || is_served("after"));
+
+    assert_eq!((refused.status, runs_after), (503, runs));
+    assert!(refused.header("retry-after").is_some());
+}
+
+#[test]
+fn drained_data_centre_is_known_to_a_daemon_that_starts() {
+    let (mut deployment, _daemons) = deploy(1);
+    deployment.store.put("keyed.op", "evacuate/east", "{}");
+
+    let late = deployment.daemon().unwrap();
+    wait_until("it is ready", || is_ready(&late));
+    let answer = submit(&late, "late").unwrap();
+
+    assert_eq!(answer.status, 503);
+}
