feat: each engine's own prefill throughput, told to all daemons

Of 213 long prompts read for the first time with 500 to 800 ms expected, 61 were late; of those expected later than 800 ms all were, which no placing mends. One daemon of 84 sends 0.6 long prompts a second, so none could learn 60 engines by itself; measurements travel with the summaries.

--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::accepted_request::AcceptedRequest;
 use crate::connection_pool::{ExchangeError, UpstreamConnection};
 use crate::dialect::{AnswerMarks, SendPlan};
+use crate::engine_speeds::EngineSpeed;
 use crate::event_framer::{EventBatch, EventFramer};
 use crate::events;
 use crate::send_gate::pass_gate;
@@ -443,7 +444,11 @@
         let is_plain = self.plan.send.engine.as_ref().is_some_and(|o| o.fetch_until_ms.is_none());
         if let Some(sent) = sent_to_idle.filter(|_| is_plain) {
             let elapsed = Moment::now().millis_since(sent);
-            self.parts.prefill.borrow_mut().note(self.plan.load.prompt.0, elapsed);
+            let shown = self.parts.prefill.borrow_mut().note(self.plan.load.prompt.0, elapsed);
+            if let Some(rate) = shown {
+                let speed = EngineSpeed { engine: self.plan.send.upstream.clone(), rate };
+                self.parts.speeds.borrow_mut().note_own(speed, Moment::now());
+            }
         }
     }
 }
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/engine_choice.rs
@@ -129,7 +129,7 @@
     RouteCandidate {
         upstream: entry.id.clone(),
         wait_ms: input.wait_ms(&entry.id) + input.fixed_ms + penalty + loading + remote,
-        prefill: input.prefill,
+        prefill: input.prefill_of(&entry.id),
         over_slots: over_slots + if is_full { FULL_MEMORY_SLOTS } else { 0 },
         resident,
         missing,
--- a/crates/guava-serve/src/engine_input.rs
+++ b/crates/guava-serve/src/engine_input.rs
@@ -1,6 +1,7 @@
 //! What the choice of an engine is made on.
 
 use crate::accepted_request::{AcceptedRequest, PromptShape};
+use crate::engine_speeds::EngineSpeeds;
 use crate::part_index::PartIndex;
 use crate::serve_config::{EngineTraits, StoreTraits};
 use crate::store_links::StoreLinks;
@@ -36,6 +37,8 @@
     pub version_limits: VersionLimits,
     /// Prefill throughput, as learnt.
     pub prefill: TokenRate,
+    /// The same of each engine, as far as it is known.
+    pub speeds: &'a EngineSpeeds,
     /// Time to a first token beside the prefill, as learnt, in milliseconds.
     pub fixed_ms: f64,
     /// Part of the engines' memory that is planned with.
@@ -61,6 +64,11 @@
     /// or by what peers said in sum, whichever is more.
     pub(crate) fn wait_ms(&self, engine: &UpstreamId) -> f64 {
         let listed = self.work.wait_ms(engine, self.request.priority(), self.now);
-        listed.max(self.work.peers_wait_ms(engine, self.prefill, self.now))
+        listed.max(self.work.peers_wait_ms(engine, self.prefill_of(engine), self.now))
+    }
+
+    /// Throughput with which an engine reads.
+    pub(crate) fn prefill_of(&self, engine: &UpstreamId) -> TokenRate {
+        self.speeds.rate(engine).unwrap_or(self.prefill)
     }
 }
--- a/crates/guava-serve/src/part_transfers.rs
+++ b/crates/guava-serve/src/part_transfers.rs
@@ -213,7 +213,8 @@
         let ready_ms: f64 = lacking.iter().map(|it| it.ready_ms(&entry.data_centre)).sum();
         // A first token waits for the prompts before it as well, and would accuse the link of that.
         let expected_ms = ready_ms.max(input.wait_ms(&entry.id));
-        let read_ms = cost.recompute.0 as f64 * 1_000.0 / input.prefill.0.max(1) as f64;
+        let read_ms =
+            cost.recompute.0 as f64 * 1_000.0 / input.prefill_of(&entry.id).0.max(1) as f64;
         FetchWait { stores, expected_ms, other_ms: read_ms + input.fixed_ms }
     }
 
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/peer_exchange.rs
@@ -70,6 +70,7 @@
         clock_ms: parts.upstream_clock_in(0, now),
         listed: if is_list_told { listed } else { Vec::new() },
         slow_links: parts.links.borrow().slow_links(now),
+        speeds: parts.speeds.borrow_mut().told(now),
         ended: parts.crash_words.borrow_mut().repeated(now),
         stops: told_stops(parts, now),
         cleared: told_cleared(parts),
@@ -116,6 +117,7 @@
         clock_ms: None,
         listed: Vec::new(),
         slow_links: Vec::new(),
+        speeds: Vec::new(),
         ended: Vec::new(),
         stops: Vec::new(),
         cleared: Vec::new(),
@@ -303,7 +305,8 @@
     }
     if message.is_note {
         for sent in &message.sent {
-            let service_ms = parts.prefill.borrow().read_ms(sent.waiting);
+            let own = parts.speeds.borrow().rate(&sent.engine);
+            let service_ms = parts.prefill.borrow().read_ms(sent.waiting, own);
             parts.work.borrow_mut().note_peer_sent(&name, sent, service_ms, now);
             let mut index = parts.parts.borrow_mut();
             index.note_sent(&sent.engine, &sent.parts, sent.tokens, now);
@@ -330,6 +333,7 @@
         upstreams.note_version(&loaded.engine, &loaded.model, loaded.version);
     }
     message.stores.into_iter().for_each(|word| parts.parts.borrow_mut().note_word(word, now));
+    message.speeds.iter().for_each(|speed| parts.speeds.borrow_mut().note(speed));
     for link in message.slow_links {
         parts.links.borrow_mut().note_told(&name, link, now);
     }
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/peer_message.rs
@@ -2,6 +2,7 @@
 
 use crate::drain_table::DrainNotice;
 use crate::end_notice::EndNotice;
+use crate::engine_speeds::EngineSpeed;
 use crate::member_table::MemberNote;
 use crate::part_index::{PartNews, StoreWord};
 use crate::part_key::PartKey;
@@ -12,7 +13,9 @@
 use crate::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::work_table::WorkShare;
 use guava_policy::{ClearNotice, StopNotice};
-use guava_types::{Deadline, FastMap, ModelName, Moment, RequestDigest, TokenCount, UpstreamId};
+use guava_types::{
+    Deadline, FastMap, ModelName, Moment, RequestDigest, TokenCount, TokenRate, UpstreamId,
+};
 use prost::Message;
 use std::net::SocketAddr;
 
@@ -182,6 +185,8 @@
     knows_stops: bool,
     #[prost(message, repeated, tag = "24")]
     drains: Vec<WireDrain>,
+    #[prost(message, repeated, tag = "25")]
+    speeds: Vec<WireSpeed>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -194,6 +199,14 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireSpeed {
+    #[prost(string, tag = "1")]
+    engine: String,
+    #[prost(uint64, tag = "2")]
+    tokens_per_s: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WireCleared {
     #[prost(bytes = "vec", tag = "1")]
@@ -301,6 +314,8 @@
     pub knows_stops: bool,
     /// Data centres that are, or were, drained.
     pub drains: Vec<DrainNotice>,
+    /// How fast engines were that lately read its prompts.
+    pub speeds: Vec<EngineSpeed>,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
     pub is_note: bool,
     /// Whether the receiver passes this on to the daemons of its own data centre.
@@ -422,6 +437,7 @@
             cleared: self.cleared.iter().map(|notice| wire_cleared(notice, now)).collect(),
             knows_stops: self.knows_stops,
             drains: self.drains.iter().map(wire_drain).collect(),
+            speeds: self.speeds.iter().map(wire_speed).collect(),
             is_note: self.is_note,
             is_for_relay: self.is_for_relay,
         };
@@ -525,6 +541,7 @@
             cleared: wire.cleared.iter().filter_map(|wire| clear_notice(wire, now)).collect(),
             knows_stops: wire.knows_stops,
             drains: wire.drains.iter().filter_map(drain_notice).collect(),
+            speeds: wire.speeds.iter().filter_map(engine_speed).collect(),
             is_note: wire.is_note,
             is_for_relay: wire.is_for_relay,
         })
@@ -544,6 +561,14 @@
     Some(EndNotice { upstream: wire.upstream.parse().ok()?, at, requests })
 }
 
+fn wire_speed(speed: &EngineSpeed) -> WireSpeed {
+    WireSpeed { engine: speed.engine.to_string(), tokens_per_s: speed.rate.0 }
+}
+
+fn engine_speed(wire: &WireSpeed) -> Option<EngineSpeed> {
+    Some(EngineSpeed { engine: wire.engine.parse().ok()?, rate: TokenRate(wire.tokens_per_s) })
+}
+
 fn wire_cleared(notice: &ClearNotice, now: Moment) -> WireCleared {
     WireCleared { request: notice.request.to_bytes(), age_ms: now.millis_since(notice.at) }
 }
--- a/crates/guava-serve/src/prefill_rate.rs
+++ b/crates/guava-serve/src/prefill_rate.rs
@@ -29,22 +29,26 @@
 }
 
 impl PrefillRate {
-    /// Takes in that a prompt of so many uncached tokens had its first token after so long.
-    pub fn note(&mut self, tokens: u64, elapsed_ms: u64) {
+    /// Takes in that a prompt of so many uncached tokens had its first token after so long; the
+    /// throughput that it shows, if it is long enough to show one.
+    pub fn note(&mut self, tokens: u64, elapsed_ms: u64) -> Option<TokenRate> {
         if tokens < LEAST_TOKENS {
-            let found = (elapsed_ms as f64 - self.read_ms(TokenCount(tokens))).max(1.0);
+            let found = (elapsed_ms as f64 - self.read_ms(TokenCount(tokens), None)).max(1.0);
             let weight = if found < self.fixed_ms { BETTER } else { WORSE };
             self.fixed_ms += (found - self.fixed_ms) * weight;
+            None
         } else {
             let found = tokens as f64 * 1_000.0 / (elapsed_ms as f64 - self.fixed_ms).max(1.0);
             let weight = if found > self.tokens_per_s { BETTER } else { WORSE };
             self.tokens_per_s += (found - self.tokens_per_s) * weight;
+            Some(TokenRate(found as u64))
         }
     }
 
-    /// Milliseconds in which an engine reads so many tokens.
-    pub fn read_ms(&self, tokens: TokenCount) -> f64 {
-        tokens.0 as f64 * 1_000.0 / self.tokens_per_s.max(1.0)
+    /// Milliseconds in which an engine reads so many tokens, by its own throughput if that is known.
+    pub fn read_ms(&self, tokens: TokenCount, own: Option<TokenRate>) -> f64 {
+        let rate = own.map_or(self.tokens_per_s, |own| own.0 as f64);
+        tokens.0 as f64 * 1_000.0 / rate.max(1.0)
     }
 
     /// Milliseconds to a first token beside the prefill.
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Dialect;
 use crate::drain_table::DrainTable;
 use crate::end_watch::EndWatch;
+use crate::engine_speeds::EngineSpeeds;
 use crate::list_news::ListNews;
 use crate::member_table::MemberTable;
 use crate::metrics::ServeMetrics;
@@ -129,6 +130,8 @@
     pub members: RefCell<MemberTable>,
     /// Prefill throughput.
     pub prefill: RefCell<PrefillRate>,
+    /// How fast each engine reads.
+    pub speeds: RefCell<EngineSpeeds>,
     /// Prompts sent since peers were last told.
     pub sent_prompts: RefCell<Vec<SentPrompt>>,
     /// Large prompts sent since peers were last sent a note.
@@ -182,6 +185,7 @@
             retries: RefCell::new(RetryShares::new(bounds.retries, 1)),
             members: RefCell::new(MemberTable::new(identity.data_centre.clone())),
             prefill: RefCell::default(),
+            speeds: RefCell::default(),
             sent_prompts: RefCell::default(),
             just_sent: RefCell::default(),
             just_loading: RefCell::default(),
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -5,10 +5,10 @@
 mod support;
 
 use guava_serve::{
-    AcceptedRequest, EngineChoice, EngineInput, EngineTraits, ExpectedLoad, HeldPart, PartEvent,
-    PartIndex, PromptPart, PromptShape, RepeatRule, StoreLinks, StoreTraits, StoreTransfer,
-    UpstreamEntry, UpstreamTable, VersionLimits, VersionTargets, WeightVersion, WorkTable,
-    choose_engine,
+    AcceptedRequest, EngineChoice, EngineInput, EngineSpeed, EngineSpeeds, EngineTraits,
+    ExpectedLoad, HeldPart, PartEvent, PartIndex, PromptPart, PromptShape, RepeatRule, StoreLinks,
+    StoreTraits, StoreTransfer, UpstreamEntry, UpstreamTable, VersionLimits, VersionTargets,
+    WeightVersion, WorkTable, choose_engine,
 };
 use guava_types::{FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 use std::rc::Rc;
@@ -24,6 +24,7 @@
     upstreams: UpstreamTable,
     work: WorkTable,
     parts: PartIndex,
+    speeds: EngineSpeeds,
     links: StoreLinks,
     traits: EngineTraits,
     peers: Vec<MemberName>,
@@ -45,6 +46,7 @@
         upstreams,
         work: WorkTable::default(),
         parts: PartIndex::default(),
+        speeds: EngineSpeeds::default(),
         links: StoreLinks::default(),
         traits: engine_traits(),
         peers: Vec::new(),
@@ -81,6 +83,7 @@
         targets: &scene.targets,
         version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
         prefill: PREFILL,
+        speeds: &scene.speeds,
         fixed_ms: 25.0,
         memory_part: 0.95,
         me: &"d1".parse().unwrap(),
@@ -408,3 +411,34 @@
     let transfer = choice.transfers[0].transfer_ms;
     assert!((118..=120).contains(&transfer), "{transfer}");
 }
+
+#[test]
+fn long_prompt_goes_to_an_engine_that_reads_it_in_time() {
+    // Symptom: long prompts that are read for the first time come late, though most engines are idle.
+    // Sequence: every third engine is slower by a third; a prompt that a fast one reads just in time
+    // goes to a slow one as often as there are slow ones.
+    // Cause: one throughput stood for all engines.
+    let mut scene = scene(&[("slow", 1), ("fast", 1)]);
+    let measured = [("slow", 27_000), ("fast", 35_000)];
+    for (engine, rate) in measured {
+        let speed = EngineSpeed { engine: id(engine), rate: TokenRate(rate) };
+        scene.speeds.note(&speed);
+    }
+
+    let chosen: Vec<UpstreamId> =
+        (0..20).map(|draw| choose_drawn(&scene, &[], draw).unwrap().upstream).collect();
+
+    assert!(chosen.iter().all(|engine| *engine == id("fast")), "{chosen:?}");
+}
+
+#[test]
+fn wait_behind_others_does_not_make_an_engine_slow() {
+    let mut speeds = EngineSpeeds::default();
+    let speed = |rate| EngineSpeed { engine: id("e"), rate: TokenRate(rate) };
+    (0..10).for_each(|_| speeds.note(&speed(35_000)));
+
+    speeds.note(&speed(5_000));
+
+    assert!(speeds.rate(&id("e")).unwrap().0 > 31_000);
+    assert_eq!(speeds.rate(&id("other")), None);
+}
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -6,14 +6,14 @@
 
 use guava_policy::{ClearNotice, StopNotice};
 use guava_serve::{
-    CallerIdentity, DrainNotice, EndNotice, EventFramer, ExpectedLoad, ListedChange, LoadedVersion,
-    MemberNote, MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate,
+    CallerIdentity, DrainNotice, EndNotice, EngineSpeed, EventFramer, ExpectedLoad, ListedChange,
+    LoadedVersion, MemberNote, MemberTable, PartKey, PartNews, PartSave, PeerMessage, PrefillRate,
     PublishedVersion, RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord,
     SentPrompt, ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord, UpstreamTable,
     WeightVersion, WorkShare, WorkTable, choose_instance, draw_service, first_answer_patience,
     return_after_ms,
 };
-use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount};
+use guava_types::{Deadline, FastMap, Moment, RequestDigest, TokenCount, TokenRate};
 use std::rc::Rc;
 use support::{address, customer, engine, id, model, request, route, upstream};
 use yare::parameterized;
@@ -282,6 +282,7 @@
             as_of: 7,
             is_drained: true,
         }],
+        speeds: vec![EngineSpeed { engine: id("e"), rate: TokenRate(35_000) }],
         is_note: false,
         is_for_relay: true,
     };
@@ -336,7 +337,9 @@
 #[test]
 fn prefill_rate_rises_fast_and_falls_slowly() {
     let mut rate = PrefillRate::default();
-    (0..10).for_each(|_| rate.note(17_000, 225));
+    for _ in 0..10 {
+        rate.note(17_000, 225);
+    }
     let learnt = rate.rate().0;
     rate.note(17_000, 3_000);
 
@@ -347,9 +350,13 @@
 #[test]
 fn fixed_time_to_a_first_token_is_learnt_from_short_prompts() {
     let mut rate = PrefillRate::default();
-    (0..30).for_each(|_| rate.note(400, 60));
+    for _ in 0..30 {
+        rate.note(400, 60);
+    }
     let waited = rate.fixed_ms();
-    (0..10).for_each(|_| rate.note(400, 45));
+    for _ in 0..10 {
+        rate.note(400, 45);
+    }
 
     assert!(waited > 35.0, "{waited}");
     assert!((34.0..36.0).contains(&rate.fixed_ms()), "{}", rate.fixed_ms());
--- a/crates/guava-serve/tests/support/played.rs
+++ b/crates/guava-serve/tests/support/played.rs
@@ -3,9 +3,9 @@
 
 use super::{engine, engine_traits, model, part, request, route};
 use guava_serve::{
-    EngineChoice, EngineInput, ExpectedLoad, FetchTicket, HeldPart, PartEvent, PartIndex,
-    PromptShape, RepeatRule, StoreLinks, StoreTraits, UpstreamEntry, UpstreamTable, VersionLimits,
-    VersionTargets, WorkTable, WorkTicket, choose_engine, transfer_ms,
+    EngineChoice, EngineInput, EngineSpeeds, ExpectedLoad, FetchTicket, HeldPart, PartEvent,
+    PartIndex, PromptShape, RepeatRule, StoreLinks, StoreTraits, UpstreamEntry, UpstreamTable,
+    VersionLimits, VersionTargets, WorkTable, WorkTicket, choose_engine, transfer_ms,
 };
 use guava_types::{FastMap, Moment, TokenCount, TokenRate};
 use std::net::SocketAddr;
@@ -224,6 +224,7 @@
             targets: &VersionTargets::default(),
             version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
             prefill: PREFILL,
+            speeds: &EngineSpeeds::default(),
             fixed_ms: FIXED_MS,
             memory_part: 0.95,
             me: &"d1".parse().unwrap(),
