fix: daemons that count in step take different relays

Cause: the relay of another data centre was chosen by the number of the message alone. Daemons that start together count in step, and tell other data centres every fourth time: all of them take the same relay at the same moment, a quarter of the relays at most is ever taken, and each of these passes on what hundreds say within milliseconds, over a link of 10 Mbit/s.

Change: each daemon begins elsewhere, by a hash of its name.

--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/member_table.rs
@@ -2,6 +2,8 @@
 
 use crate::part_index::rendezvous_weight;
 use guava_types::{DataCentre, FastMap, MemberName, Moment};
+use rustc_hash::FxHasher;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// Pause between two messages to a daemon of the same data centre at least, in milliseconds.
@@ -57,6 +59,14 @@
     is_leaving: bool,
 }
 
+/// Where a daemon begins to take relays in turn.
+fn own_offset(me: &MemberName) -> u64 {
+    let mut hasher = FxHasher::default();
+    me.hash(&mut hasher);
+    // The high half: the fast hasher leaves its low bits poorly mixed.
+    hasher.finish() >> 32
+}
+
 /// The other daemons.
 #[derive(Debug)]
 pub struct MemberTable {
@@ -151,7 +161,16 @@
     ///
     /// Living ones go first. Where none is known to live, those that are only known by their
     /// record are tried: a data centre that was cut off must be found again.
-    pub fn relays(&self, number: u64, now: Moment) -> Vec<(DataCentre, SocketAddr)> {
+    pub fn relays(
+        &self,
+        me: &MemberName,
+        number: u64,
+        now: Moment,
+    ) -> Vec<(DataCentre, SocketAddr)> {
+        // Daemons that started together count in step. By the number alone all of them take the same
+        // relay at the same moment, which then passes on what hundreds say within milliseconds, over
+        // a link of some megabits: its own words are late, and what it relays is lost.
+        let number = number.wrapping_add(own_offset(me));
         let mut by_centre: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
         let mut silent: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
         for entry in self.members.values().filter(|e| e.note.data_centre != self.data_centre) {
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/peer_duty.rs
@@ -51,7 +51,7 @@
         send_to_all(&socket, &message.encode(now), &parts, is_large).await;
         if is_large && far_due.passed(now) {
             far_due = Deadline::after(now, far_pause_ms);
-            let relays = parts.members.borrow().relays(number, now);
+            let relays = parts.members.borrow().relays(&parts.identity.name, number, now);
             let relays = relays.into_iter().map(|(_, address)| address).collect();
             send(&socket, &message.for_relay().encode(now), relays).await;
         }
@@ -142,7 +142,7 @@
 /// Tells each other data centre, by way of a relay, of the prompts that concern it.
 async fn tell_far(parts: &ServeParts, socket: &UdpSocket, note: &PeerMessage, number: u64) {
     let now = Moment::now();
-    let relays = parts.members.borrow().relays(number, now);
+    let relays = parts.members.borrow().relays(&parts.identity.name, number, now);
     for (data_centre, relay) in relays {
         let concerns = |sent: &SentPrompt| {
             let engine =
