refactor: folders by the ways through the request path

They lie in the request's way, upstreams, cached parts, weights and members now; what joins them (parts, configuration, ports, metrics, events) stays at the top. Nothing but paths changed. The test that no file imports another in a circle walks into folders; it counts each file as before.

--- a/crates/guava-serve/src/list_news.rs
+++ b/crates/guava-serve/src/members/list_news.rs
@@ -1,6 +1,6 @@
 //! Changes of the list of upstreams that this daemon read and tells its peers.
 
-use crate::peer_message::ListedChange;
+use crate::members::peer_message::ListedChange;
 use guava_types::{Deadline, Moment};
 use std::collections::VecDeque;
 
--- a/crates/guava-serve/src/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -1,6 +1,6 @@
 //! The daemons: who they are, where callers reach them, and who was heard lately.
 
-use crate::part_index::rendezvous_weight;
+use crate::parts::part_index::rendezvous_weight;
 use guava_types::{DataCentre, FastMap, MemberName, Moment};
 use rustc_hash::FxHasher;
 use std::hash::{Hash, Hasher};
--- a/crates/guava-serve/src/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -1,14 +1,14 @@
 //! Datagrams between daemons.
 
-use crate::member_table::MemberNote;
-use crate::peer_exchange::{
+use crate::members::member_table::MemberNote;
+use crate::members::peer_exchange::{
     OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
     take_message,
 };
-use crate::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
-use crate::rollout_state::VersionRollout;
-use crate::sent_prompt::SentPrompt;
+use crate::members::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
+use crate::parts::sent_prompt::SentPrompt;
 use crate::serve_parts::ServeParts;
+use crate::weights::rollout_state::VersionRollout;
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/guava-serve/src/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -1,17 +1,17 @@
 //! What a daemon tells its peers, and what it takes from their messages.
 
-use crate::drain_table::DrainNotice;
-use crate::end_notice::EndNotice;
 use crate::events;
-use crate::list_news::MOST_TOLD;
-use crate::member_table::MemberNote;
-use crate::part_index::StoreWord;
-use crate::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
+use crate::members::list_news::MOST_TOLD;
+use crate::members::member_table::MemberNote;
+use crate::members::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
+use crate::members::shared_words::{STANDBYS, SharedWord, WordKeeper};
+use crate::parts::part_index::StoreWord;
 use crate::serve_parts::{ServeParts, UpstreamClock};
-use crate::shared_words::{STANDBYS, SharedWord, WordKeeper};
-use crate::stop_record::StopSight;
-use crate::upstream_ends::{take_cleared, take_end, take_stop};
-use crate::upstream_table::ListChange;
+use crate::upstreams::drain_table::DrainNotice;
+use crate::upstreams::end_notice::EndNotice;
+use crate::upstreams::stop_record::StopSight;
+use crate::upstreams::upstream_ends::{take_cleared, take_end, take_stop};
+use crate::upstreams::upstream_table::ListChange;
 use guava_log::log_event;
 use guava_policy::{ClearNotice, StopNotice};
 use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
--- a/crates/guava-serve/src/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -1,17 +1,17 @@
 //! What daemons tell each other: one small datagram, a few times a second.
 
-use crate::drain_table::DrainNotice;
-use crate::end_notice::EndNotice;
-use crate::engine_speeds::EngineSpeed;
-use crate::member_table::MemberNote;
-use crate::part_index::{PartNews, StoreWord};
-use crate::part_key::PartKey;
-use crate::save_ledger::PartSave;
-use crate::sent_prompt::SentPrompt;
-use crate::shared_words::SharedWord;
-use crate::store_links::{SlowLink, StoreTransfer};
-use crate::upstream_table::{UpstreamEntry, WeightVersion};
-use crate::work_table::WorkShare;
+use crate::members::member_table::MemberNote;
+use crate::members::shared_words::SharedWord;
+use crate::parts::part_index::{PartNews, StoreWord};
+use crate::parts::part_key::PartKey;
+use crate::parts::save_ledger::PartSave;
+use crate::parts::sent_prompt::SentPrompt;
+use crate::parts::store_links::{SlowLink, StoreTransfer};
+use crate::upstreams::drain_table::DrainNotice;
+use crate::upstreams::end_notice::EndNotice;
+use crate::upstreams::engine_speeds::EngineSpeed;
+use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
+use crate::upstreams::work_table::WorkShare;
 use guava_policy::{ClearNotice, StopNotice};
 use guava_types::{
     Deadline, FastMap, ModelName, Moment, RequestDigest, TokenCount, TokenRate, UpstreamId,
--- a/crates/guava-serve/src/cache_salt.rs
+++ b/crates/guava-serve/src/parts/cache_salt.rs
@@ -6,7 +6,7 @@
 //! customer by answers' times what another has asked.
 
 use crate::serve_config::CallerIdentity;
-use crate::upstream_table::WeightVersion;
+use crate::upstreams::upstream_table::WeightVersion;
 use guava_types::ModelName;
 
 /// The text for a caller's parts of a model's version.
--- a/crates/guava-serve/src/part_duty.rs
+++ b/crates/guava-serve/src/parts/part_duty.rs
@@ -1,10 +1,10 @@
 //! Follows the stores of cached parts, and frees what is of no use in them.
 
 use crate::events;
+use crate::members::shared_words::read_as_of;
 use crate::ports::{FreeOrder, PartPort, PortError};
-use crate::rollout_state::useless_salt;
 use crate::serve_parts::{ServeParts, UpstreamClock};
-use crate::shared_words::read_as_of;
+use crate::weights::rollout_state::useless_salt;
 use guava_log::log_event;
 use guava_types::{FastMap, Moment};
 use std::cell::RefCell;
--- a/crates/guava-serve/src/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -1,8 +1,8 @@
 //! Where cached parts of prompts lie: in stores as these report it, in engines by what was sent.
 
-use crate::accepted_request::PromptPart;
-use crate::part_key::PartKey;
-use crate::save_ledger::{PartSave, SaveLedger};
+use crate::parts::part_key::PartKey;
+use crate::parts::save_ledger::{PartSave, SaveLedger};
+use crate::request::accepted_request::PromptPart;
 use crate::serve_config::StoreTraits;
 use guava_types::{FastMap, Moment, TokenCount, UpstreamId};
 use rustc_hash::FxHasher;
--- a/crates/guava-serve/src/part_transfers.rs
+++ b/crates/guava-serve/src/parts/part_transfers.rs
@@ -4,12 +4,12 @@
 //! and on whether it stands in the source's data centre. So sources are looked up once a prompt, and
 //! reckoned for each engine.
 
-use crate::accepted_request::{PromptPart, PromptShape};
-use crate::cache_salt::cache_salt;
-use crate::engine_input::EngineInput;
-use crate::part_index::LONGEST_FETCH_MS;
-use crate::store_links::{FetchWait, REMOTE_TIMES, StoreTransfer, transfer_ms};
-use crate::upstream_table::{UpstreamEntry, WeightVersion};
+use crate::parts::cache_salt::cache_salt;
+use crate::parts::part_index::LONGEST_FETCH_MS;
+use crate::parts::store_links::{FetchWait, REMOTE_TIMES, StoreTransfer, transfer_ms};
+use crate::request::accepted_request::{PromptPart, PromptShape};
+use crate::request::engine_input::EngineInput;
+use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
 use guava_policy::{CandidateCost, ImportOffer};
 use guava_types::{ByteCount, DataCentre, LinkRate, TokenCount, UpstreamId};
 use std::net::SocketAddr;
--- a/crates/guava-serve/src/save_ledger.rs
+++ b/crates/guava-serve/src/parts/save_ledger.rs
@@ -5,7 +5,7 @@
 //! the part is read once more by the next prompt that needs it. With 295 daemons and 47 nearly full
 //! stores that befell 476 of some 1,800 parts on a quiet day, as much as all that was read again.
 
-use crate::part_key::PartKey;
+use crate::parts::part_key::PartKey;
 use guava_types::{FastMap, Moment, TokenCount};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
--- a/crates/guava-serve/src/sent_prompt.rs
+++ b/crates/guava-serve/src/parts/sent_prompt.rs
@@ -1,8 +1,8 @@
 //! A prompt that was just sent, as daemons tell each other.
 
-use crate::part_key::PartKey;
-use crate::save_ledger::PartSave;
-use crate::store_links::StoreTransfer;
+use crate::parts::part_key::PartKey;
+use crate::parts::save_ledger::PartSave;
+use crate::parts::store_links::StoreTransfer;
 use guava_types::{TokenCount, UpstreamId};
 
 /// A prompt that a peer sent to an engine.
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -3,9 +3,9 @@
 //! Each port is a struct of closures that carry out one call and give its result in the product's
 //! types. Which call is made when, and what follows from its result, is decided by the duties.
 
-use crate::part_index::{HeldPart, PartEvent};
-use crate::stop_record::StopRecord;
-use crate::upstream_table::WeightVersion;
+use crate::parts::part_index::{HeldPart, PartEvent};
+use crate::upstreams::stop_record::StopRecord;
+use crate::upstreams::upstream_table::WeightVersion;
 use futures_util::future::LocalBoxFuture;
 use guava_state::LeaseEntry;
 use guava_types::{FastMap, ModelName, RequestDigest, UpstreamId};
--- /dev/null
+++ b/crates/guava-serve/src/request.rs
@@ -0,0 +1,20 @@
+//! The request's way: accepted, planned, sent, relayed, answered or refused.
+
+pub(crate) mod accepted_request;
+pub(crate) mod admit;
+pub(crate) mod answer_body;
+pub(crate) mod attempt;
+pub(crate) mod dialect;
+pub(crate) mod dispatch;
+pub(crate) mod engine_choice;
+pub(crate) mod engine_input;
+pub(crate) mod event_framer;
+pub(crate) mod event_relay;
+pub(crate) mod http_listener;
+pub(crate) mod outcome;
+pub(crate) mod patience;
+pub(crate) mod request_plan;
+pub(crate) mod request_run;
+pub(crate) mod retry_shares;
+pub(crate) mod send_gate;
+pub(crate) mod service_choice;
--- a/crates/guava-serve/src/admit.rs
+++ b/crates/guava-serve/src/request/admit.rs
@@ -1,6 +1,6 @@
 //! Who may send what: route and caller of a request, by the configuration in force.
 
-use crate::outcome::RefusalReason;
+use crate::request::outcome::RefusalReason;
 use crate::serve_config::{CallerIdentity, RouteRule};
 use crate::serve_parts::ServeParts;
 use guava_types::Moment;
--- a/crates/guava-serve/src/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -1,18 +1,18 @@
 //! One send of a request to one upstream, up to its answer or its stream's first event.
 
-use crate::accepted_request::AcceptedRequest;
-use crate::connection_pool::{ExchangeError, UpstreamConnection};
-use crate::dialect::{AnswerMarks, SendPlan};
-use crate::engine_speeds::EngineSpeed;
-use crate::event_framer::{EventBatch, EventFramer};
 use crate::events;
-use crate::send_gate::pass_gate;
+use crate::parts::store_links::{FetchTicket, FetchWait};
+use crate::request::accepted_request::AcceptedRequest;
+use crate::request::dialect::{AnswerMarks, SendPlan};
+use crate::request::event_framer::{EventBatch, EventFramer};
+use crate::request::send_gate::pass_gate;
 use crate::serve_config::ServiceRule;
 use crate::serve_parts::ServeParts;
-use crate::store_links::{FetchTicket, FetchWait};
-use crate::upstream_ends::{note_answer, note_break, note_refused};
-use crate::upstream_table::WeightVersion;
-use crate::work_table::{ExpectedLoad, WorkTicket};
+use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
+use crate::upstreams::engine_speeds::EngineSpeed;
+use crate::upstreams::upstream_ends::{note_answer, note_break, note_refused};
+use crate::upstreams::upstream_table::WeightVersion;
+use crate::upstreams::work_table::{ExpectedLoad, WorkTicket};
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
 use guava_types::{Deadline, ModelName, Moment, UpstreamId};
--- a/crates/guava-serve/src/dialect.rs
+++ b/crates/guava-serve/src/request/dialect.rs
@@ -2,8 +2,8 @@
 //!
 //! The request path decides; a dialect only writes decisions down and reads answers' marks.
 
-use crate::accepted_request::AcceptedRequest;
-use crate::upstream_table::WeightVersion;
+use crate::request::accepted_request::AcceptedRequest;
+use crate::upstreams::upstream_table::WeightVersion;
 use bytes::Bytes;
 use guava_types::UpstreamId;
 use http::{HeaderMap, Request, StatusCode};
--- a/crates/guava-serve/src/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -1,14 +1,14 @@
 //! A request's way: from the choice of its service to its final answer.
 
-use crate::accepted_request::AcceptedRequest;
-use crate::answer_body::AnswerBody;
-use crate::attempt::WholeAnswer;
-use crate::event_relay::relay;
 use crate::events;
-use crate::outcome::{RefusalReason, SendRecord, ServeOutcome};
-use crate::patience::return_after_ms;
-use crate::request_plan::draw_service;
-use crate::request_run::{RequestRun, SendResult};
+use crate::request::accepted_request::AcceptedRequest;
+use crate::request::answer_body::AnswerBody;
+use crate::request::attempt::WholeAnswer;
+use crate::request::event_relay::relay;
+use crate::request::outcome::{RefusalReason, SendRecord, ServeOutcome};
+use crate::request::patience::return_after_ms;
+use crate::request::request_plan::draw_service;
+use crate::request::request_run::{RequestRun, SendResult};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
--- a/crates/guava-serve/src/engine_choice.rs
+++ b/crates/guava-serve/src/request/engine_choice.rs
@@ -3,12 +3,12 @@
 //! The router weighs waiting, recomputing and importing (`guava_policy::decide_route`); this module
 //! works out its inputs from what is known here, and turns its choice into instructions.
 
-use crate::engine_input::EngineInput;
-use crate::part_index::rendezvous_weight;
-use crate::part_transfers::{FetchPlan, SaltOffer, resident};
-use crate::store_links::StoreTransfer;
-use crate::upstream_table::{UpstreamEntry, WeightVersion};
-use crate::version_targets::VersionUse;
+use crate::parts::part_index::rendezvous_weight;
+use crate::parts::part_transfers::{FetchPlan, SaltOffer, resident};
+use crate::parts::store_links::StoreTransfer;
+use crate::request::engine_input::EngineInput;
+use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
+use crate::weights::version_targets::VersionUse;
 use guava_policy::{CandidateCost, RouteCandidate, RouteInput, decide_route, has_room};
 use guava_state::WeightProfile;
 use guava_types::{FastMap, MemberName, Moment, TokenCount, UpstreamId};
--- a/crates/guava-serve/src/engine_input.rs
+++ b/crates/guava-serve/src/request/engine_input.rs
@@ -1,13 +1,13 @@
 //! What the choice of an engine is made on.
 
-use crate::accepted_request::{AcceptedRequest, PromptShape};
-use crate::engine_speeds::EngineSpeeds;
-use crate::part_index::PartIndex;
+use crate::parts::part_index::PartIndex;
+use crate::parts::store_links::StoreLinks;
+use crate::request::accepted_request::{AcceptedRequest, PromptShape};
 use crate::serve_config::{EngineTraits, StoreTraits};
-use crate::store_links::StoreLinks;
-use crate::upstream_table::UpstreamTable;
-use crate::version_targets::{VersionLimits, VersionTargets};
-use crate::work_table::WorkTable;
+use crate::upstreams::engine_speeds::EngineSpeeds;
+use crate::upstreams::upstream_table::UpstreamTable;
+use crate::upstreams::work_table::WorkTable;
+use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_types::{DataCentre, MemberName, Moment, ServiceName, TokenRate, UpstreamId};
 use std::rc::Rc;
 
--- a/crates/guava-serve/src/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -1,13 +1,13 @@
 //! Passes a stream's events on, and takes the stream up elsewhere when its upstream fails.
 
-use crate::answer_body::{AnswerBody, BrokenStream};
-use crate::attempt::{OpenStream, StreamSource, StreamStep};
-use crate::event_framer::EventBatch;
 use crate::events;
-use crate::patience::EVENT_GAP_MS;
-use crate::request_run::{RequestRun, SendResult};
+use crate::request::answer_body::{AnswerBody, BrokenStream};
+use crate::request::attempt::{OpenStream, StreamSource, StreamStep};
+use crate::request::event_framer::EventBatch;
+use crate::request::patience::EVENT_GAP_MS;
+use crate::request::request_run::{RequestRun, SendResult};
 use crate::serve_config::RepeatRule;
-use crate::upstream_ends::{note_answer, note_break};
+use crate::upstreams::upstream_ends::{note_answer, note_break};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
--- a/crates/guava-serve/src/http_listener.rs
+++ b/crates/guava-serve/src/request/http_listener.rs
@@ -1,6 +1,6 @@
 //! A listener for HTTP/1.1 whose requests all go to one function.
 
-use crate::answer_body::AnswerBody;
+use crate::request::answer_body::AnswerBody;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/crates/guava-serve/src/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -1,6 +1,6 @@
 //! What a request comes to, and how its runs are accounted for.
 
-use crate::answer_body::AnswerBody;
+use crate::request::answer_body::AnswerBody;
 use guava_types::{Deadline, UpstreamId};
 use http::Response;
 use std::fmt;
--- a/crates/guava-serve/src/patience.rs
+++ b/crates/guava-serve/src/request/patience.rs
@@ -1,6 +1,6 @@
 //! How long one upstream is waited for before another is tried, and when refused callers return.
 
-use crate::outcome::RefusalReason;
+use crate::request::outcome::RefusalReason;
 use crate::serve_config::{RepeatRule, RouteRule};
 use guava_policy::FIRST_STOP_MS;
 
--- a/crates/guava-serve/src/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -1,22 +1,22 @@
 //! Plans one send: service, upstream, and what the upstream is told.
 
-use crate::accepted_request::{AcceptedRequest, PromptShape};
-use crate::attempt::AttemptPlan;
-use crate::dialect::{EngineOrders, SendPlan};
-use crate::engine_choice::{EngineChoice, choose_engine};
-use crate::engine_input::EngineInput;
 use crate::events;
-use crate::member_table::MemberNote;
-use crate::outcome::SendRecord;
-use crate::part_key::PartKey;
-use crate::patience::first_answer_patience;
-use crate::save_ledger::PartSave;
-use crate::send_gate::closed_upstreams;
-use crate::sent_prompt::SentPrompt;
+use crate::members::member_table::MemberNote;
+use crate::parts::part_key::PartKey;
+use crate::parts::save_ledger::PartSave;
+use crate::parts::sent_prompt::SentPrompt;
+use crate::request::accepted_request::{AcceptedRequest, PromptShape};
+use crate::request::attempt::AttemptPlan;
+use crate::request::dialect::{EngineOrders, SendPlan};
+use crate::request::engine_choice::{EngineChoice, choose_engine};
+use crate::request::engine_input::EngineInput;
+use crate::request::outcome::SendRecord;
+use crate::request::patience::first_answer_patience;
+use crate::request::send_gate::closed_upstreams;
+use crate::request::service_choice::{ServiceInput, choose_instance};
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_parts::ServeParts;
-use crate::service_choice::{ServiceInput, choose_instance};
-use crate::work_table::ExpectedLoad;
+use crate::upstreams::work_table::ExpectedLoad;
 use guava_log::log_event;
 use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
 use std::rc::Rc;
--- a/crates/guava-serve/src/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -1,13 +1,13 @@
 //! A request's sends: to one upstream after the other, until there is an answer or none may follow.
 
-use crate::accepted_request::AcceptedRequest;
-use crate::attempt::{AttemptEnd, OpenStream, WholeAnswer, attempt};
 use crate::events;
-use crate::outcome::SendRecord;
-use crate::request_plan::{PlanInput, PlanStep, is_crowded, log_send, plan_attempt};
+use crate::request::accepted_request::AcceptedRequest;
+use crate::request::attempt::{AttemptEnd, OpenStream, WholeAnswer, attempt};
+use crate::request::outcome::SendRecord;
+use crate::request::request_plan::{PlanInput, PlanStep, is_crowded, log_send, plan_attempt};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
-use crate::upstream_ends::stopped_until;
+use crate::upstreams::upstream_ends::stopped_until;
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, ServiceName};
 use std::rc::Rc;
--- a/crates/guava-serve/src/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -3,12 +3,12 @@
 //! Asked twice: when an upstream is chosen, and right before the send, since connecting takes time in
 //! which a data centre may have been drained or a cold upstream's share been used up.
 
-use crate::cold_sends::ColdSends;
-use crate::drain_table::DrainTable;
-use crate::member_table::MemberTable;
+use crate::members::member_table::MemberTable;
 use crate::serve_config::ServiceRule;
 use crate::serve_parts::ServeParts;
-use crate::upstream_table::UpstreamEntry;
+use crate::upstreams::cold_sends::ColdSends;
+use crate::upstreams::drain_table::DrainTable;
+use crate::upstreams::upstream_table::UpstreamEntry;
 use guava_policy::{ColdRule, cold_share};
 use guava_types::{Deadline, MemberName, Moment, UpstreamId};
 
--- a/crates/guava-serve/src/service_choice.rs
+++ b/crates/guava-serve/src/request/service_choice.rs
@@ -1,7 +1,7 @@
 //! Which instance of a plain service gets a request.
 
-use crate::upstream_table::UpstreamTable;
-use crate::work_table::WorkTable;
+use crate::upstreams::upstream_table::UpstreamTable;
+use crate::upstreams::work_table::WorkTable;
 use guava_types::{DataCentre, Moment, ServiceName, UpstreamId};
 
 /// Work of an instance in another data centre counts as so much more, in requests: the round trip
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -2,27 +2,27 @@
 //!
 //! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
 
-use crate::cold_sends::ColdSends;
-use crate::connection_pool::ConnectionPool;
-use crate::crash_words::CrashWords;
-use crate::dialect::Dialect;
-use crate::drain_table::DrainTable;
-use crate::end_watch::EndWatch;
-use crate::engine_speeds::EngineSpeeds;
-use crate::list_news::ListNews;
-use crate::member_table::MemberTable;
+use crate::members::list_news::ListNews;
+use crate::members::member_table::MemberTable;
+use crate::members::shared_words::SharedWords;
 use crate::metrics::ServeMetrics;
-use crate::part_index::PartIndex;
-use crate::prefill_rate::PrefillRate;
-use crate::retry_shares::{RetryLimit, RetryShares};
-use crate::sent_prompt::SentPrompt;
+use crate::parts::part_index::PartIndex;
+use crate::parts::sent_prompt::SentPrompt;
+use crate::parts::store_links::StoreLinks;
+use crate::request::dialect::Dialect;
+use crate::request::retry_shares::{RetryLimit, RetryShares};
 use crate::serve_config::ConfigKeeper;
-use crate::shared_words::SharedWords;
-use crate::stop_record::StopSight;
-use crate::store_links::StoreLinks;
-use crate::upstream_table::UpstreamTable;
-use crate::version_targets::{VersionLimits, VersionTargets};
-use crate::work_table::WorkTable;
+use crate::upstreams::cold_sends::ColdSends;
+use crate::upstreams::connection_pool::ConnectionPool;
+use crate::upstreams::crash_words::CrashWords;
+use crate::upstreams::drain_table::DrainTable;
+use crate::upstreams::end_watch::EndWatch;
+use crate::upstreams::engine_speeds::EngineSpeeds;
+use crate::upstreams::prefill_rate::PrefillRate;
+use crate::upstreams::stop_record::StopSight;
+use crate::upstreams::upstream_table::UpstreamTable;
+use crate::upstreams::work_table::WorkTable;
+use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_policy::{CrashLedger, MemoryTrust, WaitingLine};
 use guava_types::{DataCentre, Incarnation, MemberName, Moment, UpstreamId};
 use rustc_hash::FxHasher;
--- a/crates/guava-serve/src/crash_words.rs
+++ b/crates/guava-serve/src/upstreams/crash_words.rs
@@ -4,7 +4,7 @@
 //! lost must not hide what a request has ended until it has ended more. Stopped requests are told
 //! with every summary, so that daemons that start, or were cut off, know them within a second.
 
-use crate::end_notice::EndNotice;
+use crate::upstreams::end_notice::EndNotice;
 use guava_policy::ClearNotice;
 use guava_types::{Deadline, Moment};
 
--- a/crates/guava-serve/src/http_call.rs
+++ b/crates/guava-serve/src/upstreams/http_call.rs
@@ -1,6 +1,6 @@
 //! A call with a short answer that is read whole: to stores, and to upstreams beside requests.
 
-use crate::connection_pool::{ConnectionPool, ExchangeError};
+use crate::upstreams::connection_pool::{ConnectionPool, ExchangeError};
 use bytes::Bytes;
 use guava_types::Deadline;
 use http::header::HOST;
--- a/crates/guava-serve/src/stop_duty.rs
+++ b/crates/guava-serve/src/upstreams/stop_duty.rs
@@ -6,11 +6,11 @@
 //! starts and is told by nobody, or hears nobody any more.
 
 use crate::events;
+use crate::members::retry_pause::{RetryPause, is_read_urgent};
+use crate::members::shared_words::STANDBYS;
 use crate::ports::{PortError, StopPort};
-use crate::retry_pause::{RetryPause, is_read_urgent};
 use crate::serve_parts::ServeParts;
-use crate::shared_words::STANDBYS;
-use crate::stop_record::{StopRecord, StopSight};
+use crate::upstreams::stop_record::{StopRecord, StopSight};
 use guava_log::log_event;
 use guava_types::{Deadline, FastMap, Moment, RequestDigest};
 use std::rc::Rc;
--- a/crates/guava-serve/src/upstream_ends.rs
+++ b/crates/guava-serve/src/upstreams/upstream_ends.rs
@@ -1,8 +1,8 @@
 //! Upstreams that end under requests: found out, no more used, and held against the requests.
 
-use crate::end_notice::EndNotice;
 use crate::events;
 use crate::serve_parts::ServeParts;
+use crate::upstreams::end_notice::EndNotice;
 use guava_log::log_event;
 use guava_policy::{ClearNotice, LedgerNews, StopNotice};
 use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
--- a/crates/guava-serve/src/work_table.rs
+++ b/crates/guava-serve/src/upstreams/work_table.rs
@@ -1,6 +1,6 @@
 //! What runs and waits at each upstream: this daemon's own work, and what peers say of theirs.
 
-use crate::sent_prompt::SentPrompt;
+use crate::parts::sent_prompt::SentPrompt;
 use guava_policy::{EngineBacklog, LoadTable, UpstreamLoad};
 use guava_types::{Deadline, FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 
--- a/crates/guava-serve/src/order_duty.rs
+++ b/crates/guava-serve/src/weights/order_duty.rs
@@ -2,10 +2,10 @@
 
 use crate::events;
 use crate::ports::{EnginePort, EngineReport, LeasePort, LoadOrder, PortError};
-use crate::rollout_state::VersionRollout;
 use crate::serve_parts::ServeParts;
-use crate::upstream_table::WeightVersion;
-use crate::version_rollout::{RolloutEngine, next_orders};
+use crate::upstreams::upstream_table::WeightVersion;
+use crate::weights::rollout_state::VersionRollout;
+use crate::weights::version_rollout::{RolloutEngine, next_orders};
 use guava_log::log_event;
 use guava_state::{LeaseEntry, LeaseWatch};
 use guava_types::{Deadline, Incarnation, ModelName, Moment, Offset, UpstreamId};
--- a/crates/guava-serve/src/rollout_state.rs
+++ b/crates/guava-serve/src/weights/rollout_state.rs
@@ -1,11 +1,11 @@
 //! How far the engines are with published weights.
 
-use crate::cache_salt::salt_version;
-use crate::peer_message::LoadedVersion;
+use crate::members::peer_message::LoadedVersion;
+use crate::parts::cache_salt::salt_version;
 use crate::serve_parts::ServeParts;
-use crate::upstream_table::{UpstreamTable, WeightVersion};
-use crate::version_rollout::{ORDER_EXPIRY_MS, RolloutEngine};
-use crate::version_targets::VersionTargets;
+use crate::upstreams::upstream_table::{UpstreamTable, WeightVersion};
+use crate::weights::version_rollout::{ORDER_EXPIRY_MS, RolloutEngine};
+use crate::weights::version_targets::VersionTargets;
 use guava_types::{Deadline, FastMap, ModelName, Moment, UpstreamId};
 
 /// Pause between two looks at an engine that loads, in milliseconds.
--- a/crates/guava-serve/src/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -1,6 +1,6 @@
 //! Which weights each model should have, and since when that is known.
 
-use crate::upstream_table::WeightVersion;
+use crate::upstreams::upstream_table::WeightVersion;
 use guava_types::{FastMap, ModelName, Moment};
 
 /// From this long after a newer version was published, an answer on the older one has less worth,
--- a/crates/guavatiller/tests/layout.rs
+++ b/crates/guavatiller/tests/layout.rs
@@ -16,11 +16,18 @@
     crates.chain(platform).map(|folder| folder.join("src")).collect()
 }
 
+/// The sources below a folder.
+fn rust_files(folder: &Path) -> Vec<PathBuf> {
+    let paths = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let below = paths.flat_map(|path| if path.is_dir() { rust_files(&path) } else { vec![path] });
+    below.filter(|path| path.extension().is_some_and(|end| end == "rs")).collect()
+}
+
 /// Which modules each module names.
 fn imports(folder: &Path) -> ImportGraph {
-    let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
-    let files = files.filter(|path| path.extension().is_some_and(|end| end == "rs"));
+    let files = rust_files(folder);
     let texts: BTreeMap<String, String> = files
+        .into_iter()
         .map(|path| {
             let name = path.file_stem().unwrap().to_string_lossy().into_owned();
             (name, std::fs::read_to_string(&path).unwrap())
@@ -29,8 +36,13 @@
         .collect();
     let named = |own: &String, text: &String| -> BTreeSet<String> {
         let paths = text.split("crate::").skip(1);
-        let names = paths.map(|path| path.split(|c: char| !is_name(c)).next().unwrap().to_owned());
-        names.filter(|name| name != own && texts.contains_key(name)).collect()
+        // The first name of a path is a module, or the folder that it lies in.
+        let modules = paths.filter_map(|path| {
+            let names = path.split("::").take(2);
+            let names = names.map(|name| name.split(|c: char| !is_name(c)).next().unwrap());
+            names.filter(|name| texts.contains_key(*name)).last().map(str::to_owned)
+        });
+        modules.filter(|name| name != own).collect()
     };
     texts.iter().map(|(name, text)| (name.clone(), named(name, text))).collect()
 }
