--- a/crates/guava-serve/src/parts/part_transfers.rs
+++ b/crates/guava-serve/src/parts/part_transfers.rs
@@ -14,18 +14,18 @@
 use guava_types::{ByteCount, DataCentre, LinkRate, TokenCount, UpstreamId};
 use std::net::SocketAddr;
 
-/// Parts shorter than this are neither saved nor fetched for their own sake: reading them takes an
-/// engine some ten milliseconds, as long as a transfer takes to begin, and they would fill the stores.
-///
-/// A short part before a long one goes with it, since engines use a part only if all before it are
-/// there. Where prompts begin with some 500 tokens that many share, before 8,600 of their own, that
-/// halves what is read again (4.5 to 2.5 million tokens a day), and mean worth rises from 0.64 to 0.69.
-const LEAST_TRANSFER: TokenCount = TokenCount(512);
-/// A fetch may take so many times as long as reading instead would, since a part that is read again
-/// takes an engine from everybody, and at least so many milliseconds: what waits at a store's link
-/// is not known.
+/// Parts shorter than this are neither saved nor fetched for their own sake: an engine reads them
+/// while a transfer begins. A shorter part before a longer one goes with it, since engines use a part
+/// only if all before it are there.
+const LEAST_TRANSFER: TokenCount = TokenCount(128);
+/// A fetch may take so many times as long as reading instead would, by the weights of the choice: a
+/// part that is read again takes an engine from everybody.
 const FETCH_TIMES: f64 = 2.0;
+/// Least time for a fetch, in milliseconds: what waits at a store's link is not all known.
 const SHORTEST_FETCH_MS: f64 = 1_000.0;
+/// Most time for a fetch, in times of reading instead: behind long parts on a busy link a short
+/// prompt would be late for what an engine reads in some milliseconds.
+const MOST_READ_TIMES: f64 = 12.0;
 /// Time before the first byte from another engine, in milliseconds: a few hops.
 const ENGINE_FIRST_BYTE_MS: f64 = 3.0;
 
@@ -187,7 +187,8 @@
         if !cost.import && !cost.import_if_missing {
             return None;
         }
-        let budget_ms = (cost.import_budget_ms * FETCH_TIMES).max(SHORTEST_FETCH_MS) as u64;
+        let budget_ms = (cost.import_budget_ms * FETCH_TIMES).max(SHORTEST_FETCH_MS);
+        let budget_ms = budget_ms.min(self.read_ms(input, entry) * MOST_READ_TIMES) as u64;
         let budget_ms = budget_ms.min(LONGEST_FETCH_MS);
         // What the chosen engine holds itself it need not fetch from itself.
         let foreign = |source: &PartSource<'_>| {
@@ -200,6 +201,13 @@
         has_source.then_some(FetchPlan { sources, budget_ms, tokens: self.tokens(), wait })
     }
 
+    /// Milliseconds in which an engine reads what it lacks of these parts.
+    fn read_ms(&self, input: &EngineInput<'_>, entry: &UpstreamEntry) -> f64 {
+        let held = resident(input, &entry.id, &self.salt);
+        let lacking = self.tokens().0.saturating_sub(held.0);
+        lacking as f64 * 1_000.0 / input.prefill_of(&entry.id).0.max(1) as f64
+    }
+
     /// What a prompt waits for, of the parts that its engine lacks.
     fn fetch_wait(
         &self,
