--- a/crates/guava-policy/src/memory_trust.rs
+++ b/crates/guava-policy/src/memory_trust.rs
@@ -6,8 +6,6 @@
 //! next prompts late, and the overload outlives its cause by ten seconds. What a daemon sees of it is
 //! that first tokens come much later than expected. So its share of the memory shrinks with each
 //! of these and grows with each that is in time, as a sender's window does on a link of unknown rate.
-//! With 79 daemons, and 23 of 90 engines away for 16 s, runs preempted fall from 1,446 to 821 of 4,400,
-//! and worth rises from 0.42 to 0.49.
 
 use guava_types::{Moment, TokenCount};
 
@@ -21,8 +19,7 @@
 /// What one in time adds to it.
 const IN_TIME_STEP: f64 = 0.015;
 /// A first token is late after so many times what was expected, and so many milliseconds more: slow
-/// links and short prompts that come in between delay one by less. After twice and 250 ms, days on
-/// which no engine was full lost 0.01 of their worth by prompts held for nothing.
+/// links and short prompts that come in between delay one by less.
 const LATE_FACTOR: f64 = 3.0;
 const LATE_SLACK_MS: f64 = 600.0;
 
--- a/crates/guava-serve/src/members/list_news.rs
+++ b/crates/guava-serve/src/members/list_news.rs
@@ -10,8 +10,7 @@
 /// Changes told in one datagram at most; about a hundred bytes each.
 pub(crate) const MOST_TOLD: usize = 40;
 /// Changes remembered at most. A quarter of some hundred upstreams may be lost or added in one moment,
-/// and whoever is not told of each reads the list: 295 daemons read it three times when the fleet
-/// started, when no more changes were kept than one datagram holds.
+/// and whoever is not told of each reads the list.
 const MOST_KEPT: usize = 1_000;
 
 /// The changes.
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -8,15 +8,13 @@
 
 /// Pause between two messages to a daemon of the same data centre at least, in milliseconds.
 const NEAR_PAUSE_MS: u64 = 250;
-/// The same to those of other data centres in a large deployment: with 84 daemons in five data
-/// centres, telling all of them once a second was 0.058 of the 0.19 GB that crossed between data
-/// centres on a quiet day of half a minute.
+/// The same to those of other data centres in a large deployment: traffic between data centres is
+/// dear.
 const FAR_PAUSE_MS: u64 = 1_000;
 /// Messages that a daemon gets from each of these two groups are bounded, to one in so many
-/// milliseconds: a VM with 0.12 of a core spent all of it on messages when 300 daemons spoke as often
-/// as 80 do. Up to 50 daemons near by and 200 elsewhere speak as often as they may. Half a second
-/// between two messages near by would be too long: what they say of a store of cached parts counts for
-/// 1.4 s, is up to half a second old when it is said, and one lost datagram must not end it.
+/// milliseconds: a weak VM would spend all of its share of a core on them. Half a second between two
+/// messages near by would be too long: what they say of a store of cached parts counts for 1.4 s, is
+/// up to half a second old when it is said, and one lost datagram must not end it.
 const MESSAGE_MS: u64 = 5;
 
 /// A daemon of the same data centre that was not heard for so long is not recommended to callers, in
--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -56,9 +56,9 @@
 /// are asked twice a second, daemons tell each other four times a second, and a store takes longer
 /// than this to restart.
 const CONFIRMED_MS: u64 = 1_400;
-/// Longest time after a request is sent in which it may begin to fetch, in milliseconds. A store
+/// Longest time after a request is sent in which it may begin to fetch, in milliseconds: a store
 /// whose link is busy delivers a long part after more than a second, and given up sooner the part is
-/// read again: of some 3,500 fetches on a quiet day 360 were, each of 13,000 tokens.
+/// read again.
 pub const LONGEST_FETCH_MS: u64 = 2_500;
 /// How long after its restart a store is saved to again, in milliseconds. By then all fetches by what
 /// it held before are over: the word on it was no older than it may be, and none lasts longer. A
@@ -221,7 +221,7 @@
 
     /// The store that a part should be saved to: of those with room the one that its key and the
     /// stores' sizes and links choose, so that all daemons choose the same. By size alone the large
-    /// stores with slow links got three parts in four, and fetches waited for each other there.
+    /// stores with slow links would get most, and fetches wait for each other there.
     pub fn store_for<'a>(
         &self,
         stores: &'a [Rc<StoreTraits>],
--- a/crates/guava-serve/src/parts/save_ledger.rs
+++ b/crates/guava-serve/src/parts/save_ledger.rs
@@ -2,8 +2,7 @@
 //!
 //! A store sets room aside when a save begins and reports the part when it is whole, about a second
 //! later. What it reports shows more room than it has meanwhile, and a save that finds none is lost:
-//! the part is read once more by the next prompt that needs it. With 295 daemons and 47 nearly full
-//! stores that befell 476 of some 1,800 parts on a quiet day, as much as all that was read again.
+//! the part is read once more by the next prompt that needs it.
 
 use crate::parts::part_key::PartKey;
 use guava_types::{FastMap, Moment, TokenCount};
--- a/crates/guava-serve/src/request/engine_choice.rs
+++ b/crates/guava-serve/src/request/engine_choice.rs
@@ -29,18 +29,14 @@
 /// How many times longer than expected a request may wait for its start.
 const LATEST_START: f64 = 2.0;
 /// Further wait at an engine that has other work, in milliseconds: for memory, or behind requests
-/// that are more urgent and come later. With a third of the engines lost one was seen to wait 1.9 s
-/// where next to nothing was expected.
+/// that are more urgent and come later.
 const UNFORESEEN_WAIT_MS: u64 = 2_000;
-/// Weights of time and recomputed tokens: a token recomputed is time of an engine that others
-/// wait for, and a part read again costs callers more than its transfer's wait. Of 5, 8, 12, 24 and
-/// 40 recomputed tokens for 100 ms, 12 served callers best where prompts have 9,000 shared tokens
-/// (mean worth over days with trouble 0.741, 0.743, 0.757, 0.746, 0.739), and 8 and 12 alike elsewhere.
+/// Weights of time and recomputed tokens: a token recomputed is time of an engine that others wait
+/// for, and a part read again costs callers more than its transfer's wait.
 const PROFILE: WeightProfile = WeightProfile { first_token: 100, recompute: 12, link: 0 };
 
 /// Candidates this close to the best, as a share of its cost, are as good as the best. Long prompts
-/// are told to peers at once, so small differences are real; with a tenth, some 80 ms for a long
-/// prompt, four in five went to another data centre, where they met others unannounced.
+/// are told to peers at once, so small differences are real.
 const NEAR_BEST: f64 = 0.02;
 
 /// A prompt that takes this part of an engine's memory, as one over it, is long.
@@ -77,8 +73,8 @@
 
 /// When a request would start there at the latest, as far as can be told.
 ///
-/// What counts for weights is when a request starts, not when it is sent: one was seen to wait
-/// 2.7 s in an engine's queue, past the time limit for its old weights.
+/// What counts for weights is when a request starts, not when it is sent: in an engine's queue it may
+/// wait past the time limit for its old weights.
 fn expected_start(input: &EngineInput<'_>, engine: &UpstreamId) -> Moment {
     let wait_ms = input.wait_ms(engine);
     let is_busy = input.work.total(engine).running > 0;
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -311,8 +311,7 @@
         waiting: choice.recompute,
         priority,
         // Every data centre sends long prompts to engines of all. Told once a second of what the others
-        // sent, they met at the same engines, which preempted runs: with 79 daemons and a quarter of
-        // the engines away 1,829 of 4,400, and 1,446 since all are told.
+        // sent, they would meet at the same engines, which preempt runs.
         is_for_all: !saves.is_empty() || choice.is_long,
         saves,
         transfers: choice.transfers.clone(),
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -320,8 +320,8 @@
     /// The version that an engine has of a model, as far as can be told: the one known, or while it
     /// refuses that, the newest published one that it has not refused.
     ///
-    /// A guess is never taken for knowledge. It once was: an engine two publications behind was
-    /// believed to have the newest weights for good, was refused by, and never ordered to load them.
+    /// A guess is never taken for knowledge: an engine two publications behind would be believed to
+    /// have the newest weights for good, refuse what it is sent, and never be ordered to load them.
     pub fn version(
         &self,
         id: &UpstreamId,
