refactor: how long an engine reads is asked in one place

Planning a send and taking in a peer's prompt each looked up the engine's own throughput and fell back to the common one. It is a method of the parts that both have.

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -305,8 +305,7 @@
     }
     if message.is_note {
         for sent in &message.sent {
-            let own = parts.speeds.borrow().rate(&sent.engine);
-            let service_ms = parts.prefill.borrow().read_ms(sent.waiting, own);
+            let service_ms = parts.read_ms(&sent.engine, sent.waiting);
             parts.work.borrow_mut().note_peer_sent(&name, sent, service_ms, now);
             let mut index = parts.parts.borrow_mut();
             index.note_sent(&sent.engine, &sent.parts, sent.tokens, now);
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -205,7 +205,7 @@
         prompt: choice.recompute,
         memory: prompt.memory(),
         answer_ms: choice.expected_ms,
-        service_ms: read_ms(parts, &choice.upstream, choice.recompute),
+        service_ms: parts.read_ms(&choice.upstream, choice.recompute),
         priority: input.request.priority(),
     };
     note_choice(parts, prompt, &choice, load.priority, now);
@@ -220,12 +220,6 @@
     }
 }
 
-/// Milliseconds in which an engine reads so many tokens, as far as can be told.
-pub fn read_ms(parts: &ServeParts, engine: &UpstreamId, tokens: TokenCount) -> f64 {
-    let own = parts.speeds.borrow().rate(engine);
-    parts.prefill.borrow().read_ms(tokens, own)
-}
-
 /// Chooses an engine for a prompt by what is known now; nothing if none may take it.
 fn choose_for(
     input: PlanInput<'_>,
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -24,7 +24,7 @@
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_policy::{CrashLedger, MemoryTrust, WaitingLine};
-use guava_types::{DataCentre, Incarnation, MemberName, Moment, UpstreamId};
+use guava_types::{DataCentre, Incarnation, MemberName, Moment, TokenCount, UpstreamId};
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
 use std::hash::{Hash, Hasher};
@@ -203,6 +203,12 @@
         }
     }
 
+    /// Milliseconds in which an engine reads so many tokens, as far as can be told.
+    pub fn read_ms(&self, engine: &UpstreamId, tokens: TokenCount) -> f64 {
+        let own = self.speeds.borrow().rate(engine);
+        self.prefill.borrow().read_ms(tokens, own)
+    }
+
     /// The upstreams' clock so many milliseconds from now, if it is known.
     pub fn upstream_clock_in(&self, millis: u64, now: Moment) -> Option<u64> {
         let clock = self.upstream_clock.get()?;
--- a/crates/guava-serve/src/upstreams/drain_table.rs
+++ b/crates/guava-serve/src/upstreams/drain_table.rs
@@ -5,7 +5,8 @@
 //! for a daemon that can't reach the log. Runs that are under way end in peace.
 //!
 //! Upstreams of a data centre that is taken back have rested, and count as cold from the moment at
-//! which this daemon hears of it; filled at once by all daemons, they would end.
+//! which this daemon hears of it; filled at once by all daemons, they would end. A daemon that has
+//! just started can't tell how long ago that was, and takes it for now.
 
 use guava_types::{DataCentre, FastMap, Moment};
 
