--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -26,6 +26,7 @@
     VERSION_PUBLISHED "G8106" "new weights were published";
     CENTRE_DRAINED "G8107" "a data centre is drained, or taken back";
     MEMBER_HEARD "G8201" "a daemon is heard";
+    MESSAGE_LOST "G8202" "messages between daemons were lost";
     LEASE_TAKEN "G8301" "the lease for orders is held";
     LEASE_LOST "G8302" "the lease for orders ended";
     LEASE_UNREAD "G8306" "the lease for orders can't be read or asked for";
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -1,6 +1,7 @@
 //! The daemons: who there is, what they tell each other, and what they know through each other.
 
 pub(crate) mod list_news;
+pub(crate) mod lost_messages;
 pub(crate) mod member_table;
 pub(crate) mod peer_duty;
 pub(crate) mod peer_exchange;
--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -1,5 +1,6 @@
 //! Datagrams between daemons.
 
+use crate::members::lost_messages::MessageLoss;
 use crate::members::member_table::MemberNote;
 use crate::members::peer_exchange::{
     OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
@@ -11,6 +12,7 @@
 use crate::weights::rollout_state::VersionRollout;
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,7 +55,7 @@
             far_due = Deadline::after(now, far_pause_ms);
             let relays = parts.members.borrow().relays(&parts.identity.name, number, now);
             let relays = relays.into_iter().map(|(_, address)| address).collect();
-            send(&socket, &message.for_relay().encode(now), relays).await;
+            send(&socket, &message.for_relay().encode(now), &parts, relays).await;
         }
         sleep(Duration::from_millis(near_pause_ms)).await;
     }
@@ -90,20 +92,31 @@
 /// Sends to all daemons, or only to those in this data centre.
 async fn send_to_all(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, only_near: bool) {
     let addresses = parts.members.borrow().peer_addresses(only_near);
-    send(socket, bytes, addresses).await;
+    send(socket, bytes, parts, addresses).await;
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], addresses: Vec<SocketAddr>) {
+async fn send(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, addresses: Vec<SocketAddr>) {
     let stale = Deadline::in_millis(STALE_MS);
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        let reason = format!("{} bytes, {MAX_DATAGRAM_BYTES} are taken", bytes.len());
+        note_loss(parts, MessageLoss::TooLong, &reason);
+    }
     for address in addresses {
         if stale.passed(Moment::now()) {
+            note_loss(parts, MessageLoss::Unsent, &"sending took too long");
             return;
         }
-        // A datagram that can't be sent is as good as lost; the next one follows soon.
-        drop(socket.send_to(bytes, address).await);
+        // The next message follows soon and makes up for one that can't be sent.
+        if let Err(error) = socket.send_to(bytes, address).await {
+            note_loss(parts, MessageLoss::Unsent, &error);
+        }
     }
 }
 
+fn note_loss(parts: &ServeParts, loss: MessageLoss, reason: &impl Display) {
+    parts.lost_messages.borrow_mut().note(loss, reason, &parts.metrics, Moment::now());
+}
+
 /// Tells the daemons nearby about large prompts at once, for ever; those elsewhere of the ones that
 /// concern them.
 pub async fn tell_notes(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
@@ -135,7 +148,7 @@
     }
     let now = Moment::now();
     for greeting in compose_greeting(parts, &own_news(state, 0, now), now) {
-        send(socket, &greeting.encode(now), newcomers.clone()).await;
+        send(socket, &greeting.encode(now), parts, newcomers.clone()).await;
     }
 }
 
@@ -150,7 +163,7 @@
             sent.is_for_all || engine.is_some_and(|engine| engine == data_centre)
         };
         if let Some(far) = note.note_for_relay(concerns) {
-            send(socket, &far.encode(now), vec![relay]).await;
+            send(socket, &far.encode(now), parts, vec![relay]).await;
         }
     }
 }
@@ -159,13 +172,16 @@
 pub async fn hear_peers(parts: Rc<ServeParts>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             // Errors here are of datagrams sent before, to daemons that are gone.
             sleep(Duration::from_millis(1)).await;
             continue;
         };
         let now = Moment::now();
-        let Some(message) = PeerMessage::decode(&buffer[..length], now) else { continue };
+        let Some(message) = PeerMessage::decode(&buffer[..length], now) else {
+            note_loss(&parts, MessageLoss::Unreadable, &format!("{length} bytes from {sender}"));
+            continue;
+        };
         if message.is_for_relay {
             let relayed = message.clone().relayed();
             send_to_all(&socket, &relayed.encode(now), &parts, true).await;
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -276,9 +276,9 @@
     }
     let spoken_of = message.sent.iter().map(|sent| &sent.engine);
     let spoken_of = spoken_of.chain(message.loaded.iter().map(|loaded| &loaded.engine));
-    spoken_of.chain(&message.loading).for_each(|id| note_start(parts, id));
+    spoken_of.chain(&message.loading).for_each(|id| note_start(parts, id, name.as_str()));
     for change in message.listed {
-        take_change(parts, change, now);
+        take_change(parts, change, name.as_str(), now);
     }
     for target in message.targets {
         let learned = now.minus_millis(target.age_ms);
@@ -341,7 +341,7 @@
 
 /// Takes in that a peer speaks of a start of an upstream: it may know before this daemon that the
 /// upstream started again. Until its entry is there, nothing more goes to the one before.
-fn note_start(parts: &ServeParts, id: &UpstreamId) {
+fn note_start(parts: &ServeParts, id: &UpstreamId, source: &str) {
     let mut upstreams = parts.upstreams.borrow_mut();
     let before = upstreams.newest_start(id.name()).and_then(|before| upstreams.entry(before));
     let address = before.map(|before| before.address);
@@ -351,13 +351,20 @@
             info,
             events::LIST_CHANGED,
             upstream = id,
-            change = ListChange::Restarted.name()
+            change = ListChange::Restarted.name(),
+            source = source
         );
     }
 }
 
-/// Takes in a change of the list of upstreams, as read or as a peer has read it.
-pub fn take_change(parts: &ServeParts, change: ListedChange, now: Moment) -> ListChange {
+/// Takes in a change of the list of upstreams, as read or as a peer has read it; the source is the
+/// peer's name, or names the list itself.
+pub fn take_change(
+    parts: &ServeParts,
+    change: ListedChange,
+    source: &str,
+    now: Moment,
+) -> ListChange {
     let mut upstreams = parts.upstreams.borrow_mut();
     let (id, found) = match change {
         ListedChange::Removed(id) => {
@@ -375,7 +382,13 @@
         }
     };
     if found != ListChange::Same {
-        log_event!(info, events::LIST_CHANGED, upstream = id, change = found.name());
+        log_event!(
+            info,
+            events::LIST_CHANGED,
+            upstream = id,
+            change = found.name(),
+            source = source
+        );
     }
     found
 }
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -26,6 +26,7 @@
     sends: Family<KindLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
     bad_records: Family<KindLabel, Counter>,
+    lost_messages: Family<KindLabel, Counter>,
     first_answer: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -41,6 +42,7 @@
         let sends = Family::<KindLabel, Counter>::default();
         let store_calls = Family::<KindLabel, Counter>::default();
         let bad_records = Family::<KindLabel, Counter>::default();
+        let lost_messages = Family::<KindLabel, Counter>::default();
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
         let config_version = Gauge::default();
@@ -51,6 +53,7 @@
         registry.register("sends", "Sends to upstreams by result", sends.clone());
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         registry.register("bad_records", "Unreadable records by kind", bad_records.clone());
+        registry.register("lost_messages", "Between daemons, by reason", lost_messages.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -63,6 +66,7 @@
             sends,
             store_calls,
             bad_records,
+            lost_messages,
             first_answer,
             whole_answer,
             config_version,
@@ -102,6 +106,11 @@
         self.bad_records.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a message between daemons that was lost.
+    pub fn count_lost_message(&self, kind: &'static str) {
+        self.lost_messages.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Records the time to an answer's first byte.
     pub fn time_first(&self, millis: u64) {
         self.first_answer.observe(seconds(millis));
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
-use guava_types::{Deadline, Moment};
+use guava_types::{Deadline, Moment, UpstreamId};
 use http::{Response, StatusCode};
 use tokio::time::timeout;
 
@@ -21,15 +21,30 @@
     source: Option<StreamSource>,
     first: Option<EventBatch>,
     last_id: Option<Box<str>>,
+    passed: PassedOn,
     is_over: bool,
 }
 
+/// What the caller has of a stream, for logs.
+struct PassedOn {
+    bytes: usize,
+    last: Moment,
+    upstream: UpstreamId,
+}
+
 /// The answer whose body is a stream's events.
 pub fn relay(run: RequestRun, opened: OpenStream) -> Response<AnswerBody> {
     let OpenStream { status, headers, first, source } = opened;
     let last_id = run.request.resume_after.clone();
-    let relay =
-        EventRelay { run, source: Some(source), first: Some(first), last_id, is_over: false };
+    let passed = PassedOn { bytes: 0, last: Moment::now(), upstream: source.upstream.clone() };
+    let relay = EventRelay {
+        run,
+        source: Some(source),
+        first: Some(first),
+        last_id,
+        passed,
+        is_over: false,
+    };
     let events = stream::unfold(relay, |mut relay| async move {
         let next = relay.next().await?;
         Some((next, relay))
@@ -68,6 +83,8 @@
     }
 
     fn pass(&mut self, batch: EventBatch) -> Bytes {
+        self.passed.bytes += batch.bytes.len();
+        self.passed.last = Moment::now();
         if batch.last_id.is_some() {
             self.last_id = batch.last_id;
         }
@@ -121,6 +138,7 @@
             after = last_id.as_deref().unwrap_or("the beginning"),
             reason = reason
         );
+        self.passed.upstream = opened.source.upstream.clone();
         self.source = Some(opened.source);
         Ok(Some(opened.first).filter(|first| !first.bytes.is_empty()))
     }
@@ -149,13 +167,19 @@
         self.is_over = true;
         self.source = None;
         self.run.parts.metrics.count_request("broken");
+        let now = Moment::now();
         log_event!(
             warn,
             events::BROKEN,
             request = self.run.request.id,
             digest = self.run.request.digest(),
+            upstream = self.passed.upstream,
             after = self.last_id.as_deref().unwrap_or("the beginning"),
-            elapsed_ms = Moment::now().millis_since(self.run.request.arrived),
+            bytes = self.passed.bytes,
+            silent_ms = now.millis_since(self.passed.last),
+            left_ms = self.run.request.deadline.millis_left(now),
+            runs = self.run.record.runs,
+            elapsed_ms = now.millis_since(self.run.request.arrived),
             reason = broken.reason
         );
         broken
@@ -170,6 +194,8 @@
                 info,
                 events::CALLER_LEFT,
                 request = self.run.request.id,
+                upstream = self.passed.upstream,
+                bytes = self.passed.bytes,
                 elapsed_ms = Moment::now().millis_since(self.run.request.arrived)
             );
         }
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -94,13 +94,11 @@
 }
 
 /// Logs a send with what decided it.
-pub fn log_send(
-    request: &AcceptedRequest,
-    config: &ServeConfig,
-    plan: &AttemptPlan,
-    record: &SendRecord,
-) {
-    let left_ms = request.deadline.millis_left(Moment::now());
+pub fn log_send(input: &PlanInput<'_>, plan: &AttemptPlan) {
+    let PlanInput { request, config, record, .. } = input;
+    let now = Moment::now();
+    let left_ms = request.deadline.millis_left(now);
+    let list_age_ms = input.parts.list_age_ms(now).unwrap_or_default();
     match &plan.send.engine {
         None => log_event!(
             info,
@@ -111,6 +109,7 @@
             service = plan.service.name,
             upstream = plan.send.upstream,
             left_ms = left_ms,
+            list_age_ms = list_age_ms,
             objective_ms = request.route.objective_ms,
             tries = record.tried.len()
         ),
@@ -128,6 +127,7 @@
             fetches = orders.fetch.iter().flatten().count(),
             saves = orders.save.iter().flatten().count(),
             left_ms = left_ms,
+            list_age_ms = list_age_ms,
             objective_ms = request.route.objective_ms,
             tries = record.tried.len()
         ),
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -82,7 +82,7 @@
             if !self.pay() {
                 return given_up(fallback, false);
             }
-            log_send(&self.request, &self.config, &plan, &self.record);
+            log_send(&self.plan_input(), &plan);
             self.record.tried.push(plan.send.upstream.clone());
             match attempt(&self.parts, &self.request, &plan).await {
                 AttemptEnd::Whole(answer) => {
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -3,6 +3,7 @@
 //! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
 
 use crate::members::list_news::ListNews;
+use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
 use crate::members::shared_words::SharedWords;
 use crate::metrics::ServeMetrics;
@@ -150,6 +151,8 @@
     pub words_due: Notify,
     /// Changes of the list of upstreams to tell peers.
     pub list_news: RefCell<ListNews>,
+    /// Messages between daemons that were lost here.
+    pub lost_messages: RefCell<LostMessages>,
     /// When the configuration in force was last seen to be the newest.
     pub config_confirmed: Cell<Moment>,
     /// How much of the engines' memory is planned with.
@@ -195,6 +198,7 @@
             words: RefCell::default(),
             words_due: Notify::new(),
             list_news: RefCell::default(),
+            lost_messages: RefCell::default(),
             config_confirmed: Cell::default(),
             trust: RefCell::default(),
             line: RefCell::default(),
@@ -209,6 +213,12 @@
         self.prefill.borrow().read_ms(tokens, own)
     }
 
+    /// Milliseconds since the list of upstreams was last confirmed, by this daemon's read or a peer's;
+    /// nothing if it was never read.
+    pub fn list_age_ms(&self, now: Moment) -> Option<u64> {
+        self.words.borrow().list.confirmed().map(|confirmed| now.millis_since(confirmed))
+    }
+
     /// The upstreams' clock so many milliseconds from now, if it is known.
     pub fn upstream_clock_in(&self, millis: u64, now: Moment) -> Option<u64> {
         let clock = self.upstream_clock.get()?;
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -136,7 +136,7 @@
         parts.words.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
     }
     let change = ListedChange::Entry(leaving(upstream("a", "app")));
-    assert_eq!(take_change(&reader, change.clone(), NOW), ListChange::Leaving);
+    assert_eq!(take_change(&reader, change.clone(), "store", NOW), ListChange::Leaving);
     reader.list_news.borrow_mut().note(change, NOW);
     let digest = reader.upstreams.borrow().digest();
     reader.words.borrow_mut().list.note_own(digest, NOW);
@@ -245,9 +245,9 @@
     pass(&compose_note(&one, note("d1")).unwrap(), &two);
 
     assert!(!two.upstreams.borrow().may_send(&before.id));
-    let late = take_change(&two, ListedChange::Entry(before), NOW);
+    let late = take_change(&two, ListedChange::Entry(before), "one", NOW);
     assert_eq!(late, ListChange::Same);
-    take_change(&two, ListedChange::Entry(after.clone()), NOW);
+    take_change(&two, ListedChange::Entry(after.clone()), "one", NOW);
     assert!(two.upstreams.borrow().may_send(&after.id));
 }
 
@@ -354,7 +354,7 @@
     }
     for number in 0..160 {
         let change = ListedChange::Entry(upstream(&format!("u{number}"), "app"));
-        take_change(&reader, change.clone(), NOW);
+        take_change(&reader, change.clone(), "store", NOW);
         reader.list_news.borrow_mut().note(change, NOW);
     }
     let digest = reader.upstreams.borrow().digest();
