--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -594,3 +594,51 @@
     assert_eq!(got, ok("id: 1\n\n"));
     assert_eq!(known, WeightVersion(2));
 }
+
+/// A stream that pauses for so long after its first event, and then ends whole.
+fn pausing_stream(pause_ms: u64) -> ScriptedUpstream {
+    ScriptedUpstream::start(vec![vec![
+        stream_head(),
+        chunk("id: 1\ndata: one\n\n"),
+        ScriptStep::Wait(pause_ms),
+        chunk("id: 2\ndata: two\n\n"),
+        last_chunk(),
+    ]])
+}
+
+#[test]
+fn silence_of_an_engine_does_not_end_an_answer_that_no_other_can_go_on_with() {
+    // Users saw a stream that was accepted and ended without its last events, with time left.
+    // Its engine gave no event for a while, and was still at work; the daemon gave it up to go on
+    // elsewhere, could not, and closed the caller's connection.
+    let engine = pausing_stream(1_300);
+    let mut route = route("/x/", "app", RepeatRule::ResumableStream);
+    route.max_attempts = 1;
+
+    let got = run(async {
+        let parts = parts(&[&engine]);
+        read(serve_request(&parts, &Rc::new(config(1)), request(route)).await).await
+    });
+
+    assert_eq!(got, ok("id: 1\ndata: one\n\nid: 2\ndata: two\n\n"));
+    assert_eq!(engine.requests().len(), 1);
+}
+
+#[test]
+fn events_that_came_while_the_daemon_did_not_run_are_no_silence() {
+    // Guards against taking this process's own pause for a silent engine.
+    let engine = pausing_stream(300);
+    let other = ScriptedUpstream::start(vec![vec![ScriptStep::Close]]);
+
+    let got = run(async {
+        tokio::task::spawn_local(async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            std::thread::sleep(Duration::from_millis(1_200));
+        });
+        let parts = parts(&[&engine, &other]);
+        let request = request(route("/x/", "app", RepeatRule::ResumableStream));
+        read(serve_request(&parts, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(got, ok("id: 1\ndata: one\n\nid: 2\ndata: two\n\n"));
+}
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,12 +5,12 @@
 mod support;
 
 use guava_serve::{
-    FetchWait, HeldPart, ListChange, ListNews, ListedChange, MAX_DATAGRAM_BYTES, OwnNews,
-    PartEvent, PartKey, PartSave, PeerMessage, ReadPace, STANDBYS, SentPrompt, ServeIdentity,
-    ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare, compose_greeting,
-    compose_message, compose_note, compose_words, take_change, take_message,
+    EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListNews, ListedChange,
+    MAX_DATAGRAM_BYTES, OwnNews, PartEvent, PartKey, PartSave, PeerMessage, ReadPace, STANDBYS,
+    SentPrompt, ServeIdentity, ServeParts, SharedWord, UpstreamEntry, WeightVersion, WorkShare,
+    compose_greeting, compose_message, compose_note, compose_words, take_change, take_message,
 };
-use guava_types::{Moment, TokenCount, UpstreamId};
+use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
     address, engine, id, leaving, model, news, note, part, serve_parts, store, upstream,
 };
@@ -474,3 +474,53 @@
 
     assert_eq!(words[0].list.map(|word| word.as_of), Some(Moment(NOW.0 - 900)));
 }
+
+#[test]
+fn entry_that_a_peer_tells_late_does_not_bring_a_removed_upstream_back() {
+    // Users saw requests reach upstreams that had left some seconds before.
+    // Two daemons read the list, one of them a moment later: it finds new weights at an engine, and
+    // tells them for a second; the other has read by then that the engine is removed.
+    let (behind, ahead) = (serve_parts("d1"), serve_parts("d2"));
+    for parts in [&behind, &ahead] {
+        parts.upstreams.borrow_mut().note_entry(engine("e", 1));
+    }
+    let entry = ListedChange::Entry(engine("e", 2));
+    take_change(&behind, entry.clone(), "store", NOW);
+    behind.list_news.borrow_mut().note(entry, NOW);
+
+    take_change(&ahead, ListedChange::Removed(id("e")), "store", NOW);
+    pass(&compose_message(&behind, news("d1"), NOW), &ahead);
+
+    assert!(!ahead.upstreams.borrow().may_send(&id("e")));
+}
+
+#[test]
+fn message_of_a_daemon_before_many_engines_fits_into_a_datagram() {
+    // Guards against messages that their receivers cut and can't read.
+    let one = serve_parts("d1");
+    let now = Moment::now();
+    for number in 0..90 {
+        let engine = id(&format!("i-{number:08x}"));
+        let load = ExpectedLoad {
+            prompt: TokenCount(20_000),
+            memory: TokenCount(60_000),
+            answer_ms: 500.0,
+            service_ms: 400.0,
+            priority: 3,
+        };
+        one.work.borrow_mut().begin(&engine, &load, now);
+        let speed = EngineSpeed { engine: engine.clone(), rate: TokenRate(48_200) };
+        one.speeds.borrow_mut().note_own(speed, now);
+        one.sent_prompts
+            .borrow_mut()
+            .push(SentPrompt { parts: (0..6).map(PartKey).collect(), ..long_prompt(engine) });
+    }
+    for number in 0..40 {
+        let change = ListedChange::Entry(engine(&format!("i-{number:08x}"), 2));
+        one.list_news.borrow_mut().note(change, now);
+    }
+
+    let message = compose_message(&one, news("d1"), now);
+
+    assert!(message.encode(now).len() <= MAX_DATAGRAM_BYTES, "{}", message.encode(now).len());
+}
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_platform_standins::{
-    DaemonProcess, PlainAnswer, PlatformDeployment, ServerFault, ServerKind, ServiceNames,
-    StoreFault, ask, request_to, send, whole_stream,
+    DaemonProcess, PlainAnswer, PlainConnection, PlatformDeployment, ServerFault, ServerKind,
+    ServiceNames, StoreFault, ask, request_to, send, whole_stream,
 };
 use guava_standins::harness::wait_until;
 use rustix::process::{Pid, Signal, kill_process};
@@ -461,3 +461,33 @@
 
     assert_eq!(answer.status, 503);
 }
+
+#[test]
+fn daemon_that_did_not_run_sends_nothing_to_upstreams_that_left_meanwhile() {
+    // Users saw requests reach upstreams that had left some seconds before.
+    // A daemon gets no processor for longer than an upstream needs to leave; requests wait in its
+    // sockets, and are sent by the list that it knew before.
+    let (deployment, daemons) = deploy(1);
+    let stopped = &daemons[0];
+    wait_until("a request is served", || submit(stopped, "first").is_some());
+
+    stopped.signal(Signal::STOP);
+    deployment.list("i-app2", "draining");
+    let waiting: Vec<PlainConnection> = (0..40)
+        .map(|number| {
+            let mut connection =
+                PlainConnection::open(stopped.callers, Duration::from_secs(5)).unwrap();
+            let id = format!("late-{number}");
+            connection.write(&request_to("POST", "/submit/2f", &id, ServiceNames::KEY, "answer"));
+            connection
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(3_000));
+    stopped.signal(Signal::CONT);
+    let answers: Vec<_> = waiting.into_iter().filter_map(PlainConnection::read).collect();
+
+    assert_eq!(answers.iter().filter(|answer| answer.status == 200).count(), 40);
+    let runs = deployment.servers["i-app2"].runs();
+    let late: Vec<_> = runs.iter().filter(|(id, _)| id.starts_with("late-")).collect();
+    assert!(late.is_empty(), "{} requests", late.len());
+}
