fix: what arrived while this process did not run is no silence of its sender

Callers' streams ended early with time left, answers that had come were asked for again or turned into 504, and the platform's store looked away: a daemon that is short of processor wakes with timers over and bytes in its sockets. Tokio wakes the task that waits together with the one that reads the connection; the waiting one found its time over before the other had passed anything on.

`until` gives the tasks on the way from a socket to its reader some turns of the runtime after a deadline before it counts as passed. Used where answers, events and calls are waited for. Connections being opened are not affected: nobody stands between the socket and who waits.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -3,6 +3,7 @@
 //! What varies between deployments is passed in as plain parts and a [`Dialect`]; what decides is
 //! plain functions over these parts, testable without a network.
 
+mod arrival;
 mod config_intake;
 pub mod events;
 mod members;
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -4,6 +4,7 @@
 pub(crate) mod admit;
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod attempt_plan;
 pub(crate) mod dialect;
 pub(crate) mod dispatch;
 pub(crate) mod engine_choice;
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -1,18 +1,20 @@
 //! One send of a request to one upstream, up to its answer or its stream's first event.
 
+use crate::arrival::until;
 use crate::events;
-use crate::parts::store_links::{FetchTicket, FetchWait};
+use crate::parts::store_links::FetchTicket;
 use crate::request::accepted_request::AcceptedRequest;
-use crate::request::dialect::{AnswerMarks, SendPlan};
+use crate::request::attempt_plan::AttemptPlan;
+use crate::request::dialect::AnswerMarks;
 use crate::request::event_framer::{EventBatch, EventFramer};
+use crate::request::request_plan::PlanInput;
 use crate::request::send_gate::pass_gate;
-use crate::serve_config::ServiceRule;
 use crate::serve_parts::ServeParts;
 use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::upstream_ends::{note_answer, note_break, note_refused};
 use crate::upstreams::upstream_table::WeightVersion;
-use crate::upstreams::work_table::{ExpectedLoad, WorkTicket};
+use crate::upstreams::work_table::WorkTicket;
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
 use guava_types::{Deadline, ModelName, Moment, UpstreamId};
@@ -73,25 +75,6 @@
     }
 }
 
-/// One send with all that was decided for it.
-#[derive(Clone, Debug)]
-pub struct AttemptPlan {
-    /// What is sent where.
-    pub send: SendPlan,
-    /// Its service, whose budget pays for another try.
-    pub service: Rc<ServiceRule>,
-    /// What it is expected to cost.
-    pub load: ExpectedLoad,
-    /// What it waits for at the links of stores, if it fetches parts.
-    pub wait: Option<FetchWait>,
-    /// Whether it is a long prompt, which shows how full engines are.
-    pub is_long: bool,
-    /// When another upstream is tried, if one may be.
-    pub patience: Option<Deadline>,
-    /// When nobody waits any more.
-    pub deadline: Deadline,
-}
-
 /// An answer that came whole.
 pub struct WholeAnswer {
     /// Status.
@@ -165,24 +148,24 @@
 /// Waits within the plan's patience. Another try is paid for before this one is given up: without
 /// that, a spent budget would turn a slow answer into none.
 async fn wait_for<T>(
-    parts: &ServeParts,
+    input: PlanInput<'_>,
     plan: &AttemptPlan,
     future: impl Future<Output = T>,
 ) -> Waited<T> {
     let mut future = std::pin::pin!(future);
     if let Some(patience) = plan.patience {
         let first = patience.earlier(plan.deadline);
-        if let Ok(done) = timeout(first.time_left(), &mut future).await {
+        if let Some(done) = until(first, &mut future).await {
             return Waited::Done(done);
         }
         let is_over = plan.deadline.passed(Moment::now());
-        if !is_over && parts.retries.borrow_mut().spend(&plan.service.name) {
+        if !is_over && input.parts.retries.borrow_mut().spend(&plan.service.name) {
             return Waited::Abandoned;
         }
     }
-    match timeout(plan.deadline.time_left(), &mut future).await {
-        Ok(done) => Waited::Done(done),
-        Err(_) => Waited::TimedOut,
+    match until(plan.deadline, &mut future).await {
+        Some(done) => Waited::Done(done),
+        None => Waited::TimedOut,
     }
 }
 
@@ -191,15 +174,16 @@
     parts: &'a Rc<ServeParts>,
     request: &'a AcceptedRequest,
     plan: &'a AttemptPlan,
+    input: PlanInput<'a>,
 }
 
 /// Sends a request once.
 pub async fn attempt(
     parts: &Rc<ServeParts>,
-    request: &AcceptedRequest,
+    input: PlanInput<'_>,
     plan: &AttemptPlan,
 ) -> AttemptEnd {
-    let attempt = Attempt { parts, request, plan };
+    let attempt = Attempt { parts, request: input.request, plan, input };
     let end = attempt.run().await;
     parts.metrics.count_send(match end {
         AttemptEnd::Whole(_) | AttemptEnd::Stream(_) => "answered",
@@ -231,7 +215,7 @@
         }
         let sent = Moment::now();
         let encoded = (self.parts.dialect.encode)(self.request, &fresh);
-        let answer = match wait_for(self.parts, self.plan, connection.exchange(encoded)).await {
+        let answer = match wait_for(self.input, self.plan, connection.exchange(encoded)).await {
             Waited::Done(Ok(answer)) => answer,
             Waited::Done(Err(error)) => return self.failed(&error),
             Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
@@ -395,7 +379,7 @@
         mut work: WorkGuard,
     ) -> AttemptEnd {
         let (head, body) = answer.into_parts();
-        let body = match wait_for(self.parts, self.plan, collect(body)).await {
+        let body = match wait_for(self.input, self.plan, collect(body)).await {
             Waited::Done(Some(body)) => body,
             Waited::Done(None) => return self.broken("the answer broke off"),
             Waited::Abandoned => return self.given_up(AttemptEnd::Abandoned),
@@ -424,7 +408,7 @@
         let framer = EventFramer::default();
         let mut source = StreamSource { upstream, body, framer, connection, marks, work };
         // The head is held back until an event is there: until then another upstream may answer.
-        let first = match wait_for(self.parts, self.plan, source.next()).await {
+        let first = match wait_for(self.input, self.plan, source.next()).await {
             Waited::Done(StreamStep::Events(batch)) => batch,
             Waited::Done(StreamStep::End) => EventBatch { bytes: Bytes::new(), last_id: None },
             Waited::Done(StreamStep::Broken(reason)) => return self.broken(&reason),
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -1,5 +1,6 @@
 //! Passes a stream's events on, and takes the stream up elsewhere when its upstream fails.
 
+use crate::arrival::until;
 use crate::events;
 use crate::request::answer_body::{AnswerBody, BrokenStream};
 use crate::request::attempt::{OpenStream, StreamSource, StreamStep};
@@ -13,7 +14,6 @@
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, UpstreamId};
 use http::{Response, StatusCode};
-use tokio::time::timeout;
 
 /// A stream on its way to a caller.
 struct EventRelay {
@@ -94,22 +94,22 @@
     /// The next step of the source, within the request's time and the longest pause.
     async fn step(&mut self) -> StreamStep {
         let deadline = self.run.request.deadline;
+        let is_resumable = self.run.request.route.repeat == RepeatRule::ResumableStream;
         let Some(source) = &mut self.source else {
             return StreamStep::Broken("no source".into());
         };
-        let is_resumable = self.run.request.route.repeat == RepeatRule::ResumableStream;
         let limit = if is_resumable {
             deadline.earlier(Deadline::in_millis(EVENT_GAP_MS))
         } else {
             deadline
         };
-        match timeout(limit.time_left(), source.next()).await {
-            Ok(StreamStep::Broken(reason)) => {
+        match until(limit, source.next()).await {
+            Some(StreamStep::Broken(reason)) => {
                 note_break(&self.run.parts, &source.upstream, self.run.request.digest());
                 StreamStep::Broken(reason)
             }
-            Ok(step) => step,
-            Err(_) => StreamStep::Broken("no event in time".into()),
+            Some(step) => step,
+            None => StreamStep::Broken("no event in time".into()),
         }
     }
 
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -6,7 +6,7 @@
 use crate::parts::save_ledger::PartSave;
 use crate::parts::sent_prompt::SentPrompt;
 use crate::request::accepted_request::{AcceptedRequest, PromptShape};
-use crate::request::attempt::AttemptPlan;
+use crate::request::attempt_plan::AttemptPlan;
 use crate::request::dialect::{EngineOrders, SendPlan};
 use crate::request::engine_choice::{EngineChoice, choose_engine};
 use crate::request::engine_input::EngineInput;
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -84,7 +84,7 @@
             }
             log_send(&self.plan_input(), &plan);
             self.record.tried.push(plan.send.upstream.clone());
-            match attempt(&self.parts, &self.request, &plan).await {
+            match attempt(&self.parts, self.plan_input(), &plan).await {
                 AttemptEnd::Whole(answer) => {
                     self.note_run();
                     if !self.is_worth_retry(&answer) {
