fix: a silent upstream is given up only once another can take the request

Callers' streams ended before their last events, with time left: after 900 ms without an event the daemon dropped the engine, looked for another, found none (no try left, no budget, nobody to send to) and closed the caller's connection, while the engine was at work. The same for answers that may be repeated: 502 for one that would have come. Cause: the running try was given up before the next was known to be possible.

Before a running try is given up, another must be allowed, placeable and paid for (`can_move`, `can_place`); else it is waited for until the request's time is over. An upstream's silence is no reason to end an answer. Not changed: a second engine that then refuses still ends the stream if no third may be tried.

--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use crate::request::attempt_plan::AttemptPlan;
 use crate::request::dialect::AnswerMarks;
 use crate::request::event_framer::{EventBatch, EventFramer};
-use crate::request::request_plan::PlanInput;
+use crate::request::request_plan::{PlanInput, can_place};
 use crate::request::send_gate::pass_gate;
 use crate::serve_parts::ServeParts;
 use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
@@ -145,8 +145,8 @@
     TimedOut,
 }
 
-/// Waits within the plan's patience. Another try is paid for before this one is given up: without
-/// that, a spent budget would turn a slow answer into none.
+/// Waits within the plan's patience. Another try is placed and paid for before this one is given
+/// up: without that, a slow answer would turn into none.
 async fn wait_for<T>(
     input: PlanInput<'_>,
     plan: &AttemptPlan,
@@ -159,7 +159,10 @@
             return Waited::Done(done);
         }
         let is_over = plan.deadline.passed(Moment::now());
-        if !is_over && input.parts.retries.borrow_mut().spend(&plan.service.name) {
+        if !is_over
+            && can_place(input)
+            && input.parts.retries.borrow_mut().spend(&plan.service.name)
+        {
             return Waited::Abandoned;
         }
     }
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -91,25 +91,35 @@
         batch.bytes
     }
 
-    /// The next step of the source, within the request's time and the longest pause.
+    /// The next step of the source, within the request's time. After a long pause the source is
+    /// given up if another upstream can go on; if none can, its silence is no reason to end the
+    /// answer.
     async fn step(&mut self) -> StreamStep {
         let deadline = self.run.request.deadline;
         let is_resumable = self.run.request.route.repeat == RepeatRule::ResumableStream;
-        let Some(source) = &mut self.source else {
-            return StreamStep::Broken("no source".into());
-        };
-        let limit = if is_resumable {
-            deadline.earlier(Deadline::in_millis(EVENT_GAP_MS))
-        } else {
-            deadline
-        };
-        match until(limit, source.next()).await {
-            Some(StreamStep::Broken(reason)) => {
-                note_break(&self.run.parts, &source.upstream, self.run.request.digest());
-                StreamStep::Broken(reason)
+        loop {
+            let Some(source) = &mut self.source else {
+                return StreamStep::Broken("no source".into());
+            };
+            let limit = if is_resumable {
+                deadline.earlier(Deadline::in_millis(EVENT_GAP_MS))
+            } else {
+                deadline
+            };
+            match until(limit, source.next()).await {
+                Some(StreamStep::Broken(reason)) => {
+                    note_break(&self.run.parts, &source.upstream, self.run.request.digest());
+                    return StreamStep::Broken(reason);
+                }
+                Some(step) => return step,
+                None if deadline.passed(Moment::now()) => {
+                    return StreamStep::Broken("no event in time".into());
+                }
+                None if self.run.can_move() => {
+                    return StreamStep::Broken("no event for long".into());
+                }
+                None => {}
             }
-            Some(step) => step,
-            None => StreamStep::Broken("no event in time".into()),
         }
     }
 
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -93,6 +93,14 @@
     choose_for(input, traits, prompt).is_some_and(|choice| choice.is_crowded)
 }
 
+/// Whether any upstream that was not tried may take a request now.
+pub fn can_place(input: PlanInput<'_>) -> bool {
+    match engine_of(input) {
+        Some((traits, prompt)) => choose_for(input, traits, prompt).is_some(),
+        None => plan_plain(input).is_some(),
+    }
+}
+
 /// Logs a send with what decided it.
 pub fn log_send(input: &PlanInput<'_>, plan: &AttemptPlan) {
     let PlanInput { request, config, record, .. } = input;
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -4,7 +4,9 @@
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::attempt::{AttemptEnd, OpenStream, WholeAnswer, attempt};
 use crate::request::outcome::SendRecord;
-use crate::request::request_plan::{PlanInput, PlanStep, is_crowded, log_send, plan_attempt};
+use crate::request::request_plan::{
+    PlanInput, PlanStep, can_place, is_crowded, log_send, plan_attempt,
+};
 use crate::serve_config::ServeConfig;
 use crate::serve_parts::ServeParts;
 use crate::upstreams::upstream_ends::stopped_until;
@@ -178,6 +180,16 @@
         may_run && tries < MOST_TRIES
     }
 
+    /// Whether a stream that has begun can go on at another upstream, whose try is then paid for.
+    pub fn can_move(&mut self) -> bool {
+        let is_over = self.request.deadline.passed(Moment::now());
+        let is_stopped = stopped_until(&self.parts, || self.request.digest()).is_some();
+        let may_move = !is_over && !is_stopped && self.may_try();
+        let can_move = may_move && can_place(self.plan_input()) && self.pay();
+        self.is_paid |= can_move;
+        can_move
+    }
+
     /// Pays for a send; the first that reaches an upstream is free.
     fn pay(&mut self) -> bool {
         if self.record.arrivals == 0 || std::mem::take(&mut self.is_paid) {
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -611,6 +611,10 @@
     // Users saw a stream that was accepted and ended without its last events, with time left.
     // Its engine gave no event for a while, and was still at work; the daemon gave it up to go on
     // elsewhere, could not, and closed the caller's connection.
+    // Cause: a stream without events for 900 ms was given up before it was known that another
+    // upstream may take it, with tries and budget left.
+    // Evidence: the log has G8008 "no event in time" with left_ms above zero and runs=1, and the
+    // engine's next event comes 400 ms later.
     let engine = pausing_stream(1_300);
     let mut route = route("/x/", "app", RepeatRule::ResumableStream);
     route.max_attempts = 1;
