fix: a message between daemons is as old as it may be, not as young as its reader is late

Callers' requests reached upstreams that had left: a daemon that is short of processor reads late what others say of the list, counted its age from the read, took the list for confirmed just now, and did not read for itself. A word that lay in the socket for 1,500 ms counted as 1,503 ms fresher than it was.

Ages now count from when the socket was last seen empty, which is looked at every 50 ms at least. Times that something still lasts count from the read, so both err to the safe side. Whether a daemon lives is still judged by the read: after a pause all others would else look silent, and every duty would be taken over.

--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -13,10 +13,12 @@
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::task::coop::consume_budget;
 use tokio::time::{sleep, timeout};
 
 /// Pause between two words on the platform's store, in milliseconds, so that one that is lost is made
@@ -27,6 +29,9 @@
 /// seconds.
 const STALE_MS: u64 = 200;
 
+/// Pause between two looks at whether the socket is empty, in milliseconds.
+const EMPTY_LOOK_MS: u64 = 50;
+
 /// What this daemon tells the others about itself.
 #[derive(Clone)]
 pub struct OwnState {
@@ -171,21 +176,47 @@
 /// Takes in what other daemons say, for ever.
 pub async fn hear_peers(parts: Rc<ServeParts>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    // A datagram may have lain in the socket since it was last seen empty. Taken to have come when it
+    // is read, what it says would look fresher than it is, by as long as this process did not run.
+    let mut last_empty = Moment::now();
     loop {
-        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
-            // Errors here are of datagrams sent before, to daemons that are gone.
-            sleep(Duration::from_millis(1)).await;
-            continue;
-        };
-        let now = Moment::now();
-        let Some(message) = PeerMessage::decode(&buffer[..length], now) else {
-            note_loss(&parts, MessageLoss::Unreadable, &format!("{length} bytes from {sender}"));
-            continue;
+        let (length, sender) = match socket.try_recv_from(&mut buffer) {
+            Ok(received) => received,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                last_empty = Moment::now();
+                let look_again = Duration::from_millis(EMPTY_LOOK_MS);
+                // Whether there is something is seen by the next read.
+                drop(timeout(look_again, socket.readable()).await);
+                continue;
+            }
+            Err(_) => {
+                // Errors here are of datagrams sent before, to daemons that are gone.
+                sleep(Duration::from_millis(1)).await;
+                continue;
+            }
         };
-        if message.is_for_relay {
-            let relayed = message.clone().relayed();
-            send_to_all(&socket, &relayed.encode(now), &parts, true).await;
-        }
-        take_message(&parts, message, now);
+        take_datagram(&parts, &socket, &buffer[..length], sender, last_empty).await;
+        // Reads that don't wait use up no budget by themselves; without that the other duties would
+        // not run while datagrams come faster than they are read.
+        consume_budget().await;
+    }
+}
+
+async fn take_datagram(
+    parts: &ServeParts,
+    socket: &UdpSocket,
+    bytes: &[u8],
+    sender: SocketAddr,
+    since: Moment,
+) {
+    let now = Moment::now();
+    let Some(message) = PeerMessage::decode_waiting(bytes, since, now) else {
+        note_loss(parts, MessageLoss::Unreadable, &format!("{} bytes from {sender}", bytes.len()));
+        return;
+    };
+    if message.is_for_relay {
+        let relayed = message.clone().relayed();
+        send_to_all(socket, &relayed.encode(now), parts, true).await;
     }
+    take_message(parts, message, now);
 }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -465,10 +465,18 @@
         wire.encode_to_vec()
     }
 
-    /// Reads a datagram; nothing if it is none of ours.
+    /// Reads a datagram that has just come; nothing if it is none of ours.
     pub fn decode(bytes: &[u8], now: Moment) -> Option<Self> {
-        let word =
-            |word: WireWord| SharedWord { state: word.state, as_of: now.minus_millis(word.age_ms) };
+        Self::decode_waiting(bytes, now, now)
+    }
+
+    /// Reads a datagram that has come at some moment since another. Both ages and times left are
+    /// taken for the worse: what was so long ago may be older, and what lasts may last from now.
+    pub fn decode_waiting(bytes: &[u8], since: Moment, now: Moment) -> Option<Self> {
+        let word = |word: WireWord| SharedWord {
+            state: word.state,
+            as_of: since.minus_millis(word.age_ms),
+        };
         let store = |store: WireStore| {
             let news = |(key, tokens): (u64, u64)| PartNews {
                 key: PartKey(key),
@@ -477,7 +485,7 @@
             Some(StoreWord {
                 store: store.store.parse().ok()?,
                 epoch: store.epoch,
-                as_of: now.minus_millis(store.age_ms),
+                as_of: since.minus_millis(store.age_ms),
                 is_whole: store.is_whole,
                 parts: store.keys.into_iter().zip(store.tokens).map(news).collect(),
             })
@@ -557,9 +565,9 @@
             clock_ms: wire.clock_ms,
             listed: wire.listed.iter().filter_map(|change| listed_change(change, now)).collect(),
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
-            ended: wire.ended.iter().filter_map(|end| end_notice(end, now)).collect(),
+            ended: wire.ended.iter().filter_map(|end| end_notice(end, since)).collect(),
             stops: wire.stops.iter().filter_map(stop_notice).collect(),
-            cleared: wire.cleared.iter().filter_map(|wire| clear_notice(wire, now)).collect(),
+            cleared: wire.cleared.iter().filter_map(|wire| clear_notice(wire, since)).collect(),
             knows_stops: wire.knows_stops,
             drains: wire.drains.iter().filter_map(drain_notice).collect(),
             speeds: wire.speeds.iter().filter_map(engine_speed).collect(),
--- a/crates/guava-serve/tests/hear_peers.rs
+++ b/crates/guava-serve/tests/hear_peers.rs
@@ -26,6 +26,8 @@
     // Users saw requests reach upstreams that had left some seconds before.
     // A daemon that is short of processor reads what others say of the list late; counted from then,
     // the list looks confirmed just now, and is not read.
+    // Cause: a message was taken to have come when it was read.
+    // Evidence: a word that lay in the socket for 1,500 ms counted as 1,503 ms fresher than it was.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let heard = tokio::task::LocalSet::new().block_on(&runtime, async {
         let parts = Rc::new(serve_parts("d2"));
