--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -13,12 +13,15 @@
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::task::coop::consume_budget;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Pause between two words on the platform's store, in milliseconds, so that one that is lost is made
@@ -183,10 +186,13 @@
         let (length, sender) = match socket.try_recv_from(&mut buffer) {
             Ok(received) => received,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                last_empty = Moment::now();
-                let look_again = Duration::from_millis(EMPTY_LOOK_MS);
+                let look_again = Deadline::after(last_empty, EMPTY_LOOK_MS);
+                if look_again.passed(Moment::now()) {
+                    last_empty = when_empty(&socket).await.unwrap_or(last_empty);
+                }
+                let wait = Duration::from_millis(EMPTY_LOOK_MS);
                 // Whether there is something is seen by the next read.
-                drop(timeout(look_again, socket.readable()).await);
+                drop(timeout(wait, socket.readable()).await);
                 continue;
             }
             Err(_) => {
@@ -202,6 +208,15 @@
     }
 }
 
+/// The moment as of which nothing lies in a socket; nothing if something does. That a read finds
+/// nothing is only as new as the runtime's last look at the socket, so it is made to look first.
+async fn when_empty(socket: &UdpSocket) -> Option<Moment> {
+    let before = Moment::now();
+    yield_now().await;
+    let ready = poll_fn(|context| Poll::Ready(socket.poll_recv_ready(context))).await;
+    ready.is_pending().then_some(before)
+}
+
 async fn take_datagram(
     parts: &ServeParts,
     socket: &UdpSocket,
