fix: a message between daemons that is too long for a datagram goes on in further ones

A daemon before 90 engines composes summaries of up to 11,256 bytes; receivers take 8,192, cut the rest, can't read what is left and drop it, unseen on both sides. They hear nothing of its work, of engines' weights, of the list, and may take it for silent. Items were bounded by number, never the whole by its length.

`datagrams` cuts by length: what says how much work a daemon has stays in one datagram, lists whose items stand for themselves go on in others, which say nothing of work.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -20,6 +20,7 @@
 pub use members::list_news::ListNews;
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_table::{MemberNote, MemberTable};
+pub use members::message_split::datagrams;
 pub use members::peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
 pub use members::peer_exchange::{
     ListSource, OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note,
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -3,6 +3,7 @@
 pub(crate) mod list_news;
 pub(crate) mod lost_messages;
 pub(crate) mod member_table;
+pub(crate) mod message_split;
 pub(crate) mod peer_duty;
 pub(crate) mod peer_exchange;
 pub(crate) mod peer_message;
--- /dev/null
+++ b/crates/guava-serve/src/members/message_split.rs
@@ -0,0 +1,93 @@
+//! Cuts a message between daemons into datagrams that its receivers take whole.
+//!
+//! What says how much work a daemon has replaces what it said before, so it stays in one datagram;
+//! lists whose items stand for themselves go on in further ones.
+
+use crate::members::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
+use guava_types::Moment;
+
+/// A message's datagrams; nearly always one.
+pub fn datagrams(message: PeerMessage, now: Moment) -> Vec<Vec<u8>> {
+    let whole = message.encode(now);
+    if whole.len() <= MAX_DATAGRAM_BYTES {
+        return vec![whole];
+    }
+    let (first, rest) = detach_lists(message);
+    let mut fitting = vec![cut_shares(first, now)];
+    push_fitting(rest, now, &mut fitting);
+    fitting
+}
+
+/// A message's lists as a message of their own, and what is left of it.
+fn detach_lists(mut first: PeerMessage) -> (PeerMessage, PeerMessage) {
+    let rest = PeerMessage {
+        sent: std::mem::take(&mut first.sent),
+        stores: std::mem::take(&mut first.stores),
+        loaded: std::mem::take(&mut first.loaded),
+        listed: std::mem::take(&mut first.listed),
+        // The digest goes with the changes that lead to it.
+        list: first.list.take(),
+        slow_links: std::mem::take(&mut first.slow_links),
+        speeds: std::mem::take(&mut first.speeds),
+        ended: std::mem::take(&mut first.ended),
+        ..first.continued()
+    };
+    (first, rest)
+}
+
+/// Encodes a message without as many of its smallest shares as don't fit.
+fn cut_shares(mut message: PeerMessage, now: Moment) -> Vec<u8> {
+    let mut bytes = message.encode(now);
+    while bytes.len() > MAX_DATAGRAM_BYTES && !message.shares.is_empty() {
+        let mut shares: Vec<_> = message.shares.drain().collect();
+        shares.sort_unstable_by_key(|(_, share)| std::cmp::Reverse(share.memory));
+        shares.truncate(shares.len() * 3 / 4);
+        message.shares = shares.into_iter().collect();
+        bytes = message.encode(now);
+    }
+    bytes
+}
+
+/// Encodes a message of lists, in halves as long as it does not fit.
+fn push_fitting(message: PeerMessage, now: Moment, fitting: &mut Vec<Vec<u8>>) {
+    let bytes = message.encode(now);
+    let most = longest_list(&message);
+    if bytes.len() <= MAX_DATAGRAM_BYTES || most <= 1 {
+        fitting.push(bytes);
+        return;
+    }
+    let (first, second) = halve(message);
+    push_fitting(first, now, fitting);
+    push_fitting(second, now, fitting);
+}
+
+fn longest_list(message: &PeerMessage) -> usize {
+    let lengths = [
+        message.sent.len(),
+        message.stores.len(),
+        message.loaded.len(),
+        message.listed.len(),
+        message.slow_links.len(),
+        message.speeds.len(),
+        message.ended.len(),
+    ];
+    lengths.into_iter().max().unwrap_or(0)
+}
+
+fn halve(mut first: PeerMessage) -> (PeerMessage, PeerMessage) {
+    fn second_half<T>(list: &mut Vec<T>) -> Vec<T> {
+        list.split_off(list.len().div_ceil(2))
+    }
+    let second = PeerMessage {
+        sent: second_half(&mut first.sent),
+        stores: second_half(&mut first.stores),
+        loaded: second_half(&mut first.loaded),
+        listed: second_half(&mut first.listed),
+        list: first.list.take(),
+        slow_links: second_half(&mut first.slow_links),
+        speeds: second_half(&mut first.speeds),
+        ended: second_half(&mut first.ended),
+        ..first.continued()
+    };
+    (first, second)
+}
--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -2,6 +2,7 @@
 
 use crate::members::lost_messages::MessageLoss;
 use crate::members::member_table::MemberNote;
+use crate::members::message_split::datagrams;
 use crate::members::peer_exchange::{
     OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
     take_message,
@@ -58,12 +59,12 @@
             let members = parts.members.borrow();
             (members.is_large(), members.near_pause_ms(), members.far_pause_ms())
         };
-        send_to_all(&socket, &message.encode(now), &parts, is_large).await;
+        send_to_all(&socket, message.clone(), &parts, is_large).await;
         if is_large && far_due.passed(now) {
             far_due = Deadline::after(now, far_pause_ms);
             let relays = parts.members.borrow().relays(&parts.identity.name, number, now);
             let relays = relays.into_iter().map(|(_, address)| address).collect();
-            send(&socket, &message.for_relay().encode(now), &parts, relays).await;
+            send(&socket, message.for_relay(), &parts, relays).await;
         }
         sleep(Duration::from_millis(near_pause_ms)).await;
     }
@@ -89,7 +90,7 @@
     loop {
         let now = Moment::now();
         for words in compose_words(&parts, &own_note(&state), now) {
-            send_to_all(&socket, &words.encode(now), &parts, false).await;
+            send_to_all(&socket, words, &parts, false).await;
         }
         let pause = Duration::from_millis(WORDS_PAUSE_MS);
         // Whether it is time or there is news makes no difference.
@@ -98,12 +99,33 @@
 }
 
 /// Sends to all daemons, or only to those in this data centre.
-async fn send_to_all(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, only_near: bool) {
+async fn send_to_all(
+    socket: &UdpSocket,
+    message: PeerMessage,
+    parts: &ServeParts,
+    only_near: bool,
+) {
     let addresses = parts.members.borrow().peer_addresses(only_near);
-    send(socket, bytes, parts, addresses).await;
+    send(socket, message, parts, addresses).await;
+}
+
+async fn send(
+    socket: &UdpSocket,
+    message: PeerMessage,
+    parts: &ServeParts,
+    addresses: Vec<SocketAddr>,
+) {
+    for bytes in datagrams(message, Moment::now()) {
+        send_datagram(socket, &bytes, parts, &addresses).await;
+    }
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], parts: &ServeParts, addresses: Vec<SocketAddr>) {
+async fn send_datagram(
+    socket: &UdpSocket,
+    bytes: &[u8],
+    parts: &ServeParts,
+    addresses: &[SocketAddr],
+) {
     let stale = Deadline::in_millis(STALE_MS);
     if bytes.len() > MAX_DATAGRAM_BYTES {
         let reason = format!("{} bytes, {MAX_DATAGRAM_BYTES} are taken", bytes.len());
@@ -115,7 +137,7 @@
             return;
         }
         // The next message follows soon and makes up for one that can't be sent.
-        if let Err(error) = socket.send_to(bytes, address).await {
+        if let Err(error) = socket.send_to(bytes, *address).await {
             note_loss(parts, MessageLoss::Unsent, &error);
         }
     }
@@ -133,16 +155,15 @@
         greet_newcomers(&parts, &socket, &state).await;
         let is_large = parts.members.borrow().is_large();
         for ends in compose_end_notes(&parts, &own_note(&state), Moment::now()) {
-            send_to_all(&socket, &ends.encode(Moment::now()), &parts, is_large).await;
+            send_to_all(&socket, ends.clone(), &parts, is_large).await;
             if is_large {
                 tell_far(&parts, &socket, &ends, number).await;
             }
         }
         let Some(note) = compose_note(&parts, own_note(&state)) else { continue };
-        let now = Moment::now();
         // Engines that load concern daemons everywhere.
         let only_near = is_large && note.loading.is_empty();
-        send_to_all(&socket, &note.encode(now), &parts, only_near).await;
+        send_to_all(&socket, note.clone(), &parts, only_near).await;
         if only_near {
             tell_far(&parts, &socket, &note, number).await;
         }
@@ -156,7 +177,7 @@
     }
     let now = Moment::now();
     for greeting in compose_greeting(parts, &own_news(state, 0, now), now) {
-        send(socket, &greeting.encode(now), parts, newcomers.clone()).await;
+        send(socket, greeting, parts, newcomers.clone()).await;
     }
 }
 
@@ -171,7 +192,7 @@
             sent.is_for_all || engine.is_some_and(|engine| engine == data_centre)
         };
         if let Some(far) = note.note_for_relay(concerns) {
-            send(socket, &far.encode(now), parts, vec![relay]).await;
+            send(socket, far, parts, vec![relay]).await;
         }
     }
 }
@@ -231,7 +252,7 @@
     };
     if message.is_for_relay {
         let relayed = message.clone().relayed();
-        send_to_all(socket, &relayed.encode(now), parts, true).await;
+        send_to_all(socket, relayed, parts, true).await;
     }
     take_message(parts, message, now);
 }
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -14,7 +14,7 @@
 use crate::upstreams::upstream_table::ListChange;
 use guava_log::log_event;
 use guava_policy::{ClearNotice, StopNotice};
-use guava_types::{Deadline, FastMap, MemberName, Moment, TokenCount, UpstreamId};
+use guava_types::{Deadline, MemberName, Moment, TokenCount, UpstreamId};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -78,6 +78,7 @@
         knows_stops: tells_all_stops(parts, now),
         drains: parts.drains.borrow().notices(),
         is_note: false,
+        is_continued: false,
         is_for_relay: false,
     }
 }
@@ -102,33 +103,6 @@
     parts.ledger.borrow().cleared().take(MOST_STOPS).collect()
 }
 
-/// A message that leaves all as it was said before.
-fn empty_note(note: MemberNote) -> PeerMessage {
-    PeerMessage {
-        note,
-        shares: FastMap::default(),
-        sent: Vec::new(),
-        loading: Vec::new(),
-        targets: Vec::new(),
-        stores: Vec::new(),
-        operator: None,
-        published_since: None,
-        list: None,
-        loaded: Vec::new(),
-        clock_ms: None,
-        listed: Vec::new(),
-        slow_links: Vec::new(),
-        speeds: Vec::new(),
-        ended: Vec::new(),
-        stops: Vec::new(),
-        cleared: Vec::new(),
-        knows_stops: false,
-        drains: Vec::new(),
-        is_note: true,
-        is_for_relay: false,
-    }
-}
-
 /// A note on prompts that were just sent and upstreams that will load weights, if there are any.
 /// Until the next message all daemons would else take the same idle engine, and each prompt would
 /// wait for the others; or be refused by an engine that loads.
@@ -138,14 +112,14 @@
     if sent.is_empty() && loading.is_empty() {
         return None;
     }
-    Some(PeerMessage { sent, loading, ..empty_note(note) })
+    Some(PeerMessage { sent, loading, ..PeerMessage::empty(note) })
 }
 
 /// Notes on upstreams that just ended, with the requests that are stopped or cleared for it. Told a
 /// second later, a request that ends what runs it would have been sent to some upstreams more.
 pub fn compose_end_notes(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
     let ends = parts.crash_words.borrow_mut().take_fresh();
-    let message = |ended: Vec<EndNotice>| PeerMessage { ended, ..empty_note(note.clone()) };
+    let message = |ended: Vec<EndNotice>| PeerMessage { ended, ..PeerMessage::empty(note.clone()) };
     let mut messages: Vec<PeerMessage> = ends.into_iter().map(message).collect();
     if parts.verdicts_due.take() {
         let (stops, cleared) = (told_stops(parts, now), told_cleared(parts));
@@ -174,7 +148,7 @@
     let listed = parts.list_news.borrow_mut().told(now);
     let message = |listed: &[ListedChange]| PeerMessage {
         listed: listed.to_vec(),
-        ..empty_note(note.clone())
+        ..PeerMessage::empty(note.clone())
     };
     let mut messages: Vec<PeerMessage> = listed.chunks(MOST_TOLD).map(message).collect();
     // The digest goes with the last of the changes that lead to it.
@@ -220,7 +194,7 @@
         stores: vec![cut_to(word, MOST_PARTS)],
         clock_ms: parts.upstream_clock_in(0, now),
         is_note: false,
-        ..empty_note(news.note.clone())
+        ..PeerMessage::empty(news.note.clone())
     });
     told.collect()
 }
@@ -318,12 +292,14 @@
         }
         return;
     }
-    let mut shares = message.shares;
-    if is_told_at_once {
-        // Its prompts were told one by one; their sum would count what has been read by now.
-        shares.values_mut().for_each(|share| share.waiting = TokenCount(0));
+    if !message.is_continued {
+        let mut shares = message.shares;
+        if is_told_at_once {
+            // Its prompts were told one by one; their sum would count what has been read by now.
+            shares.values_mut().for_each(|share| share.waiting = TokenCount(0));
+        }
+        parts.work.borrow_mut().note_peer(&name, shares, Deadline::after(now, silent_ms), now);
     }
-    parts.work.borrow_mut().note_peer(&name, shares, Deadline::after(now, silent_ms), now);
     for sent in &message.sent {
         parts.parts.borrow_mut().note_sent(&sent.engine, &sent.parts, sent.tokens, now);
     }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -190,6 +190,8 @@
     drains: Vec<WireDrain>,
     #[prost(message, repeated, tag = "25")]
     speeds: Vec<WireSpeed>,
+    #[prost(bool, tag = "26")]
+    is_continued: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -339,6 +341,9 @@
     pub speeds: Vec<EngineSpeed>,
     /// Whether this is a note on prompts just sent, and leaves all else as it was said before.
     pub is_note: bool,
+    /// Whether this goes on with a message that was too long for one datagram, and says nothing of
+    /// its sender's work.
+    pub is_continued: bool,
     /// Whether the receiver passes this on to the daemons of its own data centre.
     pub is_for_relay: bool,
 }
@@ -382,6 +387,44 @@
         !self.stops.is_empty() || !self.cleared.is_empty()
     }
 
+    /// A message from the same daemon that goes on with this one and says nothing yet.
+    pub fn continued(&self) -> Self {
+        Self {
+            is_continued: true,
+            is_note: self.is_note,
+            is_for_relay: self.is_for_relay,
+            ..Self::empty(self.note.clone())
+        }
+    }
+
+    /// A message that leaves all as it was said before.
+    pub fn empty(note: MemberNote) -> Self {
+        Self {
+            note,
+            shares: FastMap::default(),
+            sent: Vec::new(),
+            loading: Vec::new(),
+            targets: Vec::new(),
+            stores: Vec::new(),
+            operator: None,
+            published_since: None,
+            list: None,
+            loaded: Vec::new(),
+            clock_ms: None,
+            listed: Vec::new(),
+            slow_links: Vec::new(),
+            speeds: Vec::new(),
+            ended: Vec::new(),
+            stops: Vec::new(),
+            cleared: Vec::new(),
+            knows_stops: false,
+            drains: Vec::new(),
+            is_note: true,
+            is_continued: false,
+            is_for_relay: false,
+        }
+    }
+
     /// The message as a relay passes it on.
     pub fn relayed(self) -> Self {
         Self { is_for_relay: false, ..self }
@@ -460,6 +503,7 @@
             drains: self.drains.iter().map(wire_drain).collect(),
             speeds: self.speeds.iter().map(wire_speed).collect(),
             is_note: self.is_note,
+            is_continued: self.is_continued,
             is_for_relay: self.is_for_relay,
         };
         wire.encode_to_vec()
@@ -572,6 +616,7 @@
             drains: wire.drains.iter().filter_map(drain_notice).collect(),
             speeds: wire.speeds.iter().filter_map(engine_speed).collect(),
             is_note: wire.is_note,
+            is_continued: wire.is_continued,
             is_for_relay: wire.is_for_relay,
         })
     }
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -8,8 +8,8 @@
     EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListNews, ListRevision, ListSource,
     ListedChange, MAX_DATAGRAM_BYTES, OwnNews, PartEvent, PartKey, PartSave, PeerMessage, ReadPace,
     STANDBYS, SentPrompt, ServeIdentity, ServeParts, SharedWord, UpstreamEntry, WeightVersion,
-    WorkShare, compose_greeting, compose_message, compose_note, compose_words, take_change,
-    take_message,
+    WorkShare, compose_greeting, compose_message, compose_note, compose_words, datagrams,
+    take_change, take_message,
 };
 use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
@@ -533,8 +533,12 @@
 
 #[test]
 fn message_of_a_daemon_before_many_engines_fits_into_a_datagram() {
-    // Guards against messages that their receivers cut and can't read.
-    let one = serve_parts("d1");
+    // Users saw requests reach upstreams that had left some seconds before.
+    // Before 90 engines a daemon's summary grows longer than its receivers take; they cut it, can't
+    // read it, and hear nothing of its work, of engines' weights and of the list.
+    // Cause: a message was bounded by the number of some of its items, and not by its length.
+    // Evidence: 11,256 bytes, of which receivers take 8,192.
+    let (one, two) = (serve_parts("d1"), serve_parts("d2"));
     let now = Moment::now();
     for number in 0..90 {
         let engine = id(&format!("i-{number:08x}"));
@@ -557,9 +561,17 @@
         one.list_news.borrow_mut().note(change, now);
     }
 
-    let message = compose_message(&one, news("d1"), now);
+    let told = datagrams(compose_message(&one, news("d1"), now), now);
+    for bytes in &told {
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+        take_message(&two, PeerMessage::decode(bytes, now).unwrap(), now);
+    }
 
-    assert!(message.encode(now).len() <= MAX_DATAGRAM_BYTES, "{}", message.encode(now).len());
+    assert!(told.len() <= 3, "{}", told.len());
+    let last = id("i-00000059");
+    assert_eq!(PeerMessage::decode(&told[0], now).unwrap().shares.len(), 90);
+    assert_eq!(two.speeds.borrow().rate(&last), Some(TokenRate(48_200)));
+    assert!(two.upstreams.borrow().may_send(&id("i-00000027")));
 }
 
 #[test]
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -317,6 +317,7 @@
         }],
         speeds: vec![EngineSpeed { engine: id("e"), rate: TokenRate(35_000) }],
         is_note: false,
+        is_continued: true,
         is_for_relay: true,
     };
 
