fix: a daemon that did not run reads the configuration before it admits what waited in its sockets

Found while looking for the same cause elsewhere. Five daemons without processor for 3 s admitted 24 and 32 of 40 waiting requests by a key that had been taken away 3 s before; none now.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -56,7 +56,7 @@
 pub use request::engine_choice::{EngineChoice, choose_engine};
 pub use request::engine_input::EngineInput;
 pub use request::event_framer::{EventBatch, EventFramer};
-pub use request::fresh_state::is_stale;
+pub use request::fresh_state::{await_fresh_config, is_stale};
 pub use request::http_listener::{ConnectionLimits, ListenerPhase, open_listener, serve_listener};
 pub use request::outcome::{RefusalReason, SendRecord, ServeOutcome};
 pub use request::patience::{first_answer_patience, return_after_ms};
--- a/crates/guava-serve/src/request/fresh_state.rs
+++ b/crates/guava-serve/src/request/fresh_state.rs
@@ -31,11 +31,22 @@
     is_stale && !parts.upstreams.borrow().is_away()
 }
 
+fn is_config_stale(parts: &ServeParts) -> bool {
+    let limit_ms = parts.bounds.config_limit_ms;
+    let is_stale = is_stale(&parts.words.borrow().operator, limit_ms, Moment::now());
+    is_stale && !parts.is_operator_away.get()
+}
+
 /// Waits until the list of upstreams is fresh enough to send by.
 pub async fn await_fresh_list(parts: &ServeParts) {
     hold_while(|| is_list_stale(parts)).await;
 }
 
+/// Waits until the configuration is fresh enough to admit by.
+pub async fn await_fresh_config(parts: &ServeParts) {
+    hold_while(|| is_config_stale(parts)).await;
+}
+
 async fn hold_while(is_stale: impl Fn() -> bool) {
     if !is_stale() {
         return;
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -155,6 +155,8 @@
     pub lost_messages: RefCell<LostMessages>,
     /// When the configuration in force was last seen to be the newest.
     pub config_confirmed: Cell<Moment>,
+    /// Whether the operator's records could not be read the last time.
+    pub is_operator_away: Cell<bool>,
     /// How much of the engines' memory is planned with.
     pub trust: RefCell<MemoryTrust>,
     /// Long prompts that wait for memory at an engine.
@@ -200,6 +202,7 @@
             list_news: RefCell::default(),
             lost_messages: RefCell::default(),
             config_confirmed: Cell::default(),
+            is_operator_away: Cell::new(false),
             trust: RefCell::default(),
             line: RefCell::default(),
             held_bytes: Cell::new(0),
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -484,6 +484,20 @@
     waiting.into_iter().filter_map(PlainConnection::read).collect()
 }
 
+#[test]
+fn daemons_that_did_not_run_admit_nobody_by_keys_that_were_taken_away_meanwhile() {
+    // Guards against a configuration of before the pause that admits what waited in sockets.
+    let (deployment, daemons) = deploy(5);
+    wait_until("a request is served", || submit(&daemons[0], "first").is_some());
+
+    let answers = submit_while_stopped(&daemons, || deployment.configure(2, &["key-other"]));
+
+    assert_eq!(answers.len(), 40);
+    assert_eq!(answers.iter().filter(|answer| answer.status == 200).count(), 0);
+    let runs = deployment.servers.values().flat_map(|server| server.runs());
+    assert!(runs.into_iter().all(|(id, _)| !id.starts_with("late-")));
+}
+
 #[test]
 fn daemon_that_did_not_run_sends_nothing_to_upstreams_that_left_meanwhile() {
     // Users saw requests reach upstreams that had left some seconds before.
