--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -515,3 +515,28 @@
     let late: Vec<_> = runs.iter().filter(|(id, _)| id.starts_with("late-")).collect();
     assert!(late.is_empty(), "{} requests", late.len());
 }
+
+#[test]
+fn backlog_of_several_reads_is_read_to_its_end_before_the_list_counts_as_known() {
+    // Guards against upstreams that get requests though they left, for as long as a daemon that was
+    // away needs for its backlog, one part with each pause between two reads.
+    let (deployment, daemons) = deploy(1);
+    wait_until("a request is served", || submit(&daemons[0], "first").is_some());
+    daemons[0].signal(Signal::STOP);
+    let padding = "x".repeat(2_000);
+    for _ in 0..2_000 {
+        deployment.store.put("keyed.servers", "i-other", &padding);
+    }
+    deployment.list("i-app2", "draining");
+    std::thread::sleep(Duration::from_millis(1_000));
+
+    daemons[0].signal(Signal::CONT);
+    std::thread::sleep(Duration::from_millis(1_000));
+    for number in 0..40 {
+        submit(&daemons[0], &format!("late-{number}")).unwrap();
+    }
+
+    let runs = deployment.servers["i-app2"].runs();
+    let late: Vec<_> = runs.iter().filter(|(id, _)| id.starts_with("late-")).collect();
+    assert!(late.is_empty(), "{} requests", late.len());
+}
