test: a soak at a fleet's size, with servers that leave in series and processor that is short

Daemons in four data centres as processes, servers that report that they leave, are removed without a report or end, and are back under another id at their address; beside it daemons are killed, stopped, told to leave or to reload, every fourth gets its processor in slices of 30 of 100 ms, sockets' buffers overflow, links to the store freeze, configurations and weights are published, engines pause for 1.2 s. Both rules are checked by what servers and callers saw.

--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -3,9 +3,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_platform_standins::soak;
+use guava_platform_standins::{FleetSize, soak, soak_fleet};
 use std::path::Path;
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// Seeds of the short run.
 const SHORT_RUN: [u64; 2] = [1, 2];
@@ -47,3 +48,40 @@
     let failed = failed.into_inner().unwrap();
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// The size of a run by hand, `SOAK_FLEET=79,90,4,40,60`: daemons, engines, instances of a plain
+/// service, callers, seconds.
+fn fleet_by_hand() -> Option<FleetSize> {
+    let text = std::env::var("SOAK_FLEET").ok()?;
+    let numbers: Vec<usize> = text.split(',').filter_map(|number| number.parse().ok()).collect();
+    let [daemons, engines, instances, callers, seconds] = numbers[..] else { return None };
+    let span = Duration::from_secs(seconds as u64);
+    Some(FleetSize { daemons, engines, instances, callers, span })
+}
+
+#[test]
+fn fleet_keeps_its_promises_while_servers_leave_and_processor_is_short() {
+    // Guards against work for servers that left, and answers that end early, at a fleet's size.
+    let small = FleetSize {
+        daemons: 6,
+        engines: 8,
+        instances: 4,
+        callers: 8,
+        span: Duration::from_secs(12),
+    };
+    let size = fleet_by_hand().unwrap_or(small);
+    let seeds = seeds_by_hand().unwrap_or(vec![1]);
+    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let broken = soak_fleet(program, folder, seed, size).unwrap();
+        println!("seed {seed}: {} broken", broken.len());
+        if !broken.is_empty() {
+            failed.push((seed, broken));
+        }
+    }
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
