--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -17,21 +17,21 @@
 mod weights;
 
 pub use config_intake::take_config;
-pub use members::list_news::ListNews;
+pub use members::list_changes::ListChanges;
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_table::{MemberNote, MemberTable};
 pub use members::message_split::datagrams;
-pub use members::peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_words};
+pub use members::peer_duty::{OwnState, hear_peers, tell_notes, tell_peers, tell_reads};
 pub use members::peer_exchange::{
     ListSource, OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note,
-    compose_words, take_change, take_drain, take_message, take_version,
+    compose_reads, take_change, take_drain, take_message, take_version,
 };
 pub use members::peer_message::{
     ListedChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
 };
 pub use members::retry_pause::{RetryPause, is_read_urgent};
-pub use members::shared_words::{
-    ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of,
+pub use members::shared_reads::{
+    ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
 pub use metrics::{KindLabel, ServeMetrics};
 pub use parts::cache_salt::{cache_salt, salt_version};
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -1,6 +1,6 @@
 //! The daemons: who there is, what they tell each other, and what they know through each other.
 
-pub(crate) mod list_news;
+pub(crate) mod list_changes;
 pub(crate) mod lost_messages;
 pub(crate) mod member_table;
 pub(crate) mod message_split;
@@ -8,4 +8,4 @@
 pub(crate) mod peer_exchange;
 pub(crate) mod peer_message;
 pub(crate) mod retry_pause;
-pub(crate) mod shared_words;
+pub(crate) mod shared_reads;
--- a/crates/guava-serve/src/members/list_news.rs
+++ b/crates/guava-serve/src/members/list_changes.rs
@@ -15,11 +15,11 @@
 
 /// The changes.
 #[derive(Debug, Default)]
-pub struct ListNews {
+pub struct ListChanges {
     changes: VecDeque<(ListedChange, Deadline)>,
 }
 
-impl ListNews {
+impl ListChanges {
     /// Notes a change; an earlier one of the same upstream is told no more.
     pub fn note(&mut self, change: ListedChange, now: Moment) {
         self.changes.retain(|(before, _)| before.id() != change.id());
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -167,7 +167,7 @@
     ) -> Vec<(DataCentre, SocketAddr)> {
         // Daemons that started together count in step. By the number alone all of them take the same
         // relay at the same moment, which then passes on what hundreds say within milliseconds, over
-        // a link of some megabits: its own words are late, and what it relays is lost.
+        // a link of some megabits: its own messages are late, and what it relays is lost.
         let number = number.wrapping_add(own_offset(me));
         let mut by_centre: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
         let mut silent: FastMap<&DataCentre, Vec<&MemberNote>> = FastMap::default();
--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -4,7 +4,7 @@
 use crate::members::member_table::MemberNote;
 use crate::members::message_split::datagrams;
 use crate::members::peer_exchange::{
-    OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_words,
+    OwnNews, compose_end_notes, compose_greeting, compose_message, compose_note, compose_reads,
     take_message,
 };
 use crate::members::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
@@ -25,8 +25,8 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-/// Pause between two words on the platform's store, in milliseconds, so that one that is lost is made
-/// up for in time.
+/// Pause between two messages on reads of the platform's store, in milliseconds, so that a lost one is
+/// made up for in time.
 const WORDS_PAUSE_MS: u64 = 500;
 /// Age of a message in sending from which it is sent no further, in milliseconds. A daemon that is
 /// suspended between two of some hundred datagrams would send the others with ages that are wrong by
@@ -86,15 +86,15 @@
 
 /// Tells the daemons of all data centres what this one reads of the platform's store, for ever: now
 /// and then, and at once where they would read themselves otherwise.
-pub async fn tell_words(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
+pub async fn tell_reads(parts: Rc<ServeParts>, socket: Rc<UdpSocket>, state: OwnState) {
     loop {
         let now = Moment::now();
-        for words in compose_words(&parts, &own_note(&state), now) {
-            send_to_all(&socket, words, &parts, false).await;
+        for reads in compose_reads(&parts, &own_note(&state), now) {
+            send_to_all(&socket, reads, &parts, false).await;
         }
         let pause = Duration::from_millis(WORDS_PAUSE_MS);
         // Whether it is time or there is news makes no difference.
-        drop(timeout(pause, parts.words_due.notified()).await);
+        drop(timeout(pause, parts.reads_due.notified()).await);
     }
 }
 
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -1,10 +1,10 @@
 //! What a daemon tells its peers, and what it takes from their messages.
 
 use crate::events;
-use crate::members::list_news::MOST_TOLD;
+use crate::members::list_changes::MOST_TOLD;
 use crate::members::member_table::MemberNote;
 use crate::members::peer_message::{ListedChange, LoadedVersion, PeerMessage, PublishedVersion};
-use crate::members::shared_words::{STANDBYS, SharedWord, WordKeeper};
+use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
 use crate::parts::part_index::StoreWord;
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::upstreams::drain_table::DrainNotice;
@@ -53,8 +53,8 @@
 pub fn compose_message(parts: &ServeParts, news: OwnNews, now: Moment) -> PeerMessage {
     let work = parts.work.borrow();
     let shares = work.own_shares().map(|(id, share)| (id.clone(), share)).collect();
-    let words = parts.words.borrow();
-    let listed = parts.list_news.borrow_mut().told(now);
+    let reads = parts.reads.borrow();
+    let listed = parts.list_changes.borrow_mut().told(now);
     // A digest without all changes behind it would make everybody read the list.
     let is_list_told = listed.len() <= MOST_TOLD;
     PeerMessage {
@@ -64,9 +64,9 @@
         loading: news.loading,
         targets: published(parts, now),
         stores: store_words(parts, &news.followed, news.number),
-        operator: words.operator.own(),
+        operator: reads.operator.own(),
         published_since: None,
-        list: words.list.own().filter(|_| is_list_told),
+        list: reads.list.own().filter(|_| is_list_told),
         loaded: news.loaded,
         clock_ms: parts.upstream_clock_in(0, now),
         listed: if is_list_told { listed } else { Vec::new() },
@@ -131,21 +131,21 @@
 
 /// What this daemon has read of the platform's store, if it reads for all; in several messages where
 /// the list changed much. Told to the daemons of all data centres directly, since a relay that is
-/// suspended would pass an old word on as a new one.
-pub fn compose_words(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
+/// suspended would pass an old read on as a new one.
+pub fn compose_reads(parts: &ServeParts, note: &MemberNote, now: Moment) -> Vec<PeerMessage> {
     let turn = parts.members.borrow().read_turn(&parts.identity.name, now);
     if turn > STANDBYS {
         return Vec::new();
     }
-    let words = parts.words.borrow();
-    // The reader tells its word also when it has heard of a later read: whoever read for itself tells
+    let reads = parts.reads.borrow();
+    // The reader tells its reads also when it has heard of a later one: whoever read for itself tells
     // only those near by, and all others would wait for the reader's until they read too.
-    let told = |keeper: &WordKeeper| keeper.own().filter(|_| turn == 0 || keeper.is_freshest());
-    let (operator, list) = (told(&words.operator), told(&words.list));
+    let told = |keeper: &ReadTracker| keeper.own().filter(|_| turn == 0 || keeper.is_freshest());
+    let (operator, list) = (told(&reads.operator), told(&reads.list));
     if operator.is_none() && list.is_none() {
         return Vec::new();
     }
-    let listed = parts.list_news.borrow_mut().told(now);
+    let listed = parts.list_changes.borrow_mut().told(now);
     let message = |listed: &[ListedChange]| PeerMessage {
         listed: listed.to_vec(),
         ..PeerMessage::empty(note.clone())
@@ -153,7 +153,7 @@
     let mut messages: Vec<PeerMessage> = listed.chunks(MOST_TOLD).map(message).collect();
     // The digest goes with the last of the changes that lead to it.
     let last = messages.pop().unwrap_or_else(|| message(&[]));
-    let published_since = words.published_since;
+    let published_since = reads.published_since;
     let targets = published(parts, now);
     let (stops, knows_stops) = (told_stops(parts, now), tells_all_stops(parts, now));
     messages.push(PeerMessage {
@@ -262,10 +262,10 @@
     for drain in &message.drains {
         take_drain(parts, drain, now);
     }
-    if let (Some(word), Some(since)) = (message.operator, message.published_since) {
-        parts.words.borrow_mut().operator.note_spared(since, word.state);
+    if let (Some(mark), Some(since)) = (message.operator, message.published_since) {
+        parts.reads.borrow_mut().operator.note_skipped(since, mark.state);
     }
-    take_words(parts, message.operator, message.list);
+    take_reads(parts, message.operator, message.list);
     for end in &message.ended {
         take_end(parts, end, now);
     }
@@ -396,15 +396,15 @@
     found
 }
 
-fn take_words(parts: &ServeParts, operator: Option<SharedWord>, list: Option<SharedWord>) {
-    let mut words = parts.words.borrow_mut();
-    if let Some(word) = operator {
-        words.operator.note_heard(word);
+fn take_reads(parts: &ServeParts, operator: Option<ReadMark>, list: Option<ReadMark>) {
+    let mut reads = parts.reads.borrow_mut();
+    if let Some(mark) = operator {
+        reads.operator.note_heard(mark);
     }
-    if let Some(word) = list {
-        words.list.note_heard(word);
+    if let Some(mark) = list {
+        reads.list.note_heard(mark);
     }
-    if let Some(confirmed) = words.operator.confirmed() {
+    if let Some(confirmed) = reads.operator.confirmed() {
         parts.config_confirmed.set(confirmed);
     }
 }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -1,7 +1,7 @@
 //! What daemons tell each other: one small datagram, a few times a second.
 
 use crate::members::member_table::MemberNote;
-use crate::members::shared_words::SharedWord;
+use crate::members::shared_reads::ReadMark;
 use crate::parts::part_index::{PartNews, StoreWord};
 use crate::parts::part_key::PartKey;
 use crate::parts::save_ledger::PartSave;
@@ -95,7 +95,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct WireWord {
+struct WireMark {
     #[prost(fixed64, tag = "1")]
     state: u64,
     #[prost(uint64, tag = "2")]
@@ -161,9 +161,9 @@
     #[prost(message, repeated, tag = "10")]
     stores: Vec<WireStore>,
     #[prost(message, optional, tag = "11")]
-    operator: Option<WireWord>,
+    operator: Option<WireMark>,
     #[prost(message, optional, tag = "12")]
-    list: Option<WireWord>,
+    list: Option<WireMark>,
     #[prost(message, repeated, tag = "13")]
     loaded: Vec<WireLoaded>,
     #[prost(uint64, optional, tag = "14")]
@@ -314,11 +314,11 @@
     /// The stores of cached parts that it follows.
     pub stores: Vec<StoreWord>,
     /// How far it has read the operator's records itself.
-    pub operator: Option<SharedWord>,
+    pub operator: Option<ReadMark>,
     /// From which offset on up to that one all records publish weights that `targets` has.
     pub published_since: Option<u64>,
     /// The list of upstreams as it has read it itself.
-    pub list: Option<SharedWord>,
+    pub list: Option<ReadMark>,
     /// Engines that lately got their weights by its order.
     pub loaded: Vec<LoadedVersion>,
     /// The upstreams' clock, in milliseconds.
@@ -432,8 +432,8 @@
 
     /// The bytes of one datagram.
     pub fn encode(&self, now: Moment) -> Vec<u8> {
-        let word =
-            |word: SharedWord| WireWord { state: word.state, age_ms: now.millis_since(word.as_of) };
+        let mark =
+            |mark: ReadMark| WireMark { state: mark.state, age_ms: now.millis_since(mark.as_of) };
         let store = |store: &StoreWord| WireStore {
             store: store.store.to_string(),
             epoch: store.epoch,
@@ -489,9 +489,9 @@
             loading: self.loading.iter().map(UpstreamId::to_string).collect(),
             targets: self.targets.iter().map(target).collect(),
             stores: self.stores.iter().map(store).collect(),
-            operator: self.operator.map(word),
+            operator: self.operator.map(mark),
             published_since: self.published_since,
-            list: self.list.map(word),
+            list: self.list.map(mark),
             loaded: self.loaded.iter().map(loaded).collect(),
             clock_ms: self.clock_ms,
             listed: self.listed.iter().map(|change| wire_listed(change, now)).collect(),
@@ -517,10 +517,8 @@
     /// Reads a datagram that has come at some moment since another. Both ages and times left are
     /// taken for the worse: what was so long ago may be older, and what lasts may last from now.
     pub fn decode_waiting(bytes: &[u8], since: Moment, now: Moment) -> Option<Self> {
-        let word = |word: WireWord| SharedWord {
-            state: word.state,
-            as_of: since.minus_millis(word.age_ms),
-        };
+        let mark =
+            |mark: WireMark| ReadMark { state: mark.state, as_of: since.minus_millis(mark.age_ms) };
         let store = |store: WireStore| {
             let news = |(key, tokens): (u64, u64)| PartNews {
                 key: PartKey(key),
@@ -602,9 +600,9 @@
             loading: wire.loading.iter().filter_map(|id| id.parse().ok()).collect(),
             targets: wire.targets.iter().filter_map(target).collect(),
             stores: wire.stores.into_iter().filter_map(store).collect(),
-            operator: wire.operator.map(word),
+            operator: wire.operator.map(mark),
             published_since: wire.published_since,
-            list: wire.list.map(word),
+            list: wire.list.map(mark),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
             clock_ms: wire.clock_ms,
             listed: wire.listed.iter().filter_map(|change| listed_change(change, now)).collect(),
--- a/crates/guava-serve/src/members/retry_pause.rs
+++ b/crates/guava-serve/src/members/retry_pause.rs
@@ -5,7 +5,7 @@
 //! them that the store is back; so does a daemon that has no configuration and serves nothing. The
 //! others ask ever more rarely.
 
-use crate::members::shared_words::STANDBYS;
+use crate::members::shared_reads::STANDBYS;
 use crate::serve_parts::ServeParts;
 use guava_types::Moment;
 use std::time::Duration;
--- a/crates/guava-serve/src/parts/part_duty.rs
+++ b/crates/guava-serve/src/parts/part_duty.rs
@@ -1,7 +1,7 @@
 //! Follows the stores of cached parts, and frees what is of no use in them.
 
 use crate::events;
-use crate::members::shared_words::read_as_of;
+use crate::members::shared_reads::read_as_of;
 use crate::ports::{FreeOrder, PartPort, PortError};
 use crate::serve_parts::{ServeParts, UpstreamClock};
 use crate::weights::rollout_state::useless_salt;
--- a/crates/guava-serve/src/request/fresh_state.rs
+++ b/crates/guava-serve/src/request/fresh_state.rs
@@ -6,7 +6,7 @@
 //! for these reads, for a bounded time, and not at all while the platform's store is known to be
 //! away: then nothing changes that anybody could know of.
 
-use crate::members::shared_words::WordKeeper;
+use crate::members::shared_reads::ReadTracker;
 use crate::serve_parts::ServeParts;
 use guava_types::{Deadline, Moment};
 use std::time::Duration;
@@ -21,19 +21,19 @@
 const STALE_PART: f64 = 0.95;
 
 /// Whether what was read may miss a change that must be in force by now.
-pub fn is_stale(word: &WordKeeper, limit_ms: u64, now: Moment) -> bool {
+pub fn is_stale(tracker: &ReadTracker, limit_ms: u64, now: Moment) -> bool {
     let stale_ms = (limit_ms as f64 * STALE_PART) as u64;
-    word.confirmed().is_some_and(|confirmed| now.millis_since(confirmed) > stale_ms)
+    tracker.confirmed().is_some_and(|confirmed| now.millis_since(confirmed) > stale_ms)
 }
 
 fn is_list_stale(parts: &ServeParts) -> bool {
-    let is_stale = is_stale(&parts.words.borrow().list, parts.bounds.leave_limit_ms, Moment::now());
+    let is_stale = is_stale(&parts.reads.borrow().list, parts.bounds.leave_limit_ms, Moment::now());
     is_stale && !parts.upstreams.borrow().is_away()
 }
 
 fn is_config_stale(parts: &ServeParts) -> bool {
     let limit_ms = parts.bounds.config_limit_ms;
-    let is_stale = is_stale(&parts.words.borrow().operator, limit_ms, Moment::now());
+    let is_stale = is_stale(&parts.reads.borrow().operator, limit_ms, Moment::now());
     is_stale && !parts.is_operator_away.get()
 }
 
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -2,10 +2,10 @@
 //!
 //! All of it runs on one thread; each part is borrowed for a moment and never across a wait.
 
-use crate::members::list_news::ListNews;
+use crate::members::list_changes::ListChanges;
 use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
-use crate::members::shared_words::SharedWords;
+use crate::members::shared_reads::SharedReads;
 use crate::metrics::ServeMetrics;
 use crate::parts::part_index::PartIndex;
 use crate::parts::sent_prompt::SentPrompt;
@@ -146,11 +146,11 @@
     /// The upstreams' clock.
     pub upstream_clock: Cell<Option<UpstreamClock>>,
     /// What daemons know of the platform's store through each other.
-    pub words: RefCell<SharedWords>,
+    pub reads: RefCell<SharedReads>,
     /// Wakes whoever tells the others what this daemon read of the store.
-    pub words_due: Notify,
+    pub reads_due: Notify,
     /// Changes of the list of upstreams to tell peers.
-    pub list_news: RefCell<ListNews>,
+    pub list_changes: RefCell<ListChanges>,
     /// Messages between daemons that were lost here.
     pub lost_messages: RefCell<LostMessages>,
     /// When the configuration in force was last seen to be the newest.
@@ -197,9 +197,9 @@
             newcomers: RefCell::default(),
             note_due: Notify::new(),
             upstream_clock: Cell::new(None),
-            words: RefCell::default(),
-            words_due: Notify::new(),
-            list_news: RefCell::default(),
+            reads: RefCell::default(),
+            reads_due: Notify::new(),
+            list_changes: RefCell::default(),
             lost_messages: RefCell::default(),
             config_confirmed: Cell::default(),
             is_operator_away: Cell::new(false),
@@ -219,7 +219,7 @@
     /// Milliseconds since the list of upstreams was last confirmed, by this daemon's read or a peer's;
     /// nothing if it was never read.
     pub fn list_age_ms(&self, now: Moment) -> Option<u64> {
-        self.words.borrow().list.confirmed().map(|confirmed| now.millis_since(confirmed))
+        self.reads.borrow().list.confirmed().map(|confirmed| now.millis_since(confirmed))
     }
 
     /// The upstreams' clock so many milliseconds from now, if it is known.
--- a/crates/guava-serve/src/upstreams/stop_duty.rs
+++ b/crates/guava-serve/src/upstreams/stop_duty.rs
@@ -7,7 +7,7 @@
 
 use crate::events;
 use crate::members::retry_pause::{RetryPause, is_read_urgent};
-use crate::members::shared_words::STANDBYS;
+use crate::members::shared_reads::STANDBYS;
 use crate::ports::{PortError, StopPort};
 use crate::serve_parts::ServeParts;
 use crate::upstreams::stop_record::{StopRecord, StopSight};
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -1,8 +1,8 @@
 //! The upstreams as the platform's list has them, late and with outages.
 //!
 //! An id names one start of one upstream and is never used again. Leaving is final for an id. An
-//! upstream that starts again under its name replaces its earlier start at once; words on that one
-//! that come late change nothing.
+//! upstream that starts again under its name replaces its earlier start at once; what comes late of
+//! that one changes nothing.
 
 use crate::upstreams::list_order::{ListOrder, ListRevision};
 use guava_types::{
@@ -31,7 +31,7 @@
 /// each entry that is read tells what was left when it was written, some tenths of a second before.
 const COLD_NEWS_MS: u64 = 1_000;
 
-/// Names whose newest start is remembered, beyond the upstreams that are listed: late words come
+/// Names whose newest start is remembered, beyond the upstreams that are listed: late messages come
 /// within seconds, and within these no deployment replaces so many.
 const REMEMBERED_NAMES: usize = 4_096;
 
@@ -222,7 +222,7 @@
                 let cold_until = listed.entry.cold_until;
                 let is_colder = Deadline::after(cold_until.0, COLD_NEWS_MS) < entry.cold_until;
                 listed.entry = entry;
-                // A word that comes late must not end it sooner.
+                // An entry that comes late must not end it sooner.
                 listed.entry.cold_until = listed.entry.cold_until.max(cold_until);
                 listed.entry.versions = versions;
                 let is_news = listed.entry.is_leaving && !was_leaving;
@@ -312,7 +312,7 @@
         self.drop_entry(id);
     }
 
-    /// Notes which weights an upstream serves, by its own word.
+    /// Notes which weights an upstream serves, by its own report.
     pub fn note_version(&mut self, id: &UpstreamId, model: &ModelName, version: WeightVersion) {
         let Some(listed) = self.listed.get_mut(id) else { return };
         let known = listed.entry.versions.entry(model.clone()).or_default();
--- a/crates/guava-serve/tests/hear_peers.rs
+++ b/crates/guava-serve/tests/hear_peers.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use guava_serve::{PeerMessage, SharedWord, compose_message, hear_peers};
+use guava_serve::{PeerMessage, ReadMark, compose_message, hear_peers};
 use guava_types::Moment;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 fn message_with_word(as_of: Moment) -> PeerMessage {
     let sender = serve_parts("d1");
     let mut message = compose_message(&sender, news("d1"), as_of);
-    message.list = Some(SharedWord { state: 7, as_of });
+    message.list = Some(ReadMark { state: 7, as_of });
     message
 }
 
@@ -42,7 +42,7 @@
         std::thread::sleep(STALL);
         tokio::time::sleep(Duration::from_millis(100)).await;
 
-        let freshest = parts.words.borrow().list.freshest();
+        let freshest = parts.reads.borrow().list.freshest();
         freshest.map(|as_of| (sent, as_of))
     });
 
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -5,11 +5,11 @@
 mod support;
 
 use guava_serve::{
-    EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListNews, ListRevision, ListSource,
-    ListedChange, MAX_DATAGRAM_BYTES, OwnNews, PartEvent, PartKey, PartSave, PeerMessage, ReadPace,
-    STANDBYS, SentPrompt, ServeIdentity, ServeParts, SharedWord, UpstreamEntry, WeightVersion,
-    WorkShare, compose_greeting, compose_message, compose_note, compose_words, datagrams,
-    take_change, take_message,
+    EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListChanges, ListRevision,
+    ListSource, ListedChange, MAX_DATAGRAM_BYTES, OwnNews, PartEvent, PartKey, PartSave,
+    PeerMessage, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeIdentity, ServeParts,
+    UpstreamEntry, WeightVersion, WorkShare, compose_greeting, compose_message, compose_note,
+    compose_reads, datagrams, take_change, take_message,
 };
 use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
@@ -134,19 +134,19 @@
     for parts in [&reader, &other] {
         parts.upstreams.borrow_mut().note_entry(upstream("a", "app"));
         let digest = parts.upstreams.borrow().digest();
-        parts.words.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
+        parts.reads.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
     }
     let change = ListedChange::Entry(leaving(upstream("a", "app")));
     assert_eq!(take_change(&reader, change.clone(), ListSource::Store, NOW), ListChange::Leaving);
-    reader.list_news.borrow_mut().note(change, NOW);
+    reader.list_changes.borrow_mut().note(change, NOW);
     let digest = reader.upstreams.borrow().digest();
-    reader.words.borrow_mut().list.note_own(digest, NOW);
+    reader.reads.borrow_mut().list.note_own(digest, NOW);
 
     pass(&compose_message(&reader, news("d1"), NOW), &other);
 
     assert!(!other.upstreams.borrow().may_send(&id("a")));
     let digest = other.upstreams.borrow().digest();
-    let mut words = other.words.borrow_mut();
+    let mut words = other.reads.borrow_mut();
     words.list.note_state(digest);
     assert_eq!(words.list.confirmed(), Some(NOW));
 }
@@ -154,7 +154,7 @@
 #[test]
 fn message_for_other_data_centres_leaves_out_what_they_read_themselves() {
     let one = serve_parts("d1");
-    one.list_news.borrow_mut().note(ListedChange::Removed(id("a"), ListRevision(7)), NOW);
+    one.list_changes.borrow_mut().note(ListedChange::Removed(id("a"), ListRevision(7)), NOW);
     let message = compose_message(&one, news("d1"), NOW);
     assert_eq!(message.listed.len(), 1);
 
@@ -170,18 +170,18 @@
     // seconds later.
     // Cause: ages are taken from the moment of arrival, and the wait at the relay is not in them.
     let (one, two) = (serve_parts("d1"), serve_parts("d2"));
-    one.words.borrow_mut().operator.note_own(12, NOW);
-    one.words.borrow_mut().list.note_own(13, NOW);
+    one.reads.borrow_mut().operator.note_own(12, NOW);
+    one.reads.borrow_mut().list.note_own(13, NOW);
     let message = compose_message(&one, news("d1"), NOW);
     assert!(message.operator.is_some() && message.list.is_some());
     let read = NOW.minus_millis(5_000);
-    two.words.borrow_mut().operator.note_own(12, read);
-    two.words.borrow_mut().list.note_own(13, read);
+    two.reads.borrow_mut().operator.note_own(12, read);
+    two.reads.borrow_mut().list.note_own(13, read);
 
     pass(&message.for_relay().relayed(), &two);
 
-    assert_eq!(two.words.borrow().operator.confirmed(), Some(read));
-    assert_eq!(two.words.borrow().list.confirmed(), Some(read));
+    assert_eq!(two.reads.borrow().operator.confirmed(), Some(read));
+    assert_eq!(two.reads.borrow().list.confirmed(), Some(read));
 }
 
 #[test]
@@ -199,7 +199,7 @@
 fn own_message_that_comes_back_is_passed_over() {
     let one = serve_parts("d1");
     let mut message = compose_message(&one, news("d1"), NOW);
-    message.list = Some(SharedWord { state: 1, as_of: NOW });
+    message.list = Some(ReadMark { state: 1, as_of: NOW });
 
     pass(&message, &one);
 
@@ -208,7 +208,7 @@
 
 #[test]
 fn changes_are_told_for_a_while_only() {
-    let mut news = ListNews::default();
+    let mut news = ListChanges::default();
     news.note(ListedChange::Removed(id("a"), ListRevision(7)), NOW);
 
     assert_eq!(news.told(Moment(NOW.0 + 1_000)).len(), 1);
@@ -296,17 +296,17 @@
     // had a reader of its own.
     // Cause: the reader told only those near it.
     let (reader, far) = (serve_parts("d1"), serve_parts("d2"));
-    far.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 2_000));
-    reader.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 300));
+    far.reads.borrow_mut().operator.note_own(12, Moment(NOW.0 - 2_000));
+    reader.reads.borrow_mut().operator.note_own(12, Moment(NOW.0 - 300));
     reader.members.borrow_mut().note_listed();
 
-    compose_words(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &far));
+    compose_reads(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &far));
 
-    let words = far.words.borrow();
+    let words = far.reads.borrow();
     assert_eq!(words.operator.confirmed(), Some(Moment(NOW.0 - 300)));
     drop(words);
     behind_another(&far);
-    assert!(compose_words(&far, &note("d2"), NOW).is_empty(), "its own word is older");
+    assert!(compose_reads(&far, &note("d2"), NOW).is_empty(), "its own word is older");
 }
 
 #[test]
@@ -316,10 +316,10 @@
     let mut message = compose_message(&one, news("d1"), NOW);
     message.shares.insert(id("e"), share);
     pass(&message, &two);
-    one.words.borrow_mut().operator.note_own(12, NOW);
+    one.reads.borrow_mut().operator.note_own(12, NOW);
     one.members.borrow_mut().note_listed();
 
-    compose_words(&one, &note("d1"), NOW).iter().for_each(|words| pass(words, &two));
+    compose_reads(&one, &note("d1"), NOW).iter().for_each(|words| pass(words, &two));
 
     assert_eq!(two.work.borrow().total(&id("e")).running, 2);
 }
@@ -327,7 +327,7 @@
 #[test]
 fn daemons_that_come_far_behind_in_turn_tell_no_words() {
     let one = serve_parts("d1");
-    one.words.borrow_mut().operator.note_own(12, NOW);
+    one.reads.borrow_mut().operator.note_own(12, NOW);
     for place in 0..100 {
         one.members.borrow_mut().note_heard(note(&format!("other{place}")), NOW);
     }
@@ -335,7 +335,7 @@
     let turn = one.members.borrow().read_turn(&one.identity.name, NOW);
     assert!(turn > STANDBYS, "{turn}");
 
-    assert!(compose_words(&one, &note("d1"), NOW).is_empty());
+    assert!(compose_reads(&one, &note("d1"), NOW).is_empty());
 }
 
 #[test]
@@ -361,24 +361,24 @@
     reader.members.borrow_mut().note_listed();
     for parts in [&reader, &other] {
         let digest = parts.upstreams.borrow().digest();
-        parts.words.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
+        parts.reads.borrow_mut().list.note_own(digest, Moment(NOW.0 - 500));
     }
     for number in 0..160 {
         let change = ListedChange::Entry(upstream(&format!("u{number}"), "app"));
         take_change(&reader, change.clone(), ListSource::Store, NOW);
-        reader.list_news.borrow_mut().note(change, NOW);
+        reader.list_changes.borrow_mut().note(change, NOW);
     }
     let digest = reader.upstreams.borrow().digest();
-    reader.words.borrow_mut().list.note_own(digest, NOW);
+    reader.reads.borrow_mut().list.note_own(digest, NOW);
 
     let summary = compose_message(&reader, news("d1"), NOW);
-    let words = compose_words(&reader, &note("d1"), NOW);
+    let words = compose_reads(&reader, &note("d1"), NOW);
     words.iter().for_each(|words| pass(words, &other));
 
     assert!(summary.list.is_none() && summary.listed.is_empty());
     assert!(words.iter().all(|words| words.encode(NOW).len() <= MAX_DATAGRAM_BYTES));
     assert_eq!(other.upstreams.borrow().digest(), digest);
-    let mut known = other.words.borrow_mut();
+    let mut known = other.reads.borrow_mut();
     known.list.note_state(digest);
     assert_eq!(known.list.confirmed(), Some(NOW));
 }
@@ -393,17 +393,17 @@
     let (reader, other) = (serve_parts("d1"), serve_parts("d2"));
     reader.members.borrow_mut().note_listed();
     for parts in [&reader, &other] {
-        parts.words.borrow_mut().operator.note_own(12, Moment(NOW.0 - 500));
+        parts.reads.borrow_mut().operator.note_own(12, Moment(NOW.0 - 500));
     }
     reader.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment(NOW.0 - 20));
-    reader.words.borrow_mut().operator.note_own(13, NOW);
-    reader.words.borrow_mut().published_since = Some(12);
+    reader.reads.borrow_mut().operator.note_own(13, NOW);
+    reader.reads.borrow_mut().published_since = Some(12);
 
-    compose_words(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &other));
+    compose_reads(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &other));
 
     let target = other.targets.borrow().target(&model()).unwrap();
     assert_eq!((target.version, target.learned), (WeightVersion(2), Moment(NOW.0 - 20)));
-    let operator = other.words.borrow().operator;
+    let operator = other.reads.borrow().operator;
     assert_eq!(operator.confirmed(), Some(NOW));
     assert!(!operator.is_due(other_turn, pace, Moment(NOW.0 + 10)));
 }
@@ -417,13 +417,13 @@
     let pace = ReadPace::within(4_000);
     let (reader, other) = (serve_parts("d1"), serve_parts("d2"));
     reader.members.borrow_mut().note_listed();
-    other.words.borrow_mut().operator.note_own(11, Moment(NOW.0 - 500));
-    reader.words.borrow_mut().operator.note_own(13, NOW);
-    reader.words.borrow_mut().published_since = Some(12);
+    other.reads.borrow_mut().operator.note_own(11, Moment(NOW.0 - 500));
+    reader.reads.borrow_mut().operator.note_own(13, NOW);
+    reader.reads.borrow_mut().published_since = Some(12);
 
-    compose_words(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &other));
+    compose_reads(&reader, &note("d1"), NOW).iter().for_each(|words| pass(words, &other));
 
-    let operator = other.words.borrow().operator;
+    let operator = other.reads.borrow().operator;
     assert_eq!(operator.own().unwrap().state, 11);
     assert!(operator.is_due(STANDBYS + 1, pace, Moment(NOW.0 + 10)));
 }
@@ -477,11 +477,11 @@
     // Cause: the reader told only what was the freshest word that it knew.
     let reader = serve_parts("d1");
     reader.members.borrow_mut().note_listed();
-    reader.words.borrow_mut().list.note_own(7, Moment(NOW.0 - 900));
-    let later = SharedWord { state: 7, as_of: Moment(NOW.0 - 100) };
-    reader.words.borrow_mut().list.note_heard(later);
+    reader.reads.borrow_mut().list.note_own(7, Moment(NOW.0 - 900));
+    let later = ReadMark { state: 7, as_of: Moment(NOW.0 - 100) };
+    reader.reads.borrow_mut().list.note_heard(later);
 
-    let words = compose_words(&reader, &note("d1"), NOW);
+    let words = compose_reads(&reader, &note("d1"), NOW);
 
     assert_eq!(words[0].list.map(|word| word.as_of), Some(Moment(NOW.0 - 900)));
 }
@@ -507,7 +507,7 @@
         parts.upstreams.borrow_mut().order().note_position(ListRevision(11));
     }
     take_change(&behind, engine_record(2, 11), ListSource::Store, NOW);
-    behind.list_news.borrow_mut().note(engine_record(2, 11), NOW);
+    behind.list_changes.borrow_mut().note(engine_record(2, 11), NOW);
 
     let removed = ListedChange::Removed(id("e"), ListRevision(12));
     take_change(&ahead, removed, ListSource::Store, NOW);
@@ -558,7 +558,7 @@
     }
     for number in 0..40 {
         let change = ListedChange::Entry(engine(&format!("i-{number:08x}"), 2));
-        one.list_news.borrow_mut().note(change, now);
+        one.list_changes.borrow_mut().note(change, now);
     }
 
     let told = datagrams(compose_message(&one, news("d1"), now), now);
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -8,7 +8,7 @@
 use guava_serve::{
     ColdSends, DrainNotice, DrainTable, GateInput, GateState, ListChange, MemberTable, PeerMessage,
     ServeParts, ServiceRule, UpstreamEntry, UpstreamTable, closed_upstreams, compose_message,
-    compose_words, gate_state, pass_gate, take_drain, take_message,
+    compose_reads, gate_state, pass_gate, take_drain, take_message,
 };
 use guava_types::{Deadline, MemberName, Moment};
 use rand::rngs::SmallRng;
@@ -248,9 +248,9 @@
     let (one, two) = (daemon("d1"), daemon("d2"));
     one.members.borrow_mut().note_listed();
     take_drain(&one, &drain(5, true), Moment::now());
-    one.words.borrow_mut().operator.note_own(5, Moment::now());
+    one.reads.borrow_mut().operator.note_own(5, Moment::now());
 
-    for message in compose_words(&one, &note("d1"), Moment::now()) {
+    for message in compose_reads(&one, &note("d1"), Moment::now()) {
         pass(&message, &two);
     }
 
--- a/crates/guava-serve/tests/shared_words.rs
+++ b/crates/guava-serve/tests/shared_reads.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_serve::{ReadPace, STANDBYS, SharedWord, SharedWords, WordKeeper, read_as_of};
+use guava_serve::{ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of};
 use guava_types::Moment;
 use yare::parameterized;
 
@@ -14,19 +14,19 @@
 const OTHER: usize = STANDBYS + 1;
 
 /// A daemon that read state 5 at 10 s.
-fn keeper() -> WordKeeper {
-    let mut keeper = WordKeeper::default();
+fn keeper() -> ReadTracker {
+    let mut keeper = ReadTracker::default();
     keeper.note_own(5, Moment(10_000));
     keeper
 }
 
-fn heard(state: u64, as_of: u64) -> SharedWord {
-    SharedWord { state, as_of: Moment(as_of) }
+fn heard(state: u64, as_of: u64) -> ReadMark {
+    ReadMark { state, as_of: Moment(as_of) }
 }
 
 #[test]
 fn daemon_that_knows_nothing_reads() {
-    assert!(WordKeeper::default().is_due(OTHER, PACE, Moment(1)));
+    assert!(ReadTracker::default().is_due(OTHER, PACE, Moment(1)));
 }
 
 #[parameterized(
@@ -150,7 +150,7 @@
     only_publications: bool,
     expected: Option<u64>,
 ) {
-    let mut words = SharedWords { published_since: before, ..SharedWords::default() };
+    let mut words = SharedReads { published_since: before, ..SharedReads::default() };
 
     words.note_records(12, count, only_publications);
 
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -8,8 +8,8 @@
 use guava_serve::{
     CallerIdentity, DrainNotice, EndNotice, EngineSpeed, EventFramer, ExpectedLoad, ListRevision,
     ListedChange, LoadedVersion, MemberNote, MemberTable, PartKey, PartNews, PartSave, PeerMessage,
-    PrefillRate, PublishedVersion, RefusalReason, RepeatRule, RetryLimit, RetryShares, STANDBYS,
-    SendRecord, SentPrompt, ServiceInput, SharedWord, SlowLink, StoreTransfer, StoreWord,
+    PrefillRate, PublishedVersion, ReadMark, RefusalReason, RepeatRule, RetryLimit, RetryShares,
+    STANDBYS, SendRecord, SentPrompt, ServiceInput, SlowLink, StoreTransfer, StoreWord,
     UpstreamTable, WeightVersion, WorkShare, WorkTable, choose_instance, draw_service,
     first_answer_patience, return_after_ms,
 };
@@ -292,9 +292,9 @@
             is_whole: true,
             parts: vec![PartNews { key: PartKey(4), tokens: TokenCount(12_000) }],
         }],
-        operator: Some(SharedWord { state: 12, as_of: Moment(99_500) }),
+        operator: Some(ReadMark { state: 12, as_of: Moment(99_500) }),
         published_since: Some(11),
-        list: Some(SharedWord { state: 13, as_of: Moment(99_600) }),
+        list: Some(ReadMark { state: 13, as_of: Moment(99_600) }),
         loaded: vec![LoadedVersion { engine: id("e"), model: model(), version: WeightVersion(3) }],
         clock_ms: Some(5),
         listed: vec![
--- a/crates/guava-serve/tests/upstream_ends.rs
+++ b/crates/guava-serve/tests/upstream_ends.rs
@@ -7,7 +7,7 @@
 use guava_serve::{
     EndNotice, MAX_DATAGRAM_BYTES, PeerMessage, PortError, ServeParts, ServiceInput, StopPort,
     StopRecord, StopSight, UpstreamTable, WorkTable, choose_instance, compose_end_notes,
-    compose_message, compose_words, is_read_due, keep_stops, note_request_answered,
+    compose_message, compose_reads, is_read_due, keep_stops, note_request_answered,
     note_upstream_end, take_message,
 };
 use guava_types::{Deadline, Moment, RequestDigest};
@@ -132,10 +132,10 @@
     let (one, two) = (daemon("d1"), daemon("d2"));
     one.members.borrow_mut().note_listed();
     let now = Moment::now();
-    one.words.borrow_mut().operator.note_own(5, now);
+    one.reads.borrow_mut().operator.note_own(5, now);
     (0..3).for_each(|number| end_at(&one, number, &[POISON]));
 
-    pass(&compose_words(&one, &note("d1"), now), &two);
+    pass(&compose_reads(&one, &note("d1"), now), &two);
 
     assert!(is_stopped(&two, POISON));
 }
--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_platform_standins::{FleetSize, soak, soak_fleet};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -59,6 +59,11 @@
     Some(FleetSize { daemons, engines, instances, callers, span })
 }
 
+/// Another build of the program, such as one of an earlier version: `SOAK_PROGRAM=FILE`.
+fn program_by_hand() -> Option<PathBuf> {
+    std::env::var_os("SOAK_PROGRAM").map(PathBuf::from)
+}
+
 #[test]
 fn fleet_keeps_its_promises_while_servers_leave_and_processor_is_short() {
     // Guards against work for servers that left, and answers that end early, at a fleet's size.
@@ -71,12 +76,12 @@
     };
     let size = fleet_by_hand().unwrap_or(small);
     let seeds = seeds_by_hand().unwrap_or(vec![1]);
-    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
     let mut failed = Vec::new();
     for seed in seeds {
-        let broken = soak_fleet(program, folder, seed, size).unwrap();
+        let broken = soak_fleet(&program, folder, seed, size).unwrap();
         println!("seed {seed}: {} broken", broken.len());
         if !broken.is_empty() {
             failed.push((seed, broken));
