--- a/crates/guava-serve/src/upstreams/list_order.rs
+++ b/crates/guava-serve/src/upstreams/list_order.rs
@@ -41,7 +41,11 @@
         if revision < self.position || !self.admit_read(name, revision) {
             return false;
         }
-        if self.told.len() >= MOST_TOLD && !self.told.contains_key(name) {
+        if let Some(told) = self.told.get_mut(name) {
+            *told = revision;
+            return true;
+        }
+        if self.told.len() >= MOST_TOLD {
             self.forget_oldest();
         }
         self.told.insert(name.into(), revision);
