--- a/crates/guava-serve/src/members/message_split.rs
+++ b/crates/guava-serve/src/members/message_split.rs
@@ -7,12 +7,12 @@
 use guava_types::Moment;
 
 /// A message's datagrams; nearly always one.
-pub fn datagrams(message: PeerMessage, now: Moment) -> Vec<Vec<u8>> {
+pub fn datagrams(message: &PeerMessage, now: Moment) -> Vec<Vec<u8>> {
     let whole = message.encode(now);
     if whole.len() <= MAX_DATAGRAM_BYTES {
         return vec![whole];
     }
-    let (first, rest) = detach_lists(message);
+    let (first, rest) = detach_lists(message.clone());
     let mut fitting = vec![cut_shares(first, now)];
     push_fitting(rest, now, &mut fitting);
     fitting
--- a/crates/guava-serve/src/members/peer_duty.rs
+++ b/crates/guava-serve/src/members/peer_duty.rs
@@ -59,12 +59,12 @@
             let members = parts.members.borrow();
             (members.is_large(), members.near_pause_ms(), members.far_pause_ms())
         };
-        send_to_all(&socket, message.clone(), &parts, is_large).await;
+        send_to_all(&socket, &message, &parts, is_large).await;
         if is_large && far_due.passed(now) {
             far_due = Deadline::after(now, far_pause_ms);
             let relays = parts.members.borrow().relays(&parts.identity.name, number, now);
             let relays = relays.into_iter().map(|(_, address)| address).collect();
-            send(&socket, message.for_relay(), &parts, relays).await;
+            send(&socket, &message.for_relay(), &parts, relays).await;
         }
         sleep(Duration::from_millis(near_pause_ms)).await;
     }
@@ -90,7 +90,7 @@
     loop {
         let now = Moment::now();
         for reads in compose_reads(&parts, &own_note(&state), now) {
-            send_to_all(&socket, reads, &parts, false).await;
+            send_to_all(&socket, &reads, &parts, false).await;
         }
         let pause = Duration::from_millis(WORDS_PAUSE_MS);
         // Whether it is time or there is news makes no difference.
@@ -101,7 +101,7 @@
 /// Sends to all daemons, or only to those in this data centre.
 async fn send_to_all(
     socket: &UdpSocket,
-    message: PeerMessage,
+    message: &PeerMessage,
     parts: &ServeParts,
     only_near: bool,
 ) {
@@ -111,7 +111,7 @@
 
 async fn send(
     socket: &UdpSocket,
-    message: PeerMessage,
+    message: &PeerMessage,
     parts: &ServeParts,
     addresses: Vec<SocketAddr>,
 ) {
@@ -155,7 +155,7 @@
         greet_newcomers(&parts, &socket, &state).await;
         let is_large = parts.members.borrow().is_large();
         for ends in compose_end_notes(&parts, &own_note(&state), Moment::now()) {
-            send_to_all(&socket, ends.clone(), &parts, is_large).await;
+            send_to_all(&socket, &ends, &parts, is_large).await;
             if is_large {
                 tell_far(&parts, &socket, &ends, number).await;
             }
@@ -163,7 +163,7 @@
         let Some(note) = compose_note(&parts, own_note(&state)) else { continue };
         // Engines that load concern daemons everywhere.
         let only_near = is_large && note.loading.is_empty();
-        send_to_all(&socket, note.clone(), &parts, only_near).await;
+        send_to_all(&socket, &note, &parts, only_near).await;
         if only_near {
             tell_far(&parts, &socket, &note, number).await;
         }
@@ -177,7 +177,7 @@
     }
     let now = Moment::now();
     for greeting in compose_greeting(parts, &own_news(state, 0, now), now) {
-        send(socket, greeting, parts, newcomers.clone()).await;
+        send(socket, &greeting, parts, newcomers.clone()).await;
     }
 }
 
@@ -192,7 +192,7 @@
             sent.is_for_all || engine.is_some_and(|engine| engine == data_centre)
         };
         if let Some(far) = note.note_for_relay(concerns) {
-            send(socket, far, parts, vec![relay]).await;
+            send(socket, &far, parts, vec![relay]).await;
         }
     }
 }
@@ -252,7 +252,7 @@
     };
     if message.is_for_relay {
         let relayed = message.clone().relayed();
-        send_to_all(socket, relayed, parts, true).await;
+        send_to_all(socket, &relayed, parts, true).await;
     }
     take_message(parts, message, now);
 }
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -561,7 +561,7 @@
         one.list_changes.borrow_mut().note(change, now);
     }
 
-    let told = datagrams(compose_message(&one, news("d1"), now), now);
+    let told = datagrams(&compose_message(&one, news("d1"), now), now);
     for bytes in &told {
         assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
         take_message(&two, PeerMessage::decode(bytes, now).unwrap(), now);
