test: an upstream names a limit in its answers, and daemons overrun it together (red)

What callers and upstreams see: an upstream in need says in each answer how many requests a second it takes from all daemons; it goes on to get what it got before.

Six real daemons before four upstreams of a kind, one of which names 2 a second. It must still be used, and nobody may be refused while others have room.

--- /dev/null
+++ b/crates/guavatiller/tests/upstream_words.rs
@@ -0,0 +1,110 @@
+//! What upstreams say of themselves in their answers, with real daemons and upstreams.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use guava_platform_standins::{
+    DaemonProcess, PlainAnswer, PlatformDeployment, ServerArrival, ServerKind, ServerWords,
+    ServiceNames, ask, most_over_limit, request_to, send,
+};
+use guava_standins::harness::wait_until;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+/// Time after which what an upstream says must be obeyed by all daemons.
+const KNOWN: Duration = Duration::from_secs(3);
+/// Pause between two requests of a daemon's callers.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Requests sent so far, for their ids; these begin with the daemon's number.
+static SENT: AtomicUsize = AtomicUsize::new(0);
+
+struct Fleet {
+    deployment: PlatformDeployment,
+    daemons: Vec<DaemonProcess>,
+}
+
+impl Fleet {
+    /// Starts daemons before four upstreams of a kind, `s0` to `s3`.
+    fn start(daemons: usize, kind: ServerKind) -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let servers = [("s0", kind), ("s1", kind), ("s2", kind), ("s3", kind)];
+        let mut deployment = PlatformDeployment::start(program, folder, &servers);
+        let daemons: Vec<DaemonProcess> =
+            (0..daemons).map(|_| deployment.daemon().unwrap()).collect();
+        for daemon in &daemons {
+            wait_until("a daemon is ready", || {
+                ask(daemon.readiness, "/api/readiness").is_some_and(|a| a.status == 200)
+            });
+        }
+        Self { deployment, daemons }
+    }
+
+    fn say(&self, server: &str, words: ServerWords) {
+        self.deployment.servers[server].set_words(words);
+    }
+
+    /// The upstream that got most: prompts go where their parts lie.
+    fn busiest(&self) -> &str {
+        let servers = self.deployment.servers.iter();
+        let busiest = servers.max_by_key(|(_, server)| server.received().len());
+        busiest.map(|(name, _)| name.as_str()).unwrap()
+    }
+
+    fn received(&self, server: &str) -> Vec<ServerArrival> {
+        self.deployment.servers[server].received()
+    }
+
+    /// Callers of all daemons send all the while; the statuses that they got.
+    fn load(&self, path: &str, time: Duration) -> Vec<u16> {
+        let until = Instant::now() + time;
+        let call = |number: usize, daemon: &DaemonProcess| {
+            let mut statuses = Vec::new();
+            while Instant::now() < until {
+                let id = format!("{number}-{}", SENT.fetch_add(1, Ordering::Relaxed));
+                statuses.push(self.send(daemon, path, &id).map_or(0, |answer| answer.status));
+                sleep(PAUSE);
+            }
+            statuses
+        };
+        scope(|scope| {
+            let callers = self.daemons.iter().enumerate();
+            let callers: Vec<_> =
+                callers.map(|(number, daemon)| scope.spawn(move || call(number, daemon))).collect();
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+        })
+    }
+
+    fn send(&self, daemon: &DaemonProcess, path: &str, id: &str) -> Option<PlainAnswer> {
+        send(daemon.callers, &request_to("POST", path, id, ServiceNames::KEY, id))
+    }
+}
+
+fn moments(arrivals: &[ServerArrival]) -> Vec<Instant> {
+    arrivals.iter().map(|arrival| arrival.at).collect()
+}
+
+#[yare::parameterized(
+    stream = { ServerKind::Engine, "/draft/2f" },
+    idempotent = { ServerKind::Plain, "/ask/2f" },
+    non_idempotent = { ServerKind::Plain, "/submit/2f" },
+)]
+fn upstream_that_names_a_limit_is_not_overrun_by_all_daemons_together(
+    kind: ServerKind,
+    path: &str,
+) {
+    let fleet = Fleet::start(6, kind);
+    fleet.load(path, Duration::from_secs(1));
+    let server = fleet.busiest();
+    let named = Instant::now();
+    fleet.say(server, ServerWords { limit: Some("2".into()) });
+
+    let statuses = fleet.load(path, KNOWN + Duration::from_secs(6));
+
+    let arrivals = moments(&fleet.received(server));
+    assert_eq!(most_over_limit(&arrivals, named + KNOWN, 2.0), 0);
+    let later = arrivals.iter().filter(|at| **at >= named + KNOWN).count();
+    assert!(later >= 6, "{later} requests in six seconds");
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
