feat: the limits that upstreams name in answers are read, logged and counted

Nothing obeys them yet: this tells who knows of a limit, from which moment, and that it ended. Answers overtake each other, so each word has a moment; the table is a pure one, for both request paths.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O or reads a clock. The adapters at the edges carry the decisions out.
 
 mod admission;
+mod answer_words;
 mod backlog;
 mod cold_start;
 mod crash_ledger;
@@ -19,10 +20,12 @@
 mod retry;
 mod route;
 mod waiting_line;
+mod word_table;
 
 pub use admission::{
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
+pub use answer_words::{AnswerWords, LimitWord};
 pub use backlog::EngineBacklog;
 pub use cold_start::{ColdRule, SendWindow, cold_share};
 pub use crash_ledger::{
@@ -42,3 +45,4 @@
     CandidateCost, ImportOffer, NEAR_BEST, RouteCandidate, RouteDecision, RouteInput, decide_route,
 };
 pub use waiting_line::WaitingLine;
+pub use word_table::{LimitNotice, WordNews, WordTable};
--- /dev/null
+++ b/crates/guava-policy/src/word_table.rs
@@ -0,0 +1,150 @@
+//! What upstreams have said of themselves.
+//!
+//! **Limits.** A limit holds for as long as the upstream's answers name it. Answers overtake each
+//! other, so each word has a moment: an answer that names a limit counts as of its arrival, one that
+//! names none as of its request's sending, the earliest moment at which it can have been true. A limit
+//! ends with an answer to a request that was sent after the last answer that named it; silence ends
+//! nothing. Words of other daemons count as of the same moments, on this daemon's clock.
+//!
+//! An id is one start of an upstream, so that what an earlier start has said is not held against the
+//! next.
+
+use crate::answer_words::{AnswerWords, LimitWord};
+use guava_types::{Deadline, FastMap, LimitRate, Moment, UpstreamId};
+
+/// How long the words of an upstream that is not listed are kept, in milliseconds: entries that
+/// lapsed while the list was away come back under the same id.
+const KEPT_MS: u64 = 600_000;
+/// Upstreams whose words are kept at most, against messages that name ever new ones.
+const MOST_KEPT: usize = 4_096;
+
+/// An upstream's limit as daemons tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitNotice {
+    /// Which start of which upstream.
+    pub upstream: UpstreamId,
+    /// Requests a second from all daemons together; nothing if it names no limit any more.
+    pub rate: Option<LimitRate>,
+    /// When that was known.
+    pub as_of: Moment,
+}
+
+/// What a word changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WordNews {
+    /// The upstream has this limit.
+    Limited(LimitRate),
+    /// It has no limit any more.
+    Unlimited,
+    /// It says something that can't be read.
+    Unread(Box<str>),
+}
+
+#[derive(Clone, Debug, Default)]
+struct UpstreamWords {
+    limit: Option<LimitRate>,
+    /// As of when that is known.
+    limit_as_of: Moment,
+    unread: Option<Box<str>>,
+    noted: Moment,
+}
+
+/// The words of all upstreams that said any.
+#[derive(Clone, Debug, Default)]
+pub struct WordTable {
+    upstreams: FastMap<UpstreamId, UpstreamWords>,
+}
+
+impl WordTable {
+    /// Takes in an answer to a request that was sent at some moment; what is news.
+    pub fn note_answer(
+        &mut self,
+        upstream: &UpstreamId,
+        words: &AnswerWords,
+        sent: Moment,
+        now: Moment,
+    ) -> Vec<WordNews> {
+        let mut news = Vec::new();
+        news.extend(match words.limit {
+            LimitWord::None => self.note_limit(upstream, None, sent, now),
+            LimitWord::Named(rate) => self.note_limit(upstream, Some(rate), now, now),
+            LimitWord::Unread => None,
+        });
+        news.extend(self.note_unread(upstream, words, now));
+        news
+    }
+
+    /// Takes in what another daemon knows of a limit; what is news.
+    pub fn note_notice(&mut self, notice: &LimitNotice, now: Moment) -> Option<WordNews> {
+        self.note_limit(&notice.upstream, notice.rate, notice.as_of, now)
+    }
+
+    fn note_limit(
+        &mut self,
+        upstream: &UpstreamId,
+        rate: Option<LimitRate>,
+        as_of: Moment,
+        now: Moment,
+    ) -> Option<WordNews> {
+        if rate.is_none() && !self.upstreams.contains_key(upstream) {
+            return None;
+        }
+        let known = self.entry(upstream, now)?;
+        let is_old = as_of < known.limit_as_of || (rate.is_none() && as_of == known.limit_as_of);
+        if is_old {
+            return None;
+        }
+        known.limit_as_of = as_of;
+        let before = std::mem::replace(&mut known.limit, rate);
+        match rate {
+            Some(rate) if before != Some(rate) => Some(WordNews::Limited(rate)),
+            None if before.is_some() => Some(WordNews::Unlimited),
+            _ => None,
+        }
+    }
+
+    fn note_unread(
+        &mut self,
+        upstream: &UpstreamId,
+        words: &AnswerWords,
+        now: Moment,
+    ) -> Option<WordNews> {
+        let unread = words.unread.as_ref()?;
+        let known = self.entry(upstream, now)?;
+        let is_same = known.unread.replace(unread.clone()).as_ref() == Some(unread);
+        (!is_same).then(|| WordNews::Unread(unread.clone()))
+    }
+
+    /// An upstream's words; nothing if there is no room for another's.
+    fn entry(&mut self, upstream: &UpstreamId, now: Moment) -> Option<&mut UpstreamWords> {
+        if !self.upstreams.contains_key(upstream) {
+            if self.upstreams.len() >= MOST_KEPT {
+                return None;
+            }
+            self.upstreams.insert(upstream.clone(), UpstreamWords::default());
+        }
+        let known = self.upstreams.get_mut(upstream)?;
+        known.noted = now;
+        Some(known)
+    }
+
+    /// An upstream's limit, if it has one.
+    pub fn limit(&self, upstream: &UpstreamId) -> Option<LimitRate> {
+        self.upstreams.get(upstream)?.limit
+    }
+
+    /// All limits, and which are over.
+    pub fn limits(&self) -> impl Iterator<Item = LimitNotice> {
+        let was_limited = |words: &&UpstreamWords| words.limit_as_of != Moment::default();
+        self.upstreams.iter().filter(move |(_, words)| was_limited(words)).map(|(id, words)| {
+            LimitNotice { upstream: id.clone(), rate: words.limit, as_of: words.limit_as_of }
+        })
+    }
+
+    /// Forgets upstreams that are not listed and have said nothing for long.
+    pub fn sweep(&mut self, now: Moment, is_listed: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams.retain(|id, words| {
+            is_listed(id) || !Deadline::after(words.noted, KEPT_MS).passed(now)
+        });
+    }
+}
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -27,6 +27,7 @@
     store_calls: Family<KindLabel, Counter>,
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
+    words: Family<KindLabel, Counter>,
     first_answer: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -43,6 +44,7 @@
         let store_calls = Family::<KindLabel, Counter>::default();
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
+        let words = Family::<KindLabel, Counter>::default();
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
         let config_version = Gauge::default();
@@ -54,6 +56,7 @@
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         registry.register("bad_records", "Unreadable records by kind", bad_records.clone());
         registry.register("lost_messages", "Between daemons, by reason", lost_messages.clone());
+        registry.register("upstream_words", "Changes of what upstreams say", words.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -67,6 +70,7 @@
             store_calls,
             bad_records,
             lost_messages,
+            words,
             first_answer,
             whole_answer,
             config_version,
@@ -111,6 +115,11 @@
         self.lost_messages.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a change of what an upstream says of itself.
+    pub fn count_word(&self, kind: &'static str) {
+        self.words.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Records the time to an answer's first byte.
     pub fn time_first(&self, millis: u64) {
         self.first_answer.observe(seconds(millis));
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -15,6 +15,7 @@
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::upstream_ends::{note_answer, note_break, note_refused};
 use crate::upstreams::upstream_table::WeightVersion;
+use crate::upstreams::word_watch::note_words;
 use crate::upstreams::work_table::WorkTicket;
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
@@ -227,6 +228,7 @@
             Waited::TimedOut => return self.given_up(AttemptEnd::TimedOut),
         };
         let marks = (self.parts.dialect.marks)(answer.status(), answer.headers());
+        self.note_words(&marks, sent);
         // An answer to an earlier request on this connection, or a second one.
         if marks.request.as_deref().is_some_and(|answered| answered != &*self.request.id) {
             return self.lost("the answer belongs to another request");
@@ -306,10 +308,23 @@
         );
     }
 
+    /// Takes in what the upstream says of itself; what another one at its address says is not its word.
+    fn note_words(&self, marks: &AnswerMarks, sent: Moment) {
+        if !self.is_others(marks) {
+            note_words(self.parts, &self.plan.send.upstream, &marks.words, sent);
+        }
+    }
+
+    /// Whether another upstream answered.
+    fn is_others(&self, marks: &AnswerMarks) -> bool {
+        let name = self.plan.send.upstream.name();
+        marks.instance.as_deref().is_some_and(|other| other != name)
+    }
+
     fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) -> AttemptEnd {
         let mut end = AttemptEnd::Refused;
         let upstream = &self.plan.send.upstream;
-        let is_other = marks.instance.as_deref().is_some_and(|other| other != upstream.name());
+        let is_other = self.is_others(marks);
         if marks.is_unexpected && is_other {
             self.parts.upstreams.borrow_mut().note_replaced(upstream);
         } else if marks.is_unexpected {
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -24,7 +24,7 @@
 use crate::upstreams::upstream_table::UpstreamTable;
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
-use guava_policy::{CrashLedger, MemoryTrust, WaitingLine};
+use guava_policy::{CrashLedger, MemoryTrust, WaitingLine, WordTable};
 use guava_types::{DataCentre, Incarnation, MemberName, Moment, TokenCount, UpstreamId};
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
@@ -105,6 +105,8 @@
     pub drains: RefCell<DrainTable>,
     /// Sends to cold upstreams.
     pub cold_sends: RefCell<ColdSends>,
+    /// What upstreams have said of themselves.
+    pub words: RefCell<WordTable>,
     /// Sends that broke off, until it is known whether their upstreams ended.
     pub ends: RefCell<EndWatch>,
     /// Upstreams' ends, and requests that are stopped for them.
@@ -177,6 +179,7 @@
             upstreams: RefCell::default(),
             drains: RefCell::default(),
             cold_sends: RefCell::new(ColdSends::new(Moment::now())),
+            words: RefCell::default(),
             ends: RefCell::default(),
             ledger: RefCell::default(),
             crash_words: RefCell::default(),
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -14,4 +14,5 @@
 pub(crate) mod stop_record;
 pub(crate) mod upstream_ends;
 pub(crate) mod upstream_table;
+pub(crate) mod word_watch;
 pub(crate) mod work_table;
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use guava_policy::AnswerWords;
 use guava_serve::{
     AcceptedRequest, AnswerMarks, Dialect, ExpectedLoad, RefusalReason, RepeatRule, RetryLimit,
     ServeBounds, ServeIdentity, ServeOutcome, ServeParts, UpstreamEntry, VersionLimits,
@@ -21,6 +22,12 @@
     headers.get(name)?.to_str().ok().map(Into::into)
 }
 
+fn words(headers: &HeaderMap) -> AnswerWords {
+    let mut words = AnswerWords::default();
+    words.read_limit(headers.get_all("x-limit").iter().map(|value| value.as_bytes()));
+    words
+}
+
 fn dialect() -> Dialect {
     Dialect {
         encode: |request, plan| {
@@ -45,6 +52,7 @@
             is_last: false,
             is_framed: headers.contains_key("content-length")
                 || headers.contains_key("transfer-encoding"),
+            words: words(headers),
         },
         strip: |headers| drop(headers.remove("transfer-encoding")),
     }
--- a/crates/guava-types/src/units.rs
+++ b/crates/guava-types/src/units.rs
@@ -76,3 +76,64 @@
     RequestRate,
     "requests/s"
 );
+
+/// Requests a second that an upstream takes, to the thousandth.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+pub struct LimitRate(u64);
+
+/// Thousandths of a request a second to one request a second, and milliseconds to a second.
+const THOUSAND: u64 = 1_000;
+
+impl LimitRate {
+    /// A rate in requests a second; nothing if that is negative or no number.
+    pub fn per_second(requests: f64) -> Option<Self> {
+        // The cast is to the nearest value that there is: rates beyond any real one stay very large.
+        let thousandths = (requests * THOUSAND as f64).round() as u64;
+        (requests.is_finite() && requests >= 0.0).then_some(Self(thousandths))
+    }
+
+    /// A rate in thousandths of a request a second.
+    pub fn from_thousandths(thousandths: u64) -> Self {
+        Self(thousandths)
+    }
+
+    /// The rate in thousandths of a request a second.
+    pub fn thousandths(self) -> u64 {
+        self.0
+    }
+
+    /// Whole requests in so many milliseconds.
+    pub fn requests_in(self, millis: u64) -> u64 {
+        self.0.saturating_mul(millis) / (THOUSAND * THOUSAND)
+    }
+}
+
+impl fmt::Display for LimitRate {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} requests/s", self.0 as f64 / THOUSAND as f64)
+    }
+}
+
+impl FromStr for LimitRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let expected = "a number and the unit, as in \"2.7 requests/s\"";
+        text.strip_suffix("requests/s")
+            .and_then(|number| number.trim_end().parse().ok())
+            .and_then(Self::per_second)
+            .ok_or_else(|| UnitError { expected, found: text.into() })
+    }
+}
