test: an upstream says in its answers that it leaves, and goes on to get work (red)

Three real daemons before four upstreams of a kind; one says in each answer that it leaves, while its heartbeats call it ready. Later than two seconds after the first such answer it got 26 (once at most), 34 (repeatable) and 17 (streams) requests.

--- a/crates/guavatiller/tests/upstream_words.rs
+++ b/crates/guavatiller/tests/upstream_words.rs
@@ -14,6 +14,8 @@
 
 /// Time after which what an upstream says must be obeyed by all daemons.
 const KNOWN: Duration = Duration::from_secs(3);
+/// Time after which an upstream that has said to a daemon that it leaves gets nothing from it.
+const DRAIN: Duration = Duration::from_secs(2);
 /// Pause between two requests of a daemon's callers.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Requests sent so far, for their ids; these begin with the daemon's number.
@@ -98,7 +100,7 @@
     fleet.load(path, Duration::from_secs(1));
     let server = fleet.busiest();
     let named = Instant::now();
-    fleet.say(server, ServerWords { limit: Some("2".into()) });
+    fleet.say(server, ServerWords { limit: Some("2".into()), ..ServerWords::default() });
 
     let statuses = fleet.load(path, KNOWN + Duration::from_secs(6));
 
@@ -108,3 +110,32 @@
     assert!(later >= 6, "{later} requests in six seconds");
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[yare::parameterized(
+    stream = { ServerKind::Engine, "/draft/2f" },
+    idempotent = { ServerKind::Plain, "/ask/2f" },
+    non_idempotent = { ServerKind::Plain, "/submit/2f" },
+)]
+fn upstream_that_says_it_leaves_gets_no_more_though_the_list_has_it_serving(
+    kind: ServerKind,
+    path: &str,
+) {
+    let fleet = Fleet::start(3, kind);
+    fleet.load(path, Duration::from_secs(1));
+    let server = fleet.busiest();
+    let said = Instant::now();
+    fleet.say(server, ServerWords { is_leaving: true, ..ServerWords::default() });
+
+    // Its heartbeat goes on to call it ready.
+    let statuses: Vec<u16> = (0..4)
+        .flat_map(|_| {
+            fleet.deployment.list(server, "ready");
+            fleet.load(path, Duration::from_secs(1))
+        })
+        .collect();
+
+    let arrivals = moments(&fleet.received(server));
+    let late = arrivals.iter().filter(|at| **at > said + DRAIN).count();
+    assert_eq!(late, 0, "of {}", arrivals.len());
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
