test: an upstream asks a daemon for rest and gets none (red)

Three real daemons before four upstreams of a kind; one refuses with 503 and two seconds of rest. Within such a rest, from half a second on, one daemon sends it 10 (once at most), 13 (repeatable) and 3 (streams) requests.

--- a/crates/guavatiller/tests/upstream_words.rs
+++ b/crates/guavatiller/tests/upstream_words.rs
@@ -4,7 +4,7 @@
 
 use guava_platform_standins::{
     DaemonProcess, PlainAnswer, PlatformDeployment, ServerArrival, ServerKind, ServerWords,
-    ServiceNames, ask, most_over_limit, request_to, send,
+    ServiceNames, ask, most_in_rest, most_over_limit, request_to, send,
 };
 use guava_standins::harness::wait_until;
 use std::path::Path;
@@ -16,6 +16,8 @@
 const KNOWN: Duration = Duration::from_secs(3);
 /// Time after which an upstream that has said to a daemon that it leaves gets nothing from it.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Requests that an upstream may get within a rest that it asked for.
+const MOST_IN_REST: usize = 2;
 /// Pause between two requests of a daemon's callers.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Requests sent so far, for their ids; these begin with the daemon's number.
@@ -139,3 +141,26 @@
     assert_eq!(late, 0, "of {}", arrivals.len());
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[yare::parameterized(
+    stream = { ServerKind::Engine, "/draft/2f" },
+    idempotent = { ServerKind::Plain, "/ask/2f" },
+    non_idempotent = { ServerKind::Plain, "/submit/2f" },
+)]
+fn upstream_that_asks_a_daemon_for_rest_gets_it(kind: ServerKind, path: &str) {
+    let fleet = Fleet::start(3, kind);
+    fleet.load(path, Duration::from_secs(1));
+    let server = fleet.busiest();
+    fleet.say(server, ServerWords { rest: Some("2".into()), ..ServerWords::default() });
+
+    let statuses = fleet.load(path, Duration::from_secs(5));
+
+    let received = fleet.received(server);
+    for daemon in 0..3 {
+        let own = format!("{daemon}-");
+        let arrivals: Vec<&ServerArrival> =
+            received.iter().filter(|arrival| arrival.id.starts_with(&own)).collect();
+        assert!(most_in_rest(&arrivals) <= MOST_IN_REST, "{}", most_in_rest(&arrivals));
+    }
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
