fix: an upstream that asked a daemon for rest gets nothing from it until then

What callers and upstreams saw: engines refused with 503 and three seconds of rest, and got three to five requests more from the same daemon meanwhile; each refusal cost a request one of its four tries, and time.

Cause: a refusal counted as full or loading for half a second, whatever it said, and an engine that refuses everything looks idle. Class: knowledge at hand that is not read; as with limits, what one request was told must hold for all of its daemon's.

Change: the time (seconds, fractions or a date; ten minutes at most; the longest of several) closes the upstream to this daemon at the gate, also for reports and orders, and stores of cached parts for calls. Ends are spread over an eighth of the rest. If all upstreams of a service are closed, a request is refused at once with the time at which the first may get one again. A send that the gate holds back after the choice uses up no try.

--- a/crates/guava-policy/src/answer_words.rs
+++ b/crates/guava-policy/src/answer_words.rs
@@ -3,10 +3,17 @@
 //! The values are read here, the same for every protocol; which header holds which is the
 //! protocol's.
 
-use guava_types::LimitRate;
+use guava_types::{Deadline, LimitRate, Moment};
+use std::time::SystemTime;
 
 /// Length at which an unreadable value is cut, in characters.
 const SHOWN: usize = 40;
+/// Longest rest that is granted, in milliseconds: a mistaken value must not take an upstream away for
+/// good.
+const LONGEST_REST_MS: f64 = 600_000.0;
+/// Part of a rest by which its end is put off at most, so that those who were refused together don't
+/// return together.
+const SPREAD_PART: u64 = 8;
 
 /// A limit as an answer names it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,6 +34,8 @@
     pub limit: LimitWord,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// Until when it wants nothing from this daemon, if it refused and asks for rest.
+    pub rest_until: Option<Deadline>,
     /// A value that can't be read, if there is one.
     pub unread: Option<Box<str>>,
 }
@@ -61,7 +70,40 @@
         }
     }
 
+    /// Reads the values of a refusal's `Retry-After`: seconds, also in fractions, or a date. Of several
+    /// the longest holds.
+    pub fn read_rest<'a>(&mut self, values: impl Iterator<Item = &'a [u8]>, now: Moment) {
+        for value in values {
+            let text = String::from_utf8_lossy(value);
+            match rest_ms(text.trim()) {
+                None => self.note_unread(&text),
+                Some(0) => {}
+                Some(millis) => {
+                    self.rest_until = self.rest_until.max(Some(Deadline::after(now, millis)));
+                }
+            }
+        }
+    }
+
     fn note_unread(&mut self, text: &str) {
         self.unread = Some(text.chars().take(SHOWN).collect::<String>().into());
     }
 }
+
+fn rest_ms(text: &str) -> Option<u64> {
+    let millis = match text.parse::<f64>() {
+        Ok(seconds) => seconds * 1_000.0,
+        // A date that is over asks for nothing.
+        Err(_) => {
+            let date = httpdate::parse_http_date(text).ok()?;
+            date.duration_since(SystemTime::now()).unwrap_or_default().as_millis() as f64
+        }
+    };
+    (millis >= 0.0).then(|| millis.min(LONGEST_REST_MS).ceil() as u64)
+}
+
+/// The end of a rest, put off by a part of it that a random number draws.
+pub fn spread_rest(until: Deadline, now: Moment, draw: u64) -> Deadline {
+    let most_ms = until.millis_left(now) / SPREAD_PART;
+    Deadline::after(until.0, draw % (most_ms + 1))
+}
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -26,7 +26,7 @@
 pub use admission::{
     AdmitDecision, AdmitOptions, AdmitTurn, CustomerUse, FairAdmission, ReturnAfter, WaitingRequest,
 };
-pub use answer_words::{AnswerWords, LimitWord};
+pub use answer_words::{AnswerWords, LimitWord, spread_rest};
 pub use backlog::EngineBacklog;
 pub use cold_start::{ColdRule, cold_share};
 pub use crash_ledger::{
--- a/crates/guava-policy/src/word_table.rs
+++ b/crates/guava-policy/src/word_table.rs
@@ -9,6 +9,9 @@
 //! **Leaving** is final for an id: neither another answer nor the platform's list, which may be late by
 //! many seconds, takes it back.
 //!
+//! **Rest** is asked of one daemon, and other daemons are not told. A later word may make it longer, not
+//! shorter: answers overtake each other, and whoever sent the longer one still counts on it.
+//!
 //! An id is one start of an upstream, so that what an earlier start has said is not held against the
 //! next.
 
@@ -52,6 +55,8 @@
     Unlimited,
     /// It leaves.
     Leaving,
+    /// It gets nothing from this daemon until then.
+    Resting(Deadline),
     /// It says something that can't be read.
     Unread(Box<str>),
 }
@@ -65,7 +70,7 @@
                 rate.thousandths() < before.thousandths() * URGENT_PERCENT / 100
             }
             Self::Limited { before: None, .. } | Self::Leaving => true,
-            Self::Unlimited | Self::Unread(_) => false,
+            Self::Unlimited | Self::Resting(_) | Self::Unread(_) => false,
         }
     }
 }
@@ -77,6 +82,8 @@
     limit_as_of: Moment,
     /// Since when it is known to leave, if it does.
     leaving_since: Option<Moment>,
+    /// Until when it wants nothing from this daemon.
+    rest_until: Option<Deadline>,
     unread: Option<Box<str>>,
     noted: Moment,
 }
@@ -105,6 +112,7 @@
         if words.is_leaving {
             news.extend(self.note_leaving(upstream, now));
         }
+        news.extend(words.rest_until.and_then(|until| self.note_rest(upstream, until, now)));
         news.extend(self.note_unread(upstream, words, now));
         news
     }
@@ -122,6 +130,23 @@
         (!is_known).then_some(WordNews::Leaving)
     }
 
+    fn note_rest(
+        &mut self,
+        upstream: &UpstreamId,
+        until: Deadline,
+        now: Moment,
+    ) -> Option<WordNews> {
+        let known = self.entry(upstream, now)?;
+        let before = known.rest_until.unwrap_or_default();
+        known.rest_until = Some(until.max(before));
+        (until > before).then_some(WordNews::Resting(until))
+    }
+
+    /// Notes that an upstream gets a request; whether that ends a rest.
+    pub fn note_send(&mut self, upstream: &UpstreamId) -> bool {
+        self.upstreams.get_mut(upstream).is_some_and(|words| words.rest_until.take().is_some())
+    }
+
     fn note_limit(
         &mut self,
         upstream: &UpstreamId,
@@ -200,6 +225,12 @@
         self.upstreams.get(upstream).is_some_and(|words| words.leaving_since.is_some())
     }
 
+    /// Until when an upstream wants nothing from this daemon, if that is not over.
+    pub fn rest_until(&self, upstream: &UpstreamId, now: Moment) -> Option<Deadline> {
+        let until = self.upstreams.get(upstream)?.rest_until?;
+        (!until.passed(now)).then_some(until)
+    }
+
     /// Upstreams that are lately known to leave, for other daemons.
     pub fn lately_leaving(&self, now: Moment) -> impl Iterator<Item = &UpstreamId> {
         let is_told = move |since: Moment| !Deadline::after(since, TOLD_MS).passed(now);
--- a/crates/guava-policy/tests/word_table.rs
+++ b/crates/guava-policy/tests/word_table.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves, in answers that overtake each other.
 
-use guava_policy::{AnswerWords, LimitNotice, LimitWord, WordNews, WordTable};
-use guava_types::{LimitRate, Moment, UpstreamId};
+use guava_policy::{AnswerWords, LimitNotice, LimitWord, WordNews, WordTable, spread_rest};
+use guava_types::{Deadline, LimitRate, Moment, UpstreamId};
 use yare::parameterized;
 
 fn id(name: &str) -> UpstreamId {
@@ -152,3 +152,71 @@
     assert_eq!(table.lately_leaving(Moment(70)).count(), 1);
     assert_eq!(table.lately_leaving(Moment(30_000)).count(), 0);
 }
+
+fn read_rest(values: &[&str]) -> AnswerWords {
+    let mut words = AnswerWords::default();
+    words.read_rest(values.iter().map(|value| value.as_bytes()), Moment(1_000));
+    words
+}
+
+#[parameterized(
+    seconds = { &["3"], Some(4_000), false },
+    fraction = { &["0.25"], Some(1_250), false },
+    longest_of_two = { &["1", "3"], Some(4_000), false },
+    nothing = { &["0"], None, false },
+    day_is_cut = { &["86400"], Some(601_000), false },
+    endless_is_cut = { &["inf"], Some(601_000), false },
+    negative = { &["-3"], None, true },
+    no_number = { &["NaN"], None, true },
+    text = { &["soon"], None, true },
+    date_that_is_over = { &["Sun, 06 Nov 1994 08:49:37 GMT"], None, false },
+    absent = { &[], None, false },
+)]
+fn value_of_a_rest_is_read_or_told_to_be_unreadable(
+    values: &[&str],
+    until: Option<u64>,
+    is_unread: bool,
+) {
+    let words = read_rest(values);
+
+    assert_eq!(words.rest_until, until.map(|until| Deadline(Moment(until))));
+    assert_eq!(words.unread.is_some(), is_unread);
+}
+
+#[test]
+fn rest_until_a_date_is_read() {
+    let date = std::time::SystemTime::now() + std::time::Duration::from_secs(30);
+
+    let words = read_rest(&[&httpdate::fmt_http_date(date)]);
+
+    let left_ms = words.rest_until.unwrap_or_default().millis_left(Moment(1_000));
+    assert!((28_000..=30_000).contains(&left_ms), "{left_ms}");
+}
+
+#[test]
+fn rest_is_made_longer_by_later_words_and_not_shorter() {
+    let mut table = WordTable::default();
+    let rest =
+        |until| AnswerWords { rest_until: Some(Deadline(Moment(until))), ..AnswerWords::default() };
+    table.note_answer(&id("u"), &rest(3_000), Moment(10), Moment(20));
+
+    let shorter = table.note_answer(&id("u"), &rest(2_000), Moment(30), Moment(40));
+    let longer = table.note_answer(&id("u"), &rest(5_000), Moment(50), Moment(60));
+    table.note_answer(&id("u"), &AnswerWords::default(), Moment(70), Moment(80));
+
+    assert_eq!(shorter, []);
+    assert_eq!(longer, [WordNews::Resting(Deadline(Moment(5_000)))]);
+    assert!(table.rest_until(&id("u"), Moment(4_999)).is_some());
+    assert!(table.rest_until(&id("u"), Moment(5_000)).is_none());
+    assert!(table.note_send(&id("u")) && !table.note_send(&id("u")), "ends once");
+}
+
+#[test]
+fn rests_that_begin_together_do_not_end_together() {
+    let until = Deadline(Moment(4_000));
+    let ends: Vec<u64> =
+        (0..8).map(|draw| spread_rest(until, Moment(1_000), draw * 50).0.0).collect();
+
+    assert!(ends.iter().all(|end| (4_000..=4_375).contains(end)), "{ends:?}");
+    assert!(ends.windows(2).all(|pair| pair[0] != pair[1]), "{ends:?}");
+}
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -83,7 +83,7 @@
 pub use upstreams::send_ledger::SendLedger;
 pub use upstreams::stop_duty::{is_read_due, keep_stops};
 pub use upstreams::stop_record::{StopRecord, StopSight};
-pub use upstreams::upstream_call::call_upstream;
+pub use upstreams::upstream_call::{call_store, call_upstream};
 pub use upstreams::upstream_ends::{note_request_answered, note_upstream_end};
 pub use upstreams::upstream_table::{ListChange, UpstreamEntry, UpstreamTable, WeightVersion};
 pub use upstreams::word_watch::note_words;
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -11,6 +11,7 @@
 use crate::upstreams::drain_table::DrainTable;
 use crate::upstreams::send_ledger::SendLedger;
 use crate::upstreams::upstream_table::UpstreamEntry;
+use crate::upstreams::word_watch::note_send;
 use guava_policy::{ColdRule, LimitNotice, SendShare, WordTable, cold_share, limit_share};
 use guava_types::{Deadline, LimitRate, MemberName, Moment, UpstreamId};
 
@@ -64,6 +65,9 @@
     if input.words.is_leaving(&entry.id) {
         return GateState::Closed { reason: "leaving", until: None };
     }
+    if let Some(Deadline(until)) = input.words.rest_until(&entry.id, now) {
+        return GateState::Closed { reason: "rest", until: Some(until) };
+    }
     let limit = input.words.limit(&entry.id);
     if let Some(limit) = limit {
         let share = limit_part(input.members, input.me, &entry.id, limit);
@@ -182,7 +186,7 @@
         }
     };
     if state.is_open() {
-        parts.sends.borrow_mut().note(upstream, now);
+        note_send(parts, upstream, now);
     }
     state
 }
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -25,7 +25,9 @@
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_policy::{CrashLedger, MemoryTrust, WaitingLine, WordTable};
-use guava_types::{DataCentre, Incarnation, MemberName, Moment, TokenCount, UpstreamId};
+use guava_types::{
+    DataCentre, Deadline, FastMap, Incarnation, MemberName, Moment, TokenCount, UpstreamId,
+};
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
 use std::hash::{Hash, Hasher};
@@ -107,6 +109,8 @@
     pub sends: RefCell<SendLedger>,
     /// What upstreams have said of themselves.
     pub words: RefCell<WordTable>,
+    /// Until when stores of cached parts want nothing from this daemon.
+    pub store_rests: RefCell<FastMap<SocketAddr, Deadline>>,
     /// Upstreams whose words other daemons are to be told at once.
     pub words_due: RefCell<Vec<UpstreamId>>,
     /// Sends that broke off, until it is known whether their upstreams ended.
@@ -182,6 +186,7 @@
             drains: RefCell::default(),
             sends: RefCell::new(SendLedger::new(Moment::now())),
             words: RefCell::default(),
+            store_rests: RefCell::default(),
             words_due: RefCell::default(),
             ends: RefCell::default(),
             ledger: RefCell::default(),
--- a/crates/guava-serve/src/upstreams/http_call.rs
+++ b/crates/guava-serve/src/upstreams/http_call.rs
@@ -12,6 +12,7 @@
 
 /// Why a call gave nothing.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum CallError {
     /// No connection or no answer.
     #[snafu(display("{source}"), context(false))]
@@ -22,6 +23,9 @@
     /// No answer in time.
     #[snafu(display("no answer in time"))]
     Late,
+    /// The other side asked for rest, so the call is not made.
+    #[snafu(display("it asked for rest"))]
+    Resting,
     /// The answer broke off.
     #[snafu(display("the answer broke off"))]
     Broken,
--- a/crates/guava-serve/src/upstreams/word_watch.rs
+++ b/crates/guava-serve/src/upstreams/word_watch.rs
@@ -3,7 +3,7 @@
 use crate::events;
 use crate::serve_parts::ServeParts;
 use guava_log::log_event;
-use guava_policy::{AnswerWords, LimitNotice, WordNews};
+use guava_policy::{AnswerWords, LimitNotice, WordNews, spread_rest};
 use guava_types::{MemberName, Moment, UpstreamId};
 use std::fmt::Display;
 
@@ -13,7 +13,10 @@
 /// Takes in what an answer says of its upstream, to a request that was sent at some moment.
 pub fn note_words(parts: &ServeParts, upstream: &UpstreamId, words: &AnswerWords, sent: Moment) {
     let now = Moment::now();
-    let news = parts.words.borrow_mut().note_answer(upstream, words, sent, now);
+    let spread = |until| spread_rest(until, now, rand::random());
+    let rest_until = words.rest_until.map(spread);
+    let words = AnswerWords { rest_until, ..words.clone() };
+    let news = parts.words.borrow_mut().note_answer(upstream, &words, sent, now);
     for news in &news {
         log_news(parts, upstream, news, &"answer", now, now);
         if news.is_urgent() {
@@ -23,6 +26,14 @@
     }
 }
 
+/// Notes that an upstream gets a request, after a rest if it had asked for one.
+pub fn note_send(parts: &ServeParts, upstream: &UpstreamId, now: Moment) {
+    parts.sends.borrow_mut().note(upstream, now);
+    if parts.words.borrow_mut().note_send(upstream) {
+        log_word(parts, upstream, "rest-over", "", &"clock", 0);
+    }
+}
+
 /// Takes in what another daemon knows of an upstream's limit.
 pub fn take_limit(parts: &ServeParts, notice: &LimitNotice, source: &MemberName, now: Moment) {
     let news = parts.words.borrow_mut().note_notice(notice, now);
@@ -86,8 +97,20 @@
         WordNews::Limited { rate, .. } => ("limit", rate.to_string().into()),
         WordNews::Unlimited => ("no-limit", "".into()),
         WordNews::Leaving => ("leaving", "".into()),
+        WordNews::Resting(until) => ("rest", format!("{} ms", until.millis_left(now)).into()),
         WordNews::Unread(value) => ("unreadable", value.clone()),
     };
+    log_word(parts, upstream, word, &value, source, now.millis_since(as_of));
+}
+
+fn log_word(
+    parts: &ServeParts,
+    upstream: &UpstreamId,
+    word: &'static str,
+    value: &str,
+    source: &impl Display,
+    age_ms: u64,
+) {
     parts.metrics.count_word(word);
     log_event!(
         info,
@@ -96,6 +119,6 @@
         word = word,
         value = value,
         source = source,
-        age_ms = now.millis_since(as_of)
+        age_ms = age_ms
     );
 }
--- a/crates/guava-serve/tests/answer_words.rs
+++ b/crates/guava-serve/tests/answer_words.rs
@@ -5,14 +5,14 @@
 mod support;
 
 use guava_serve::{
-    AcceptedRequest, RefusalReason, RepeatRule, ServeOutcome, ServeParts, call_request,
+    AcceptedRequest, RefusalReason, RepeatRule, ServeOutcome, ServeParts, call_request, call_store,
     call_upstream, serve_request,
 };
-use guava_types::{Deadline, LimitRate};
+use guava_types::{Deadline, LimitRate, Moment};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use support::scripted::{ScriptStep, ScriptedUpstream, chunk, last_chunk, whole};
-use support::served::{parts, read, run};
+use support::served::{Got, parts, read, run};
 use support::{config, id, request, route};
 use yare::parameterized;
 
@@ -122,7 +122,7 @@
         parts.upstreams.borrow_mut().note_ended(&id("u1"), Deadline::in_millis(20));
         let request = ask(RepeatRule::ResumableStream);
         let outcome = serve_request(&parts, &Rc::new(config(1)), request).await;
-        parts.words.borrow_mut().note_leaving(&id("u1"), guava_types::Moment::now());
+        parts.words.borrow_mut().note_leaving(&id("u1"), Moment::now());
         read(outcome).await;
     });
 
@@ -166,7 +166,7 @@
         let deadline = Deadline::in_millis(1_000);
         let called = call_upstream(&parts, &id("u0"), upstream.address, call, deadline, 100).await;
         assert!(called.is_ok());
-        let sends = parts.sends.borrow().count(&id("u0"), 1_000, guava_types::Moment::now());
+        let sends = parts.sends.borrow().count(&id("u0"), 1_000, Moment::now());
         (parts.words.borrow().limit(&id("u0")), sends)
     });
 
@@ -219,3 +219,115 @@
     assert!(waited < Duration::from_millis(100), "{waited:?}");
     assert_eq!(limited.requests().len(), 1);
 }
+
+#[parameterized(
+    refusal = { "503 Full", "x-not-run: 1\r\n" },
+    without_a_promise = { "503 Gone", "" },
+    too_many = { "429 Too Many", "x-not-run: 1\r\n" },
+)]
+fn rest_is_read_from_every_refusal(status: &str, headers: &str) {
+    let upstream = says(status, &format!("{headers}retry-after: 30\r\n"));
+
+    let parts = served_by(&upstream, RepeatRule::NonIdempotent);
+
+    assert!(parts.words.borrow().rest_until(&id("u0"), Moment::now()).is_some());
+}
+
+#[test]
+fn success_that_names_a_time_asks_for_no_rest() {
+    let upstream = says("200 OK", "retry-after: 30\r\n");
+
+    let parts = served_by(&upstream, RepeatRule::NonIdempotent);
+
+    assert!(parts.words.borrow().rest_until(&id("u0"), Moment::now()).is_none());
+}
+
+#[parameterized(
+    idempotent = { RepeatRule::Idempotent },
+    non_idempotent = { RepeatRule::NonIdempotent },
+    stream = { RepeatRule::Stream },
+    resumable = { RepeatRule::ResumableStream },
+)]
+fn upstream_that_asked_for_rest_costs_later_requests_no_try(repeat: RepeatRule) {
+    let refusal = "x-not-run: 1\r\nretry-after: 1\r\n";
+    let resting: Vec<ScriptedUpstream> = (0..3).map(|_| says("503 Shed", refusal)).collect();
+    let serving = says("200 OK", "");
+
+    let outcomes = run(async {
+        let mut all: Vec<&ScriptedUpstream> = resting.iter().collect();
+        all.push(&serving);
+        let parts = parts(&all);
+        let config = Rc::new(config(1));
+        let mut outcomes = Vec::new();
+        for _ in 0..12 {
+            outcomes.push(serve_request(&parts, &config, ask(repeat)).await);
+        }
+        outcomes
+    });
+
+    assert!(outcomes.iter().all(|outcome| matches!(outcome, ServeOutcome::Answered(_))));
+    assert!(resting.iter().all(|one| one.requests().len() <= 1));
+}
+
+#[test]
+fn request_is_refused_at_once_until_the_first_rest_is_over() {
+    let refusal = |seconds: u32| format!("x-not-run: 1\r\nretry-after: {seconds}\r\n");
+    let (one, two) = (says("503 Shed", &refusal(8)), says("503 Shed", &refusal(30)));
+
+    let (outcome, waited) = run(async {
+        let parts = parts(&[&one, &two]);
+        let config = Rc::new(config(1));
+        drop(serve_request(&parts, &config, ask(RepeatRule::NonIdempotent)).await);
+        let begun = Instant::now();
+        let outcome = serve_request(&parts, &config, ask(RepeatRule::NonIdempotent)).await;
+        (outcome, begun.elapsed())
+    });
+
+    let ServeOutcome::NotRun { reason, return_after_ms } = outcome else { panic!("not refused") };
+    assert_eq!(reason, RefusalReason::UpstreamsClosed);
+    assert!((7_500..9_500).contains(&return_after_ms), "{return_after_ms}");
+    assert!(waited < Duration::from_millis(100), "{waited:?}");
+    assert_eq!((one.requests().len(), two.requests().len()), (1, 1));
+}
+
+#[test]
+fn upstream_gets_work_again_after_its_rest() {
+    let wakes = ScriptedUpstream::start(vec![
+        vec![whole("503 Shed", "x-not-run: 1\r\nretry-after: 0.1\r\n", "")],
+        vec![whole("200 OK", "", "awake")],
+    ]);
+
+    let outcome = run(async {
+        let parts = parts(&[&wakes]);
+        let config = Rc::new(config(1));
+        drop(serve_request(&parts, &config, ask(RepeatRule::NonIdempotent)).await);
+        tokio::time::sleep(Duration::from_millis(130)).await;
+        read(serve_request(&parts, &config, ask(RepeatRule::NonIdempotent)).await).await
+    });
+
+    assert_eq!(outcome, Got::Answer { status: 200, body: "awake".to_owned(), is_whole: true });
+}
+
+#[test]
+fn call_is_not_made_to_what_asked_for_rest() {
+    let resting = says("503 Shed", "retry-after: 30\r\n");
+
+    let results = run(async {
+        let parts = parts(&[&resting]);
+        let mut results = Vec::new();
+        for _ in 0..2 {
+            let call = call_request(http::Method::GET, resting.address, "/report", Vec::new());
+            let deadline = Deadline::in_millis(1_000);
+            let upstream = id("u0");
+            let called = call_upstream(&parts, &upstream, resting.address, call, deadline, 100);
+            results.push(called.await.is_ok());
+            let call = call_request(http::Method::GET, resting.address, "/events", Vec::new());
+            let called = call_store(&parts, resting.address, call, deadline, 100);
+            results.push(called.await.is_ok());
+        }
+        results
+    });
+
+    assert_eq!(results, [true, true, false, false], "an upstream and a store, twice each");
+    assert_eq!(resting.requests().len(), 2);
+}
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -7,6 +7,7 @@
     AnswerMarks, Dialect, RetryLimit, ServeBounds, ServeIdentity, ServeOutcome, ServeParts,
     UpstreamEntry, VersionLimits,
 };
+use guava_types::Moment;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use std::rc::Rc;
@@ -15,10 +16,14 @@
     headers.get(name)?.to_str().ok().map(Into::into)
 }
 
-fn words(headers: &HeaderMap) -> AnswerWords {
+fn words(status: StatusCode, headers: &HeaderMap) -> AnswerWords {
     let mut words = AnswerWords::default();
     words.read_limit(headers.get_all("x-limit").iter().map(|value| value.as_bytes()));
     words.read_leaving(headers.get_all("x-leaving").iter().map(|value| value.as_bytes()));
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        let rests = headers.get_all("retry-after").iter().map(|value| value.as_bytes());
+        words.read_rest(rests, Moment::now());
+    }
     words
 }
 
@@ -47,7 +52,7 @@
             is_last: false,
             is_framed: headers.contains_key("content-length")
                 || headers.contains_key("transfer-encoding"),
-            words: words(headers),
+            words: words(status, headers),
         },
         strip: |headers| drop(headers.remove("transfer-encoding")),
     }
