--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -5,6 +5,7 @@
 use crate::engine_faults::EngineFaults;
 use crate::engine_stream::{Run, RunBuffer, stream_run};
 use crate::process_end::ends_under;
+use crate::said_words::with_words;
 use crate::serve::Shared;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
@@ -484,7 +485,7 @@
         instance: uuid::Uuid::new_v4().simple().to_string().into(),
     };
     tokio::spawn(sample_reports(server.clone()));
-    Router::new()
+    let router = Router::new()
         .route("/v1/completions", post(complete))
         .route("/runs/{run}", get(resume))
         .route("/runs/{run}/cancel", post(cancel))
@@ -496,5 +497,6 @@
         .route("/evict", post(evict_all))
         .route("/stats", get(stats))
         .layer(DefaultBodyLimit::max(64 << 20))
-        .with_state(server)
+        .with_state(server);
+    with_words(router)
 }
--- a/crates/guava-standins/src/lib.rs
+++ b/crates/guava-standins/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod overhead;
 pub mod process_cost;
 mod process_end;
+pub mod said_words;
 pub mod serve;
 pub mod service_server;
 pub mod slopes;
--- a/crates/guava-standins/src/service_server.rs
+++ b/crates/guava-standins/src/service_server.rs
@@ -1,6 +1,7 @@
 //! A plain service whose calls may not all be repeated: it counts its runs by customer and key.
 
 use crate::process_end::ends_under;
+use crate::said_words::with_words;
 use crate::serve::Shared;
 use axum::body::{Body, Bytes};
 use axum::extract::State;
@@ -101,10 +102,11 @@
 pub fn router() -> Router {
     let instance = uuid::Uuid::new_v4().to_string().into();
     let server = ServiceServer { instance, ..ServiceServer::default() };
-    Router::new()
+    let router = Router::new()
         .route("/report", get(report))
         .route("/fault", post(set_faults))
         .route("/stats", get(stats))
         .fallback(run)
-        .with_state(server)
+        .with_state(server);
+    with_words(router)
 }
