fix: the limit that an upstream names holds on the product's own interface too

What upstreams saw: 89 to 96 requests in four seconds where 17 are allowed, from three daemons, for completions, repeatable and keyed calls.

Cause: as on the platform; the own interface read nothing of an answer's head.

Change: the same table, ledger and gate (guava-policy), fed from the heads of engines' and services' answers, their refusals included; limits go with the gossip; a daemon's place comes from the log's roster. Asked when an engine or instance is chosen and right before the send. If none may get work, the refusal says when the first may.

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -15,6 +15,7 @@
 use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
+use crate::upstream_words::{closed, note_words, pass, reopens_in_ms};
 use guava_log::log_event;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
 use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
@@ -134,9 +135,10 @@
             let outcome = call.refused(RefusalKind::OVERLOADED, reason, COME_BACK_MS);
             return RunEnd::Elsewhere(outcome);
         }
-        if service_instances(context, &call.service).is_empty() {
+        if open_instances(context, &call.service).is_empty() {
             let reason = "no instance of the service takes work";
-            let outcome = call.refused(RefusalKind::NO_UPSTREAM, reason, COME_BACK_MS);
+            let after_ms = come_back_ms(context, &call.service);
+            let outcome = call.refused(RefusalKind::NO_UPSTREAM, reason, after_ms);
             return RunEnd::Elsewhere(outcome);
         }
         let intent = IntentEntry { id: RecordId::random(), key: call.key.clone() };
@@ -191,8 +193,24 @@
     end
 }
 
+/// Instances of a service that may get work now.
+pub fn open_instances(
+    context: &DaemonContext,
+    service: &ServiceName,
+) -> Vec<(UpstreamId, SocketAddr)> {
+    let mut instances = service_instances(context, service);
+    instances.retain(|(id, _)| closed(context, id).is_none());
+    instances
+}
+
+/// When to come back to a service none of whose instances may get work now, in milliseconds.
+pub fn come_back_ms(context: &DaemonContext, service: &ServiceName) -> u64 {
+    let instances = service_instances(context, service);
+    reopens_in_ms(context, instances.iter().map(|(id, _)| id)).unwrap_or(COME_BACK_MS)
+}
+
 /// Instances of a service that take work.
-pub fn service_instances(
+fn service_instances(
     context: &DaemonContext,
     service: &ServiceName,
 ) -> Vec<(UpstreamId, SocketAddr)> {
@@ -226,7 +244,12 @@
     if let Some(refusal) = stop_refusal(context, digest) {
         return RunEnd::Elsewhere(call.refused_for(refusal));
     }
-    let mut instances = service_instances(context, &call.service);
+    let mut instances = open_instances(context, &call.service);
+    if instances.is_empty() {
+        let reason = "no instance of the service takes work";
+        let after_ms = come_back_ms(context, &call.service);
+        return RunEnd::Elsewhere(call.refused(RefusalKind::NO_UPSTREAM, reason, after_ms));
+    }
     while !instances.is_empty() {
         // A daemon that was frozen between its intent and here must not start what its caller has
         // long given up; the deadline is on a clock that counted the time.
@@ -236,7 +259,7 @@
         }
         let index = usize::try_from(rand::random::<u32>()).unwrap_or(0) % instances.len();
         let (upstream, address) = instances.swap_remove(index);
-        if locked(&context.leaving).is_leaving(&upstream) {
+        if !pass(context, &upstream) {
             continue;
         }
         log_event!(
@@ -249,9 +272,11 @@
             reason = "random",
         );
         let client = ServiceClient { address };
-        let sent = client.call(&service_call(call), Deadline::in_millis(RUN_MS)).await;
-        match sent {
+        let sent = Moment::now();
+        let called = client.call(&service_call(call), Deadline::in_millis(RUN_MS)).await;
+        match called {
             Ok(answer) => {
+                note_words(context, &upstream, &answer.words, sent);
                 note_answer(context, digest);
                 return RunEnd::Dispatched(CallOutcome::Done {
                     status: answer.status.as_u16(),
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -4,13 +4,16 @@
 use crate::cache_messages::note_computed;
 use crate::context::DaemonContext;
 use crate::crash_watch::{note_break, stop_refusal};
-use crate::engine_choice::{EngineChoice, PromptWork, choose_engine, engine_count};
+use crate::engine_choice::{
+    EngineChoice, PromptWork, choose_engine, engine_count, engines_reopen_in_ms,
+};
 use crate::events;
 use crate::export_ring::PrefixNote;
 use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
+use crate::upstream_words::{note_words, pass};
 use crate::work_gauge::WorkGuard;
 use guava_log::log_event;
 use guava_outside::{CompletionOrder, HttpError, Usage};
@@ -260,16 +263,19 @@
     may_move_on: bool,
 ) -> TryEnd {
     let upstream = &choice.client.upstream;
-    // Looked up again just before the send: the notice may have come since the choice.
-    if locked(&context.leaving).is_leaving(upstream) {
-        return TryEnd::Refused("engine is leaving".into());
+    // Looked up again just before the send: a word may have come since the choice.
+    if !pass(context, upstream) {
+        return TryEnd::Refused("engine may get nothing any more".into());
     }
+    let sent = Moment::now();
     let hold = LoadHold::new(context, choice);
     let head = Deadline::in_millis(HEAD_MS).earlier(caller.deadline);
     let order = order_of(caller, request, choice);
     let stream = match choice.client.complete(&order, head).await {
         Ok(stream) => stream,
-        Err(error @ HttpError::Refused { .. }) => {
+        Err(HttpError::Refused { status, text, words }) => {
+            note_words(context, upstream, &words, sent);
+            let error = HttpError::Refused { status, text, words };
             locked(&context.reports).forget_loaded(upstream);
             return TryEnd::Refused(error.to_string());
         }
@@ -283,6 +289,7 @@
             return if lost { TryEnd::Lost(text) } else { TryEnd::Refused(text) };
         }
     };
+    note_words(context, upstream, &stream.words, sent);
     let client = choice.client.clone();
     let version = choice.version.clone();
     let mut feed = RunFeed::started(client, caller.request.clone(), version, stream);
@@ -414,7 +421,8 @@
     if may_have_run {
         return Err(CallOutcome::failed(last));
     }
-    Err(refused(caller, RefusalKind::NO_UPSTREAM, &last, COME_BACK_MS))
+    let after_ms = engines_reopen_in_ms(context, &request.model).unwrap_or(COME_BACK_MS);
+    Err(refused(caller, RefusalKind::NO_UPSTREAM, &last, after_ms))
 }
 
 /// Reads the rest of a run; the texts of all its chunks.
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -20,6 +20,7 @@
 use crate::settings::DaemonSettings;
 use crate::shared_state::SharedState;
 use crate::stream_id::StreamSecret;
+use crate::word_state::WordState;
 use crate::work_gauge::WorkGauge;
 use guava_outside::{LogClient, StoreReport, VmListClient, WeightStoreClient};
 use guava_policy::{LinkTable, LoadTable, RetryBudget};
@@ -61,6 +62,8 @@
     pub reports: Mutex<ReportTable>,
     /// Upstreams that get no new work.
     pub leaving: Mutex<LeavingTable>,
+    /// What upstreams say of themselves, and what was sent to them.
+    pub words: Mutex<WordState>,
     /// Upstreams that ended under requests.
     pub crashes: CrashTable,
     /// Limits and queue.
@@ -123,6 +126,7 @@
             loads: Mutex::default(),
             reports: Mutex::default(),
             leaving: Mutex::default(),
+            words: Mutex::default(),
             crashes: CrashTable::default(),
             admission: AdmissionQueue::default(),
             calls: CallTable::default(),
--- a/crates/guava-daemon/src/crash_watch.rs
+++ b/crates/guava-daemon/src/crash_watch.rs
@@ -36,7 +36,7 @@
 const APPEND_MS: u64 = 5_000;
 
 /// One start of an upstream, by the instance that it reports.
-fn start_of(upstream: &UpstreamId, instance: &str) -> UpstreamId {
+pub fn start_of(upstream: &UpstreamId, instance: &str) -> UpstreamId {
     let mut start = [0; 8];
     start.copy_from_slice(&blake3::hash(instance.as_bytes()).as_bytes()[..8]);
     upstream.started_at(u64::from_le_bytes(start))
--- a/crates/guava-daemon/src/engine_choice.rs
+++ b/crates/guava-daemon/src/engine_choice.rs
@@ -5,6 +5,7 @@
 use crate::context::DaemonContext;
 use crate::events;
 use crate::lock::locked;
+use crate::upstream_words::{closed, reopens_in_ms};
 use guava_log::log_event;
 use guava_outside::{EngineClient, ImportOrder};
 use guava_policy::{
@@ -46,7 +47,22 @@
     pub others: usize,
 }
 
-/// Engines of a model that may take new work, with the version each has loaded.
+/// Engines of a model that may get work now, with the version each has loaded.
+fn open_engines(
+    context: &DaemonContext,
+    model: &ModelName,
+) -> Vec<(UpstreamId, UpstreamSpec, VersionName)> {
+    let mut engines = engines(context, model);
+    engines.retain(|(id, ..)| closed(context, id).is_none());
+    engines
+}
+
+/// Milliseconds until the first engine of a model may get work again, if none may now.
+pub fn engines_reopen_in_ms(context: &DaemonContext, model: &ModelName) -> Option<u64> {
+    reopens_in_ms(context, engines(context, model).iter().map(|(id, ..)| id))
+}
+
+/// Engines of a model that take new work, with the version each has loaded.
 fn engines(
     context: &DaemonContext,
     model: &ModelName,
@@ -190,7 +206,7 @@
     model: &ModelSpec,
     work: &PromptWork<'_>,
 ) -> Option<EngineChoice> {
-    let engines = engines(context, work.model);
+    let engines = open_engines(context, work.model);
     let version = pick_version(model, &engines);
     let chain = prefix_chain(work.customer, work.model, &version, work.prompt);
     let answer = lookup(context, &chain.salt, &chain.hashes).await;
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -36,6 +36,7 @@
     UPSTREAM_BACK "G5002" "upstream serves again as a new instance";
     UPSTREAM_SILENT "G5003" "upstream gives no reports";
     UPSTREAM_ENDED "G5004" "upstream ended under requests";
+    UPSTREAM_WORD "G5007" "upstream says something of itself";
     REQUEST_STOPPED "G5005" "request is stopped: upstreams end under it";
     REQUEST_CLEARED "G5006" "request is not held against upstreams' ends any more";
     EXPORTED "G6001" "prefix exported to a store";
--- a/crates/guava-daemon/src/gossip_codec.rs
+++ b/crates/guava-daemon/src/gossip_codec.rs
@@ -5,6 +5,7 @@
 use crate::daemon_phase::DaemonPhase;
 use crate::lock::locked;
 use crate::peer_table::{PeerEntry, PeerIdentity, short_hash};
+use crate::upstream_words;
 use guava_schema::peers::{CustomerLoad, GossipEntry, LeavingUpstream, MemberInfo, UpstreamLoad};
 use guava_state::LogSight;
 use guava_types::{Incarnation, Moment, Offset, TokenCount};
@@ -86,6 +87,7 @@
         ..GossipEntry::default()
     };
     crash_watch::tell(context, &mut entry);
+    upstream_words::tell(context, &mut entry);
     entry
 }
 
@@ -178,6 +180,7 @@
         return;
     };
     crash_watch::learn(context, &message);
+    upstream_words::learn(context, &message);
     let leaving = message
         .leaving
         .iter()
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -53,7 +53,9 @@
 mod start;
 mod stream_id;
 mod tls;
+mod upstream_words;
 mod watch_duty;
+mod word_state;
 mod work_gauge;
 
 pub use admission_queue::daemon_slots;
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services.
 
-use crate::call_dispatch::{call_once, service_instances};
+use crate::call_dispatch::{call_once, come_back_ms, open_instances};
 use crate::caller_request::{
     KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
     new_request_id,
@@ -12,16 +12,16 @@
 use crate::keyed_call::{KeyedCall, call_digest};
 use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
+use crate::upstream_words::{note_words, pass};
 use axum::body::{Body, to_bytes};
 use axum::extract::{Path, Request, State};
 use axum::http::Response;
 use guava_log::log_event;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
-use guava_types::{CallKey, CallerKey, ServiceName};
+use guava_types::{CallKey, CallerKey, Moment, ServiceName};
 use std::sync::Arc;
 
 const SERVICE_TRIES: usize = 3;
-const COME_BACK_MS: u64 = 500;
 
 /// Routes a call to an instance of the service, once or as often as it may be.
 pub async fn call_service(
@@ -116,7 +116,7 @@
     }
     let digest = call_digest(&caller.customer, service, &call.path, &call.body);
     locked(&context.retries).earn();
-    let mut instances = service_instances(context, service);
+    let mut instances = open_instances(context, service);
     let mut may_have_run = false;
     let mut last = String::from("no instance of the service takes work");
     for attempt in 0..SERVICE_TRIES {
@@ -131,6 +131,9 @@
         }
         let index = rand::random::<u32>() as usize % instances.len();
         let (upstream, address) = instances.swap_remove(index);
+        if !pass(context, &upstream) {
+            continue;
+        }
         log_event!(
             info,
             events::CALL_DISPATCHED,
@@ -140,8 +143,10 @@
             others = instances.len(),
             reason = "random",
         );
+        let sent = Moment::now();
         match (ServiceClient { address }).call(&call, caller.deadline).await {
             Ok(answer) => {
+                note_words(context, &upstream, &answer.words, sent);
                 note_answer(context, digest);
                 return CallOutcome::Done {
                     status: answer.status.as_u16(),
@@ -161,6 +166,7 @@
     if may_have_run {
         return CallOutcome::failed(last);
     }
-    let refusal = Refusal::later(RefusalKind::NO_UPSTREAM, last, COME_BACK_MS);
+    let after_ms = come_back_ms(context, service);
+    let refusal = Refusal::later(RefusalKind::NO_UPSTREAM, last, after_ms);
     CallOutcome::refused(caller.attempt, refusal)
 }
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::http_link::{self, HttpError};
 use bytes::BytesMut;
+use guava_policy::AnswerWords;
 use guava_types::{Deadline, FastMap, ModelName, Offset, TokenCount, UpstreamId, VersionName};
 use http::Method;
 use http_body_util::BodyExt;
@@ -99,6 +100,8 @@
 pub struct EngineStream {
     /// The run's id, told before the first chunk.
     pub run: Option<Box<str>>,
+    /// What the engine says of itself.
+    pub words: AnswerWords,
     body: Incoming,
     buffer: BytesMut,
 }
@@ -252,7 +255,8 @@
         }
         let run = response.headers().get(RUN_HEADER).and_then(|value| value.to_str().ok());
         let run = run.map(Box::from);
-        Ok(EngineStream { run, body: response.into_body(), buffer: BytesMut::new() })
+        let words = http_link::answer_words(&response);
+        Ok(EngineStream { run, words, body: response.into_body(), buffer: BytesMut::new() })
     }
 
     /// Starts a run.
--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -5,9 +5,10 @@
 //! send would double a call that may run only once.
 
 use bytes::{Bytes, BytesMut};
+use guava_policy::AnswerWords;
 use guava_types::{Deadline, Moment};
-use http::header::{CONTENT_TYPE, HOST};
-use http::{Method, Request, Response, StatusCode};
+use http::header::{CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -22,6 +23,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+/// Header in which an upstream names the requests a second that it takes from all daemons together.
+const UPSTREAM_LIMIT: HeaderName = HeaderName::from_static("upstream-limit");
+/// Header in which an upstream says that it leaves.
+const UPSTREAM_LEAVING: HeaderName = HeaderName::from_static("upstream-leaving");
 /// Largest JSON answer of an outside interface, in bytes.
 const MAX_JSON_BYTES: usize = 64 << 20;
 
@@ -68,6 +73,8 @@
         status: StatusCode,
         /// The beginning of its answer.
         text: Box<str>,
+        /// What it says of itself.
+        words: AnswerWords,
     },
     /// The answer is not what the interface promises.
     #[snafu(display("answer does not parse: {source}"))]
@@ -188,13 +195,31 @@
         .context(MalformedSnafu)
 }
 
+/// What the head of an answer says of the upstream that gives it.
+pub(crate) fn answer_words(response: &Response<Incoming>) -> AnswerWords {
+    let headers = response.headers();
+    let values = |name: &HeaderName| headers.get_all(name).iter().map(HeaderValue::as_bytes);
+    let mut words = AnswerWords::default();
+    words.read_limit(values(&UPSTREAM_LIMIT));
+    words.read_leaving(values(&UPSTREAM_LEAVING));
+    let is_refusal = matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    if is_refusal {
+        words.read_rest(values(&RETRY_AFTER), Moment::now());
+    }
+    words
+}
+
 pub(crate) async fn refusal(response: Response<Incoming>, deadline: Deadline) -> HttpError {
     const SHOWN_BYTES: usize = 200;
     let status = response.status();
+    let words = answer_words(&response);
     let body = collect_body(response.into_body(), MAX_JSON_BYTES, deadline).await;
     let text = body.unwrap_or_default();
     let shown = text.get(..SHOWN_BYTES.min(text.len())).unwrap_or_default();
-    HttpError::Refused { status, text: String::from_utf8_lossy(shown).into() }
+    HttpError::Refused { status, text: String::from_utf8_lossy(shown).into(), words }
 }
 
 /// Exchanges bytes and reads JSON from a successful answer.
--- a/crates/guava-outside/src/plain_service.rs
+++ b/crates/guava-outside/src/plain_service.rs
@@ -2,6 +2,7 @@
 
 use crate::http_link::{self, HttpError};
 use bytes::Bytes;
+use guava_policy::AnswerWords;
 use guava_types::Deadline;
 use http::header::CONTENT_TYPE;
 use http::{Method, StatusCode};
@@ -36,6 +37,8 @@
     pub content_type: Box<str>,
     /// The whole body.
     pub body: Bytes,
+    /// What the instance says of itself.
+    pub words: AnswerWords,
 }
 
 /// Client of one instance of a service.
@@ -72,6 +75,7 @@
         let sender = http_link::connect(self.address, connecting).await?;
         let response = http_link::send(sender, request, deadline).await?;
         let status = response.status();
+        let words = http_link::answer_words(&response);
         let content_type = response
             .headers()
             .get(CONTENT_TYPE)
@@ -80,6 +84,6 @@
             .into();
         let body =
             http_link::collect_body(response.into_body(), MAX_ANSWER_BYTES, deadline).await?;
-        Ok(ServiceAnswer { status, content_type, body })
+        Ok(ServiceAnswer { status, content_type, body, words })
     }
 }
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -19,8 +19,10 @@
 mod reply;
 mod retry;
 mod route;
+mod send_ledger;
 mod send_share;
 mod waiting_line;
+mod word_gate;
 mod word_table;
 
 pub use admission::{
@@ -45,6 +47,8 @@
 pub use route::{
     CandidateCost, ImportOffer, NEAR_BEST, RouteCandidate, RouteDecision, RouteInput, decide_route,
 };
+pub use send_ledger::SendLedger;
 pub use send_share::{SendShare, SendWindow, limit_share};
 pub use waiting_line::WaitingLine;
+pub use word_gate::{CloseReason, ClosedUpstream, full_share, word_gate};
 pub use word_table::{LimitNotice, WordNews, WordTable};
--- a/crates/guava-serve/src/upstreams/send_ledger.rs
+++ b/crates/guava-policy/src/send_ledger.rs
@@ -1,6 +1,6 @@
 //! What this daemon has lately sent to each upstream.
 
-use guava_policy::{SendShare, SendWindow};
+use crate::send_share::{SendShare, SendWindow};
 use guava_types::{Deadline, FastMap, Moment, UpstreamId};
 
 /// Pause between two looks for upstreams to which nothing was sent for long, in milliseconds.
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -80,7 +80,6 @@
 pub use upstreams::http_call::{CallAnswer, CallError, call_request};
 pub use upstreams::list_order::{ListOrder, ListRevision};
 pub use upstreams::prefill_rate::PrefillRate;
-pub use upstreams::send_ledger::SendLedger;
 pub use upstreams::stop_duty::{is_read_due, keep_stops};
 pub use upstreams::stop_record::{StopRecord, StopSight};
 pub use upstreams::upstream_call::{call_store, call_upstream};
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -19,6 +19,7 @@
 use crate::upstreams::work_table::WorkTicket;
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
+use guava_policy::CloseReason;
 use guava_types::{Deadline, ModelName, Moment, UpstreamId};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -215,8 +216,8 @@
         // The upstream may have left while the connection was opened.
         await_fresh_list(self.parts).await;
         let gate = pass_gate(self.parts, &self.plan.service, &send.upstream, Moment::now());
-        if let GateState::Closed { reason, .. } = gate {
-            self.note_closed(connection, reason);
+        if let GateState::Closed(closed) = gate {
+            self.note_closed(connection, closed.reason);
             return AttemptEnd::Closed;
         }
         let mut fresh = send.clone();
@@ -251,7 +252,7 @@
         }
     }
 
-    fn note_closed(&self, connection: UpstreamConnection, reason: &str) {
+    fn note_closed(&self, connection: UpstreamConnection, reason: CloseReason) {
         self.parts.pool.keep(connection, None);
         log_event!(
             info,
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -9,10 +9,12 @@
 use crate::serve_config::ServiceRule;
 use crate::serve_parts::ServeParts;
 use crate::upstreams::drain_table::DrainTable;
-use crate::upstreams::send_ledger::SendLedger;
 use crate::upstreams::upstream_table::UpstreamEntry;
 use crate::upstreams::word_watch::note_send;
-use guava_policy::{ColdRule, LimitNotice, SendShare, WordTable, cold_share, limit_share};
+use guava_policy::{
+    CloseReason, ClosedUpstream, ColdRule, LimitNotice, SendLedger, SendShare, WordTable,
+    cold_share, full_share, limit_share, word_gate,
+};
 use guava_types::{Deadline, LimitRate, MemberName, Moment, UpstreamId};
 
 /// Span over which sends are told as a rate, in milliseconds.
@@ -42,38 +44,24 @@
     /// It is cold, and may get this one.
     Cold,
     /// It may get none now.
-    Closed {
-        /// Why, in a word.
-        reason: &'static str,
-        /// When it may get one again, if that is known.
-        until: Option<Moment>,
-    },
+    Closed(ClosedUpstream),
 }
 
 impl GateState {
     /// Whether an upstream may get a request now.
     pub fn is_open(self) -> bool {
-        !matches!(self, Self::Closed { .. })
+        !matches!(self, Self::Closed(_))
     }
 }
 
 /// Judges an upstream.
 pub fn gate_state(input: &GateInput<'_>, entry: &UpstreamEntry, now: Moment) -> GateState {
     if input.drains.is_drained(&entry.data_centre) {
-        return GateState::Closed { reason: "drained", until: None };
+        return GateState::Closed(ClosedUpstream { reason: CloseReason::Drained, until: None });
     }
-    if input.words.is_leaving(&entry.id) {
-        return GateState::Closed { reason: "leaving", until: None };
-    }
-    if let Some(Deadline(until)) = input.words.rest_until(&entry.id, now) {
-        return GateState::Closed { reason: "rest", until: Some(until) };
-    }
-    let limit = input.words.limit(&entry.id);
-    if let Some(limit) = limit {
-        let share = limit_part(input.members, input.me, &entry.id, limit);
-        if let Some(closed) = full_share(input, entry, share, "limit", now) {
-            return closed;
-        }
+    let share = |limit| limit_part(input.members, input.me, &entry.id, limit);
+    if let Some(closed) = word_gate(input.words, input.sends, &entry.id, share, now) {
+        return GateState::Closed(closed);
     }
     let Some(rule) = input.cold.filter(|rule| is_cold(input, *rule, entry, now)) else {
         return GateState::Open;
@@ -82,7 +70,8 @@
     // Who does not know the others can't tell its share.
     let share = place.map(|place| cold_share(rule.per_second, input.members.count(), place));
     let share = share.unwrap_or_default();
-    full_share(input, entry, share, "cold", now).unwrap_or(GateState::Cold)
+    let closed = full_share(input.sends, &entry.id, share, CloseReason::Cold, now);
+    closed.map_or(GateState::Cold, GateState::Closed)
 }
 
 /// A daemon's share of an upstream's limit; none for one that does not know the others.
@@ -114,17 +103,6 @@
     words.limit_notices(now).filter_map(level).collect()
 }
 
-fn full_share(
-    input: &GateInput<'_>,
-    entry: &UpstreamEntry,
-    share: SendShare,
-    reason: &'static str,
-    now: Moment,
-) -> Option<GateState> {
-    let until = input.sends.opens(&entry.id, share, now);
-    (until != Some(now)).then_some(GateState::Closed { reason, until })
-}
-
 fn is_cold(input: &GateInput<'_>, rule: ColdRule, entry: &UpstreamEntry, now: Moment) -> bool {
     let returned = input.drains.returned(&entry.data_centre);
     let has_rested = |returned| !Deadline::after(returned, rule.lasts_ms).passed(now);
@@ -163,7 +141,7 @@
     with_gate(parts, rule, |input| {
         serving.try_fold(None, |first: Option<Moment>, entry| match gate_state(input, entry, now) {
             GateState::Open | GateState::Cold => Err(()),
-            GateState::Closed { until, .. } => Ok(first.into_iter().chain(until).min()),
+            GateState::Closed(closed) => Ok(first.into_iter().chain(closed.until).min()),
         })
     })
     .ok()
@@ -182,7 +160,7 @@
         let entry = upstreams.entry(upstream).filter(|entry| !entry.is_leaving);
         match entry {
             Some(entry) => with_gate(parts, rule, |input| gate_state(input, entry, now)),
-            None => GateState::Closed { reason: "left", until: None },
+            None => GateState::Closed(ClosedUpstream { reason: CloseReason::Left, until: None }),
         }
     };
     if state.is_open() {
--- a/crates/guava-serve/src/serve_parts.rs
+++ b/crates/guava-serve/src/serve_parts.rs
@@ -19,12 +19,11 @@
 use crate::upstreams::end_watch::EndWatch;
 use crate::upstreams::engine_speeds::EngineSpeeds;
 use crate::upstreams::prefill_rate::PrefillRate;
-use crate::upstreams::send_ledger::SendLedger;
 use crate::upstreams::stop_record::StopSight;
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
-use guava_policy::{CrashLedger, MemoryTrust, WaitingLine, WordTable};
+use guava_policy::{CrashLedger, MemoryTrust, SendLedger, WaitingLine, WordTable};
 use guava_types::{
     DataCentre, Deadline, FastMap, Incarnation, MemberName, Moment, TokenCount, UpstreamId,
 };
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -9,7 +9,6 @@
 pub(crate) mod http_call;
 pub(crate) mod list_order;
 pub(crate) mod prefill_rate;
-pub(crate) mod send_ledger;
 pub(crate) mod stop_duty;
 pub(crate) mod stop_record;
 pub(crate) mod upstream_call;
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -4,12 +4,11 @@
 
 mod support;
 
-use guava_policy::{AnswerWords, ColdRule, LimitNotice, LimitWord, WordTable};
+use guava_policy::{AnswerWords, ColdRule, LimitNotice, LimitWord, SendLedger, WordTable};
 use guava_serve::{
     DrainNotice, DrainTable, GateInput, GateState, ListChange, MemberTable, PeerMessage,
-    SendLedger, ServeParts, ServiceRule, UpstreamEntry, UpstreamTable, closed_upstreams,
-    compose_message, compose_reads, compose_words, gate_state, note_words, pass_gate, take_drain,
-    take_message,
+    ServeParts, ServiceRule, UpstreamEntry, UpstreamTable, closed_upstreams, compose_message,
+    compose_reads, compose_words, gate_state, note_words, pass_gate, take_drain, take_message,
 };
 use guava_types::{Deadline, LimitRate, MemberName, Moment};
 use rand::rngs::SmallRng;
