fix: an upstream that says in an answer that it leaves gets no more work on the own interface

What upstreams saw: 40 (repeatable calls), 41 (completions) and 43 (keyed calls) requests later than two seconds after the first answer that said so, while their reports called them serving.

Cause: as on the platform, the heads of answers were not read.

Change: such a word goes into the table of leaving upstreams, beside the list's, the reports' and the peers'; it is final for the instance and goes with the gossip as the others do.

--- a/crates/guava-daemon/src/leaving_table.rs
+++ b/crates/guava-daemon/src/leaving_table.rs
@@ -1,4 +1,5 @@
-//! Upstreams that are leaving: the union of what the list, their own reports and peers say.
+//! Upstreams that are leaving: the union of what the list, their own reports and answers, and peers
+//! say.
 //!
 //! Final for one incarnation of the upstream: a list that lags, or is frozen, may still call a
 //! leaving one live, and taking its word would send new work to a server about to go. Only another
@@ -16,6 +17,8 @@
     List,
     /// The upstream's own report.
     Report,
+    /// The head of one of its answers.
+    Answer,
     /// Another daemon.
     Peer,
 }
@@ -58,6 +61,12 @@
         self.notice(upstream, &instance, LeavingSource::List);
     }
 
+    /// One of its answers calls it leaving.
+    pub fn note_answer(&mut self, upstream: &UpstreamId) {
+        let instance = self.instances.get(upstream).cloned().unwrap_or_default();
+        self.notice(upstream, &instance, LeavingSource::Answer);
+    }
+
     /// A peer calls an incarnation of it leaving.
     pub fn note_peer(&mut self, upstream: &UpstreamId, instance: &str) {
         let current = self.instances.get(upstream);
--- a/crates/guava-daemon/src/upstream_words.rs
+++ b/crates/guava-daemon/src/upstream_words.rs
@@ -86,6 +86,9 @@
     words: &AnswerWords,
     sent: Moment,
 ) {
+    if words.is_leaving {
+        locked(&context.leaving).note_answer(upstream);
+    }
     let now = Moment::now();
     let words = AnswerWords { is_leaving: false, rest_until: None, ..words.clone() };
     let start = current_start(context, upstream);
--- a/crates/guavatiller/tests/own_upstream_words.rs
+++ b/crates/guavatiller/tests/own_upstream_words.rs
@@ -15,6 +15,8 @@
 
 /// Time after which what an upstream says must be obeyed by all daemons, in milliseconds.
 const KNOWN_MS: u64 = 3_000;
+/// Time after which an upstream that has said that it leaves gets nothing, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
 /// Pause between two requests of a daemon's callers.
 const PAUSE: Duration = Duration::from_millis(40);
 const CALL_MS: u64 = 1_500;
@@ -102,3 +104,24 @@
     assert!(later.len() >= 5, "{later:?}");
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[yare::parameterized(
+    completion = { complete, "engine-0" },
+    idempotent = { read, "board-0" },
+    keyed = { submit, "board-0" },
+)]
+fn upstream_that_says_in_answers_that_it_leaves_gets_no_more_on_the_own_interface(
+    send: Send,
+    upstream: &str,
+) {
+    let deployment = start();
+    load(&deployment, send, Duration::from_millis(500));
+    // Its reports go on to call it serving.
+    tell(server(&deployment, upstream), "/words", &json!({ "leaving": true })).unwrap();
+
+    let statuses = load(&deployment, send, Duration::from_secs(4));
+
+    let late = received(&deployment, upstream).into_iter().filter(|at| *at > DRAIN_MS).count();
+    assert_eq!(late, 0);
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
