fix: an upstream that asks for rest gets it on the own interface

What upstreams saw: over a hundred calls and 40 completions in five seconds, from three daemons, each refused with 503 and three seconds of rest.

Orders and exports wait for the end of a rest as well; reports are asked for all the same.

--- a/crates/guava-daemon/src/cache_duty.rs
+++ b/crates/guava-daemon/src/cache_duty.rs
@@ -6,6 +6,7 @@
 use crate::events;
 use crate::export_ring::PrefixNote;
 use crate::lock::locked;
+use crate::upstream_words::is_resting;
 use guava_log::log_event;
 use guava_outside::{EngineClient, ExportOrder, StoreClient, StoreReport};
 use guava_policy::{BLOCK_TOKENS, ExportInput, PrefixHash, should_export};
@@ -125,7 +126,8 @@
 async fn export(context: &Arc<DaemonContext>, task: &ExportTask) {
     make_room(context, &task.store).await;
     let Some(engine) = context.state.view().upstream(&task.note.upstream).cloned() else { return };
-    if engine.draining || locked(&context.leaving).is_leaving(&task.note.upstream) {
+    let is_leaving = locked(&context.leaving).is_leaving(&task.note.upstream);
+    if engine.draining || is_leaving || is_resting(context, &task.note.upstream) {
         return;
     }
     let client = EngineClient { upstream: task.note.upstream.clone(), address: engine.address };
--- a/crates/guava-daemon/src/order_duty.rs
+++ b/crates/guava-daemon/src/order_duty.rs
@@ -9,6 +9,7 @@
 use crate::daemon_phase::DaemonPhase;
 use crate::events;
 use crate::lock::locked;
+use crate::upstream_words::is_resting;
 use guava_log::log_event;
 use guava_outside::{EngineClient, LoadOrder};
 use guava_state::{LeaseRequest, LeaseWatch, RecordBody, UpstreamKind, UpstreamSpec};
@@ -96,7 +97,8 @@
             let now = Moment::now();
             // Looked up for each order: the lease may have ended while the last one was under way.
             let Some(token) = self.lease.token(now) else { return };
-            if locked(&self.context.leaving).is_leaving(&upstream) {
+            let is_leaving = locked(&self.context.leaving).is_leaving(&upstream);
+            if is_leaving || is_resting(&self.context, &upstream) {
                 continue;
             }
             let client = EngineClient { upstream: upstream.clone(), address: spec.address };
--- a/crates/guava-daemon/src/upstream_words.rs
+++ b/crates/guava-daemon/src/upstream_words.rs
@@ -12,7 +12,8 @@
 use crate::lock::locked;
 use guava_log::log_event;
 use guava_policy::{
-    AnswerWords, ClosedUpstream, LimitNotice, SendShare, WordNews, limit_share, word_gate,
+    AnswerWords, CloseReason, ClosedUpstream, LimitNotice, SendShare, WordNews, limit_share,
+    spread_rest, word_gate,
 };
 use guava_schema::peers::{GossipEntry, UpstreamLimit};
 use guava_types::{FastSet, Incarnation, LimitRate, Moment, UpstreamId};
@@ -65,6 +66,11 @@
     true
 }
 
+/// Whether an upstream asked for rest and wants no orders or exports either.
+pub fn is_resting(context: &DaemonContext, upstream: &UpstreamId) -> bool {
+    closed(context, upstream).is_some_and(|closed| closed.reason == CloseReason::Rest)
+}
+
 /// Milliseconds until the first of some upstreams may get work again, if all are closed and that is
 /// known.
 pub fn reopens_in_ms<'a>(
@@ -90,7 +96,8 @@
         locked(&context.leaving).note_answer(upstream);
     }
     let now = Moment::now();
-    let words = AnswerWords { is_leaving: false, rest_until: None, ..words.clone() };
+    let rest_until = words.rest_until.map(|until| spread_rest(until, now, rand::random()));
+    let words = AnswerWords { is_leaving: false, rest_until, ..words.clone() };
     let start = current_start(context, upstream);
     let news = locked(&context.words).table.note_answer(&start, &words, sent, now);
     news.iter().for_each(|news| log_news(&start, news, "answer", now));
--- a/crates/guavatiller/tests/own_upstream_words.rs
+++ b/crates/guavatiller/tests/own_upstream_words.rs
@@ -125,3 +125,21 @@
     assert_eq!(late, 0);
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[yare::parameterized(
+    completion = { complete, "engine-0" },
+    idempotent = { read, "board-0" },
+    keyed = { submit, "board-0" },
+)]
+fn upstream_that_asks_for_rest_gets_it_on_the_own_interface(send: Send, upstream: &str) {
+    let deployment = start();
+    load(&deployment, send, Duration::from_millis(500));
+    tell(server(&deployment, upstream), "/words", &json!({ "rest": "3" })).unwrap();
+
+    load(&deployment, send, Duration::from_secs(5));
+
+    // Each daemon may send one, and what is under way, in each three seconds of rest.
+    let received = received(&deployment, upstream);
+    let daemons = deployment.daemons.len();
+    assert!((1..=4 * daemons).contains(&received.len()), "{received:?}");
+}
