fix: a silent engine's stream goes on there if no other engine takes it

Cause: a stream without events for 900 ms was given up once another engine seemed to be able to take it; that one then refused (asked for rest, had other weights, or had ended), and nobody was left.

Change: the silent source is kept while the stream is sent elsewhere, for 300 ms at most, so that two engines are not at work on one stream for long, and goes on if nobody takes the stream.

The test failed before; a second one holds the time in which two are at work.

--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -14,6 +14,11 @@
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, UpstreamId};
 use http::{Response, StatusCode};
+use std::pin::pin;
+
+/// How long a silent source is kept while the stream is sent elsewhere, in milliseconds: refusals
+/// come within less, and two upstreams must not be at work on one stream for longer.
+const KEPT_MS: u64 = 300;
 
 /// A stream on its way to a caller.
 struct EventRelay {
@@ -73,11 +78,14 @@
                     self.finish();
                     return None;
                 }
-                StreamStep::Broken(reason) => match self.take_up(&reason).await {
-                    Ok(Some(batch)) => return Some(Ok(self.pass(batch))),
-                    Ok(None) => {}
-                    Err(broken) => return Some(Err(self.break_off(broken))),
-                },
+                StreamStep::Broken(reason) => {
+                    self.source = None;
+                    match self.take_up(&reason).await {
+                        Ok(Some(batch)) => return Some(Ok(self.pass(batch))),
+                        Ok(None) => {}
+                        Err(broken) => return Some(Err(self.break_off(broken))),
+                    }
+                }
             }
         }
     }
@@ -115,31 +123,31 @@
                 None if deadline.passed(Moment::now()) => {
                     return StreamStep::Broken("no event in time".into());
                 }
-                None if self.run.can_move() => {
-                    return StreamStep::Broken("no event for long".into());
-                }
+                None if self.run.can_move() => match self.take_up("no event for long").await {
+                    Ok(Some(batch)) => return StreamStep::Events(batch),
+                    Ok(None) => {}
+                    Err(broken) => return StreamStep::Broken(broken.reason),
+                },
                 None => {}
             }
         }
     }
 
-    /// Goes on at another upstream after the last event that the caller got.
+    /// Goes on at another upstream after the last event that the caller got. A silent source is kept
+    /// meanwhile: where no other takes the stream, it goes on itself.
     async fn take_up(&mut self, reason: &str) -> Result<Option<EventBatch>, BrokenStream> {
         let broken = |reason: &str| BrokenStream { reason: reason.into() };
-        let failed = self.source.take().map(|source| source.upstream);
-        if let Some(upstream) = &failed {
-            self.run.parts.work.borrow_mut().stumbled(upstream, Moment::now());
-        }
+        self.run.parts.work.borrow_mut().stumbled(&self.passed.upstream, Moment::now());
         if self.run.request.route.repeat != RepeatRule::ResumableStream {
             return Err(broken(reason));
         }
         let last_id = self.last_id.clone();
-        let SendResult::Stream(opened) = self.run.send(last_id.as_deref()).await else {
-            return Err(broken(reason));
+        let opened = match self.send_on(last_id.as_deref()).await {
+            SendResult::Stream(opened) if opened.status == StatusCode::OK => opened,
+            _ if self.source.is_some() => return Ok(None),
+            SendResult::Stream(_) => return Err(broken("the stream can't be taken up")),
+            SendResult::Whole(_) | SendResult::GivenUp { .. } => return Err(broken(reason)),
         };
-        if opened.status != StatusCode::OK {
-            return Err(broken("the stream can't be taken up"));
-        }
         log_event!(
             info,
             events::RESUMED,
@@ -153,6 +161,16 @@
         Ok(Some(opened.first).filter(|first| !first.bytes.is_empty()))
     }
 
+    /// Sends the rest of the stream elsewhere; a silent source is let go once that takes long.
+    async fn send_on(&mut self, last_id: Option<&str>) -> SendResult {
+        let mut sending = pin!(self.run.send(last_id));
+        if let Some(result) = until(Deadline::in_millis(KEPT_MS), &mut sending).await {
+            return result;
+        }
+        self.source = None;
+        sending.await
+    }
+
     fn finish(&mut self) {
         self.is_over = true;
         note_answer(&self.run.parts, || self.run.request.digest());
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -531,6 +531,68 @@
     assert_eq!(engine.requests().len(), 1);
 }
 
+/// Serves a stream whose engine pauses, and that the other upstream is asked to go on with.
+fn moved(pause_ms: u64, other: &ScriptedUpstream) -> (Got, ScriptedUpstream) {
+    let engine = pausing_stream(pause_ms);
+    let got = run(async {
+        let parts = parts(&[&engine, other]);
+        // Only the engine can be chosen for the beginning.
+        parts.upstreams.borrow_mut().note_ended(&id("u1"), Deadline::in_millis(400));
+        let request = request(route("/x/", "app", RepeatRule::ResumableStream));
+        read(serve_request(&parts, &Rc::new(config(1)), request).await).await
+    });
+    (got, engine)
+}
+
+#[test]
+fn stream_goes_on_at_its_silent_engine_where_the_other_one_refuses_it() {
+    // Guards against answers that end early though their engine is at work.
+    let other = refuses();
+
+    let (got, engine) = moved(1_300, &other);
+
+    assert_eq!(got, ok("id: 1\ndata: one\n\nid: 2\ndata: two\n\n"));
+    assert_eq!((engine.requests().len(), other.requests().len()), (1, 1));
+}
+
+#[test]
+fn silent_engine_is_let_go_before_two_are_at_work_for_long() {
+    // Guards against a stream that runs at two engines: the other one is slow to begin.
+    let slow = ScriptedUpstream::start(vec![vec![
+        ScriptStep::Wait(600),
+        stream_head(),
+        chunk("id: 2\ndata: two\n\n"),
+        last_chunk(),
+    ]]);
+    let engine = ScriptedUpstream::start(vec![vec![
+        stream_head(),
+        chunk("id: 1\ndata: one\n\n"),
+        ScriptStep::AwaitClose,
+    ]]);
+
+    let (got, closed_after) = run(async {
+        let parts = parts(&[&engine, &slow]);
+        parts.upstreams.borrow_mut().note_ended(&id("u1"), Deadline::in_millis(400));
+        let request = request(route("/x/", "app", RepeatRule::ResumableStream));
+        let reading =
+            async { read(serve_request(&parts, &Rc::new(config(1)), request).await).await };
+        let closing = async {
+            while slow.requests().is_empty() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let begun = Instant::now();
+            while engine.closes() == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            begun.elapsed()
+        };
+        futures_util::join!(reading, closing)
+    });
+
+    assert_eq!(got, ok("id: 1\ndata: one\n\nid: 2\ndata: two\n\n"));
+    assert!(closed_after < Duration::from_millis(400), "{closed_after:?}");
+}
+
 #[test]
 fn events_that_came_while_the_daemon_did_not_run_are_no_silence() {
     // Users saw a stream that was accepted and ended without its last events, with time left.
