--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -75,7 +75,7 @@
         span: Duration::from_secs(12),
     };
     let size = fleet_by_hand().unwrap_or(small);
-    let seeds = seeds_by_hand().unwrap_or(vec![1]);
+    let seeds = seeds_by_hand().unwrap_or(vec![1, 5]);
     let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
