test: requests are held while the list is stale and the configuration is fresh

The test that was to guard the hold passed without it, since a stale configuration holds the same requests one step before.

--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -531,6 +531,38 @@
     assert_eq!(engine.requests().len(), 1);
 }
 
+#[test]
+fn requests_are_held_while_the_list_is_stale_though_the_configuration_is_fresh() {
+    // Guards against work for upstreams that left while a daemon did not run.
+    let left = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "left")]]);
+    let serves = ScriptedUpstream::start(vec![vec![whole("200 OK", "", "yes")]]);
+
+    let got = run(async {
+        let parts = parts(&[&left, &serves]);
+        let now = Moment::now();
+        parts.upstreams.borrow_mut().note_read(now);
+        parts.reads.borrow_mut().list.note_own(1, now.minus_millis(1_950));
+        parts.reads.borrow_mut().operator.note_own(1, now);
+        let reads = Rc::clone(&parts);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            let entry = reads.upstreams.borrow().entry(&id("u0")).cloned().unwrap();
+            let entry = UpstreamEntry { is_leaving: true, ..entry };
+            reads.upstreams.borrow_mut().note_entry(entry);
+            reads.reads.borrow_mut().list.note_own(2, Moment::now());
+        });
+        let mut got = Vec::new();
+        for _ in 0..6 {
+            let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
+            got.push(read(serve_request(&parts, &Rc::new(config(1)), request).await).await);
+        }
+        got
+    });
+
+    assert!(got.iter().all(|got| *got == ok("yes")), "{got:?}");
+    assert_eq!(left.requests().len(), 0);
+}
+
 /// Serves a stream whose engine pauses, and that the other upstream is asked to go on with.
 fn moved(pause_ms: u64, other: &ScriptedUpstream) -> (Got, ScriptedUpstream) {
     let engine = pausing_stream(pause_ms);
