--- a/crates/guava-daemon/src/upstream_words.rs
+++ b/crates/guava-daemon/src/upstream_words.rs
@@ -104,19 +104,12 @@
 }
 
 fn log_news(upstream: &UpstreamId, news: &WordNews, source: &str, now: Moment) {
-    let (word, value) = match news {
-        WordNews::Limited { rate, .. } => ("limit", rate.to_string()),
-        WordNews::Unlimited => ("no-limit", String::new()),
-        WordNews::Leaving => ("leaving", String::new()),
-        WordNews::Resting(until) => ("rest", format!("{} ms", until.millis_left(now))),
-        WordNews::Unread(value) => ("unreadable", value.to_string()),
-    };
     log_event!(
         info,
         events::UPSTREAM_WORD,
         upstream = upstream,
-        word = word,
-        value = value,
+        word = news.word(),
+        value = news.value(now),
         source = source
     );
 }
--- a/crates/guava-policy/src/word_table.rs
+++ b/crates/guava-policy/src/word_table.rs
@@ -62,6 +62,27 @@
 }
 
 impl WordNews {
+    /// What is said, in a word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Limited { .. } => "limit",
+            Self::Unlimited => "no-limit",
+            Self::Leaving => "leaving",
+            Self::Resting(_) => "rest",
+            Self::Unread(_) => "unreadable",
+        }
+    }
+
+    /// How much, as text for logs; empty where there is nothing to add.
+    pub fn value(&self, now: Moment) -> String {
+        match self {
+            Self::Limited { rate, .. } => rate.to_string(),
+            Self::Resting(until) => format!("{} ms", until.millis_left(now)),
+            Self::Unread(value) => value.to_string(),
+            Self::Unlimited | Self::Leaving => String::new(),
+        }
+    }
+
     /// Whether other daemons should know at once, rather than with the next summary: some upstreams
     /// name another limit in each answer.
     pub fn is_urgent(&self) -> bool {
--- a/crates/guava-serve/src/upstreams/word_watch.rs
+++ b/crates/guava-serve/src/upstreams/word_watch.rs
@@ -93,14 +93,8 @@
     as_of: Moment,
     now: Moment,
 ) {
-    let (word, value): (&str, Box<str>) = match news {
-        WordNews::Limited { rate, .. } => ("limit", rate.to_string().into()),
-        WordNews::Unlimited => ("no-limit", "".into()),
-        WordNews::Leaving => ("leaving", "".into()),
-        WordNews::Resting(until) => ("rest", format!("{} ms", until.millis_left(now)).into()),
-        WordNews::Unread(value) => ("unreadable", value.clone()),
-    };
-    log_word(parts, upstream, word, &value, source, now.millis_since(as_of));
+    let age_ms = now.millis_since(as_of);
+    log_word(parts, upstream, news.word(), &news.value(now), source, age_ms);
 }
 
 fn log_word(
