fix: an engine that has another version than was believed is asked again for that one

Cause: each engine's refusal of a version used up one of the request's tries and ruled the engine out, though what it has was wanted.

Change: such a refusal tells the version that the engine has loaded.

--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -227,6 +227,8 @@
     Started(Box<StartedTry>),
     /// Nothing ran there.
     Refused(String),
+    /// Nothing ran there: it has another version than was believed, which is known now.
+    OtherVersion(String),
     /// It may have run there.
     Lost(String),
 }
@@ -273,11 +275,16 @@
     let order = order_of(caller, request, choice);
     let stream = match choice.client.complete(&order, head).await {
         Ok(stream) => stream,
-        Err(HttpError::Refused { status, text, words }) => {
+        Err(HttpError::Refused { status, text, words, loaded }) => {
             note_words(context, upstream, &words, sent);
-            let error = HttpError::Refused { status, text, words };
-            locked(&context.reports).forget_loaded(upstream);
-            return TryEnd::Refused(error.to_string());
+            let reason = format!("answered {status}: {text}");
+            let mut reports = locked(&context.reports);
+            if let Some(loaded) = loaded {
+                reports.note_loaded(upstream, &request.model, loaded);
+                return TryEnd::OtherVersion(reason);
+            }
+            reports.forget_loaded(upstream);
+            return TryEnd::Refused(reason);
         }
         Err(error) => {
             locked(&context.loads).failed(upstream, Moment::now());
@@ -382,7 +389,8 @@
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut may_have_run = false;
     let mut last = String::from("no engine has the model loaded");
-    for _ in 0..MAX_ATTEMPTS {
+    let mut others = 0;
+    while tried.len() < MAX_ATTEMPTS {
         if let Err(refusal) = check_stopped(context, caller) {
             return Err(if may_have_run { CallOutcome::failed(last) } else { refusal });
         }
@@ -399,6 +407,13 @@
         let reason = match end {
             TryEnd::Started(started) => return Ok((choice, started)),
             TryEnd::Refused(reason) => reason,
+            // It can be asked again, for the version that it has.
+            TryEnd::OtherVersion(reason) if others < MAX_ATTEMPTS => {
+                others += 1;
+                last = reason;
+                continue;
+            }
+            TryEnd::OtherVersion(reason) => reason,
             TryEnd::Lost(reason) => {
                 may_have_run = true;
                 reason
--- a/crates/guava-daemon/src/report_table.rs
+++ b/crates/guava-daemon/src/report_table.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Notes which version an engine has loaded, by its own refusal of another.
+    pub fn note_loaded(&mut self, upstream: &UpstreamId, model: &ModelName, version: VersionName) {
+        if let Some(heard) = self.reports.get_mut(upstream) {
+            heard.report.loaded.insert(model.clone(), version);
+        }
+    }
+
     /// Forgets upstreams that are no longer registered.
     pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.reports.retain(|upstream, _| is_known(upstream));
--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use guava_policy::AnswerWords;
-use guava_types::{Deadline, Moment};
+use guava_types::{Deadline, Moment, VersionName};
 use http::header::{CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -23,6 +23,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+/// Header in which an engine that refuses a version tells which one it has loaded.
+pub const LOADED_HEADER: &str = "x-loaded-version";
 /// Header in which an upstream names the requests a second that it takes from all daemons together.
 const UPSTREAM_LIMIT: HeaderName = HeaderName::from_static("upstream-limit");
 /// Header in which an upstream says that it leaves.
@@ -75,6 +77,8 @@
         text: Box<str>,
         /// What it says of itself.
         words: AnswerWords,
+        /// Of an engine that refused a version, the one that it has loaded.
+        loaded: Option<VersionName>,
     },
     /// The answer is not what the interface promises.
     #[snafu(display("answer does not parse: {source}"))]
@@ -216,10 +220,12 @@
     const SHOWN_BYTES: usize = 200;
     let status = response.status();
     let words = answer_words(&response);
+    let loaded = response.headers().get(LOADED_HEADER).and_then(|value| value.to_str().ok());
+    let loaded = loaded.and_then(|text| text.parse().ok());
     let body = collect_body(response.into_body(), MAX_JSON_BYTES, deadline).await;
     let text = body.unwrap_or_default();
     let shown = text.get(..SHOWN_BYTES.min(text.len())).unwrap_or_default();
-    HttpError::Refused { status, text: String::from_utf8_lossy(shown).into(), words }
+    HttpError::Refused { status, text: String::from_utf8_lossy(shown).into(), words, loaded }
 }
 
 /// Exchanges bytes and reads JSON from a successful answer.
--- a/crates/guava-outside/src/lib.rs
+++ b/crates/guava-outside/src/lib.rs
@@ -19,7 +19,8 @@
     Usage,
 };
 pub use http_link::{
-    HttpError, collect_body, connect, exchange, get_json, is_listening, post_json, send, set_source,
+    HttpError, LOADED_HEADER, collect_body, connect, exchange, get_json, is_listening, post_json,
+    send, set_source,
 };
 pub use kv_store::{BlockState, StoreClient, StoreReport};
 pub use log_service::{LogClient, LogPage, PageRecord};
--- a/crates/guava-standins/src/engine_faults.rs
+++ b/crates/guava-standins/src/engine_faults.rs
@@ -18,6 +18,8 @@
     pub close_after: u64,
     /// Every other cache event is lost.
     pub gap_events: bool,
+    /// The version that its report names, whichever it has loaded; empty for the right one.
+    pub reports_version: Box<str>,
     /// It ends soon after it has begun to run a prompt that begins with this; empty for none.
     pub ends_on: Box<str>,
 }
--- a/crates/guava-standins/src/engine_server.rs
+++ b/crates/guava-standins/src/engine_server.rs
@@ -14,8 +14,8 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use guava_outside::{
-    CacheEvents, CompletionOrder, EngineReport, ExportOrder, ExportReceipt, ImportOrder, LoadOrder,
-    OrderAnswer, Usage, collect_body, exchange, get_json,
+    CacheEvents, CompletionOrder, EngineReport, ExportOrder, ExportReceipt, ImportOrder,
+    LOADED_HEADER, LoadOrder, OrderAnswer, Usage, collect_body, exchange, get_json,
 };
 use guava_types::{Deadline, FastMap, Moment, Offset, TokenCount};
 use http_body_util::Full;
@@ -289,7 +289,8 @@
         let mut state = server.state.lock();
         let wrong_model = order.model.as_str() != &*server.options.model;
         if wrong_model || order.version.as_str() != &*state.version {
-            return (StatusCode::CONFLICT, "another version is loaded").into_response();
+            let loaded = [(LOADED_HEADER, state.version.to_string())];
+            return (StatusCode::CONFLICT, loaded, "another version is loaded").into_response();
         }
         if state.faults.leaving {
             return (StatusCode::SERVICE_UNAVAILABLE, "leaving").into_response();
@@ -367,7 +368,8 @@
     let old = state.reports.iter().rev().find(|entry| now.millis_since(entry.0) >= lag);
     let (measured, queued_tokens, running) = old.copied().unwrap_or((now, 0, 0));
     let model = server.options.model.parse();
-    let version = state.version.parse();
+    let told = &state.faults.reports_version;
+    let version = if told.is_empty() { state.version.parse() } else { told.parse() };
     let loaded = model.ok().zip(version.ok()).into_iter().collect();
     Json(EngineReport {
         instance: server.instance.clone(),
--- a/crates/guavatiller/tests/versions.rs
+++ b/crates/guavatiller/tests/versions.rs
@@ -6,13 +6,15 @@
 
 use guava_standins::caller::{Caller, StreamedAnswer};
 use guava_standins::deployment::{
-    Deployment, DeploymentPlan, EnginePlan, ask, block_on, wait_until,
+    Deployment, DeploymentPlan, EnginePlan, ask, block_on, tell, wait_until,
 };
 use guava_standins::engine_server::EngineStats;
 use guava_standins::fault_proxy::LinkFault;
 use guava_standins::weight_server::WeightStats;
+use serde_json::json;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use support::{deploy, engine_stats, expected_text, long_prompt, server, stream};
 
 fn plan(engines: usize, checks_fencing: bool) -> DeploymentPlan {
@@ -86,6 +88,30 @@
     assert!(stats.iter().all(|engine| engine.wrong_blocks == 0));
 }
 
+#[test]
+fn request_is_served_while_reports_of_engines_lag_behind_their_versions() {
+    // Guards against requests that are refused since each engine's other version uses up a try.
+    let deployment = deploy(plan(4, true));
+    deployment.operate_ok(0, &["model", "publish", "hints", "v2"]).unwrap();
+    let order = json!({ "token": "1000000", "model": "hints", "version": "v2" });
+    let engines = || (0..4).map(|index| server(&deployment, &format!("engine-{index}")));
+    engines().for_each(|engine| tell(engine, "/orders", &order).unwrap());
+    wait_until("all engines have the version", || {
+        loaded_versions(&deployment).iter().all(|loaded| loaded == "v2")
+    });
+    engines().for_each(|engine| {
+        tell(engine, "/fault", &json!({ "reports_version": "v1" })).unwrap();
+    });
+    deployment.operate_ok(0, &["model", "roll-out", "hints", "v2"]).unwrap();
+    std::thread::sleep(Duration::from_secs(1));
+
+    let answers: Vec<_> = (0..6)
+        .map(|index| stream(deployment.daemons[index % 3].callers, &format!("late {index}"), 2))
+        .collect();
+
+    assert!(answers.iter().all(|answer| answer.done && answer.version == "v2"), "{answers:?}");
+}
+
 #[test]
 fn cache_of_the_old_version_is_not_used() {
     // Symptom: a new version answers from the old one's cache.
