fix: a refusal reaches a caller that is still sending its body

What callers saw: on the own interface a body that is too long is refused (413), or a call without a key (401) or service (404), and the refusal is lost in a reset now and then.

Cause: the connection was closed with the rest of the body unread, which resets it; the reset overtakes the answer.

Change: they are read to their end, 64 MB and five seconds at most, before the refusal.

--- a/crates/guava-daemon/src/caller_request.rs
+++ b/crates/guava-daemon/src/caller_request.rs
@@ -6,16 +6,23 @@
 use crate::other_addresses::other_addresses;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::stream_id::token_hash;
-use axum::body::Body;
+use axum::body::{Body, BodyDataStream, Bytes};
 use axum::extract::State;
 use axum::http::{HeaderMap, HeaderValue, Response};
 use axum::response::IntoResponse;
+use bytes::BytesMut;
+use futures_util::StreamExt;
 use guava_log::log_event;
 use guava_types::{CustomerId, Deadline};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// Largest body of a request, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
+/// Bytes of a refused request's body that are read, and for how long, in milliseconds.
+const MAX_DRAINED_BYTES: usize = 64 << 20;
+const DRAIN_MS: u64 = 5_000;
 const MAX_DEADLINE_MS: u64 = 600_000;
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 const COME_BACK_MS: u64 = 500;
@@ -34,6 +41,41 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Reads a body to its end; nothing if it is too long or breaks off.
+pub(crate) async fn read_body(body: Body) -> Option<Bytes> {
+    let mut data = body.into_data_stream();
+    let mut bytes = BytesMut::new();
+    while let Some(piece) = data.next().await {
+        bytes.extend_from_slice(&piece.ok()?);
+        if bytes.len() > MAX_BODY_BYTES {
+            drain(data).await;
+            return None;
+        }
+    }
+    Some(bytes.freeze())
+}
+
+/// Reads the body of a request that is refused without it.
+pub(crate) async fn drain_body(body: Body) {
+    drain(body.into_data_stream()).await;
+}
+
+/// Reads on without keeping anything: a connection that is closed with bytes unread is reset, and the
+/// answer before that may be lost.
+async fn drain(mut data: BodyDataStream) {
+    let reading = async {
+        let mut left = MAX_DRAINED_BYTES;
+        while let Some(Ok(piece)) = data.next().await {
+            left = left.saturating_sub(piece.len());
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // Whoever sends for longer may lose its answer.
+    drop(timeout(Duration::from_millis(DRAIN_MS), reading).await);
+}
+
 pub(crate) fn bad_request(attempt: Option<u32>, reason: impl Into<Box<str>>) -> CallOutcome {
     let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, reason);
     CallOutcome::refused(attempt, refusal)
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -3,7 +3,7 @@
 use crate::address::{get_address, post_address};
 use crate::caller_request::{
     MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header, new_request_id,
-    parse_attempt, with_request,
+    parse_attempt, read_body, with_request,
 };
 use crate::completion::{
     CallerInfo, CompletionRequest, RunHolds, StartedRun, check_readiness, collect_run, note_import,
@@ -16,8 +16,8 @@
 use crate::outcome::{CallOutcome, OUTCOME_HEADER, Refusal, RefusalKind};
 use crate::run_feed::{FeedStep, RunFeed};
 use crate::service_front::call_service;
-use axum::body::{Body, Bytes};
-use axum::extract::{DefaultBodyLimit, State};
+use axum::body::Body;
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, Method, Response, StatusCode};
 use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
@@ -29,17 +29,20 @@
 
 /// Path of completions.
 const COMPLETIONS_PATH: &str = "/v1/completions";
-async fn complete(
-    State(context): SharedContext,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response<Body> {
+async fn complete(State(context): SharedContext, incoming: Request) -> Response<Body> {
     let request = new_request_id();
     let arrived = Moment::now();
-    let caller = match caller_info(&context, &request, &headers) {
+    let (parts, body) = incoming.into_parts();
+    let body = read_body(body).await;
+    let caller = match caller_info(&context, &request, &parts.headers) {
         Ok(caller) => caller,
         Err(outcome) => return finish(&context, &request, outcome),
     };
+    let Some(body) = body else {
+        let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
+        let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
+        return finish(&context, &request, CallOutcome::refused(caller.attempt, refusal));
+    };
     let completion = match CompletionRequest::parse(&body) {
         Ok(completion) => completion,
         Err(reason) => {
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -2,8 +2,8 @@
 
 use crate::call_dispatch::{call_once, come_back_ms, open_instances};
 use crate::caller_request::{
-    KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header,
-    new_request_id,
+    KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, drain_body, finish,
+    header, new_request_id, read_body,
 };
 use crate::completion::{CallerInfo, check_readiness};
 use crate::context::DaemonContext;
@@ -13,7 +13,7 @@
 use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::upstream_words::{note_words, pass};
-use axum::body::{Body, to_bytes};
+use axum::body::Body;
 use axum::extract::{Path, Request, State};
 use axum::http::Response;
 use guava_log::log_event;
@@ -50,18 +50,22 @@
     let (parts, body) = incoming.into_parts();
     let caller = match caller_info(context, request, &parts.headers) {
         Ok(caller) => caller,
-        Err(outcome) => return outcome,
+        Err(outcome) => {
+            drain_body(body).await;
+            return outcome;
+        }
     };
     let name = service.parse::<ServiceName>().ok();
     let spec = name.and_then(|name| {
         context.state.read(|state| state.service(&name).cloned()).map(|spec| (name, spec))
     });
     let Some((service, spec)) = spec else {
+        drain_body(body).await;
         let reason = format!("service: no service {service:?} is configured");
         let refusal = Refusal::final_one(RefusalKind::NO_SUCH, reason);
         return CallOutcome::refused(caller.attempt, refusal);
     };
-    let Ok(body) = to_bytes(body, MAX_BODY_BYTES).await else {
+    let Some(body) = read_body(body).await else {
         let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
         let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
         return CallOutcome::refused(caller.attempt, refusal);
--- a/crates/guavatiller/tests/bad_input.rs
+++ b/crates/guavatiller/tests/bad_input.rs
@@ -6,6 +6,9 @@
 
 use guava_standins::caller::{Caller, CallerAnswer};
 use guava_standins::deployment::{Deployment, block_on};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
 use support::{deploy_default, stream};
 
 fn send(deployment: &Deployment, method: &str, path: &str, body: &str) -> CallerAnswer {
@@ -142,3 +145,34 @@
         assert!(text.contains(part), "{part}: {text}");
     }
 }
+
+#[yare::parameterized(
+    completion = { "/v1/completions", "", 413 },
+    call = { "/v1/services/board/submit", "", 413 },
+    call_without_a_key = { "/v1/services/board/submit", "Bearer none", 401 },
+    call_of_no_service = { "/v1/services/none/submit", "", 404 },
+)]
+fn caller_that_is_still_sending_gets_its_refusal(path: &str, key: &str, status: u16) {
+    // Guards against refusals that are lost in a reset, since the body after them is not read.
+    let deployment = deploy_default();
+    let key =
+        if key.is_empty() { format!("Bearer {}", Caller::of("acme").key) } else { key.into() };
+    let half = vec![b'x'; 5 << 20];
+    let mut stream = TcpStream::connect(deployment.daemons[0].callers).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nauthorization: {key}\r\n\
+         content-length: {}\r\n\r\n",
+        half.len() * 2
+    );
+
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&half).unwrap();
+    std::thread::sleep(Duration::from_millis(400));
+    let is_sent = stream.write_all(&half).is_ok();
+    let mut answer = [0; 12];
+    let is_answered = stream.read_exact(&mut answer).is_ok();
+
+    assert!(is_sent && is_answered, "sent {is_sent}, answered {is_answered}");
+    assert_eq!(&answer[9..], status.to_string().as_bytes());
+}
