--- a/crates/guava-daemon/src/upstream_words.rs
+++ b/crates/guava-daemon/src/upstream_words.rs
@@ -56,14 +56,20 @@
 
 /// Whether work may be sent to an upstream right now; notes it as sent.
 pub fn pass(context: &DaemonContext, upstream: &UpstreamId) -> bool {
-    if locked(&context.leaving).is_leaving(upstream) || closed(context, upstream).is_some() {
+    if locked(&context.leaving).is_leaving(upstream) {
         return false;
     }
     let start = current_start(context, upstream);
+    let now = Moment::now();
+    // Judged and noted under one lock: of two requests at the same moment one may be too many.
     let mut words = locked(&context.words);
-    words.sends.note(&start, Moment::now());
-    words.table.note_send(&start);
-    true
+    let share = |limit| own_share(context, upstream, limit);
+    let is_open = word_gate(&words.table, &words.sends, &start, share, now).is_none();
+    if is_open {
+        words.sends.note(&start, now);
+        words.table.note_send(&start);
+    }
+    is_open
 }
 
 /// Whether an upstream asked for rest and wants no orders or exports either.
--- a/crates/guava-policy/src/word_table.rs
+++ b/crates/guava-policy/src/word_table.rs
@@ -101,6 +101,8 @@
     limit: Option<LimitRate>,
     /// As of when that is known.
     limit_as_of: Moment,
+    /// When the last limit was found to be over, if there is none now.
+    limit_over: Option<Moment>,
     /// Since when it is known to leave, if it does.
     leaving_since: Option<Moment>,
     /// Until when it wants nothing from this daemon.
@@ -186,9 +188,15 @@
         known.limit_as_of = as_of;
         let before = std::mem::replace(&mut known.limit, rate);
         match rate {
-            Some(rate) if before != Some(rate) => Some(WordNews::Limited { rate, before }),
-            None if before.is_some() => Some(WordNews::Unlimited),
-            _ => None,
+            Some(rate) => {
+                known.limit_over = None;
+                (before != Some(rate)).then_some(WordNews::Limited { rate, before })
+            }
+            None if before.is_some() => {
+                known.limit_over = Some(now);
+                Some(WordNews::Unlimited)
+            }
+            None => None,
         }
     }
 
@@ -225,8 +233,8 @@
     /// An upstream's limit for other daemons, or that it has none any more.
     pub fn limit_notice(&self, upstream: &UpstreamId) -> Option<LimitNotice> {
         let words = self.upstreams.get(upstream)?;
-        let has_spoken = words.limit_as_of != Moment::default();
-        has_spoken.then(|| LimitNotice {
+        let is_known = words.limit.is_some() || words.limit_over.is_some();
+        is_known.then(|| LimitNotice {
             upstream: upstream.clone(),
             rate: words.limit,
             as_of: words.limit_as_of,
@@ -235,10 +243,12 @@
 
     /// All limits and ends of limits for other daemons; of ends those that are recent.
     pub fn limit_notices(&self, now: Moment) -> impl Iterator<Item = LimitNotice> {
-        let is_told = move |notice: &LimitNotice| {
-            notice.rate.is_some() || !Deadline::after(notice.as_of, TOLD_MS).passed(now)
+        let is_recent = move |over: Moment| !Deadline::after(over, TOLD_MS).passed(now);
+        let is_told = move |words: &UpstreamWords| {
+            words.limit.is_some() || words.limit_over.is_some_and(is_recent)
         };
-        self.upstreams.keys().filter_map(|id| self.limit_notice(id)).filter(is_told)
+        let told = self.upstreams.iter().filter(move |(_, words)| is_told(words));
+        told.filter_map(|(id, _)| self.limit_notice(id))
     }
 
     /// Whether an upstream has said that it leaves.
--- a/crates/guava-policy/tests/word_table.rs
+++ b/crates/guava-policy/tests/word_table.rs
@@ -100,6 +100,19 @@
     assert_eq!(table.limit(&id("u")), None, "told by a daemon that is behind");
 }
 
+#[test]
+fn end_of_a_limit_is_told_for_a_while_however_many_answers_follow() {
+    let mut table = WordTable::default();
+    table.note_answer(&id("u"), &limited(2.0), Moment(10), Moment(20));
+    for second in 1..40 {
+        let sent = Moment(second * 1_000);
+        table.note_answer(&id("u"), &AnswerWords::default(), sent, sent);
+    }
+
+    assert_eq!(table.limit_notices(Moment(5_000)).count(), 1);
+    assert_eq!(table.limit_notices(Moment(40_000)).count(), 0);
+}
+
 #[test]
 fn limit_belongs_to_one_start_of_an_upstream() {
     let mut table = WordTable::default();
