--- a/crates/guava-policy/src/word_gate.rs
+++ b/crates/guava-policy/src/word_gate.rs
@@ -60,13 +60,14 @@
     share: impl FnOnce(LimitRate) -> SendShare,
     now: Moment,
 ) -> Option<ClosedUpstream> {
-    if words.is_leaving(upstream) {
+    let words = words.words(upstream)?;
+    if words.is_leaving() {
         return Some(ClosedUpstream { reason: CloseReason::Leaving, until: None });
     }
-    if let Some(Deadline(until)) = words.rest_until(upstream, now) {
+    if let Some(Deadline(until)) = words.rest_until(now) {
         return Some(ClosedUpstream { reason: CloseReason::Rest, until: Some(until) });
     }
-    full_share(sends, upstream, share(words.limit(upstream)?), CloseReason::Limit, now)
+    full_share(sends, upstream, share(words.limit?), CloseReason::Limit, now)
 }
 
 /// What closes an upstream whose share is used up.
--- a/crates/guava-policy/src/word_table.rs
+++ b/crates/guava-policy/src/word_table.rs
@@ -96,9 +96,11 @@
     }
 }
 
+/// What one upstream has said.
 #[derive(Clone, Debug, Default)]
-struct UpstreamWords {
-    limit: Option<LimitRate>,
+pub(crate) struct UpstreamWords {
+    /// Its limit, if it has one.
+    pub(crate) limit: Option<LimitRate>,
     /// As of when that is known.
     limit_as_of: Moment,
     /// When the last limit was found to be over, if there is none now.
@@ -111,6 +113,18 @@
     noted: Moment,
 }
 
+impl UpstreamWords {
+    /// Whether it has said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Until when it wants nothing from this daemon, if that is not over.
+    pub(crate) fn rest_until(&self, now: Moment) -> Option<Deadline> {
+        self.rest_until.filter(|until| !until.passed(now))
+    }
+}
+
 /// The words of all upstreams that said any.
 #[derive(Clone, Debug, Default)]
 pub struct WordTable {
@@ -225,9 +239,14 @@
         Some(known)
     }
 
+    /// What an upstream has said, if it said anything.
+    pub(crate) fn words(&self, upstream: &UpstreamId) -> Option<&UpstreamWords> {
+        self.upstreams.get(upstream)
+    }
+
     /// An upstream's limit, if it has one.
     pub fn limit(&self, upstream: &UpstreamId) -> Option<LimitRate> {
-        self.upstreams.get(upstream)?.limit
+        self.words(upstream)?.limit
     }
 
     /// An upstream's limit for other daemons, or that it has none any more.
@@ -253,13 +272,12 @@
 
     /// Whether an upstream has said that it leaves.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
-        self.upstreams.get(upstream).is_some_and(|words| words.leaving_since.is_some())
+        self.words(upstream).is_some_and(UpstreamWords::is_leaving)
     }
 
     /// Until when an upstream wants nothing from this daemon, if that is not over.
     pub fn rest_until(&self, upstream: &UpstreamId, now: Moment) -> Option<Deadline> {
-        let until = self.upstreams.get(upstream)?.rest_until?;
-        (!until.passed(now)).then_some(until)
+        self.words(upstream)?.rest_until(now)
     }
 
     /// Upstreams that are lately known to leave, for other daemons.
