feat: log lines and metrics of requests on superseded weights

What told the hypotheses of the incident apart was nowhere: G8010 has the version and the expected time, but not which publication counts, how old it is taken to be, from whom, or what of the time is taken for an outage of the store; nothing compared the first event with the limit.

G8018 tells it at the send, G8019 at the first event with the real wait and whether a limit had passed; G8106 has the age and the source; G9105 tells of outages that do not count. All are at level info, whose volume is bounded, and counted in superseded_requests_total. No decision changes.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -20,6 +20,8 @@
     QUARANTINES_UNAVAILABLE "G8015" "quarantine records can't be read or written";
     ANNOUNCEMENT_CHANGED "G8016" "an upstream announcement changed";
     SEND_BLOCKED "G8017" "a chosen upstream was closed before the send";
+    SUPERSEDED_SEND "G8018" "a prompt was sent to an engine with superseded weights";
+    SUPERSEDED_START "G8019" "a request began on superseded weights";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -96,5 +96,6 @@
 pub use weights::rollout_state::{VersionRollout, is_salt_unreferenced};
 pub use weights::version_rollout::{RolloutEngine, max_concurrent_loads, next_orders};
 pub use weights::version_targets::{
-    VersionLimits, VersionTarget, VersionTargets, VersionUse, age_at_start,
+    PublicationSource, SupersededAge, VersionLimits, VersionTarget, VersionTargets, VersionUse,
+    age_at_start,
 };
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -19,6 +19,7 @@
 use crate::upstreams::quarantine_record::QuarantineSync;
 use crate::upstreams::upstream_crashes::{apply_cleared, apply_crash, apply_quarantine};
 use crate::upstreams::upstream_table::ListChangeEffect;
+use crate::weights::version_targets::PublicationSource;
 use guava_log::log_event;
 use guava_policy::{ClearNotice, QuarantineNotice};
 use guava_types::{Deadline, MemberName, Moment, TokenCount, UpstreamId};
@@ -302,7 +303,7 @@
     }
     for target in message.targets {
         let learned = now.minus_millis(target.age_ms);
-        apply_version(context, &target.model, target.version, learned, "peer");
+        apply_version(context, &target.model, target.version, learned, PublicationSource::Peer);
     }
     for drain in &message.drains {
         apply_drain(context, drain, now);
@@ -492,14 +493,15 @@
     model: &guava_types::ModelName,
     version: crate::WeightVersion,
     learned: Moment,
-    source: &str,
+    source: PublicationSource,
 ) {
-    if context.targets.borrow_mut().offer(model, version, learned) {
+    if context.targets.borrow_mut().offer(model, version, learned, source) {
         log_event!(
             info,
             events::VERSION_PUBLISHED,
             model = model,
             version = version,
+            age_ms = Moment::now().millis_since(learned),
             source = source
         );
     }
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -49,6 +49,7 @@
     registry: Registry,
     requests: Family<KindLabel, Counter>,
     sends: Family<KindLabel, Counter>,
+    superseded: Family<KindLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
@@ -69,6 +70,7 @@
         let mut registry = Registry::with_prefix("guavatiller");
         let requests = Family::<KindLabel, Counter>::default();
         let sends = Family::<KindLabel, Counter>::default();
+        let superseded = Family::<KindLabel, Counter>::default();
         let store_calls = Family::<KindLabel, Counter>::default();
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
@@ -82,6 +84,7 @@
         let dropped_lines = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("sends", "Sends to upstreams by result", sends.clone());
+        registry.register("superseded_requests", "On superseded weights", superseded.clone());
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         registry.register("bad_records", "Unreadable records by kind", bad_records.clone());
         registry.register("lost_messages", "Between daemons, by reason", lost_messages.clone());
@@ -99,6 +102,7 @@
             registry,
             requests,
             sends,
+            superseded,
             store_calls,
             bad_records,
             lost_messages,
@@ -135,6 +139,11 @@
         self.sends.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a request on superseded weights; `kind` tells how far it came.
+    pub fn count_superseded(&self, kind: &'static str) {
+        self.superseded.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a call to the platform's store; `kind` names the call.
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use crate::upstreams::upstream_crashes::{note_answer, note_interrupted, note_refused};
 use crate::upstreams::upstream_table::WeightVersion;
 use crate::upstreams::work_table::WorkTicket;
+use crate::weights::superseded_requests::{note_superseded_send, note_superseded_start};
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
 use guava_policy::CloseReason;
@@ -182,6 +183,13 @@
     }
 }
 
+/// When a request was sent, and whether its engine was idle then.
+#[derive(Clone, Copy)]
+struct SendTime {
+    sent: Moment,
+    was_idle: bool,
+}
+
 /// Data that the steps of one attempt share.
 struct Attempt<'a> {
     context: &'a Rc<ServeContext>,
@@ -231,6 +239,9 @@
             return AttemptOutcome::NotSent;
         }
         let sent = Moment::now();
+        if let Some((model, _)) = self.expected_weights() {
+            note_superseded_send(self.context, &self.request.id, self.plan, model, sent);
+        }
         let encoded = (self.context.dialect.encode)(self.request, &current_send);
         let answer =
             match wait_for_answer(self.input, self.plan, connection.exchange(encoded)).await {
@@ -252,7 +263,7 @@
         }
         let is_stream = self.request.route.repeat.is_stream();
         if is_stream && answer.status() == StatusCode::OK {
-            self.open_stream(connection, answer, marks, work, was_idle.then_some(sent)).await
+            self.open_stream(connection, answer, marks, work, SendTime { sent, was_idle }).await
         } else {
             self.read_complete(connection, answer, marks, work).await
         }
@@ -445,7 +456,7 @@
         answer: Response<Incoming>,
         marks: AnswerMarks,
         work: WorkGuard,
-        sent_while_idle: Option<Moment>,
+        time: SendTime,
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
         let upstream = self.plan.send.upstream.clone();
@@ -460,8 +471,11 @@
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
         };
         source.work.note_started();
+        if let Some((model, _)) = self.expected_weights() {
+            note_superseded_start(self.context, &self.request.id, self.plan, model, time.sent);
+        }
         self.confirm_weights();
-        self.note_prefill_time(sent_while_idle);
+        self.note_prefill_time(time.was_idle.then_some(time.sent));
         let mut headers = head.headers;
         (self.context.dialect.strip)(&mut headers);
         AttemptOutcome::Stream(Box::new(OpenStream { status: head.status, headers, first, source }))
--- a/crates/guava-serve/src/weights.rs
+++ b/crates/guava-serve/src/weights.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod order_task;
 pub(crate) mod rollout_state;
+pub(crate) mod superseded_requests;
 pub(crate) mod version_rollout;
 pub(crate) mod version_targets;
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -5,6 +5,7 @@
 
 use crate::upstreams::upstream_table::WeightVersion;
 use guava_types::{FastMap, ModelName, Moment};
+use std::fmt;
 
 /// Time after the publication of a newer version from which an answer on the older one counts as
 /// stale, in milliseconds.
@@ -13,6 +14,27 @@
 /// milliseconds. It covers a late read of the publication and slow links.
 const CUTOFF_MARGIN_MS: u64 = 1_500;
 
+/// How a daemon learnt when weights were published.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PublicationSource {
+    /// It read the record of the publication.
+    Store,
+    /// A peer reported it, with its age.
+    Peer,
+    /// It found the weights at its start, with or without a record of when they were first seen.
+    Start,
+}
+
+impl fmt::Display for PublicationSource {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Start => "start",
+        })
+    }
+}
+
 /// Published weights of one model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionTarget {
@@ -21,6 +43,30 @@
     /// Earliest moment at which the version is known to have been published, on this daemon's
     /// clock.
     pub learned: Moment,
+    /// How that moment is known.
+    pub source: PublicationSource,
+}
+
+/// For how long a version has been superseded, as this daemon counts it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SupersededAge {
+    /// The version that superseded it.
+    pub successor: WeightVersion,
+    /// How the successor's publication is known.
+    pub source: PublicationSource,
+    /// Time since the successor's publication, in milliseconds.
+    pub age_ms: u64,
+    /// Of that, the time since the last outage of the store, in milliseconds.
+    pub stretch_ms: u64,
+    /// Of that, the time without all outages, in milliseconds.
+    pub total_ms: u64,
+}
+
+impl SupersededAge {
+    /// Whether a time limit for the successor has passed.
+    pub fn exceeds(&self, limits: VersionLimits) -> bool {
+        self.stretch_ms > limits.stretch_ms || self.total_ms > limits.total_ms
+    }
 }
 
 /// Assumed age of weights without a record of their publication, in milliseconds.
@@ -99,16 +145,24 @@
     /// A daemon reads the newest version at its start without its age. If it counted from its own
     /// start, it would use old weights long after the time limit. Peers may know an earlier moment,
     /// so the earliest one counts.
-    pub fn offer(&mut self, model: &ModelName, version: WeightVersion, learned: Moment) -> bool {
+    pub fn offer(
+        &mut self,
+        model: &ModelName,
+        version: WeightVersion,
+        learned: Moment,
+        source: PublicationSource,
+    ) -> bool {
         let publications = self.publications.entry(model.clone()).or_default();
         if let Some(known) = publications.iter_mut().find(|target| target.version == version) {
-            known.learned = known.learned.min(learned);
+            if learned < known.learned {
+                (known.learned, known.source) = (learned, source);
+            }
             return false;
         }
         if publications.last().is_some_and(|newest| newest.version > version) {
             return false;
         }
-        publications.push(VersionTarget { version, learned });
+        publications.push(VersionTarget { version, learned, source });
         if publications.len() > MAX_HISTORY_ENTRIES {
             publications.remove(0);
         }
@@ -116,7 +170,9 @@
     }
 
     /// Records since when no daemon has reached the store; `None` means that it is available.
-    pub fn note_store(&mut self, unavailable_since: Option<Moment>, now: Moment) {
+    /// Returns whether an outage begins or ends.
+    pub fn note_store(&mut self, unavailable_since: Option<Moment>, now: Moment) -> bool {
+        let is_change = self.unavailable_since.is_some() != unavailable_since.is_some();
         let outage_start = self.unavailable_since.filter(|_| unavailable_since.is_none());
         if let Some(from) = outage_start {
             self.outages.push(StoreOutage { from, until: now });
@@ -125,6 +181,7 @@
             }
         }
         self.unavailable_since = unavailable_since;
+        is_change
     }
 
     /// Time since a moment in which the store was available, in milliseconds: since the end of the
@@ -159,6 +216,25 @@
             .filter_map(|(model, publications)| Some((model, publications.last()?)))
     }
 
+    /// For how long a version has been superseded at a moment; `None` if no newer one is known.
+    pub fn superseded(
+        &self,
+        model: &ModelName,
+        version: WeightVersion,
+        now: Moment,
+    ) -> Option<SupersededAge> {
+        let publications = self.publications.get(model)?;
+        let successor = publications.iter().find(|target| target.version > version)?;
+        let (stretch_ms, total_ms) = self.elapsed_ms(successor.learned, now);
+        Some(SupersededAge {
+            successor: successor.version,
+            source: successor.source,
+            age_ms: now.millis_since(successor.learned),
+            stretch_ms,
+            total_ms,
+        })
+    }
+
     /// Whether a request may start on a version at the moment `start`, given the time limits until
     /// the newest version must be in use everywhere.
     pub fn judge(
--- a/crates/guava-serve/tests/order_task.rs
+++ b/crates/guava-serve/tests/order_task.rs
@@ -5,8 +5,8 @@
 mod support;
 
 use guava_serve::{
-    EnginePort, EngineReport, LeasePort, LeaseUpdate, LoadOrder, OrderTask, UpstreamEntry,
-    VersionRollout, WeightVersion,
+    EnginePort, EngineReport, LeasePort, LeaseUpdate, LoadOrder, OrderTask, PublicationSource,
+    UpstreamEntry, VersionRollout, WeightVersion,
 };
 use guava_state::LeaseEntry;
 use guava_types::{FastMap, Incarnation, Moment, Offset};
@@ -59,7 +59,12 @@
     let before = UpstreamEntry { id: listed.id.started_at(100), ..listed.clone() };
     let after = UpstreamEntry { id: listed.id.started_at(200), ..listed };
     context.upstreams.borrow_mut().note_entry(before.clone());
-    context.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment::now());
+    context.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(2),
+        Moment::now(),
+        PublicationSource::Store,
+    );
     let versions: FastMap<_, _> = [(model(), WeightVersion(1))].into_iter().collect();
     let (port, orders) =
         engines(EngineReport { versions, start_ms: Some(200), ..EngineReport::default() });
@@ -95,7 +100,12 @@
     // read that showed them the last one.
     let context = Rc::new(serve_context("d1"));
     context.upstreams.borrow_mut().note_entry(engine("e", 1));
-    context.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment::now());
+    context.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(2),
+        Moment::now(),
+        PublicationSource::Store,
+    );
     let waits = Rc::new(RefCell::new(Vec::new()));
     let recorded_waits = Rc::clone(&waits);
     let held =
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -7,9 +7,9 @@
 use guava_serve::{
     EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListChangeEffect, ListChangeGossip,
     ListRevision, ListSource, MAX_DATAGRAM_BYTES, OwnSummary, PartEvent, PartKey, PartSave,
-    PeerMessage, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeContext, ServeIdentity,
-    UpstreamEntry, WeightVersion, WorkShare, apply_change, apply_message, compose_immediate,
-    compose_initial_sync, compose_message, compose_reads, datagrams,
+    PeerMessage, PublicationSource, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeContext,
+    ServeIdentity, UpstreamEntry, WeightVersion, WorkShare, apply_change, apply_message,
+    compose_immediate, compose_initial_sync, compose_message, compose_reads, datagrams,
 };
 use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
@@ -116,7 +116,12 @@
 #[test]
 fn publication_keeps_its_age_when_a_peer_reports_it() {
     let (one, two) = (serve_context("d1"), serve_context("d2"));
-    one.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment(NOW.0 - 7_000));
+    one.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(2),
+        Moment(NOW.0 - 7_000),
+        PublicationSource::Store,
+    );
 
     deliver(&compose_message(&one, news("d1"), NOW), &two);
 
@@ -397,7 +402,12 @@
     for context in [&reader, &other] {
         context.reads.borrow_mut().operator.note_own(12, Moment(NOW.0 - 500));
     }
-    reader.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment(NOW.0 - 20));
+    reader.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(2),
+        Moment(NOW.0 - 20),
+        PublicationSource::Store,
+    );
     reader.reads.borrow_mut().operator.note_own(13, NOW);
     reader.reads.borrow_mut().published_since = Some(12);
 
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use guava_serve::{
-    RolloutEngine, ServeContext, UpstreamTable, VersionLimits, VersionRollout, VersionTargets,
-    VersionUse, WeightVersion, age_at_start, is_salt_unreferenced, max_concurrent_loads,
-    next_orders,
+    PublicationSource, RolloutEngine, ServeContext, UpstreamTable, VersionLimits, VersionRollout,
+    VersionTargets, VersionUse, WeightVersion, age_at_start, is_salt_unreferenced,
+    max_concurrent_loads, next_orders,
 };
 use guava_types::Moment;
 use support::{engine, id, model, serve_context};
@@ -18,7 +18,7 @@
 
 fn targets() -> VersionTargets {
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), WeightVersion(2), Moment(100_000));
+    targets.offer(&model(), WeightVersion(2), Moment(100_000), PublicationSource::Store);
     targets
 }
 
@@ -41,7 +41,7 @@
     // Version 3 follows version 2 some seconds later; the time limit of version 1 was then counted
     // from the newest publication.
     let mut targets = targets();
-    targets.offer(&model(), WeightVersion(3), Moment(106_000));
+    targets.offer(&model(), WeightVersion(3), Moment(106_000), PublicationSource::Store);
 
     let first = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(109_000));
     let second = targets.judge(&model(), WeightVersion(2), LIMITS, Moment(109_000));
@@ -57,7 +57,8 @@
     // from its own start.
     let mut targets = targets();
 
-    let is_new = targets.offer(&model(), WeightVersion(2), Moment(95_000));
+    let is_new =
+        targets.offer(&model(), WeightVersion(2), Moment(95_000), PublicationSource::Store);
 
     assert!(!is_new);
     let verdict = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(104_000));
@@ -74,7 +75,7 @@
     let age = age_at_start(Some(None), LIMIT_MS);
 
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), WeightVersion(2), Moment(100_000 - age));
+    targets.offer(&model(), WeightVersion(2), Moment(100_000 - age), PublicationSource::Store);
     let later = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(102_500));
     assert_eq!(later, VersionUse::Forbidden);
 }
@@ -127,7 +128,12 @@
     // the fewest requests, so they are selected first, and are busy. A busy engine counted as
     // ordered, and used up one of the few concurrent loads until that order expired.
     let context = context_with_engines(&[("e", 1)]);
-    context.targets.borrow_mut().offer(&model(), WeightVersion(3), Moment(1_000));
+    context.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(3),
+        Moment(1_000),
+        PublicationSource::Store,
+    );
     let mut rollout = VersionRollout::default();
     rollout.refresh(&context, Moment(1_000));
 
@@ -140,7 +146,12 @@
 #[test]
 fn rollout_is_complete_when_all_engines_have_loaded_the_weights() {
     let context = context_with_engines(&[("a", 2), ("b", 1)]);
-    context.targets.borrow_mut().offer(&model(), WeightVersion(2), Moment(1_000));
+    context.targets.borrow_mut().offer(
+        &model(),
+        WeightVersion(2),
+        Moment(1_000),
+        PublicationSource::Store,
+    );
     let mut rollout = VersionRollout::default();
 
     let before = rollout.refresh(&context, Moment(2_000));
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -213,6 +213,29 @@
     assert_eq!(orders.len(), 2, "{orders:?}");
 }
 
+#[test]
+fn request_on_superseded_weights_is_traced_from_its_send_to_its_first_event() {
+    let (deployment, daemons) = deploy(1);
+    deployment.servers.values().for_each(|server| server.set_fault(ServerFault::IgnoresOrders));
+    deployment.publish(2);
+    wait_until("the publication is known", || logged(&daemons[0], "G8106"));
+
+    let answer = draft(&daemons[0], "r1").unwrap();
+
+    assert_eq!(answer.status, 200);
+    wait_until("the request is over", || {
+        let lines = lines_about(&daemons[0], "r1");
+        lines.iter().any(|line| line["kv"]["event"] == "G8019")
+    });
+    let lines = lines_about(&daemons[0], "r1");
+    let of_event = |event: &str| lines.iter().find(|line| line["kv"]["event"] == event).unwrap();
+    let (sent, begun) = (&of_event("G8018")["kv"], &of_event("G8019")["kv"]);
+    assert_eq!((&sent["weights"], &sent["successor"]), (&"1".into(), &"2".into()));
+    assert_eq!((&sent["source"], &begun["late"]), (&"store".into(), &"false".into()));
+    let metrics = ask(daemons[0].metrics, "/metrics").unwrap().body;
+    assert!(metrics.contains("superseded_requests_total{kind=\"began\"} 1"), "{metrics}");
+}
+
 #[test]
 fn stream_whose_server_breaks_off_is_whole() {
     let (deployment, daemons) = deploy(1);
