--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_platform_standins::{FleetSize, soak, soak_fleet};
+use guava_platform_standins::{FleetSize, soak, soak_fleet, soak_versions};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::Duration;
@@ -79,14 +79,40 @@
     let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
+    let failed = failed_seeds(&seeds, |seed| soak_fleet(&program, folder, seed, size).unwrap());
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Plays seeds one after the other; those that broke a promise, with what was broken.
+fn failed_seeds(seeds: &[u64], play: impl Fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
     let mut failed = Vec::new();
     for seed in seeds {
-        let broken = soak_fleet(&program, folder, seed, size).unwrap();
+        let broken = play(*seed);
         println!("seed {seed}: {} broken", broken.len());
         if !broken.is_empty() {
-            failed.push((seed, broken));
+            failed.push((*seed, broken));
         }
     }
+    failed
+}
+
+#[test]
+fn no_request_begins_on_superseded_weights_after_the_time_limit() {
+    // Guards against old weights in use for too long, and engines that never get the new ones.
+    let small = FleetSize {
+        daemons: 8,
+        engines: 10,
+        instances: 0,
+        callers: 24,
+        span: Duration::from_secs(26),
+    };
+    let size = fleet_by_hand().unwrap_or(small);
+    let seeds = seeds_by_hand().unwrap_or(vec![1]);
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    let failed = failed_seeds(&seeds, |seed| soak_versions(&program, folder, seed, size).unwrap());
 
     assert!(failed.is_empty(), "{failed:#?}");
 }
