fix: each publication of weights reaches every daemon with its own time

Callers saw requests begin on weights that had been superseded for up to 9 s more than the limit. Cause: a version is judged by the publication that followed it, but messages between daemons, the records for daemons that start, and the table itself dropped a publication once a newer one was known. A daemon that was away, or missed a datagram, counted the oldest weights from the last of a series.

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -205,10 +205,10 @@
     messages
 }
 
-/// The newest published weights of each model, with the age of each publication.
+/// The recently published weights of each model, with the age of each publication.
 fn published_versions(context: &ServeContext, now: Moment) -> Vec<PublishedVersion> {
     let targets = context.targets.borrow();
-    let published = targets.iter().map(|(model, target)| PublishedVersion {
+    let published = targets.told(now).map(|(model, target)| PublishedVersion {
         model: model.clone(),
         version: target.version,
         age_ms: now.millis_since(target.learned),
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -329,7 +329,7 @@
     pub sent: Vec<SentPrompt>,
     /// Upstreams that are loading new weights by order of the sender.
     pub loading: Vec<UpstreamId>,
-    /// Newest published weights of each model.
+    /// Recently published weights of each model, oldest first.
     pub targets: Vec<PublishedVersion>,
     /// Updates from the stores of prompt parts that the sender follows.
     pub stores: Vec<StoreUpdate>,
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -134,17 +134,30 @@
     publications: FastMap<ModelName, Vec<VersionTarget>>,
 }
 
+/// Age up to which publications are told to peers, in milliseconds. It exceeds the time limits, even
+/// with outages between.
+const TOLD_FOR_MS: u64 = 60_000;
 /// Publications kept for each model, since a version is judged from the publication of its
 /// successor; also the number of outages that are kept.
 const MAX_HISTORY_ENTRIES: usize = 16;
 
+/// Drops the oldest publication. The next one takes over its moment, which bounds the versions before
+/// both.
+fn drop_oldest(publications: &mut Vec<VersionTarget>) {
+    let oldest = publications.remove(0);
+    if let Some(next) = publications.first_mut() {
+        next.learned = next.learned.min(oldest.learned);
+    }
+}
+
 impl VersionTargets {
-    /// Records that a version was published at `learned` or earlier; returns whether it is a new
-    /// newest version.
+    /// Records that a version was published at `learned` or earlier; returns whether the version was
+    /// not known before.
     ///
     /// A daemon reads the newest version at its start without its age. If it counted from its own
     /// start, it would use old weights long after the time limit. Peers may know an earlier moment,
-    /// so the earliest one counts.
+    /// so the earliest one counts. Publications may be learnt in any order: one that is older than
+    /// the newest still supersedes those before it.
     pub fn offer(
         &mut self,
         model: &ModelName,
@@ -153,20 +166,22 @@
         source: PublicationSource,
     ) -> bool {
         let publications = self.publications.entry(model.clone()).or_default();
-        if let Some(known) = publications.iter_mut().find(|target| target.version == version) {
-            if learned < known.learned {
-                (known.learned, known.source) = (learned, source);
+        match publications.binary_search_by_key(&version, |target| target.version) {
+            Ok(place) => {
+                let known = &mut publications[place];
+                if learned < known.learned {
+                    (known.learned, known.source) = (learned, source);
+                }
+                false
+            }
+            Err(place) => {
+                publications.insert(place, VersionTarget { version, learned, source });
+                if publications.len() > MAX_HISTORY_ENTRIES {
+                    drop_oldest(publications);
+                }
+                true
             }
-            return false;
-        }
-        if publications.last().is_some_and(|newest| newest.version > version) {
-            return false;
-        }
-        publications.push(VersionTarget { version, learned, source });
-        if publications.len() > MAX_HISTORY_ENTRIES {
-            publications.remove(0);
         }
-        true
     }
 
     /// Records since when no daemon has reached the store; `None` means that it is available.
@@ -209,6 +224,18 @@
         publications.iter().map(|target| target.version).collect()
     }
 
+    /// Publications that peers are told: the recent ones of each model, and the newest of those
+    /// before them. A peer that knows only the newest one would count from that for all versions.
+    pub fn told(&self, now: Moment) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
+        let told = move |publications: &Vec<VersionTarget>| {
+            let is_old = |target: &VersionTarget| now.millis_since(target.learned) > TOLD_FOR_MS;
+            publications.iter().rposition(is_old).unwrap_or(0)
+        };
+        self.publications.iter().flat_map(move |(model, publications)| {
+            publications[told(publications)..].iter().map(move |target| (model, target))
+        })
+    }
+
     /// Newest publication of each model.
     pub fn iter(&self) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
         self.publications
@@ -216,6 +243,16 @@
             .filter_map(|(model, publications)| Some((model, publications.last()?)))
     }
 
+    /// The publication that superseded a version. No version is published after a newer one, so the
+    /// earliest moment of all newer ones counts.
+    fn successor(&self, model: &ModelName, version: WeightVersion) -> Option<VersionTarget> {
+        let newer = self.publications.get(model)?.iter().filter(|target| target.version > version);
+        newer.copied().reduce(|first, next| match next.learned < first.learned {
+            true => VersionTarget { version: first.version, ..next },
+            false => first,
+        })
+    }
+
     /// For how long a version has been superseded at a moment; `None` if no newer one is known.
     pub fn superseded(
         &self,
@@ -223,8 +260,7 @@
         version: WeightVersion,
         now: Moment,
     ) -> Option<SupersededAge> {
-        let publications = self.publications.get(model)?;
-        let successor = publications.iter().find(|target| target.version > version)?;
+        let successor = self.successor(model, version)?;
         let (stretch_ms, total_ms) = self.elapsed_ms(successor.learned, now);
         Some(SupersededAge {
             successor: successor.version,
@@ -244,10 +280,7 @@
         limits: VersionLimits,
         start: Moment,
     ) -> VersionUse {
-        let publications = self.publications.get(model).map(Vec::as_slice).unwrap_or_default();
-        let Some(successor) = publications.iter().find(|target| target.version > version) else {
-            return VersionUse::Newest;
-        };
+        let Some(successor) = self.successor(model, version) else { return VersionUse::Newest };
         let (stretch, total) = self.elapsed_ms(successor.learned, start);
         let is_over = |elapsed_ms: u64, limit: u64| elapsed_ms + CUTOFF_MARGIN_MS >= limit;
         if is_over(stretch, limits.stretch_ms) || is_over(total, limits.total_ms) {
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -8,8 +8,9 @@
     EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListChangeEffect, ListChangeGossip,
     ListRevision, ListSource, MAX_DATAGRAM_BYTES, OwnSummary, PartEvent, PartKey, PartSave,
     PeerMessage, PublicationSource, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeContext,
-    ServeIdentity, UpstreamEntry, WeightVersion, WorkShare, apply_change, apply_message,
-    compose_immediate, compose_initial_sync, compose_message, compose_reads, datagrams,
+    ServeIdentity, UpstreamEntry, VersionUse, WeightVersion, WorkShare, apply_change,
+    apply_message, compose_immediate, compose_initial_sync, compose_message, compose_reads,
+    datagrams,
 };
 use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
@@ -129,6 +130,38 @@
     assert_eq!(target.learned, Moment(NOW.0 - 7_000));
 }
 
+#[test]
+fn daemon_that_missed_a_publication_learns_it_from_the_next_message() {
+    // Guards against a daemon that counts from the last publication because it missed the one before.
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    for (version, age_ms) in [(2, 9_000), (3, 1_000)] {
+        let published = Moment(NOW.0 - age_ms);
+        let mut targets = one.targets.borrow_mut();
+        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+    }
+
+    deliver(&compose_message(&one, news("d1"), NOW), &two);
+
+    let limits = two.bounds.version_limits;
+    let verdict = two.targets.borrow().judge(&model(), WeightVersion(1), limits, NOW);
+    assert_eq!(verdict, VersionUse::Forbidden);
+}
+
+#[test]
+fn publications_of_long_ago_are_not_sent_with_each_message() {
+    let one = serve_context("d1");
+    for version in 2..10 {
+        let published = Moment(NOW.0 + version);
+        let mut targets = one.targets.borrow_mut();
+        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+    }
+
+    let message = compose_message(&one, news("d1"), Moment(NOW.0 + 3_600_000));
+
+    let sent: Vec<WeightVersion> = message.targets.iter().map(|target| target.version).collect();
+    assert_eq!(sent, [WeightVersion(9)]);
+}
+
 #[test]
 fn change_of_the_list_and_its_digest_arrive_together() {
     // Guards against all daemons reading the list at the same moment after each change: if the reader
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -65,6 +65,33 @@
     assert_eq!(verdict, VersionUse::Forbidden);
 }
 
+#[test]
+fn publication_learnt_after_a_newer_one_counts_for_the_version_before_it() {
+    // Guards against a version whose time is counted from a later publication than its successor's.
+    let mut targets = VersionTargets::default();
+    targets.offer(&model(), WeightVersion(3), Moment(104_000), PublicationSource::Store);
+
+    targets.offer(&model(), WeightVersion(2), Moment(100_000), PublicationSource::Peer);
+
+    assert_eq!(targets.target(&model()).unwrap().version, WeightVersion(3));
+    let verdict = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(109_500));
+    assert_eq!(verdict, VersionUse::Forbidden);
+}
+
+#[test]
+fn publications_that_are_no_longer_kept_still_count() {
+    // Guards against old weights that become usable again with the next of many publications.
+    let mut targets = targets();
+    for version in 3..40 {
+        let published = Moment(100_000 + version);
+        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+    }
+
+    let superseded = targets.superseded(&model(), WeightVersion(1), Moment(109_000)).unwrap();
+
+    assert_eq!(superseded.age_ms, 9_000);
+}
+
 #[test]
 fn age_of_weights_at_the_start_comes_from_their_record() {
     assert_eq!(age_at_start(Some(Some(22_000)), LIMIT_MS), 22_000);
