fix: a publication of weights is dated at the last read without it

Requests began on superseded weights too late, since daemons counted from when they heard: from the moment at which a read was processed, however long the process had not run or the reader had been gone; from the moment at which a message was read, not when it arrived; and from when a relay passed a message on. The 1.5 s of margin were all that stood against it.

Now a publication read from the store is dated at the moment as of which the records were last known to be without it, by this daemon's reads or a peer's; one from a peer is a moment on the clock of whoever holds it, encoded as an age when it is sent and counted from when the socket was last empty, also at relays; and the reading of the upstreams' clock that is furthest ahead is kept, since a late one makes records look recent.

What must wait long enough after a publication (freeing parts of old weights) counts from when this daemon heard of it, the safe side there.

Shown failing with the change taken out: age_of_a_publication_includes_its_wait_in_the_socket (1,500 ms too recent), wait_at_a_relay_counts_in_the_age_of_a_publication, change_is_dated_at_the_last_read_without_it. daemon_that_did_not_run_counts_from_before_a_publication plays it with a real process.

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -10,7 +10,7 @@
 use crate::members::peer_message::{ListChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
 use crate::parts::part_index::StoreUpdate;
-use crate::serve_context::{ServeContext, UpstreamClock};
+use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{
     AnnouncementBatch, apply_leaving, apply_limit, summary_announcements, urgent_announcements,
 };
@@ -19,7 +19,7 @@
 use crate::upstreams::quarantine_record::QuarantineSync;
 use crate::upstreams::upstream_crashes::{apply_cleared, apply_crash, apply_quarantine};
 use crate::upstreams::upstream_table::ListChangeEffect;
-use crate::weights::version_targets::PublicationSource;
+use crate::weights::version_targets::{PublicationSource, VersionTarget};
 use guava_log::log_event;
 use guava_policy::{ClearNotice, QuarantineNotice};
 use guava_types::{Deadline, MemberName, Moment, TokenCount, UpstreamId};
@@ -38,9 +38,6 @@
 const MAX_PARTS: usize = 300;
 /// Maximum number of quarantined requests, and of cleared ones, in one message; each takes 24 bytes.
 const MAX_QUARANTINES: usize = 32;
-/// Age from which this daemon's reading of the upstreams' clock is replaced by a peer's, in
-/// milliseconds.
-const CLOCK_EXPIRY_MS: u64 = 2_000;
 
 /// What a daemon's tasks contribute to its next summary.
 #[derive(Clone, Debug)]
@@ -205,13 +202,13 @@
     messages
 }
 
-/// The recently published weights of each model, with the age of each publication.
+/// The recently published weights of each model, with the moment of each publication.
 fn published_versions(context: &ServeContext, now: Moment) -> Vec<PublishedVersion> {
     let targets = context.targets.borrow();
     let published = targets.told(now).map(|(model, target)| PublishedVersion {
         model: model.clone(),
         version: target.version,
-        age_ms: now.millis_since(target.learned),
+        published: target.published,
     });
     published.collect()
 }
@@ -302,8 +299,8 @@
         apply_change(context, change, ListSource::Peer(&name), now);
     }
     for target in message.targets {
-        let learned = now.minus_millis(target.age_ms);
-        apply_version(context, &target.model, target.version, learned, PublicationSource::Peer);
+        let PublishedVersion { model, version, published } = target;
+        apply_version(context, &model, version, published, PublicationSource::Peer);
     }
     for drain in &message.drains {
         apply_drain(context, drain, now);
@@ -465,14 +462,11 @@
     }
 }
 
-/// Adopts a peer's reading of the upstreams' clock if the local one is missing or stale. Only daemons
-/// that follow a store read that clock directly.
+/// Adopts a peer's reading of the upstreams' clock. Only daemons that follow a store read that clock
+/// directly.
 fn apply_clock(context: &ServeContext, clock_ms: Option<u64>, now: Moment) {
     let Some(clock_ms) = clock_ms else { return };
-    let is_stale = |clock: UpstreamClock| now.millis_since(clock.read) > CLOCK_EXPIRY_MS;
-    if context.upstream_clock.get().is_none_or(is_stale) {
-        context.upstream_clock.set(Some(UpstreamClock { clock_ms, read: now }));
-    }
+    context.note_upstream_clock(clock_ms, now);
 }
 
 /// Applies a notice that a data centre is drained, or serves again.
@@ -487,21 +481,23 @@
     }
 }
 
-/// Applies the publication of weights, which happened at `learned` or earlier.
+/// Applies the publication of weights, which happened at `published` or later.
 pub fn apply_version(
     context: &ServeContext,
     model: &guava_types::ModelName,
     version: crate::WeightVersion,
-    learned: Moment,
+    published: Moment,
     source: PublicationSource,
 ) {
-    if context.targets.borrow_mut().offer(model, version, learned, source) {
+    let now = Moment::now();
+    let target = VersionTarget { version, published, heard: now, source };
+    if context.targets.borrow_mut().offer(model, target) {
         log_event!(
             info,
             events::VERSION_PUBLISHED,
             model = model,
             version = version,
-            age_ms = Moment::now().millis_since(learned),
+            age_ms = now.millis_since(published),
             source = source
         );
     }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -274,9 +274,8 @@
     pub model: ModelName,
     /// Version of the weights.
     pub version: WeightVersion,
-    /// How long the peer has known it, in milliseconds. A duration, because daemons' clocks are
-    /// never compared.
-    pub age_ms: u64,
+    /// Earliest moment of the publication.
+    pub published: Moment,
 }
 
 /// An upstream that was added to the list of upstreams, changed in it, or removed from it.
@@ -517,7 +516,7 @@
         let target = |target: &PublishedVersion| WirePublishedVersion {
             model: target.model.to_string(),
             version: target.version.0,
-            age_ms: target.age_ms,
+            age_ms: now.millis_since(target.published),
         };
         let slow_link = |link: &SlowLink| WireSlowLink {
             store: link.store.to_string(),
@@ -637,7 +636,7 @@
             Some(PublishedVersion {
                 model: target.model.parse().ok()?,
                 version,
-                age_ms: target.age_ms,
+                published: since.minus_millis(target.age_ms),
             })
         };
         let slow_link = |link: &WireSlowLink| {
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -123,6 +123,15 @@
         Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
     }
 
+    /// The earliest moment at which a change found by a read at `now` can have been made: this
+    /// daemon's state was last known to be right then.
+    ///
+    /// A process that did not run reads late, and so does one whose reader was lost; a change that
+    /// was dated at its read would look as recent as that read.
+    pub fn changed_since(&self, now: Moment) -> Moment {
+        self.confirmed().unwrap_or(now)
+    }
+
     /// Moment of the last known read by any daemon, this one included.
     pub fn freshest(&self) -> Option<Moment> {
         let received = self.received.map(|received| received.as_of);
--- a/crates/guava-serve/src/parts/part_task.rs
+++ b/crates/guava-serve/src/parts/part_task.rs
@@ -5,7 +5,7 @@
 use crate::events;
 use crate::members::shared_reads::read_as_of;
 use crate::ports::{FreeOrder, PartPort, PortError};
-use crate::serve_context::{ServeContext, UpstreamClock};
+use crate::serve_context::ServeContext;
 use crate::weights::rollout_state::is_salt_unreferenced;
 use guava_log::log_event;
 use guava_types::{FastMap, Moment};
@@ -127,7 +127,7 @@
     let report = (port.events)(store, *since, EVENTS_WAIT_MS).await?;
     let now = Moment::now();
     if let Some(clock_ms) = report.clock_ms {
-        context.upstream_clock.set(Some(UpstreamClock { clock_ms, read: now }));
+        context.note_upstream_clock(clock_ms, now);
     }
     if report.is_gapped {
         context.part_index.borrow_mut().forget_store(store);
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -88,6 +88,10 @@
     pub read: Moment,
 }
 
+/// Time for which a reading of the upstreams' clock is kept though later ones are behind it, in
+/// milliseconds.
+const CLOCK_RETENTION_MS: u64 = 10_000;
+
 /// Shared state of the request path.
 pub struct ServeContext {
     /// Name and place of this daemon.
@@ -244,6 +248,20 @@
         is_listed_leaving || self.announcements.borrow().is_leaving(upstream)
     }
 
+    /// Records a reading of the upstreams' clock that was taken at `read` or earlier.
+    ///
+    /// A reading that arrives late makes the clock look slow, and what is dated by it too recent, so
+    /// the reading by which the clock is furthest ahead is kept for a while.
+    pub fn note_upstream_clock(&self, clock_ms: u64, read: Moment) {
+        let known = self.upstream_clock.get();
+        let is_fresh = |clock: &UpstreamClock| read.millis_since(clock.read) <= CLOCK_RETENTION_MS;
+        let is_ahead =
+            |clock: UpstreamClock| clock.clock_ms + read.millis_since(clock.read) >= clock_ms;
+        if !known.filter(is_fresh).is_some_and(is_ahead) {
+            self.upstream_clock.set(Some(UpstreamClock { clock_ms, read }));
+        }
+    }
+
     /// What the upstreams' clock will show in `millis` milliseconds; `None` before its first reading.
     pub fn upstream_clock_in(&self, millis: u64, now: Moment) -> Option<u64> {
         let clock = self.upstream_clock.get()?;
--- a/crates/guava-serve/src/weights/rollout_state.rs
+++ b/crates/guava-serve/src/weights/rollout_state.rs
@@ -186,8 +186,8 @@
     }
 }
 
-/// Whether no request can fetch the prompt parts under a salt any more: newer weights were
-/// published longer than `PART_RETENTION_MS` ago, and all engines of the model have newer weights
+/// Whether no request can fetch the prompt parts under a salt any more: newer weights have been
+/// known here for longer than `PART_RETENTION_MS`, and all engines of the model have newer weights
 /// than the salt's.
 ///
 /// A part must not be freed while a request fetches it. Only requests on engines with the salt's
@@ -201,7 +201,7 @@
     let Some((model, version)) = salt_version(salt) else { return false };
     let Ok(model) = model.parse::<ModelName>() else { return false };
     let is_retention_over = targets.target(&model).is_some_and(|target| {
-        target.version > version && now.millis_since(target.learned) > PART_RETENTION_MS
+        target.version > version && now.millis_since(target.heard) > PART_RETENTION_MS
     });
     let of_model = upstreams.entries().filter_map(|entry| entry.versions.get(&model));
     is_retention_over && of_model.min().is_some_and(|oldest| *oldest > version)
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -11,7 +11,7 @@
 /// stale, in milliseconds.
 const STALE_AFTER_MS: u64 = 1_500;
 /// Margin before the time limit for new weights in which no request may start on old ones, in
-/// milliseconds. It covers a late read of the publication and slow links.
+/// milliseconds. It covers connecting, slow links, and a process that gets no processor for a while.
 const CUTOFF_MARGIN_MS: u64 = 1_500;
 
 /// How a daemon learnt when weights were published.
@@ -40,10 +40,12 @@
 pub struct VersionTarget {
     /// The newest published version.
     pub version: WeightVersion,
-    /// Earliest moment at which the version is known to have been published, on this daemon's
-    /// clock.
-    pub learned: Moment,
-    /// How that moment is known.
+    /// Earliest moment at which the version may have been published, on this daemon's clock: the
+    /// operator's records were last known to be without it then. Time limits count from here.
+    pub published: Moment,
+    /// When this daemon learnt of it.
+    pub heard: Moment,
+    /// How the moment of its publication is known.
     pub source: PublicationSource,
 }
 
@@ -146,36 +148,28 @@
 fn drop_oldest(publications: &mut Vec<VersionTarget>) {
     let oldest = publications.remove(0);
     if let Some(next) = publications.first_mut() {
-        next.learned = next.learned.min(oldest.learned);
+        next.published = next.published.min(oldest.published);
     }
 }
 
 impl VersionTargets {
-    /// Records that a version was published at `learned` or earlier; returns whether the version was
-    /// not known before.
+    /// Records a publication; returns whether the version was not known before.
     ///
-    /// A daemon reads the newest version at its start without its age. If it counted from its own
-    /// start, it would use old weights long after the time limit. Peers may know an earlier moment,
-    /// so the earliest one counts. Publications may be learnt in any order: one that is older than
-    /// the newest still supersedes those before it.
-    pub fn offer(
-        &mut self,
-        model: &ModelName,
-        version: WeightVersion,
-        learned: Moment,
-        source: PublicationSource,
-    ) -> bool {
+    /// Of several moments for one version the earliest counts: a daemon that hears late must not use
+    /// old weights past the time limit. Publications may be learnt in any order: one that is older
+    /// than the newest still supersedes those before it.
+    pub fn offer(&mut self, model: &ModelName, target: VersionTarget) -> bool {
         let publications = self.publications.entry(model.clone()).or_default();
-        match publications.binary_search_by_key(&version, |target| target.version) {
+        match publications.binary_search_by_key(&target.version, |known| known.version) {
             Ok(place) => {
                 let known = &mut publications[place];
-                if learned < known.learned {
-                    (known.learned, known.source) = (learned, source);
+                if target.published < known.published {
+                    (known.published, known.source) = (target.published, target.source);
                 }
                 false
             }
             Err(place) => {
-                publications.insert(place, VersionTarget { version, learned, source });
+                publications.insert(place, target);
                 if publications.len() > MAX_HISTORY_ENTRIES {
                     drop_oldest(publications);
                 }
@@ -228,7 +222,7 @@
     /// before them. A peer that knows only the newest one would count from that for all versions.
     pub fn told(&self, now: Moment) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
         let told = move |publications: &Vec<VersionTarget>| {
-            let is_old = |target: &VersionTarget| now.millis_since(target.learned) > TOLD_FOR_MS;
+            let is_old = |target: &VersionTarget| now.millis_since(target.published) > TOLD_FOR_MS;
             publications.iter().rposition(is_old).unwrap_or(0)
         };
         self.publications.iter().flat_map(move |(model, publications)| {
@@ -247,7 +241,7 @@
     /// earliest moment of all newer ones counts.
     fn successor(&self, model: &ModelName, version: WeightVersion) -> Option<VersionTarget> {
         let newer = self.publications.get(model)?.iter().filter(|target| target.version > version);
-        newer.copied().reduce(|first, next| match next.learned < first.learned {
+        newer.copied().reduce(|first, next| match next.published < first.published {
             true => VersionTarget { version: first.version, ..next },
             false => first,
         })
@@ -261,11 +255,11 @@
         now: Moment,
     ) -> Option<SupersededAge> {
         let successor = self.successor(model, version)?;
-        let (stretch_ms, total_ms) = self.elapsed_ms(successor.learned, now);
+        let (stretch_ms, total_ms) = self.elapsed_ms(successor.published, now);
         Some(SupersededAge {
             successor: successor.version,
             source: successor.source,
-            age_ms: now.millis_since(successor.learned),
+            age_ms: now.millis_since(successor.published),
             stretch_ms,
             total_ms,
         })
@@ -281,11 +275,11 @@
         start: Moment,
     ) -> VersionUse {
         let Some(successor) = self.successor(model, version) else { return VersionUse::Newest };
-        let (stretch, total) = self.elapsed_ms(successor.learned, start);
+        let (stretch, total) = self.elapsed_ms(successor.published, start);
         let is_over = |elapsed_ms: u64, limit: u64| elapsed_ms + CUTOFF_MARGIN_MS >= limit;
         if is_over(stretch, limits.stretch_ms) || is_over(total, limits.total_ms) {
             VersionUse::Forbidden
-        } else if start.millis_since(successor.learned) >= STALE_AFTER_MS {
+        } else if start.millis_since(successor.published) >= STALE_AFTER_MS {
             VersionUse::Stale
         } else {
             VersionUse::Older
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -6,8 +6,8 @@
 mod support;
 
 use guava_serve::{
-    AcceptedRequest, ExpectedLoad, PublicationSource, RefusalReason, RepeatRule, ServeContext,
-    ServeOutcome, UpstreamEntry, WeightVersion, WorkTicket, call_request, serve_request,
+    AcceptedRequest, ExpectedLoad, RefusalReason, RepeatRule, ServeContext, ServeOutcome,
+    UpstreamEntry, WeightVersion, WorkTicket, call_request, serve_request,
 };
 use guava_types::{Deadline, Moment, TokenCount};
 use std::rc::Rc;
@@ -16,7 +16,7 @@
     ScriptStep, ScriptedUpstream, chunk, complete_answer, last_chunk, stream_head,
 };
 use support::served::{CallerResult, context, read, run};
-use support::{config, engine, id, model, prompt, request, route, upstream};
+use support::{config, engine, id, model, prompt, published, request, route, upstream};
 
 /// Serves one request with a repeat rule, and returns its caller's result.
 fn serve(repeat: RepeatRule, upstreams: &[&ScriptedUpstream]) -> CallerResult {
@@ -350,12 +350,7 @@
         let context = context(&[]);
         let entry = UpstreamEntry { address: updated.address, ..engine("e", 1) };
         context.upstreams.borrow_mut().note_entry(entry);
-        context.targets.borrow_mut().offer(
-            &model(),
-            WeightVersion(2),
-            Moment::now(),
-            PublicationSource::Store,
-        );
+        context.targets.borrow_mut().offer(&model(), published(2, Moment::now()));
         let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
         request.prompt = Some(prompt("packet", 100, 10));
         let result = read(serve_request(&context, &Rc::new(config(1)), request).await).await;
@@ -494,12 +489,7 @@
         context.upstreams.borrow_mut().note_entry(entry);
         for version in [2, 3] {
             let mut targets = context.targets.borrow_mut();
-            targets.offer(
-                &model(),
-                WeightVersion(version),
-                Moment::now(),
-                PublicationSource::Store,
-            );
+            targets.offer(&model(), published(version, Moment::now()));
         }
         let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
         request.prompt = Some(prompt("packet", 100, 10));
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -6,14 +6,15 @@
 
 use guava_serve::{
     AcceptedRequest, EngineChoice, EngineInput, EngineSpeed, EngineSpeeds, EngineTraits,
-    ExpectedLoad, HeldPart, PartEvent, PartIndex, PromptPart, PromptShape, PublicationSource,
-    RepeatRule, StoreLinks, StoreTraits, StoreTransfer, UpstreamEntry, UpstreamTable,
-    VersionLimits, VersionTargets, WeightVersion, WorkTable, choose_engine,
+    ExpectedLoad, HeldPart, PartEvent, PartIndex, PromptPart, PromptShape, RepeatRule, StoreLinks,
+    StoreTraits, StoreTransfer, UpstreamEntry, UpstreamTable, VersionLimits, VersionTargets,
+    WorkTable, choose_engine,
 };
 use guava_types::{FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 use std::rc::Rc;
 use support::{
-    address, engine, engine_traits, id, leaving, model, part, prompt, request, route, store,
+    address, engine, engine_traits, id, leaving, model, part, prompt, published, request, route,
+    store,
 };
 use yare::parameterized;
 
@@ -198,20 +199,10 @@
 fn old_weights_are_not_used_after_their_time_limit() {
     let mut fixture = fixture(&[("old", 1), ("new", 2)]);
     fixture.work.begin(&id("new"), &load(TokenCount(90_000), TokenCount(60_000), 2_000.0), NOW);
-    fixture.targets.offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 1_000),
-        PublicationSource::Store,
-    );
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 1_000)));
     let early = choose(&fixture, &[]).unwrap();
 
-    fixture.targets.offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 8_600),
-        PublicationSource::Store,
-    );
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 8_600)));
     let late = choose(&fixture, &[]).unwrap();
 
     assert_eq!(early.upstream, id("old"));
@@ -224,12 +215,7 @@
     // seconds before it: the request waits in the engine's queue, so the limit must be compared with
     // the start, not with the send.
     let mut fixture = fixture(&[("old", 1)]);
-    fixture.targets.offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 5_500),
-        PublicationSource::Store,
-    );
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 5_500)));
     assert!(choose(&fixture, &[]).is_some());
 
     fixture.work.begin(&id("old"), &load(TokenCount(96_000), TokenCount(60_000), 2_000.0), NOW);
@@ -243,12 +229,7 @@
     // send: a third of the engines has failed and the others lack memory, so that the request waits for
     // memory behind more urgent ones, though no prompt waits for its prefill.
     let mut fixture = fixture(&[("old", 1)]);
-    fixture.targets.offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 7_000),
-        PublicationSource::Store,
-    );
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 7_000)));
     assert!(choose(&fixture, &[]).is_some());
 
     let ticket =
--- a/crates/guava-serve/tests/message_arrival.rs
+++ b/crates/guava-serve/tests/message_arrival.rs
@@ -4,11 +4,11 @@
 
 mod support;
 
-use guava_serve::{PeerMessage, ReadMark, compose_message, receive_messages};
+use guava_serve::{PeerMessage, ReadMark, ServeContext, compose_message, receive_messages};
 use guava_types::Moment;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{news, serve_context};
+use support::{model, news, published, serve_context};
 use tokio::net::UdpSocket;
 
 /// Time for which the receiving thread is blocked.
@@ -21,14 +21,13 @@
     message
 }
 
-#[test]
-fn age_of_a_read_mark_includes_its_wait_in_the_socket() {
-    // Guards against requests that are sent to upstreams which left seconds ago, as users saw. A daemon
-    // short of CPU time reads its socket late. If the age of a read mark were counted from that moment,
-    // the list would look freshly confirmed and would not be read: a mark that waited 1,500 ms in the
-    // socket counted as 1,503 ms fresher than it was.
+/// Sends a message to a daemon that does not run for a while, and reads from its state afterwards.
+fn received_late<T: 'static>(
+    message: impl Fn(Moment) -> PeerMessage,
+    state: impl Fn(&ServeContext) -> Option<T>,
+) -> (Moment, T) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let received = tokio::task::LocalSet::new().block_on(&runtime, async {
+    tokio::task::LocalSet::new().block_on(&runtime, async {
         let context = Rc::new(serve_context("d2"));
         let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
         let address = socket.local_addr().unwrap();
@@ -37,14 +36,38 @@
 
         let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         let sent = Moment::now();
-        sender.send_to(&message_with_list_mark(sent).encode(sent), address).unwrap();
+        sender.send_to(&message(sent).encode(sent), address).unwrap();
         std::thread::sleep(STALL);
         tokio::time::sleep(Duration::from_millis(100)).await;
 
-        let freshest = context.reads.borrow().list.freshest();
-        freshest.map(|as_of| (sent, as_of))
-    });
+        (sent, state(&context).unwrap())
+    })
+}
+
+#[test]
+fn age_of_a_publication_includes_its_wait_in_the_socket() {
+    // Guards against old weights in use for as much longer as a daemon did not read its messages.
+    let message = |now| {
+        let sender = serve_context("d1");
+        sender.targets.borrow_mut().offer(&model(), published(2, now));
+        compose_message(&sender, news("d1"), now)
+    };
+    let publication = |context: &ServeContext| context.targets.borrow().target(&model());
+
+    let (sent, target) = received_late(message, publication);
+
+    assert!(target.published <= sent, "{} ms too recent", target.published.millis_since(sent));
+}
+
+#[test]
+fn age_of_a_read_mark_includes_its_wait_in_the_socket() {
+    // Guards against requests that are sent to upstreams which left seconds ago, as users saw. A daemon
+    // short of CPU time reads its socket late. If the age of a read mark were counted from that moment,
+    // the list would look freshly confirmed and would not be read: a mark that waited 1,500 ms in the
+    // socket counted as 1,503 ms fresher than it was.
+    let freshest = |context: &ServeContext| context.reads.borrow().list.freshest();
+
+    let (sent, as_of) = received_late(message_with_list_mark, freshest);
 
-    let (sent, as_of) = received.unwrap();
     assert!(as_of <= sent, "{} ms too fresh", as_of.millis_since(sent));
 }
--- a/crates/guava-serve/tests/order_task.rs
+++ b/crates/guava-serve/tests/order_task.rs
@@ -5,15 +5,15 @@
 mod support;
 
 use guava_serve::{
-    EnginePort, EngineReport, LeasePort, LeaseUpdate, LoadOrder, OrderTask, PublicationSource,
-    UpstreamEntry, VersionRollout, WeightVersion,
+    EnginePort, EngineReport, LeasePort, LeaseUpdate, LoadOrder, OrderTask, UpstreamEntry,
+    VersionRollout, WeightVersion,
 };
 use guava_state::LeaseEntry;
 use guava_types::{FastMap, Incarnation, Moment, Offset};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{engine, id, model, serve_context};
+use support::{engine, id, model, published, serve_context};
 use tokio::time::sleep;
 
 /// A lease that is granted to each daemon that requests it.
@@ -59,12 +59,7 @@
     let before = UpstreamEntry { id: listed.id.started_at(100), ..listed.clone() };
     let after = UpstreamEntry { id: listed.id.started_at(200), ..listed };
     context.upstreams.borrow_mut().note_entry(before.clone());
-    context.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(2),
-        Moment::now(),
-        PublicationSource::Store,
-    );
+    context.targets.borrow_mut().offer(&model(), published(2, Moment::now()));
     let versions: FastMap<_, _> = [(model(), WeightVersion(1))].into_iter().collect();
     let (port, orders) =
         engines(EngineReport { versions, start_ms: Some(200), ..EngineReport::default() });
@@ -100,12 +95,7 @@
     // read that showed them the last one.
     let context = Rc::new(serve_context("d1"));
     context.upstreams.borrow_mut().note_entry(engine("e", 1));
-    context.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(2),
-        Moment::now(),
-        PublicationSource::Store,
-    );
+    context.targets.borrow_mut().offer(&model(), published(2, Moment::now()));
     let waits = Rc::new(RefCell::new(Vec::new()));
     let recorded_waits = Rc::clone(&waits);
     let held =
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -7,14 +7,14 @@
 use guava_serve::{
     EngineSpeed, ExpectedLoad, FetchWait, HeldPart, ListChange, ListChangeEffect, ListChangeGossip,
     ListRevision, ListSource, MAX_DATAGRAM_BYTES, OwnSummary, PartEvent, PartKey, PartSave,
-    PeerMessage, PublicationSource, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeContext,
-    ServeIdentity, UpstreamEntry, VersionUse, WeightVersion, WorkShare, apply_change,
-    apply_message, compose_immediate, compose_initial_sync, compose_message, compose_reads,
-    datagrams,
+    PeerMessage, ReadMark, ReadPace, STANDBYS, SentPrompt, ServeContext, ServeIdentity,
+    UpstreamEntry, VersionUse, WeightVersion, WorkShare, apply_change, apply_message,
+    compose_immediate, compose_initial_sync, compose_message, compose_reads, datagrams,
 };
 use guava_types::{Moment, TokenCount, TokenRate, UpstreamId};
 use support::{
-    address, engine, id, leaving, model, news, note, part, serve_context, store, upstream,
+    address, engine, id, leaving, model, news, note, part, published, serve_context, store,
+    upstream,
 };
 
 const NOW: Moment = Moment(100_000);
@@ -117,17 +117,12 @@
 #[test]
 fn publication_keeps_its_age_when_a_peer_reports_it() {
     let (one, two) = (serve_context("d1"), serve_context("d2"));
-    one.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 7_000),
-        PublicationSource::Store,
-    );
+    one.targets.borrow_mut().offer(&model(), published(2, Moment(NOW.0 - 7_000)));
 
     deliver(&compose_message(&one, news("d1"), NOW), &two);
 
     let target = two.targets.borrow().target(&model()).unwrap();
-    assert_eq!(target.learned, Moment(NOW.0 - 7_000));
+    assert_eq!(target.published, Moment(NOW.0 - 7_000));
 }
 
 #[test]
@@ -135,9 +130,8 @@
     // Guards against a daemon that counts from the last publication because it missed the one before.
     let (one, two) = (serve_context("d1"), serve_context("d2"));
     for (version, age_ms) in [(2, 9_000), (3, 1_000)] {
-        let published = Moment(NOW.0 - age_ms);
-        let mut targets = one.targets.borrow_mut();
-        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+        let target = published(version, Moment(NOW.0 - age_ms));
+        one.targets.borrow_mut().offer(&model(), target);
     }
 
     deliver(&compose_message(&one, news("d1"), NOW), &two);
@@ -147,13 +141,39 @@
     assert_eq!(verdict, VersionUse::Forbidden);
 }
 
+#[test]
+fn wait_at_a_relay_counts_in_the_age_of_a_publication() {
+    // Guards against old weights in use for as much longer as a relay did not run.
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    one.targets.borrow_mut().offer(&model(), published(2, Moment(NOW.0 - 7_000)));
+    let sent = compose_message(&one, news("d1"), NOW).for_relay().encode(NOW);
+
+    let later = Moment(NOW.0 + 2_000);
+    let at_relay = PeerMessage::decode_waiting(&sent, NOW, later).unwrap();
+    let relayed = at_relay.relayed().encode(later);
+    apply_message(&two, PeerMessage::decode(&relayed, later).unwrap(), later);
+
+    let target = two.targets.borrow().target(&model()).unwrap();
+    assert_eq!(target.published, Moment(NOW.0 - 7_000));
+}
+
+#[test]
+fn late_reading_of_the_upstreams_clock_does_not_set_it_back() {
+    // Guards against publications that look recent to a daemon that starts and reads messages late.
+    let context = serve_context("d1");
+    context.note_upstream_clock(50_000, NOW);
+
+    context.note_upstream_clock(50_000, Moment(NOW.0 + 3_000));
+
+    assert_eq!(context.upstream_clock_in(0, Moment(NOW.0 + 3_000)), Some(53_000));
+}
+
 #[test]
 fn publications_of_long_ago_are_not_sent_with_each_message() {
     let one = serve_context("d1");
     for version in 2..10 {
-        let published = Moment(NOW.0 + version);
-        let mut targets = one.targets.borrow_mut();
-        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+        let target = published(version, Moment(NOW.0 + version));
+        one.targets.borrow_mut().offer(&model(), target);
     }
 
     let message = compose_message(&one, news("d1"), Moment(NOW.0 + 3_600_000));
@@ -435,19 +455,14 @@
     for context in [&reader, &other] {
         context.reads.borrow_mut().operator.note_own(12, Moment(NOW.0 - 500));
     }
-    reader.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(2),
-        Moment(NOW.0 - 20),
-        PublicationSource::Store,
-    );
+    reader.targets.borrow_mut().offer(&model(), published(2, Moment(NOW.0 - 20)));
     reader.reads.borrow_mut().operator.note_own(13, NOW);
     reader.reads.borrow_mut().published_since = Some(12);
 
     compose_reads(&reader, &note("d1"), NOW).iter().for_each(|message| deliver(message, &other));
 
     let target = other.targets.borrow().target(&model()).unwrap();
-    assert_eq!((target.version, target.learned), (WeightVersion(2), Moment(NOW.0 - 20)));
+    assert_eq!((target.version, target.published), (WeightVersion(2), Moment(NOW.0 - 20)));
     let operator = other.reads.borrow().operator;
     assert_eq!(operator.confirmed(), Some(NOW));
     assert!(!operator.is_due(other_rank, pace, Moment(NOW.0 + 10)));
--- a/crates/guava-serve/tests/shared_reads.rs
+++ b/crates/guava-serve/tests/shared_reads.rs
@@ -164,3 +164,16 @@
 
     assert_eq!(reads.published_since, expected);
 }
+
+#[test]
+fn change_is_dated_at_the_last_read_without_it() {
+    // Guards against a change that looks as recent as the late read that found it.
+    let mut tracker = ReadTracker::default();
+    assert_eq!(tracker.changed_since(Moment(5_000)), Moment(5_000));
+
+    tracker.note_own(7, Moment(1_000));
+    tracker.note_from_peer(peer_mark(7, 1_400));
+    tracker.note_from_peer(peer_mark(8, 1_900));
+
+    assert_eq!(tracker.changed_since(Moment(5_000)), Moment(1_000));
+}
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -291,7 +291,7 @@
         targets: vec![PublishedVersion {
             model: model(),
             version: WeightVersion(3),
-            age_ms: 1_200,
+            published: Moment(98_800),
         }],
         stores: vec![StoreUpdate {
             store: address(5),
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -10,8 +10,9 @@
 use guava_serve::{
     AcceptedRequest, AnswerMarks, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule,
     Dialect, EngineTraits, ListRevision, MemberDescriptor, OwnSummary, PromptPart, PromptShape,
-    RepeatRule, RequestHead, RetryLimit, RouteRule, ServeBounds, ServeConfig, ServeContext,
-    ServeIdentity, ServiceRule, StoreTraits, UpstreamEntry, VersionLimits, WeightVersion,
+    PublicationSource, RepeatRule, RequestHead, RetryLimit, RouteRule, ServeBounds, ServeConfig,
+    ServeContext, ServeIdentity, ServiceRule, StoreTraits, UpstreamEntry, VersionLimits,
+    VersionTarget, WeightVersion,
 };
 use guava_types::{Deadline, FastMap, ModelName, Moment, TokenCount, UpstreamId};
 use std::net::SocketAddr;
@@ -49,6 +50,12 @@
     entry
 }
 
+/// Weights that this daemon read of at the moment of their publication.
+pub fn published(version: u64, at: Moment) -> VersionTarget {
+    let version = WeightVersion(version);
+    VersionTarget { version, published: at, heard: at, source: PublicationSource::Store }
+}
+
 pub fn leaving(mut entry: UpstreamEntry) -> UpstreamEntry {
     entry.is_leaving = true;
     entry
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -5,12 +5,12 @@
 mod support;
 
 use guava_serve::{
-    PublicationSource, RolloutEngine, ServeContext, UpstreamTable, VersionLimits, VersionRollout,
+    RolloutEngine, ServeContext, UpstreamTable, VersionLimits, VersionRollout, VersionTarget,
     VersionTargets, VersionUse, WeightVersion, age_at_start, is_salt_unreferenced,
     max_concurrent_loads, next_orders,
 };
 use guava_types::Moment;
-use support::{engine, id, model, serve_context};
+use support::{engine, id, model, published, serve_context};
 use yare::parameterized;
 
 const LIMIT_MS: u64 = 10_000;
@@ -18,7 +18,7 @@
 
 fn targets() -> VersionTargets {
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), WeightVersion(2), Moment(100_000), PublicationSource::Store);
+    targets.offer(&model(), published(2, Moment(100_000)));
     targets
 }
 
@@ -41,7 +41,7 @@
     // Version 3 follows version 2 some seconds later; the time limit of version 1 was then counted
     // from the newest publication.
     let mut targets = targets();
-    targets.offer(&model(), WeightVersion(3), Moment(106_000), PublicationSource::Store);
+    targets.offer(&model(), published(3, Moment(106_000)));
 
     let first = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(109_000));
     let second = targets.judge(&model(), WeightVersion(2), LIMITS, Moment(109_000));
@@ -57,8 +57,7 @@
     // from its own start.
     let mut targets = targets();
 
-    let is_new =
-        targets.offer(&model(), WeightVersion(2), Moment(95_000), PublicationSource::Store);
+    let is_new = targets.offer(&model(), published(2, Moment(95_000)));
 
     assert!(!is_new);
     let verdict = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(104_000));
@@ -69,9 +68,9 @@
 fn publication_learnt_after_a_newer_one_counts_for_the_version_before_it() {
     // Guards against a version whose time is counted from a later publication than its successor's.
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), WeightVersion(3), Moment(104_000), PublicationSource::Store);
+    targets.offer(&model(), published(3, Moment(104_000)));
 
-    targets.offer(&model(), WeightVersion(2), Moment(100_000), PublicationSource::Peer);
+    targets.offer(&model(), published(2, Moment(100_000)));
 
     assert_eq!(targets.target(&model()).unwrap().version, WeightVersion(3));
     let verdict = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(109_500));
@@ -83,8 +82,7 @@
     // Guards against old weights that become usable again with the next of many publications.
     let mut targets = targets();
     for version in 3..40 {
-        let published = Moment(100_000 + version);
-        targets.offer(&model(), WeightVersion(version), published, PublicationSource::Store);
+        targets.offer(&model(), published(version, Moment(100_000 + version)));
     }
 
     let superseded = targets.superseded(&model(), WeightVersion(1), Moment(109_000)).unwrap();
@@ -102,7 +100,7 @@
     let age = age_at_start(Some(None), LIMIT_MS);
 
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), WeightVersion(2), Moment(100_000 - age), PublicationSource::Store);
+    targets.offer(&model(), published(2, Moment(100_000 - age)));
     let later = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(102_500));
     assert_eq!(later, VersionUse::Forbidden);
 }
@@ -155,12 +153,7 @@
     // the fewest requests, so they are selected first, and are busy. A busy engine counted as
     // ordered, and used up one of the few concurrent loads until that order expired.
     let context = context_with_engines(&[("e", 1)]);
-    context.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(3),
-        Moment(1_000),
-        PublicationSource::Store,
-    );
+    context.targets.borrow_mut().offer(&model(), published(3, Moment(1_000)));
     let mut rollout = VersionRollout::default();
     rollout.refresh(&context, Moment(1_000));
 
@@ -173,12 +166,7 @@
 #[test]
 fn rollout_is_complete_when_all_engines_have_loaded_the_weights() {
     let context = context_with_engines(&[("a", 2), ("b", 1)]);
-    context.targets.borrow_mut().offer(
-        &model(),
-        WeightVersion(2),
-        Moment(1_000),
-        PublicationSource::Store,
-    );
+    context.targets.borrow_mut().offer(&model(), published(2, Moment(1_000)));
     let mut rollout = VersionRollout::default();
 
     let before = rollout.refresh(&context, Moment(2_000));
@@ -211,6 +199,21 @@
     assert_eq!(is_unreferenced, expected);
 }
 
+#[test]
+fn prompt_parts_are_kept_for_a_while_after_a_publication_that_was_heard_late() {
+    // Guards against a part that is freed while a request reads it, by a daemon that has just heard.
+    let mut upstreams = UpstreamTable::default();
+    upstreams.note_entry(engine("a", 2));
+    let mut targets = VersionTargets::default();
+    let target = VersionTarget { heard: Moment(120_000), ..published(2, Moment(100_000)) };
+    targets.offer(&model(), target);
+
+    let is_unreferenced_at = |at| is_salt_unreferenced("m0/1", &upstreams, &targets, Moment(at));
+
+    assert!(!is_unreferenced_at(125_000));
+    assert!(is_unreferenced_at(126_100));
+}
+
 #[test]
 fn time_in_which_the_store_is_unavailable_does_not_count() {
     // Guards against most requests for a model being refused for ten seconds after an outage of the
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -236,6 +236,25 @@
     assert!(metrics.contains("superseded_requests_total{kind=\"began\"} 1"), "{metrics}");
 }
 
+#[test]
+fn daemon_that_did_not_run_counts_from_before_a_publication_that_it_reads_late() {
+    // Guards against old weights in use for as much longer as a daemon was late to hear of new ones.
+    let (deployment, daemons) = deploy(1);
+
+    daemons[0].signal(Signal::STOP);
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.publish(2);
+    std::thread::sleep(Duration::from_secs(2));
+    daemons[0].signal(Signal::CONT);
+    wait_until("the publication is known", || logged(&daemons[0], "G8106"));
+
+    let lines = daemons[0].lines();
+    let line = lines.iter().find(|line| line.contains("G8106")).unwrap();
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    let age_ms: u64 = line["kv"]["age_ms"].as_str().unwrap().parse().unwrap();
+    assert!(age_ms >= 2_000, "{age_ms} ms");
+}
+
 #[test]
 fn stream_whose_server_breaks_off_is_whole() {
     let (deployment, daemons) = deploy(1);
