fix: only an outage that no daemon read through stops the time limits for weights

Requests began on superseded weights up to 9 s too late at daemons that had stood still or had been cut off from the store: each daemon took a gap of 3.5 s between reads that it knew of for an outage of the store, which starts the time limit anew. Its own pause looks the same to it.

An outage now begins only if this daemon tried to read and failed, and ends at the first read by any daemon. Read marks carry since when the store has been available without a gap, and what a daemon took for an outage since then is refuted: the store was its peers' all the while. A daemon that was away reports only from its first read after that. G8108 tells of each change.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -29,6 +29,7 @@
     CONFIG_IGNORED "G8105" "an older configuration was ignored";
     VERSION_PUBLISHED "G8106" "new weights were published";
     DRAIN_CHANGED "G8107" "a data centre was drained, or is in use again";
+    OUTAGE_CHANGED "G8108" "an outage of the store, in which time limits for weights stand still, has changed";
     MEMBER_REACHABLE "G8201" "a daemon is reachable";
     MESSAGE_LOST "G8202" "messages between daemons were lost";
     LEASE_TAKEN "G8301" "the lease for orders is held";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -24,7 +24,7 @@
 pub use members::peer_exchange::{
     ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_version,
     compose_announcements, compose_crash_notices, compose_immediate, compose_initial_sync,
-    compose_message, compose_reads,
+    compose_message, compose_reads, note_outage_change,
 };
 pub use members::peer_message::{
     ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
@@ -94,6 +94,7 @@
 pub use upstreams::work_table::{ExpectedLoad, WorkShare, WorkTable, WorkTicket};
 pub use weights::order_task::OrderTask;
 pub use weights::rollout_state::{VersionRollout, is_salt_unreferenced};
+pub use weights::store_outages::{OutageChange, StoreOutages};
 pub use weights::version_rollout::{RolloutEngine, max_concurrent_loads, next_orders};
 pub use weights::version_targets::{
     PublicationSource, SupersededAge, VersionLimits, VersionTarget, VersionTargets, VersionUse,
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -19,6 +19,7 @@
 use crate::upstreams::quarantine_record::QuarantineSync;
 use crate::upstreams::upstream_crashes::{apply_cleared, apply_crash, apply_quarantine};
 use crate::upstreams::upstream_table::ListChangeEffect;
+use crate::weights::store_outages::OutageChange;
 use crate::weights::version_targets::{PublicationSource, VersionTarget};
 use guava_log::log_event;
 use guava_policy::{ClearNotice, QuarantineNotice};
@@ -72,6 +73,7 @@
         targets: published_versions(context, now),
         stores: store_updates(context, &summary.followed, summary.number),
         operator: reads.operator.own(),
+        available_since: None,
         published_since: None,
         list: reads.list.own().filter(|_| is_list_included),
         loaded: summary.loaded,
@@ -191,6 +193,7 @@
         (quarantine_notices(context, now), holds_all_quarantines(context, now));
     messages.push(PeerMessage {
         operator,
+        available_since: context.targets.borrow_mut().outages().available_since(),
         published_since,
         targets,
         list,
@@ -315,6 +318,10 @@
         context.reads.borrow_mut().operator.note_skipped(since, mark.state);
     }
     apply_reads(context, message.operator, message.list);
+    if let Some(since) = message.available_since {
+        let change = context.targets.borrow_mut().outages().note_available(since);
+        change.iter().for_each(|change| note_outage_change(*change, 0));
+    }
     for crash in &message.ended {
         apply_crash(context, crash, now);
     }
@@ -481,6 +488,12 @@
     }
 }
 
+/// Logs a change of what this daemon believes of outages of the store. The last known read by any
+/// daemon was `silent_ms` ago.
+pub fn note_outage_change(change: OutageChange, silent_ms: u64) {
+    log_event!(info, events::OUTAGE_CHANGED, change = change.name(), silent_ms = silent_ms);
+}
+
 /// Applies the publication of weights, which happened at `published` or later.
 pub fn apply_version(
     context: &ServeContext,
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -200,6 +200,8 @@
     limits: Vec<WireLimit>,
     #[prost(string, repeated, tag = "28")]
     leaving: Vec<String>,
+    #[prost(uint64, optional, tag = "29")]
+    available_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -334,6 +336,8 @@
     pub stores: Vec<StoreUpdate>,
     /// How far the sender itself has read the operator's records.
     pub operator: Option<ReadMark>,
+    /// Since when the store is known to have been available without a gap.
+    pub available_since: Option<Moment>,
     /// Offset from which on, up to the one in `operator`, all records publish weights that are in
     /// `targets`.
     pub published_since: Option<u64>,
@@ -386,6 +390,7 @@
             stores: Vec::new(),
             listed: Vec::new(),
             operator: None,
+            available_since: None,
             published_since: None,
             list: None,
             clock_ms: None,
@@ -439,6 +444,7 @@
             targets: Vec::new(),
             stores: Vec::new(),
             operator: None,
+            available_since: None,
             published_since: None,
             list: None,
             loaded: Vec::new(),
@@ -534,6 +540,7 @@
             targets: self.targets.iter().map(target).collect(),
             stores: self.stores.iter().map(store).collect(),
             operator: self.operator.map(mark),
+            available_ms: self.available_since.map(|since| now.millis_since(since)),
             published_since: self.published_since,
             list: self.list.map(mark),
             loaded: self.loaded.iter().map(loaded).collect(),
@@ -650,6 +657,7 @@
             targets: wire.targets.iter().filter_map(target).collect(),
             stores: wire.stores.into_iter().filter_map(store).collect(),
             operator: wire.operator.map(mark),
+            available_since: wire.available_ms.map(|age_ms| since.minus_millis(age_ms)),
             published_since: wire.published_since,
             list: wire.list.map(mark),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -4,6 +4,7 @@
 //! used until a time limit after the publication of its successor.
 
 use crate::upstreams::upstream_table::WeightVersion;
+use crate::weights::store_outages::StoreOutages;
 use guava_types::{FastMap, ModelName, Moment};
 use std::fmt;
 
@@ -115,13 +116,6 @@
     pub total_ms: u64,
 }
 
-/// Interval in which no daemon reached the store.
-#[derive(Clone, Copy, Debug)]
-struct StoreOutage {
-    from: Moment,
-    until: Moment,
-}
-
 /// Published versions of all models; a lower version never replaces a higher one.
 ///
 /// Engines can't be ordered to load weights while the store is unavailable, since no daemon can
@@ -130,8 +124,7 @@
 /// complete. The limit therefore counts only time in which the store is available.
 #[derive(Debug, Default)]
 pub struct VersionTargets {
-    outages: Vec<StoreOutage>,
-    unavailable_since: Option<Moment>,
+    outages: StoreOutages,
     /// Publications by model, oldest first.
     publications: FastMap<ModelName, Vec<VersionTarget>>,
 }
@@ -140,7 +133,7 @@
 /// with outages between.
 const TOLD_FOR_MS: u64 = 60_000;
 /// Publications kept for each model, since a version is judged from the publication of its
-/// successor; also the number of outages that are kept.
+/// successor.
 const MAX_HISTORY_ENTRIES: usize = 16;
 
 /// Drops the oldest publication. The next one takes over its moment, which bounds the versions before
@@ -178,33 +171,9 @@
         }
     }
 
-    /// Records since when no daemon has reached the store; `None` means that it is available.
-    /// Returns whether an outage begins or ends.
-    pub fn note_store(&mut self, unavailable_since: Option<Moment>, now: Moment) -> bool {
-        let is_change = self.unavailable_since.is_some() != unavailable_since.is_some();
-        let outage_start = self.unavailable_since.filter(|_| unavailable_since.is_none());
-        if let Some(from) = outage_start {
-            self.outages.push(StoreOutage { from, until: now });
-            if self.outages.len() > MAX_HISTORY_ENTRIES {
-                self.outages.remove(0);
-            }
-        }
-        self.unavailable_since = unavailable_since;
-        is_change
-    }
-
-    /// Time since a moment in which the store was available, in milliseconds: since the end of the
-    /// last outage, and in total.
-    fn elapsed_ms(&self, since: Moment, now: Moment) -> (u64, u64) {
-        let present = self.unavailable_since.map(|from| StoreOutage { from, until: now });
-        let outages = self.outages.iter().copied().chain(present);
-        let mut stretch = now.millis_since(since);
-        let mut total = stretch;
-        for outage in outages.filter(|outage| outage.until > since) {
-            stretch = stretch.min(now.millis_since(outage.until));
-            total = total.saturating_sub(outage.until.millis_since(outage.from.max(since)));
-        }
-        (stretch, total)
+    /// Outages of the store, which don't count towards the time limits.
+    pub fn outages(&mut self) -> &mut StoreOutages {
+        &mut self.outages
     }
 
     /// Newest publication of a model; `None` if no version of it is known.
@@ -255,7 +224,7 @@
         now: Moment,
     ) -> Option<SupersededAge> {
         let successor = self.successor(model, version)?;
-        let (stretch_ms, total_ms) = self.elapsed_ms(successor.published, now);
+        let (stretch_ms, total_ms) = self.outages.elapsed_ms(successor.published, now);
         Some(SupersededAge {
             successor: successor.version,
             source: successor.source,
@@ -275,7 +244,7 @@
         start: Moment,
     ) -> VersionUse {
         let Some(successor) = self.successor(model, version) else { return VersionUse::Newest };
-        let (stretch, total) = self.elapsed_ms(successor.published, start);
+        let (stretch, total) = self.outages.elapsed_ms(successor.published, start);
         let is_over = |elapsed_ms: u64, limit: u64| elapsed_ms + CUTOFF_MARGIN_MS >= limit;
         if is_over(stretch, limits.stretch_ms) || is_over(total, limits.total_ms) {
             VersionUse::Forbidden
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -301,6 +301,7 @@
             parts: vec![PartChange { key: PartKey(4), tokens: TokenCount(12_000) }],
         }],
         operator: Some(ReadMark { state: 12, as_of: Moment(99_500) }),
+        available_since: Some(Moment(40_000)),
         published_since: Some(11),
         list: Some(ReadMark { state: 13, as_of: Moment(99_600) }),
         loaded: vec![LoadedVersion { engine: id("e"), model: model(), version: WeightVersion(3) }],
