fix: a request that has not begun by the time limit of its weights is withdrawn

Requests that were sent to engines with old weights in time began there after the limit. The engine was chosen by the expected wait, which left out the prompt's own reading and fetches, and nothing looked at the limit again: not after connecting, not while the request waited.

The first token is what is held against the limit now, at the choice with the time in which the prompt is read; right before the send the limit is asked again; and while a request waits for its first event, its connection is closed 0.4 s before the limit, also when the weights were published after the send. Engines drop what waits when its connection closes, so it does not begin. A request that may be repeated goes to new weights; another one fails at once (it may have run). Fetches are bounded by the same moment.

Shown failing with the guard taken out: request_that_waits_at_an_engine_past_the_limit_of_its_weights _is_withdrawn, weights_published_while_a_request_waits_at_an_engine_bound_its_wait; with the reading taken out of the choice: prompt_that_would_be_read_past_the_limit_is_not_sent_to_old_weights. withdrawn_request_that_may_be_repeated_is_answered_by_new_weights passes without the guard too.

--- a/crates/guava-policy/src/announcement_gate.rs
+++ b/crates/guava-policy/src/announcement_gate.rs
@@ -21,6 +21,8 @@
     Cold,
     /// Its data centre is drained.
     Drained,
+    /// The time limit of its weights has come.
+    Superseded,
 }
 
 impl CloseReason {
@@ -33,6 +35,7 @@
             Self::Limit => "limit",
             Self::Cold => "cold",
             Self::Drained => "drained",
+            Self::Superseded => "superseded",
         }
     }
 }
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -320,7 +320,7 @@
     apply_reads(context, message.operator, message.list);
     if let Some(since) = message.available_since {
         let change = context.targets.borrow_mut().outages().note_available(since);
-        change.iter().for_each(|change| note_outage_change(*change, 0));
+        change.iter().for_each(|change| note_outage_change(context, *change, 0));
     }
     for crash in &message.ended {
         apply_crash(context, crash, now);
@@ -488,9 +488,10 @@
     }
 }
 
-/// Logs a change of what this daemon believes of outages of the store. The last known read by any
-/// daemon was `silent_ms` ago.
-pub fn note_outage_change(change: OutageChange, silent_ms: u64) {
+/// Announces a change of what this daemon believes of outages of the store. The last known read by
+/// any daemon was `silent_ms` ago.
+pub fn note_outage_change(context: &ServeContext, change: OutageChange, silent_ms: u64) {
+    context.weights_changed.notify_waiters();
     log_event!(info, events::OUTAGE_CHANGED, change = change.name(), silent_ms = silent_ms);
 }
 
@@ -504,7 +505,9 @@
 ) {
     let now = Moment::now();
     let target = VersionTarget { version, published, heard: now, source };
-    if context.targets.borrow_mut().offer(model, target) {
+    let is_new = context.targets.borrow_mut().offer(model, target);
+    if is_new {
+        context.weights_changed.notify_waiters();
         log_event!(
             info,
             events::VERSION_PUBLISHED,
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use crate::upstreams::upstream_crashes::{note_answer, note_interrupted, note_refused};
 use crate::upstreams::upstream_table::WeightVersion;
 use crate::upstreams::work_table::WorkTicket;
+use crate::weights::start_guard::StartGuard;
 use crate::weights::superseded_requests::{note_superseded_send, note_superseded_start};
 use bytes::{Bytes, BytesMut};
 use guava_log::log_event;
@@ -26,7 +27,10 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use tokio::time::timeout;
 
 /// Maximum size of an answer that is not a stream.
@@ -146,6 +150,9 @@
     Lost,
     /// The request's deadline passed without an answer. It may have run.
     TimedOut,
+    /// Withdrawn from an engine before it began, as the time limit of the engine's weights came. It
+    /// may have run.
+    Withdrawn,
 }
 
 /// Result of a wait that is bounded by the answer timeout and the deadline.
@@ -153,6 +160,7 @@
     Done(T),
     Abandoned,
     TimedOut,
+    Withdrawn,
 }
 
 /// Waits for part of an answer, until the deadline at most. After the answer timeout the attempt is
@@ -190,6 +198,26 @@
     was_idle: bool,
 }
 
+/// The same for the part of an answer with which the request begins, until its weights' time limit.
+async fn wait_for_start<T>(
+    input: PlanInput<'_>,
+    plan: &AttemptPlan,
+    guard: StartGuard<'_>,
+    future: impl Future<Output = T>,
+) -> WaitOutcome<T> {
+    let mut wait = pin!(wait_for_answer(input, plan, future));
+    let mut expired = pin!(guard.expired());
+    let is_expired = poll_fn(|task| match wait.as_mut().poll(task) {
+        Poll::Ready(outcome) => Poll::Ready(Some(outcome)),
+        Poll::Pending => expired.as_mut().poll(task).map(|()| None),
+    });
+    match is_expired.await {
+        Some(outcome) => outcome,
+        // What lies in the socket has begun in time.
+        None => until(Moment::now().into(), wait).await.unwrap_or(WaitOutcome::Withdrawn),
+    }
+}
+
 /// Data that the steps of one attempt share.
 struct Attempt<'a> {
     context: &'a Rc<ServeContext>,
@@ -215,6 +243,7 @@
         AttemptOutcome::Abandoned => "abandoned",
         AttemptOutcome::Lost => "lost",
         AttemptOutcome::TimedOut => "timed-out",
+        AttemptOutcome::Withdrawn => "withdrawn",
     });
     outcome
 }
@@ -233,6 +262,11 @@
             self.note_closed(connection, closed.reason);
             return AttemptOutcome::Closed;
         }
+        let guard = StartGuard::new(self.context, self.expected_weights());
+        if guard.has_expired(Moment::now()) {
+            self.note_closed(connection, CloseReason::Superseded);
+            return AttemptOutcome::Closed;
+        }
         let mut current_send = send.clone();
         current_send.left_ms = self.plan.deadline.millis_left(Moment::now());
         if current_send.left_ms == 0 {
@@ -243,13 +277,14 @@
             note_superseded_send(self.context, &self.request.id, self.plan, model, sent);
         }
         let encoded = (self.context.dialect.encode)(self.request, &current_send);
-        let answer =
-            match wait_for_answer(self.input, self.plan, connection.exchange(encoded)).await {
-                WaitOutcome::Done(Ok(answer)) => answer,
-                WaitOutcome::Done(Err(error)) => return self.failed(&error),
-                WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
-                WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
-            };
+        let exchange = connection.exchange(encoded);
+        let answer = match wait_for_start(self.input, self.plan, guard, exchange).await {
+            WaitOutcome::Done(Ok(answer)) => answer,
+            WaitOutcome::Done(Err(error)) => return self.failed(&error),
+            WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
+            WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
+            WaitOutcome::Withdrawn => return self.withdrawn(),
+        };
         let marks = (self.context.dialect.marks)(answer.status(), answer.headers());
         self.note_announcements(&marks, sent);
         // The upstream answered an earlier request on this connection, or answered one twice.
@@ -329,15 +364,26 @@
         outcome
     }
 
+    fn withdrawn(&self) -> AttemptOutcome {
+        // No failure of the engine: its answers are no slower than those of others.
+        self.context.metrics.count_superseded("withdrawn");
+        self.log_failure("withdrawn, the time limit of its weights has come");
+        AttemptOutcome::Withdrawn
+    }
+
     fn note_failure(&self, reason: &str) {
         let upstream = &self.plan.send.upstream;
         self.context.work.borrow_mut().note_failed_answer(upstream, Moment::now());
+        self.log_failure(reason);
+    }
+
+    fn log_failure(&self, reason: &str) {
         log_event!(
             warn,
             events::SEND_FAILED,
             request = self.request.id,
             digest = self.request.digest(),
-            upstream = upstream,
+            upstream = self.plan.send.upstream,
             reason = reason
         );
     }
@@ -439,6 +485,7 @@
             WaitOutcome::Done(None) => return self.interrupted("the answer was interrupted"),
             WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
+            WaitOutcome::Withdrawn => return self.withdrawn(),
         };
         work.note_started();
         note_answer(self.context, || self.request.digest());
@@ -463,12 +510,15 @@
         let framer = EventFramer::default();
         let mut source = StreamSource { upstream, body, framer, connection, marks, work };
         // The headers are withheld until the first event: until then another upstream may answer.
-        let first = match wait_for_answer(self.input, self.plan, source.next_step()).await {
+        let guard = StartGuard::new(self.context, self.expected_weights());
+        let step = source.next_step();
+        let first = match wait_for_start(self.input, self.plan, guard, step).await {
             WaitOutcome::Done(StreamStep::Events(batch)) => batch,
             WaitOutcome::Done(StreamStep::End) => EventBatch { bytes: Bytes::new(), last_id: None },
             WaitOutcome::Done(StreamStep::Interrupted(reason)) => return self.interrupted(&reason),
             WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
+            WaitOutcome::Withdrawn => return self.withdrawn(),
         };
         source.work.note_started();
         if let Some((model, _)) = self.expected_weights() {
--- a/crates/guava-serve/src/request/engine_choice.rs
+++ b/crates/guava-serve/src/request/engine_choice.rs
@@ -28,7 +28,7 @@
 /// Requests beyond its slots that are added to the count of an engine whose memory is full: it would
 /// have to preempt another request.
 const FULL_MEMORY_PENALTY_SLOTS: u32 = 4;
-/// Factor from the expected wait of a request to the longest wait assumed.
+/// Factor from the expected time to a request's first token to the longest assumed.
 const LONGEST_WAIT_FACTOR: f64 = 2.0;
 /// Further wait assumed at an engine that has other work, in milliseconds: for memory, or behind more
 /// urgent requests that arrive later.
@@ -74,15 +74,17 @@
     pub is_crowded: bool,
 }
 
-/// Latest moment at which the request is expected to start at an engine.
+/// Latest moment at which the request is expected to begin at an engine, with its first token.
 ///
-/// The time limit for old weights applies to the start of a request, not to its send: in an engine's
-/// queue a request may wait past that limit.
+/// The time limit for old weights applies to that, not to the send: a request may wait in an engine's
+/// queue past the limit, or be read past it.
 fn expected_start(input: &EngineInput<'_>, engine: &UpstreamId) -> Moment {
-    let wait_ms = input.wait_ms(engine);
+    let prefill = input.prefill_of(engine).0.max(1);
+    let read_ms = input.prompt.input.0 as f64 * 1_000.0 / prefill as f64;
+    let first_token_ms = input.wait_ms(engine) + input.fixed_ms + read_ms;
     let is_busy = input.work.total(engine).running > 0;
     let margin_ms = if is_busy { BUSY_ENGINE_MARGIN_MS } else { 0 };
-    Moment(input.now.0 + (wait_ms * LONGEST_WAIT_FACTOR) as u64 + margin_ms)
+    Moment(input.now.0 + (first_token_ms * LONGEST_WAIT_FACTOR) as u64 + margin_ms)
 }
 
 /// Open engines not yet tried that serve the model in a permitted version, with that version.
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -17,8 +17,9 @@
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::work_table::ExpectedLoad;
+use crate::weights::start_guard::StartGuard;
 use guava_log::log_event;
-use guava_types::{Deadline, MemberName, Moment, ServiceName, TokenCount, UpstreamId};
+use guava_types::{Deadline, MemberName, ModelName, Moment, ServiceName, TokenCount, UpstreamId};
 use std::rc::Rc;
 
 /// Expected time of a request to a plain service, in milliseconds. An instance's slowness is measured
@@ -230,7 +231,7 @@
         Some(mut plan) => {
             plan.is_long = choice.is_long;
             plan.wait = choice.fetch.as_ref().map(|fetch| fetch.wait.clone());
-            plan.send.engine = Some(engine_instructions(context, choice, now));
+            plan.send.engine = Some(engine_instructions(context, &prompt.model, choice, now));
             PlanStep::Send(Box::new(plan))
         }
     }
@@ -277,12 +278,17 @@
 
 fn engine_instructions(
     context: &ServeContext,
+    model: &ModelName,
     choice: EngineChoice,
     now: Moment,
 ) -> EngineInstructions {
+    // A request that has not begun by the time limit of its weights is withdrawn: what would arrive
+    // later need not be fetched.
+    let withdrawal = StartGuard::new(context, Some((model, choice.version))).deadline(now);
+    let longest_ms = withdrawal.map_or(u64::MAX, |deadline| deadline.millis_left(now));
     // A fetch is bounded by the upstreams' clock. It is left out while that clock is not known.
     let fetch = choice.fetch.and_then(|fetch| {
-        let until = context.upstream_clock_in(fetch.budget_ms, now)?;
+        let until = context.upstream_clock_in(fetch.budget_ms.min(longest_ms), now)?;
         Some((fetch.sources, until))
     });
     let (fetch, fetch_until_ms) = match fetch {
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -120,7 +120,7 @@
                     self.note_run();
                     self.is_retry_reserved = true;
                 }
-                AttemptOutcome::Lost => self.note_run(),
+                AttemptOutcome::Lost | AttemptOutcome::Withdrawn => self.note_run(),
                 AttemptOutcome::TimedOut => {
                     self.note_run();
                     return unanswered(fallback, true);
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -138,6 +138,8 @@
     pub links: RefCell<StoreLinks>,
     /// Published weight versions that engines are to load.
     pub targets: RefCell<VersionTargets>,
+    /// Notifies requests that have not begun when their weights' time limit may have changed.
+    pub weights_changed: Notify,
     /// This daemon's share of each service's retry limit.
     pub retries: RefCell<RetryShares>,
     /// The other daemons, both recorded members and peers in contact.
@@ -203,6 +205,7 @@
             part_index: RefCell::default(),
             links: RefCell::default(),
             targets: RefCell::default(),
+            weights_changed: Notify::new(),
             retries: RefCell::new(RetryShares::new(bounds.retries, 1)),
             members: RefCell::new(MemberTable::new(identity.data_centre.clone())),
             prefill: RefCell::default(),
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -5,7 +5,7 @@
 
 use crate::upstreams::upstream_table::WeightVersion;
 use crate::weights::store_outages::StoreOutages;
-use guava_types::{FastMap, ModelName, Moment};
+use guava_types::{Deadline, FastMap, ModelName, Moment};
 use std::fmt;
 
 /// Time after the publication of a newer version from which an answer on the older one counts as
@@ -36,6 +36,10 @@
     }
 }
 
+/// Margin before the time limit for new weights in which a request that has not begun on old ones is
+/// withdrawn, in milliseconds. It covers a late timer and the way to the engine.
+const WITHDRAWAL_MARGIN_MS: u64 = 400;
+
 /// Published weights of one model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionTarget {
@@ -234,6 +238,21 @@
         })
     }
 
+    /// When a request that has not begun on a version must be withdrawn, if no outage of the store
+    /// comes between; `None` if no newer version is known.
+    pub fn withdrawal(
+        &self,
+        model: &ModelName,
+        version: WeightVersion,
+        limits: VersionLimits,
+        now: Moment,
+    ) -> Option<Deadline> {
+        let age = self.superseded(model, version, now)?;
+        let stretch_left = limits.stretch_ms.saturating_sub(age.stretch_ms);
+        let left_ms = stretch_left.min(limits.total_ms.saturating_sub(age.total_ms));
+        Some(Deadline::after(now, left_ms.saturating_sub(WITHDRAWAL_MARGIN_MS)))
+    }
+
     /// Whether a request may start on a version at the moment `start`, given the time limits until
     /// the newest version must be in use everywhere.
     pub fn judge(
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -6,8 +6,9 @@
 mod support;
 
 use guava_serve::{
-    AcceptedRequest, ExpectedLoad, RefusalReason, RepeatRule, ServeContext, ServeOutcome,
-    UpstreamEntry, WeightVersion, WorkTicket, call_request, serve_request,
+    AcceptedRequest, ExpectedLoad, PublicationSource, RefusalReason, RepeatRule, ServeContext,
+    ServeOutcome, UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request,
+    serve_request,
 };
 use guava_types::{Deadline, Moment, TokenCount};
 use std::rc::Rc;
@@ -709,3 +710,110 @@
 
     assert_eq!(called.unwrap().body, "records");
 }
+
+/// A daemon that knows engines, the version of each as given, and that version 2 was published so many
+/// milliseconds ago; and a prompt for it. Old weights may be used for ten seconds.
+fn superseded(
+    engines: &[(&ScriptedUpstream, u64)],
+    age_ms: u64,
+    repeat: RepeatRule,
+) -> (Rc<ServeContext>, AcceptedRequest) {
+    let context = context(&[]);
+    for (number, (scripted, version)) in engines.iter().enumerate() {
+        let entry = engine(&format!("e{number}"), *version);
+        let entry = UpstreamEntry { address: scripted.address, ..entry };
+        context.upstreams.borrow_mut().note_entry(entry);
+    }
+    let since = Moment::now().minus_millis(age_ms);
+    context.targets.borrow_mut().offer(&model(), published(2, since));
+    let mut request = request(route("/llm/", "llm", repeat));
+    request.prompt = Some(prompt("packet", 100, 10));
+    (context, request)
+}
+
+/// An engine that is silent until its caller leaves.
+fn silent_engine(head: Vec<ScriptStep>) -> ScriptedUpstream {
+    ScriptedUpstream::start(vec![[head, vec![ScriptStep::AwaitClose]].concat()])
+}
+
+#[test]
+fn request_that_waits_at_an_engine_past_the_limit_of_its_weights_is_withdrawn() {
+    // Guards against a request that begins on old weights too late as its engine is slower than expected.
+    for head in [Vec::new(), vec![stream_head()]] {
+        let engine = silent_engine(head);
+        let begun = Instant::now();
+
+        let result = run(async {
+            let (context, request) = superseded(&[(&engine, 1)], 8_000, RepeatRule::Stream);
+            read(serve_request(&context, &Rc::new(config(1)), request).await).await
+        });
+
+        assert_eq!(result, CallerResult::Lost);
+        let waited = begun.elapsed();
+        assert!(waited < Duration::from_millis(1_950), "{waited:?}");
+        wait_for_close(&engine);
+    }
+}
+
+#[test]
+fn withdrawn_request_that_may_be_repeated_is_answered_by_new_weights() {
+    let slow = silent_engine(Vec::new());
+    let updated = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "id: 1\n\n")]]);
+
+    let result = run(async {
+        let repeat = RepeatRule::ResumableStream;
+        let (context, request) = superseded(&[(&slow, 1), (&updated, 2)], 8_400, repeat);
+        // The engine with the new weights has much to read, so the other one is chosen.
+        let load = ExpectedLoad { service_ms: 900.0, ..ExpectedLoad::default() };
+        context.work.borrow_mut().begin(&id("e1"), &load, Moment::now());
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, ok("id: 1\n\n"));
+    assert_eq!((slow.requests().len(), updated.requests().len()), (1, 1));
+}
+
+#[test]
+fn weights_published_while_a_request_waits_at_an_engine_bound_its_wait() {
+    // Guards against a request that waits on, since no newer weights were known when it was sent.
+    let engine = silent_engine(Vec::new());
+    let begun = Instant::now();
+
+    let result = run(async {
+        let (context, request) = superseded(&[(&engine, 2)], 30_000, RepeatRule::Stream);
+        let publishing = Rc::clone(&context);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let since = Moment::now().minus_millis(9_300);
+            let (version, source) = (WeightVersion(3), PublicationSource::Peer);
+            apply_version(&publishing, &model(), version, since, source);
+        });
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, CallerResult::Lost);
+    let waited = begun.elapsed();
+    assert!(waited < Duration::from_millis(1_000), "{waited:?}");
+}
+
+#[test]
+fn first_event_that_arrives_while_the_daemon_does_not_run_is_not_taken_for_missing() {
+    // Guards against an answer that began in time and is withdrawn, since it was read after the limit.
+    let engine = ScriptedUpstream::start(vec![vec![
+        stream_head(),
+        ScriptStep::Wait(200),
+        chunk("id: 1\n\n"),
+        last_chunk(),
+    ]]);
+
+    let result = run(async {
+        let (context, request) = superseded(&[(&engine, 1)], 8_400, RepeatRule::Stream);
+        tokio::task::spawn_local(async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            std::thread::sleep(Duration::from_millis(1_500));
+        });
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, ok("id: 1\n\n"));
+}
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -223,6 +223,18 @@
     assert_eq!(choose(&fixture, &[]), None);
 }
 
+#[test]
+fn prompt_that_would_be_read_past_the_limit_is_not_sent_to_old_weights() {
+    // Guards against a long prompt whose first token comes too late, though it never waits.
+    let mut fixture = fixture(&[("old", 1)]);
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 8_000)));
+    assert_eq!(choose(&fixture, &[]), None);
+
+    fixture.prompt = prompt("packet", 100, 10);
+
+    assert!(choose(&fixture, &[]).is_some());
+}
+
 #[test]
 fn busy_engine_with_old_weights_is_avoided_earlier_than_an_idle_one() {
     // Guards against a request that starts on old weights after the time limit, two seconds after its
