fix: weights of unknown age permit older ones only briefly after a start

A daemon that starts takes the age of published weights from a record in the store. Without one it took 2.5 s, however long all daemons had been away, and old weights were used for eight seconds more. The record was written once, by whoever read the publication: if that call failed, the upstreams' clock was not known yet, or the writer died, there was none.

Without a moment old weights are now usable for two seconds, as with a moment that can't be read; from the first moment on, not only once the records were asked for. Such a guess is not told to peers, and whatever is known replaces it. Weights without a record were published after those with one, which bounds their age.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -97,6 +97,6 @@
 pub use weights::store_outages::{OutageChange, StoreOutages};
 pub use weights::version_rollout::{RolloutEngine, max_concurrent_loads, next_orders};
 pub use weights::version_targets::{
-    PublicationSource, SupersededAge, VersionLimits, VersionTarget, VersionTargets, VersionUse,
-    age_at_start,
+    OfferEffect, PublicationSource, SupersededAge, VersionLimits, VersionTarget, VersionTargets,
+    VersionUse, assumed_age_ms,
 };
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -20,7 +20,7 @@
 use crate::upstreams::upstream_crashes::{apply_cleared, apply_crash, apply_quarantine};
 use crate::upstreams::upstream_table::ListChangeEffect;
 use crate::weights::store_outages::OutageChange;
-use crate::weights::version_targets::{PublicationSource, VersionTarget};
+use crate::weights::version_targets::{OfferEffect, PublicationSource, VersionTarget};
 use guava_log::log_event;
 use guava_policy::{ClearNotice, QuarantineNotice};
 use guava_types::{Deadline, MemberName, Moment, TokenCount, UpstreamId};
@@ -212,6 +212,7 @@
         model: model.clone(),
         version: target.version,
         published: target.published,
+        is_recorded: target.is_recorded,
     });
     published.collect()
 }
@@ -302,8 +303,11 @@
         apply_change(context, change, ListSource::Peer(&name), now);
     }
     for target in message.targets {
-        let PublishedVersion { model, version, published } = target;
+        let PublishedVersion { model, version, published, is_recorded } = target;
         apply_version(context, &model, version, published, PublicationSource::Peer);
+        if is_recorded {
+            context.targets.borrow_mut().note_recorded(&model, version);
+        }
     }
     for drain in &message.drains {
         apply_drain(context, drain, now);
@@ -504,9 +508,9 @@
     source: PublicationSource,
 ) {
     let now = Moment::now();
-    let target = VersionTarget { version, published, heard: now, source };
-    let is_new = context.targets.borrow_mut().offer(model, target);
-    if is_new {
+    let target = VersionTarget { version, published, heard: now, source, is_recorded: false };
+    let effect = context.targets.borrow_mut().offer(model, target);
+    if effect != OfferEffect::Known {
         context.weights_changed.notify_waiters();
         log_event!(
             info,
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -80,6 +80,8 @@
     version: u64,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    #[prost(bool, tag = "4")]
+    is_recorded: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -278,6 +280,8 @@
     pub version: WeightVersion,
     /// Earliest moment of the publication.
     pub published: Moment,
+    /// Whether the store holds a record of that moment.
+    pub is_recorded: bool,
 }
 
 /// An upstream that was added to the list of upstreams, changed in it, or removed from it.
@@ -523,6 +527,7 @@
             model: target.model.to_string(),
             version: target.version.0,
             age_ms: now.millis_since(target.published),
+            is_recorded: target.is_recorded,
         };
         let slow_link = |link: &SlowLink| WireSlowLink {
             store: link.store.to_string(),
@@ -644,6 +649,7 @@
                 model: target.model.parse().ok()?,
                 version,
                 published: since.minus_millis(target.age_ms),
+                is_recorded: target.is_recorded,
             })
         };
         let slow_link = |link: &WireSlowLink| {
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -22,8 +22,10 @@
     Store,
     /// A peer reported it, with its age.
     Peer,
-    /// It found the weights at its start, with or without a record of when they were first seen.
+    /// It found the weights at its start, with a record that bounds the moment.
     Start,
+    /// It found the weights at its start, and the moment is not known. Not passed on to peers.
+    Assumed,
 }
 
 impl fmt::Display for PublicationSource {
@@ -32,6 +34,7 @@
             Self::Store => "store",
             Self::Peer => "peer",
             Self::Start => "start",
+            Self::Assumed => "assumed",
         })
     }
 }
@@ -40,6 +43,10 @@
 /// withdrawn, in milliseconds. It covers a late timer and the way to the engine.
 const WITHDRAWAL_MARGIN_MS: u64 = 400;
 
+/// Smallest correction of a publication's moment that is reported, in milliseconds. Messages differ by
+/// less in the time that they took.
+const MIN_CORRECTION_MS: u64 = 100;
+
 /// Published weights of one model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionTarget {
@@ -52,6 +59,44 @@
     pub heard: Moment,
     /// How the moment of its publication is known.
     pub source: PublicationSource,
+    /// Whether the store is known to hold a record of that moment.
+    pub is_recorded: bool,
+}
+
+impl VersionTarget {
+    /// Whether its moment is more than a guess.
+    fn is_known(&self) -> bool {
+        self.source != PublicationSource::Assumed
+    }
+
+    /// Adopts what another report of the same publication adds: a known moment instead of a guess, or
+    /// the earlier of two.
+    fn merge(&mut self, other: &Self) -> OfferEffect {
+        self.is_recorded |= other.is_recorded;
+        let replaces_guess = !self.is_known() && other.is_known();
+        let is_earlier = self.is_known() == other.is_known() && other.published < self.published;
+        if !replaces_guess && !is_earlier {
+            return OfferEffect::Known;
+        }
+        let correction_ms = self.published.millis_since(other.published);
+        (self.published, self.source) = (other.published, other.source);
+        if replaces_guess || correction_ms >= MIN_CORRECTION_MS {
+            OfferEffect::Corrected
+        } else {
+            OfferEffect::Known
+        }
+    }
+}
+
+/// What the report of a publication added to what was known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferEffect {
+    /// The version was not known.
+    New,
+    /// The version was published markedly earlier than was known, or its moment had been a guess.
+    Corrected,
+    /// Nothing that matters.
+    Known,
 }
 
 /// For how long a version has been superseded, as this daemon counts it.
@@ -76,25 +121,16 @@
     }
 }
 
-/// Assumed age of weights without a record of their publication, in milliseconds.
-///
-/// The first daemon that reads a publication records it at once, so without a record all daemons
-/// must have exited right after the publication. A restart takes about this long.
-const UNRECORDED_AGE_MS: u64 = 2_500;
-/// Time for which old weights may still be used if the age is recorded but can't be read, in
+/// Time for which old weights may still be used if it is not known when newer ones were published, in
 /// milliseconds. It is no longer than a daemon that has just started may lag behind.
-const UNREADABLE_AGE_GRACE_MS: u64 = 2_000;
+const UNKNOWN_AGE_GRACE_MS: u64 = 2_000;
 
-/// Age of the weights that a daemon finds at its start, in milliseconds since their publication.
+/// Age assumed of weights that a daemon finds at its start, in milliseconds, if it is not known when
+/// they were published.
 ///
-/// `recorded` is the age by the record of the daemon that read them first: `None` without a record,
-/// `Some(None)` if the recorded time can't be compared with this daemon's clock yet.
-pub fn age_at_start(recorded: Option<Option<u64>>, limit_ms: u64) -> u64 {
-    match recorded {
-        None => UNRECORDED_AGE_MS,
-        Some(None) => limit_ms.saturating_sub(CUTOFF_MARGIN_MS + UNREADABLE_AGE_GRACE_MS),
-        Some(Some(age_ms)) => age_ms,
-    }
+/// The daemons may have been away for any time, so old weights must not be used for long.
+pub fn assumed_age_ms(limit_ms: u64) -> u64 {
+    limit_ms.saturating_sub(CUTOFF_MARGIN_MS + UNKNOWN_AGE_GRACE_MS)
 }
 
 /// Whether a request may start on some weights.
@@ -150,27 +186,21 @@
 }
 
 impl VersionTargets {
-    /// Records a publication; returns whether the version was not known before.
+    /// Records a publication.
     ///
-    /// Of several moments for one version the earliest counts: a daemon that hears late must not use
-    /// old weights past the time limit. Publications may be learnt in any order: one that is older
+    /// Of several known moments for one version the earliest counts: a daemon that hears late must not
+    /// use old weights past the time limit. Publications may be learnt in any order: one that is older
     /// than the newest still supersedes those before it.
-    pub fn offer(&mut self, model: &ModelName, target: VersionTarget) -> bool {
+    pub fn offer(&mut self, model: &ModelName, target: VersionTarget) -> OfferEffect {
         let publications = self.publications.entry(model.clone()).or_default();
         match publications.binary_search_by_key(&target.version, |known| known.version) {
-            Ok(place) => {
-                let known = &mut publications[place];
-                if target.published < known.published {
-                    (known.published, known.source) = (target.published, target.source);
-                }
-                false
-            }
+            Ok(place) => publications[place].merge(&target),
             Err(place) => {
                 publications.insert(place, target);
                 if publications.len() > MAX_HISTORY_ENTRIES {
                     drop_oldest(publications);
                 }
-                true
+                OfferEffect::New
             }
         }
     }
@@ -194,15 +224,30 @@
     /// Publications that peers are told: the recent ones of each model, and the newest of those
     /// before them. A peer that knows only the newest one would count from that for all versions.
     pub fn told(&self, now: Moment) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
-        let told = move |publications: &Vec<VersionTarget>| {
+        let first_told = move |publications: &[VersionTarget]| {
             let is_old = |target: &VersionTarget| now.millis_since(target.published) > TOLD_FOR_MS;
             publications.iter().rposition(is_old).unwrap_or(0)
         };
         self.publications.iter().flat_map(move |(model, publications)| {
-            publications[told(publications)..].iter().map(move |target| (model, target))
+            let told = publications[first_told(publications)..].iter();
+            told.filter(|target| target.is_known()).map(move |target| (model, target))
         })
     }
 
+    /// Models whose newest publication the store is not known to hold a record of, with when this
+    /// daemon learnt of it.
+    pub fn unrecorded(&self) -> impl Iterator<Item = (&ModelName, Moment)> {
+        let newest = self.iter().filter(|(_, target)| target.is_known() && !target.is_recorded);
+        newest.map(|(model, target)| (model, target.heard))
+    }
+
+    /// Records that the store holds a record of a model's publications up to a version.
+    pub fn note_recorded(&mut self, model: &ModelName, version: WeightVersion) {
+        let publications = self.publications.get_mut(model).into_iter().flatten();
+        let recorded = publications.filter(|target| target.version <= version);
+        recorded.for_each(|target| target.is_recorded = true);
+    }
+
     /// Newest publication of each model.
     pub fn iter(&self) -> impl Iterator<Item = (&ModelName, &VersionTarget)> {
         self.publications
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -292,6 +292,7 @@
             model: model(),
             version: WeightVersion(3),
             published: Moment(98_800),
+            is_recorded: true,
         }],
         stores: vec![StoreUpdate {
             store: address(5),
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -53,7 +53,8 @@
 /// Weights that this daemon read of at the moment of their publication.
 pub fn published(version: u64, at: Moment) -> VersionTarget {
     let version = WeightVersion(version);
-    VersionTarget { version, published: at, heard: at, source: PublicationSource::Store }
+    let source = PublicationSource::Store;
+    VersionTarget { version, published: at, heard: at, source, is_recorded: false }
 }
 
 pub fn leaving(mut entry: UpstreamEntry) -> UpstreamEntry {
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use guava_serve::{
-    RolloutEngine, ServeContext, UpstreamTable, VersionLimits, VersionRollout, VersionTarget,
-    VersionTargets, VersionUse, WeightVersion, age_at_start, is_salt_unreferenced,
-    max_concurrent_loads, next_orders,
+    OfferEffect, PublicationSource, RolloutEngine, ServeContext, UpstreamTable, VersionLimits,
+    VersionRollout, VersionTarget, VersionTargets, VersionUse, WeightVersion, assumed_age_ms,
+    is_salt_unreferenced, max_concurrent_loads, next_orders,
 };
 use guava_types::Moment;
 use support::{engine, id, model, published, serve_context};
@@ -57,9 +57,9 @@
     // from its own start.
     let mut targets = targets();
 
-    let is_new = targets.offer(&model(), published(2, Moment(95_000)));
+    let effect = targets.offer(&model(), published(2, Moment(95_000)));
 
-    assert!(!is_new);
+    assert_eq!(effect, OfferEffect::Corrected);
     let verdict = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(104_000));
     assert_eq!(verdict, VersionUse::Forbidden);
 }
@@ -91,18 +91,59 @@
 }
 
 #[test]
-fn age_of_weights_at_the_start_comes_from_their_record() {
-    assert_eq!(age_at_start(Some(Some(22_000)), LIMIT_MS), 22_000);
+fn weights_of_unknown_age_permit_older_ones_only_briefly() {
+    // Guards against old weights in use past the time limit after all daemons were away for long.
+    let started = Moment(100_000);
+    let mut targets = VersionTargets::default();
+    targets.offer(&model(), assumed(2, started));
+
+    let verdict_at = |at| targets.judge(&model(), WeightVersion(1), LIMITS, Moment(at));
+
+    assert_ne!(verdict_at(101_500), VersionUse::Forbidden);
+    assert_eq!(verdict_at(102_500), VersionUse::Forbidden);
+}
+
+/// Weights that a daemon finds at its start without a moment of their publication.
+fn assumed(version: u64, started: Moment) -> VersionTarget {
+    let source = PublicationSource::Assumed;
+    let since = started.minus_millis(assumed_age_ms(LIMIT_MS));
+    VersionTarget { source, ..published(version, since) }
 }
 
 #[test]
-fn unreadable_age_permits_old_weights_only_briefly() {
-    let age = age_at_start(Some(None), LIMIT_MS);
+fn known_moment_replaces_an_assumed_one() {
+    // Guards against refusals at a daemon that has started right after a publication.
+    let mut targets = VersionTargets::default();
+    targets.offer(&model(), assumed(2, Moment(100_000)));
+
+    targets.offer(&model(), published(2, Moment(99_000)));
+    targets.offer(&model(), assumed(2, Moment(100_000)));
+
+    let target = targets.target(&model()).unwrap();
+    assert_eq!((target.published, target.source), (Moment(99_000), PublicationSource::Store));
+}
 
+#[test]
+fn assumed_moment_is_not_told_to_peers() {
+    // Guards against a guess that makes all daemons refuse old weights.
     let mut targets = VersionTargets::default();
-    targets.offer(&model(), published(2, Moment(100_000 - age)));
-    let later = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(102_500));
-    assert_eq!(later, VersionUse::Forbidden);
+    targets.offer(&model(), assumed(2, Moment(100_000)));
+
+    assert_eq!(targets.told(Moment(100_000)).count(), 0);
+    assert_eq!(targets.unrecorded().count(), 0);
+}
+
+#[test]
+fn publication_is_unrecorded_until_its_record_is_written() {
+    let mut targets = targets();
+    let unrecorded = |targets: &VersionTargets| targets.unrecorded().count();
+    assert_eq!(unrecorded(&targets), 1);
+
+    targets.note_recorded(&model(), WeightVersion(1));
+    assert_eq!(unrecorded(&targets), 1);
+
+    targets.note_recorded(&model(), WeightVersion(2));
+    assert_eq!(unrecorded(&targets), 0);
 }
 
 fn rollout_engine(name: &str, running: u32, ordered: Option<u64>) -> RolloutEngine {
