fix: entries lapse only in an outage that was not this daemon's own

The first read of the list follows no outage that this daemon can know of, and a later one none if the store is known to have been available all the while that this daemon could not read.

--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -131,7 +131,8 @@
     /// Services that the configuration names; `None` until a configuration is applied.
     services: Option<FastSet<ServiceName>>,
     is_known: bool,
-    is_unavailable: bool,
+    /// Since when reads of the list fail.
+    unavailable_since: Option<Moment>,
     available_since: Moment,
     order: ListOrder,
 }
@@ -149,24 +150,31 @@
 
     /// Notes that the list can't be read; known entries stay in use. Returns whether it was
     /// readable before.
-    pub fn note_unavailable(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_unavailable, true)
+    pub fn note_unavailable(&mut self, now: Moment) -> bool {
+        let is_change = self.unavailable_since.is_none();
+        self.unavailable_since.get_or_insert(now);
+        is_change
     }
 
     /// Whether the last read of the list failed.
     pub fn is_unavailable(&self) -> bool {
-        self.is_unavailable
+        self.unavailable_since.is_some()
     }
 
     /// Notes that the list was read; to be called before its entries are applied. Returns whether
     /// it was unavailable before.
-    pub fn note_read(&mut self, now: Moment) -> bool {
-        self.is_known = true;
-        let was_unavailable = std::mem::replace(&mut self.is_unavailable, false);
-        if was_unavailable {
+    ///
+    /// Entries that lapsed in an outage stay valid for a while. There was none for a daemon that
+    /// reads the list for the first time, nor if the store is known to have been available, since
+    /// `store_available_since`, all the while that this daemon could not read.
+    pub fn note_read(&mut self, now: Moment, store_available_since: Option<Moment>) -> bool {
+        let was_known = std::mem::replace(&mut self.is_known, true);
+        let Some(unavailable_since) = self.unavailable_since.take() else { return false };
+        let is_own_trouble = store_available_since.is_some_and(|since| since <= unavailable_since);
+        if was_known && !is_own_trouble {
             self.available_since = now;
         }
-        was_unavailable
+        true
     }
 
     /// Notes which services the configuration names; `entries` omits upstreams of other services.
