perf: a publication that the reader waits for is dated when it last waited

The moment of a publication was taken as the end of the read before, up to 1.1 s earlier than it was at the reader, so that old weights were given up that much earlier than they must be. While a waiting read is unanswered there is no change, so the last moment of such a wait counts; a wait that a pause of the process interrupts is dated before the pause (wait_that_a_pause_interrupts_is_dated_before_the _pause).

--- a/crates/guava-serve/src/deadline_wait.rs
+++ b/crates/guava-serve/src/deadline_wait.rs
@@ -4,10 +4,11 @@
 //! bytes in its sockets. The task whose timer expired runs before the tasks that read the
 //! connections, and would take the answer for missing although it arrived in time.
 
-use guava_types::Deadline;
+use guava_types::{Deadline, Moment};
 use std::future::poll_fn;
 use std::pin::pin;
 use std::task::Poll;
+use std::time::Duration;
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
@@ -32,3 +33,21 @@
     }
     None
 }
+
+/// Interval at which a wait notes that it goes on, in milliseconds.
+const WAIT_NOTE_INTERVAL_MS: u64 = 100;
+
+/// Waits for an answer; returns it with the last moment at which it is known not to have arrived.
+///
+/// A timer that is over says nothing of a socket that was not read meanwhile, so that moment is the
+/// timer's before: the process has read its sockets since.
+pub async fn with_last_wait<F: Future>(future: F) -> (F::Output, Option<Moment>) {
+    let mut future = pin!(future);
+    let (mut last_wait, mut last_timer) = (None, None);
+    loop {
+        match timeout(Duration::from_millis(WAIT_NOTE_INTERVAL_MS), &mut future).await {
+            Ok(answer) => return (answer, last_wait),
+            Err(_) => last_wait = last_timer.replace(Moment::now()),
+        }
+    }
+}
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -17,6 +17,7 @@
 mod weights;
 
 pub use config_update::apply_config;
+pub use deadline_wait::with_last_wait;
 pub use members::list_change_gossip::ListChangeGossip;
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_table::{MemberDescriptor, MemberTable};
--- a/crates/guava-serve/tests/message_arrival.rs
+++ b/crates/guava-serve/tests/message_arrival.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use guava_serve::{PeerMessage, ReadMark, ServeContext, compose_message, receive_messages};
+use guava_serve::{
+    PeerMessage, ReadMark, ServeContext, compose_message, receive_messages, with_last_wait,
+};
 use guava_types::Moment;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,3 +73,23 @@
 
     assert!(as_of <= sent, "{} ms too fresh", as_of.millis_since(sent));
 }
+
+#[test]
+fn wait_that_a_pause_interrupts_is_dated_before_the_pause() {
+    // Guards against a change that looks as recent as the end of a pause in which it was made.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (paused, last_wait) = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let answer = async {
+            tokio::time::sleep(Duration::from_millis(450)).await;
+            let paused = Moment::now();
+            std::thread::sleep(STALL);
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            paused
+        };
+        with_last_wait(answer).await
+    });
+
+    let last_wait = last_wait.unwrap();
+    assert!(last_wait <= paused, "{} ms after the pause began", last_wait.millis_since(paused));
+    assert!(paused.millis_since(last_wait) < 400, "{} ms", paused.millis_since(last_wait));
+}
