fix: the exchange of a publication between daemons does not make it older

Cause: in the mend before, a message was dated at the earliest moment at which it may have arrived, and the earliest of all reports was kept; daemons reported it to each other many times a second, each time some milliseconds older.

What is told is a moment at which the version was not published yet, so the latest one is closest, and each exchange can only make a report weaker. A report later than this daemon's own first hearing is cut to that. Reports of earlier builds, which tell when they heard, count as this daemon's own last read without the publication. The moment since when the store has been available, of which the earliest is kept, is dated late for the same reason, and readings of the upstreams' clock that waited in the socket are not used.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -27,7 +27,7 @@
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
     CONFIG_APPLIED "G8104" "a configuration is in force";
     CONFIG_IGNORED "G8105" "an older configuration was ignored";
-    VERSION_PUBLISHED "G8106" "new weights were published, or earlier than was known";
+    VERSION_PUBLISHED "G8106" "new weights were published, or at another moment than was known";
     DRAIN_CHANGED "G8107" "a data centre was drained, or is in use again";
     OUTAGE_CHANGED "G8108" "an outage of the store, in which time limits for weights stand still, has changed";
     MEMBER_REACHABLE "G8201" "a daemon is reachable";
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -211,7 +211,7 @@
     let published = targets.told(now).map(|(model, target)| PublishedVersion {
         model: model.clone(),
         version: target.version,
-        published: target.published,
+        published: Some(target.published),
         is_recorded: target.is_recorded,
     });
     published.collect()
@@ -304,6 +304,8 @@
     }
     for target in message.targets {
         let PublishedVersion { model, version, published, is_recorded } = target;
+        // At the latest, this daemon knows itself when it had not been published.
+        let published = published.unwrap_or(context.reads.borrow().operator.changed_since(now));
         apply_version(context, &model, version, published, PublicationSource::Peer);
         if is_recorded {
             context.targets.borrow_mut().note_recorded(&model, version);
@@ -499,7 +501,7 @@
     log_event!(info, events::OUTAGE_CHANGED, change = change.name(), silent_ms = silent_ms);
 }
 
-/// Applies the publication of weights, which happened at `published` or later.
+/// Applies the publication of weights, which happened after `published`.
 pub fn apply_version(
     context: &ServeContext,
     model: &guava_types::ModelName,
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -78,10 +78,13 @@
     model: String,
     #[prost(uint64, tag = "2")]
     version: u64,
+    /// Read by earlier builds.
     #[prost(uint64, tag = "3")]
     age_ms: u64,
     #[prost(bool, tag = "4")]
     is_recorded: bool,
+    #[prost(uint64, optional, tag = "5")]
+    unpublished_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -271,6 +274,10 @@
     hundredths: u32,
 }
 
+/// Longest wait in the socket of a message whose reading of the upstreams' clock is used, in
+/// milliseconds.
+const MAX_CLOCK_WAIT_MS: u64 = 300;
+
 /// Published weights, as a peer knows them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedVersion {
@@ -278,8 +285,9 @@
     pub model: ModelName,
     /// Version of the weights.
     pub version: WeightVersion,
-    /// Earliest moment of the publication.
-    pub published: Moment,
+    /// Moment at which it was not published yet; `None` from a peer of an earlier build, which tells
+    /// when it heard of it.
+    pub published: Option<Moment>,
     /// Whether the store holds a record of that moment.
     pub is_recorded: bool,
 }
@@ -526,8 +534,9 @@
         let target = |target: &PublishedVersion| WirePublishedVersion {
             model: target.model.to_string(),
             version: target.version.0,
-            age_ms: now.millis_since(target.published),
+            age_ms: target.published.map_or(0, |published| now.millis_since(published)),
             is_recorded: target.is_recorded,
+            unpublished_ms: target.published.map(|published| now.millis_since(published)),
         };
         let slow_link = |link: &SlowLink| WireSlowLink {
             store: link.store.to_string(),
@@ -648,7 +657,7 @@
             Some(PublishedVersion {
                 model: target.model.parse().ok()?,
                 version,
-                published: since.minus_millis(target.age_ms),
+                published: target.unpublished_ms.map(|age_ms| since.minus_millis(age_ms)),
                 is_recorded: target.is_recorded,
             })
         };
@@ -663,11 +672,14 @@
             targets: wire.targets.iter().filter_map(target).collect(),
             stores: wire.stores.into_iter().filter_map(store).collect(),
             operator: wire.operator.map(mark),
-            available_since: wire.available_ms.map(|age_ms| since.minus_millis(age_ms)),
+            // Dated late rather than early: daemons adopt the earliest moment from each other, which
+            // would drift with each exchange.
+            available_since: wire.available_ms.map(|age_ms| now.minus_millis(age_ms)),
             published_since: wire.published_since,
             list: wire.list.map(mark),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
-            clock_ms: wire.clock_ms,
+            // A reading that waited in the socket says little of the clock now.
+            clock_ms: wire.clock_ms.filter(|_| now.millis_since(since) <= MAX_CLOCK_WAIT_MS),
             listed: wire.listed.iter().filter_map(|change| list_change(change, now)).collect(),
             slow_links: wire.slow_links.iter().filter_map(slow_link).collect(),
             ended: wire.ended.iter().filter_map(|crash| crash_notice(crash, since)).collect(),
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -52,8 +52,8 @@
 pub struct VersionTarget {
     /// The newest published version.
     pub version: WeightVersion,
-    /// Earliest moment at which the version may have been published, on this daemon's clock: the
-    /// operator's records were last known to be without it then. Time limits count from here.
+    /// Latest moment at which the version is known not to have been published yet, on this daemon's
+    /// clock. Time limits count from here, so that a daemon that hears late does not count late.
     pub published: Moment,
     /// When this daemon learnt of it.
     pub heard: Moment,
@@ -70,16 +70,18 @@
     }
 
     /// Adopts what another report of the same publication adds: a known moment instead of a guess, or
-    /// the earlier of two.
+    /// the later of two. Each is a moment at which the version was not published yet, and the latest
+    /// is closest to the publication; it can't be later than this daemon's first report.
     fn merge(&mut self, other: &Self) -> OfferEffect {
         self.is_recorded |= other.is_recorded;
+        let published = other.published.min(self.heard);
         let replaces_guess = !self.is_known() && other.is_known();
-        let is_earlier = self.is_known() == other.is_known() && other.published < self.published;
-        if !replaces_guess && !is_earlier {
+        let is_later = self.is_known() == other.is_known() && published > self.published;
+        if !replaces_guess && !is_later {
             return OfferEffect::Known;
         }
-        let correction_ms = self.published.millis_since(other.published);
-        (self.published, self.source) = (other.published, other.source);
+        let correction_ms = published.millis_since(self.published);
+        (self.published, self.source) = (published, other.source);
         if replaces_guess || correction_ms >= MIN_CORRECTION_MS {
             OfferEffect::Corrected
         } else {
@@ -93,7 +95,7 @@
 pub enum OfferEffect {
     /// The version was not known.
     New,
-    /// The version was published markedly earlier than was known, or its moment had been a guess.
+    /// The version was published markedly later than was known, or its moment had been a guess.
     Corrected,
     /// Nothing that matters.
     Known,
@@ -188,9 +190,8 @@
 impl VersionTargets {
     /// Records a publication.
     ///
-    /// Of several known moments for one version the earliest counts: a daemon that hears late must not
-    /// use old weights past the time limit. Publications may be learnt in any order: one that is older
-    /// than the newest still supersedes those before it.
+    /// Publications may be learnt in any order: one that is older than the newest still supersedes
+    /// those before it.
     pub fn offer(&mut self, model: &ModelName, target: VersionTarget) -> OfferEffect {
         let publications = self.publications.entry(model.clone()).or_default();
         match publications.binary_search_by_key(&target.version, |known| known.version) {
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -202,6 +202,7 @@
     fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 1_000)));
     let early = choose(&fixture, &[]).unwrap();
 
+    fixture.targets = VersionTargets::default();
     fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 8_600)));
     let late = choose(&fixture, &[]).unwrap();
 
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -157,6 +157,21 @@
     assert_eq!(target.published, Moment(NOW.0 - 7_000));
 }
 
+#[test]
+fn publication_from_an_earlier_build_is_dated_at_the_last_read_without_it() {
+    // Guards against a peer of an earlier build, which tells when it heard of a publication.
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    two.reads.borrow_mut().operator.note_own(7, Moment(NOW.0 - 1_500));
+    one.targets.borrow_mut().offer(&model(), published(2, NOW));
+    let mut message = compose_message(&one, news("d1"), NOW);
+    message.targets.iter_mut().for_each(|target| target.published = None);
+
+    deliver(&message, &two);
+
+    let target = two.targets.borrow().target(&model()).unwrap();
+    assert_eq!(target.published, Moment(NOW.0 - 1_500));
+}
+
 #[test]
 fn late_reading_of_the_upstreams_clock_does_not_set_it_back() {
     // Guards against publications that look recent to a daemon that starts and reads messages late.
