--- a/crates/guava-standins/src/harness.rs
+++ b/crates/guava-standins/src/harness.rs
@@ -26,11 +26,15 @@
 static PROBE_OR_START: Mutex<()> = Mutex::new(());
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Distance between the first ports of processes that start one after the other. A process whose
+/// daemons are down for a while must not find their ports taken by another.
+const PORT_STRIDE: u32 = 1_009;
+
 /// A free address on an IP number of this machine.
 ///
 /// Ports lie below the range for outgoing connections, which would else take them now and then.
 pub fn free_address(ip: IpAddr) -> SocketAddr {
-    let base = u16::try_from(std::process::id() * 61 % u32::from(PORT_SPAN)).unwrap_or(0);
+    let base = u16::try_from(std::process::id() * PORT_STRIDE % u32::from(PORT_SPAN)).unwrap_or(0);
     let _alone = PROBE_OR_START.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -108,7 +108,7 @@
         span: Duration::from_secs(26),
     };
     let size = fleet_by_hand().unwrap_or(small);
-    let seeds = seeds_by_hand().unwrap_or(vec![1]);
+    let seeds = seeds_by_hand().unwrap_or(vec![1, 4]);
     let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
