fix: weights before the newest stay of unknown age at a daemon that has just started

A daemon that starts now assumes a publication right before the newest as well, of unknown age like it; knowing the newest's moment does not replace that. Versions before it may be used for two seconds, the one that the newest superseded for as long as its moment says.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -23,7 +23,7 @@
 pub use members::member_table::{MemberDescriptor, MemberTable};
 pub use members::message_split::datagrams;
 pub use members::peer_exchange::{
-    ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_version,
+    ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_target, apply_version,
     compose_announcements, compose_crash_notices, compose_immediate, compose_initial_sync,
     compose_message, compose_reads, note_outage_change,
 };
@@ -99,5 +99,5 @@
 pub use weights::version_rollout::{RolloutEngine, max_concurrent_loads, next_orders};
 pub use weights::version_targets::{
     OfferEffect, PublicationSource, SupersededAge, VersionLimits, VersionTarget, VersionTargets,
-    VersionUse, assumed_age_ms,
+    VersionUse, assumed_targets,
 };
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -509,8 +509,13 @@
     published: Moment,
     source: PublicationSource,
 ) {
-    let now = Moment::now();
-    let target = VersionTarget { version, published, heard: now, source, is_recorded: false };
+    let heard = Moment::now();
+    let target = VersionTarget { version, published, heard, source, is_recorded: false };
+    apply_target(context, model, target);
+}
+
+/// Applies what is known, or assumed, of the publication of weights.
+pub fn apply_target(context: &ServeContext, model: &guava_types::ModelName, target: VersionTarget) {
     let effect = context.targets.borrow_mut().offer(model, target);
     if effect != OfferEffect::Known {
         context.weights_changed.notify_waiters();
@@ -518,9 +523,9 @@
             info,
             events::VERSION_PUBLISHED,
             model = model,
-            version = version,
-            age_ms = now.millis_since(published),
-            source = source
+            version = target.version,
+            age_ms = Moment::now().millis_since(target.published),
+            source = target.source
         );
     }
 }
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -127,12 +127,20 @@
 /// milliseconds. It is no longer than a daemon that has just started may lag behind.
 const UNKNOWN_AGE_GRACE_MS: u64 = 2_000;
 
-/// Age assumed of weights that a daemon finds at its start, in milliseconds, if it is not known when
-/// they were published.
+/// Publications to assume of the newest weights that a daemon finds at its start.
 ///
-/// The daemons may have been away for any time, so old weights must not be used for long.
-pub fn assumed_age_ms(limit_ms: u64) -> u64 {
-    limit_ms.saturating_sub(CUTOFF_MARGIN_MS + UNKNOWN_AGE_GRACE_MS)
+/// The daemons may have been away for any time, so old weights must not be used for long. The version
+/// before the newest one is assumed too: once it is known when the newest was published, that says
+/// nothing of when the weights before were superseded.
+pub fn assumed_targets(newest: WeightVersion, limit_ms: u64, now: Moment) -> [VersionTarget; 2] {
+    let age_ms = limit_ms.saturating_sub(CUTOFF_MARGIN_MS + UNKNOWN_AGE_GRACE_MS);
+    [newest.0.saturating_sub(1), newest.0].map(|version| VersionTarget {
+        version: WeightVersion(version),
+        published: now.minus_millis(age_ms),
+        heard: now,
+        source: PublicationSource::Assumed,
+        is_recorded: false,
+    })
 }
 
 /// Whether a request may start on some weights.
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -6,7 +6,7 @@
 
 use guava_serve::{
     OfferEffect, PublicationSource, RolloutEngine, ServeContext, UpstreamTable, VersionLimits,
-    VersionRollout, VersionTarget, VersionTargets, VersionUse, WeightVersion, assumed_age_ms,
+    VersionRollout, VersionTarget, VersionTargets, VersionUse, WeightVersion, assumed_targets,
     is_salt_unreferenced, max_concurrent_loads, next_orders,
 };
 use guava_types::Moment;
@@ -127,9 +127,23 @@
 
 /// Weights that a daemon finds at its start without a moment of their publication.
 fn assumed(version: u64, started: Moment) -> VersionTarget {
-    let source = PublicationSource::Assumed;
-    let since = started.minus_millis(assumed_age_ms(LIMIT_MS));
-    VersionTarget { source, heard: started, ..published(version, since) }
+    assumed_targets(WeightVersion(version), LIMIT_MS, started)[1]
+}
+
+#[test]
+fn weights_before_the_newest_stay_of_unknown_age_once_that_of_the_newest_is_known() {
+    // Guards against weights that were superseded several times while all daemons were away.
+    let mut targets = VersionTargets::default();
+    for target in assumed_targets(WeightVersion(8), LIMIT_MS, Moment(100_000)) {
+        targets.offer(&model(), target);
+    }
+
+    targets.offer(&model(), published(8, Moment(99_900)));
+
+    let verdict =
+        |version| targets.judge(&model(), WeightVersion(version), LIMITS, Moment(102_500));
+    assert_eq!(verdict(4), VersionUse::Forbidden);
+    assert_ne!(verdict(7), VersionUse::Forbidden);
 }
 
 #[test]
