--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -796,6 +796,30 @@
     assert!(waited < Duration::from_millis(1_000), "{waited:?}");
 }
 
+#[test]
+fn request_is_not_sent_once_the_limit_of_its_weights_has_come() {
+    // Guards against a request that fails as withdrawn though it need not have been sent.
+    let engine = silent_engine(Vec::new());
+
+    let result = run(async {
+        let (context, request) = superseded(&[(&engine, 2)], 30_000, RepeatRule::Stream);
+        // The send waits for a fresher list.
+        let stale = Moment::now().minus_millis(5_000);
+        context.reads.borrow_mut().list.note_own(1, stale);
+        let publishing = Rc::clone(&context);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let since = Moment::now().minus_millis(9_700);
+            let (version, source) = (WeightVersion(3), PublicationSource::Peer);
+            apply_version(&publishing, &model(), version, since, source);
+        });
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert_eq!(engine.requests().len(), 0);
+}
+
 #[test]
 fn first_event_that_arrives_while_the_daemon_does_not_run_is_not_taken_for_missing() {
     // Guards against an answer that began in time and is withdrawn, since it was read after the limit.
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -183,6 +183,20 @@
     assert_eq!(context.upstream_clock_in(0, Moment(NOW.0 + 3_000)), Some(53_000));
 }
 
+#[test]
+fn reading_of_the_upstreams_clock_that_waited_in_the_socket_is_not_used() {
+    // Guards against publications that look recent to a daemon that starts and reads messages late.
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    one.note_upstream_clock(50_000, NOW);
+    let sent = compose_message(&one, news("d1"), NOW).encode(NOW);
+    let later = Moment(NOW.0 + 3_000);
+
+    let message = PeerMessage::decode_waiting(&sent, NOW, later).unwrap();
+    apply_message(&two, message, later);
+
+    assert_eq!(two.upstream_clock_in(0, later), None);
+}
+
 #[test]
 fn publications_of_long_ago_are_not_sent_with_each_message() {
     let one = serve_context("d1");
--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -25,18 +25,30 @@
 #[test]
 fn promises_hold_under_faults_in_series() {
     let short = SHORT_RUN.into_iter().chain(REGRESSIONS).collect();
-    let seeds = Mutex::new(seeds_by_hand().unwrap_or(short));
-    let failed = Mutex::new(Vec::new());
+    let seeds = seeds_by_hand().unwrap_or(short);
     let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
+    let failed = failed_seeds(seeds, AT_A_TIME, |seed| soak(program, folder, seed).unwrap());
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Plays seeds, so many at a time; those that broke a promise, with what was broken. Seeds that are to
+/// be played side by side are played by one process: several would take each other's ports.
+fn failed_seeds(
+    seeds: Vec<u64>,
+    at_a_time: usize,
+    play: impl Fn(u64) -> Vec<String> + Sync,
+) -> Vec<(u64, Vec<String>)> {
+    let (seeds, failed) = (Mutex::new(seeds), Mutex::new(Vec::new()));
     std::thread::scope(|scope| {
-        for _ in 0..AT_A_TIME {
+        for _ in 0..at_a_time {
             scope.spawn(|| {
                 loop {
                     let Some(seed) = seeds.lock().unwrap().pop() else { return };
-                    let broken = soak(program, folder, seed).unwrap();
-                    println!("seed {seed}: {}", broken.len());
+                    let broken = play(seed);
+                    println!("seed {seed}: {} broken", broken.len());
                     if !broken.is_empty() {
                         failed.lock().unwrap().push((seed, broken));
                     }
@@ -44,9 +56,12 @@
             });
         }
     });
+    failed.into_inner().unwrap()
+}
 
-    let failed = failed.into_inner().unwrap();
-    assert!(failed.is_empty(), "{failed:#?}");
+/// How many deployments of a fleet's size are soaked at a time in a run by hand: `SOAK_AT_A_TIME=3`.
+fn at_a_time_by_hand() -> usize {
+    std::env::var("SOAK_AT_A_TIME").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
 }
 
 /// The size of a run by hand, `SOAK_FLEET=79,90,4,40,60`: daemons, engines, instances of a plain
@@ -79,24 +94,12 @@
     let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
-    let failed = failed_seeds(&seeds, |seed| soak_fleet(&program, folder, seed, size).unwrap());
+    let play = |seed| soak_fleet(&program, folder, seed, size).unwrap();
+    let failed = failed_seeds(seeds, at_a_time_by_hand(), play);
 
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Plays seeds one after the other; those that broke a promise, with what was broken.
-fn failed_seeds(seeds: &[u64], play: impl Fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
-    let mut failed = Vec::new();
-    for seed in seeds {
-        let broken = play(*seed);
-        println!("seed {seed}: {} broken", broken.len());
-        if !broken.is_empty() {
-            failed.push((*seed, broken));
-        }
-    }
-    failed
-}
-
 #[test]
 fn no_request_begins_on_superseded_weights_after_the_time_limit() {
     // Guards against old weights in use for too long, and engines that never get the new ones.
@@ -112,7 +115,8 @@
     let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
-    let failed = failed_seeds(&seeds, |seed| soak_versions(&program, folder, seed, size).unwrap());
+    let play = |seed| soak_versions(&program, folder, seed, size).unwrap();
+    let failed = failed_seeds(seeds, at_a_time_by_hand(), play);
 
     assert!(failed.is_empty(), "{failed:#?}");
 }
