fix: an outage of the store does not make forbidden weights usable again

Requests began on superseded weights during and after outages of the store, though the time limit had been reached before: the time since the last outage was held against it, which is nothing in an outage.

The longest time without an outage since the publication counts now, and a limit that was reached stays reached.

--- a/crates/guava-serve/src/weights/store_outages.rs
+++ b/crates/guava-serve/src/weights/store_outages.rs
@@ -23,6 +23,17 @@
     until: Moment,
 }
 
+/// Time in which the store was available between two moments, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AvailableTime {
+    /// Since the last outage.
+    pub current_ms: u64,
+    /// The longest time without an outage.
+    pub longest_ms: u64,
+    /// In all.
+    pub total_ms: u64,
+}
+
 /// Change of what this daemon believes of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OutageChange {
@@ -110,17 +121,22 @@
         is_refuted.then_some(OutageChange::Refuted)
     }
 
-    /// Time since a moment in which the store was available, in milliseconds: since the end of the
-    /// last outage, and in total.
-    pub(crate) fn elapsed_ms(&self, since: Moment, now: Moment) -> (u64, u64) {
+    /// Time since a moment in which the store was available.
+    pub(crate) fn elapsed(&self, since: Moment, now: Moment) -> AvailableTime {
         let present = self.unavailable_since.map(|from| StoreOutage { from, until: now });
         let outages = self.past.iter().copied().chain(present);
-        let mut stretch = now.millis_since(since);
-        let mut total = stretch;
+        let (mut begin, mut longest_ms, mut total_ms) = (since, 0, 0);
         for outage in outages.filter(|outage| outage.until > since) {
-            stretch = stretch.min(now.millis_since(outage.until));
-            total = total.saturating_sub(outage.until.millis_since(outage.from.max(since)));
+            let span_ms = outage.from.millis_since(begin);
+            longest_ms = longest_ms.max(span_ms);
+            total_ms += span_ms;
+            begin = begin.max(outage.until);
+        }
+        let current_ms = now.millis_since(begin);
+        AvailableTime {
+            current_ms,
+            longest_ms: longest_ms.max(current_ms),
+            total_ms: total_ms + current_ms,
         }
-        (stretch, total)
     }
 }
--- a/crates/guava-serve/src/weights/version_targets.rs
+++ b/crates/guava-serve/src/weights/version_targets.rs
@@ -110,7 +110,7 @@
     pub source: PublicationSource,
     /// Time since the successor's publication, in milliseconds.
     pub age_ms: u64,
-    /// Of that, the time since the last outage of the store, in milliseconds.
+    /// Of that, the longest time without an outage of the store, in milliseconds.
     pub stretch_ms: u64,
     /// Of that, the time without all outages, in milliseconds.
     pub total_ms: u64,
@@ -160,7 +160,7 @@
 /// store was unavailable doesn't count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionLimits {
-    /// Limit for the time since the publication or the end of the last outage, whichever is later.
+    /// Limit for any time without an outage since the publication.
     pub stretch_ms: u64,
     /// Limit for the time since the publication without all outages.
     pub total_ms: u64,
@@ -282,13 +282,13 @@
         now: Moment,
     ) -> Option<SupersededAge> {
         let successor = self.successor(model, version)?;
-        let (stretch_ms, total_ms) = self.outages.elapsed_ms(successor.published, now);
+        let available = self.outages.elapsed(successor.published, now);
         Some(SupersededAge {
             successor: successor.version,
             source: successor.source,
             age_ms: now.millis_since(successor.published),
-            stretch_ms,
-            total_ms,
+            stretch_ms: available.longest_ms,
+            total_ms: available.total_ms,
         })
     }
 
@@ -301,9 +301,15 @@
         limits: VersionLimits,
         now: Moment,
     ) -> Option<Deadline> {
-        let age = self.superseded(model, version, now)?;
-        let stretch_left = limits.stretch_ms.saturating_sub(age.stretch_ms);
-        let left_ms = stretch_left.min(limits.total_ms.saturating_sub(age.total_ms));
+        let successor = self.successor(model, version)?;
+        let available = self.outages.elapsed(successor.published, now);
+        // A limit that was reached before an outage stays reached.
+        let stretch_ms = match available.longest_ms >= limits.stretch_ms {
+            true => available.longest_ms,
+            false => available.current_ms,
+        };
+        let left_ms = limits.stretch_ms.saturating_sub(stretch_ms);
+        let left_ms = left_ms.min(limits.total_ms.saturating_sub(available.total_ms));
         Some(Deadline::after(now, left_ms.saturating_sub(WITHDRAWAL_MARGIN_MS)))
     }
 
@@ -317,9 +323,11 @@
         start: Moment,
     ) -> VersionUse {
         let Some(successor) = self.successor(model, version) else { return VersionUse::Newest };
-        let (stretch, total) = self.outages.elapsed_ms(successor.published, start);
+        let available = self.outages.elapsed(successor.published, start);
         let is_over = |elapsed_ms: u64, limit: u64| elapsed_ms + CUTOFF_MARGIN_MS >= limit;
-        if is_over(stretch, limits.stretch_ms) || is_over(total, limits.total_ms) {
+        if is_over(available.longest_ms, limits.stretch_ms)
+            || is_over(available.total_ms, limits.total_ms)
+        {
             VersionUse::Forbidden
         } else if start.millis_since(successor.published) >= STALE_AFTER_MS {
             VersionUse::Stale
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -314,6 +314,21 @@
     assert_eq!(verdict_at(116_500), VersionUse::Forbidden);
 }
 
+#[test]
+fn weights_do_not_become_usable_again_by_an_outage_after_their_time_limit() {
+    // Guards against old weights in use in an outage, and after it, though the limit had been reached.
+    let mut targets = targets();
+    targets.outages().note_reads(Moment(111_000), true, Moment(114_501));
+
+    let in_outage = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(115_000));
+    targets.outages().note_reads(Moment(116_000), false, Moment(116_000));
+    let after = targets.judge(&model(), WeightVersion(1), LIMITS, Moment(117_000));
+    let withdrawal = targets.withdrawal(&model(), WeightVersion(1), LIMITS, Moment(117_000));
+
+    assert_eq!((in_outage, after), (VersionUse::Forbidden, VersionUse::Forbidden));
+    assert!(withdrawal.unwrap().passed(Moment(117_000)));
+}
+
 #[test]
 fn total_time_limit_holds_across_several_outages() {
     let mut targets = targets();
