fix: lapsed entries are kept after every outage that this daemon saw, but for its first read

Callers were refused after a short outage of the store: entries_that_lapse_in_an_outage_do_not_stop _service failed in the run of that test file. The mend of lapsed entries took an outage for this daemon's own where the store was known to be available since before, which a known gap of 3.5 s decides, and entries may lapse in a shorter one.

--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -131,8 +131,7 @@
     /// Services that the configuration names; `None` until a configuration is applied.
     services: Option<FastSet<ServiceName>>,
     is_known: bool,
-    /// Since when reads of the list fail.
-    unavailable_since: Option<Moment>,
+    is_unavailable: bool,
     available_since: Moment,
     order: ListOrder,
 }
@@ -150,31 +149,27 @@
 
     /// Notes that the list can't be read; known entries stay in use. Returns whether it was
     /// readable before.
-    pub fn note_unavailable(&mut self, now: Moment) -> bool {
-        let is_change = self.unavailable_since.is_none();
-        self.unavailable_since.get_or_insert(now);
-        is_change
+    pub fn note_unavailable(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_unavailable, true)
     }
 
     /// Whether the last read of the list failed.
     pub fn is_unavailable(&self) -> bool {
-        self.unavailable_since.is_some()
+        self.is_unavailable
     }
 
     /// Notes that the list was read; to be called before its entries are applied. Returns whether
     /// it was unavailable before.
     ///
-    /// Entries that lapsed in an outage stay valid for a while. There was none for a daemon that
-    /// reads the list for the first time, nor if the store is known to have been available, since
-    /// `store_available_since`, all the while that this daemon could not read.
-    pub fn note_read(&mut self, now: Moment, store_available_since: Option<Moment>) -> bool {
+    /// Entries that lapsed in an outage stay valid for a while. A daemon that reads the list for the
+    /// first time knows of no outage.
+    pub fn note_read(&mut self, now: Moment) -> bool {
         let was_known = std::mem::replace(&mut self.is_known, true);
-        let Some(unavailable_since) = self.unavailable_since.take() else { return false };
-        let is_own_trouble = store_available_since.is_some_and(|since| since <= unavailable_since);
-        if was_known && !is_own_trouble {
+        let was_unavailable = std::mem::replace(&mut self.is_unavailable, false);
+        if was_unavailable && was_known {
             self.available_since = now;
         }
-        true
+        was_unavailable
     }
 
     /// Notes which services the configuration names; `entries` omits upstreams of other services.
