--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -18,17 +18,20 @@
 
 pub use config_update::apply_config;
 pub use deadline_wait::with_last_wait;
+pub use members::core_group::{CoreRecord, MAX_LOCAL_CORE, core_records, registration_pause};
 pub use members::list_change_gossip::ListChangeGossip;
+pub use members::list_copy::{CopyError, LIST_PATH, ListCopy, compose_page, copy_list};
 pub use members::lost_messages::{LostMessages, MessageLoss};
-pub use members::member_table::{MemberDescriptor, MemberTable};
+pub use members::member_table::{MemberDescriptor, MemberRole, MemberTable};
 pub use members::message_split::datagrams;
 pub use members::peer_exchange::{
     ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_target, apply_version,
-    compose_announcements, compose_crash_notices, compose_immediate, compose_initial_sync,
-    compose_message, compose_reads, note_outage_change,
+    compose_announcements, compose_attached_reads, compose_crash_notices, compose_immediate,
+    compose_initial_sync, compose_message, compose_reads, note_deployment_size, note_outage_change,
+    pass_to_attached,
 };
 pub use members::peer_message::{
-    ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
+    ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PeerRole, PublishedVersion,
 };
 pub use members::peer_task::{
     OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
@@ -37,6 +40,7 @@
 pub use members::shared_reads::{
     ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
+pub use members::transfer_budget::TransferBudget;
 pub use metrics::{KindLabel, LimitLevel, ServeMetrics, UpstreamLabel};
 pub use parts::cache_salt::{cache_salt, salt_version};
 pub use parts::part_index::{HeldPart, PartChange, PartEvent, PartIndex, StoreUpdate};
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -1,6 +1,8 @@
 //! The daemons: which are members, the messages between them, and the state that they share.
 
+pub(crate) mod core_group;
 pub(crate) mod list_change_gossip;
+pub(crate) mod list_copy;
 pub(crate) mod lost_messages;
 pub(crate) mod member_table;
 pub(crate) mod message_split;
@@ -9,3 +11,4 @@
 pub(crate) mod peer_task;
 pub(crate) mod retry_pause;
 pub(crate) mod shared_reads;
+pub(crate) mod transfer_budget;
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -1,7 +1,9 @@
 //! Table of the other daemons: identities, addresses, readiness, and when each was last in contact.
 
+use crate::members::core_group::{CoreRecord, core_records};
+use crate::members::peer_message::{PeerMessage, PeerRole};
 use crate::parts::part_index::rendezvous_weight;
-use guava_types::{DataCentre, FastMap, MemberName, Moment};
+use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment};
 use rustc_hash::FxHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -29,6 +31,24 @@
 /// milliseconds.
 const RETENTION_MS: u64 = 120_000;
 
+/// Time since the last contact after which an attached daemon is removed, in milliseconds: it says
+/// itself whom it is attached to.
+const ATTACHED_RETENTION_MS: u64 = 5_000;
+/// Core daemons to which a daemon is attached: one of them may be dead, and another one suspended.
+pub const UPLINKS: usize = 3;
+/// For how long an address that a core daemon reported is given to callers, in milliseconds: a little
+/// more than two of its summaries.
+const REPORTED_CALLER_TTL_MS: u64 = 1_200;
+/// Time without contact to any core daemon after which an attached daemon looks for others, in
+/// milliseconds: all of them may have been lost for good.
+const ISOLATION_MS: u64 = 6_000;
+/// Fewest core daemons given to callers in one answer, if there are so many.
+const MIN_CORE_CALLERS: usize = 4;
+/// Core daemons of this data centre that are asked for a copy of the list in one attempt.
+const LOCAL_SOURCES: usize = 2;
+/// Rank of a daemon that takes part in no shared task.
+const NO_RANK: usize = usize::MAX;
+
 /// Number of daemons above which a deployment is large: other data centres are sent less, and
 /// through relays.
 const LARGE_DEPLOYMENT_DAEMONS: usize = 16;
@@ -49,6 +69,26 @@
     pub caller_address: SocketAddr,
     /// Whether callers should be sent to it.
     pub is_ready: bool,
+    /// Processor share of its VM.
+    pub capacity: CoreShare,
+}
+
+impl MemberDescriptor {
+    /// Address at which it answers peers and operators over HTTP: the port after the one for
+    /// datagrams.
+    pub fn status_address(&self) -> SocketAddr {
+        SocketAddr::new(self.peer_address.ip(), self.peer_address.port() + 1)
+    }
+}
+
+/// How a daemon takes part in the messages between daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum MemberRole {
+    /// It exchanges messages with all core daemons and shares their tasks.
+    #[default]
+    Core,
+    /// It exchanges messages with a few core daemons only.
+    Attached,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +99,7 @@
     listed: Moment,
     /// Whether it was ready and no longer is: it is about to exit.
     is_leaving: bool,
+    role: PeerRole,
 }
 
 /// Offset at which a daemon begins its round robin over the relays.
@@ -76,14 +117,28 @@
     members: FastMap<MemberName, MemberEntry>,
     /// Number of them in this data centre.
     local_count: usize,
-    /// Whether the records of all daemons have been read since this one started.
+    /// Whether the records of the core daemons have been read since this one started.
     is_listed: bool,
+    /// This daemon's own role.
+    role: MemberRole,
+    /// Since when no core daemon is in contact.
+    isolated_since: Option<Moment>,
+    /// Callers' addresses of ready daemons, as core daemons reported them, until they expire.
+    reported_callers: FastMap<SocketAddr, Deadline>,
 }
 
 impl MemberTable {
     /// An empty table for a daemon in this data centre.
     pub fn new(data_centre: DataCentre) -> Self {
-        Self { data_centre, members: FastMap::default(), local_count: 0, is_listed: false }
+        Self {
+            data_centre,
+            members: FastMap::default(),
+            local_count: 0,
+            is_listed: false,
+            role: MemberRole::Core,
+            isolated_since: None,
+            reported_callers: FastMap::default(),
+        }
     }
 
     /// Interval between two of this daemon's summaries to its data centre, in milliseconds; grows
@@ -122,6 +177,7 @@
             last_contact: None,
             listed: now,
             is_leaving: false,
+            role: PeerRole::default(),
         });
         if entry.last_contact.is_none() {
             entry.member = descriptor;
@@ -142,8 +198,9 @@
         let is_leaving = was_serving && !descriptor.is_ready;
         let silent_ms = self.silent_ms(&descriptor.data_centre);
         let name = descriptor.name.clone();
-        let entry =
-            MemberEntry { member: descriptor, last_contact: Some(now), listed: now, is_leaving };
+        let role = entry.map(|entry| entry.role).unwrap_or_default();
+        let last_contact = Some(now);
+        let entry = MemberEntry { member: descriptor, last_contact, listed: now, is_leaving, role };
         if self.members.insert(name, entry).is_none() {
             self.count_local();
         }
@@ -153,19 +210,150 @@
     /// Removes daemons whose last contact is longer ago than the retention time.
     pub fn sweep(&mut self, now: Moment) {
         let last = |entry: &MemberEntry| entry.last_contact.unwrap_or(entry.listed);
-        self.members.retain(|_, entry| now.millis_since(last(entry)) < RETENTION_MS);
+        let retention_ms = |entry: &MemberEntry| match entry.role.role {
+            MemberRole::Core => RETENTION_MS,
+            MemberRole::Attached => ATTACHED_RETENTION_MS,
+        };
+        self.members.retain(|_, entry| now.millis_since(last(entry)) < retention_ms(entry));
+        self.reported_callers.retain(|_, until| !until.passed(now));
         self.count_local();
+        let is_isolated = self.role == MemberRole::Attached && self.reachable(now).next().is_none();
+        self.isolated_since = is_isolated.then(|| self.isolated_since.unwrap_or(now));
     }
 
-    /// Peer addresses of all daemons in the table, silent ones included, or only of those in this
-    /// data centre.
+    /// Peer addresses of all core daemons in the table, silent ones included, or only of those in
+    /// this data centre. An attached daemon has only those that it is attached to.
     pub fn peer_addresses(&self, only_local: bool) -> Vec<SocketAddr> {
-        let descriptors = self.members.values().map(|entry| &entry.member);
-        let addressed = descriptors
-            .filter(|descriptor| !only_local || descriptor.data_centre == self.data_centre);
+        let core = self.core_entries().map(|entry| &entry.member);
+        let addressed =
+            core.filter(|descriptor| !only_local || descriptor.data_centre == self.data_centre);
         addressed.map(|descriptor| descriptor.peer_address).collect()
     }
 
+    fn core_entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members.values().filter(|entry| entry.role.role == MemberRole::Core)
+    }
+
+    fn attached_entries(&self, now: Moment) -> impl Iterator<Item = &MemberEntry> {
+        let attached = self.members.values().filter(|it| it.role.role == MemberRole::Attached);
+        attached.filter(move |entry| self.is_reachable(entry, now))
+    }
+
+    /// Whether a message's sender is attached to this daemon.
+    pub fn is_attached(&self, message: &PeerMessage) -> bool {
+        let entry = self.members.get(&message.member.name);
+        entry.is_some_and(|entry| entry.role.role == MemberRole::Attached)
+    }
+
+    /// Whether any reachable daemon is attached to this one.
+    pub fn has_attached(&self, now: Moment) -> bool {
+        self.attached_entries(now).next().is_some()
+    }
+
+    /// Peer addresses of the reachable daemons that are attached to this one.
+    pub fn attached_addresses(&self, now: Moment) -> Vec<SocketAddr> {
+        self.attached_entries(now).map(|entry| entry.member.peer_address).collect()
+    }
+
+    /// Peer addresses of the core daemons to which this one is attached: those of its own data centre
+    /// first, in an order that differs from daemon to daemon, strong VMs before weak ones. Silent
+    /// ones are passed over while there are others.
+    pub fn uplinks(&self, me: &MemberName, now: Moment) -> Vec<SocketAddr> {
+        let mut core: Vec<&MemberEntry> = self.core_entries().collect();
+        let is_remote = |entry: &MemberEntry| entry.member.data_centre != self.data_centre;
+        let weight = |entry: &MemberEntry| {
+            rendezvous_weight(&(me, &entry.member.name), entry.member.capacity.0.max(1) as f64)
+        };
+        core.sort_by(|one, other| {
+            let is_silent = |entry| !self.is_reachable_or_new(entry, now);
+            let key = |entry| (is_silent(entry), is_remote(entry));
+            key(one).cmp(&key(other)).then(weight(other).total_cmp(&weight(one)))
+        });
+        core.iter().take(UPLINKS).map(|entry| entry.member.peer_address).collect()
+    }
+
+    /// Status addresses of core daemons from which the list of upstreams may be copied, in a random
+    /// order, strong VMs before weak ones: some of this data centre, and one of any.
+    pub fn list_sources(&self, draw: u64, now: Moment) -> Vec<SocketAddr> {
+        let weight = |entry: &MemberEntry| {
+            rendezvous_weight(&(draw, &entry.member.name), entry.member.capacity.0.max(1) as f64)
+        };
+        let mut core: Vec<&MemberEntry> =
+            self.core_entries().filter(|entry| self.is_reachable_or_new(entry, now)).collect();
+        core.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
+        let is_local = |entry: &&&MemberEntry| entry.member.data_centre == self.data_centre;
+        let local = core.iter().filter(is_local).take(LOCAL_SOURCES);
+        let any = core.iter().find(|entry| !is_local(entry));
+        local.chain(any).map(|entry| entry.member.status_address()).collect()
+    }
+
+    /// This daemon's own role.
+    pub fn role(&self) -> MemberRole {
+        self.role
+    }
+
+    /// Applies the records of all registered daemons, of which `own` is this daemon's place in the
+    /// order of registration; `None` if it has no record. Decides this daemon's role. Returns false
+    /// if there are too few others, so that this daemon is to register.
+    ///
+    /// Daemons that were silent for long don't count as registered, so that others take the places
+    /// of those that were lost for good.
+    pub fn note_records(
+        &mut self,
+        records: Vec<CoreRecord>,
+        own: Option<u64>,
+        now: Moment,
+    ) -> bool {
+        let is_lost = |record: &CoreRecord| {
+            let entry = self.members.get(&record.member.name);
+            self.is_isolated(now) && entry.is_some_and(|it| !self.is_reachable_or_new(it, now))
+        };
+        let (core, own_core) = core_records(records, own, &self.data_centre, is_lost);
+        core.into_iter().for_each(|record| self.note_record(record.member, now));
+        self.is_listed = true;
+        self.role = match own_core {
+            Some(true) | None => MemberRole::Core,
+            Some(false) => MemberRole::Attached,
+        };
+        own_core.is_some()
+    }
+
+    /// Whether this daemon is attached and none of its core daemons was in contact for long.
+    pub fn is_isolated(&self, now: Moment) -> bool {
+        self.isolated_since.is_some_and(|since| now.millis_since(since) >= ISOLATION_MS)
+    }
+
+    /// Applies what a daemon says of its role in a message that it sent itself.
+    pub fn note_role(&mut self, name: &MemberName, role: PeerRole) {
+        if let Some(entry) = self.members.get_mut(name) {
+            entry.role = role;
+        }
+    }
+
+    /// Applies the callers' addresses that a core daemon reported to this attached one.
+    pub fn note_callers(&mut self, addresses: &[SocketAddr], now: Moment) {
+        let until = Deadline::after(now, REPORTED_CALLER_TTL_MS);
+        self.reported_callers.extend(addresses.iter().map(|address| (*address, until)));
+    }
+
+    /// What this daemon tells others of its role.
+    pub fn own_role(&self, now: Moment) -> PeerRole {
+        let attached = self.attached_entries(now).count() as u32;
+        PeerRole { role: self.role, attached, daemons: self.deployment_size(now) as u32 }
+    }
+
+    /// Estimated number of all daemons, core and attached, this one included. A core daemon adds what
+    /// the others say of how many are attached to them; an attached one takes a core daemon's word.
+    pub fn deployment_size(&self, now: Moment) -> usize {
+        if self.role == MemberRole::Attached {
+            let told = self.core_entries().map(|entry| entry.role.daemons as usize).max();
+            return self.core_entries().count().max(told.unwrap_or(0)) + 1;
+        }
+        let attached: u32 = self.core_entries().map(|entry| entry.role.attached).sum();
+        let attached = attached as usize + self.attached_entries(now).count();
+        self.core_entries().count() + 1 + attached.div_ceil(UPLINKS)
+    }
+
     /// One daemon in each other data centre, chosen by round robin over `number`.
     ///
     /// Reachable daemons are preferred. In a data centre without any, silent daemons and those
@@ -181,9 +369,12 @@
         // messages within milliseconds over a link of a few megabits: its own messages would be
         // late, and those that it relays would be lost.
         let number = number.wrapping_add(relay_offset(me));
+        if self.role == MemberRole::Attached {
+            return Vec::new();
+        }
         let mut reachable_groups: FastMap<&DataCentre, Vec<&MemberDescriptor>> = FastMap::default();
         let mut silent_groups: FastMap<&DataCentre, Vec<&MemberDescriptor>> = FastMap::default();
-        for entry in self.members.values().filter(|e| e.member.data_centre != self.data_centre) {
+        for entry in self.core_entries().filter(|e| e.member.data_centre != self.data_centre) {
             let group = if self.is_reachable(entry, now) {
                 &mut reachable_groups
             } else {
@@ -212,9 +403,9 @@
         entry.last_contact.is_some() && self.is_reachable_or_new(entry, now)
     }
 
-    /// Number of daemons in the table, silent ones included, and this one.
+    /// Number of core daemons in the table, silent ones included, and this one.
     pub fn count(&self) -> usize {
-        self.members.len() + 1
+        self.core_entries().count() + 1
     }
 
     /// Whether daemons of other data centres are sent summaries only at the remote interval,
@@ -238,14 +429,39 @@
     }
 
     /// Caller addresses of the reachable daemons that are ready, without this one.
-    pub fn caller_addresses(&self, now: Moment) -> Vec<SocketAddr> {
-        let ready = self.reachable(now).filter(|descriptor| descriptor.is_ready);
-        ready.map(|descriptor| descriptor.caller_address).collect()
+    ///
+    /// A core daemon gives all attached to it, and as many of the other core daemons, drawn from a
+    /// random place on, as correspond to those: then each daemon is given as often as any other,
+    /// since each is attached to as many. An attached daemon gives those of its core daemons' reports.
+    pub fn caller_addresses(&self, now: Moment, draw: u64) -> Vec<SocketAddr> {
+        if self.role == MemberRole::Attached {
+            let valid = self.reported_callers.iter().filter(|(_, until)| !until.passed(now));
+            return valid.map(|(address, _)| *address).collect();
+        }
+        let is_ready =
+            |entry: &&MemberEntry| entry.member.is_ready && self.is_reachable(entry, now);
+        let attached: Vec<SocketAddr> = self
+            .attached_entries(now)
+            .filter(|entry| entry.member.is_ready)
+            .map(|entry| entry.member.caller_address)
+            .collect();
+        let mut core: Vec<SocketAddr> =
+            self.core_entries().filter(is_ready).map(|it| it.member.caller_address).collect();
+        if !attached.is_empty() && !core.is_empty() {
+            let total = self.deployment_size(now).saturating_sub(self.count()).max(1);
+            let share = (attached.len() * self.count()).div_ceil(total).max(MIN_CORE_CALLERS);
+            core.sort_unstable();
+            let place = usize::try_from(draw % core.len() as u64).unwrap_or(0);
+            core.rotate_left(place);
+            core.truncate(share);
+        }
+        core.extend(attached);
+        core
     }
 
-    /// This daemon's rank, 0 first, in the rendezvous order for a subject of the daemons that share
-    /// tasks. Daemons that know the same members agree on the order, and different subjects have
-    /// different orders.
+    /// This daemon's rank, 0 first, in the rendezvous order for a subject of the core daemons that
+    /// share tasks; `usize::MAX` for an attached one. Daemons that know the same members agree on the
+    /// order, and different subjects have different orders.
     pub fn rank(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
         self.rank_among(me, subject, |entry| self.shares_tasks(entry, now))
     }
@@ -253,7 +469,7 @@
     /// This daemon's rank among those that read the platform's store for all; `usize::MAX` until
     /// the records of all daemons have been read.
     pub fn reader_rank(&self, me: &MemberName, now: Moment) -> usize {
-        if self.is_listed { self.rank(me, READ_SUBJECT, now) } else { usize::MAX }
+        if self.is_listed { self.rank(me, READ_SUBJECT, now) } else { NO_RANK }
     }
 
     /// This daemon's rank among the daemons of its data centre that share a task.
@@ -274,10 +490,12 @@
         subject: &str,
         counts: impl Fn(&MemberEntry) -> bool,
     ) -> usize {
+        if self.role == MemberRole::Attached {
+            return NO_RANK;
+        }
         let weight = |name: &MemberName| rendezvous_weight(&(subject, name), 1.0);
         let own = weight(me);
-        let others =
-            self.members.values().filter(|entry| entry.member.name != *me && counts(entry));
+        let others = self.core_entries().filter(|entry| entry.member.name != *me && counts(entry));
         others.filter(|entry| weight(&entry.member.name) > own).count()
     }
 
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -6,8 +6,10 @@
 
 use crate::events;
 use crate::members::list_change_gossip::MAX_CHANGES_PER_DATAGRAM;
-use crate::members::member_table::MemberDescriptor;
-use crate::members::peer_message::{ListChange, LoadedVersion, PeerMessage, PublishedVersion};
+use crate::members::member_table::{MemberDescriptor, MemberRole};
+use crate::members::peer_message::{
+    ListChange, LoadedVersion, PeerMessage, PeerRole, PublishedVersion,
+};
 use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
 use crate::parts::part_index::StoreUpdate;
 use crate::serve_context::ServeContext;
@@ -67,6 +69,8 @@
     let is_list_included = listed.len() <= MAX_CHANGES_PER_DATAGRAM;
     PeerMessage {
         member: summary.member,
+        role: context.members.borrow().own_role(now),
+        callers: Vec::new(),
         shares,
         sent: std::mem::take(&mut context.sent_prompts.borrow_mut()),
         loading: summary.loading,
@@ -174,11 +178,42 @@
     // only within its data centre, so the others would wait for the reader's and then read themselves.
     let own_mark =
         |tracker: &ReadTracker| tracker.own().filter(|_| rank == 0 || tracker.is_freshest());
-    let (operator, list) = (own_mark(&reads.operator), own_mark(&reads.list));
+    let marks = (own_mark(&reads.operator), own_mark(&reads.list));
+    let listed = context.list_change_gossip.borrow_mut().told(now);
+    compose_marks(context, member, marks, listed, now)
+}
+
+/// The read marks for the daemons attached to this one: what it knows, whoever read it, with the age
+/// of the read behind it.
+pub fn compose_attached_reads(
+    context: &ServeContext,
+    member: &MemberDescriptor,
+    now: Moment,
+) -> Vec<PeerMessage> {
+    let reads = context.reads.borrow();
+    let confirmed = |tracker: &ReadTracker| {
+        let state = tracker.own()?.state;
+        Some(ReadMark { state, as_of: tracker.confirmed()? })
+    };
+    let marks = (confirmed(&reads.operator), confirmed(&reads.list));
+    let listed = context.attached_change_gossip.borrow_mut().told(now);
+    compose_marks(context, member, marks, listed, now)
+}
+
+/// Messages with read marks of the operator's records and of the list, and the changes that led to
+/// the latter.
+fn compose_marks(
+    context: &ServeContext,
+    member: &MemberDescriptor,
+    marks: (Option<ReadMark>, Option<ReadMark>),
+    listed: Vec<ListChange>,
+    now: Moment,
+) -> Vec<PeerMessage> {
+    let (operator, list) = marks;
     if operator.is_none() && list.is_none() {
         return Vec::new();
     }
-    let listed = context.list_change_gossip.borrow_mut().told(now);
+    let reads = context.reads.borrow();
     let message = |listed: &[ListChange]| PeerMessage {
         listed: listed.to_vec(),
         ..PeerMessage::empty(member.clone())
@@ -276,6 +311,7 @@
     let is_ready = message.member.is_ready;
     let data_centre = message.member.data_centre.clone();
     let gets_immediate = context.members.borrow().gets_immediate(&data_centre);
+    let role = message.role;
     if context.members.borrow_mut().note_from_peer(message.member, now) {
         log_event!(
             info,
@@ -284,13 +320,15 @@
             address = address,
             ready = is_ready
         );
-        let count = context.members.borrow().count();
-        context.retries.borrow_mut().note_daemons(count);
+        note_deployment_size(context, now);
         if data_centre == context.identity.data_centre {
             context.new_peers.borrow_mut().push(address);
             context.message_due.notify_one();
         }
     }
+    if !message.is_immediate {
+        note_role(context, &name, role, &message.callers, now);
+    }
     let silent_ms = context.members.borrow().silent_ms(&data_centre);
     for id in &message.loading {
         let until = Deadline::after(now, MIN_LOADING_MS.max(silent_ms / 2));
@@ -300,7 +338,8 @@
     let mentioned = mentioned.chain(message.loaded.iter().map(|loaded| &loaded.engine));
     mentioned.chain(&message.loading).for_each(|id| note_start(context, id, &name));
     for change in message.listed {
-        apply_change(context, change, ListSource::Peer(&name), now);
+        let effect = apply_change(context, change.clone(), ListSource::Peer(&name), now);
+        pass_to_attached(context, change, effect, now);
     }
     for target in message.targets {
         let PublishedVersion { model, version, published, is_recorded } = target;
@@ -321,7 +360,7 @@
         apply_leaving(context, upstream, &name, now);
     }
     if let (Some(mark), Some(since)) = (message.operator, message.published_since) {
-        context.reads.borrow_mut().operator.note_skipped(since, mark.state);
+        context.reads.borrow_mut().note_gossiped(since, mark.state);
     }
     apply_reads(context, message.operator, message.list);
     if let Some(since) = message.available_since {
@@ -382,6 +421,41 @@
     apply_clock(context, message.clock_ms, now);
 }
 
+/// Applies what a peer says of its role, and of other daemons.
+fn note_role(
+    context: &ServeContext,
+    name: &MemberName,
+    role: PeerRole,
+    callers: &[SocketAddr],
+    now: Moment,
+) {
+    let mut members = context.members.borrow_mut();
+    members.note_role(name, role);
+    if role.role == MemberRole::Core && members.role() == MemberRole::Attached {
+        members.note_callers(callers, now);
+    }
+}
+
+/// Divides what all daemons share by their number.
+pub fn note_deployment_size(context: &ServeContext, now: Moment) {
+    let daemons = context.members.borrow().deployment_size(now);
+    context.retries.borrow_mut().note_daemons(daemons);
+}
+
+/// Queues a change of the list for the daemons attached to this one, if there are any.
+pub fn pass_to_attached(
+    context: &ServeContext,
+    change: ListChange,
+    effect: ListChangeEffect,
+    now: Moment,
+) {
+    let is_passed = !matches!(effect, ListChangeEffect::Same | ListChangeEffect::Lapsed);
+    if is_passed && context.members.borrow().has_attached(now) {
+        context.attached_change_gossip.borrow_mut().note(change, now);
+        context.reads_due.notify_one();
+    }
+}
+
 /// Records the start of an upstream that a peer's message names. The peer may know of a restart before
 /// this daemon does; until the new entry arrives, nothing more is sent to the previous start.
 fn note_start(context: &ServeContext, id: &UpstreamId, source: &MemberName) {
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -3,7 +3,7 @@
 //! Each daemon sends a summary of its state a few times a second, nearly always in one datagram,
 //! and immediate messages between two summaries.
 
-use crate::members::member_table::MemberDescriptor;
+use crate::members::member_table::{MemberDescriptor, MemberRole};
 use crate::members::shared_reads::ReadMark;
 use crate::parts::part_index::{PartChange, StoreUpdate};
 use crate::parts::part_key::PartKey;
@@ -18,11 +18,11 @@
 use crate::upstreams::work_table::WorkShare;
 use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice};
 use guava_types::{
-    Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount, TokenRate,
-    UpstreamId,
+    CoreShare, Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount,
+    TokenRate, UpstreamId,
 };
 use prost::Message;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Largest datagram, in bytes. Links with usual Ethernet frames carry it, in the worst case as
 /// several fragments.
@@ -207,6 +207,16 @@
     leaving: Vec<String>,
     #[prost(uint64, optional, tag = "29")]
     available_ms: Option<u64>,
+    #[prost(uint32, tag = "30")]
+    capacity: u32,
+    #[prost(bool, tag = "31")]
+    is_attached: bool,
+    #[prost(uint32, tag = "32")]
+    attached: u32,
+    #[prost(uint32, tag = "33")]
+    daemons: u32,
+    #[prost(bytes = "vec", tag = "34")]
+    callers: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -278,6 +288,17 @@
 /// milliseconds.
 const MAX_CLOCK_WAIT_MS: u64 = 300;
 
+/// What a daemon says of its role among the daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerRole {
+    /// Its role.
+    pub role: MemberRole,
+    /// Number of daemons attached to it.
+    pub attached: u32,
+    /// Number of all daemons, by its estimate.
+    pub daemons: u32,
+}
+
 /// Published weights, as a peer knows them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedVersion {
@@ -336,6 +357,10 @@
 pub struct PeerMessage {
     /// Identity and addresses of the sender.
     pub member: MemberDescriptor,
+    /// Role of the sender.
+    pub role: PeerRole,
+    /// Callers' addresses of ready daemons, for the daemons attached to the sender.
+    pub callers: Vec<SocketAddr>,
     /// Work of the sender at each upstream.
     pub shares: FastMap<UpstreamId, WorkShare>,
     /// Prompts that the sender sent to engines since its last message.
@@ -426,6 +451,26 @@
         is_due.then(|| Self { sent, is_for_relay: true, ..self.clone() })
     }
 
+    /// Whether it is an immediate message about something that concerns all daemons.
+    pub fn concerns_all(&self) -> bool {
+        let is_urgent = !self.ended.is_empty() || !self.loading.is_empty();
+        self.is_immediate
+            && (is_urgent || self.has_announcements() || self.has_quarantine_changes())
+    }
+
+    /// What concerns all daemons, as another daemon passes it on under its own name.
+    pub fn passed_on(&self, member: MemberDescriptor) -> Self {
+        Self {
+            loading: self.loading.clone(),
+            ended: self.ended.clone(),
+            stops: self.stops.clone(),
+            cleared: self.cleared.clone(),
+            limits: self.limits.clone(),
+            leaving: self.leaving.clone(),
+            ..Self::empty(member)
+        }
+    }
+
     /// Whether it reports quarantined or cleared requests.
     fn has_quarantine_changes(&self) -> bool {
         !self.stops.is_empty() || !self.cleared.is_empty()
@@ -442,6 +487,7 @@
             is_continued: true,
             is_immediate: self.is_immediate,
             is_for_relay: self.is_for_relay,
+            role: self.role,
             ..Self::empty(self.member.clone())
         }
     }
@@ -450,6 +496,8 @@
     pub fn empty(descriptor: MemberDescriptor) -> Self {
         Self {
             member: descriptor,
+            role: PeerRole::default(),
+            callers: Vec::new(),
             shares: FastMap::default(),
             sent: Vec::new(),
             loading: Vec::new(),
@@ -572,6 +620,11 @@
             is_immediate: self.is_immediate,
             is_continued: self.is_continued,
             is_for_relay: self.is_for_relay,
+            capacity: self.member.capacity.0 as u32,
+            is_attached: self.role.role == MemberRole::Attached,
+            attached: self.role.attached,
+            daemons: self.role.daemons,
+            callers: self.callers.iter().flat_map(wire_address).collect(),
         };
         wire.encode_to_vec()
     }
@@ -617,6 +670,12 @@
             peer_address: address(&wire.peer_address)?,
             caller_address: address(&wire.caller_address)?,
             is_ready: wire.is_ready,
+            capacity: CoreShare(wire.capacity.into()),
+        };
+        let role = PeerRole {
+            role: if wire.is_attached { MemberRole::Attached } else { MemberRole::Core },
+            attached: wire.attached,
+            daemons: wire.daemons,
         };
         let share = |share: &WireWorkShare| {
             let work = WorkShare {
@@ -666,6 +725,12 @@
         };
         Some(Self {
             member: descriptor,
+            role,
+            callers: wire
+                .callers
+                .chunks_exact(ADDRESS_BYTES)
+                .filter_map(address_from_wire)
+                .collect(),
             shares: wire.shares.iter().filter_map(share).collect(),
             sent: wire.sent.iter().filter_map(sent).collect(),
             loading: wire.loading.iter().filter_map(|id| id.parse().ok()).collect(),
@@ -697,6 +762,24 @@
     }
 }
 
+/// Bytes of an address in a list of callers' addresses: IPv4 address and port.
+const ADDRESS_BYTES: usize = 6;
+
+/// An address as bytes; empty for an address of another family, which callers can't use.
+pub(crate) fn wire_address(address: &SocketAddr) -> Vec<u8> {
+    match address.ip() {
+        IpAddr::V4(ip) => [&ip.octets()[..], &address.port().to_be_bytes()].concat(),
+        IpAddr::V6(_) => Vec::new(),
+    }
+}
+
+/// An address from its bytes; `None` if they are not as many as an address takes.
+pub(crate) fn address_from_wire(bytes: &[u8]) -> Option<SocketAddr> {
+    let [a, b, c, d, high, low] = *bytes else { return None };
+    let port = u16::from_be_bytes([high, low]);
+    Some(SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, d)), port))
+}
+
 fn wire_crash(notice: &CrashNotice, now: Moment) -> WireCrash {
     let requests = notice.requests.iter().map(|digest| digest.to_bytes()).collect();
     let age_ms = now.millis_since(notice.at);
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -2,11 +2,11 @@
 //! read marks, initial syncs of new peers, and messages relayed to other data centres.
 
 use crate::members::lost_messages::MessageLoss;
-use crate::members::member_table::MemberDescriptor;
+use crate::members::member_table::{MemberDescriptor, MemberRole};
 use crate::members::message_split::datagrams;
 use crate::members::peer_exchange::{
-    OwnSummary, apply_message, compose_announcements, compose_crash_notices, compose_immediate,
-    compose_initial_sync, compose_message, compose_reads,
+    OwnSummary, apply_message, compose_announcements, compose_attached_reads,
+    compose_crash_notices, compose_immediate, compose_initial_sync, compose_message, compose_reads,
 };
 use crate::members::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
 use crate::parts::sent_prompt::SentPrompt;
@@ -34,6 +34,9 @@
 /// datagrams with ages that are wrong by seconds.
 const SEND_TIMEOUT_MS: u64 = 200;
 
+/// Most callers' addresses in a message to attached daemons: as many as an answer to callers has.
+const MAX_REPORTED_CALLERS: usize = 64;
+
 /// Interval between two checks whether the socket is empty, in milliseconds.
 const EMPTY_CHECK_INTERVAL_MS: u64 = 50;
 
@@ -61,6 +64,10 @@
             (members.is_large(), members.local_interval_ms(), members.remote_interval_ms())
         };
         send_to_all(&socket, &message, &context, is_large).await;
+        if context.members.borrow().has_attached(now) {
+            let callers = caller_addresses(&context, &state, now);
+            send_to_attached(&socket, &PeerMessage { callers, ..message.clone() }, &context).await;
+        }
         if is_large && remote_due.passed(now) {
             remote_due = Deadline::after(now, remote_interval_ms);
             let relays = context.members.borrow().relays(&context.identity.name, number, now);
@@ -71,6 +78,16 @@
     }
 }
 
+/// Ready daemons of which the daemons attached to this one tell callers.
+fn caller_addresses(context: &ServeContext, state: &OwnState, now: Moment) -> Vec<SocketAddr> {
+    let mut addresses = context.members.borrow().caller_addresses(now, rand::random());
+    if state.is_ready.get() {
+        addresses.push(state.me.caller_address);
+    }
+    addresses.truncate(MAX_REPORTED_CALLERS);
+    addresses
+}
+
 fn own_summary(state: &OwnState, number: u64, now: Moment) -> OwnSummary {
     OwnSummary {
         member: own_descriptor(state),
@@ -93,23 +110,43 @@
         for reads in compose_reads(&context, &own_descriptor(&state), now) {
             send_to_all(&socket, &reads, &context, false).await;
         }
+        if context.members.borrow().has_attached(now) {
+            for reads in compose_attached_reads(&context, &own_descriptor(&state), now) {
+                send_to_attached(&socket, &reads, &context).await;
+            }
+        }
         let interval = Duration::from_millis(READ_MARK_INTERVAL_MS);
         // A time-out and a notification have the same effect.
         drop(timeout(interval, context.reads_due.notified()).await);
     }
 }
 
-/// Sends a message to all daemons, or only to those in this data centre.
+/// Sends a message to all core daemons, or only to those in this data centre; an attached daemon
+/// sends it to those that it is attached to.
 async fn send_to_all(
     socket: &UdpSocket,
     message: &PeerMessage,
     context: &ServeContext,
     only_local: bool,
 ) {
-    let addresses = context.members.borrow().peer_addresses(only_local);
+    let addresses = {
+        let members = context.members.borrow();
+        match members.role() {
+            MemberRole::Core => members.peer_addresses(only_local),
+            MemberRole::Attached => members.uplinks(&context.identity.name, Moment::now()),
+        }
+    };
     send(socket, message, context, addresses).await;
 }
 
+/// Sends a message to the daemons attached to this one.
+async fn send_to_attached(socket: &UdpSocket, message: &PeerMessage, context: &ServeContext) {
+    let addresses = context.members.borrow().attached_addresses(Moment::now());
+    if !addresses.is_empty() {
+        send(socket, message, context, addresses).await;
+    }
+}
+
 async fn send(
     socket: &UdpSocket,
     message: &PeerMessage,
@@ -158,8 +195,12 @@
         let is_large = context.members.borrow().is_large();
         let mut messages = compose_crash_notices(&context, &own_descriptor(&state), Moment::now());
         messages.extend(compose_announcements(&context, &own_descriptor(&state)));
+        let is_attached = context.members.borrow().role() == MemberRole::Attached;
         for message in messages {
+            // The core daemons to which this one is attached pass it on.
+            let message = PeerMessage { is_for_relay: is_attached, ..message };
             send_to_all(&socket, &message, &context, is_large).await;
+            send_to_attached(&socket, &message, &context).await;
             if is_large {
                 send_to_relays(&context, &socket, &message, number).await;
             }
@@ -168,6 +209,9 @@
         // Engines that load weights concern the daemons of all data centres.
         let only_local = is_large && message.loading.is_empty();
         send_to_all(&socket, &message, &context, only_local).await;
+        if !message.loading.is_empty() {
+            send_to_attached(&socket, &message, &context).await;
+        }
         if only_local {
             send_to_relays(&context, &socket, &message, number).await;
         }
@@ -206,8 +250,24 @@
     }
 }
 
+/// Sends on what concerns all daemons: to the daemons attached to this one, and to all others if an
+/// attached daemon reported it.
+async fn pass_on(
+    context: &ServeContext,
+    socket: &UdpSocket,
+    passed: &PeerMessage,
+    is_from_attached: bool,
+) {
+    send_to_attached(socket, passed, context).await;
+    if is_from_attached {
+        let is_large = context.members.borrow().is_large();
+        send_to_all(socket, passed, context, is_large).await;
+        send_to_relays(context, socket, passed, rand::random()).await;
+    }
+}
+
 /// Task that receives and applies messages of other daemons; never returns.
-pub async fn receive_messages(context: Rc<ServeContext>, socket: Rc<UdpSocket>) {
+pub async fn receive_messages(context: Rc<ServeContext>, socket: Rc<UdpSocket>, state: OwnState) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     // A datagram may have been in the socket since the socket was last found empty. If its arrival
     // were dated at the moment it is read, its contents would look fresher than they are, by as
@@ -232,7 +292,7 @@
                 continue;
             }
         };
-        apply_datagram(&context, &socket, &buffer[..length], sender, last_empty).await;
+        apply_datagram(&context, &socket, &buffer[..length], sender, last_empty, &state).await;
         // Reads that don't wait consume no task budget by themselves. Without this call the other
         // tasks would not run while datagrams arrive faster than they are read.
         consume_budget().await;
@@ -255,6 +315,7 @@
     bytes: &[u8],
     sender: SocketAddr,
     since: Moment,
+    state: &OwnState,
 ) {
     let now = Moment::now();
     let Some(message) = PeerMessage::decode_waiting(bytes, since, now) else {
@@ -265,9 +326,15 @@
         );
         return;
     };
-    if message.is_for_relay {
+    let is_from_attached = context.members.borrow().is_attached(&message);
+    if message.is_for_relay && !is_from_attached {
         let relayed = message.clone().relayed();
         send_to_all(socket, &relayed, context, true).await;
     }
+    // It goes on under this daemon's name, since attached daemons are known to few others.
+    let passed = message.concerns_all().then(|| message.passed_on(own_descriptor(state)));
     apply_message(context, message, now);
+    if let Some(passed) = passed {
+        pass_on(context, socket, &passed, is_from_attached).await;
+    }
 }
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -171,6 +171,15 @@
 }
 
 impl SharedReads {
+    /// Records that a peer sent by gossip all operator records from `since` up to `state`, so that
+    /// this daemon need not read them, and neither need those to which it passes its marks.
+    pub fn note_gossiped(&mut self, since: u64, state: u64) {
+        self.operator.note_skipped(since, state);
+        if self.operator.own().is_some_and(|own| own.state == state) {
+            self.published_since = Some(since);
+        }
+    }
+
     /// Records that this daemon read `count` operator records from an offset on. If all of them are
     /// sent by gossip, its peers need not read them, which would cost one call for each daemon.
     pub fn note_records(&mut self, from: u64, count: usize, are_gossiped: bool) {
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -149,6 +149,11 @@
         self.store_calls.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a page of a peer's list that was refused.
+    pub fn count_refused_copy(&self) {
+        self.bad_records.get_or_create(&KindLabel { kind: "list-page" }).inc();
+    }
+
     /// Counts an unreadable record; `kind` tells which.
     pub fn count_bad_record(&self, kind: &'static str) {
         self.bad_records.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/parts/part_task.rs
+++ b/crates/guava-serve/src/parts/part_task.rs
@@ -19,8 +19,9 @@
 /// How long one call for changes waits for them, in milliseconds. Calls that wait at least 200 ms are
 /// free.
 const EVENTS_WAIT_MS: u64 = 500;
-/// Delay after a failed call, in milliseconds.
-const RETRY_DELAY_MS: u64 = 300;
+/// Shortest and longest delay after a failed call, in milliseconds; it doubles with each failure.
+const MIN_RETRY_MS: u64 = 300;
+const MAX_RETRY_MS: u64 = 1_200;
 /// Interval between two checks of which stores are configured, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 500;
 /// The same interval until there is a configuration, in milliseconds. A daemon that has just started
@@ -96,10 +97,14 @@
 async fn follow_store(context: Rc<ServeContext>, port: Rc<PartPort>, store: SocketAddr) {
     let mut since = 0;
     let mut is_known = false;
+    let mut retry_ms = MIN_RETRY_MS;
     loop {
         let was_known = is_known;
         match poll_once(&context, &port, store, &mut since).await {
-            Ok(is_followed) => is_known = is_followed,
+            Ok(is_followed) => {
+                is_known = is_followed;
+                retry_ms = MIN_RETRY_MS;
+            }
             Err(error) => {
                 is_known = false;
                 since = 0;
@@ -107,7 +112,10 @@
                 if was_known {
                     log_event!(warn, events::STORE_FORGOTTEN, store = store, reason = error);
                 }
-                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                // A store answers few calls at a time, and refuses while more daemons ask it.
+                let draw: f64 = rand::random();
+                sleep(Duration::from_millis(retry_ms + (retry_ms as f64 * draw) as u64)).await;
+                retry_ms = (retry_ms * 2).min(MAX_RETRY_MS);
             }
         }
         if is_known && !was_known {
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -7,6 +7,7 @@
 use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
 use crate::members::shared_reads::SharedReads;
+use crate::members::transfer_budget::TransferBudget;
 use crate::metrics::ServeMetrics;
 use crate::parts::part_index::PartIndex;
 use crate::parts::sent_prompt::SentPrompt;
@@ -26,7 +27,8 @@
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_policy::{AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, SendLedger};
 use guava_types::{
-    DataCentre, Deadline, FastMap, Incarnation, MemberName, Moment, TokenCount, UpstreamId,
+    DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, TokenCount,
+    UpstreamId,
 };
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
@@ -77,6 +79,8 @@
     pub cold_times: f64,
     /// Limit of `ServeContext::held_bytes`.
     pub held_bytes: usize,
+    /// Rate of the VM's link.
+    pub link: LinkRate,
 }
 
 /// A reading of the upstreams' common clock together with this daemon's own clock.
@@ -166,6 +170,10 @@
     pub reads_due: Notify,
     /// Changes of the list of upstreams to send to peers.
     pub list_change_gossip: RefCell<ListChangeGossip>,
+    /// The same changes, for the daemons attached to this one, whoever read them.
+    pub attached_change_gossip: RefCell<ListChangeGossip>,
+    /// What may be sent to peers that copy the list of upstreams.
+    pub copies: RefCell<TransferBudget>,
     /// Messages from peers that this daemon lost.
     pub lost_messages: RefCell<LostMessages>,
     /// When the current configuration was last confirmed to be the newest.
@@ -219,6 +227,8 @@
             reads: RefCell::default(),
             reads_due: Notify::new(),
             list_change_gossip: RefCell::default(),
+            attached_change_gossip: RefCell::default(),
+            copies: RefCell::new(TransferBudget::new(bounds.link, Moment::now())),
             lost_messages: RefCell::default(),
             config_confirmed: Cell::default(),
             is_operator_unavailable: Cell::new(false),
--- /dev/null
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -0,0 +1,321 @@
+//! What the daemons of large deployments send, register and copy, and how it grows.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_serve::{
+    CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE, MemberDescriptor,
+    MemberRole, MemberTable, PeerRole, ReadMark, TransferBudget, apply_message,
+    compose_attached_reads, compose_message, compose_page, pass_to_attached, registration_pause,
+};
+use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
+use std::net::SocketAddr;
+use support::{address, engine, news, note, serve_context};
+use yare::parameterized;
+
+const CENTRES: [&str; 5] = ["east", "west", "south", "north", "middle"];
+/// Core daemons of a large deployment.
+const CORE: usize = MAX_LOCAL_CORE * CENTRES.len();
+const START: Moment = Moment(10_000);
+/// Time of one append at the modelled store, and the longest queue that it accepts, in milliseconds.
+const APPEND_MS: u64 = 4;
+const MAX_QUEUE_MS: u64 = 2_000;
+
+/// One in twenty of the VMs is strong.
+fn descriptor(index: usize) -> MemberDescriptor {
+    let is_strong = (index / CENTRES.len()).is_multiple_of(20);
+    MemberDescriptor {
+        name: format!("d{index}").parse().unwrap(),
+        data_centre: CENTRES[index % CENTRES.len()].parse().unwrap(),
+        peer_address: SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_700)),
+        capacity: CoreShare(if is_strong { 1_000 } else { 120 }),
+        ..note("d")
+    }
+}
+
+/// The records of all daemons, in the order of their numbers.
+fn records(daemons: usize) -> Vec<CoreRecord> {
+    (0..daemons)
+        .map(|index| CoreRecord { member: descriptor(index), registered: index as u64 })
+        .collect()
+}
+
+/// The table of one daemon after it has read the records, when just the first daemons registered.
+fn table(daemons: usize, index: usize) -> MemberTable {
+    let mut members = MemberTable::new(descriptor(index).data_centre);
+    let mut records = records(daemons.min(CORE));
+    let own = (index < records.len()).then(|| records.remove(index).registered);
+    members.note_records(records, own, START);
+    members
+}
+
+/// Records that the store holds after all daemons have started at once, records that it refused, and
+/// milliseconds until the last daemon knew its role.
+fn registered(daemons: usize, writes: RequestRate) -> (usize, usize, u64) {
+    let draw = |index: usize| ((index * 7_919) % 1_000) as f64 / 1_000.0;
+    let pause = |index| {
+        registration_pause(descriptor(index).capacity, writes, draw(index)).as_millis() as u64
+    };
+    let mut starts: Vec<(u64, usize)> = (0..daemons).map(|index| (pause(index), index)).collect();
+    starts.sort_unstable();
+    let (mut stored, mut refused, mut last, mut queue_end) = (Vec::new(), 0, 0, 0);
+    for (started, index) in starts {
+        let visible = stored.iter().filter(|(at, _): &&(u64, CoreRecord)| *at <= started);
+        let visible = visible.map(|(_, record)| record.clone()).collect();
+        let mut members = MemberTable::new(descriptor(index).data_centre);
+        last = started;
+        if members.note_records(visible, None, START) {
+            continue;
+        }
+        if queue_end > started + MAX_QUEUE_MS {
+            refused += 1;
+            continue;
+        }
+        queue_end = queue_end.max(started) + APPEND_MS;
+        let record = CoreRecord { member: descriptor(index), registered: stored.len() as u64 };
+        stored.push((queue_end, record));
+    }
+    (stored.len(), refused, last.max(queue_end))
+}
+
+#[parameterized(
+    three_hundred = { 300, 1_600 },
+    thousand = { 1_000, 3_200 },
+    two_thousand = { 2_000, 6_400 },
+)]
+fn first_registrations_are_bounded_and_not_refused(daemons: usize, writes: u64) {
+    // Guards against appends that wait for each other until the store refuses them.
+    let (stored, refused, _) = registered(daemons, RequestRate(writes));
+
+    assert_eq!(refused, 0);
+    assert!(stored <= 2 * CORE, "{stored} records");
+}
+
+#[test]
+fn roles_are_known_within_five_seconds_of_the_first_start_of_a_thousand_daemons() {
+    let (_, _, last_ms) = registered(1_000, RequestRate(3_200));
+
+    assert!(last_ms < 5_000, "{last_ms} ms");
+}
+
+#[parameterized(three_hundred = { 300 }, thousand = { 1_000 }, two_thousand = { 2_000 })]
+fn daemons_that_read_the_same_records_agree_on_a_bounded_core(daemons: usize) {
+    let tables: Vec<MemberTable> =
+        (0..daemons).step_by(7).map(|index| table(daemons, index)).collect();
+
+    for (members, index) in tables.iter().zip((0..daemons).step_by(7)) {
+        let is_first = index / CENTRES.len() < MAX_LOCAL_CORE;
+        let role = if is_first { MemberRole::Core } else { MemberRole::Attached };
+        assert_eq!(members.role(), role, "d{index}");
+        assert!(members.peer_addresses(true).len() <= MAX_LOCAL_CORE);
+        assert!(members.peer_addresses(false).len() <= CORE);
+    }
+}
+
+#[parameterized(thousand = { 1_000 }, two_thousand = { 2_000 })]
+fn attached_daemons_spread_over_the_core_of_their_data_centre(daemons: usize) {
+    // Guards against core daemons that tell most of the fleet.
+    let mut attached: FastMap<SocketAddr, usize> = FastMap::default();
+    for index in (0..daemons).filter(|index| index / CENTRES.len() >= MAX_LOCAL_CORE) {
+        let uplinks = table(daemons, index).uplinks(&descriptor(index).name, START);
+        assert_eq!(uplinks.len(), 3);
+        uplinks.into_iter().for_each(|uplink| *attached.entry(uplink).or_default() += 1);
+    }
+
+    let mean = 3 * (daemons - CORE) / CORE;
+    let weak = (0..daemons).filter(|index| descriptor(*index).capacity.0 < 1_000);
+    let of = |index| attached.get(&descriptor(index).peer_address).copied().unwrap_or(0);
+    let most = weak.map(of).max().unwrap();
+    assert!(most <= 3 * mean + 6, "{most} on one weak VM, the mean is {mean}");
+}
+
+#[test]
+fn attached_daemon_takes_part_in_no_shared_task() {
+    let members = table(1_000, 999);
+    let me: MemberName = "d999".parse().unwrap();
+
+    assert_eq!(members.role(), MemberRole::Attached);
+    assert_eq!(members.reader_rank(&me, START), usize::MAX);
+    assert_eq!(members.local_rank(&me, "store", START), usize::MAX);
+    assert_eq!(members.sender_rank(&me, "u1"), Some(usize::MAX));
+}
+
+#[test]
+fn silent_core_daemons_are_replaced_as_uplinks() {
+    let mut members = table(1_000, 999);
+    let me: MemberName = "d999".parse().unwrap();
+    let later = Moment(START.0 + 5_000);
+    let first = members.uplinks(&me, START);
+    let alive = (0..320).map(descriptor).filter(|it| !first.contains(&it.peer_address));
+    alive.for_each(|descriptor| {
+        members.note_from_peer(descriptor, later);
+    });
+
+    let next = members.uplinks(&me, later);
+
+    assert!(next.iter().all(|uplink| !first.contains(uplink)));
+}
+
+#[test]
+fn attached_daemon_takes_the_place_of_a_lost_core() {
+    // Guards against daemons that stay alone after all core daemons were lost for good.
+    let mut members = table(1_000, 999);
+    members.sweep(START);
+    members.sweep(Moment(START.0 + 3_000));
+    members.sweep(Moment(START.0 + 10_000));
+
+    let mut left = records(1_000);
+    left.truncate(CORE);
+    let is_placed = members.note_records(left, None, Moment(START.0 + 10_000));
+
+    assert!(!is_placed, "it is to register");
+    assert_eq!(members.role(), MemberRole::Core);
+}
+
+#[test]
+fn deployment_size_includes_daemons_that_are_attached_elsewhere() {
+    // Guards against shares of a budget that are too large, since each daemon knows few others.
+    let mut core = table(1_000, 0);
+    for index in 1..320 {
+        core.note_from_peer(descriptor(index), START);
+        let role = PeerRole { role: MemberRole::Core, attached: 6, daemons: 0 };
+        core.note_role(&descriptor(index).name, role);
+    }
+    let mut attached = table(1_000, 999);
+    let own_role = core.own_role(START);
+    attached.note_role(&descriptor(1).name, own_role);
+
+    let (size, told) = (core.deployment_size(START), attached.deployment_size(START));
+
+    assert!((900..1_100).contains(&size), "{size}");
+    assert!(told >= size, "{told} and {size}");
+}
+
+#[test]
+fn callers_get_attached_daemons_as_often_as_core_daemons() {
+    let mut core = table(1_000, 0);
+    for index in 1..320 {
+        core.note_from_peer(descriptor(index), START);
+        let role = PeerRole { role: MemberRole::Core, attached: 6, daemons: 0 };
+        core.note_role(&descriptor(index).name, role);
+    }
+    for index in 990..996 {
+        core.note_from_peer(descriptor(index), START);
+        core.note_role(
+            &descriptor(index).name,
+            PeerRole { role: MemberRole::Attached, ..PeerRole::default() },
+        );
+    }
+
+    let callers = core.caller_addresses(START, 5).len();
+
+    assert!((6 + 3..=6 + 5).contains(&callers), "{callers}");
+}
+
+#[test]
+fn marks_for_attached_daemons_keep_the_age_of_the_read() {
+    // Guards against old reads that look fresh after they were passed on.
+    let context = serve_context("d2");
+    let now = Moment::now();
+    let read = Moment(now.0 - 700);
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(digest, Moment(now.0 - 1_500));
+    context.reads.borrow_mut().list.note_from_peer(ReadMark { state: digest, as_of: read });
+
+    let marks = compose_attached_reads(&context, &note("d2"), now);
+
+    assert_eq!(marks.last().unwrap().list, Some(ReadMark { state: digest, as_of: read }));
+}
+
+#[test]
+fn changes_that_a_peer_reports_are_passed_to_attached_daemons_once() {
+    let context = serve_context("d2");
+    let now = Moment::now();
+    let attached = serve_context("d3");
+    let mut hello = compose_message(&attached, news("d3"), now);
+    hello.role.role = MemberRole::Attached;
+    apply_message(&context, hello, now);
+    context.reads.borrow_mut().list.note_own(0, now);
+    let change = ListChange::Entry(engine("e1", 1));
+
+    pass_to_attached(&context, change.clone(), ListChangeEffect::Added, now);
+    pass_to_attached(&context, change.clone(), ListChangeEffect::Same, now);
+
+    let marks = compose_attached_reads(&context, &note("d2"), now);
+    assert_eq!(marks.last().unwrap().listed, [change]);
+    assert!(compose_message(&context, news("d2"), now).listed.is_empty());
+}
+
+/// Milliseconds until all daemons have the list after the reader has it, when each asks the peers
+/// that its table names until one sends it; and the bytes that the busiest weak VM sent.
+fn copied(daemons: usize, upstreams: u64) -> (u64, u64) {
+    const ENTRY_BYTES: u64 = 60;
+    const RETRY_MS: u64 = 350;
+    let tables: Vec<MemberTable> = (0..daemons).map(|index| table(daemons, index)).collect();
+    let link = |index| if descriptor(index).capacity.0 < 1_000 { 2_500_000 } else { 125_000_000 };
+    let mut budgets: Vec<TransferBudget> =
+        (0..daemons).map(|index| TransferBudget::new(LinkRate(link(index)), START)).collect();
+    let places: FastMap<SocketAddr, usize> =
+        (0..daemons).map(|index| (descriptor(index).status_address(), index)).collect();
+    let mut has_list = vec![false; daemons];
+    has_list[0] = true;
+    let mut sent = vec![0; daemons];
+    let size = upstreams * ENTRY_BYTES;
+    for step in 0.. {
+        let elapsed_ms = step * 50;
+        let now = Moment(START.0 + elapsed_ms);
+        let before = has_list.clone();
+        let due = |index: usize| (index as u64 * 50) % RETRY_MS == elapsed_ms % RETRY_MS;
+        for index in (0..daemons).filter(|index| !before[*index] && due(*index)) {
+            let draw = (index as u64) << 20 | step;
+            for source in tables[index].list_sources(draw, START) {
+                let source = places[&source];
+                if before[source] && budgets[source].is_open(now) {
+                    budgets[source].take(ByteCount(size));
+                    sent[source] += size;
+                    has_list[index] = true;
+                    break;
+                }
+            }
+        }
+        if has_list.iter().all(|has| *has) || elapsed_ms > 30_000 {
+            let weak = (0..daemons).filter(|index| descriptor(*index).capacity.0 < 1_000);
+            return (elapsed_ms, weak.map(|index| sent[index]).max().unwrap());
+        }
+    }
+    unreachable!("the loop returns")
+}
+
+#[test]
+fn a_list_reaches_twice_as_many_daemons_in_little_more_time() {
+    let (once_ms, _) = copied(1_000, 10_000);
+    let (twice_ms, _) = copied(2_000, 20_000);
+
+    assert!(once_ms <= 3_500, "{once_ms} ms");
+    assert!(twice_ms <= 2 * once_ms, "{once_ms} ms and {twice_ms} ms");
+}
+
+#[test]
+fn pages_contain_every_entry_once_and_few_bytes_for_each() {
+    let context = serve_context("d1");
+    let now = Moment::now();
+    for index in 0..2_000 {
+        let name = format!("i-{index:08x}");
+        let entry = guava_serve::UpstreamEntry {
+            address: address(index),
+            revision: ListRevision(u64::from(index)),
+            ..engine(&name, 1)
+        };
+        context.upstreams.borrow_mut().note_entry(entry);
+    }
+    assert_eq!(compose_page(&context, None, now), None, "the list has not been read");
+    context.upstreams.borrow_mut().note_read(now);
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(digest, now);
+
+    let page = compose_page(&context, None, now).unwrap();
+
+    assert!(page.len() < 600 * 70, "{} bytes", page.len());
+    assert_eq!(compose_page(&context, Some("after=xyz"), now), None);
+}
--- a/crates/guava-serve/tests/message_arrival.rs
+++ b/crates/guava-serve/tests/message_arrival.rs
@@ -5,12 +5,13 @@
 mod support;
 
 use guava_serve::{
-    PeerMessage, ReadMark, ServeContext, compose_message, receive_messages, with_last_wait,
+    OwnState, PeerMessage, ReadMark, ServeContext, compose_message, receive_messages,
+    with_last_wait,
 };
 use guava_types::Moment;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{model, news, published, serve_context};
+use support::{model, news, note, published, serve_context};
 use tokio::net::UdpSocket;
 
 /// Time for which the receiving thread is blocked.
@@ -33,7 +34,13 @@
         let context = Rc::new(serve_context("d2"));
         let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
         let address = socket.local_addr().unwrap();
-        tokio::task::spawn_local(receive_messages(Rc::clone(&context), socket));
+        let own = OwnState {
+            me: note("d2"),
+            is_ready: Rc::default(),
+            rollout: Rc::default(),
+            followed: Rc::default(),
+        };
+        tokio::task::spawn_local(receive_messages(Rc::clone(&context), socket, own));
         tokio::time::sleep(Duration::from_millis(100)).await;
 
         let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/crates/guava-serve/tests/retry_pause.rs
+++ b/crates/guava-serve/tests/retry_pause.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use guava_serve::{MemberDescriptor, RetryPause, STANDBYS, is_read_urgent};
-use guava_types::Moment;
+use guava_types::{CoreShare, Moment};
 use support::{address, serve_context};
 
 /// Number of calls that a daemon makes in `millis` while the store refuses all of them.
@@ -61,6 +61,7 @@
             peer_address: address(number),
             caller_address: address(number),
             is_ready: true,
+            capacity: CoreShare(250),
         };
         context.members.borrow_mut().note_from_peer(member, Moment::now());
     }
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -315,7 +315,7 @@
     apply_drain(&context, &drain(5, true), Moment::now());
     context.members.borrow_mut().note_from_peer(note("d2"), Moment::now());
 
-    assert_eq!(context.members.borrow().caller_addresses(Moment::now()), [address(2)]);
+    assert_eq!(context.members.borrow().caller_addresses(Moment::now(), 0), [address(2)]);
 }
 
 /// Largest number of sends within any four seconds.
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -7,14 +7,15 @@
 use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice};
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
-    ListRevision, LoadedVersion, MemberDescriptor, MemberTable, PartChange, PartKey, PartSave,
-    PeerMessage, PrefillRate, PublishedVersion, ReadMark, RefusalReason, RepeatRule, RetryLimit,
-    RetryShares, STANDBYS, SendRecord, SentPrompt, ServiceInput, SlowLink, StoreTransfer,
-    StoreUpdate, UpstreamTable, WeightVersion, WorkShare, WorkTable, choose_instance, draw_service,
-    first_answer_timeout_ms, return_after_ms,
+    ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
+    PartSave, PeerMessage, PeerRole, PrefillRate, PublishedVersion, ReadMark, RefusalReason,
+    RepeatRule, RetryLimit, RetryShares, STANDBYS, SendRecord, SentPrompt, ServiceInput, SlowLink,
+    StoreTransfer, StoreUpdate, UpstreamTable, WeightVersion, WorkShare, WorkTable,
+    choose_instance, draw_service, first_answer_timeout_ms, return_after_ms,
 };
 use guava_types::{
-    Deadline, FastMap, LimitRate, MemberName, Moment, RequestDigest, TokenCount, TokenRate,
+    CoreShare, Deadline, FastMap, LimitRate, MemberName, Moment, RequestDigest, TokenCount,
+    TokenRate,
 };
 use std::rc::Rc;
 use support::{address, customer, engine, id, model, request, route, upstream};
@@ -179,6 +180,7 @@
         peer_address: address(1),
         caller_address: address(2),
         is_ready,
+        capacity: CoreShare(250),
     }
 }
 
@@ -189,8 +191,8 @@
     members.note_from_peer(descriptor("leaving", false), Moment(10_000));
     members.note_record(descriptor("recorded", true), Moment(10_000));
 
-    assert_eq!(members.caller_addresses(Moment(10_500)).len(), 1);
-    assert_eq!(members.caller_addresses(Moment(12_000)).len(), 0);
+    assert_eq!(members.caller_addresses(Moment(10_500), 0).len(), 1);
+    assert_eq!(members.caller_addresses(Moment(12_000), 0).len(), 0);
 }
 
 /// Descriptor of a daemon in another data centre, identified by its peer port.
@@ -277,6 +279,8 @@
     let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
     let message = PeerMessage {
         member: descriptor("d1", true),
+        role: PeerRole { role: MemberRole::Attached, attached: 4, daemons: 900 },
+        callers: vec![address(7), address(8)],
         shares: FastMap::from_iter([(id("e"), share)]),
         sent: vec![SentPrompt {
             engine: id("e"),
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -14,7 +14,9 @@
     ServeContext, ServeIdentity, ServiceRule, StoreTraits, UpstreamEntry, VersionLimits,
     VersionTarget, WeightVersion,
 };
-use guava_types::{Deadline, FastMap, ModelName, Moment, TokenCount, UpstreamId};
+use guava_types::{
+    CoreShare, Deadline, FastMap, LinkRate, ModelName, Moment, TokenCount, UpstreamId,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -176,6 +178,7 @@
         retries: RetryLimit { ratio: 0.2, slack: 50.0 },
         cold_times: 1.0,
         held_bytes: 1 << 20,
+        link: LinkRate(125_000_000),
     };
     let dialect = Dialect {
         encode: |_, _| http::Request::default(),
@@ -193,6 +196,7 @@
         peer_address: address(1),
         caller_address: address(2),
         is_ready: true,
+        capacity: CoreShare(250),
     }
 }
 
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -7,7 +7,7 @@
     AnswerMarks, Dialect, RetryLimit, ServeBounds, ServeContext, ServeIdentity, ServeOutcome,
     UpstreamEntry, VersionLimits,
 };
-use guava_types::Moment;
+use guava_types::{LinkRate, Moment};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use std::rc::Rc;
@@ -73,6 +73,7 @@
         retries: RetryLimit { ratio: 1.0, slack: 100.0 },
         cold_times: 1.0,
         held_bytes: 1 << 20,
+        link: LinkRate(125_000_000),
     };
     let context = Rc::new(ServeContext::new(identity, bounds, dialect()));
     for (index, scripted) in upstreams.iter().enumerate() {
--- a/crates/guava-types/src/lib.rs
+++ b/crates/guava-types/src/lib.rs
@@ -15,5 +15,7 @@
 pub use names::{
     CustomerId, DataCentre, MemberName, ModelName, NameError, ServiceName, VersionName,
 };
-pub use units::{ByteCount, LimitRate, LinkRate, RequestRate, TokenCount, TokenRate, UnitError};
+pub use units::{
+    ByteCount, CoreShare, LimitRate, LinkRate, RequestRate, TokenCount, TokenRate, UnitError,
+};
 pub use upstream_id::UpstreamId;
--- a/crates/guava-types/src/units.rs
+++ b/crates/guava-types/src/units.rs
@@ -61,6 +61,11 @@
     ByteCount,
     "B"
 );
+unit!(
+    /// Share of a processor core that a process may use.
+    CoreShare,
+    "millicores"
+);
 unit!(
     /// Throughput of a link to a memory or disk tier.
     LinkRate,
