perf: where daemons use subsets of the upstreams, fewer of them form the core

Change: where a service is so large that daemons use subsets, the core of a data centre are the first 24 that registered instead of 64; the others attach themselves. Prompts are not told to peers there. Attached daemons and their core daemons exchange messages twice a second. Roles follow from the offsets of the records, which messages carry too. Changes are passed to attached daemons only with the mark of a read that found them, as each would otherwise read the store. Records of quarantined requests are waited for from when peers are known.

Tests: roles and recipients at 1,000 and 2,000 daemons; a core daemon that knows others by contact only; changes without their mark. Not yet measured.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -18,7 +18,9 @@
 
 pub use config_update::apply_config;
 pub use deadline_wait::with_last_wait;
-pub use members::core_group::{CoreRecord, MAX_LOCAL_CORE, core_records, registration_pause};
+pub use members::core_group::{
+    CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records, registration_pause,
+};
 pub use members::list_change_gossip::ListChangeGossip;
 pub use members::list_copy::{CopyError, LIST_PATH, ListCopy, compose_page, copy_list};
 pub use members::lost_messages::{LostMessages, MessageLoss};
--- a/crates/guava-serve/src/members/core_group.rs
+++ b/crates/guava-serve/src/members/core_group.rs
@@ -1,7 +1,8 @@
 //! Which daemons are core daemons.
 //!
-//! The core daemons of a data centre are those that registered in the platform's store first. They
-//! exchange messages with each other and share tasks; all others are attached to a few of them. So
+//! The core daemons of a data centre are those that registered in the platform's store first: fewer
+//! where each daemon uses a subset of the upstreams. They exchange messages with each other and share
+//! tasks; all others are attached to a few of them. So
 //! the messages that a daemon sends and receives don't grow with the deployment beyond the size of
 //! the core, and neither does the number of records. All daemons that read the same records agree on
 //! the core.
@@ -10,8 +11,12 @@
 use guava_types::{CoreShare, DataCentre, FastMap, RequestRate};
 use std::time::Duration;
 
-/// Most core daemons of a data centre. Their number bounds what each sends and receives.
+/// Most core daemons of a data centre where all daemons use the same upstreams: each is to know the
+/// loads of the others, and their number bounds what each sends and receives.
 pub const MAX_LOCAL_CORE: usize = 64;
+/// The same where each daemon uses a subset of the upstreams, and the loads of most others don't
+/// concern it.
+pub const SPARSE_LOCAL_CORE: usize = 24;
 
 /// Time over which the first registrations are spread when all daemons start for the first time, in
 /// milliseconds for each write that the store takes in a second. The store is made for the size of the
@@ -30,7 +35,7 @@
     pub registered: u64,
 }
 
-/// The core daemons among the registered ones: of each data centre the first [`MAX_LOCAL_CORE`].
+/// The core daemons among the registered ones: of each data centre the first `limit`.
 /// Records of daemons that are lost for good don't count.
 ///
 /// Also returns whether the daemon whose record is `own` is one of them; `None` if it has no record
@@ -39,6 +44,7 @@
     mut records: Vec<CoreRecord>,
     own: Option<u64>,
     local: &DataCentre,
+    limit: usize,
     is_lost: impl Fn(&CoreRecord) -> bool,
 ) -> (Vec<CoreRecord>, Option<bool>) {
     records.retain(|record| !is_lost(record));
@@ -46,13 +52,13 @@
     let is_before = |record: &&CoreRecord| {
         record.member.data_centre == *local && own.is_none_or(|own| record.registered < own)
     };
-    let has_place = records.iter().filter(is_before).count() < MAX_LOCAL_CORE;
+    let has_place = records.iter().filter(is_before).count() < limit;
     let own_places = usize::from(own.is_some() && has_place);
     let mut counts = FastMap::from_iter([(local.clone(), own_places)]);
     records.retain(|record| {
         let count = counts.entry(record.member.data_centre.clone()).or_default();
         *count += 1;
-        *count <= MAX_LOCAL_CORE
+        *count <= limit
     });
     let is_core = (own.is_some() || !has_place).then_some(has_place);
     (records, is_core)
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -1,6 +1,6 @@
 //! Table of the other daemons: identities, addresses, readiness, and when each was last in contact.
 
-use crate::members::core_group::{CoreRecord, core_records};
+use crate::members::core_group::{CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records};
 use crate::members::peer_message::{PeerMessage, PeerRole};
 use crate::parts::part_index::rendezvous_weight;
 use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment};
@@ -31,6 +31,9 @@
 /// milliseconds.
 const RETENTION_MS: u64 = 120_000;
 
+/// Interval between two messages of an attached daemon to its core daemons, and of these to it, in
+/// milliseconds: long enough that their number is small beside the messages within the core.
+pub const ATTACHED_INTERVAL_MS: u64 = 500;
 /// Time since the last contact after which an attached daemon is removed, in milliseconds: it says
 /// itself whom it is attached to.
 const ATTACHED_RETENTION_MS: u64 = 5_000;
@@ -121,6 +124,10 @@
     is_listed: bool,
     /// This daemon's own role.
     role: MemberRole,
+    /// Offset of this daemon's own record in the store's log.
+    registered: Option<u64>,
+    /// Most core daemons of a data centre.
+    core_limit: usize,
     /// Since when no core daemon is in contact.
     isolated_since: Option<Moment>,
     /// Callers' addresses of ready daemons, as core daemons reported them, until they expire.
@@ -136,6 +143,8 @@
             local_count: 0,
             is_listed: false,
             role: MemberRole::Core,
+            registered: None,
+            core_limit: MAX_LOCAL_CORE,
             isolated_since: None,
             reported_callers: FastMap::default(),
         }
@@ -144,6 +153,9 @@
     /// Interval between two of this daemon's summaries to its data centre, in milliseconds; grows
     /// with the number of daemons there.
     pub fn local_interval_ms(&self) -> u64 {
+        if self.role == MemberRole::Attached {
+            return ATTACHED_INTERVAL_MS;
+        }
         LOCAL_INTERVAL_MS.max(self.local_count as u64 * INTERVAL_PER_SENDER_MS)
     }
 
@@ -185,6 +197,11 @@
         self.count_local();
     }
 
+    /// Whether the records of the core daemons have been read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Notes that the records of all daemons have been read and applied.
     pub fn note_listed(&mut self) {
         self.is_listed = true;
@@ -308,9 +325,17 @@
             let entry = self.members.get(&record.member.name);
             self.is_isolated(now) && entry.is_some_and(|it| !self.is_reachable_or_new(it, now))
         };
-        let (core, own_core) = core_records(records, own, &self.data_centre, is_lost);
-        core.into_iter().for_each(|record| self.note_record(record.member, now));
+        let (core, own_core) =
+            core_records(records, own, &self.data_centre, self.core_limit, is_lost);
+        for record in core {
+            let name = record.member.name.clone();
+            self.note_record(record.member, now);
+            if let Some(entry) = self.members.get_mut(&name) {
+                entry.role.registered = Some(record.registered);
+            }
+        }
         self.is_listed = true;
+        self.registered = own;
         self.role = match own_core {
             Some(true) | None => MemberRole::Core,
             Some(false) => MemberRole::Attached,
@@ -318,6 +343,47 @@
         own_core.is_some()
     }
 
+    /// Whether each daemon uses a subset of the upstreams, so that the loads of most others don't
+    /// concern it.
+    pub fn is_sparse(&self) -> bool {
+        self.core_limit < MAX_LOCAL_CORE
+    }
+
+    /// Notes whether each daemon uses a subset of the upstreams. Then the core is smaller: the daemons
+    /// that are in excess are forgotten, and attach themselves where they like.
+    pub fn note_sparse(&mut self, is_sparse: bool) {
+        self.core_limit = if is_sparse { SPARSE_LOCAL_CORE } else { MAX_LOCAL_CORE };
+        if !is_sparse {
+            return;
+        }
+        let mut places: FastMap<DataCentre, Vec<u64>> = FastMap::default();
+        for entry in self.core_entries() {
+            let centre = entry.member.data_centre.clone();
+            places.entry(centre).or_default().extend(entry.role.registered);
+        }
+        let own = self.registered.filter(|_| self.role == MemberRole::Core);
+        places.entry(self.data_centre.clone()).or_default().extend(own);
+        let limit = self.core_limit;
+        let last = |mut places: Vec<u64>| {
+            places.sort_unstable();
+            places.get(limit - 1).copied()
+        };
+        let last: FastMap<DataCentre, u64> =
+            places.into_iter().filter_map(|(centre, all)| Some((centre, last(all)?))).collect();
+        let is_excess = |centre: &DataCentre, registered: Option<u64>| {
+            let last = last.get(centre);
+            registered.zip(last).is_some_and(|(registered, last)| registered > *last)
+        };
+        if is_excess(&self.data_centre, self.registered) {
+            self.role = MemberRole::Attached;
+        }
+        self.members.retain(|_, entry| {
+            let is_core = entry.role.role == MemberRole::Core;
+            !(is_core && is_excess(&entry.member.data_centre, entry.role.registered))
+        });
+        self.count_local();
+    }
+
     /// Whether this daemon is attached and none of its core daemons was in contact for long.
     pub fn is_isolated(&self, now: Moment) -> bool {
         self.isolated_since.is_some_and(|since| now.millis_since(since) >= ISOLATION_MS)
@@ -339,7 +405,8 @@
     /// What this daemon tells others of its role.
     pub fn own_role(&self, now: Moment) -> PeerRole {
         let attached = self.attached_entries(now).count() as u32;
-        PeerRole { role: self.role, attached, daemons: self.deployment_size(now) as u32 }
+        let daemons = self.deployment_size(now) as u32;
+        PeerRole { role: self.role, registered: self.registered, attached, daemons }
     }
 
     /// Estimated number of all daemons, core and attached, this one included. A core daemon adds what
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -190,14 +190,20 @@
     member: &MemberDescriptor,
     now: Moment,
 ) -> Vec<PeerMessage> {
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_state(digest);
     let reads = context.reads.borrow();
     let confirmed = |tracker: &ReadTracker| {
         let state = tracker.own()?.state;
         Some(ReadMark { state, as_of: tracker.confirmed()? })
     };
-    let marks = (confirmed(&reads.operator), confirmed(&reads.list));
+    // Changes go out with the mark of a read that found them. Without it, each attached daemon would
+    // take its list for different from the reader's, and read the store.
+    let is_confirmed = reads.list.is_confirmed();
     let listed = context.attached_change_gossip.borrow_mut().told(now);
-    compose_marks(context, member, marks, listed, now)
+    let listed = if is_confirmed { listed } else { Vec::new() };
+    let list = confirmed(&reads.list).filter(|_| is_confirmed);
+    compose_marks(context, member, (confirmed(&reads.operator), list), listed, now)
 }
 
 /// Messages with read marks of the operator's records and of the list, and the changes that led to
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -217,6 +217,8 @@
     daemons: u32,
     #[prost(bytes = "vec", tag = "34")]
     callers: Vec<u8>,
+    #[prost(uint64, optional, tag = "35")]
+    registered: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -293,6 +295,8 @@
 pub struct PeerRole {
     /// Its role.
     pub role: MemberRole,
+    /// Offset of its record in the store's log; `None` if it has none.
+    pub registered: Option<u64>,
     /// Number of daemons attached to it.
     pub attached: u32,
     /// Number of all daemons, by its estimate.
@@ -625,6 +629,7 @@
             attached: self.role.attached,
             daemons: self.role.daemons,
             callers: self.callers.iter().flat_map(wire_address).collect(),
+            registered: self.role.registered,
         };
         wire.encode_to_vec()
     }
@@ -674,6 +679,7 @@
         };
         let role = PeerRole {
             role: if wire.is_attached { MemberRole::Attached } else { MemberRole::Core },
+            registered: wire.registered,
             attached: wire.attached,
             daemons: wire.daemons,
         };
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -2,7 +2,7 @@
 //! read marks, initial syncs of new peers, and messages relayed to other data centres.
 
 use crate::members::lost_messages::MessageLoss;
-use crate::members::member_table::{MemberDescriptor, MemberRole};
+use crate::members::member_table::{ATTACHED_INTERVAL_MS, MemberDescriptor, MemberRole};
 use crate::members::message_split::datagrams;
 use crate::members::peer_exchange::{
     OwnSummary, apply_message, compose_announcements, compose_attached_reads,
@@ -56,6 +56,7 @@
 /// Task that sends periodic summaries of this daemon to all others; never returns.
 pub async fn send_summaries(context: Rc<ServeContext>, socket: Rc<UdpSocket>, state: OwnState) {
     let mut remote_due = Deadline::default();
+    let mut attached_due = Deadline::default();
     for number in 0.. {
         let now = Moment::now();
         let message = compose_message(&context, own_summary(&state, number, now), now);
@@ -64,7 +65,8 @@
             (members.is_large(), members.local_interval_ms(), members.remote_interval_ms())
         };
         send_to_all(&socket, &message, &context, is_large).await;
-        if context.members.borrow().has_attached(now) {
+        if attached_due.passed(now) && context.members.borrow().has_attached(now) {
+            attached_due = Deadline::after(now, ATTACHED_INTERVAL_MS);
             let callers = caller_addresses(&context, &state, now);
             send_to_attached(&socket, &PeerMessage { callers, ..message.clone() }, &context).await;
         }
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -123,6 +123,12 @@
         Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
     }
 
+    /// Whether the freshest known read, by whichever daemon, found the state that this daemon has.
+    pub fn is_confirmed(&self) -> bool {
+        let Some(own) = self.own else { return false };
+        self.received.is_none_or(|it| it.state == own.state || it.as_of <= own.as_of)
+    }
+
     /// The earliest moment at which a change found by a read at `now` can have been made: this
     /// daemon's state was last known to be right then.
     ///
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -343,10 +343,17 @@
         saves,
         transfers: choice.transfers.clone(),
     };
-    let sampling_factor = context.members.borrow().sampling_factor();
+    let (sampling_factor, is_sparse) = {
+        let members = context.members.borrow();
+        (members.sampling_factor(), members.is_sparse())
+    };
     for transfer in &choice.transfers {
         context.links.borrow_mut().note(*transfer, sampling_factor, now);
     }
+    if is_sparse {
+        // Few others use this engine, and shared parts have homes that all know.
+        return;
+    }
     if sent.waiting >= MIN_IMMEDIATE_PROMPT || !sent.transfers.is_empty() {
         context.just_sent.borrow_mut().push(sent);
         context.message_due.notify_one();
--- a/crates/guava-serve/src/upstreams/quarantine_task.rs
+++ b/crates/guava-serve/src/upstreams/quarantine_task.rs
@@ -82,6 +82,10 @@
         let now = Moment::now();
         let (rank, peers) = {
             let members = self.context.members.borrow();
+            if !members.is_listed() {
+                // No peer can report the records before this daemon knows any.
+                self.started = now;
+            }
             (members.reader_rank(&self.context.identity.name, now), members.count() - 1)
         };
         let sync = self.context.quarantine_sync.get();
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -508,6 +508,17 @@
         subset
     }
 
+    /// Whether any configured service has so many upstreams that daemons use subsets of them.
+    pub fn has_large_service(&self) -> bool {
+        let is_named = |service: &ServiceName| {
+            self.services.as_ref().is_none_or(|services| services.contains(service))
+        };
+        let large = |(service, ring): (&ServiceName, &UpstreamRing)| {
+            is_named(service) && ring.len() > MAX_CANDIDATES
+        };
+        self.by_service.iter().any(large)
+    }
+
     /// Number of listed upstreams of a service.
     pub fn service_count(&self, service: &ServiceName) -> usize {
         self.by_service.get(service).map_or(0, BTreeMap::len)
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -6,7 +6,7 @@
 
 use guava_serve::{
     CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE, MemberDescriptor,
-    MemberRole, MemberTable, PeerRole, ReadMark, TransferBudget, apply_message,
+    MemberRole, MemberTable, PeerRole, ReadMark, SPARSE_LOCAL_CORE, TransferBudget, apply_message,
     compose_attached_reads, compose_message, compose_page, pass_to_attached, registration_pause,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
@@ -179,7 +179,7 @@
     let mut core = table(1_000, 0);
     for index in 1..320 {
         core.note_from_peer(descriptor(index), START);
-        let role = PeerRole { role: MemberRole::Core, attached: 6, daemons: 0 };
+        let role = PeerRole { attached: 6, ..PeerRole::default() };
         core.note_role(&descriptor(index).name, role);
     }
     let mut attached = table(1_000, 999);
@@ -197,7 +197,7 @@
     let mut core = table(1_000, 0);
     for index in 1..320 {
         core.note_from_peer(descriptor(index), START);
-        let role = PeerRole { role: MemberRole::Core, attached: 6, daemons: 0 };
+        let role = PeerRole { attached: 6, ..PeerRole::default() };
         core.note_role(&descriptor(index).name, role);
     }
     for index in 990..996 {
@@ -228,6 +228,28 @@
     assert_eq!(marks.last().unwrap().list, Some(ReadMark { state: digest, as_of: read }));
 }
 
+#[test]
+fn changes_are_passed_to_attached_daemons_with_the_mark_of_the_read_that_found_them() {
+    // Guards against attached daemons that read the store because they have a part of the changes.
+    let context = serve_context("d2");
+    let now = Moment::now();
+    let empty = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(empty, Moment(now.0 - 5_000));
+    let mark = |state, age_ms| ReadMark { state, as_of: Moment(now.0 - age_ms) };
+    context.reads.borrow_mut().list.note_from_peer(mark(empty, 500));
+    context.upstreams.borrow_mut().note_entry(engine("e1", 1));
+    context.attached_change_gossip.borrow_mut().note(ListChange::Entry(engine("e1", 1)), now);
+    let before = compose_attached_reads(&context, &note("d2"), now);
+
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_from_peer(mark(digest, 100));
+
+    let after = compose_attached_reads(&context, &note("d2"), now);
+    assert!(before.iter().all(|message| message.list.is_none() && message.listed.is_empty()));
+    assert_eq!(after.last().unwrap().list, Some(mark(digest, 100)));
+    assert_eq!(after.last().unwrap().listed.len(), 1);
+}
+
 #[test]
 fn changes_that_a_peer_reports_are_passed_to_attached_daemons_once() {
     let context = serve_context("d2");
@@ -236,7 +258,8 @@
     let mut hello = compose_message(&attached, news("d3"), now);
     hello.role.role = MemberRole::Attached;
     apply_message(&context, hello, now);
-    context.reads.borrow_mut().list.note_own(0, now);
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(digest, now);
     let change = ListChange::Entry(engine("e1", 1));
 
     pass_to_attached(&context, change.clone(), ListChangeEffect::Added, now);
@@ -319,3 +342,35 @@
     assert!(page.len() < 600 * 70, "{} bytes", page.len());
     assert_eq!(compose_page(&context, Some("after=xyz"), now), None);
 }
+
+#[parameterized(thousand = { 1_000 }, two_thousand = { 2_000 })]
+fn core_is_smaller_where_daemons_use_subsets_of_the_upstreams(daemons: usize) {
+    for index in (0..daemons).step_by(7) {
+        let mut members = table(daemons, index);
+
+        members.note_sparse(true);
+
+        let is_first = index / CENTRES.len() < SPARSE_LOCAL_CORE;
+        let role = if is_first { MemberRole::Core } else { MemberRole::Attached };
+        assert_eq!(members.role(), role, "d{index}");
+        assert!(members.peer_addresses(false).len() <= SPARSE_LOCAL_CORE * CENTRES.len());
+        assert_eq!(members.uplinks(&descriptor(index).name, START).len(), 3);
+    }
+}
+
+#[test]
+fn core_daemon_that_knows_the_others_by_contact_only_leaves_a_smaller_core() {
+    // Guards against daemons that registered early and take all that they hear from for core daemons.
+    let mut members = MemberTable::new(descriptor(0).data_centre);
+    members.note_records(Vec::new(), Some(30), START);
+    for index in (5..300).step_by(CENTRES.len()) {
+        members.note_from_peer(descriptor(index), START);
+        let registered = Some(index as u64 / 5);
+        members.note_role(&descriptor(index).name, PeerRole { registered, ..PeerRole::default() });
+    }
+
+    members.note_sparse(true);
+
+    assert_eq!(members.role(), MemberRole::Attached);
+    assert_eq!(members.peer_addresses(true).len(), SPARSE_LOCAL_CORE);
+}
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -279,7 +279,12 @@
     let share = WorkShare { waiting: TokenCount(5), memory: TokenCount(6), running: 2 };
     let message = PeerMessage {
         member: descriptor("d1", true),
-        role: PeerRole { role: MemberRole::Attached, attached: 4, daemons: 900 },
+        role: PeerRole {
+            role: MemberRole::Attached,
+            registered: Some(9),
+            attached: 4,
+            daemons: 900,
+        },
         callers: vec![address(7), address(8)],
         shares: FastMap::from_iter([(id("e"), share)]),
         sent: vec![SentPrompt {
