fix: changes of the list are copied from peers, and from the store only if these have none

Cause: upstreams register one after the other while the daemons start, some 10,000 records in the first seconds. Each daemon copied the list when it had some hundred entries, and then read all later records from the store, as every other did: 985 times 4 MB over one link of 80 MB/s. Reads of the configuration waited behind them.

Evidence: log lines of 122 daemons at the start (copies of 0 to 1,801 entries at -22 to -20 s, then reads without an answer), 137,917 calls to the store.

Change: each daemon knows the order in which its entries changed, and gives peers what changed since a revision, or says that it no longer knows it. A daemon that lacks records copies them from the peer that told of them, or others; it reads the store at once only if it lacks few and no peer gives them, and after 5 to 15 s if it lacks many (sync_step). Read marks carry the position of the list, so that a copy begins where the lists were last equal. The reader is chosen in proportion to the processor of its VM.

Tests: what a daemon does that lacks much or little, alone or not; changes since a revision; pages. They can't be built on the code before. Not yet measured.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -22,9 +22,14 @@
     CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records, registration_pause,
 };
 pub use members::list_change_gossip::ListChangeGossip;
-pub use members::list_copy::{CopyError, LIST_PATH, ListCopy, compose_page, copy_list};
+pub use members::list_copy::{
+    CopyError, CopyRange, LIST_PATH, ListCopy, PageRefusal, changes_since, compose_page, copy_list,
+    entries_since,
+};
+pub use members::list_sync::{SyncInput, SyncStep, sync_step};
 pub use members::lost_messages::{LostMessages, MessageLoss};
-pub use members::member_table::{MemberDescriptor, MemberRole, MemberTable};
+pub use members::member_descriptor::MemberDescriptor;
+pub use members::member_table::{MemberRole, MemberTable, PeerRole};
 pub use members::message_split::datagrams;
 pub use members::peer_exchange::{
     ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_target, apply_version,
@@ -33,7 +38,7 @@
     pass_to_attached,
 };
 pub use members::peer_message::{
-    ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PeerRole, PublishedVersion,
+    ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
 };
 pub use members::peer_task::{
     OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -3,7 +3,9 @@
 pub(crate) mod core_group;
 pub(crate) mod list_change_gossip;
 pub(crate) mod list_copy;
+pub(crate) mod list_sync;
 pub(crate) mod lost_messages;
+pub(crate) mod member_descriptor;
 pub(crate) mod member_table;
 pub(crate) mod message_split;
 pub(crate) mod peer_exchange;
--- a/crates/guava-serve/src/members/core_group.rs
+++ b/crates/guava-serve/src/members/core_group.rs
@@ -7,7 +7,7 @@
 //! the core, and neither does the number of records. All daemons that read the same records agree on
 //! the core.
 
-use crate::members::member_table::MemberDescriptor;
+use crate::members::member_descriptor::MemberDescriptor;
 use guava_types::{CoreShare, DataCentre, FastMap, RequestRate};
 use std::time::Duration;
 
--- a/crates/guava-serve/src/members/list_copy.rs
+++ b/crates/guava-serve/src/members/list_copy.rs
@@ -1,26 +1,26 @@
-//! Copies the list of upstreams from a peer.
+//! Copies the list of upstreams, or what changed in it, from a peer.
 //!
 //! The platform's store answers all daemons over one link. If each daemon that starts read the whole
-//! list there, the reads would take longer the more daemons and upstreams there are, until none ends
-//! in time. So only the reader and its standbys read it there; the others copy it, page by page, from
-//! a daemon that has it, and each that has it is a source for further ones.
+//! list there, or each read many changes, the reads would take longer the more daemons and upstreams
+//! there are, until none ends in time. So the reader reads the store; the others copy, page by page,
+//! from a daemon that has the changes, and each that has them is a source for further ones.
 //!
 //! A page that can't be read, that is too old or that exceeds the limits is refused, and another peer
 //! is asked. What a copy lacks because the list changed meanwhile shows as a different digest.
 
 use crate::events;
-use crate::members::peer_message::{address_from_wire, wire_address};
+use crate::members::peer_message::{ListChange, address_from_wire, wire_address};
 use crate::serve_context::ServeContext;
 use crate::upstreams::http_call::{CallError, call_request};
 use crate::upstreams::list_order::ListRevision;
-use crate::upstreams::upstream_table::{RingPosition, UpstreamEntry, WeightVersion};
+use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
 use guava_log::log_event;
 use guava_types::{
     ByteCount, DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId,
 };
 use http::{Method, StatusCode};
 use prost::Message;
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use std::net::SocketAddr;
 
 /// Path under which a daemon answers with pages of its list.
@@ -73,12 +73,14 @@
     },
 }
 
-/// A whole list, as peers had it.
-#[derive(Debug)]
+/// The list, or changes of it, as peers had them.
+#[derive(Debug, Default)]
 pub struct ListCopy {
-    /// All entries.
-    pub entries: Vec<UpstreamEntry>,
-    /// All records before this one are contained in the entries.
+    /// All entries, or the changes, oldest first.
+    pub changes: Vec<ListChange>,
+    /// Whether it is the whole list, so that upstreams that it lacks are not listed any more.
+    pub is_whole: bool,
+    /// All records before this one are contained in it.
     pub position: ListRevision,
     /// Moment as of which the list was confirmed, on this daemon's clock.
     pub as_of: Moment,
@@ -106,6 +108,8 @@
     cold_left_ms: u64,
     #[prost(uint64, tag = "10")]
     revision: u64,
+    #[prost(bool, tag = "11")]
+    is_removed: bool,
 }
 
 /// A page; names that many entries share are indices into `names`.
@@ -121,6 +125,9 @@
     age_ms: u64,
     #[prost(bool, tag = "5")]
     has_more: bool,
+    /// Revision from which the next page begins.
+    #[prost(uint64, tag = "7")]
+    next: u64,
     /// Number of entries, so that a truncated page is not taken for a short one.
     #[prost(uint64, tag = "6")]
     count: u64,
@@ -145,26 +152,58 @@
     }
 }
 
-/// The page of this daemon's list after a place, given as the query of a peer's call; `None` if the
-/// list is unknown, not confirmed for too long, or others are being sent copies.
-pub fn compose_page(context: &ServeContext, query: Option<&str>, now: Moment) -> Option<Vec<u8>> {
-    let after = query.and_then(|query| query.strip_prefix("after="));
-    let after = match after {
-        Some(text) => Some(RingPosition(u128::from_str_radix(text, 16).ok()?)),
-        None => None,
-    };
+/// Which part of the list a copy is to contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyRange {
+    /// All entries.
+    Whole,
+    /// What changed since a revision.
+    Since(ListRevision),
+}
+
+/// Why a daemon gives no page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageRefusal {
+    /// The call names no part of the list.
+    Malformed,
+    /// The list is unknown, was not confirmed for too long, or others are being sent copies.
+    Unavailable,
+    /// What was removed since that revision is no longer known: the whole list is to be copied.
+    Expired,
+}
+
+const WHOLE_QUERY: &str = "whole-since=";
+const CHANGES_QUERY: &str = "since=";
+
+/// The page of this daemon's list for a peer's call, whose query names the revision from which on
+/// entries, or changes, are wanted.
+pub fn compose_page(
+    context: &ServeContext,
+    query: Option<&str>,
+    now: Moment,
+) -> Result<Vec<u8>, PageRefusal> {
+    let query = query.unwrap_or_default();
+    let whole_since = query.strip_prefix(WHOLE_QUERY);
+    let since = whole_since.or_else(|| query.strip_prefix(CHANGES_QUERY));
+    let since = since.and_then(|since| since.parse().ok()).ok_or(PageRefusal::Malformed)?;
     let upstreams = context.upstreams.borrow();
-    let age_ms = context.list_age_ms(now).filter(|_| upstreams.is_known())?;
-    if age_ms > context.bounds.leave_limit_ms || !context.copies.borrow_mut().is_open(now) {
-        return None;
+    let age_ms = context.list_age_ms(now).filter(|_| upstreams.is_known());
+    let age_ms = age_ms.filter(|age_ms| *age_ms <= context.bounds.leave_limit_ms);
+    let age_ms = age_ms.ok_or(PageRefusal::Unavailable)?;
+    if !context.copies.borrow_mut().is_open(now) {
+        return Err(PageRefusal::Unavailable);
     }
+    let changes = match whole_since {
+        Some(_) => entries_since(&upstreams, ListRevision(since), PAGE_ENTRIES),
+        None => changes_since(&upstreams, ListRevision(since), PAGE_ENTRIES)
+            .ok_or(PageRefusal::Expired)?,
+    };
     let mut names = NameTable::default();
-    let entries: Vec<WirePageEntry> = upstreams
-        .page(after, PAGE_ENTRIES)
-        .map(|entry| wire_entry(entry, &mut names, now))
-        .collect();
+    let entries: Vec<WirePageEntry> =
+        changes.iter().map(|change| wire_change(change, &mut names, now)).collect();
     let page = WirePage {
-        has_more: entries.len() == PAGE_ENTRIES,
+        has_more: entries.len() >= PAGE_ENTRIES,
+        next: changes.last().map_or(since, |change| change.revision().0 + 1),
         count: entries.len() as u64,
         entries,
         names: names.names,
@@ -173,7 +212,47 @@
     };
     let bytes = page.encode_to_vec();
     context.copies.borrow_mut().take(ByteCount(bytes.len() as u64));
-    Some(bytes)
+    Ok(bytes)
+}
+
+/// Changes of the list since a revision, oldest first: about `count`. `None` if removals since then
+/// are no longer known.
+pub fn changes_since(
+    upstreams: &UpstreamTable,
+    since: ListRevision,
+    count: usize,
+) -> Option<Vec<ListChange>> {
+    let change = |(revision, id, is_removed): (ListRevision, &UpstreamId, bool)| {
+        if is_removed {
+            return Some(ListChange::Removed(id.clone(), revision));
+        }
+        upstreams.entry(id).cloned().map(ListChange::Entry)
+    };
+    let places = upstreams.history().since(since, count)?;
+    Some(places.into_iter().filter_map(change).collect())
+}
+
+/// About `count` entries of the list since a revision, oldest first.
+pub fn entries_since(
+    upstreams: &UpstreamTable,
+    since: ListRevision,
+    count: usize,
+) -> Vec<ListChange> {
+    let places = upstreams.history().entries_since(since, count).into_iter();
+    let entries = places.filter_map(|(_, id, _)| upstreams.entry(id).cloned());
+    entries.map(ListChange::Entry).collect()
+}
+
+fn wire_change(change: &ListChange, names: &mut NameTable, now: Moment) -> WirePageEntry {
+    match change {
+        ListChange::Entry(entry) => wire_entry(entry, names, now),
+        ListChange::Removed(id, revision) => WirePageEntry {
+            upstream: id.to_string(),
+            revision: revision.0,
+            is_removed: true,
+            ..WirePageEntry::default()
+        },
+    }
 }
 
 fn wire_entry(entry: &UpstreamEntry, names: &mut NameTable, now: Moment) -> WirePageEntry {
@@ -188,7 +267,16 @@
         versions: entry.versions.values().map(|version| version.0).collect(),
         cold_left_ms: entry.cold_until.millis_left(now),
         revision: entry.revision.0,
+        is_removed: false,
+    }
+}
+
+fn page_change(wire: &WirePageEntry, names: &[String], now: Moment) -> Option<ListChange> {
+    if wire.is_removed {
+        let id = wire.upstream.parse::<UpstreamId>().ok()?;
+        return Some(ListChange::Removed(id, ListRevision(wire.revision)));
     }
+    page_entry(wire, names, now).map(ListChange::Entry)
 }
 
 fn page_entry(wire: &WirePageEntry, names: &[String], now: Moment) -> Option<UpstreamEntry> {
@@ -215,16 +303,16 @@
     })
 }
 
-/// Copies the whole list from peers. A page that one peer does not give is asked of the next one; a
-/// copy ends when `sources` are used up.
+/// Copies the list, or what changed in it, from the first of these peers that gives all of it. A peer
+/// that does not know all changes is asked for the whole list.
 pub async fn copy_list(
     context: &ServeContext,
     sources: Vec<SocketAddr>,
+    range: CopyRange,
 ) -> Result<ListCopy, CopyError> {
-    let mut copy: Option<ListCopy> = None;
     let mut failure = CopyError::NoPeer;
     for peer in sources {
-        match copy_from(context, peer, &mut copy).await {
+        match copy_from(context, peer, range).await {
             Ok(copy) => return Ok(copy),
             Err(error) => {
                 if matches!(error, CopyError::Invalid { .. } | CopyError::Old { .. }) {
@@ -238,20 +326,38 @@
     Err(failure)
 }
 
-/// Copies the pages that are still lacking from one peer.
 async fn copy_from(
     context: &ServeContext,
     peer: SocketAddr,
-    copy: &mut Option<ListCopy>,
+    range: CopyRange,
 ) -> Result<ListCopy, CopyError> {
+    match copy_range(context, peer, range).await {
+        Err(CopyError::Refused { status: StatusCode::GONE, .. }) if range != CopyRange::Whole => {
+            copy_range(context, peer, CopyRange::Whole).await
+        }
+        other => other,
+    }
+}
+
+async fn copy_range(
+    context: &ServeContext,
+    peer: SocketAddr,
+    range: CopyRange,
+) -> Result<ListCopy, CopyError> {
+    let (query, mut next) = match range {
+        CopyRange::Whole => (WHOLE_QUERY, 0),
+        CopyRange::Since(since) => (CHANGES_QUERY, since.0),
+    };
+    let mut copy: Option<ListCopy> = None;
     loop {
-        let last = copy.as_ref().and_then(|copy| copy.entries.last());
-        let after = last.map(|entry| RingPosition::of(entry.id.name()));
         let asked = Moment::now();
-        let page = call_page(context, peer, after).await?;
-        let has_more = add_page(context, peer, page, asked, copy)?;
+        let page = call_page(context, peer, &format!("{LIST_PATH}?{query}{next}")).await?;
+        let has_more = page.has_more;
+        ensure!(!has_more || page.next > next, InvalidSnafu { peer });
+        next = page.next;
+        add_page(context, peer, page, asked, &mut copy)?;
         if !has_more && let Some(copy) = copy.take() {
-            return Ok(copy);
+            return Ok(ListCopy { is_whole: range == CopyRange::Whole, ..copy });
         }
     }
 }
@@ -259,10 +365,9 @@
 async fn call_page(
     context: &ServeContext,
     peer: SocketAddr,
-    after: Option<RingPosition>,
+    target: &str,
 ) -> Result<WirePage, CopyError> {
-    let query = after.map(|RingPosition(place)| format!("?after={place:x}")).unwrap_or_default();
-    let request = call_request(Method::GET, peer, &format!("{LIST_PATH}{query}"), Vec::new());
+    let request = call_request(Method::GET, peer, target, Vec::new());
     let deadline = Deadline::in_millis(PAGE_TIMEOUT_MS);
     let answer = context.pool.call(peer, request, deadline, IDLE_LIMIT_MS).await;
     let answer = answer.context(CallSnafu { peer })?;
@@ -272,31 +377,28 @@
     WirePage::decode(answer.body).ok().context(InvalidSnafu { peer })
 }
 
-/// Adds a page to a copy; returns whether there are further ones.
+/// Adds a page to a copy.
 fn add_page(
     context: &ServeContext,
     peer: SocketAddr,
     page: WirePage,
     asked: Moment,
     copy: &mut Option<ListCopy>,
-) -> Result<bool, CopyError> {
+) -> Result<(), CopyError> {
     if page.age_ms > context.bounds.leave_limit_ms {
         return OldSnafu { peer, age_ms: page.age_ms }.fail();
     }
     let now = Moment::now();
-    let entries = page.entries.iter().map(|entry| page_entry(entry, &page.names, now));
-    let entries: Vec<UpstreamEntry> =
-        entries.collect::<Option<_>>().context(InvalidSnafu { peer })?;
-    let known = copy.as_ref().map_or(0, |copy| copy.entries.len());
-    let is_whole = page.count == entries.len() as u64 && !(page.has_more && entries.is_empty());
-    if !is_whole || known + entries.len() > MAX_ENTRIES {
-        return InvalidSnafu { peer }.fail();
-    }
+    let changes = page.entries.iter().map(|entry| page_change(entry, &page.names, now));
+    let changes: Vec<ListChange> = changes.collect::<Option<_>>().context(InvalidSnafu { peer })?;
+    let known = copy.as_ref().map_or(0, |copy| copy.changes.len());
+    let is_truncated = page.count != changes.len() as u64 || (page.has_more && changes.is_empty());
+    ensure!(!is_truncated && known + changes.len() <= MAX_ENTRIES, InvalidSnafu { peer });
     let (position, as_of) = (ListRevision(page.position), asked.minus_millis(page.age_ms));
-    let copy = copy.get_or_insert_with(|| ListCopy { entries: Vec::new(), position, as_of });
+    let copy = copy.get_or_insert_with(|| ListCopy { position, as_of, ..ListCopy::default() });
     // The pages are no snapshot: what is certain is what the earliest of them contained.
     copy.position = copy.position.min(position);
     copy.as_of = copy.as_of.min(as_of);
-    copy.entries.extend(entries);
-    Ok(page.has_more)
+    copy.changes.extend(changes);
+    Ok(())
 }
--- /dev/null
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -0,0 +1,68 @@
+//! Decides from where a daemon obtains what it lacks of the list of upstreams.
+//!
+//! The reader reads the store. The others copy from peers, and read the store only if no peer gives
+//! them what they lack, so that the store's load does not grow with the daemons. A daemon that lacks
+//! much waits longer before it does: when upstreams register by the thousand, all daemons lack the
+//! same records at the same time.
+
+use crate::members::shared_reads::STANDBYS;
+
+/// Number of records that a daemon reads from the store soon if no peer gives them: as many as one
+/// call returns.
+const MAX_READ_GAP: u64 = 500;
+/// How long a standby waits for a peer that has the list, in milliseconds; the reader does not wait.
+const STANDBY_TIMEOUT_MS: u64 = 1_500;
+
+/// State on which the decision depends.
+#[derive(Clone, Copy, Debug)]
+pub struct SyncInput {
+    /// Whether the list is unknown, differs from a peer's, or was not confirmed for too long.
+    pub is_due: bool,
+    /// This daemon's rank for reading the store; 0 is the reader.
+    pub rank: usize,
+    /// Whether this daemon has read or copied the list before.
+    pub is_known: bool,
+    /// Whether a peer has reported a recent read.
+    pub has_fresh_mark: bool,
+    /// Number of records that are known to be lacking.
+    pub gap: u64,
+    /// For how long this daemon has been due, in milliseconds.
+    pub waited_ms: u64,
+    /// How long it waits for a peer if it lacks much, in milliseconds.
+    pub copy_timeout_ms: u64,
+}
+
+/// What to do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SyncStep {
+    /// Nothing: the list is known to be right.
+    Idle,
+    /// Copy from a peer; if that fails, read the store at once if `may_read`.
+    Copy {
+        /// Whether the store is read if no peer gives what is lacking.
+        may_read: bool,
+    },
+    /// Read the store.
+    Read,
+}
+
+/// Decides from where to obtain what is lacking.
+pub fn sync_step(input: &SyncInput) -> SyncStep {
+    if !input.is_due {
+        return SyncStep::Idle;
+    }
+    if input.rank == 0 {
+        return SyncStep::Read;
+    }
+    let lacks_much = !input.is_known || input.gap > MAX_READ_GAP;
+    if !lacks_much {
+        return if input.has_fresh_mark {
+            SyncStep::Copy { may_read: true }
+        } else {
+            SyncStep::Read
+        };
+    }
+    let timeout_ms =
+        if input.rank <= STANDBYS { STANDBY_TIMEOUT_MS } else { input.copy_timeout_ms };
+    if input.waited_ms < timeout_ms { SyncStep::Copy { may_read: false } } else { SyncStep::Read }
+}
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -1,7 +1,7 @@
 //! Table of the other daemons: identities, addresses, readiness, and when each was last in contact.
 
 use crate::members::core_group::{CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records};
-use crate::members::peer_message::{PeerMessage, PeerRole};
+use crate::members::member_descriptor::MemberDescriptor;
 use crate::parts::part_index::rendezvous_weight;
 use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment};
 use rustc_hash::FxHasher;
@@ -49,6 +49,8 @@
 const MIN_CORE_CALLERS: usize = 4;
 /// Core daemons of this data centre that are asked for a copy of the list in one attempt.
 const LOCAL_SOURCES: usize = 2;
+/// Processor share assumed of a VM before it is known.
+const DEFAULT_CAPACITY: CoreShare = CoreShare(250);
 /// Rank of a daemon that takes part in no shared task.
 const NO_RANK: usize = usize::MAX;
 
@@ -59,31 +61,6 @@
 /// Subject of the rendezvous order in which daemons read the platform's store.
 const READ_SUBJECT: &str = "store";
 
-/// Identity, addresses and readiness of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemberDescriptor {
-    /// Name, unique among all daemons.
-    pub name: MemberName,
-    /// Data centre in which the daemon runs.
-    pub data_centre: DataCentre,
-    /// Address at which it receives datagrams of other daemons.
-    pub peer_address: SocketAddr,
-    /// Address at which it accepts requests of callers.
-    pub caller_address: SocketAddr,
-    /// Whether callers should be sent to it.
-    pub is_ready: bool,
-    /// Processor share of its VM.
-    pub capacity: CoreShare,
-}
-
-impl MemberDescriptor {
-    /// Address at which it answers peers and operators over HTTP: the port after the one for
-    /// datagrams.
-    pub fn status_address(&self) -> SocketAddr {
-        SocketAddr::new(self.peer_address.ip(), self.peer_address.port() + 1)
-    }
-}
-
 /// How a daemon takes part in the messages between daemons.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MemberRole {
@@ -94,6 +71,19 @@
     Attached,
 }
 
+/// What a daemon says of its role among the daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerRole {
+    /// Its role.
+    pub role: MemberRole,
+    /// Offset of its record in the store's log; `None` if it has none.
+    pub registered: Option<u64>,
+    /// Number of daemons attached to it.
+    pub attached: u32,
+    /// Number of all daemons, by its estimate.
+    pub daemons: u32,
+}
+
 #[derive(Clone, Debug)]
 struct MemberEntry {
     member: MemberDescriptor,
@@ -124,6 +114,8 @@
     is_listed: bool,
     /// This daemon's own role.
     role: MemberRole,
+    /// Processor share of this daemon's VM.
+    capacity: CoreShare,
     /// Offset of this daemon's own record in the store's log.
     registered: Option<u64>,
     /// Most core daemons of a data centre.
@@ -143,6 +135,7 @@
             local_count: 0,
             is_listed: false,
             role: MemberRole::Core,
+            capacity: DEFAULT_CAPACITY,
             registered: None,
             core_limit: MAX_LOCAL_CORE,
             isolated_since: None,
@@ -256,9 +249,9 @@
         attached.filter(move |entry| self.is_reachable(entry, now))
     }
 
-    /// Whether a message's sender is attached to this daemon.
-    pub fn is_attached(&self, message: &PeerMessage) -> bool {
-        let entry = self.members.get(&message.member.name);
+    /// Whether a daemon is attached to this one.
+    pub fn is_attached(&self, name: &MemberName) -> bool {
+        let entry = self.members.get(name);
         entry.is_some_and(|entry| entry.role.role == MemberRole::Attached)
     }
 
@@ -304,6 +297,11 @@
         local.chain(any).map(|entry| entry.member.status_address()).collect()
     }
 
+    /// Notes the processor share of this daemon's VM.
+    pub fn note_capacity(&mut self, capacity: CoreShare) {
+        self.capacity = capacity;
+    }
+
     /// This daemon's own role.
     pub fn role(&self) -> MemberRole {
         self.role
@@ -536,7 +534,20 @@
     /// This daemon's rank among those that read the platform's store for all; `usize::MAX` until
     /// the records of all daemons have been read.
     pub fn reader_rank(&self, me: &MemberName, now: Moment) -> usize {
-        if self.is_listed { self.rank(me, READ_SUBJECT, now) } else { NO_RANK }
+        if !self.is_listed {
+            return NO_RANK;
+        }
+        if self.role == MemberRole::Attached {
+            return NO_RANK;
+        }
+        // A strong VM reads and passes on many records at once in a fraction of the time.
+        let weight = |name: &MemberName, capacity: CoreShare| {
+            rendezvous_weight(&(READ_SUBJECT, name), capacity.0.max(1) as f64)
+        };
+        let own = weight(me, self.capacity);
+        let others = self.core_entries().filter(|it| it.member.name != *me);
+        let others = others.filter(|entry| self.shares_tasks(entry, now));
+        others.filter(|it| weight(&it.member.name, it.member.capacity) > own).count()
     }
 
     /// This daemon's rank among the daemons of its data centre that share a task.
--- a/crates/guava-serve/src/members/message_split.rs
+++ b/crates/guava-serve/src/members/message_split.rs
@@ -29,6 +29,7 @@
         listed: std::mem::take(&mut first.listed),
         // The digest is sent in the same message as the changes that lead to it.
         list: first.list.take(),
+        list_position: first.list_position,
         slow_links: std::mem::take(&mut first.slow_links),
         speeds: std::mem::take(&mut first.speeds),
         ended: std::mem::take(&mut first.ended),
@@ -93,6 +94,7 @@
         loaded: second_half(&mut first.loaded),
         listed: second_half(&mut first.listed),
         list: first.list.take(),
+        list_position: first.list_position,
         slow_links: second_half(&mut first.slow_links),
         speeds: second_half(&mut first.speeds),
         ended: second_half(&mut first.ended),
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -6,10 +6,9 @@
 
 use crate::events;
 use crate::members::list_change_gossip::MAX_CHANGES_PER_DATAGRAM;
-use crate::members::member_table::{MemberDescriptor, MemberRole};
-use crate::members::peer_message::{
-    ListChange, LoadedVersion, PeerMessage, PeerRole, PublishedVersion,
-};
+use crate::members::member_descriptor::{MemberDescriptor, status_address};
+use crate::members::member_table::{MemberRole, PeerRole};
+use crate::members::peer_message::{ListChange, LoadedVersion, PeerMessage, PublishedVersion};
 use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
 use crate::parts::part_index::StoreUpdate;
 use crate::serve_context::ServeContext;
@@ -80,6 +79,7 @@
         available_since: None,
         published_since: None,
         list: reads.list.own().filter(|_| is_list_included),
+        list_position: context.upstreams.borrow().list_position(),
         loaded: summary.loaded,
         clock_ms: context.upstream_clock_in(0, now),
         listed: if is_list_included { listed } else { Vec::new() },
@@ -238,6 +238,7 @@
         published_since,
         targets,
         list,
+        list_position: context.upstreams.borrow().list_position(),
         stops,
         knows_quarantines,
         drains: context.drains.borrow().notices(),
@@ -368,6 +369,13 @@
     if let (Some(mark), Some(since)) = (message.operator, message.published_since) {
         context.reads.borrow_mut().note_gossiped(since, mark.state);
     }
+    if let Some(mark) = message.list {
+        let mut upstreams = context.upstreams.borrow_mut();
+        upstreams.note_peer_position(mark.state, message.list_position);
+        if upstreams.digest() != mark.state {
+            context.list_teller.set(Some(status_address(address)));
+        }
+    }
     apply_reads(context, message.operator, message.list);
     if let Some(since) = message.available_since {
         let change = context.targets.borrow_mut().outages().note_available(since);
@@ -485,6 +493,8 @@
 pub enum ListSource<'a> {
     /// This daemon read it.
     Store,
+    /// It was copied from a peer.
+    Copy,
     /// A peer sent it; the peer may know an older state than this daemon.
     Peer(&'a MemberName),
 }
@@ -493,6 +503,7 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store => out.write_str("store"),
+            Self::Copy => out.write_str("copy"),
             Self::Peer(name) => name.fmt(out),
         }
     }
@@ -509,7 +520,7 @@
     let (name, revision) = (change.id().name(), change.revision());
     let is_admitted = match source {
         ListSource::Store => upstreams.order().admit_read(name, revision),
-        ListSource::Peer(_) => upstreams.order().admit_from_peer(name, revision),
+        ListSource::Copy | ListSource::Peer(_) => upstreams.order().admit_from_peer(name, revision),
     };
     if !is_admitted {
         return ListChangeEffect::Same;
@@ -529,6 +540,9 @@
             (id, effect)
         }
     };
+    if effect == ListChangeEffect::Removed {
+        upstreams.note_removal(&id, revision);
+    }
     if effect != ListChangeEffect::Same {
         log_event!(
             info,
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -3,7 +3,8 @@
 //! Each daemon sends a summary of its state a few times a second, nearly always in one datagram,
 //! and immediate messages between two summaries.
 
-use crate::members::member_table::{MemberDescriptor, MemberRole};
+use crate::members::member_descriptor::MemberDescriptor;
+use crate::members::member_table::{MemberRole, PeerRole};
 use crate::members::shared_reads::ReadMark;
 use crate::parts::part_index::{PartChange, StoreUpdate};
 use crate::parts::part_key::PartKey;
@@ -219,6 +220,8 @@
     callers: Vec<u8>,
     #[prost(uint64, optional, tag = "35")]
     registered: Option<u64>,
+    #[prost(uint64, tag = "36")]
+    list_position: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -290,19 +293,6 @@
 /// milliseconds.
 const MAX_CLOCK_WAIT_MS: u64 = 300;
 
-/// What a daemon says of its role among the daemons.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PeerRole {
-    /// Its role.
-    pub role: MemberRole,
-    /// Offset of its record in the store's log; `None` if it has none.
-    pub registered: Option<u64>,
-    /// Number of daemons attached to it.
-    pub attached: u32,
-    /// Number of all daemons, by its estimate.
-    pub daemons: u32,
-}
-
 /// Published weights, as a peer knows them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedVersion {
@@ -384,6 +374,8 @@
     pub published_since: Option<u64>,
     /// Digest of the list of upstreams as the sender itself has read it.
     pub list: Option<ReadMark>,
+    /// Position of the list that has this digest.
+    pub list_position: ListRevision,
     /// Engines that recently loaded weights by order of the sender.
     pub loaded: Vec<LoadedVersion>,
     /// Current time on the upstreams' clock, in milliseconds.
@@ -511,6 +503,7 @@
             available_since: None,
             published_since: None,
             list: None,
+            list_position: ListRevision::default(),
             loaded: Vec::new(),
             clock_ms: None,
             listed: Vec::new(),
@@ -609,6 +602,7 @@
             available_ms: self.available_since.map(|since| now.millis_since(since)),
             published_since: self.published_since,
             list: self.list.map(mark),
+            list_position: self.list_position.0,
             loaded: self.loaded.iter().map(loaded).collect(),
             clock_ms: self.clock_ms,
             listed: self.listed.iter().map(|change| wire_list_change(change, now)).collect(),
@@ -748,6 +742,7 @@
             available_since: wire.available_ms.map(|age_ms| now.minus_millis(age_ms)),
             published_since: wire.published_since,
             list: wire.list.map(mark),
+            list_position: ListRevision(wire.list_position),
             loaded: wire.loaded.into_iter().filter_map(loaded).collect(),
             // A reading that waited in the socket says little of the clock now.
             clock_ms: wire.clock_ms.filter(|_| now.millis_since(since) <= MAX_CLOCK_WAIT_MS),
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -2,7 +2,8 @@
 //! read marks, initial syncs of new peers, and messages relayed to other data centres.
 
 use crate::members::lost_messages::MessageLoss;
-use crate::members::member_table::{ATTACHED_INTERVAL_MS, MemberDescriptor, MemberRole};
+use crate::members::member_descriptor::MemberDescriptor;
+use crate::members::member_table::{ATTACHED_INTERVAL_MS, MemberRole};
 use crate::members::message_split::datagrams;
 use crate::members::peer_exchange::{
     OwnSummary, apply_message, compose_announcements, compose_attached_reads,
@@ -328,7 +329,7 @@
         );
         return;
     };
-    let is_from_attached = context.members.borrow().is_attached(&message);
+    let is_from_attached = context.members.borrow().is_attached(&message.member.name);
     if message.is_for_relay && !is_from_attached {
         let relayed = message.clone().relayed();
         send_to_all(socket, &relayed, context, true).await;
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -123,6 +123,11 @@
         Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
     }
 
+    /// Moment of the last read by another daemon.
+    pub fn received(&self) -> Option<Moment> {
+        self.received.map(|received| received.as_of)
+    }
+
     /// Whether the freshest known read, by whichever daemon, found the state that this daemon has.
     pub fn is_confirmed(&self) -> bool {
         let Some(own) = self.own else { return false };
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -1,7 +1,7 @@
 //! Plans one send of a request: its service, its upstream, and the instructions for an engine.
 
 use crate::events;
-use crate::members::member_table::MemberDescriptor;
+use crate::members::member_descriptor::MemberDescriptor;
 use crate::parts::part_key::PartKey;
 use crate::parts::save_ledger::PartSave;
 use crate::parts::sent_prompt::SentPrompt;
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -168,6 +168,8 @@
     pub reads: RefCell<SharedReads>,
     /// Notifies the task that sends this daemon's read marks.
     pub reads_due: Notify,
+    /// Status address of the peer that last reported a list that differs from this daemon's.
+    pub list_teller: Cell<Option<SocketAddr>>,
     /// Changes of the list of upstreams to send to peers.
     pub list_change_gossip: RefCell<ListChangeGossip>,
     /// The same changes, for the daemons attached to this one, whoever read them.
@@ -226,6 +228,7 @@
             upstream_clock: Cell::new(None),
             reads: RefCell::default(),
             reads_due: Notify::new(),
+            list_teller: Cell::default(),
             list_change_gossip: RefCell::default(),
             attached_change_gossip: RefCell::default(),
             copies: RefCell::new(TransferBudget::new(bounds.link, Moment::now())),
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -4,6 +4,7 @@
 //! an upstream restarts under its name, the new start replaces the earlier one at once, and late
 //! data about the earlier start is ignored.
 
+use crate::upstreams::list_history::ListHistory;
 use crate::upstreams::list_order::{ListOrder, ListRevision};
 use guava_types::{
     DataCentre, Deadline, FastMap, FastSet, MemberName, ModelName, Moment, ServiceName, UpstreamId,
@@ -13,7 +14,6 @@
 use std::fmt;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
-use std::ops::Bound;
 
 /// Version of a model's weights; versions begin at 1 and grow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -147,8 +147,6 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     listed: FastMap<UpstreamId, ListedUpstream>,
-    /// All listed upstreams.
-    ring: UpstreamRing,
     by_service: FastMap<ServiceName, UpstreamRing>,
     /// Sum of the digests of all listed entries.
     digest: u64,
@@ -158,6 +156,10 @@
     newest: FastMap<Box<str>, UpstreamId>,
     /// Services that the configuration names; `None` until a configuration is applied.
     services: Option<FastSet<ServiceName>>,
+    /// In what order the entries changed.
+    history: ListHistory,
+    synced: ListRevision,
+    newest_position: ListRevision,
     is_known: bool,
     is_unavailable: bool,
     available_since: Moment,
@@ -170,9 +172,28 @@
         &mut self.order
     }
 
-    /// Position in the list up to which all records are contained in the entries.
+    /// Position in the list up to which all records are contained in the entries, by this daemon's
+    /// own reads or since its digest was that of a peer at this position.
     pub fn list_position(&self) -> ListRevision {
-        self.order.position()
+        self.order.position().max(self.synced)
+    }
+
+    /// Notes that the entries contain all records before a position.
+    pub fn note_synced(&mut self, position: ListRevision) {
+        self.synced = self.synced.max(position);
+    }
+
+    /// Applies the digest and position that a peer reported of its list.
+    pub fn note_peer_position(&mut self, digest: u64, position: ListRevision) {
+        if self.digest == digest {
+            self.synced = self.synced.max(position);
+        }
+        self.newest_position = self.newest_position.max(position);
+    }
+
+    /// Number of records by which the newest known position is ahead of this daemon's list.
+    pub fn list_gap(&self) -> u64 {
+        self.newest_position.0.saturating_sub(self.list_position().0)
     }
 
     /// Whether the list has been read since this daemon started.
@@ -246,7 +267,7 @@
                 let position = RingPosition::of(id.name());
                 let service = self.by_service.entry(entry.service.clone()).or_default();
                 service.insert(position, id.clone());
-                self.ring.insert(position, id.clone());
+                self.history.note_entry(&id, entry.revision);
                 self.digest = self.digest.wrapping_add(entry_digest(&entry));
                 let listed = ListedUpstream {
                     entry,
@@ -262,6 +283,8 @@
                 listed.removal_due = None;
                 self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
                 let was_leaving = listed.entry.is_leaving;
+                self.history.forget_entry(&entry.id, listed.entry.revision);
+                self.history.note_entry(&entry.id, entry.revision);
                 let versions = newest_versions(&listed.entry.versions, &entry.versions);
                 let has_new_versions = listed.entry.versions != entry.versions;
                 let cold_until = listed.entry.cold_until;
@@ -313,6 +336,8 @@
         now: Moment,
     ) -> Vec<(UpstreamId, ListChangeEffect)> {
         self.order.note_position(end);
+        // What is missing was removed by records that this daemon does not know.
+        self.history.forget_removals(end);
         // By name, not by id: an entry of another start either replaces this one or is older.
         let names: FastSet<&str> = entries.iter().map(|entry| entry.id.name()).collect();
         let is_named = |id: &UpstreamId| names.contains(id.name());
@@ -524,16 +549,14 @@
         self.by_service.get(service).map_or(0, BTreeMap::len)
     }
 
-    /// At most `count` listed entries after a ring position, in ring order; from the beginning
-    /// without one.
-    pub fn page(
-        &self,
-        after: Option<RingPosition>,
-        count: usize,
-    ) -> impl Iterator<Item = &UpstreamEntry> {
-        let begin = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let places = self.ring.range((begin, Bound::Unbounded)).take(count);
-        places.filter_map(|(_, id)| self.entry(id))
+    /// In what order the entries changed.
+    pub fn history(&self) -> &ListHistory {
+        &self.history
+    }
+
+    /// Notes which record removed an upstream.
+    pub fn note_removal(&mut self, id: &UpstreamId, revision: ListRevision) {
+        self.history.note_removal(id, revision);
     }
 
     /// Digest of the listed ids and whether each is leaving; equal on all daemons with the same
@@ -558,8 +581,8 @@
     fn drop_entry(&mut self, id: &UpstreamId) {
         let Some(listed) = self.listed.remove(id) else { return };
         self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
+        self.history.forget_entry(id, listed.entry.revision);
         let position = RingPosition::of(id.name());
-        self.ring.remove(&position);
         if let Some(ring) = self.by_service.get_mut(&listed.entry.service) {
             ring.remove(&position);
         }
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -6,8 +6,10 @@
 
 use guava_serve::{
     CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE, MemberDescriptor,
-    MemberRole, MemberTable, PeerRole, ReadMark, SPARSE_LOCAL_CORE, TransferBudget, apply_message,
-    compose_attached_reads, compose_message, compose_page, pass_to_attached, registration_pause,
+    MemberRole, MemberTable, PageRefusal, PeerRole, ReadMark, SPARSE_LOCAL_CORE, SyncInput,
+    SyncStep, TransferBudget, UpstreamEntry, UpstreamTable, apply_message, changes_since,
+    compose_attached_reads, compose_message, compose_page, entries_since, pass_to_attached,
+    registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
 use std::net::SocketAddr;
@@ -325,22 +327,23 @@
     let now = Moment::now();
     for index in 0..2_000 {
         let name = format!("i-{index:08x}");
-        let entry = guava_serve::UpstreamEntry {
+        let entry = UpstreamEntry {
             address: address(index),
             revision: ListRevision(u64::from(index)),
             ..engine(&name, 1)
         };
         context.upstreams.borrow_mut().note_entry(entry);
     }
-    assert_eq!(compose_page(&context, None, now), None, "the list has not been read");
+    let whole = Some("whole-since=0");
+    assert_eq!(compose_page(&context, whole, now), Err(PageRefusal::Unavailable));
     context.upstreams.borrow_mut().note_read(now);
     let digest = context.upstreams.borrow().digest();
     context.reads.borrow_mut().list.note_own(digest, now);
 
-    let page = compose_page(&context, None, now).unwrap();
+    let page = compose_page(&context, whole, now).unwrap();
 
     assert!(page.len() < 600 * 70, "{} bytes", page.len());
-    assert_eq!(compose_page(&context, Some("after=xyz"), now), None);
+    assert_eq!(compose_page(&context, Some("after=xyz"), now), Err(PageRefusal::Malformed));
 }
 
 #[parameterized(thousand = { 1_000 }, two_thousand = { 2_000 })]
@@ -374,3 +377,53 @@
     assert_eq!(members.role(), MemberRole::Attached);
     assert_eq!(members.peer_addresses(true).len(), SPARSE_LOCAL_CORE);
 }
+
+/// A daemon that knows much or little of the list, as the newest mark shows.
+fn sync_input(rank: usize, gap: u64, waited_ms: u64) -> SyncInput {
+    SyncInput {
+        is_due: true,
+        rank,
+        is_known: true,
+        has_fresh_mark: true,
+        gap,
+        waited_ms,
+        copy_timeout_ms: 9_000,
+    }
+}
+
+#[test]
+fn daemons_that_lack_many_records_don_t_ask_the_store_for_them() {
+    // Guards against reads by all daemons while upstreams register by the thousand.
+    let any_rank = usize::MAX;
+
+    let (soon, late) = (
+        sync_step(&sync_input(any_rank, 9_000, 4_000)),
+        sync_step(&sync_input(any_rank, 9_000, 9_000)),
+    );
+
+    assert_eq!(soon, SyncStep::Copy { may_read: false });
+    assert_eq!(late, SyncStep::Read);
+    assert_eq!(sync_step(&sync_input(0, 9_000, 0)), SyncStep::Read);
+    assert_eq!(sync_step(&sync_input(any_rank, 3, 0)), SyncStep::Copy { may_read: true });
+    let alone = SyncInput { has_fresh_mark: false, ..sync_input(any_rank, 3, 0) };
+    assert_eq!(sync_step(&alone), SyncStep::Read, "no peer tells what it reads");
+}
+
+#[test]
+fn changes_since_a_revision_are_few_and_tell_removals() {
+    let mut table = UpstreamTable::default();
+    for number in 0..1_000 {
+        let entry = engine(&format!("e{number}"), 1);
+        table.note_entry(UpstreamEntry { revision: ListRevision(number), ..entry });
+    }
+    table.note_entry(UpstreamEntry { revision: ListRevision(1_000), ..engine("e7", 2) });
+    table.note_removed(&"e8".parse().unwrap(), START);
+    table.note_removal(&"e8".parse().unwrap(), ListRevision(1_001));
+
+    let changes = changes_since(&table, ListRevision(999), 600).unwrap();
+
+    let ids: Vec<String> = changes.iter().map(|change| change.id().to_string()).collect();
+    assert_eq!(ids, ["e999", "e7", "e8"]);
+    assert!(matches!(changes[2], ListChange::Removed(..)));
+    assert_eq!(entries_since(&table, ListRevision(0), 10_000).len(), 999);
+}
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -315,6 +315,7 @@
         available_since: Some(Moment(40_000)),
         published_since: Some(11),
         list: Some(ReadMark { state: 13, as_of: Moment(99_600) }),
+        list_position: ListRevision(30),
         loaded: vec![LoadedVersion { engine: id("e"), model: model(), version: WeightVersion(3) }],
         clock_ms: Some(5),
         listed: vec![
