fix: each configuration is copied from the daemon that tells of it

Cause: a configuration of the fleet takes some 185 kB (worked out: 0.911 GB for 985 daemons and 5 versions). Each daemon read each of them from the store, 2.3 s of its link; calls end after one second, and those that failed were made again.

Change: a daemon that hears of a change asks the one that told it, and reads the store only if no peer gives it within a seventh of the time in which a configuration must be in force; a daemon that starts copies it as it does the list. The configuration holds customers' keys: the daemons share a key that lies in the store beside their records, and prove to each other that they know it. A daemon that has read as far is sent no record.

Tests: calls with another key, another daemon's tag or none; no record for a daemon that has it.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -18,6 +18,9 @@
 
 pub use config_update::apply_config;
 pub use deadline_wait::with_last_wait;
+pub use members::config_copy::{
+    CONFIG_PATH, ConfigCopy, ConfigCopyError, compose_config, copy_config,
+};
 pub use members::core_group::{
     CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records, registration_pause,
 };
@@ -37,6 +40,7 @@
     compose_initial_sync, compose_message, compose_reads, note_deployment_size, note_outage_change,
     pass_to_attached,
 };
+pub use members::peer_key::PeerKey;
 pub use members::peer_message::{
     ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
 };
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -1,5 +1,6 @@
 //! The daemons: which are members, the messages between them, and the state that they share.
 
+pub(crate) mod config_copy;
 pub(crate) mod core_group;
 pub(crate) mod list_change_gossip;
 pub(crate) mod list_copy;
@@ -9,6 +10,7 @@
 pub(crate) mod member_table;
 pub(crate) mod message_split;
 pub(crate) mod peer_exchange;
+pub(crate) mod peer_key;
 pub(crate) mod peer_message;
 pub(crate) mod peer_task;
 pub(crate) mod retry_pause;
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -369,6 +369,10 @@
     if let (Some(mark), Some(since)) = (message.operator, message.published_since) {
         context.reads.borrow_mut().note_gossiped(since, mark.state);
     }
+    let own_operator = context.reads.borrow().operator.own().map(|own| own.state);
+    if message.operator.is_some_and(|mark| own_operator != Some(mark.state)) {
+        context.operator_teller.set(Some(status_address(address)));
+    }
     if let Some(mark) = message.list {
         let mut upstreams = context.upstreams.borrow_mut();
         upstreams.note_peer_position(mark.state, message.list_position);
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -123,6 +123,11 @@
         Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
     }
 
+    /// Whether another daemon's later read found another state than this daemon has.
+    pub fn is_behind(&self) -> bool {
+        !self.is_confirmed()
+    }
+
     /// Moment of the last read by another daemon.
     pub fn received(&self) -> Option<Moment> {
         self.received.map(|received| received.as_of)
@@ -157,15 +162,13 @@
     /// Whether the daemon of this rank (0 is the reader) must read now.
     pub fn is_due(&self, rank: usize, pace: ReadPace, now: Moment) -> bool {
         let (Some(own), Some(confirmed)) = (self.own, self.confirmed()) else { return true };
-        let is_change =
-            |received: ReadMark| received.state != own.state && received.as_of > own.as_of;
         let is_older = |read: Moment, limit_ms: u64| Deadline::after(read, limit_ms).passed(now);
         let is_stale = match rank {
             0 => is_older(own.as_of, pace.interval_ms),
             1..=STANDBYS => is_older(confirmed, pace.standby_ms),
             _ => is_older(confirmed, pace.expiry_ms),
         };
-        is_stale || self.received.is_some_and(is_change)
+        is_stale || self.is_behind()
     }
 }
 
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -6,6 +6,7 @@
 use crate::members::list_change_gossip::ListChangeGossip;
 use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
+use crate::members::peer_key::PeerKey;
 use crate::members::shared_reads::SharedReads;
 use crate::members::transfer_budget::TransferBudget;
 use crate::metrics::ServeMetrics;
@@ -25,6 +26,7 @@
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
+use bytes::Bytes;
 use guava_policy::{AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, SendLedger};
 use guava_types::{
     DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, TokenCount,
@@ -168,6 +170,12 @@
     pub reads: RefCell<SharedReads>,
     /// Notifies the task that sends this daemon's read marks.
     pub reads_due: Notify,
+    /// The key that all daemons share, once it was read.
+    pub peer_key: Cell<Option<PeerKey>>,
+    /// Record of the configuration in force, for peers that copy it.
+    pub config_record: RefCell<Option<Bytes>>,
+    /// Status address of the peer that last reported other operator's records.
+    pub operator_teller: Cell<Option<SocketAddr>>,
     /// Status address of the peer that last reported a list that differs from this daemon's.
     pub list_teller: Cell<Option<SocketAddr>>,
     /// Changes of the list of upstreams to send to peers.
@@ -228,6 +236,9 @@
             upstream_clock: Cell::new(None),
             reads: RefCell::default(),
             reads_due: Notify::new(),
+            peer_key: Cell::default(),
+            config_record: RefCell::default(),
+            operator_teller: Cell::default(),
             list_teller: Cell::default(),
             list_change_gossip: RefCell::default(),
             attached_change_gossip: RefCell::default(),
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -5,13 +5,14 @@
 mod support;
 
 use guava_serve::{
-    CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE, MemberDescriptor,
-    MemberRole, MemberTable, PageRefusal, PeerRole, ReadMark, SPARSE_LOCAL_CORE, SyncInput,
-    SyncStep, TransferBudget, UpstreamEntry, UpstreamTable, apply_message, changes_since,
-    compose_attached_reads, compose_message, compose_page, entries_since, pass_to_attached,
-    registration_pause, sync_step,
+    CONFIG_PATH, CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE,
+    MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole, ReadMark,
+    SPARSE_LOCAL_CORE, SyncInput, SyncStep, TransferBudget, UpstreamEntry, UpstreamTable,
+    apply_message, changes_since, compose_attached_reads, compose_config, compose_message,
+    compose_page, entries_since, pass_to_attached, registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
+use http::{HeaderValue, StatusCode};
 use std::net::SocketAddr;
 use support::{address, engine, news, note, serve_context};
 use yare::parameterized;
@@ -427,3 +428,44 @@
     assert!(matches!(changes[2], ListChange::Removed(..)));
     assert_eq!(entries_since(&table, ListRevision(0), 10_000).len(), 999);
 }
+
+#[test]
+fn configuration_is_given_only_to_daemons_that_know_the_key() {
+    let context = serve_context("d1");
+    let now = Moment::now();
+    let key = PeerKey::random();
+    context.peer_key.set(Some(key));
+    *context.config_record.borrow_mut() = Some("record".into());
+    context.reads.borrow_mut().operator.note_own(7, now);
+    let me = note("d1");
+    let tag = |key: PeerKey, responder: &SocketAddr| -> HeaderValue {
+        key.call_tag(CONFIG_PATH, responder).parse().unwrap()
+    };
+    let compose = |tag: Option<&HeaderValue>| compose_config(&context, &me, None, tag, now);
+
+    let given = compose(Some(&tag(key, &me.status_address())));
+
+    assert!(given.is_ok());
+    assert_eq!(compose(None), Err(StatusCode::UNAUTHORIZED));
+    let other_key = tag(PeerKey::random(), &me.status_address());
+    assert_eq!(compose(Some(&other_key)), Err(StatusCode::UNAUTHORIZED));
+    let other_daemon = tag(key, &address(9));
+    assert_eq!(compose(Some(&other_daemon)), Err(StatusCode::UNAUTHORIZED));
+}
+
+#[test]
+fn configuration_is_not_sent_to_a_daemon_that_has_it() {
+    // Guards against daemons that send each other whole configurations while the store is away.
+    let context = serve_context("d1");
+    let now = Moment::now();
+    let key = PeerKey::random();
+    context.peer_key.set(Some(key));
+    *context.config_record.borrow_mut() = Some(vec![7; 100_000].into());
+    context.reads.borrow_mut().operator.note_own(7, now);
+    let me = note("d1");
+    let tag = key.call_tag(CONFIG_PATH, &me.status_address()).parse().unwrap();
+    let length = |query| compose_config(&context, &me, Some(query), Some(&tag), now).unwrap().len();
+
+    assert!(length("state=7") < 1_000);
+    assert!(length("state=6") > 100_000);
+}
