fix: daemons of a large deployment retry again

Cause: half of the limit's slack, divided by 985 daemons, is 0.53 retries; a budget that holds less than one is never spent, whatever it earns. Each larger count of daemons also filled the budgets anew.

Change: where the slack has one retry for each daemon, each may save up a whole one. A larger number of daemons reduces budgets and fills none. Where the slack has fewer than one for each, there are none as before.

--- a/crates/guava-policy/src/retry.rs
+++ b/crates/guava-policy/src/retry.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Changes how many retries may be saved up; what is in excess is lost.
+    pub fn limit_saved(&mut self, saved: f64) {
+        self.cap_hundredths = (saved * f64::from(COST_HUNDREDTHS)) as u32;
+        self.hundredths = self.hundredths.min(self.cap_hundredths);
+    }
+
     /// Records a first attempt, which adds to the budget.
     pub fn earn(&mut self) {
         self.hundredths = (self.hundredths + self.earn_hundredths).min(self.cap_hundredths);
--- a/crates/guava-serve/src/request/retry_shares.rs
+++ b/crates/guava-serve/src/request/retry_shares.rs
@@ -37,19 +37,36 @@
         Self { limit, daemons: daemons.max(1), budgets: FastMap::default() }
     }
 
-    /// Records the number of daemons. A larger number resets all budgets to the smaller share; a smaller
-    /// one is ignored, since silent daemons may still be retrying.
+    /// Records the number of daemons. A larger number reduces all budgets to the smaller share; a
+    /// smaller one is ignored, since silent daemons may still be retrying.
     pub fn note_daemons(&mut self, daemons: usize) {
         if daemons > self.daemons {
             self.daemons = daemons;
-            self.budgets.clear();
+            let most_saved = self.most_saved();
+            self.budgets.values_mut().for_each(|budget| budget.limit_saved(most_saved));
         }
     }
 
+    /// This daemon's share of the slack that may be saved up.
+    fn share(&self) -> f64 {
+        self.limit.slack * SAVED_FRACTION / self.daemons as f64
+    }
+
+    /// The most retries that this daemon may save up: its share, but a whole one where the slack has
+    /// one for each daemon. Of a smaller share none could ever be spent.
+    fn most_saved(&self) -> f64 {
+        let has_whole = self.limit.slack >= self.daemons as f64;
+        if has_whole { self.share().max(1.0) } else { self.share() }
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let saved = self.limit.slack * SAVED_FRACTION / self.daemons as f64;
+        let (share, most_saved) = (self.share(), self.most_saved());
         let earned = self.limit.ratio * EARNED_FRACTION;
-        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(earned, saved))
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            let mut budget = RetryBudget::new(earned, share);
+            budget.limit_saved(most_saved);
+            budget
+        })
     }
 
     /// Records a request to a service, which earns a fraction of a retry.
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -77,6 +77,30 @@
     assert!(f64::from(spent) <= 0.2 * 640.0 + 56.0, "{spent}");
 }
 
+#[test]
+fn daemons_of_a_large_deployment_may_retry_within_the_limit() {
+    // Guards against shares below one retry, of which none is ever spent.
+    const DAEMONS: usize = 985;
+    let limit = RetryLimit { ratio: 0.2, slack: 1_040.0 };
+    let service = "app".parse().unwrap();
+    let mut spent = 0;
+
+    for _ in 0..DAEMONS {
+        let mut shares = RetryShares::new(limit, DAEMONS);
+        // Saved up before the window, and then spent with what ten requests earn.
+        (0..100).for_each(|_| shares.earn(&service));
+        for _ in 0..10 {
+            while shares.spend(&service) {
+                spent += 1;
+            }
+            shares.earn(&service);
+        }
+    }
+
+    assert!(spent >= DAEMONS, "{spent}");
+    assert!(f64::from(spent as u32) <= 0.2 * 10.0 * DAEMONS as f64 + limit.slack, "{spent}");
+}
+
 #[test]
 fn retry_share_shrinks_when_more_daemons_are_reachable() {
     let limit = RetryLimit { ratio: 0.0, slack: 56.0 };
