fix: standbys read the store 100 ms after a start, not 1.5 s

Cause: when all daemons start together the reader may be the last of them; no other daemon read the list for 1.5 s, or the configuration for 5 s.

--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -10,8 +10,9 @@
 /// Number of records that a daemon reads from the store soon if no peer gives them: as many as one
 /// call returns.
 const MAX_READ_GAP: u64 = 500;
-/// How long a standby waits for a peer that has the list, in milliseconds; the reader does not wait.
-const STANDBY_TIMEOUT_MS: u64 = 1_500;
+/// How long a standby waits for a peer that has the list or a configuration, in milliseconds; the
+/// reader does not wait. When all daemons start together the reader may be the last of them.
+pub const STANDBY_TIMEOUT_MS: u64 = 100;
 
 /// State on which the decision depends.
 #[derive(Clone, Copy, Debug)]
