--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -29,7 +29,7 @@
     CopyError, CopyRange, LIST_PATH, ListCopy, PageRefusal, changes_since, compose_page, copy_list,
     entries_since,
 };
-pub use members::list_sync::{SyncInput, SyncStep, sync_step};
+pub use members::list_sync::{STANDBY_TIMEOUT_MS, SyncInput, SyncStep, sync_step};
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_descriptor::MemberDescriptor;
 pub use members::member_table::{MemberRole, MemberTable, PeerRole};
