fix: a copied configuration is not told as published weights

Cause: a daemon tells its peers that all records since an offset only published weights, so that they need not read them. Since daemons keep what peers told them of that, one that then copied a configuration went on telling it, and its peers skipped the configuration.

Change: a daemon that copied a configuration tells no such offset. Test: what it tells then.

--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -185,6 +185,12 @@
 }
 
 impl SharedReads {
+    /// Records that this daemon copied a configuration: its peers must not take what it has read since
+    /// for records that gossip told them.
+    pub fn note_copied(&mut self) {
+        self.published_since = None;
+    }
+
     /// Records that a peer sent by gossip all operator records from `since` up to `state`, so that
     /// this daemon need not read them, and neither need those to which it passes its marks.
     pub fn note_gossiped(&mut self, since: u64, state: u64) {
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -469,3 +469,18 @@
     assert!(length("state=7") < 1_000);
     assert!(length("state=6") > 100_000);
 }
+
+#[test]
+fn copied_configuration_is_not_told_as_published_weights() {
+    // Guards against daemons that skip a configuration which a peer copied after weights were published.
+    let context = serve_context("d2");
+    let now = Moment::now();
+    context.reads.borrow_mut().operator.note_own(7, now);
+    context.reads.borrow_mut().note_gossiped(6, 7);
+
+    context.reads.borrow_mut().note_copied();
+    context.reads.borrow_mut().operator.note_own(9, now);
+
+    let marks = compose_attached_reads(&context, &note("d2"), now);
+    assert_eq!(marks.last().unwrap().published_since, None);
+}
