--- a/crates/guava-serve/src/members/core_group.rs
+++ b/crates/guava-serve/src/members/core_group.rs
@@ -2,10 +2,9 @@
 //!
 //! The core daemons of a data centre are those that registered in the platform's store first: fewer
 //! where each daemon uses a subset of the upstreams. They exchange messages with each other and share
-//! tasks; all others are attached to a few of them. So
-//! the messages that a daemon sends and receives don't grow with the deployment beyond the size of
-//! the core, and neither does the number of records. All daemons that read the same records agree on
-//! the core.
+//! tasks; all others are attached to a few of them. So the messages that a daemon sends and receives
+//! don't grow with the deployment beyond the size of the core, and neither does the number of records.
+//! All daemons that read the same records agree on the core.
 
 use crate::members::member_descriptor::MemberDescriptor;
 use guava_types::{CoreShare, DataCentre, FastMap, RequestRate};
