--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -4,12 +4,13 @@
 
 mod support;
 
+use bytes::Bytes;
 use guava_serve::{
     CONFIG_PATH, CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE,
     MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole, ReadMark,
-    SPARSE_LOCAL_CORE, SyncInput, SyncStep, TransferBudget, UpstreamEntry, UpstreamTable,
-    apply_message, changes_since, compose_attached_reads, compose_config, compose_message,
-    compose_page, entries_since, pass_to_attached, registration_pause, sync_step,
+    SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget, UpstreamEntry,
+    UpstreamTable, apply_message, changes_since, compose_attached_reads, compose_config,
+    compose_message, compose_page, entries_since, pass_to_attached, registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
 use http::{HeaderValue, StatusCode};
@@ -429,14 +430,21 @@
     assert_eq!(entries_since(&table, ListRevision(0), 10_000).len(), 999);
 }
 
-#[test]
-fn configuration_is_given_only_to_daemons_that_know_the_key() {
+/// A daemon that has read the operator's records up to 7, and holds a configuration's record and the
+/// daemons' key.
+fn config_holder(record: Bytes, now: Moment) -> (ServeContext, PeerKey) {
     let context = serve_context("d1");
-    let now = Moment::now();
     let key = PeerKey::random();
     context.peer_key.set(Some(key));
-    *context.config_record.borrow_mut() = Some("record".into());
+    *context.config_record.borrow_mut() = Some(record);
     context.reads.borrow_mut().operator.note_own(7, now);
+    (context, key)
+}
+
+#[test]
+fn configuration_is_given_only_to_daemons_that_know_the_key() {
+    let now = Moment::now();
+    let (context, key) = config_holder("record".into(), now);
     let me = note("d1");
     let tag = |key: PeerKey, responder: &SocketAddr| -> HeaderValue {
         key.call_tag(CONFIG_PATH, responder).parse().unwrap()
@@ -456,12 +464,8 @@
 #[test]
 fn configuration_is_not_sent_to_a_daemon_that_has_it() {
     // Guards against daemons that send each other whole configurations while the store is away.
-    let context = serve_context("d1");
     let now = Moment::now();
-    let key = PeerKey::random();
-    context.peer_key.set(Some(key));
-    *context.config_record.borrow_mut() = Some(vec![7; 100_000].into());
-    context.reads.borrow_mut().operator.note_own(7, now);
+    let (context, key) = config_holder(vec![7; 100_000].into(), now);
     let me = note("d1");
     let tag = key.call_tag(CONFIG_PATH, &me.status_address()).parse().unwrap();
     let length = |query| compose_config(&context, &me, Some(query), Some(&tag), now).unwrap().len();
