fix: a copied list does not end an outage of the store

Upstreams that had left got requests at a daemon that alone could not read the store: after a failed read it copied the list from a peer, took that for the end of an outage, and kept what its peers removed as lapsed for two seconds, again with each copy.

Whether this daemon's own read failed is kept apart from whether the list is out of reach. A copy answers the second only. copied_list_does_not_end_an_outage can't be built on the code before, which had one mark for both.

--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -161,6 +161,9 @@
     synced: ListRevision,
     newest_position: ListRevision,
     is_known: bool,
+    /// Whether this daemon's last read of the list failed.
+    has_failed_read: bool,
+    /// Whether the list has neither been read nor copied since a read of it failed.
     is_unavailable: bool,
     available_since: Moment,
     order: ListOrder,
@@ -204,10 +207,11 @@
     /// Notes that the list can't be read; known entries stay in use. Returns whether it was
     /// readable before.
     pub fn note_unavailable(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_unavailable, true)
+        self.is_unavailable = true;
+        !std::mem::replace(&mut self.has_failed_read, true)
     }
 
-    /// Whether the last read of the list failed.
+    /// Whether the list has neither been read nor copied since a read of it failed.
     pub fn is_unavailable(&self) -> bool {
         self.is_unavailable
     }
@@ -219,13 +223,21 @@
     /// first time knows of no outage.
     pub fn note_read(&mut self, now: Moment) -> bool {
         let was_known = std::mem::replace(&mut self.is_known, true);
-        let was_unavailable = std::mem::replace(&mut self.is_unavailable, false);
+        let was_unavailable = std::mem::replace(&mut self.has_failed_read, false);
+        self.is_unavailable = false;
         if was_unavailable && was_known {
             self.available_since = now;
         }
         was_unavailable
     }
 
+    /// Notes that the list was copied from a peer. It does not end an outage: the peer may have seen
+    /// none, and what it removed has not lapsed.
+    pub fn note_copied(&mut self) {
+        self.is_known = true;
+        self.is_unavailable = false;
+    }
+
     /// Notes which services the configuration names; `entries` omits upstreams of other services.
     pub fn note_services(&mut self, services: FastSet<ServiceName>) {
         self.services = Some(services);
--- a/crates/guava-serve/tests/upstream_table.rs
+++ b/crates/guava-serve/tests/upstream_table.rs
@@ -69,6 +69,21 @@
     assert_eq!(serving(&table), ["a"]);
 }
 
+#[test]
+fn copied_list_does_not_end_an_outage() {
+    // Guards against work for upstreams that left, at a daemon that alone can't read the store.
+    let mut table = table();
+    table.note_unavailable();
+    table.note_copied();
+
+    let change = table.note_removed(&id("a"), Moment(20_001));
+
+    assert!(!table.is_unavailable());
+    assert_eq!(change, ListChangeEffect::Removed);
+    assert!(table.note_read(Moment(30_000)));
+    assert_eq!(table.note_removed(&id("b"), Moment(30_001)), ListChangeEffect::Lapsed);
+}
+
 #[test]
 fn upstream_that_was_leaving_before_an_outage_is_removed_at_once() {
     let mut table = table();
