fix: entries lapse only where nobody read the store for long

The daemon alone had lost the store for 1.3 s; its next read held the removal, which it took for a lapse in an outage and kept for two seconds, while three other daemons, that had read all along, removed the engine at once. By its log: "can be read again" and "lapsed" in the same millisecond, "gone" 2.1 s later.

An upstream's entry lapses after three renewals are missed, so an outage in which entries lapse lasts two renewals or more. While reads of any daemon are known that follow each other more closely, from the last one of this daemon on, nothing can have lapsed for want of the store, and a removal is one.

reads_are_unbroken_while_others_read_it_often_enough_for_renewals and removal_after_a_daemon_s_own_trouble_is_final check rules that the code before did not have.

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -568,6 +568,7 @@
     if let Some(mark) = list {
         reads.list.note_from_peer(mark);
     }
+    reads.list.note_available(None, context.bounds.renewal_ms);
     if let Some(confirmed) = reads.operator.confirmed() {
         context.config_confirmed.set(confirmed);
     }
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -72,6 +72,18 @@
 pub struct ReadTracker {
     own: Option<ReadMark>,
     received: Option<ReadMark>,
+    chain: ReadChain,
+}
+
+/// Renewals that an upstream misses at the least before its entry lapses.
+const MISSED_RENEWALS: u64 = 2;
+
+/// Known reads, by any daemon, that follow each other so closely that no entry can have lapsed between
+/// two of them for want of the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReadChain {
+    since: Moment,
+    last: Moment,
 }
 
 impl ReadTracker {
@@ -109,6 +121,22 @@
         }
     }
 
+    /// Records that the store was read, by this daemon at `read` or as peers reported. Upstreams renew
+    /// their entries every `renewal_ms`; 0 if that is not known.
+    pub fn note_available(&mut self, read: Option<Moment>, renewal_ms: u64) {
+        let Some(freshest) = self.freshest().max(read) else { return };
+        if freshest.millis_since(self.chain.last) > MISSED_RENEWALS * renewal_ms {
+            self.chain.since = freshest;
+        }
+        self.chain.last = self.chain.last.max(freshest);
+    }
+
+    /// Whether the store is known to have been readable ever since this daemon's own read, so that
+    /// what is missing now has not lapsed in an outage.
+    pub fn is_unbroken(&self) -> bool {
+        self.own.is_some_and(|own| self.chain.since <= own.as_of)
+    }
+
     /// This daemon's last read, to be sent to its peers.
     pub fn own(&self) -> Option<ReadMark> {
         self.own
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -75,6 +75,8 @@
     pub leave_limit_ms: u64,
     /// Longest time until a published configuration is in force, in milliseconds.
     pub config_limit_ms: u64,
+    /// Interval at which upstreams renew their entries, in milliseconds; 0 if it is not known.
+    pub renewal_ms: u64,
     /// Limit of the retries to each service, for all daemons together.
     pub retries: RetryLimit,
     /// Factor by which a cold upstream's load may exceed its configured cold rate.
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -220,12 +220,13 @@
     /// it was unavailable before.
     ///
     /// Entries that lapsed in an outage stay valid for a while. A daemon that reads the list for the
-    /// first time knows of no outage.
-    pub fn note_read(&mut self, now: Moment) -> bool {
+    /// first time knows of no outage, and what failed was no outage if other daemons read the store
+    /// meanwhile, so that `was_available`.
+    pub fn note_read(&mut self, now: Moment, was_available: bool) -> bool {
         let was_known = std::mem::replace(&mut self.is_known, true);
         let was_unavailable = std::mem::replace(&mut self.has_failed_read, false);
         self.is_unavailable = false;
-        if was_unavailable && was_known {
+        if was_unavailable && was_known && !was_available {
             self.available_since = now;
         }
         was_unavailable
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -544,7 +544,7 @@
     let result = run(async {
         let context = context(&[&left, &remaining]);
         let now = Moment::now();
-        context.upstreams.borrow_mut().note_read(now);
+        context.upstreams.borrow_mut().note_read(now, false);
         context.reads.borrow_mut().list.note_own(1, now.minus_millis(1_950));
         context.reads.borrow_mut().operator.note_own(1, now);
         let reads = Rc::clone(&context);
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -338,7 +338,7 @@
     }
     let whole = Some("whole-since=0");
     assert_eq!(compose_page(&context, whole, now), Err(PageRefusal::Unavailable));
-    context.upstreams.borrow_mut().note_read(now);
+    context.upstreams.borrow_mut().note_read(now, false);
     let digest = context.upstreams.borrow().digest();
     context.reads.borrow_mut().list.note_own(digest, now);
 
--- a/crates/guava-serve/tests/shared_reads.rs
+++ b/crates/guava-serve/tests/shared_reads.rs
@@ -177,3 +177,28 @@
 
     assert_eq!(tracker.changed_since(Moment(5_000)), Moment(1_000));
 }
+
+#[parameterized(
+    read_by_others_meanwhile = { &[11_000, 12_000, 13_000], 1_200, true },
+    read_by_nobody_for_long = { &[11_000, 13_500], 1_200, false },
+    read_by_nobody = { &[], 1_200, false },
+    renewals_unknown = { &[11_000, 12_000, 13_000], 0, false },
+)]
+fn reads_are_unbroken_while_others_read_it_often_enough_for_renewals(
+    reads: &[u64],
+    renewal_ms: u64,
+    expected: bool,
+) {
+    // Guards against work for upstreams that left, at a daemon that alone can't read the store.
+    let mut tracker = ReadTracker::default();
+    tracker.note_available(Some(Moment(10_000)), renewal_ms);
+    tracker.note_own(5, Moment(10_000));
+
+    for read in reads {
+        tracker.note_from_peer(peer_mark(5, *read));
+        tracker.note_available(None, renewal_ms);
+    }
+    tracker.note_available(Some(Moment(14_000)), renewal_ms);
+
+    assert_eq!(tracker.is_unbroken(), expected);
+}
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -178,6 +178,7 @@
         retries: RetryLimit { ratio: 0.2, slack: 50.0 },
         cold_times: 1.0,
         held_bytes: 1 << 20,
+        renewal_ms: 1_200,
         link: LinkRate(125_000_000),
     };
     let dialect = Dialect {
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -73,6 +73,7 @@
         retries: RetryLimit { ratio: 1.0, slack: 100.0 },
         cold_times: 1.0,
         held_bytes: 1 << 20,
+        renewal_ms: 1_200,
         link: LinkRate(125_000_000),
     };
     let context = Rc::new(ServeContext::new(identity, bounds, dialect()));
--- a/crates/guava-serve/tests/upstream_table.rs
+++ b/crates/guava-serve/tests/upstream_table.rs
@@ -11,7 +11,7 @@
 
 fn table() -> UpstreamTable {
     let mut table = UpstreamTable::default();
-    table.note_read(Moment(1_000));
+    table.note_read(Moment(1_000), false);
     table.note_entry(upstream("a", "app"));
     table.note_entry(upstream("b", "app"));
     table
@@ -56,7 +56,7 @@
     // of them as removed. Running upstreams register again within two seconds.
     let mut table = table();
     table.note_unavailable();
-    table.note_read(Moment(20_000));
+    table.note_read(Moment(20_000), false);
 
     let change = table.note_removed(&id("a"), Moment(20_001));
     table.note_removed(&id("b"), Moment(20_001));
@@ -69,6 +69,18 @@
     assert_eq!(serving(&table), ["a"]);
 }
 
+#[test]
+fn removal_after_a_daemon_s_own_trouble_is_final() {
+    // Guards against work for upstreams that left, at a daemon that alone can't read the store.
+    let mut table = table();
+    table.note_unavailable();
+    table.note_read(Moment(20_000), true);
+
+    let change = table.note_removed(&id("a"), Moment(20_001));
+
+    assert_eq!(change, ListChangeEffect::Removed);
+}
+
 #[test]
 fn copied_list_does_not_end_an_outage() {
     // Guards against work for upstreams that left, at a daemon that alone can't read the store.
@@ -80,7 +92,7 @@
 
     assert!(!table.is_unavailable());
     assert_eq!(change, ListChangeEffect::Removed);
-    assert!(table.note_read(Moment(30_000)));
+    assert!(table.note_read(Moment(30_000), false));
     assert_eq!(table.note_removed(&id("b"), Moment(30_001)), ListChangeEffect::Lapsed);
 }
 
@@ -89,7 +101,7 @@
     let mut table = table();
     table.note_entry(leaving(upstream("a", "app")));
     table.note_unavailable();
-    table.note_read(Moment(20_000));
+    table.note_read(Moment(20_000), false);
 
     let change = table.note_removed(&id("a"), Moment(20_001));
 
@@ -227,7 +239,7 @@
     let mut table = UpstreamTable::default();
     table.note_entry(upstream("a", "app"));
     table.note_unavailable();
-    table.note_read(Moment(20_000));
+    table.note_read(Moment(20_000), false);
 
     let changes = table.note_list(Vec::new(), ListRevision(7), Moment(20_000));
 
