fix: the first failures after the first start are retried

The limit has one for each daemon, so each starts with a whole one where the complete deployment starts for the first time; a daemon that restarts starts with none, since it may have spent its own before. first_failures_after_the_first_start_are_retried fails without it: no daemon had a retry.

--- a/crates/guava-serve/src/request/retry_shares.rs
+++ b/crates/guava-serve/src/request/retry_shares.rs
@@ -21,6 +21,8 @@
     pub ratio: f64,
     /// Retries permitted in one window in addition to the ratio.
     pub slack: f64,
+    /// Whether this daemon starts together with the complete deployment, for the first time.
+    pub is_first_start: bool,
 }
 
 /// This daemon's retry budgets by service.
@@ -59,11 +61,18 @@
         if has_whole { self.share().max(1.0) } else { self.share() }
     }
 
+    /// What a budget starts with. A retry that exceeds this daemon's share is given once: a daemon that
+    /// restarts may have spent it just before.
+    fn initially_saved(&self) -> f64 {
+        let is_given = self.limit.is_first_start || self.most_saved() <= self.share();
+        if is_given { self.most_saved() } else { 0.0 }
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let (share, most_saved) = (self.share(), self.most_saved());
+        let (initial, most_saved) = (self.initially_saved(), self.most_saved());
         let earned = self.limit.ratio * EARNED_FRACTION;
         self.budgets.entry(service.clone()).or_insert_with(|| {
-            let mut budget = RetryBudget::new(earned, share);
+            let mut budget = RetryBudget::new(earned, initial);
             budget.limit_saved(most_saved);
             budget
         })
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -59,7 +59,7 @@
     // Symptom: a failing service gets eight times the retries that its limit allows.
     // Sequence: eight daemons see it fail at the same time, and each spends the complete budget.
     // Cause: each daemon applied the limit alone, but it is one limit for all daemons.
-    let limit = RetryLimit { ratio: 0.2, slack: 56.0 };
+    let limit = RetryLimit { ratio: 0.2, slack: 56.0, is_first_start: false };
     let service = "app".parse().unwrap();
     let mut spent = 0;
 
@@ -81,7 +81,7 @@
 fn daemons_of_a_large_deployment_may_retry_within_the_limit() {
     // Guards against shares below one retry, of which none is ever spent.
     const DAEMONS: usize = 985;
-    let limit = RetryLimit { ratio: 0.2, slack: 1_040.0 };
+    let limit = RetryLimit { ratio: 0.2, slack: 1_040.0, is_first_start: false };
     let service = "app".parse().unwrap();
     let mut spent = 0;
 
@@ -101,9 +101,29 @@
     assert!(f64::from(spent as u32) <= 0.2 * 10.0 * DAEMONS as f64 + limit.slack, "{spent}");
 }
 
+#[parameterized(thousand = { 985, 1_040.0 }, two_thousand = { 1_970, 2_080.0 })]
+fn first_failures_after_the_first_start_are_retried(daemons: usize, slack: f64) {
+    // Guards against requests that end with the first error since no daemon has saved up a retry yet.
+    let limit = RetryLimit { ratio: 0.2, slack, is_first_start: true };
+    let restarted = RetryLimit { is_first_start: false, ..limit };
+    let service = "app".parse().unwrap();
+    let (mut first, mut later) = (0, 0);
+
+    for _ in 0..daemons {
+        first += usize::from(RetryShares::new(limit, daemons).spend(&service));
+        // The daemon restarts in the same window, and gets five requests.
+        let mut shares = RetryShares::new(restarted, daemons);
+        (0..5).for_each(|_| shares.earn(&service));
+        later += usize::from(shares.spend(&service));
+    }
+
+    assert_eq!(first, daemons);
+    assert!((first + later) as f64 <= 0.2 * 5.0 * daemons as f64 + slack, "{first} {later}");
+}
+
 #[test]
 fn retry_share_shrinks_when_more_daemons_are_reachable() {
-    let limit = RetryLimit { ratio: 0.0, slack: 56.0 };
+    let limit = RetryLimit { ratio: 0.0, slack: 56.0, is_first_start: false };
     let service = "app".parse().unwrap();
     let mut shares = RetryShares::new(limit, 1);
     shares.note_daemons(8);
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -175,7 +175,7 @@
         version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
         leave_limit_ms: 2_000,
         config_limit_ms: 2_000,
-        retries: RetryLimit { ratio: 0.2, slack: 50.0 },
+        retries: RetryLimit { ratio: 0.2, slack: 50.0, is_first_start: false },
         cold_times: 1.0,
         held_bytes: 1 << 20,
         renewal_ms: 1_200,
