--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -29,7 +29,13 @@
     CopyError, CopyRange, LIST_PATH, ListCopy, PageRefusal, changes_since, compose_page, copy_list,
     entries_since,
 };
-pub use members::list_sync::{STANDBY_TIMEOUT_MS, SyncInput, SyncStep, sync_step};
+pub use members::list_reader::{
+    ListReader, apply_copy, apply_list, apply_read_change, copy_missing, drop_lapsed,
+    note_list_read,
+};
+pub use members::list_sync::{
+    OperatorInput, SyncInput, SyncStep, may_copy_operator, start_timeout_ms, sync_step,
+};
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_descriptor::MemberDescriptor;
 pub use members::member_table::{MemberRole, MemberTable, PeerRole};
@@ -47,7 +53,7 @@
 pub use members::peer_task::{
     OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
 };
-pub use members::retry_pause::{RetryPause, is_read_urgent};
+pub use members::retry_pause::{CopyPause, RetryPause, is_read_urgent};
 pub use members::shared_reads::{
     ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -4,6 +4,7 @@
 pub(crate) mod core_group;
 pub(crate) mod list_change_gossip;
 pub(crate) mod list_copy;
+pub(crate) mod list_reader;
 pub(crate) mod list_sync;
 pub(crate) mod lost_messages;
 pub(crate) mod member_descriptor;
--- /dev/null
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -0,0 +1,155 @@
+//! Keeps the list of upstreams as complete as the store and the peers allow.
+//!
+//! What was read from the store, or copied from a peer, is applied here and passed on to the daemons
+//! that learn of it from this one.
+
+use crate::events;
+use crate::members::list_copy::{CopyRange, ListCopy, copy_list};
+use crate::members::list_sync::{SyncInput, start_timeout_ms};
+use crate::members::peer_exchange::{ListSource, apply_change, pass_to_attached};
+use crate::members::peer_message::ListChange;
+use crate::members::shared_reads::ReadPace;
+use crate::serve_context::ServeContext;
+use crate::upstreams::list_order::ListRevision;
+use crate::upstreams::upstream_table::{ListChangeEffect, UpstreamEntry};
+use guava_log::log_event;
+use guava_types::{Deadline, Moment, UpstreamId};
+
+/// Progress of a daemon in obtaining what it lacks of the list.
+pub struct ListReader {
+    /// Since when the list has been due; `None` while it is known to be right.
+    due_since: Option<Moment>,
+    /// How long this daemon waits for a peer if it lacks much, in milliseconds.
+    copy_timeout_ms: u64,
+}
+
+impl ListReader {
+    /// Progress at the start; `draw` in 0..1 spreads the moments at which daemons give up waiting for a
+    /// peer, so that the store is not asked by all at once.
+    pub fn new(draw: f64) -> Self {
+        Self { due_since: None, copy_timeout_ms: start_timeout_ms(draw) }
+    }
+
+    /// State on which the next step depends.
+    pub fn sync_input(&mut self, context: &ServeContext, pace: ReadPace, now: Moment) -> SyncInput {
+        let rank = context.members.borrow().reader_rank(&context.identity.name, now);
+        let reads = context.reads.borrow();
+        let is_due = reads.list.is_due(rank, pace, now);
+        self.due_since = is_due.then(|| self.due_since.unwrap_or(now));
+        let is_fresh = |received: Moment| !Deadline::after(received, pace.expiry_ms).passed(now);
+        SyncInput {
+            is_due,
+            rank,
+            is_known: reads.list.own().is_some(),
+            has_fresh_mark: reads.list.received().is_some_and(is_fresh),
+            gap: context.upstreams.borrow().list_gap(),
+            waited_ms: self.due_since.map_or(0, |since| now.millis_since(since)),
+            copy_timeout_ms: self.copy_timeout_ms,
+        }
+    }
+}
+
+/// Copies from a peer what this daemon lacks of the list. Returns the position up to which it then has
+/// all records; `None` if no peer gave them.
+pub async fn copy_missing(context: &ServeContext) -> Option<ListRevision> {
+    let is_known = context.reads.borrow().list.own().is_some();
+    let since = context.upstreams.borrow().list_position();
+    let range = if is_known { CopyRange::Since(since) } else { CopyRange::Whole };
+    let teller = context.list_teller.take();
+    let sources = context.members.borrow().list_sources(rand::random(), Moment::now());
+    let copy = match copy_list(context, teller.into_iter().chain(sources).collect(), range).await {
+        Ok(copy) => copy,
+        Err(error) => {
+            log_event!(debug, events::LIST_UNAVAILABLE, reason = error);
+            return None;
+        }
+    };
+    log_event!(
+        info,
+        events::LIST_COPIED,
+        changes = copy.changes.len(),
+        whole = copy.is_whole,
+        position = copy.position
+    );
+    apply_copy(context, copy);
+    Some(context.upstreams.borrow().list_position())
+}
+
+/// Applies a copy, which counts as a read at the moment as of which the peer had it confirmed.
+pub fn apply_copy(context: &ServeContext, copy: ListCopy) {
+    let now = Moment::now();
+    context.upstreams.borrow_mut().note_copied();
+    if copy.is_whole {
+        let entry = |change| match change {
+            ListChange::Entry(entry) => Some(entry),
+            ListChange::Removed(..) => None,
+        };
+        let entries = copy.changes.into_iter().filter_map(entry).collect();
+        apply_list(context, entries, copy.position);
+    } else {
+        for change in copy.changes {
+            let effect = apply_change(context, change.clone(), ListSource::Copy, now);
+            pass_to_attached(context, change, effect, now);
+        }
+        context.upstreams.borrow_mut().note_synced(copy.position);
+    }
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(digest, copy.as_of);
+}
+
+/// Applies the whole list as of a position. The entries of the first one are not logged one by one.
+pub fn apply_list(context: &ServeContext, entries: Vec<UpstreamEntry>, position: ListRevision) {
+    let is_first = context.upstreams.borrow().count() == 0;
+    let changes = context.upstreams.borrow_mut().note_list(entries, position, Moment::now());
+    if !is_first {
+        changes.iter().for_each(|(id, effect)| log_change(id, *effect, position));
+    }
+}
+
+/// Records that this daemon read the list from the store; to be called before its entries are applied.
+pub fn note_list_read(context: &ServeContext) {
+    let now = Moment::now();
+    let mut reads = context.reads.borrow_mut();
+    reads.list.note_available(Some(now), context.bounds.renewal_ms);
+    if context.upstreams.borrow_mut().note_read(now, reads.list.is_unbroken()) {
+        log_event!(info, events::LIST_AVAILABLE, upstreams = context.upstreams.borrow().count());
+    }
+}
+
+/// Applies a change that was read from the store, and passes it on.
+pub fn apply_read_change(context: &ServeContext, change: ListChange, now: Moment) {
+    let effect = apply_change(context, change.clone(), ListSource::Store, now);
+    // A lapsed entry may be listed again; peers that saw no outage would treat it as removed.
+    if !matches!(effect, ListChangeEffect::Same | ListChangeEffect::Lapsed) {
+        context.list_change_gossip.borrow_mut().note(change.clone(), now);
+    }
+    pass_to_attached(context, change, effect, now);
+}
+
+/// Drops entries that lapsed and were not listed again, and gossips their removal.
+pub fn drop_lapsed(context: &ServeContext, now: Moment) {
+    let mut upstreams = context.upstreams.borrow_mut();
+    // No record before this daemon's position lists these upstreams again.
+    let revision = ListRevision(upstreams.order().position().0.saturating_sub(1));
+    for id in upstreams.drop_lapsed(now) {
+        log_change(&id, ListChangeEffect::Removed, revision);
+        upstreams.note_removal(&id, revision);
+        let change = ListChange::Removed(id, revision);
+        context.list_change_gossip.borrow_mut().note(change.clone(), now);
+        pass_to_attached(context, change, ListChangeEffect::Removed, now);
+    }
+}
+
+fn log_change(id: &UpstreamId, effect: ListChangeEffect, revision: ListRevision) {
+    if effect != ListChangeEffect::Same {
+        let effect = effect.name();
+        log_event!(
+            info,
+            events::LIST_CHANGED,
+            upstream = id,
+            change = effect,
+            revision = revision,
+            source = ListSource::Store
+        );
+    }
+}
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -1,4 +1,5 @@
-//! Decides from where a daemon obtains what it lacks of the list of upstreams.
+//! Decides from where a daemon obtains what it lacks of the list of upstreams and of the operator's
+//! records.
 //!
 //! The reader reads the store. The others copy from peers, and read the store only if no peer gives
 //! them what they lack, so that the store's load does not grow with the daemons. A daemon that lacks
@@ -12,7 +13,49 @@
 const MAX_READ_GAP: u64 = 500;
 /// How long a standby waits for a peer that has the list or a configuration, in milliseconds; the
 /// reader does not wait. When all daemons start together the reader may be the last of them.
-pub const STANDBY_TIMEOUT_MS: u64 = 100;
+const STANDBY_TIMEOUT_MS: u64 = 100;
+/// How long the other daemons wait at their start, in milliseconds: at least, and the time over which
+/// those that wait in vain are spread.
+const START_TIMEOUT_MS: u64 = 5_000;
+const START_SPREAD_MS: f64 = 10_000.0;
+/// Part of the time within which a configuration must be in force for which a daemon tries to copy it
+/// from peers before it reads it from the store.
+const CONFIG_COPY_DIVISOR: u64 = 7;
+
+/// How long a daemon that is neither the reader nor a standby waits for a peer at its start, in
+/// milliseconds; `draw` is in 0..1.
+pub fn start_timeout_ms(draw: f64) -> u64 {
+    START_TIMEOUT_MS + (draw * START_SPREAD_MS) as u64
+}
+
+/// State on which it depends whether the operator's records are copied from peers.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorInput {
+    /// This daemon's rank for reading the store; 0 is the reader.
+    pub rank: usize,
+    /// Whether this daemon has a configuration.
+    pub has_config: bool,
+    /// Whether a peer has reported records that this daemon lacks.
+    pub is_told: bool,
+    /// For how long this daemon has been due to read, in milliseconds.
+    pub waited_ms: u64,
+    /// How long it waits for a peer at its start, in milliseconds.
+    pub start_timeout_ms: u64,
+    /// Longest time until a published configuration is in force, in milliseconds.
+    pub config_limit_ms: u64,
+}
+
+/// Whether a daemon asks its peers for the operator's records, and not yet the store. A change that a
+/// peer reported is copied; if none reports, only the store can tell.
+pub fn may_copy_operator(input: &OperatorInput) -> bool {
+    let timeout_ms = match (input.has_config, input.is_told) {
+        (false, _) if input.rank <= STANDBYS => STANDBY_TIMEOUT_MS,
+        (false, _) => input.start_timeout_ms,
+        (true, true) => input.config_limit_ms / CONFIG_COPY_DIVISOR,
+        (true, false) => 0,
+    };
+    input.rank > 0 && input.waited_ms < timeout_ms
+}
 
 /// State on which the decision depends.
 #[derive(Clone, Copy, Debug)]
--- a/crates/guava-serve/src/members/retry_pause.rs
+++ b/crates/guava-serve/src/members/retry_pause.rs
@@ -1,4 +1,4 @@
-//! Exponential retry delays after failed calls to the platform's store.
+//! Exponential retry delays after failed calls to the platform's store, and to peers.
 //!
 //! Every daemon of the deployment retries a store that is unavailable or refuses calls, and each
 //! refused call is charged. The reader and its standbys retry often, since the others learn from them
@@ -23,6 +23,10 @@
 /// the store is available again, and must not be stale for more than about three seconds.
 const OTHER_MAX_MS: u64 = 1_600;
 
+/// Shortest and longest pause between two attempts to copy from peers, in milliseconds.
+const MIN_COPY_PAUSE_MS: u64 = 20;
+const MAX_COPY_PAUSE_MS: u64 = 350;
+
 /// The delay after the next failed call; it doubles with each failure and is reset by a success.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryPause {
@@ -48,6 +52,30 @@
     }
 }
 
+/// The pause after no peer gave what a daemon lacks; it doubles with each attempt. The first ones are
+/// short, since a reader that has just started needs a few calls only.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CopyPause {
+    /// Zero before the first attempt.
+    next_ms: u64,
+}
+
+impl CopyPause {
+    /// Records that a peer gave what was lacking.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The pause after one more attempt; it grows only while peers are known that could be asked.
+    pub fn after_attempt(&mut self, are_peers_known: bool) -> Duration {
+        let pause_ms = self.next_ms.clamp(MIN_COPY_PAUSE_MS, MAX_COPY_PAUSE_MS);
+        if are_peers_known {
+            self.next_ms = pause_ms * 2;
+        }
+        Duration::from_millis(pause_ms)
+    }
+}
+
 /// Whether other daemons rely on this daemon's reads of the store (it is the reader or a standby), or
 /// it has no configuration and can't serve without a read.
 pub fn is_read_urgent(context: &ServeContext) -> bool {
