perf: whether an upstream is closed is asked of candidates only

Choices now take a function that tells of one upstream, and each data centre has a ring of its own. When all are closed, the time to come back is that of the upstreams that this daemon uses.

number_of_candidates_does_not_grow_with_the_service counts the questions on 10,000 and 20,000 engines; the code before asked all of them.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -88,7 +88,7 @@
 pub use request::request_plan::draw_service;
 pub use request::retry_shares::{RetryLimit, RetryShares};
 pub use request::send_gate::{
-    GateInput, GateState, closed_upstreams, gate_state, limit_levels, pass_gate, reopening,
+    GateInput, GateState, gate_state, limit_levels, pass_gate, reopening,
 };
 pub use request::service_choice::{ServiceInput, choose_instance};
 pub use serve_config::{
@@ -108,10 +108,11 @@
 pub use upstreams::prefill_rate::PrefillRate;
 pub use upstreams::quarantine_record::{QuarantineRecord, QuarantineSync};
 pub use upstreams::quarantine_task::{is_read_due, persist_quarantines};
+pub use upstreams::service_rings::RingPosition;
 pub use upstreams::upstream_call::{call_store, call_upstream};
 pub use upstreams::upstream_crashes::{note_request_answered, note_upstream_crash};
 pub use upstreams::upstream_table::{
-    ListChangeEffect, MAX_CANDIDATES, RingPosition, UpstreamEntry, UpstreamTable, WeightVersion,
+    ListChangeEffect, MAX_CANDIDATES, UpstreamEntry, UpstreamTable, WeightVersion,
 };
 pub use upstreams::work_table::{ExpectedLoad, WorkShare, WorkTable, WorkTicket};
 pub use weights::order_task::OrderTask;
--- a/crates/guava-serve/src/request/engine_choice.rs
+++ b/crates/guava-serve/src/request/engine_choice.rs
@@ -103,7 +103,7 @@
         let limit = input.version_limits;
         let start = expected_start(input, &entry.id);
         let version_use = input.targets.judge(&input.prompt.model, version, limit, start);
-        let is_open = !input.tried.contains(&entry.id) && !input.closed.contains(&entry.id);
+        let is_open = !input.tried.contains(&entry.id) && !(input.is_closed)(entry);
         let is_usable = version_use != VersionUse::Forbidden && is_open;
         is_usable.then_some((entry, version, version_use))
     });
--- a/crates/guava-serve/src/request/engine_input.rs
+++ b/crates/guava-serve/src/request/engine_input.rs
@@ -5,7 +5,7 @@
 use crate::request::accepted_request::{AcceptedRequest, PromptShape};
 use crate::serve_config::{EngineTraits, StoreTraits};
 use crate::upstreams::engine_speeds::EngineSpeeds;
-use crate::upstreams::upstream_table::UpstreamTable;
+use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_types::{DataCentre, MemberName, Moment, ServiceName, TokenRate, UpstreamId};
@@ -51,8 +51,8 @@
     pub data_centre: &'a DataCentre,
     /// Engines to which this request was already sent.
     pub tried: &'a [UpstreamId],
-    /// Upstreams that may get no request now.
-    pub closed: &'a [UpstreamId],
+    /// Whether an upstream may get no request now.
+    pub is_closed: &'a dyn Fn(&UpstreamEntry) -> bool,
     /// The current moment.
     pub now: Moment,
     /// Random number that decides between candidates of equal cost.
--- a/crates/guava-serve/src/request/engine_subset.rs
+++ b/crates/guava-serve/src/request/engine_subset.rs
@@ -12,7 +12,8 @@
 use crate::parts::part_transfers::shared_parts;
 use crate::request::accepted_request::PromptPart;
 use crate::request::engine_input::EngineInput;
-use crate::upstreams::upstream_table::{MAX_CANDIDATES, RingPosition, UpstreamEntry};
+use crate::upstreams::service_rings::RingPosition;
+use crate::upstreams::upstream_table::{MAX_CANDIDATES, UpstreamEntry};
 use guava_types::{FastSet, TokenCount, UpstreamId};
 
 /// Homes of a shared part: the engine that should hold it, and the next one, which takes over when
@@ -35,9 +36,9 @@
     /// The candidates for a prompt; not all of them may take it now.
     pub(crate) fn new(input: &EngineInput<'a>) -> Self {
         let (upstreams, service, now) = (input.upstreams, input.service, input.now);
+        let own = upstreams.candidates(service, input.local_daemon, input.data_centre, now);
         if upstreams.service_count(service) <= MAX_CANDIDATES {
-            let entries = upstreams.serving(service, now).collect();
-            return Self { entries, home: None, homed: None };
+            return Self { entries: own, home: None, homed: None };
         }
         let homed = homed_part(input);
         let homes: Vec<&UpstreamEntry> = homed
@@ -45,7 +46,6 @@
             .map(|place| upstreams.serving_from(service, place, now).take(PART_HOMES).collect())
             .unwrap_or_default();
         let home = homes.first().map(|entry| &entry.id);
-        let own = upstreams.subset(service, input.local_daemon, input.data_centre, now);
         let mut seen = FastSet::default();
         let mut entries: Vec<&UpstreamEntry> = homes.into_iter().chain(own).collect();
         entries.retain(|entry| seen.insert(&entry.id));
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -12,10 +12,11 @@
 use crate::request::engine_choice::{EngineChoice, choose_engine};
 use crate::request::engine_input::EngineInput;
 use crate::request::outcome::SendRecord;
-use crate::request::send_gate::closed_upstreams;
+use crate::request::send_gate::{gate_state, with_gate_input};
 use crate::request::service_choice::{ServiceInput, choose_instance};
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_context::ServeContext;
+use crate::upstreams::upstream_table::UpstreamEntry;
 use crate::upstreams::work_table::ExpectedLoad;
 use crate::weights::start_guard::StartGuard;
 use guava_log::log_event;
@@ -181,25 +182,35 @@
     })
 }
 
-/// Upstreams of the request's service that may get no request now.
-fn closed_for(input: PlanInput<'_>, now: Moment) -> Vec<UpstreamId> {
-    let rule = input.config.service(input.service);
-    rule.map(|rule| closed_upstreams(input.context, rule, now)).unwrap_or_default()
+/// Makes a choice that may ask of each candidate whether it is closed now; `None` if the configuration
+/// has no such service.
+fn choose_open<T>(
+    input: PlanInput<'_>,
+    now: Moment,
+    choose: impl FnOnce(&dyn Fn(&UpstreamEntry) -> bool) -> Option<T>,
+) -> Option<T> {
+    let rule = input.config.service(input.service)?;
+    with_gate_input(input.context, rule, |gate| {
+        choose(&|entry: &UpstreamEntry| !gate_state(gate, entry, now).is_open())
+    })
 }
 
 fn plan_plain(input: PlanInput<'_>) -> Option<AttemptPlan> {
     let now = Moment::now();
-    let upstream = choose_instance(&ServiceInput {
-        service: input.service,
-        upstreams: &input.context.upstreams.borrow(),
-        work: &input.context.work.borrow(),
-        local_daemon: &input.context.identity.name,
-        data_centre: &input.context.identity.data_centre,
-        tried: &input.record.tried,
-        closed: &closed_for(input, now),
-        now,
-        draw: rand::random(),
-    })?;
+    let choose = |is_closed: &dyn Fn(&UpstreamEntry) -> bool| {
+        choose_instance(&ServiceInput {
+            service: input.service,
+            upstreams: &input.context.upstreams.borrow(),
+            work: &input.context.work.borrow(),
+            local_daemon: &input.context.identity.name,
+            data_centre: &input.context.identity.data_centre,
+            tried: &input.record.tried,
+            is_closed,
+            now,
+            draw: rand::random(),
+        })
+    };
+    let upstream = choose_open(input, now, choose)?;
     let load = ExpectedLoad {
         answer_ms: PLAIN_ANSWER_MS,
         priority: input.request.priority(),
@@ -253,30 +264,34 @@
     let peers: Vec<MemberName> =
         members.reachable(now).filter(is_local).map(|member| member.name.clone()).collect();
     drop(members);
-    choose_engine(&EngineInput {
-        request: input.request,
-        prompt,
-        service: input.service,
-        traits,
-        stores: &input.config.stores,
-        upstreams: &context.upstreams.borrow(),
-        work: &context.work.borrow(),
-        parts: &context.part_index.borrow(),
-        links: &context.links.borrow(),
-        targets: &context.targets.borrow(),
-        version_limits: context.bounds.version_limits,
-        prefill: context.prefill.borrow().rate(),
-        speeds: &context.speeds.borrow(),
-        fixed_ms: context.prefill.borrow().fixed_ms(),
-        memory_fraction: context.memory_budget.borrow_mut().fraction(now),
-        local_daemon: &context.identity.name,
-        peers: &peers,
-        data_centre: &context.identity.data_centre,
-        tried: &input.record.tried,
-        closed: &closed_for(input, now),
-        now,
-        draw: rand::random(),
-    })
+    let memory_fraction = context.memory_budget.borrow_mut().fraction(now);
+    let choose = |is_closed: &dyn Fn(&UpstreamEntry) -> bool| {
+        choose_engine(&EngineInput {
+            request: input.request,
+            prompt,
+            service: input.service,
+            traits,
+            stores: &input.config.stores,
+            upstreams: &context.upstreams.borrow(),
+            work: &context.work.borrow(),
+            parts: &context.part_index.borrow(),
+            links: &context.links.borrow(),
+            targets: &context.targets.borrow(),
+            version_limits: context.bounds.version_limits,
+            prefill: context.prefill.borrow().rate(),
+            speeds: &context.speeds.borrow(),
+            fixed_ms: context.prefill.borrow().fixed_ms(),
+            memory_fraction,
+            local_daemon: &context.identity.name,
+            peers: &peers,
+            data_centre: &context.identity.data_centre,
+            tried: &input.record.tried,
+            is_closed,
+            now,
+            draw: rand::random(),
+        })
+    };
+    choose_open(input, now, choose)
 }
 
 fn engine_instructions(
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -115,7 +115,8 @@
     !entry.cold_until.passed(now) || returned.is_some_and(is_recent)
 }
 
-fn with_gate_input<T>(
+/// Evaluates a decision on the present state of the gate.
+pub(crate) fn with_gate_input<T>(
     context: &ServeContext,
     rule: &ServiceRule,
     evaluate: impl FnOnce(&GateInput<'_>) -> T,
@@ -130,34 +131,23 @@
     })
 }
 
-/// The listed upstreams of a service that may get no request now.
-pub fn closed_upstreams(
-    context: &ServeContext,
-    rule: &ServiceRule,
-    now: Moment,
-) -> Vec<UpstreamId> {
-    let upstreams = context.upstreams.borrow();
-    let serving = upstreams.serving(&rule.name, now);
-    with_gate_input(context, rule, |input| {
-        let is_closed = |entry: &&UpstreamEntry| !gate_state(input, entry, now).is_open();
-        serving.filter(is_closed).map(|entry| entry.id.clone()).collect()
-    })
-}
-
-/// The moment at which the first closed upstream of a service opens again.
+/// The moment at which the first closed upstream of a service opens again, of those that this daemon
+/// uses.
 ///
-/// `None` if any upstream of the service is open now, or if no closed one has a known end.
+/// `None` if any of them is open now, or if no closed one has a known end.
 pub fn reopening(context: &ServeContext, rule: &ServiceRule, now: Moment) -> Option<Moment> {
     let upstreams = context.upstreams.borrow();
-    let mut serving = upstreams.serving(&rule.name, now);
-    with_gate_input(context, rule, |input| {
-        serving.try_fold(None, |first: Option<Moment>, entry| match gate_state(input, entry, now) {
-            GateState::Open | GateState::Cold => Err(()),
-            GateState::Closed(closed) => Ok(first.into_iter().chain(closed.until).min()),
+    let identity = &context.identity;
+    let candidates = upstreams.candidates(&rule.name, &identity.name, &identity.data_centre, now);
+    let first = |input: &GateInput<'_>| {
+        candidates.into_iter().try_fold(None, |first: Option<Moment>, entry| {
+            match gate_state(input, entry, now) {
+                GateState::Open | GateState::Cold => Err(()),
+                GateState::Closed(closed) => Ok(first.into_iter().chain(closed.until).min()),
+            }
         })
-    })
-    .ok()
-    .flatten()
+    };
+    with_gate_input(context, rule, first).ok().flatten()
 }
 
 /// Checks the gate right before a send, and records the send if the upstream is open.
--- a/crates/guava-serve/src/request/service_choice.rs
+++ b/crates/guava-serve/src/request/service_choice.rs
@@ -1,6 +1,6 @@
 //! Chooses the instance of a plain service, one without engines, for a request.
 
-use crate::upstreams::upstream_table::{MAX_CANDIDATES, UpstreamEntry, UpstreamTable};
+use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use guava_types::{DataCentre, MemberName, Moment, ServiceName, UpstreamId};
 
@@ -22,8 +22,8 @@
     pub data_centre: &'a DataCentre,
     /// Instances to which this request was already sent.
     pub tried: &'a [UpstreamId],
-    /// Upstreams that may get no request now.
-    pub closed: &'a [UpstreamId],
+    /// Whether an instance may get no request now.
+    pub is_closed: &'a dyn Fn(&UpstreamEntry) -> bool,
     /// The current moment.
     pub now: Moment,
     /// Random number that decides between instances of equal cost.
@@ -34,8 +34,9 @@
 /// instance may take the request.
 pub fn choose_instance(input: &ServiceInput<'_>) -> Option<UpstreamId> {
     let mut costs: Vec<(f64, &UpstreamId)> = Vec::new();
-    for entry in candidates(input) {
-        if input.tried.contains(&entry.id) || input.closed.contains(&entry.id) {
+    let ServiceInput { service, upstreams, local_daemon, data_centre, now, .. } = *input;
+    for entry in upstreams.candidates(service, local_daemon, data_centre, now) {
+        if input.tried.contains(&entry.id) || (input.is_closed)(entry) {
             continue;
         }
         let remote =
@@ -50,12 +51,3 @@
     let index = usize::try_from(input.draw % costs.len().max(1) as u64).unwrap_or(0);
     costs.get(index).map(|(_, id)| (*id).clone())
 }
-
-/// All instances of a small service; of a large one, this daemon's subset.
-fn candidates<'a>(input: &ServiceInput<'a>) -> Vec<&'a UpstreamEntry> {
-    let ServiceInput { upstreams, service, now, .. } = *input;
-    if upstreams.service_count(service) <= MAX_CANDIDATES {
-        return upstreams.serving(service, now).collect();
-    }
-    upstreams.subset(service, input.local_daemon, input.data_centre, now)
-}
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -6,11 +6,11 @@
 
 use crate::upstreams::list_history::ListHistory;
 use crate::upstreams::list_order::{ListOrder, ListRevision};
+use crate::upstreams::service_rings::{RingPosition, ServiceRings};
 use guava_types::{
     DataCentre, Deadline, FastMap, FastSet, MemberName, ModelName, Moment, ServiceName, UpstreamId,
 };
 use rustc_hash::FxHasher;
-use std::collections::BTreeMap;
 use std::fmt;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -89,6 +89,13 @@
     refused: Option<RefusedVersions>,
 }
 
+impl ListedUpstream {
+    /// Whether it may get new work: it is not leaving and does not count as crashed.
+    fn is_usable(&self, now: Moment) -> bool {
+        self.crashed_until.passed(now) && !self.entry.is_leaving
+    }
+}
+
 /// Effect of a list change on this daemon's table, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListChangeEffect {
@@ -127,27 +134,11 @@
     }
 }
 
-/// Position of a key on the hash ring on which upstreams are arranged by their names: half of a
-/// digest, so that no two names share one. All daemons compute the same positions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RingPosition(pub u128);
-
-impl RingPosition {
-    /// Position of an upstream's name, or of any other text.
-    pub fn of(key: &str) -> Self {
-        let mut half = [0; 16];
-        blake3::Hasher::new().update(key.as_bytes()).finalize_xof().fill(&mut half);
-        Self(u128::from_be_bytes(half))
-    }
-}
-
-type UpstreamRing = BTreeMap<RingPosition, UpstreamId>;
-
 /// Listed upstreams, by id and by service, with what was learnt of each since it was listed.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     listed: FastMap<UpstreamId, ListedUpstream>,
-    by_service: FastMap<ServiceName, UpstreamRing>,
+    by_service: FastMap<ServiceName, ServiceRings>,
     /// Sum of the digests of all listed entries.
     digest: u64,
     /// Upstreams whose entries lapsed; some may have been listed again or removed since.
@@ -277,9 +268,8 @@
         match self.listed.get_mut(&entry.id) {
             None => {
                 let id = entry.id.clone();
-                let position = RingPosition::of(id.name());
-                let service = self.by_service.entry(entry.service.clone()).or_default();
-                service.insert(position, id.clone());
+                let rings = self.by_service.entry(entry.service.clone()).or_default();
+                rings.insert(&id, &entry.data_centre);
                 self.history.note_entry(&id, entry.revision);
                 self.digest = self.digest.wrapping_add(entry_digest(&entry));
                 let listed = ListedUpstream {
@@ -498,14 +488,13 @@
         service: &ServiceName,
         now: Moment,
     ) -> impl Iterator<Item = &UpstreamEntry> {
-        let ids = || self.by_service.get(service).into_iter().flatten();
-        let is_usable = move |listed: &&ListedUpstream| {
-            listed.crashed_until.passed(now) && !listed.entry.is_leaving
+        let listed = || {
+            let ids = self.by_service.get(service).into_iter().flat_map(ServiceRings::all);
+            ids.filter_map(|id| self.listed.get(id))
         };
-        let listed = || ids().filter_map(|(_, id)| self.listed.get(id));
-        let is_any_usable = listed().any(|listed| is_usable(&listed));
+        let is_any_usable = listed().any(|listed| listed.is_usable(now));
         listed()
-            .filter(move |listed| !is_any_usable || is_usable(listed))
+            .filter(move |listed| !is_any_usable || listed.is_usable(now))
             .map(|listed| &listed.entry)
             .filter(|entry| !entry.is_leaving)
     }
@@ -517,14 +506,32 @@
         start: RingPosition,
         now: Moment,
     ) -> impl Iterator<Item = &UpstreamEntry> {
-        let ring = self.by_service.get(service);
-        let after = ring.map(|ring| ring.range(start..)).into_iter().flatten();
-        let before = ring.map(|ring| ring.range(..start)).into_iter().flatten();
-        let is_usable = move |listed: &&ListedUpstream| {
-            listed.crashed_until.passed(now) && !listed.entry.is_leaving
-        };
-        let listed = after.chain(before).filter_map(|(_, id)| self.listed.get(id));
-        listed.filter(is_usable).map(|listed| &listed.entry)
+        let rings = self.by_service.get(service).into_iter();
+        self.usable(rings.flat_map(move |rings| rings.from(start)), now)
+    }
+
+    fn usable<'a>(
+        &'a self,
+        ids: impl Iterator<Item = &'a UpstreamId>,
+        now: Moment,
+    ) -> impl Iterator<Item = &'a UpstreamEntry> {
+        let listed = ids.filter_map(|id| self.listed.get(id));
+        listed.filter(move |listed| listed.is_usable(now)).map(|listed| &listed.entry)
+    }
+
+    /// The upstreams of a service that a daemon uses: all that may get new work, or its subset of a
+    /// large service.
+    pub fn candidates(
+        &self,
+        service: &ServiceName,
+        daemon: &MemberName,
+        data_centre: &DataCentre,
+        now: Moment,
+    ) -> Vec<&UpstreamEntry> {
+        if self.service_count(service) <= MAX_CANDIDATES {
+            return self.serving(service, now).collect();
+        }
+        self.subset(service, daemon, data_centre, now)
     }
 
     /// The upstreams of a large service that a daemon uses: those of its data centre from its own
@@ -536,13 +543,14 @@
         data_centre: &DataCentre,
         now: Moment,
     ) -> Vec<&UpstreamEntry> {
+        let Some(rings) = self.by_service.get(service) else { return Vec::new() };
         let place = RingPosition::of(daemon.as_str());
-        let around = || self.serving_from(service, place, now);
-        let is_local = |entry: &&UpstreamEntry| entry.data_centre == *data_centre;
-        let mut subset: Vec<&UpstreamEntry> =
-            around().filter(is_local).take(MAX_CANDIDATES).collect();
+        let local = self.usable(rings.local_from(data_centre, place), now);
+        let mut subset: Vec<&UpstreamEntry> = local.take(MAX_CANDIDATES).collect();
         let lacking = MAX_CANDIDATES - subset.len();
-        subset.extend(around().filter(|entry| !is_local(entry)).take(lacking));
+        let others = self.usable(rings.from(place), now);
+        let others = others.filter(|entry| entry.data_centre != *data_centre);
+        subset.extend(others.take(lacking));
         subset
     }
 
@@ -551,15 +559,15 @@
         let is_named = |service: &ServiceName| {
             self.services.as_ref().is_none_or(|services| services.contains(service))
         };
-        let large = |(service, ring): (&ServiceName, &UpstreamRing)| {
-            is_named(service) && ring.len() > MAX_CANDIDATES
+        let large = |(service, rings): (&ServiceName, &ServiceRings)| {
+            is_named(service) && rings.count() > MAX_CANDIDATES
         };
         self.by_service.iter().any(large)
     }
 
     /// Number of listed upstreams of a service.
     pub fn service_count(&self, service: &ServiceName) -> usize {
-        self.by_service.get(service).map_or(0, BTreeMap::len)
+        self.by_service.get(service).map_or(0, ServiceRings::count)
     }
 
     /// In what order the entries changed.
@@ -595,9 +603,8 @@
         let Some(listed) = self.listed.remove(id) else { return };
         self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
         self.history.forget_entry(id, listed.entry.revision);
-        let position = RingPosition::of(id.name());
-        if let Some(ring) = self.by_service.get_mut(&listed.entry.service) {
-            ring.remove(&position);
+        if let Some(rings) = self.by_service.get_mut(&listed.entry.service) {
+            rings.remove(id, &listed.entry.data_centre);
         }
     }
 }
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -11,6 +11,7 @@
     VersionLimits, VersionTargets, WorkTable, choose_engine,
 };
 use guava_types::{DataCentre, FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
+use std::cell::Cell;
 use std::rc::Rc;
 use support::{
     address, engine, engine_traits, id, leaving, model, part, prompt, published, request, route,
@@ -76,6 +77,16 @@
 
 /// The choice with a random number that decides between candidates of equal cost.
 fn choose_drawn(fixture: &ChoiceFixture, tried: &[UpstreamId], draw: u64) -> Option<EngineChoice> {
+    choose_open(fixture, tried, draw, &|_| false)
+}
+
+/// The choice among the engines that are not closed.
+fn choose_open(
+    fixture: &ChoiceFixture,
+    tried: &[UpstreamId],
+    draw: u64,
+    is_closed: &dyn Fn(&UpstreamEntry) -> bool,
+) -> Option<EngineChoice> {
     choose_engine(&EngineInput {
         request: &fixture.request,
         prompt: &fixture.prompt,
@@ -96,7 +107,7 @@
         peers: &fixture.peers,
         data_centre: &fixture.data_centre,
         tried,
-        closed: &[],
+        is_closed,
         now: NOW,
         draw,
     })
@@ -491,9 +502,16 @@
 fn number_of_candidates_does_not_grow_with_the_service(engines: usize) {
     let fixture = large_service(engines);
 
-    let choice = choose(&fixture, &[]).unwrap();
+    let asked = Cell::new(0);
+    let is_closed = |_: &UpstreamEntry| {
+        asked.set(asked.get() + 1);
+        false
+    };
+
+    let choice = choose_open(&fixture, &[], 7, &is_closed).unwrap();
 
     assert!(choice.candidates <= MAX_CANDIDATES + 2, "{} candidates", choice.candidates);
+    assert!(asked.get() <= MAX_CANDIDATES + 2, "{} were checked for being closed", asked.get());
 }
 
 #[test]
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -11,13 +11,13 @@
 use guava_serve::{
     DrainNotice, DrainTable, GateInput, GateState, ListChangeEffect, MemberTable, PeerMessage,
     ServeContext, ServiceRule, UpstreamEntry, UpstreamTable, apply_drain, apply_message,
-    closed_upstreams, compose_announcements, compose_message, compose_reads, gate_state,
-    note_announcements, pass_gate,
+    compose_announcements, compose_message, compose_reads, gate_state, note_announcements,
+    pass_gate,
 };
 use guava_types::{Deadline, LimitRate, MemberName, Moment};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use support::{address, news, note, serve_context, upstream};
+use support::{address, id, news, note, serve_context, upstream};
 use yare::parameterized;
 
 /// Send limit of the tests' upstreams while they are cold.
@@ -203,7 +203,17 @@
 }
 
 fn is_closed(context: &ServeContext) -> bool {
-    !closed_upstreams(context, &app_rule(), Moment::now()).is_empty()
+    let upstreams = context.upstreams.borrow();
+    let input = GateInput {
+        drains: &context.drains.borrow(),
+        cold: app_rule().cold,
+        announcements: &context.announcements.borrow(),
+        sends: &context.sends.borrow(),
+        members: &context.members.borrow(),
+        local_daemon: &context.identity.name,
+    };
+    let entry = upstreams.entry(&id("u")).unwrap();
+    !gate_state(&input, entry, Moment::now()).is_open()
 }
 
 /// Delivers a message to a daemon, encoded as on the wire.
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -203,7 +203,7 @@
                 local_daemon: &"d1".parse().unwrap(),
                 data_centre: &"east".parse().unwrap(),
                 tried: &[],
-                closed: &[],
+                is_closed: &|_| false,
                 now,
                 draw,
             })
--- a/crates/guava-serve/tests/support/load_simulation.rs
+++ b/crates/guava-serve/tests/support/load_simulation.rs
@@ -233,7 +233,7 @@
             peers: &[],
             data_centre: &"east".parse().unwrap(),
             tried: &[],
-            closed: &[],
+            is_closed: &|_| false,
             now,
             draw: number,
         })
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -174,7 +174,7 @@
             local_daemon: &"d1".parse().unwrap(),
             data_centre: &"east".parse().unwrap(),
             tried: &[],
-            closed: &[],
+            is_closed: &|_| false,
             now,
             draw,
         })
