--- a/crates/guava-serve/src/request/retry_shares.rs
+++ b/crates/guava-serve/src/request/retry_shares.rs
@@ -13,6 +13,9 @@
 /// Fraction of the limit's slack that budgets may save up. The remainder covers daemons that restart
 /// with a full budget, and daemons that this one does not know yet.
 const SAVED_FRACTION: f64 = 0.5;
+/// Fraction of the slack that is handed out as whole retries where there are fewer than daemons. The
+/// remainder covers that daemons' places are drawn, so that a few more than expected may get one.
+const WHOLE_FRACTION: f64 = 0.9;
 
 /// Limit on the retries of all daemons together to one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,13 +33,16 @@
 pub struct RetryShares {
     limit: RetryLimit,
     daemons: usize,
+    /// This daemon's place among all, from 0 to 1.
+    place: f64,
     budgets: FastMap<ServiceName, RetryBudget>,
 }
 
 impl RetryShares {
-    /// Creates budgets under a limit that a number of daemons share, at least one.
-    pub fn new(limit: RetryLimit, daemons: usize) -> Self {
-        Self { limit, daemons: daemons.max(1), budgets: FastMap::default() }
+    /// Creates budgets under a limit that a number of daemons share, at least one. The daemons' places
+    /// are spread evenly from 0 to 1, and each has the same one at each start.
+    pub fn new(limit: RetryLimit, daemons: usize, place: f64) -> Self {
+        Self { limit, daemons: daemons.max(1), place, budgets: FastMap::default() }
     }
 
     /// Records the number of daemons. A larger number reduces all budgets to the smaller share; a
@@ -54,11 +60,14 @@
         self.limit.slack * SAVED_FRACTION / self.daemons as f64
     }
 
-    /// The most retries that this daemon may save up: its share, but a whole one where the slack has
-    /// one for each daemon. Of a smaller share none could ever be spent.
+    /// The most retries that this daemon may save up: its share, or where that is less than one, a
+    /// whole one. Of a smaller share none could ever be spent. Where the slack has fewer than one for
+    /// each daemon, the places decide who gets one.
     fn most_saved(&self) -> f64 {
-        let has_whole = self.limit.slack >= self.daemons as f64;
-        if has_whole { self.share().max(1.0) } else { self.share() }
+        let for_each = self.limit.slack / self.daemons as f64;
+        let has_whole = for_each >= 1.0 || self.place < for_each * WHOLE_FRACTION;
+        let whole = if has_whole { 1.0 } else { 0.0 };
+        if self.share() < 1.0 { whole } else { self.share() }
     }
 
     /// What a budget starts with. A retry that exceeds this daemon's share is given once: a daemon that
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -23,6 +23,7 @@
 use crate::upstreams::engine_speeds::EngineSpeeds;
 use crate::upstreams::prefill_rate::PrefillRate;
 use crate::upstreams::quarantine_record::QuarantineSync;
+use crate::upstreams::service_rings::RingPosition;
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
@@ -203,6 +204,7 @@
 impl ServeContext {
     /// A context without configuration, upstreams or peers, as at the start of the process.
     pub fn new(identity: ServeIdentity, bounds: ServeBounds, dialect: Dialect) -> Self {
+        let place = RingPosition::of(identity.name.as_str()).as_fraction();
         Self {
             pool: ConnectionPool::new(identity.source),
             bounds,
@@ -226,7 +228,7 @@
             links: RefCell::default(),
             targets: RefCell::default(),
             weights_changed: Notify::new(),
-            retries: RefCell::new(RetryShares::new(bounds.retries, 1)),
+            retries: RefCell::new(RetryShares::new(bounds.retries, 1, place)),
             members: RefCell::new(MemberTable::new(identity.data_centre.clone())),
             prefill: RefCell::default(),
             speeds: RefCell::default(),
