--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -40,6 +40,7 @@
         SyncInput {
             is_due,
             rank,
+            daemons: context.members.borrow().count(),
             is_known: reads.list.own().is_some(),
             has_fresh_mark: reads.list.received().is_some_and(is_fresh),
             gap: context.upstreams.borrow().list_gap(),
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -6,33 +6,37 @@
 //! much waits longer before it does: when upstreams register by the thousand, all daemons lack the
 //! same records at the same time.
 
-use crate::members::shared_reads::STANDBYS;
-
 /// Number of records that a daemon reads from the store soon if no peer gives them: as many as one
 /// call returns.
 const MAX_READ_GAP: u64 = 500;
-/// How long a standby waits for a peer that has the list or a configuration, in milliseconds; the
-/// reader does not wait. When all daemons start together the reader may be the last of them.
-const STANDBY_TIMEOUT_MS: u64 = 100;
-/// How long the other daemons wait at their start, in milliseconds: at least, and the time over which
-/// those that wait in vain are spread.
+/// Longest time for which a daemon waits for a peer that has the list or a configuration, in
+/// milliseconds: at least, and the time over which those that wait in vain are spread.
 const START_TIMEOUT_MS: u64 = 5_000;
 const START_SPREAD_MS: f64 = 10_000.0;
 /// Part of the time within which a configuration must be in force for which a daemon tries to copy it
 /// from peers before it reads it from the store.
 const CONFIG_COPY_DIVISOR: u64 = 7;
 
-/// How long a daemon that is neither the reader nor a standby waits for a peer at its start, in
-/// milliseconds; `draw` is in 0..1.
+/// Longest time for which a daemon waits for a peer at its start, in milliseconds; `draw` is in 0..1.
 pub fn start_timeout_ms(draw: f64) -> u64 {
     START_TIMEOUT_MS + (draw * START_SPREAD_MS) as u64
 }
 
+/// How long the daemon of a rank waits for a peer, in milliseconds. When all daemons start together,
+/// the reader may be the last of them, or not start at all. Others then read one after the other, the
+/// slower the more daemons there are, as lists are longer there.
+fn peer_timeout_ms(rank: usize, daemons: usize, longest_ms: u64) -> u64 {
+    let graded_ms = rank.saturating_mul(daemons);
+    longest_ms.min(u64::try_from(graded_ms).unwrap_or(u64::MAX))
+}
+
 /// State on which it depends whether the operator's records are copied from peers.
 #[derive(Clone, Copy, Debug)]
 pub struct OperatorInput {
     /// This daemon's rank for reading the store; 0 is the reader.
     pub rank: usize,
+    /// Number of daemons that are ranked.
+    pub daemons: usize,
     /// Whether this daemon has a configuration.
     pub has_config: bool,
     /// Whether a peer has reported records that this daemon lacks.
@@ -49,8 +53,7 @@
 /// peer reported is copied; if none reports, only the store can tell.
 pub fn may_copy_operator(input: &OperatorInput) -> bool {
     let timeout_ms = match (input.has_config, input.is_told) {
-        (false, _) if input.rank <= STANDBYS => STANDBY_TIMEOUT_MS,
-        (false, _) => input.start_timeout_ms,
+        (false, _) => peer_timeout_ms(input.rank, input.daemons, input.start_timeout_ms),
         (true, true) => input.config_limit_ms / CONFIG_COPY_DIVISOR,
         (true, false) => 0,
     };
@@ -64,6 +67,8 @@
     pub is_due: bool,
     /// This daemon's rank for reading the store; 0 is the reader.
     pub rank: usize,
+    /// Number of daemons that are ranked.
+    pub daemons: usize,
     /// Whether this daemon has read or copied the list before.
     pub is_known: bool,
     /// Whether a peer has reported a recent read.
@@ -72,7 +77,7 @@
     pub gap: u64,
     /// For how long this daemon has been due, in milliseconds.
     pub waited_ms: u64,
-    /// How long it waits for a peer if it lacks much, in milliseconds.
+    /// How long it waits for a peer at most if it lacks much, in milliseconds.
     pub copy_timeout_ms: u64,
 }
 
@@ -106,7 +111,6 @@
             SyncStep::Read
         };
     }
-    let timeout_ms =
-        if input.rank <= STANDBYS { STANDBY_TIMEOUT_MS } else { input.copy_timeout_ms };
+    let timeout_ms = peer_timeout_ms(input.rank, input.daemons, input.copy_timeout_ms);
     if input.waited_ms < timeout_ms { SyncStep::Copy { may_read: false } } else { SyncStep::Read }
 }
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -385,6 +385,7 @@
     SyncInput {
         is_due: true,
         rank,
+        daemons: CORE,
         is_known: true,
         has_fresh_mark: true,
         gap,
@@ -393,6 +394,21 @@
     }
 }
 
+#[parameterized(
+    small = { 8, 100, 7 },
+    large = { 120, 1_000, 8 },
+    twice_as_large = { 240, 1_000, 4 },
+)]
+fn without_a_reader_the_others_read_one_after_the_other(daemons: usize, ms: u64, expected: usize) {
+    // Guards against seconds without a list when the reader and its standbys don't start.
+    let reads = |rank: &usize| {
+        let unknown = SyncInput { daemons, is_known: false, ..sync_input(*rank, 0, ms) };
+        sync_step(&unknown) == SyncStep::Read
+    };
+
+    assert_eq!((1..daemons).filter(reads).count(), expected);
+}
+
 #[test]
 fn daemons_that_lack_many_records_don_t_ask_the_store_for_them() {
     // Guards against reads by all daemons while upstreams register by the thousand.
