fix: a peer that is down does not keep a daemon from the store

A daemon that asked a peer which was still off waited for its connection, and asked the store only after that.

Each attempt to copy now ends when the store is to be asked: at a start after the daemon's rank times the number of daemons, for a change after a seventh of the time in which it must be in force.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -17,7 +17,7 @@
 mod weights;
 
 pub use config_update::apply_config;
-pub use deadline_wait::with_last_wait;
+pub use deadline_wait::{until, with_last_wait};
 pub use members::config_copy::{
     CONFIG_PATH, ConfigCopy, ConfigCopyError, compose_config, copy_config,
 };
@@ -34,7 +34,7 @@
     note_list_read,
 };
 pub use members::list_sync::{
-    OperatorInput, SyncInput, SyncStep, may_copy_operator, start_timeout_ms, sync_step,
+    OperatorInput, SyncInput, SyncStep, operator_copy_ms, start_timeout_ms, sync_step,
 };
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_descriptor::MemberDescriptor;
--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -3,6 +3,7 @@
 //! What was read from the store, or copied from a peer, is applied here and passed on to the daemons
 //! that learn of it from this one.
 
+use crate::deadline_wait::until;
 use crate::events;
 use crate::members::list_copy::{CopyRange, ListCopy, copy_list};
 use crate::members::list_sync::{SyncInput, start_timeout_ms};
@@ -46,19 +47,21 @@
             gap: context.upstreams.borrow().list_gap(),
             waited_ms: self.due_since.map_or(0, |since| now.millis_since(since)),
             copy_timeout_ms: self.copy_timeout_ms,
+            change_limit_ms: context.bounds.leave_limit_ms,
         }
     }
 }
 
 /// Copies from a peer what this daemon lacks of the list. Returns the position up to which it then has
-/// all records; `None` if no peer gave them.
-pub async fn copy_missing(context: &ServeContext) -> Option<ListRevision> {
+/// all records; `None` if no peer gave them in time.
+pub async fn copy_missing(context: &ServeContext, deadline: Deadline) -> Option<ListRevision> {
     let is_known = context.reads.borrow().list.own().is_some();
     let since = context.upstreams.borrow().list_position();
     let range = if is_known { CopyRange::Since(since) } else { CopyRange::Whole };
     let teller = context.list_teller.take();
     let sources = context.members.borrow().list_sources(rand::random(), Moment::now());
-    let copy = match copy_list(context, teller.into_iter().chain(sources).collect(), range).await {
+    let sources = teller.into_iter().chain(sources).collect();
+    let copy = match until(deadline, copy_list(context, sources, range)).await? {
         Ok(copy) => copy,
         Err(error) => {
             log_event!(debug, events::LIST_UNAVAILABLE, reason = error);
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -13,9 +13,9 @@
 /// milliseconds: at least, and the time over which those that wait in vain are spread.
 const START_TIMEOUT_MS: u64 = 5_000;
 const START_SPREAD_MS: f64 = 10_000.0;
-/// Part of the time within which a configuration must be in force for which a daemon tries to copy it
-/// from peers before it reads it from the store.
-const CONFIG_COPY_DIVISOR: u64 = 7;
+/// Part of the time within which a change must be in force for which a daemon tries to copy it from
+/// peers before it reads it from the store.
+const COPY_TIME_DIVISOR: u64 = 7;
 
 /// Longest time for which a daemon waits for a peer at its start, in milliseconds; `draw` is in 0..1.
 pub fn start_timeout_ms(draw: f64) -> u64 {
@@ -49,15 +49,16 @@
     pub config_limit_ms: u64,
 }
 
-/// Whether a daemon asks its peers for the operator's records, and not yet the store. A change that a
-/// peer reported is copied; if none reports, only the store can tell.
-pub fn may_copy_operator(input: &OperatorInput) -> bool {
+/// For how much longer a daemon asks its peers for the operator's records, in milliseconds; 0 if it is
+/// to read the store. A change that a peer reported is copied; if none reports, only the store can
+/// tell.
+pub fn operator_copy_ms(input: &OperatorInput) -> u64 {
     let timeout_ms = match (input.has_config, input.is_told) {
         (false, _) => peer_timeout_ms(input.rank, input.daemons, input.start_timeout_ms),
-        (true, true) => input.config_limit_ms / CONFIG_COPY_DIVISOR,
+        (true, true) => input.config_limit_ms / COPY_TIME_DIVISOR,
         (true, false) => 0,
     };
-    input.rank > 0 && input.waited_ms < timeout_ms
+    if input.rank == 0 { 0 } else { timeout_ms.saturating_sub(input.waited_ms) }
 }
 
 /// State on which the decision depends.
@@ -79,6 +80,8 @@
     pub waited_ms: u64,
     /// How long it waits for a peer at most if it lacks much, in milliseconds.
     pub copy_timeout_ms: u64,
+    /// Longest time until a change of the list is in force, in milliseconds.
+    pub change_limit_ms: u64,
 }
 
 /// What to do now.
@@ -90,6 +93,8 @@
     Copy {
         /// Whether the store is read if no peer gives what is lacking.
         may_read: bool,
+        /// Longest time for the attempt, in milliseconds: a peer that is down doesn't answer.
+        timeout_ms: u64,
     },
     /// Read the store.
     Read,
@@ -106,11 +111,15 @@
     let lacks_much = !input.is_known || input.gap > MAX_READ_GAP;
     if !lacks_much {
         return if input.has_fresh_mark {
-            SyncStep::Copy { may_read: true }
+            let timeout_ms = input.change_limit_ms / COPY_TIME_DIVISOR;
+            SyncStep::Copy { may_read: true, timeout_ms }
         } else {
             SyncStep::Read
         };
     }
     let timeout_ms = peer_timeout_ms(input.rank, input.daemons, input.copy_timeout_ms);
-    if input.waited_ms < timeout_ms { SyncStep::Copy { may_read: false } } else { SyncStep::Read }
+    match timeout_ms.saturating_sub(input.waited_ms) {
+        0 => SyncStep::Read,
+        timeout_ms => SyncStep::Copy { may_read: false, timeout_ms },
+    }
 }
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -391,6 +391,7 @@
         gap,
         waited_ms,
         copy_timeout_ms: 9_000,
+        change_limit_ms: 2_100,
     }
 }
 
@@ -419,10 +420,11 @@
         sync_step(&sync_input(any_rank, 9_000, 9_000)),
     );
 
-    assert_eq!(soon, SyncStep::Copy { may_read: false });
+    assert_eq!(soon, SyncStep::Copy { may_read: false, timeout_ms: 5_000 });
     assert_eq!(late, SyncStep::Read);
     assert_eq!(sync_step(&sync_input(0, 9_000, 0)), SyncStep::Read);
-    assert_eq!(sync_step(&sync_input(any_rank, 3, 0)), SyncStep::Copy { may_read: true });
+    let few = sync_step(&sync_input(any_rank, 3, 0));
+    assert_eq!(few, SyncStep::Copy { may_read: true, timeout_ms: 300 });
     let alone = SyncInput { has_fresh_mark: false, ..sync_input(any_rank, 3, 0) };
     assert_eq!(sync_step(&alone), SyncStep::Read, "no peer tells what it reads");
 }
