fix: fewer daemons read the store while the first copies of a long list are made

A rank is now a thirty-second of the square of the number: 2 ms among 8 daemons, 450 ms among 120, so that of twice as many daemons fewer read, not more.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -25,7 +25,7 @@
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
-    COPY_REFUSED "G8109" "a page of a peer's list of upstreams was refused";
+    COPY_REFUSED "G8109" "a copy that a peer gave was refused";
     LIST_COPIED "G8110" "the list of upstreams was copied from peers";
     CONFIG_APPLIED "G8104" "a configuration is in force";
     CONFIG_IGNORED "G8105" "an older configuration was ignored";
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -22,11 +22,15 @@
     START_TIMEOUT_MS + (draw * START_SPREAD_MS) as u64
 }
 
+/// Divisor of the square of the number of daemons that gives the time between the reads of two ranks,
+/// in milliseconds.
+const RANK_STEP_DIVISOR: usize = 32;
+
 /// How long the daemon of a rank waits for a peer, in milliseconds. When all daemons start together,
-/// the reader may be the last of them, or not start at all. Others then read one after the other, the
-/// slower the more daemons there are, as lists are longer there.
+/// the reader may be the last of them, or not start at all. Others then read one after the other: the
+/// more daemons there are, the longer is the list, and the more of them may ask for it.
 fn peer_timeout_ms(rank: usize, daemons: usize, longest_ms: u64) -> u64 {
-    let graded_ms = rank.saturating_mul(daemons);
+    let graded_ms = rank.saturating_mul(daemons * daemons / RANK_STEP_DIVISOR);
     longest_ms.min(u64::try_from(graded_ms).unwrap_or(u64::MAX))
 }
 
