--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -17,7 +17,7 @@
 use guava_types::{Deadline, LimitRate, MemberName, Moment};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use support::{address, id, news, note, serve_context, upstream};
+use support::{address, news, note, serve_context, upstream};
 use yare::parameterized;
 
 /// Send limit of the tests' upstreams while they are cold.
@@ -202,18 +202,19 @@
     context
 }
 
+/// Whether any upstream of the service is closed.
 fn is_closed(context: &ServeContext) -> bool {
-    let upstreams = context.upstreams.borrow();
+    let (rule, now) = (app_rule(), Moment::now());
     let input = GateInput {
         drains: &context.drains.borrow(),
-        cold: app_rule().cold,
+        cold: rule.cold,
         announcements: &context.announcements.borrow(),
         sends: &context.sends.borrow(),
         members: &context.members.borrow(),
         local_daemon: &context.identity.name,
     };
-    let entry = upstreams.entry(&id("u")).unwrap();
-    !gate_state(&input, entry, Moment::now()).is_open()
+    let upstreams = context.upstreams.borrow();
+    upstreams.serving(&rule.name, now).any(|entry| !gate_state(&input, entry, now).is_open())
 }
 
 /// Delivers a message to a daemon, encoded as on the wire.
