test: one daemon alone may have use for an upstream that names a limit

upstream_that_names_a_limit_is_not_overrun_on_the_own_interface::completion, listed as red, came again in two of eight runs beside a load of 25: four requests at 4.07, 4.13, 8.21 and 8.27 s where five were expected. Traced by the daemons' logs: all engines cost the same, each of the three daemons keeps to an idle one of its own ("spread": entry-0 to engine-1, entry-1 to engine-2, entry-2 to engine-0), so one daemon alone has use for engine-0, and its share may be the smallest, two in four seconds. That is allowed: nothing waits.

The check that the limit is used is now made in each five seconds, from the first moment on, instead of once over six: two requests of one daemon for completions, five for instances, which all daemons use.

--- a/crates/guavatiller/tests/own_upstream_words.rs
+++ b/crates/guavatiller/tests/own_upstream_words.rs
@@ -19,6 +19,9 @@
 const KNOWN_MS: u64 = 3_000;
 /// Time after which an upstream that has said that it leaves gets nothing, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
+/// Time in which daemons that have use for an upstream send it what they may, in milliseconds: the four
+/// seconds over which shares are counted, and one more.
+const SHARE_MS: u64 = 5_000;
 /// Pause between two requests of a daemon's callers.
 const PAUSE: Duration = Duration::from_millis(40);
 const CALL_MS: u64 = 1_500;
@@ -85,25 +88,33 @@
     ask(server(deployment, name), "/received").unwrap()
 }
 
+// Idle engines are divided among the daemons, so one daemon alone may have use for this one, and its
+// share may be the smallest, two requests; instances get requests of all daemons.
 #[yare::parameterized(
-    completion = { complete, "engine-0" },
-    idempotent = { read, "board-0" },
-    keyed = { submit, "board-0" },
+    completion = { complete, "engine-0", 2 },
+    idempotent = { read, "board-0", 5 },
+    keyed = { submit, "board-0", 5 },
 )]
-fn upstream_that_names_a_limit_is_not_overrun_on_the_own_interface(send: Send, upstream: &str) {
+fn upstream_that_names_a_limit_is_not_overrun_on_the_own_interface(
+    send: Send,
+    upstream: &str,
+    fewest: usize,
+) {
     let deployment = start();
     load(&deployment, send, Duration::from_millis(500));
     post_value(server(&deployment, upstream), "/words", &json!({ "limit": "2" })).unwrap();
 
     let statuses = load(&deployment, send, Duration::from_secs(9));
 
-    let later: Vec<u64> =
-        received(&deployment, upstream).into_iter().filter(|at| *at >= KNOWN_MS).collect();
-    let within =
-        |first: &u64| later.iter().filter(|at| (*first..first + 4_000).contains(at)).count();
-    let busiest = later.iter().map(within).max().unwrap_or(0);
+    let all = received(&deployment, upstream);
+    let within = |first: u64, span_ms: u64| {
+        all.iter().filter(|at| (first..first + span_ms).contains(at)).count()
+    };
+    let later = all.iter().filter(|at| **at >= KNOWN_MS);
+    let busiest = later.map(|first| within(*first, 4_000)).max().unwrap_or(0);
     assert!(busiest <= 17, "{busiest} in four seconds");
-    assert!(later.len() >= 5, "{later:?}");
+    let is_used = |first: u64| within(first, SHARE_MS) >= fewest;
+    assert!([0, 2_000, 4_000].into_iter().all(is_used), "{all:?}");
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
