test: what a weak VM sends of copies is bounded by its link

With the budget of transfers taken out no test failed (nine megabytes in 1.15 s from a VM of 2.5 MB/s); a_list_reaches_twice_as_many_daemons_in_little_more_time now fails.

--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -316,9 +316,13 @@
 
 #[test]
 fn a_list_reaches_twice_as_many_daemons_in_little_more_time() {
-    let (once_ms, _) = copied(1_000, 10_000);
-    let (twice_ms, _) = copied(2_000, 20_000);
+    let (once_ms, once_sent) = copied(1_000, 10_000);
+    let (twice_ms, twice_sent) = copied(2_000, 20_000);
+    // Half of a weak VM's link, a second of it at once, and one list.
+    let allowed = |ms: u64, list: u64| 1_250 * (ms + 1_000) + list;
 
+    assert!(once_sent <= allowed(once_ms, 600_000), "{once_sent} bytes in {once_ms} ms");
+    assert!(twice_sent <= allowed(twice_ms, 1_200_000), "{twice_sent} bytes in {twice_ms} ms");
     assert!(once_ms <= 3_500, "{once_ms} ms");
     assert!(twice_ms <= 2 * once_ms, "{once_ms} ms and {twice_ms} ms");
 }
