test: log lines of bad records are waited for

records_of_other_writers_leave_the_others_in_force failed nine of nine times since a daemon is ready as soon as it has what it needs: the test looked at the log right after the first answer, and lines are written some tenths of a second later; the 250 ms until readiness had hidden that. It waits for the same nine lines.

--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -424,9 +424,10 @@
     wait_until("the daemon is ready", || is_ready(&daemon));
 
     assert_eq!(submit(&daemon, "r1").unwrap().status, 200);
+    // Lines are written a little later than what they tell of.
+    wait_until("bad records are logged", || count_logged(&daemon, "G9103") >= 9);
     let bad: Vec<String> =
         daemon.lines().into_iter().filter(|line| line.contains("G9103")).collect();
-    assert!(bad.len() >= 9, "{bad:#?}");
     assert!(bad.iter().all(|line| line.len() < 800), "{bad:#?}");
     let metrics = ask(daemon.metrics, "/metrics").unwrap();
     assert!(metrics.body.contains("bad_records_total{kind=\"item\"}"), "{}", metrics.body);
