refactor: copies from peers share one loop, one call and one error

copy_list and copy_config asked peers one after the other in two loops, with twin errors; the fixture of a closed upstream built the gate's input anew. Behaviour stays, but for the text of one debug line ("no peer can be asked"). Formatter, linter and the tests of the request path, growth and the platform pass.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -18,15 +18,13 @@
 
 pub use config_update::apply_config;
 pub use deadline_wait::{until, with_last_wait};
-pub use members::config_copy::{
-    CONFIG_PATH, ConfigCopy, ConfigCopyError, compose_config, copy_config,
-};
+pub use members::config_copy::{CONFIG_PATH, ConfigCopy, compose_config, copy_config};
 pub use members::core_group::{
     CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records, registration_pause,
 };
 pub use members::list_change_gossip::ListChangeGossip;
 pub use members::list_copy::{
-    CopyError, CopyRange, LIST_PATH, ListCopy, PageRefusal, changes_since, compose_page, copy_list,
+    CopyRange, LIST_PATH, ListCopy, PageRefusal, changes_since, compose_page, copy_list,
     entries_since,
 };
 pub use members::list_reader::{
@@ -40,6 +38,7 @@
 pub use members::member_descriptor::MemberDescriptor;
 pub use members::member_table::{MemberRole, MemberTable, PeerRole};
 pub use members::message_split::datagrams;
+pub use members::peer_copy::CopyError;
 pub use members::peer_exchange::{
     ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_target, apply_version,
     compose_announcements, compose_attached_reads, compose_crash_notices, compose_immediate,
@@ -88,7 +87,7 @@
 pub use request::request_plan::draw_service;
 pub use request::retry_shares::{RetryLimit, RetryShares};
 pub use request::send_gate::{
-    GateInput, GateState, gate_state, limit_levels, pass_gate, reopening,
+    GateInput, GateState, gate_state, limit_levels, pass_gate, reopening, with_gate_input,
 };
 pub use request::service_choice::{ServiceInput, choose_instance};
 pub use serve_config::{
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -10,6 +10,7 @@
 pub(crate) mod member_descriptor;
 pub(crate) mod member_table;
 pub(crate) mod message_split;
+pub(crate) mod peer_copy;
 pub(crate) mod peer_exchange;
 pub(crate) mod peer_key;
 pub(crate) mod peer_message;
--- a/crates/guava-serve/src/members/config_copy.rs
+++ b/crates/guava-serve/src/members/config_copy.rs
@@ -5,19 +5,18 @@
 //! the reader reads it; the others copy it from the daemon that told them of the change, together with
 //! what else was read with it. Both sides prove that they know the daemons' key.
 
-use crate::events;
 use crate::members::member_descriptor::MemberDescriptor;
+use crate::members::peer_copy::{CopyError, InvalidSnafu, NoPeerSnafu, call_peer, first_copy};
 use crate::members::peer_exchange::compose_attached_reads;
 use crate::members::peer_message::PeerMessage;
 use crate::serve_context::ServeContext;
-use crate::upstreams::http_call::{CallError, call_request};
+use crate::upstreams::http_call::call_request;
 use bytes::Bytes;
-use guava_log::log_event;
-use guava_types::{Deadline, Moment};
+use guava_types::Moment;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Method, StatusCode};
 use prost::Message;
-use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ensure};
 use std::net::SocketAddr;
 
 /// Path under which a daemon answers with the configuration.
@@ -26,38 +25,8 @@
 const STATE_QUERY: &str = "state=";
 /// Time for one copy, in milliseconds.
 const COPY_TIMEOUT_MS: u64 = 1_500;
-/// Idle limit of the connection to a peer, in milliseconds.
-const IDLE_LIMIT_MS: u64 = 2_000;
-
-/// Why no configuration was copied.
-#[derive(Debug, Snafu)]
-pub enum ConfigCopyError {
-    /// The daemons' key or a peer to ask is not known yet.
-    #[snafu(display("no peer can be asked"))]
-    NoPeer,
-    /// The peer did not answer.
-    #[snafu(display("{peer}: {source}"))]
-    Unanswered {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Failure of the call.
-        source: CallError,
-    },
-    /// The peer has no configuration, or does not accept the call.
-    #[snafu(display("{peer}: status {status}"))]
-    Declined {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Status of its answer.
-        status: StatusCode,
-    },
-    /// The answer is truncated, or its sender does not know the daemons' key.
-    #[snafu(display("{peer}: not a valid copy of the configuration"))]
-    Forged {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-}
+/// What a copy is called in errors.
+const CONTENT: &str = "copy of the configuration";
 
 /// A configuration as a peer has it.
 #[derive(Debug)]
@@ -115,27 +84,11 @@
 pub async fn copy_config(
     context: &ServeContext,
     sources: Vec<SocketAddr>,
-) -> Result<ConfigCopy, ConfigCopyError> {
-    let mut failure = ConfigCopyError::NoPeer;
-    for peer in sources {
-        match copy_from(context, peer).await {
-            Ok(copy) => return Ok(copy),
-            Err(error) => {
-                if matches!(error, ConfigCopyError::Forged { .. }) {
-                    context.metrics.count_refused_copy();
-                    log_event!(warn, events::COPY_REFUSED, reason = error);
-                }
-                failure = error;
-            }
-        }
-    }
-    Err(failure)
+) -> Result<ConfigCopy, CopyError> {
+    first_copy(context, sources, async |peer| copy_from(context, peer).await).await
 }
 
-async fn copy_from(
-    context: &ServeContext,
-    peer: SocketAddr,
-) -> Result<ConfigCopy, ConfigCopyError> {
+async fn copy_from(context: &ServeContext, peer: SocketAddr) -> Result<ConfigCopy, CopyError> {
     let key = context.peer_key.get().context(NoPeerSnafu)?;
     let call_tag = key.call_tag(CONFIG_PATH, &peer);
     let known = context.reads.borrow().operator.own().map(|own| own.state);
@@ -145,14 +98,15 @@
     let header = call_tag.parse().ok().context(NoPeerSnafu)?;
     request.headers_mut().insert(AUTHORIZATION, header);
     let asked = Moment::now();
-    let deadline = Deadline::in_millis(COPY_TIMEOUT_MS);
-    let answer = context.pool.call(peer, request, deadline, IDLE_LIMIT_MS).await;
-    let answer = answer.context(UnansweredSnafu { peer })?;
-    ensure!(answer.status == StatusCode::OK, DeclinedSnafu { peer, status: answer.status });
-    let sealed = WireSealed::decode(answer.body).ok().context(ForgedSnafu { peer })?;
+    let body = call_peer(context, peer, request, COPY_TIMEOUT_MS).await?;
+    let sealed = WireSealed::decode(body).ok().context(InvalidSnafu { peer, content: CONTENT })?;
     let is_sealed = key.answer_tag(&call_tag, &sealed.copy)[..] == sealed.tag[..];
-    ensure!(is_sealed, ForgedSnafu { peer });
-    let copy = WireCopy::decode(sealed.copy).ok().context(ForgedSnafu { peer })?;
+    ensure!(is_sealed, InvalidSnafu { peer, content: CONTENT });
+    let copy =
+        WireCopy::decode(sealed.copy).ok().context(InvalidSnafu { peer, content: CONTENT })?;
     let message = PeerMessage::decode_waiting(&copy.message, asked, Moment::now());
-    Ok(ConfigCopy { record: copy.record, message: message.context(ForgedSnafu { peer })? })
+    Ok(ConfigCopy {
+        record: copy.record,
+        message: message.context(InvalidSnafu { peer, content: CONTENT })?,
+    })
 }
--- a/crates/guava-serve/src/members/list_copy.rs
+++ b/crates/guava-serve/src/members/list_copy.rs
@@ -8,19 +8,18 @@
 //! A page that can't be read, that is too old or that exceeds the limits is refused, and another peer
 //! is asked. What a copy lacks because the list changed meanwhile shows as a different digest.
 
-use crate::events;
+use crate::members::peer_copy::{CopyError, InvalidSnafu, OldSnafu, call_peer, first_copy};
 use crate::members::peer_message::{ListChange, address_from_wire, wire_address};
 use crate::serve_context::ServeContext;
-use crate::upstreams::http_call::{CallError, call_request};
+use crate::upstreams::http_call::call_request;
 use crate::upstreams::list_order::ListRevision;
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
-use guava_log::log_event;
 use guava_types::{
     ByteCount, DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId,
 };
 use http::{Method, StatusCode};
 use prost::Message;
-use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ensure};
 use std::net::SocketAddr;
 
 /// Path under which a daemon answers with pages of its list.
@@ -32,46 +31,8 @@
 const MAX_ENTRIES: usize = 200_000;
 /// Time for one page, in milliseconds.
 const PAGE_TIMEOUT_MS: u64 = 1_000;
-/// Idle limit of the connection to a peer, in milliseconds: it is used for one copy.
-const IDLE_LIMIT_MS: u64 = 2_000;
-
-/// Why no list was copied.
-#[derive(Debug, Snafu)]
-pub enum CopyError {
-    /// No peer is known that could have the list.
-    #[snafu(display("no peer is known"))]
-    NoPeer,
-    /// The peer did not answer.
-    #[snafu(display("{peer}: {source}"))]
-    Call {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Failure of the call.
-        source: CallError,
-    },
-    /// The peer has no list, or sends copies to others now.
-    #[snafu(display("{peer}: status {status}"))]
-    Refused {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Status of its answer.
-        status: StatusCode,
-    },
-    /// The page is truncated, names values that are none, or is too long.
-    #[snafu(display("{peer}: not a valid page of the list"))]
-    Invalid {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// The peer has not confirmed its list for too long.
-    #[snafu(display("{peer}: its list was last confirmed {age_ms} ms ago"))]
-    Old {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Age of the list, in milliseconds.
-        age_ms: u64,
-    },
-}
+/// What a copy is called in errors.
+const CONTENT: &str = "page of the list";
 
 /// The list, or changes of it, as peers had them.
 #[derive(Debug, Default)]
@@ -310,20 +271,7 @@
     sources: Vec<SocketAddr>,
     range: CopyRange,
 ) -> Result<ListCopy, CopyError> {
-    let mut failure = CopyError::NoPeer;
-    for peer in sources {
-        match copy_from(context, peer, range).await {
-            Ok(copy) => return Ok(copy),
-            Err(error) => {
-                if matches!(error, CopyError::Invalid { .. } | CopyError::Old { .. }) {
-                    context.metrics.count_refused_copy();
-                    log_event!(warn, events::COPY_REFUSED, reason = error);
-                }
-                failure = error;
-            }
-        }
-    }
-    Err(failure)
+    first_copy(context, sources, async |peer| copy_from(context, peer, range).await).await
 }
 
 async fn copy_from(
@@ -353,7 +301,7 @@
         let asked = Moment::now();
         let page = call_page(context, peer, &format!("{LIST_PATH}?{query}{next}")).await?;
         let has_more = page.has_more;
-        ensure!(!has_more || page.next > next, InvalidSnafu { peer });
+        ensure!(!has_more || page.next > next, InvalidSnafu { peer, content: CONTENT });
         next = page.next;
         add_page(context, peer, page, asked, &mut copy)?;
         if !has_more && let Some(copy) = copy.take() {
@@ -368,13 +316,8 @@
     target: &str,
 ) -> Result<WirePage, CopyError> {
     let request = call_request(Method::GET, peer, target, Vec::new());
-    let deadline = Deadline::in_millis(PAGE_TIMEOUT_MS);
-    let answer = context.pool.call(peer, request, deadline, IDLE_LIMIT_MS).await;
-    let answer = answer.context(CallSnafu { peer })?;
-    if answer.status != StatusCode::OK {
-        return RefusedSnafu { peer, status: answer.status }.fail();
-    }
-    WirePage::decode(answer.body).ok().context(InvalidSnafu { peer })
+    let body = call_peer(context, peer, request, PAGE_TIMEOUT_MS).await?;
+    WirePage::decode(body).ok().context(InvalidSnafu { peer, content: CONTENT })
 }
 
 /// Adds a page to a copy.
@@ -390,10 +333,14 @@
     }
     let now = Moment::now();
     let changes = page.entries.iter().map(|entry| page_change(entry, &page.names, now));
-    let changes: Vec<ListChange> = changes.collect::<Option<_>>().context(InvalidSnafu { peer })?;
+    let changes: Vec<ListChange> =
+        changes.collect::<Option<_>>().context(InvalidSnafu { peer, content: CONTENT })?;
     let known = copy.as_ref().map_or(0, |copy| copy.changes.len());
     let is_truncated = page.count != changes.len() as u64 || (page.has_more && changes.is_empty());
-    ensure!(!is_truncated && known + changes.len() <= MAX_ENTRIES, InvalidSnafu { peer });
+    ensure!(
+        !is_truncated && known + changes.len() <= MAX_ENTRIES,
+        InvalidSnafu { peer, content: CONTENT }
+    );
     let (position, as_of) = (ListRevision(page.position), asked.minus_millis(page.age_ms));
     let copy = copy.get_or_insert_with(|| ListCopy { position, as_of, ..ListCopy::default() });
     // The pages are no snapshot: what is certain is what the earliest of them contained.
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -116,7 +116,7 @@
 }
 
 /// Evaluates a decision on the present state of the gate.
-pub(crate) fn with_gate_input<T>(
+pub fn with_gate_input<T>(
     context: &ServeContext,
     rule: &ServiceRule,
     evaluate: impl FnOnce(&GateInput<'_>) -> T,
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -12,7 +12,7 @@
     DrainNotice, DrainTable, GateInput, GateState, ListChangeEffect, MemberTable, PeerMessage,
     ServeContext, ServiceRule, UpstreamEntry, UpstreamTable, apply_drain, apply_message,
     compose_announcements, compose_message, compose_reads, gate_state, note_announcements,
-    pass_gate,
+    pass_gate, with_gate_input,
 };
 use guava_types::{Deadline, LimitRate, MemberName, Moment};
 use rand::rngs::SmallRng;
@@ -205,16 +205,10 @@
 /// Whether any upstream of the service is closed.
 fn is_closed(context: &ServeContext) -> bool {
     let (rule, now) = (app_rule(), Moment::now());
-    let input = GateInput {
-        drains: &context.drains.borrow(),
-        cold: rule.cold,
-        announcements: &context.announcements.borrow(),
-        sends: &context.sends.borrow(),
-        members: &context.members.borrow(),
-        local_daemon: &context.identity.name,
-    };
     let upstreams = context.upstreams.borrow();
-    upstreams.serving(&rule.name, now).any(|entry| !gate_state(&input, entry, now).is_open())
+    with_gate_input(context, &rule, |input| {
+        upstreams.serving(&rule.name, now).any(|entry| !gate_state(input, entry, now).is_open())
+    })
 }
 
 /// Delivers a message to a daemon, encoded as on the wire.
