refactor: one function tells a daemon's candidates

candidates and subset took the same four arguments, and only tests called the second by itself. Tests of the choice, of instances and of the table pass.

--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -519,8 +519,9 @@
         listed.filter(move |listed| listed.is_usable(now)).map(|listed| &listed.entry)
     }
 
-    /// The upstreams of a service that a daemon uses: all that may get new work, or its subset of a
-    /// large service.
+    /// The upstreams of a service that a daemon uses: all that may get new work, but of a large service
+    /// those of its data centre from its own place on the ring on, and if there are too few, those
+    /// that follow it in any data centre.
     pub fn candidates(
         &self,
         service: &ServiceName,
@@ -531,18 +532,6 @@
         if self.service_count(service) <= MAX_CANDIDATES {
             return self.serving(service, now).collect();
         }
-        self.subset(service, daemon, data_centre, now)
-    }
-
-    /// The upstreams of a large service that a daemon uses: those of its data centre from its own
-    /// place on the ring on, and if there are too few, those that follow it in any data centre.
-    pub fn subset(
-        &self,
-        service: &ServiceName,
-        daemon: &MemberName,
-        data_centre: &DataCentre,
-        now: Moment,
-    ) -> Vec<&UpstreamEntry> {
         let Some(rings) = self.by_service.get(service) else { return Vec::new() };
         let place = RingPosition::of(daemon.as_str());
         let local = self.usable(rings.local_from(data_centre, place), now);
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -561,7 +561,7 @@
     let mut used: FastMap<UpstreamId, usize> = FastMap::default();
     for index in 0..DAEMONS {
         fixture.daemon = format!("d{index}").parse().unwrap();
-        let subset = fixture.upstreams.subset(
+        let subset = fixture.upstreams.candidates(
             &"llm".parse().unwrap(),
             &fixture.daemon,
             &fixture.data_centre,
@@ -584,7 +584,7 @@
     let ids = |fixture: &ChoiceFixture| -> Vec<UpstreamId> {
         let service = "llm".parse().unwrap();
         let daemon = &fixture.daemon;
-        let subset = fixture.upstreams.subset(&service, daemon, &fixture.data_centre, NOW);
+        let subset = fixture.upstreams.candidates(&service, daemon, &fixture.data_centre, NOW);
         subset.into_iter().map(|entry| entry.id.clone()).collect()
     };
     let before = ids(&fixture);
