--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -151,11 +151,6 @@
         Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
     }
 
-    /// Whether another daemon's later read found another state than this daemon has.
-    pub fn is_behind(&self) -> bool {
-        !self.is_confirmed()
-    }
-
     /// Moment of the last read by another daemon.
     pub fn received(&self) -> Option<Moment> {
         self.received.map(|received| received.as_of)
@@ -196,7 +191,7 @@
             1..=STANDBYS => is_older(confirmed, pace.standby_ms),
             _ => is_older(confirmed, pace.expiry_ms),
         };
-        is_stale || self.is_behind()
+        is_stale || !self.is_confirmed()
     }
 }
 
