feat: a daemon notices, logs and measures that it reaches no upstream

Logs of the incident could not tell a daemon without links from upstreams that are all away: each failed send had a line, and nothing added them up. Three upstreams that fail with no contact in between, and then a sample of eight that all fail, are the daemon's own links: G8020, G8021 and the gauge reaches_upstreams. Nothing acts on it yet.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod memory_queue;
 mod placement;
 mod prefix;
+mod reach_watch;
 mod reply;
 mod retry;
 mod route;
@@ -47,6 +48,7 @@
 pub use memory_queue::MemoryQueue;
 pub use placement::{PlacementInput, PlacementMove, plan_in_order, plan_moves};
 pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain};
+pub use reach_watch::{ReachChange, ReachWatch};
 pub use reply::{ReplyAssembler, ReplyChunk, ReplyStep};
 pub use retry::RetryBudget;
 pub use route::{
--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -22,6 +22,8 @@
     SEND_BLOCKED "G8017" "a chosen upstream was closed before the send";
     SUPERSEDED_SEND "G8018" "a prompt was sent to an engine with superseded weights";
     SUPERSEDED_START "G8019" "a request began on superseded weights";
+    REACH_LOST "G8020" "this daemon reaches no upstream";
+    REACH_REGAINED "G8021" "this daemon reaches upstreams again";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -63,6 +63,7 @@
     upstreams: Gauge,
     members: Gauge,
     dropped_lines: Gauge,
+    reaches_upstreams: Gauge,
 }
 
 impl Default for ServeMetrics {
@@ -82,6 +83,8 @@
         let upstreams = Gauge::default();
         let members = Gauge::default();
         let dropped_lines = Gauge::default();
+        let reaches_upstreams = Gauge::default();
+        reaches_upstreams.set(1);
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("sends", "Sends to upstreams by result", sends.clone());
         registry.register("superseded_requests", "On superseded weights", superseded.clone());
@@ -98,6 +101,7 @@
         registry.register("upstreams", "Known upstreams", upstreams.clone());
         registry.register("members", "Daemons heard lately", members.clone());
         registry.register("dropped_log_lines", "Over the log's budget", dropped_lines.clone());
+        registry.register("reaches_upstreams", "0 without any", reaches_upstreams.clone());
         Self {
             registry,
             requests,
@@ -116,6 +120,7 @@
             upstreams,
             members,
             dropped_lines,
+            reaches_upstreams,
         }
     }
 }
@@ -197,6 +202,11 @@
         self.config_version.set(gauge_value(version));
     }
 
+    /// Records whether this daemon reaches any upstream.
+    pub fn note_reach(&self, reaches_upstreams: bool) {
+        self.reaches_upstreams.set(i64::from(reaches_upstreams));
+    }
+
     /// Sets the numbers of known upstreams, of daemons in contact, and of dropped log lines.
     pub fn note_levels(&self, upstreams: usize, members: usize, dropped_lines: u64) {
         self.upstreams.set(gauge_value(upstreams as u64));
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -15,6 +15,7 @@
 use crate::upstreams::announcement_watch::note_announcements;
 use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
+use crate::upstreams::reach_task::{note_connect_failure, note_contact};
 use crate::upstreams::upstream_crashes::{note_answer, note_interrupted, note_refused};
 use crate::upstreams::upstream_table::WeightVersion;
 use crate::upstreams::work_table::WorkTicket;
@@ -280,11 +281,19 @@
         let exchange = connection.exchange(encoded);
         let answer = match wait_for_start(self.input, self.plan, guard, exchange).await {
             WaitOutcome::Done(Ok(answer)) => answer,
-            WaitOutcome::Done(Err(error)) => return self.failed(&error),
+            WaitOutcome::Done(Err(error)) => {
+                if connection.is_new() {
+                    note_connect_failure(self.context, &send.upstream);
+                }
+                return self.failed(&error);
+            }
             WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
             WaitOutcome::Withdrawn => return self.withdrawn(),
         };
+        if connection.is_new() {
+            note_contact(self.context);
+        }
         let marks = (self.context.dialect.marks)(answer.status(), answer.headers());
         self.note_announcements(&marks, sent);
         // The upstream answered an earlier request on this connection, or answered one twice.
@@ -325,6 +334,7 @@
         match opened {
             Ok(connection) => Some(connection),
             Err(error) => {
+                note_connect_failure(self.context, &self.plan.send.upstream);
                 self.failed(&error);
                 None
             }
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -28,7 +28,9 @@
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use bytes::Bytes;
-use guava_policy::{AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, SendLedger};
+use guava_policy::{
+    AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, ReachWatch, SendLedger,
+};
 use guava_types::{
     DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, TokenCount,
     UpstreamId,
@@ -127,6 +129,10 @@
     pub store_backoffs: RefCell<FastMap<SocketAddr, Deadline>>,
     /// Upstreams whose announcements must be sent to peers in an immediate message.
     pub announcements_due: RefCell<Vec<UpstreamId>>,
+    /// Whether this daemon reaches upstreams.
+    pub reach: RefCell<ReachWatch>,
+    /// Notifies the task that checks this daemon's links to upstreams.
+    pub reach_due: Notify,
     /// Interrupted sends, until it is known whether their upstreams crashed.
     pub broken_sends: RefCell<BrokenSendTable>,
     /// Upstream crashes, and requests that are quarantined for them.
@@ -217,6 +223,8 @@
             announcements: RefCell::default(),
             store_backoffs: RefCell::default(),
             announcements_due: RefCell::default(),
+            reach: RefCell::default(),
+            reach_due: Notify::new(),
             broken_sends: RefCell::default(),
             ledger: RefCell::default(),
             crash_gossip: RefCell::default(),
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -14,6 +14,7 @@
 pub(crate) mod prefill_rate;
 pub(crate) mod quarantine_record;
 pub(crate) mod quarantine_task;
+pub(crate) mod reach_task;
 pub(crate) mod service_rings;
 pub(crate) mod upstream_call;
 pub(crate) mod upstream_crashes;
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -25,6 +25,9 @@
 /// trips of some milliseconds. A machine without power never answers, and a lost SYN packet is sent
 /// again only after a second, by which time another attempt has long succeeded.
 const CONNECT_TIMEOUT_MS: u64 = 250;
+/// How long a new connection must stay open to show that its upstream is reached, in milliseconds:
+/// some networks accept connections that they can't forward, and reset them at once.
+const ALIVE_HOLD_MS: u64 = 10;
 /// Fraction of an upstream's announced idle limit within which a connection is reused.
 const IDLE_LIMIT_FRACTION: f64 = 0.5;
 /// Idle limit assumed for upstreams that announce none, in milliseconds. Limits are announced in
@@ -72,6 +75,8 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     address: SocketAddr,
+    /// Whether it has not carried a request before.
+    is_new: bool,
     sender: SendRequest<Full<Bytes>>,
     _driver: ConnectionDriver,
 }
@@ -90,6 +95,11 @@
 }
 
 impl UpstreamConnection {
+    /// Whether the connection was opened for the present request.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sends a request and waits for the answer's head, without a timeout.
     pub async fn exchange(
         &mut self,
@@ -169,7 +179,16 @@
             // Errors are reported by the exchange on the connection.
             drop(connection.await);
         });
-        Ok(UpstreamConnection { address, sender, _driver: ConnectionDriver(driver) })
+        Ok(UpstreamConnection { address, is_new: true, sender, _driver: ConnectionDriver(driver) })
+    }
+
+    /// Whether an address accepts connections and keeps them open.
+    pub async fn is_alive(&self, address: SocketAddr) -> bool {
+        let connected =
+            timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), self.connect(address)).await;
+        let Ok(Ok(stream)) = connected else { return false };
+        // Servers say nothing before a request, so whatever is read first is the connection's end.
+        timeout(Duration::from_millis(ALIVE_HOLD_MS), stream.readable()).await.is_err()
     }
 
     /// Whether a process listens at an address; `None` if the connection neither succeeds nor is
@@ -196,7 +215,8 @@
 
     /// Keeps a connection for reuse until a fraction of its idle limit has passed, unless enough
     /// are kept. Its last answer must have been read completely.
-    pub fn keep(&self, connection: UpstreamConnection, announced_idle_ms: Option<u64>) {
+    pub fn keep(&self, mut connection: UpstreamConnection, announced_idle_ms: Option<u64>) {
+        connection.is_new = false;
         let limit = announced_idle_ms.unwrap_or(DEFAULT_IDLE_LIMIT_MS) as f64 * IDLE_LIMIT_FRACTION;
         let usable_until = Deadline::in_millis(limit as u64);
         let mut idle = self.idle.borrow_mut();
@@ -212,6 +232,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes idle connections that may no longer be reused.
     pub fn sweep(&self) {
         let now = Moment::now();
