--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{sleep, timeout};
 
 const COPY_BYTES: usize = 16 << 10;
 const RECHECK_MS: u64 = 20;
@@ -21,8 +21,14 @@
     /// Passes everything on.
     #[default]
     None,
-    /// Closes open connections and refuses new ones.
+    /// Closes open connections, and new ones as soon as they are accepted.
     Cut,
+    /// Closes open connections; nobody listens for new ones. For all sources only.
+    Reset,
+    /// Open connections work; nobody listens for new ones. For all sources only.
+    Refuse,
+    /// Open connections are silent, and new ones are never answered. For all sources only.
+    Unanswered,
     /// Accepts, and passes nothing on in either direction.
     Freeze,
     /// Open connections stay silent for good; new ones work.
@@ -44,7 +50,23 @@
     passed: u64,
 }
 
+/// What becomes of new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListenMode {
+    Accept,
+    Refuse,
+    Ignore,
+}
+
 impl LinkRules {
+    fn listen_mode(&self) -> ListenMode {
+        match self.all {
+            LinkFault::Reset | LinkFault::Refuse => ListenMode::Refuse,
+            LinkFault::Unanswered => ListenMode::Ignore,
+            _ => ListenMode::Accept,
+        }
+    }
+
     fn fault(&self, source: IpAddr) -> LinkFault {
         self.by_source.get(&source).copied().unwrap_or(self.all)
     }
@@ -107,9 +129,20 @@
 }
 
 async fn accept_all(listener: std::net::TcpListener, target: SocketAddr, rules: Shared<LinkRules>) {
-    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    let Ok(address) = listener.local_addr() else { return };
+    let Ok(mut listener) = TcpListener::from_std(listener) else { return };
     loop {
-        let Ok((client, source)) = listener.accept().await else { continue };
+        let mode = rules.lock().listen_mode();
+        if mode != ListenMode::Accept {
+            drop(listener);
+            await_accept_mode(address, mode, &rules).await;
+            listener = match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(error) => return eprintln!("a proxy can't listen again: {error}"),
+            };
+        }
+        let accepting = timeout(Duration::from_millis(RECHECK_MS), listener.accept());
+        let Ok(Ok((client, source))) = accepting.await else { continue };
         if rules.lock().fault(source.ip()) == LinkFault::Cut {
             drop(client);
             continue;
@@ -118,6 +151,27 @@
     }
 }
 
+/// Waits until connections are accepted again. To ignore them, a queue of pending connections is
+/// kept full: the system drops what exceeds it.
+async fn await_accept_mode(address: SocketAddr, mode: ListenMode, rules: &Shared<LinkRules>) {
+    let full = if mode == ListenMode::Ignore { fill_queue(address).await } else { None };
+    if mode == ListenMode::Ignore && full.is_none() {
+        eprintln!("a proxy can't ignore connections, and refuses them");
+    }
+    while rules.lock().listen_mode() != ListenMode::Accept {
+        sleep(Duration::from_millis(RECHECK_MS)).await;
+    }
+}
+
+async fn fill_queue(address: SocketAddr) -> Option<(TcpListener, TcpStream)> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(address).ok()?;
+    let listener = socket.listen(0).ok()?;
+    let pending = TcpStream::connect(address).await.ok()?;
+    Some((listener, pending))
+}
+
 async fn join(client: TcpStream, source: IpAddr, target: SocketAddr, rules: Shared<LinkRules>) {
     let Ok(server) = TcpStream::connect(target).await else { return };
     drop(client.set_nodelay(true));
@@ -169,8 +223,8 @@
         let mut delayed = false;
         loop {
             match (link.fault(), direction) {
-                (LinkFault::Cut, _) => return,
-                (LinkFault::Freeze | LinkFault::Forget, _) => {
+                (LinkFault::Cut | LinkFault::Reset, _) => return,
+                (LinkFault::Freeze | LinkFault::Unanswered | LinkFault::Forget, _) => {
                     sleep(Duration::from_millis(RECHECK_MS)).await;
                 }
                 (LinkFault::DropAnswers, Direction::Answer)
@@ -196,7 +250,7 @@
 }
 
 async fn cut(link: &Link) {
-    while link.fault() != LinkFault::Cut {
+    while !matches!(link.fault(), LinkFault::Cut | LinkFault::Reset) {
         sleep(Duration::from_millis(RECHECK_MS)).await;
     }
 }
