fix: requests of a daemon that reaches no upstream are served through other daemons

Cause: a daemon took the loss of its own links for the failure of each upstream, one by one and for each request anew. What the others could have done for its callers was not used: no request went from daemon to daemon, its address was given to callers all the while, and it kept its tasks at upstreams (lease for orders, stores that it follows).

Now a daemon whose links are lost hands accepted requests to a daemon that reaches upstreams, in its own data centre first, and relays the answer as it comes; so does a request that two upstreams in a row could not be reached for. The other daemon admits the request itself by the caller's credential and a configuration that is no older, and never forwards it again. Whatever may have been sent is not sent again unless it may be repeated. Summaries say who reaches no upstream: callers are not directed there while others serve, and its tasks at upstreams go to others. Where no daemon reaches any, requests are refused at once.

Reset links no longer count as crashes of upstreams unless another upstream is reached after it: before, three such resets quarantined an innocent request at all daemons, shown by the last test.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -24,6 +24,7 @@
     SUPERSEDED_START "G8019" "a request began on superseded weights";
     REACH_LOST "G8020" "this daemon reaches no upstream";
     REACH_REGAINED "G8021" "this daemon reaches upstreams again";
+    FORWARDED "G8022" "request forwarded to a daemon that reaches upstreams";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -84,6 +84,7 @@
 pub use request::freshness_wait::{await_fresh_config, is_stale};
 pub use request::http_listener::{ConnectionLimits, ListenerPhase, open_listener, serve_listener};
 pub use request::outcome::{RefusalReason, SendRecord, ServeOutcome};
+pub use request::peer_forward::{FORWARDED, UNSERVED};
 pub use request::request_plan::draw_service;
 pub use request::retry_shares::{RetryLimit, RetryShares};
 pub use request::send_gate::{
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -4,6 +4,7 @@
 use crate::members::member_descriptor::MemberDescriptor;
 use crate::parts::part_index::rendezvous_weight;
 use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment};
+use rand::seq::SliceRandom;
 use rustc_hash::FxHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -82,6 +83,8 @@
     pub attached: u32,
     /// Number of all daemons, by its estimate.
     pub daemons: u32,
+    /// Whether it reaches no upstream.
+    pub is_cut_off: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -120,6 +123,8 @@
     registered: Option<u64>,
     /// Most core daemons of a data centre.
     core_limit: usize,
+    /// Whether this daemon reaches no upstream.
+    is_cut_off: bool,
     /// Since when no core daemon is in contact.
     isolated_since: Option<Moment>,
     /// Callers' addresses of ready daemons, as core daemons reported them, until they expire.
@@ -138,6 +143,7 @@
             capacity: DEFAULT_CAPACITY,
             registered: None,
             core_limit: MAX_LOCAL_CORE,
+            is_cut_off: false,
             isolated_since: None,
             reported_callers: FastMap::default(),
         }
@@ -382,6 +388,16 @@
         self.count_local();
     }
 
+    /// Notes whether this daemon reaches no upstream.
+    pub fn note_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Whether this daemon reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
     /// Whether this daemon is attached and none of its core daemons was in contact for long.
     pub fn is_isolated(&self, now: Moment) -> bool {
         self.isolated_since.is_some_and(|since| now.millis_since(since) >= ISOLATION_MS)
@@ -404,7 +420,8 @@
     pub fn own_role(&self, now: Moment) -> PeerRole {
         let attached = self.attached_entries(now).count() as u32;
         let daemons = self.deployment_size(now) as u32;
-        PeerRole { role: self.role, registered: self.registered, attached, daemons }
+        let (registered, is_cut_off) = (self.registered, self.is_cut_off);
+        PeerRole { role: self.role, registered, attached, daemons, is_cut_off }
     }
 
     /// Estimated number of all daemons, core and attached, this one included. A core daemon adds what
@@ -493,7 +510,8 @@
         !self.is_large() || *other == self.data_centre
     }
 
-    /// Caller addresses of the reachable daemons that are ready, without this one.
+    /// Caller addresses of the reachable daemons that are ready, without this one. Daemons that reach
+    /// no upstream are left out, unless none of all daemons reaches any.
     ///
     /// A core daemon gives all attached to it, and as many of the other core daemons, drawn from a
     /// random place on, as correspond to those: then each daemon is given as often as any other,
@@ -503,15 +521,16 @@
             let valid = self.reported_callers.iter().filter(|(_, until)| !until.passed(now));
             return valid.map(|(address, _)| *address).collect();
         }
-        let is_ready =
-            |entry: &&MemberEntry| entry.member.is_ready && self.is_reachable(entry, now);
-        let attached: Vec<SocketAddr> = self
-            .attached_entries(now)
-            .filter(|entry| entry.member.is_ready)
-            .map(|entry| entry.member.caller_address)
-            .collect();
+        let is_any_serving =
+            !self.is_cut_off || self.members.values().any(|entry| self.is_serving(entry, now));
+        let is_listed = |entry: &&MemberEntry| {
+            let is_ready = entry.member.is_ready && self.is_reachable(entry, now);
+            is_ready && !(is_any_serving && entry.role.is_cut_off)
+        };
+        let attached = self.attached_entries(now).filter(is_listed);
+        let attached: Vec<SocketAddr> = attached.map(|it| it.member.caller_address).collect();
         let mut core: Vec<SocketAddr> =
-            self.core_entries().filter(is_ready).map(|it| it.member.caller_address).collect();
+            self.core_entries().filter(is_listed).map(|it| it.member.caller_address).collect();
         if !attached.is_empty() && !core.is_empty() {
             let total = self.deployment_size(now).saturating_sub(self.count()).max(1);
             let share = (attached.len() * self.count()).div_ceil(total).max(MIN_CORE_CALLERS);
@@ -524,11 +543,50 @@
         core
     }
 
+    /// The same with this daemon's address, if it is ready; unless it reaches no upstream and others
+    /// do.
+    pub fn all_caller_addresses(
+        &self,
+        own: Option<SocketAddr>,
+        now: Moment,
+        draw: u64,
+    ) -> Vec<SocketAddr> {
+        let mut addresses = self.caller_addresses(now, draw);
+        let is_any_serving = || self.members.values().any(|entry| self.is_serving(entry, now));
+        if !self.is_cut_off || addresses.is_empty() || !is_any_serving() {
+            addresses.extend(own);
+        }
+        addresses
+    }
+
+    /// Caller addresses of the daemons to which this one may forward requests, in the order in which
+    /// to try them: those of its data centre first, each group in a random order. An attached daemon
+    /// that knows none has those of its core daemons' reports.
+    pub fn forward_targets(&self, now: Moment) -> Vec<SocketAddr> {
+        let serving = self.members.values().filter(|entry| self.is_serving(entry, now));
+        let mut targets: Vec<(bool, SocketAddr)> = serving
+            .map(|entry| &entry.member)
+            .map(|member| (member.data_centre != self.data_centre, member.caller_address))
+            .collect();
+        if targets.is_empty() {
+            let reported = self.reported_callers.iter().filter(|(_, until)| !until.passed(now));
+            targets = reported.map(|(address, _)| (true, *address)).collect();
+        }
+        targets.shuffle(&mut rand::rng());
+        targets.sort_by_key(|(is_remote, _)| *is_remote);
+        targets.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Whether a daemon is ready, reachable, and not known to reach no upstream.
+    fn is_serving(&self, entry: &MemberEntry, now: Moment) -> bool {
+        entry.member.is_ready && !entry.role.is_cut_off && self.is_reachable(entry, now)
+    }
+
     /// This daemon's rank, 0 first, in the rendezvous order for a subject of the core daemons that
-    /// share tasks; `usize::MAX` for an attached one. Daemons that know the same members agree on the
+    /// share tasks at upstreams; `usize::MAX` for one that is attached or reaches no upstream. Daemons that know the same members agree on the
     /// order, and different subjects have different orders.
     pub fn rank(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
-        self.rank_among(me, subject, |entry| self.shares_tasks(entry, now))
+        self.upstream_task_rank(me, subject, now, |_| true)
     }
 
     /// This daemon's rank among those that read the platform's store for all; `usize::MAX` until
@@ -550,10 +608,24 @@
         others.filter(|it| weight(&it.member.name, it.member.capacity) > own).count()
     }
 
-    /// This daemon's rank among the daemons of its data centre that share a task.
+    /// The same among the daemons of this data centre.
     pub fn local_rank(&self, me: &MemberName, subject: &str, now: Moment) -> usize {
         let is_local = |entry: &MemberEntry| entry.member.data_centre == self.data_centre;
-        self.rank_among(me, subject, |entry| is_local(entry) && self.shares_tasks(entry, now))
+        self.upstream_task_rank(me, subject, now, is_local)
+    }
+
+    fn upstream_task_rank(
+        &self,
+        me: &MemberName,
+        subject: &str,
+        now: Moment,
+        counts: impl Fn(&MemberEntry) -> bool,
+    ) -> usize {
+        if self.is_cut_off {
+            return NO_RANK;
+        }
+        let shares = |entry: &MemberEntry| !entry.role.is_cut_off && self.shares_tasks(entry, now);
+        self.rank_among(me, subject, |entry| counts(entry) && shares(entry))
     }
 
     /// This daemon's rank among all known daemons, reachable or silent, for an upstream with a rate
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -222,6 +222,8 @@
     registered: Option<u64>,
     #[prost(uint64, tag = "36")]
     list_position: u64,
+    #[prost(bool, tag = "37")]
+    is_cut_off: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -622,6 +624,7 @@
             is_attached: self.role.role == MemberRole::Attached,
             attached: self.role.attached,
             daemons: self.role.daemons,
+            is_cut_off: self.role.is_cut_off,
             callers: self.callers.iter().flat_map(wire_address).collect(),
             registered: self.role.registered,
         };
@@ -676,6 +679,7 @@
             registered: wire.registered,
             attached: wire.attached,
             daemons: wire.daemons,
+            is_cut_off: wire.is_cut_off,
         };
         let share = |share: &WireWorkShare| {
             let work = WorkShare {
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -83,10 +83,8 @@
 
 /// Ready daemons of which the daemons attached to this one tell callers.
 fn caller_addresses(context: &ServeContext, state: &OwnState, now: Moment) -> Vec<SocketAddr> {
-    let mut addresses = context.members.borrow().caller_addresses(now, rand::random());
-    if state.is_ready.get() {
-        addresses.push(state.me.caller_address);
-    }
+    let me = state.is_ready.get().then_some(state.me.caller_address);
+    let mut addresses = context.members.borrow().all_caller_addresses(me, now, rand::random());
     addresses.truncate(MAX_REPORTED_CALLERS);
     addresses
 }
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -16,6 +16,7 @@
 pub(crate) mod freshness_wait;
 pub(crate) mod http_listener;
 pub(crate) mod outcome;
+pub(crate) mod peer_forward;
 pub(crate) mod request_plan;
 pub(crate) mod request_run;
 pub(crate) mod retry_shares;
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -3,7 +3,7 @@
 use crate::serve_config::{CallerIdentity, RouteRule};
 use bytes::Bytes;
 use guava_types::{Deadline, ModelName, Moment, RequestDigest, TokenCount};
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, Uri};
 use std::rc::Rc;
 
 /// One prompt part. Different requests may share a part, identified by its id.
@@ -67,6 +67,10 @@
     pub head: RequestHead,
     /// The complete body.
     pub body: Bytes,
+    /// What the caller authenticated itself with; only a peer daemon gets it.
+    pub credential: Option<HeaderValue>,
+    /// Whether a peer daemon forwarded it; it is not forwarded again.
+    pub is_forwarded: bool,
 }
 
 impl AcceptedRequest {
--- a/crates/guava-serve/src/request/answer_timeout.rs
+++ b/crates/guava-serve/src/request/answer_timeout.rs
@@ -45,7 +45,7 @@
         // The list of upstreams, or reports of other daemons, may be updated at any moment.
         RefusalReason::Unreachable => 50,
         // Lists and configurations are read within about this time.
-        RefusalReason::NoUpstream | RefusalReason::NotReady => 300,
+        RefusalReason::NoUpstream | RefusalReason::NotReady | RefusalReason::NoReach => 300,
         RefusalReason::TooLate => 200,
         // A burst that fills all engines lasts for seconds, and their runs finish within two.
         RefusalReason::MemoryFull => 1_000,
--- a/crates/guava-serve/src/request/dialect.rs
+++ b/crates/guava-serve/src/request/dialect.rs
@@ -72,6 +72,8 @@
 pub struct Dialect {
     /// Encodes a request for an upstream.
     pub encode: fn(&AcceptedRequest, &SendPlan) -> Request<Full<Bytes>>,
+    /// Encodes a request for a peer daemon, as its caller sent it, with so many milliseconds left.
+    pub forward: fn(&AcceptedRequest, u64) -> Request<Full<Bytes>>,
     /// Decodes what the head of an answer states.
     pub marks: fn(StatusCode, &HeaderMap) -> AnswerMarks,
     /// Removes the headers that concern only the connection to the upstream.
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -32,7 +32,10 @@
     let Some(service) = draw_service(&request.route, rand::random()).cloned() else {
         return refused(context, &request, RefusalReason::NoUpstream);
     };
-    context.retries.borrow_mut().earn(&service);
+    // Retries are earned where they are spent.
+    if request.is_forwarded || !context.reach.borrow().is_lost() {
+        context.retries.borrow_mut().earn(&service);
+    }
     let mut run = RequestRun {
         context: Rc::clone(context),
         config: Rc::clone(config),
@@ -40,6 +43,7 @@
         service,
         record: SendRecord::default(),
         is_retry_reserved: false,
+        was_forwarded: false,
         first_ms: None,
     };
     let watch = CallerWatch::new(context, &request);
@@ -53,6 +57,10 @@
             context.metrics.time_first(first_ms);
             ServeOutcome::Answered(relay_response(run, *stream))
         }
+        SendResult::Forwarded(response) => {
+            context.metrics.count_request("forwarded");
+            ServeOutcome::Answered(response)
+        }
         SendResult::NoAnswer { is_timed_out } => match run.record.refusal() {
             Some(RefusalReason::Quarantined) => {
                 quarantined(context, &request, run.record.quarantined_until.unwrap_or_default())
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -156,7 +156,10 @@
             SendResult::Stream(opened) if opened.status == StatusCode::OK => opened,
             _ if self.source.is_some() => return Ok(None),
             SendResult::Stream(_) => return Err(failure("the stream can't be resumed")),
-            SendResult::Complete(_) | SendResult::NoAnswer { .. } => return Err(failure(reason)),
+            // What a stream resumes with is not forwarded.
+            SendResult::Complete(_) | SendResult::Forwarded(_) | SendResult::NoAnswer { .. } => {
+                return Err(failure(reason));
+            }
         };
         log_event!(
             info,
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -18,6 +18,8 @@
     Unreachable,
     /// It was queued for engine memory and shed, as it could no longer start in time.
     MemoryFull,
+    /// This daemon reaches no upstream, and no other daemon that does.
+    NoReach,
     /// Its deadline passed.
     TooLate,
     /// This daemon holds too many bytes of request bodies.
@@ -37,6 +39,7 @@
             Self::UpstreamsFull => "upstreams-full",
             Self::Unreachable => "unreachable",
             Self::MemoryFull => "crowded",
+            Self::NoReach => "no-reach",
             Self::TooLate => "too-late",
             Self::Overloaded => "overloaded",
             Self::NotReady => "not-ready",
@@ -45,6 +48,13 @@
     }
 }
 
+impl RefusalReason {
+    /// Whether another daemon may still serve the request now.
+    pub fn is_local(self) -> bool {
+        matches!(self, Self::Unreachable | Self::NoReach | Self::NotReady | Self::Overloaded)
+    }
+}
+
 impl fmt::Display for RefusalReason {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         out.write_str(self.name())
@@ -87,6 +97,8 @@
     pub refusals: u32,
     /// Whether it was queued for engine memory and shed.
     pub was_shed: bool,
+    /// Whether no daemon that it could be forwarded to reaches an upstream.
+    pub is_out_of_reach: bool,
     /// End of its quarantine, if it is quarantined.
     pub quarantined_until: Option<Deadline>,
 }
@@ -99,6 +111,8 @@
         }
         Some(if self.quarantined_until.is_some() {
             RefusalReason::Quarantined
+        } else if self.is_out_of_reach {
+            RefusalReason::NoReach
         } else if self.was_shed {
             RefusalReason::MemoryFull
         } else if self.refusals > 0 {
--- /dev/null
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -0,0 +1,159 @@
+//! Forwards a request to a peer daemon, which serves it as if its caller had come there.
+//!
+//! The peer admits the request itself, by the caller's credential and its own configuration, so it
+//! need not trust who forwards. The mark of a forwarded request has one effect: the peer sends it to
+//! upstreams or refuses it, and never forwards it again.
+
+use crate::deadline_wait::until;
+use crate::events;
+use crate::request::accepted_request::AcceptedRequest;
+use crate::request::answer_body::{AnswerBody, InterruptedStream};
+use crate::serve_config::ServeConfig;
+use crate::serve_context::ServeContext;
+use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
+use bytes::Bytes;
+use futures_util::stream::{self, StreamExt};
+use guava_log::log_event;
+use guava_types::{Deadline, Moment};
+use http::{HeaderName, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Marks a request that a peer daemon forwards; holds the version of its configuration.
+pub const FORWARDED: HeaderName = HeaderName::from_static("guava-forwarded");
+/// Marks the refusal of a forwarded request that another daemon may still serve.
+pub const UNSERVED: HeaderName = HeaderName::from_static("guava-unserved");
+
+/// How long connections to peers stay open without a request, in milliseconds; well below the time
+/// that daemons keep callers' connections.
+const IDLE_MS: u64 = 10_000;
+
+/// Result of forwarding a request to one peer.
+pub enum ForwardOutcome {
+    /// The peer answers; its answer is relayed as it arrives.
+    Answered(Response<AnswerBody>),
+    /// The request has not run: no byte was sent, or the peer refused it for a reason of its own.
+    NotRun,
+    /// The request may have run, and no answer will come.
+    Lost,
+    /// The request's deadline passed without an answer. It may have run.
+    TimedOut,
+}
+
+/// Forwards a request to a peer daemon and waits for the head of the answer.
+pub async fn forward_request(
+    context: &Rc<ServeContext>,
+    config: &ServeConfig,
+    request: &Rc<AcceptedRequest>,
+    peer: SocketAddr,
+) -> ForwardOutcome {
+    let opened = if request.route.repeat.may_repeat() {
+        context.pool.reuse_or_open(peer).await
+    } else {
+        context.pool.open(peer).await
+    };
+    let mut connection = match opened {
+        Ok(connection) => connection,
+        Err(error) => return failed(request, peer, &error),
+    };
+    let left_ms = request.deadline.millis_left(Moment::now());
+    log_event!(
+        info,
+        events::FORWARDED,
+        request = request.id,
+        route = request.route.name,
+        peer = peer,
+        left_ms = left_ms
+    );
+    let mut encoded = (context.dialect.forward)(request, left_ms);
+    encoded.headers_mut().insert(FORWARDED, config.version.0.into());
+    match until(request.deadline, connection.exchange(encoded)).await {
+        None => ForwardOutcome::TimedOut,
+        Some(Err(error)) => failed(request, peer, &error),
+        Some(Ok(answer)) if answer.headers().contains_key(UNSERVED) => ForwardOutcome::NotRun,
+        Some(Ok(answer)) => {
+            ForwardOutcome::Answered(relay_answer(context, connection, answer, request.deadline))
+        }
+    }
+}
+
+fn failed(request: &AcceptedRequest, peer: SocketAddr, error: &ExchangeError) -> ForwardOutcome {
+    log_event!(
+        warn,
+        events::SEND_FAILED,
+        request = request.id,
+        digest = request.digest(),
+        upstream = peer,
+        reason = error
+    );
+    match error {
+        ExchangeError::NotSent { .. } => ForwardOutcome::NotRun,
+        ExchangeError::NoAnswer { .. } => ForwardOutcome::Lost,
+    }
+}
+
+/// A peer's answer whose body is being relayed.
+struct PeerAnswer {
+    context: Rc<ServeContext>,
+    connection: UpstreamConnection,
+    body: Incoming,
+    deadline: Deadline,
+    is_reusable: bool,
+}
+
+impl PeerAnswer {
+    /// The next bytes of the body; `None` once it is complete.
+    async fn next(&mut self) -> Option<Result<Bytes, InterruptedStream>> {
+        let interrupted = |reason: &str| Some(Err(InterruptedStream { reason: reason.into() }));
+        loop {
+            let Some(frame) = until(self.deadline, self.body.frame()).await else {
+                return interrupted("no more of the answer in time");
+            };
+            match frame? {
+                Ok(frame) => {
+                    // Trailers are not passed on.
+                    if let Ok(bytes) = frame.into_data() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Err(error) => return interrupted(&error.to_string()),
+            }
+        }
+    }
+
+    fn finish(self) {
+        if self.is_reusable {
+            self.context.pool.keep(self.connection, Some(IDLE_MS));
+        }
+    }
+}
+
+/// The response whose body relays a peer's answer. Its connection is reused after the complete body
+/// only.
+fn relay_answer(
+    context: &Rc<ServeContext>,
+    connection: UpstreamConnection,
+    answer: Response<Incoming>,
+    deadline: Deadline,
+) -> Response<AnswerBody> {
+    let marks = (context.dialect.marks)(answer.status(), answer.headers());
+    let (mut head, body) = answer.into_parts();
+    (context.dialect.strip)(&mut head.headers);
+    let is_reusable = marks.is_framed && !marks.is_last;
+    let context = Rc::clone(context);
+    let answer = PeerAnswer { context, connection, body, deadline, is_reusable };
+    let relayed = stream::unfold(Some(answer), |answer| async move {
+        let mut answer = answer?;
+        match answer.next().await {
+            Some(Ok(bytes)) => Some((Ok(bytes), Some(answer))),
+            Some(Err(interrupted)) => Some((Err(interrupted), None)),
+            None => {
+                answer.finish();
+                None
+            }
+        }
+    });
+    Response::from_parts(head, AnswerBody::Relayed(relayed.boxed_local()))
+}
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -2,9 +2,11 @@
 
 use crate::events;
 use crate::request::accepted_request::AcceptedRequest;
+use crate::request::answer_body::AnswerBody;
 use crate::request::attempt::{AttemptOutcome, CompleteAnswer, OpenStream, attempt};
 use crate::request::freshness_wait::await_fresh_list;
 use crate::request::outcome::SendRecord;
+use crate::request::peer_forward::{ForwardOutcome, forward_request};
 use crate::request::request_plan::{
     PlanInput, PlanStep, has_available_upstream, is_crowded, log_send, plan_attempt,
 };
@@ -13,12 +15,18 @@
 use crate::upstreams::upstream_crashes::quarantined_until;
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, ServiceName};
+use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Maximum attempts for one request, including refusals and failed connections.
 const MAX_SEND_ATTEMPTS: u32 = 4;
+/// Upstreams that a request fails to reach before it is forwarded to a peer daemon, though this one
+/// is not known to have lost its links.
+const UNREACHED_BEFORE_FORWARD: u32 = 2;
+/// Peer daemons to which a request is forwarded, one after the other.
+const MAX_FORWARDS: usize = 2;
 /// Interval between checks whether an engine has memory for a queued prompt: a tenth of the time
 /// that the shortest long prompt takes.
 const QUEUE_POLL_INTERVAL_MS: u64 = 20;
@@ -37,6 +45,8 @@
     pub record: SendRecord,
     /// Whether the next attempt has already been taken from the retry budget.
     pub is_retry_reserved: bool,
+    /// Whether it was already forwarded to peer daemons.
+    pub was_forwarded: bool,
     /// Milliseconds from the request's arrival to a stream's first event.
     pub first_ms: Option<u64>,
 }
@@ -47,6 +57,8 @@
     Complete(CompleteAnswer),
     /// A stream with its first events.
     Stream(Box<OpenStream>),
+    /// The answer of a peer daemon, relayed as it arrives.
+    Forwarded(Response<AnswerBody>),
     /// No answer, and no further attempt is permitted.
     NoAnswer {
         /// Whether the deadline has passed.
@@ -75,6 +87,9 @@
             if self.record.quarantined_until.is_some() {
                 return unanswered(fallback, false);
             }
+            if let Some(result) = self.forward(resume_after, &mut fallback).await {
+                return result;
+            }
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => return unanswered(fallback, false),
@@ -129,6 +144,44 @@
         }
     }
 
+    /// Forwards the request to a peer daemon, if this one does not reach upstreams; `None` if it is
+    /// to be sent from here.
+    async fn forward(
+        &mut self,
+        resume_after: Option<&str>,
+        fallback: &mut Option<CompleteAnswer>,
+    ) -> Option<SendResult> {
+        let is_lost = self.context.reach.borrow().is_lost();
+        let is_unreached =
+            self.record.unreached >= UNREACHED_BEFORE_FORWARD && self.record.reached == 0;
+        if !is_lost && !is_unreached {
+            return None;
+        }
+        let may_forward = !self.request.is_forwarded && resume_after.is_none();
+        let targets = if may_forward && !self.was_forwarded {
+            self.context.members.borrow().forward_targets(Moment::now())
+        } else {
+            Vec::new()
+        };
+        self.was_forwarded = true;
+        for peer in targets.into_iter().take(MAX_FORWARDS) {
+            if !self.may_attempt() || !self.spend_retry() {
+                break;
+            }
+            match forward_request(&self.context, &self.config, &self.request, peer).await {
+                ForwardOutcome::Answered(response) => return Some(SendResult::Forwarded(response)),
+                ForwardOutcome::NotRun => self.record.unreached += 1,
+                ForwardOutcome::Lost => self.note_run(),
+                ForwardOutcome::TimedOut => {
+                    self.note_run();
+                    return Some(unanswered(fallback.take(), true));
+                }
+            }
+        }
+        self.record.is_out_of_reach = is_lost;
+        is_lost.then(|| unanswered(fallback.take(), false))
+    }
+
     fn plan_input(&self) -> PlanInput<'_> {
         PlanInput {
             context: &self.context,
--- a/crates/guava-serve/src/upstreams/reach_task.rs
+++ b/crates/guava-serve/src/upstreams/reach_task.rs
@@ -14,7 +14,7 @@
 
 /// Upstreams that are checked before this daemon's own links count as lost.
 const SAMPLE_SIZE: usize = 8;
-/// Upstreams that are checked at a time while the links are lost.
+/// Upstreams that are checked at a time while the links are lost, or to confirm a crash.
 const SMALL_SAMPLE_SIZE: usize = 3;
 /// Interval between two checks while the links are lost, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 250;
@@ -52,6 +52,12 @@
     apply_reach_change(context, change);
 }
 
+/// Whether this daemon reached any upstream after a moment; checks a few if that is not known.
+pub async fn confirm_reach(context: &ServeContext, since: Moment) -> bool {
+    let is_known = context.reach.borrow().has_contact_since(since);
+    is_known || is_any_reachable(context, SMALL_SAMPLE_SIZE).await
+}
+
 /// Checks a sample of upstreams at once; returns whether any of them can be reached.
 async fn is_any_reachable(context: &ServeContext, size: usize) -> bool {
     let checks = sample(context, size).into_iter().map(|address| context.pool.is_alive(address));
@@ -87,8 +93,14 @@
         }
         Some(ReachChange::Regained(lost_ms)) => {
             log_event!(info, events::REACH_REGAINED, lost_ms = lost_ms);
+            // Those that refused may have been the lost links.
+            context.upstreams.borrow_mut().forget_crashes();
         }
         None => return,
     }
-    context.metrics.note_reach(change != Some(ReachChange::Lost));
+    // They may be silent though they look open.
+    context.pool.close_all_idle();
+    let is_lost = change == Some(ReachChange::Lost);
+    context.members.borrow_mut().note_cut_off(is_lost);
+    context.metrics.note_reach(!is_lost);
 }
--- a/crates/guava-serve/src/upstreams/upstream_call.rs
+++ b/crates/guava-serve/src/upstreams/upstream_call.rs
@@ -7,7 +7,9 @@
 
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{note_announcements, note_send};
+use crate::upstreams::connection_pool::ExchangeError;
 use crate::upstreams::http_call::{BackingOffSnafu, CallAnswer, CallError};
+use crate::upstreams::reach_task::note_connect_failure;
 use bytes::Bytes;
 use guava_types::{Deadline, Moment, UpstreamId};
 use http::Request;
@@ -31,7 +33,11 @@
         BackingOffSnafu
     );
     note_send(context, upstream, sent);
-    let answer = context.pool.call(address, request, deadline, idle_ms).await?;
+    let called = context.pool.call(address, request, deadline, idle_ms).await;
+    if let Err(CallError::NoAnswer { source: ExchangeError::NotSent { .. } }) = &called {
+        note_connect_failure(context, upstream);
+    }
+    let answer = called?;
     let marks = (context.dialect.marks)(answer.status, &answer.headers);
     if !marks.is_unexpected {
         note_announcements(context, upstream, &marks.announcements, sent);
--- a/crates/guava-serve/src/upstreams/upstream_crashes.rs
+++ b/crates/guava-serve/src/upstreams/upstream_crashes.rs
@@ -2,11 +2,14 @@
 //!
 //! A crash is detected by a refused connection. The upstream is then not used for a time, and the
 //! requests in flight are recorded in the crash ledger, which quarantines those that were in flight
-//! at several crashes.
+//! at several crashes. They are recorded only if other upstreams are still reached: where this
+//! daemon's own links are reset, all upstreams look crashed, and the requests have done nothing.
 
 use crate::events;
 use crate::serve_context::ServeContext;
+use crate::upstreams::broken_send_table::InterruptedSends;
 use crate::upstreams::crash_notice::CrashNotice;
+use crate::upstreams::reach_task::confirm_reach;
 use guava_log::log_event;
 use guava_policy::{ClearNotice, LedgerChange, QuarantineNotice};
 use guava_types::{Deadline, Moment, RequestDigest, UpstreamId};
@@ -29,7 +32,9 @@
 pub fn note_interrupted(context: &Rc<ServeContext>, upstream: &UpstreamId, request: RequestDigest) {
     let now = Moment::now();
     if context.upstreams.borrow().has_crashed(upstream, now) {
-        note_upstream_crash(context, upstream, vec![request], now);
+        let sends = InterruptedSends { since: now, requests: vec![request] };
+        let (context, upstream) = (Rc::clone(context), upstream.clone());
+        drop(tokio::task::spawn_local(note_confirmed_crash(context, upstream, sends)));
     } else if context.broken_sends.borrow_mut().note_interrupted(upstream, request, now) {
         drop(tokio::task::spawn_local(check_listener(Rc::clone(context), upstream.clone())));
     }
@@ -50,15 +55,27 @@
     }
 }
 
-/// Notes that an upstream's address refuses connections, which shows that it crashed.
-pub fn note_refused(context: &ServeContext, upstream: &UpstreamId) {
+/// Notes that an upstream's address refuses connections: it crashed, or this daemon's links are lost.
+pub fn note_refused(context: &Rc<ServeContext>, upstream: &UpstreamId) {
     let now = Moment::now();
     let sends = context.broken_sends.borrow_mut().take(upstream);
     let is_known = context.upstreams.borrow().has_crashed(upstream, now);
-    match sends {
-        Some(sends) => note_upstream_crash(context, upstream, sends.requests, sends.since),
-        None if !is_known => note_upstream_crash(context, upstream, Vec::new(), now),
-        None => {}
+    mark_crashed(context, upstream, now);
+    let sends = sends.unwrap_or(InterruptedSends { since: now, requests: Vec::new() });
+    if !is_known || !sends.requests.is_empty() {
+        let (context, upstream) = (Rc::clone(context), upstream.clone());
+        drop(tokio::task::spawn_local(note_confirmed_crash(context, upstream, sends)));
+    }
+}
+
+/// Notes a crash, unless no other upstream is reached since the first send was interrupted.
+async fn note_confirmed_crash(
+    context: Rc<ServeContext>,
+    upstream: UpstreamId,
+    sends: InterruptedSends,
+) {
+    if confirm_reach(&context, sends.since).await {
+        note_upstream_crash(&context, &upstream, sends.requests, sends.since);
     }
 }
 
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -464,6 +464,11 @@
         }
     }
 
+    /// Forgets which upstreams count as crashed.
+    pub fn forget_crashes(&mut self) {
+        self.listed.values_mut().for_each(|listed| listed.crashed_until = Deadline::default());
+    }
+
     /// Whether an upstream currently counts as crashed.
     pub fn has_crashed(&self, id: &UpstreamId, now: Moment) -> bool {
         self.listed.get(id).is_some_and(|listed| !listed.crashed_until.passed(now))
--- a/crates/guava-serve/src/weights/order_task.rs
+++ b/crates/guava-serve/src/weights/order_task.rs
@@ -97,7 +97,8 @@
         let mut wanted_since: Option<Moment> = None;
         loop {
             let is_wanted = self.rollout.borrow_mut().refresh(&self.context, Moment::now());
-            if !is_wanted {
+            // Without links to engines, the lease is left to expire.
+            if !is_wanted || self.context.reach.borrow().is_lost() {
                 wanted_since = None;
                 sleep(Duration::from_millis(IDLE_INTERVAL_MS)).await;
                 continue;
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -334,6 +334,7 @@
     let message = PeerMessage {
         member: descriptor("d1", true),
         role: PeerRole {
+            is_cut_off: true,
             role: MemberRole::Attached,
             registered: Some(9),
             attached: 4,
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -161,6 +161,8 @@
             headers: http::HeaderMap::new(),
         },
         body: bytes::Bytes::from_static(b"body"),
+        credential: None,
+        is_forwarded: false,
     }
 }
 
@@ -183,6 +185,7 @@
     };
     let dialect = Dialect {
         encode: |_, _| http::Request::default(),
+        forward: |_, _| http::Request::default(),
         marks: |_, _| AnswerMarks::default(),
         strip: |_| {},
     };
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -40,6 +40,13 @@
             }
             encoded
         },
+        forward: |request, left_ms| {
+            let mut encoded = Request::post("/x").body(Full::new(request.body.clone())).unwrap();
+            let headers = encoded.headers_mut();
+            headers.insert("host", "a".parse().unwrap());
+            headers.insert("x-left", left_ms.into());
+            encoded
+        },
         marks: |status, headers| AnswerMarks {
             request: text(headers, "x-request"),
             is_not_run: headers.contains_key("x-not-run") || status == 421,
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -46,6 +46,8 @@
     all: LinkFault,
     by_source: FastMap<IpAddr, LinkFault>,
     epoch: u64,
+    /// Whether new connections are refused or ignored by now.
+    is_closed: bool,
     dropped: u64,
     passed: u64,
 }
@@ -68,7 +70,9 @@
     }
 
     fn fault(&self, source: IpAddr) -> LinkFault {
-        self.by_source.get(&source).copied().unwrap_or(self.all)
+        let fault = self.by_source.get(&source).copied().unwrap_or(self.all);
+        // Whoever sees its connection reset finds that nobody listens.
+        if fault == LinkFault::Reset && !self.is_closed { LinkFault::None } else { fault }
     }
 }
 
@@ -135,7 +139,9 @@
         let mode = rules.lock().listen_mode();
         if mode != ListenMode::Accept {
             drop(listener);
+            rules.lock().is_closed = true;
             await_accept_mode(address, mode, &rules).await;
+            rules.lock().is_closed = false;
             listener = match TcpListener::bind(address).await {
                 Ok(listener) => listener,
                 Err(error) => return eprintln!("a proxy can't listen again: {error}"),
--- a/crates/guavatiller/tests/lost_upstream_links.rs
+++ b/crates/guavatiller/tests/lost_upstream_links.rs
@@ -224,6 +224,7 @@
     };
     let engines = ["e0", "e1", "e2"].map(|id| &fleet.deployment.servers[id]);
     wait_until("engines have new weights", || engines.iter().all(|one| one.version() == 2));
+    wait_until("the lease is logged", || holder().is_some());
 
     holder().unwrap().set_server_links(LinkFault::Unanswered);
     fleet.first_tries(STABLE);
@@ -235,3 +236,30 @@
 
     assert!(engines.iter().all(|one| one.version() == 3));
 }
+
+#[test]
+fn request_is_not_quarantined_for_links_that_are_reset_under_it() {
+    let fleet = Fleet::start();
+    let send_polled = |daemon: &DaemonProcess| {
+        let id = format!("polled-{}", SENT.fetch_add(1, Ordering::Relaxed));
+        send(daemon.callers, &request_to("POST", "/brief/2f", &id, ServiceNames::KEY, "polled"))
+    };
+    // Each time at another engine, since the one before is taken for crashed.
+    for _ in 0..4 {
+        scope(|scope| {
+            scope.spawn(|| send_polled(&fleet.daemons[0]));
+            sleep(Duration::from_millis(40));
+            fleet.daemons[0].set_server_links(LinkFault::Reset);
+            sleep(Duration::from_millis(300));
+            fleet.daemons[0].set_server_links(LinkFault::None);
+        });
+        sleep(Duration::from_millis(200));
+    }
+
+    let statuses: Vec<Option<u16>> =
+        fleet.daemons.iter().map(|daemon| send_polled(daemon).map(|it| it.status)).collect();
+
+    let quarantined = fleet.daemons.iter().flat_map(DaemonProcess::lines);
+    let quarantined = quarantined.filter(|line| line.contains("G8013")).count();
+    assert_eq!((statuses, quarantined), (vec![Some(200); 3], 0));
+}
