--- a/crates/guava-daemon/src/address.rs
+++ b/crates/guava-daemon/src/address.rs
@@ -52,16 +52,19 @@
         let is_far = data_centre.is_some_and(|wanted| wanted != centre);
         entries.push((Some(address) != owner, is_far, rand::random(), centre.clone(), address));
     };
-    if context.phase() == DaemonPhase::Serving && context.freshness().is_fresh() {
-        add(&context.settings.data_centre, context.settings.callers.advertise);
-    }
+    let mut is_any_serving = false;
     {
         let peers = locked(&context.peer_table);
         let alive = peers.alive(Moment::now());
         for (_, entry) in alive.filter(|(_, entry)| entry.phase == DaemonPhase::Serving) {
+            is_any_serving = true;
             add(&entry.identity.data_centre, entry.identity.caller_address);
         }
     }
+    let may_serve = context.phase() == DaemonPhase::Serving && context.freshness().is_fresh();
+    if may_serve && (context.told_phase() == DaemonPhase::Serving || !is_any_serving) {
+        add(&context.settings.data_centre, context.settings.callers.advertise);
+    }
     entries.sort_unstable();
     let addresses: Vec<_> = entries
         .into_iter()
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -156,6 +156,15 @@
         DaemonPhase::from_code(u32::from(self.phase.load(Ordering::Acquire)))
     }
 
+    /// The phase that the other daemons are told. One that no upstream reports to does not serve, as
+    /// if it were starting: its own links are lost, or the upstreams are, for all daemons alike.
+    pub fn told_phase(&self) -> DaemonPhase {
+        match self.phase() {
+            DaemonPhase::Serving if !locked(&self.reports).is_any_fresh() => DaemonPhase::Starting,
+            phase => phase,
+        }
+    }
+
     /// Moves on in its life; never back.
     pub fn enter_phase(&self, phase: DaemonPhase) {
         self.phase.fetch_max(phase.code(), Ordering::AcqRel);
--- a/crates/guava-daemon/src/gossip_codec.rs
+++ b/crates/guava-daemon/src/gossip_codec.rs
@@ -69,7 +69,7 @@
         incarnation: context.me.0.to_be_bytes().to_vec(),
         version: context.entry_version(),
         age_ms: 0,
-        phase: u32::from(context.phase().code()),
+        phase: u32::from(context.told_phase().code()),
         next_offset: context.state.next().0,
         log_end: sight.map(|sight| sight.end.0),
         log_age_ms: sight.map_or(0, |sight| age_of(sight.seen)),
--- a/crates/guava-daemon/src/order_task.rs
+++ b/crates/guava-daemon/src/order_task.rs
@@ -74,8 +74,8 @@
             }
             self.token = token;
         }
-        let may_hold =
-            self.context.phase() == DaemonPhase::Serving && self.context.freshness().is_fresh();
+        let may_hold = self.context.told_phase() == DaemonPhase::Serving
+            && self.context.freshness().is_fresh();
         if !may_hold || now.millis_since(self.asked_at) < RENEW_MS {
             return;
         }
--- a/crates/guava-daemon/src/report_table.rs
+++ b/crates/guava-daemon/src/report_table.rs
@@ -38,6 +38,11 @@
         self.get(upstream).is_some_and(|heard| now.millis_since(heard.heard) < FRESH_FOR_MS)
     }
 
+    /// Whether any upstream reported lately, or none ever did.
+    pub fn is_any_fresh(&self) -> bool {
+        self.reports.is_empty() || self.reports.keys().any(|upstream| self.is_fresh(upstream))
+    }
+
     /// The version of a model that an engine takes new requests for, as last reported.
     pub fn loaded(&self, upstream: &UpstreamId, model: &ModelName) -> Option<VersionName> {
         if !self.is_fresh(upstream) {
--- a/crates/guava-standins/src/fault_proxy.rs
+++ b/crates/guava-standins/src/fault_proxy.rs
@@ -14,6 +14,7 @@
 
 const COPY_BYTES: usize = 16 << 10;
 const RECHECK_MS: u64 = 20;
+const CLOSE_CHECK_MS: u64 = 2;
 
 /// What a link does.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,6 +47,8 @@
     all: LinkFault,
     by_source: FastMap<IpAddr, LinkFault>,
     epoch: u64,
+    /// Whether nobody listens at the target; nobody listens here then either.
+    is_target_gone: bool,
     /// Whether new connections are refused or ignored by now.
     is_closed: bool,
     dropped: u64,
@@ -63,6 +66,7 @@
 impl LinkRules {
     fn listen_mode(&self) -> ListenMode {
         match self.all {
+            LinkFault::None if self.is_target_gone => ListenMode::Refuse,
             LinkFault::Reset | LinkFault::Refuse => ListenMode::Refuse,
             LinkFault::Unanswered => ListenMode::Ignore,
             _ => ListenMode::Accept,
@@ -140,14 +144,14 @@
         if mode != ListenMode::Accept {
             drop(listener);
             rules.lock().is_closed = true;
-            await_accept_mode(address, mode, &rules).await;
+            await_accept_mode(address, target, mode, &rules).await;
             rules.lock().is_closed = false;
             listener = match TcpListener::bind(address).await {
                 Ok(listener) => listener,
                 Err(error) => return eprintln!("a proxy can't listen again: {error}"),
             };
         }
-        let accepting = timeout(Duration::from_millis(RECHECK_MS), listener.accept());
+        let accepting = timeout(Duration::from_millis(RECHECK_MS / 4), listener.accept());
         let Ok(Ok((client, source))) = accepting.await else { continue };
         if rules.lock().fault(source.ip()) == LinkFault::Cut {
             drop(client);
@@ -159,13 +163,22 @@
 
 /// Waits until connections are accepted again. To ignore them, a queue of pending connections is
 /// kept full: the system drops what exceeds it.
-async fn await_accept_mode(address: SocketAddr, mode: ListenMode, rules: &Shared<LinkRules>) {
+async fn await_accept_mode(
+    address: SocketAddr,
+    target: SocketAddr,
+    mode: ListenMode,
+    rules: &Shared<LinkRules>,
+) {
     let full = if mode == ListenMode::Ignore { fill_queue(address).await } else { None };
     if mode == ListenMode::Ignore && full.is_none() {
         eprintln!("a proxy can't ignore connections, and refuses them");
     }
     while rules.lock().listen_mode() != ListenMode::Accept {
         sleep(Duration::from_millis(RECHECK_MS)).await;
+        let is_target_gone = rules.lock().is_target_gone;
+        if is_target_gone && TcpStream::connect(target).await.is_ok() {
+            rules.lock().is_target_gone = false;
+        }
     }
 }
 
@@ -185,7 +198,7 @@
     let opened = rules.lock().epoch;
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let link = Link { source, rules, opened };
+    let link = Link { source, target, rules, opened };
     let up = pump(client_read, server_write, link.clone(), Direction::Request);
     let down = pump(server_read, client_write, link, Direction::Answer);
     tokio::spawn(up);
@@ -195,6 +208,7 @@
 #[derive(Clone)]
 struct Link {
     source: IpAddr,
+    target: SocketAddr,
     rules: Shared<LinkRules>,
     opened: u64,
 }
@@ -225,7 +239,12 @@
             read = from.read(&mut buffer) => read,
             () = cut(&link) => return,
         };
-        let Ok(length @ 1..) = read else { return };
+        let Ok(length @ 1..) = read else {
+            if direction == Direction::Answer {
+                await_closed_like_target(&link).await;
+            }
+            return;
+        };
         let mut delayed = false;
         loop {
             match (link.fault(), direction) {
@@ -255,6 +274,18 @@
     }
 }
 
+/// Waits until nobody listens here, if nobody listens at the target: whoever sees its connection
+/// broken finds the same as without a proxy.
+async fn await_closed_like_target(link: &Link) {
+    if TcpStream::connect(link.target).await.is_ok() {
+        return;
+    }
+    link.rules.lock().is_target_gone = true;
+    while link.rules.lock().is_target_gone && !link.rules.lock().is_closed {
+        sleep(Duration::from_millis(CLOSE_CHECK_MS)).await;
+    }
+}
+
 async fn cut(link: &Link) {
     while !matches!(link.fault(), LinkFault::Cut | LinkFault::Reset) {
         sleep(Duration::from_millis(RECHECK_MS)).await;
--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -26,10 +26,10 @@
 fn promises_hold_under_faults_in_series() {
     let short = SHORT_RUN.into_iter().chain(REGRESSIONS).collect();
     let seeds = seeds_by_hand().unwrap_or(short);
-    let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
 
-    let failed = failed_seeds(seeds, AT_A_TIME, |seed| soak(program, folder, seed).unwrap());
+    let failed = failed_seeds(seeds, AT_A_TIME, |seed| soak(&program, folder, seed).unwrap());
 
     assert!(failed.is_empty(), "{failed:#?}");
 }
