--- /dev/null
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -0,0 +1,190 @@
+//! Daemons that reach no upstream: who serves their requests, and who takes over their tasks.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod support;
+
+use guava_policy::ReachChange;
+use guava_serve::{
+    AcceptedRequest, MemberDescriptor, MemberTable, PeerRole, RepeatRule, ServeContext,
+    serve_request,
+};
+use guava_types::Moment;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use support::scripted::{ScriptStep, ScriptedUpstream};
+use support::served::{CallerResult, caller_answer, context, read, run};
+use support::{address, config, note, request, route};
+
+const NOW: Moment = Moment(100_000);
+
+fn member(name: &str, data_centre: &str, callers: SocketAddr) -> MemberDescriptor {
+    MemberDescriptor {
+        data_centre: data_centre.parse().unwrap(),
+        caller_address: callers,
+        ..note(name)
+    }
+}
+
+/// The table of daemon `d0` with three others, of which `d1` and `d2` stand in its data centre.
+fn members(cut_off: &[&str]) -> MemberTable {
+    let mut members = MemberTable::new("east".parse().unwrap());
+    members.note_listed();
+    for (name, data_centre, port) in [("d1", "east", 1), ("d2", "east", 2), ("d3", "west", 3)] {
+        members.note_from_peer(member(name, data_centre, address(port)), NOW);
+        let is_cut_off = cut_off.contains(&name);
+        let role = PeerRole { is_cut_off, ..PeerRole::default() };
+        members.note_role(&name.parse().unwrap(), role);
+    }
+    members.note_cut_off(cut_off.contains(&"d0"));
+    members
+}
+
+fn ports(mut addresses: Vec<SocketAddr>) -> Vec<u16> {
+    addresses.sort_unstable();
+    addresses.iter().map(SocketAddr::port).collect()
+}
+
+#[yare::parameterized(
+    none = { &[], &[1, 2, 3, 9] },
+    a_peer = { &["d2"], &[1, 3, 9] },
+    this_one = { &["d0"], &[1, 2, 3] },
+    all_others = { &["d1", "d2", "d3"], &[9] },
+    all = { &["d0", "d1", "d2", "d3"], &[1, 2, 3, 9] },
+)]
+fn callers_are_directed_to_daemons_that_reach_upstreams(cut_off: &[&str], expected: &[u16]) {
+    let members = members(cut_off);
+
+    let given = members.all_caller_addresses(Some(address(9)), NOW, 5);
+
+    assert_eq!(ports(given), expected);
+}
+
+#[test]
+fn requests_are_forwarded_within_the_data_centre_first() {
+    let targets: Vec<u16> =
+        members(&["d0", "d1"]).forward_targets(NOW).iter().map(SocketAddr::port).collect();
+
+    assert_eq!(targets, [2, 3]);
+    assert_eq!(members(&["d0", "d1", "d2", "d3"]).forward_targets(NOW), []);
+}
+
+#[test]
+fn tasks_at_upstreams_go_to_daemons_that_reach_them() {
+    let me = "d0".parse().unwrap();
+    let subjects = (0..32).map(|number| format!("task-{number}"));
+    let first_of_others: Vec<String> =
+        subjects.filter(|subject| members(&[]).rank(&me, subject, NOW) > 0).collect();
+
+    let is_first_alone = |subject: &String| {
+        members(&["d1", "d2", "d3"]).rank(&me, subject, NOW) == 0
+            && members(&["d0"]).rank(&me, subject, NOW) == usize::MAX
+            && members(&["d0"]).local_rank(&me, subject, NOW) == usize::MAX
+    };
+
+    assert!(!first_of_others.is_empty());
+    assert!(first_of_others.iter().all(is_first_alone));
+}
+
+/// A daemon that has lost its links, and the daemons to which it may forward.
+fn cut_off_daemon(peers: &[&ScriptedUpstream]) -> Rc<ServeContext> {
+    let context = context(&[]);
+    let now = Moment::now();
+    for (number, peer) in peers.iter().enumerate() {
+        // The first stands in this data centre, so it is tried first.
+        let data_centre = if number == 0 { "east" } else { "west" };
+        let peer = member(&format!("peer-{number}"), data_centre, peer.address);
+        context.members.borrow_mut().note_from_peer(peer, now);
+    }
+    let change = context.reach.borrow_mut().note_unreached_sample(now);
+    assert_eq!(change, Some(ReachChange::Lost));
+    context
+}
+
+fn app_request(repeat: RepeatRule) -> AcceptedRequest {
+    request(route("/x/", "app", repeat))
+}
+
+fn serve(context: &Rc<ServeContext>, request: AcceptedRequest) -> CallerResult {
+    let config = Rc::new(config(7));
+    run(async { read(serve_request(context, &config, request).await).await })
+}
+
+fn answers(head: &str, body: &str) -> ScriptedUpstream {
+    let head = format!("HTTP/1.1 {head}\r\ncontent-length: {}\r\n", body.len());
+    ScriptedUpstream::start(vec![vec![ScriptStep::SendBytes(format!("{head}\r\n{body}"))]])
+}
+
+fn unserved() -> ScriptedUpstream {
+    answers("503 Unavailable\r\nguava-unserved: 1", "")
+}
+
+#[test]
+fn answer_of_another_daemon_is_relayed() {
+    let peer = answers("200 OK", "done");
+
+    let result = serve(&cut_off_daemon(&[&peer]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
+    assert!(peer.requests()[0].contains("guava-forwarded: 7"), "{:?}", peer.requests());
+}
+
+#[test]
+fn request_that_another_daemon_can_not_serve_goes_to_one_more() {
+    let (first, second) = (unserved(), answers("200 OK", "done"));
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
+}
+
+#[test]
+fn non_idempotent_request_whose_answer_another_daemon_lost_is_not_sent_again() {
+    let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
+    let second = answers("200 OK", "done");
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!((result, second.requests().len()), (CallerResult::Lost, 0));
+}
+
+#[test]
+fn idempotent_request_whose_answer_another_daemon_lost_goes_to_one_more() {
+    let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
+    let second = answers("200 OK", "done");
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::Idempotent));
+
+    assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
+}
+
+#[test]
+fn answer_that_another_daemon_breaks_off_is_not_complete() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf";
+    let script = vec![ScriptStep::SendBytes(head.to_owned()), ScriptStep::Close];
+    let peer = ScriptedUpstream::start(vec![script]);
+
+    let result = serve(&cut_off_daemon(&[&peer]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!(result, caller_answer(200, b"half".to_vec(), false));
+}
+
+#[test]
+fn forwarded_request_is_not_forwarded_again() {
+    let peer = answers("200 OK", "done");
+    let request = AcceptedRequest { is_forwarded: true, ..app_request(RepeatRule::Idempotent) };
+
+    let result = serve(&cut_off_daemon(&[&peer]), request);
+
+    assert_eq!((result, peer.requests().len()), (CallerResult::NotRun, 0));
+}
+
+#[test]
+fn request_is_refused_if_no_other_daemon_can_serve_it() {
+    let peers = [unserved(), unserved()];
+
+    let result =
+        serve(&cut_off_daemon(&[&peers[0], &peers[1]]), app_request(RepeatRule::Idempotent));
+
+    assert_eq!(result, CallerResult::NotRun);
+}
