--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -67,6 +67,15 @@
 /// Quarantines retained. Each has cost three upstreams.
 const MAX_QUARANTINES: usize = 128;
 
+/// A part of the prompt of a request that was in flight at a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectPart {
+    /// Digest of the part.
+    pub digest: RequestDigest,
+    /// Number of parts before it in its prompt.
+    pub depth: u8,
+}
+
 /// A quarantined request, as daemons report it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineNotice {
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -37,7 +37,7 @@
 pub use cold_start::{ColdRule, cold_share};
 pub use crash_ledger::{
     CRASHES_TO_QUARANTINE, ClearNotice, CrashLedger, FIRST_QUARANTINE_MS, LedgerChange,
-    QuarantineNotice,
+    QuarantineNotice, SuspectPart,
 };
 pub use export::{ExportInput, should_export};
 pub use link::LinkTable;
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -795,7 +795,7 @@
     let requests =
         wire.requests.iter().filter_map(|bytes| RequestDigest::from_bytes(bytes)).collect();
     let at = now.minus_millis(wire.age_ms);
-    Some(CrashNotice { upstream: wire.upstream.parse().ok()?, at, requests })
+    Some(CrashNotice { upstream: wire.upstream.parse().ok()?, at, requests, parts: Vec::new() })
 }
 
 fn wire_limit(notice: &LimitNotice, now: Moment) -> WireLimit {
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -2,6 +2,7 @@
 
 use crate::serve_config::{CallerIdentity, RouteRule};
 use bytes::Bytes;
+use guava_policy::SuspectPart;
 use guava_types::{Deadline, ModelName, Moment, RequestDigest, TokenCount};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use std::rc::Rc;
@@ -85,6 +86,18 @@
         RequestDigest::of(caller, path, &self.body)
     }
 
+    /// Parts of its prompt that it shares with others, as evidence names them. The last part is its
+    /// own. Computed on each call, as few requests need them.
+    pub fn shared_parts(&self) -> Vec<SuspectPart> {
+        let parts = self.prompt.as_ref().map(|prompt| prompt.parts.as_slice()).unwrap_or_default();
+        let shared = parts.split_last().map(|(_, shared)| shared).unwrap_or_default();
+        let suspect = |(depth, part): (usize, &PromptPart)| SuspectPart {
+            digest: RequestDigest::of_part(&part.id),
+            depth: u8::try_from(depth).unwrap_or(u8::MAX),
+        };
+        shared.iter().enumerate().map(suspect).collect()
+    }
+
     /// Priority among requests; 0 is served first. It is the customer's priority or, if it has
     /// none, the route's; among equals, requests of more urgent routes come first.
     ///
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -352,7 +352,7 @@
                 AttemptOutcome::NotSent
             }
             ExchangeError::NoAnswer { .. } => {
-                note_interrupted(self.context, upstream, self.request.digest());
+                note_interrupted(self.context, upstream, self.request);
                 AttemptOutcome::Lost
             }
         }
@@ -360,7 +360,7 @@
 
     /// Records a connection that broke before the answer was complete.
     fn interrupted(&self, reason: &str) -> AttemptOutcome {
-        note_interrupted(self.context, &self.plan.send.upstream, self.request.digest());
+        note_interrupted(self.context, &self.plan.send.upstream, self.request);
         self.lost(reason)
     }
 
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -118,11 +118,7 @@
             };
             match until(limit, source.next_step()).await {
                 Some(StreamStep::Interrupted(reason)) => {
-                    note_interrupted(
-                        &self.run.context,
-                        &source.upstream,
-                        self.run.request.digest(),
-                    );
+                    note_interrupted(&self.run.context, &source.upstream, &self.run.request);
                     return StreamStep::Interrupted(reason);
                 }
                 Some(step) => return step,
--- a/crates/guava-serve/src/upstreams/broken_send_table.rs
+++ b/crates/guava-serve/src/upstreams/broken_send_table.rs
@@ -5,6 +5,8 @@
 //! connections at its address. So the first interrupted send starts a check of the address, and
 //! later ones are collected until its result is known.
 
+use crate::request::accepted_request::AcceptedRequest;
+use guava_policy::SuspectPart;
 use guava_types::{FastMap, Moment, RequestDigest, UpstreamId};
 
 /// Interrupted sends at one upstream.
@@ -14,6 +16,25 @@
     pub since: Moment,
     /// Digests of the requests, in the order of interruption.
     pub requests: Vec<RequestDigest>,
+    /// Shared parts of their prompts, each once.
+    pub parts: Vec<SuspectPart>,
+}
+
+impl InterruptedSends {
+    /// No sends, as of a moment.
+    pub fn none(since: Moment) -> Self {
+        Self { since, requests: Vec::new(), parts: Vec::new() }
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, request: &AcceptedRequest) {
+        self.requests.push(request.digest());
+        for part in request.shared_parts() {
+            if !self.parts.iter().any(|known| known.digest == part.digest) {
+                self.parts.push(part);
+            }
+        }
+    }
 }
 
 /// Interrupted sends by upstream.
@@ -28,12 +49,12 @@
     pub fn note_interrupted(
         &mut self,
         upstream: &UpstreamId,
-        request: RequestDigest,
+        request: &AcceptedRequest,
         now: Moment,
     ) -> bool {
-        let empty = || InterruptedSends { since: now, requests: Vec::new() };
-        let sends = self.by_upstream.entry(upstream.clone()).or_insert_with(empty);
-        sends.requests.push(request);
+        let none = || InterruptedSends::none(now);
+        let sends = self.by_upstream.entry(upstream.clone()).or_insert_with(none);
+        sends.push(request);
         sends.requests.len() == 1
     }
 
--- a/crates/guava-serve/src/upstreams/crash_gossip.rs
+++ b/crates/guava-serve/src/upstreams/crash_gossip.rs
@@ -65,6 +65,7 @@
                 upstream: notice.upstream.clone(),
                 at: notice.at,
                 requests: requests.to_vec(),
+                parts: Vec::new(),
             };
             // An upstream's id takes about as many bytes as two digests.
             let size = requests.len() + 2;
--- a/crates/guava-serve/src/upstreams/crash_notice.rs
+++ b/crates/guava-serve/src/upstreams/crash_notice.rs
@@ -1,5 +1,6 @@
 //! The notice of an upstream's crash that daemons exchange.
 
+use guava_policy::SuspectPart;
 use guava_types::{Moment, RequestDigest, UpstreamId};
 
 /// A crash of an upstream, with the sender's requests that were in flight there.
@@ -11,4 +12,6 @@
     pub at: Moment,
     /// Digests of the sender's requests that the crash interrupted.
     pub requests: Vec<RequestDigest>,
+    /// Shared parts of their prompts.
+    pub parts: Vec<SuspectPart>,
 }
--- a/crates/guava-serve/src/upstreams/upstream_crashes.rs
+++ b/crates/guava-serve/src/upstreams/upstream_crashes.rs
@@ -6,6 +6,7 @@
 //! daemon's own links are reset, all upstreams look crashed, and the requests have done nothing.
 
 use crate::events;
+use crate::request::accepted_request::AcceptedRequest;
 use crate::serve_context::ServeContext;
 use crate::upstreams::broken_send_table::InterruptedSends;
 use crate::upstreams::crash_notice::CrashNotice;
@@ -29,10 +30,15 @@
 
 /// Notes an interrupted send: the connection broke after the upstream may have begun to run the
 /// request. The first one at an upstream starts a check whether that upstream crashed.
-pub fn note_interrupted(context: &Rc<ServeContext>, upstream: &UpstreamId, request: RequestDigest) {
+pub fn note_interrupted(
+    context: &Rc<ServeContext>,
+    upstream: &UpstreamId,
+    request: &AcceptedRequest,
+) {
     let now = Moment::now();
     if context.upstreams.borrow().has_crashed(upstream, now) {
-        let sends = InterruptedSends { since: now, requests: vec![request] };
+        let mut sends = InterruptedSends::none(now);
+        sends.push(request);
         let (context, upstream) = (Rc::clone(context), upstream.clone());
         drop(tokio::task::spawn_local(note_confirmed_crash(context, upstream, sends)));
     } else if context.broken_sends.borrow_mut().note_interrupted(upstream, request, now) {
@@ -61,7 +67,7 @@
     let sends = context.broken_sends.borrow_mut().take(upstream);
     let is_known = context.upstreams.borrow().has_crashed(upstream, now);
     mark_crashed(context, upstream, now);
-    let sends = sends.unwrap_or(InterruptedSends { since: now, requests: Vec::new() });
+    let sends = sends.unwrap_or(InterruptedSends::none(now));
     if !is_known || !sends.requests.is_empty() {
         let (context, upstream) = (Rc::clone(context), upstream.clone());
         drop(tokio::task::spawn_local(note_confirmed_crash(context, upstream, sends)));
@@ -75,7 +81,8 @@
     sends: InterruptedSends,
 ) {
     if confirm_reach(&context, sends.since).await {
-        note_upstream_crash(&context, &upstream, sends.requests, sends.since);
+        let InterruptedSends { since, requests, parts } = sends;
+        note_upstream_crash(&context, CrashNotice { upstream, at: since, requests, parts });
     }
 }
 
@@ -85,28 +92,22 @@
 /// Peers use the notice as evidence against the requests only and go on using the upstream, which
 /// they may reach even if this daemon can't. Otherwise one daemon behind a network partition that
 /// refuses connections would make every upstream unavailable to all.
-pub fn note_upstream_crash(
-    context: &ServeContext,
-    upstream: &UpstreamId,
-    mut requests: Vec<RequestDigest>,
-    at: Moment,
-) {
+pub fn note_upstream_crash(context: &ServeContext, mut notice: CrashNotice) {
     let now = Moment::now();
-    if context.is_leaving(upstream) {
+    if context.is_leaving(&notice.upstream) {
         // It exited as announced: that is no evidence against any request.
-        requests.clear();
+        notice.requests.clear();
+        notice.parts.clear();
     }
-    mark_crashed(context, upstream, now);
-    let list: Vec<String> =
-        requests.iter().take(MAX_LOGGED_DIGESTS).map(RequestDigest::to_string).collect();
+    mark_crashed(context, &notice.upstream, now);
     log_event!(
         info,
         events::UPSTREAM_CRASHED,
-        upstream = upstream,
-        under = requests.len(),
-        digests = list.join(" ")
+        upstream = notice.upstream,
+        under = notice.requests.len(),
+        digests = digest_list(notice.requests.iter()),
+        parts = digest_list(notice.parts.iter().map(|part| &part.digest))
     );
-    let notice = CrashNotice { upstream: upstream.clone(), at, requests };
     // Even without requests, it shows that the requests are not the cause of other crashes at the
     // same moment.
     let is_change = apply_crash(context, &notice, now);
@@ -116,6 +117,10 @@
     }
 }
 
+fn digest_list<'a>(digests: impl Iterator<Item = &'a RequestDigest>) -> String {
+    digests.take(MAX_LOGGED_DIGESTS).map(RequestDigest::to_string).collect::<Vec<_>>().join(" ")
+}
+
 /// Marks an upstream as crashed and closes the idle connections to it.
 fn mark_crashed(context: &ServeContext, upstream: &UpstreamId, now: Moment) {
     let mut upstreams = context.upstreams.borrow_mut();
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -382,6 +382,7 @@
             upstream: id("e"),
             at: Moment(99_960),
             requests: vec![RequestDigest(7)],
+            parts: Vec::new(),
         }],
         stops: vec![QuarantineNotice { request: RequestDigest(8), left_ms: 9_000, times: 2 }],
         cleared: vec![ClearNotice { request: RequestDigest(9), at: Moment(99_990) }],
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -34,11 +34,16 @@
     Rc::new(context)
 }
 
+fn crash(number: usize, requests: &[RequestDigest], at: Moment) -> CrashNotice {
+    let upstream = id(&format!("u{number}"));
+    CrashNotice { upstream, at, requests: requests.to_vec(), parts: Vec::new() }
+}
+
 /// Notes at a daemon that an upstream crashed with these requests in flight; crashes with different
 /// numbers are not simultaneous.
 fn crash_at(context: &ServeContext, number: usize, requests: &[RequestDigest]) {
     let at = Moment::now().minus_millis(100 * number as u64);
-    note_upstream_crash(context, &id(&format!("u{number}")), requests.to_vec(), at);
+    note_upstream_crash(context, crash(number, requests, at));
 }
 
 /// Encodes messages, and applies them at another daemon.
@@ -94,7 +99,7 @@
     let (one, two, three) = (daemon("d1"), daemon("d2"), daemon("d3"));
     let at = Moment::now().minus_millis(1_000);
     let crash = |context: &ServeContext, number: usize| {
-        note_upstream_crash(context, &id(&format!("u{number}")), vec![CONCURRENT], at);
+        note_upstream_crash(context, crash(number, &[CONCURRENT], at));
     };
     (0..2).for_each(|number| crash(&one, number));
     crash(&two, 2);
@@ -390,6 +395,7 @@
         upstream: id(&format!("unlisted{number}")),
         at: Moment::now().minus_millis(100 * number),
         requests: vec![CRASHING],
+        parts: Vec::new(),
     });
     let message = PeerMessage { ended: unlisted.collect(), ..summary(&daemon("d2"), "d2") };
 
--- a/crates/guava-types/src/ids.rs
+++ b/crates/guava-types/src/ids.rs
@@ -66,7 +66,7 @@
 );
 hex_id!(
     /// What a request is, whichever attempt of its caller's: the same for the same caller, path and
-    /// body. A hash, so that it tells nothing of them.
+    /// body; or what a part of prompts is. A hash, so that it tells nothing of them.
     RequestDigest
 );
 
@@ -93,6 +93,17 @@
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        Self::from_hash(&hasher)
+    }
+
+    /// The digest of a part of prompts, by its id.
+    pub fn of_part(id: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(b"part:").update(id.as_bytes());
+        Self::from_hash(&hasher)
+    }
+
+    fn from_hash(hasher: &blake3::Hasher) -> Self {
         let mut half = [0; 16];
         hasher.finalize_xof().fill(&mut half);
         Self(u128::from_be_bytes(half))
