fix: prompt parts that end upstreams are quarantined, whatever else the requests hold

Cause: what is held against crashes was a request's digest (caller, path and body), and no two of these requests were alike; what they share is a part of their prompts. Class: evidence kept under a key that the cause does not determine.

The parts that prompts share with others are suspects now beside the requests. Of suspects at equally many crashes the most specific is taken: a request before parts, and a part before those that precede it, which more requests share; if that was wrong, a crash without it shows it. The end of an answer without length or chunks clears nothing, and before the first event of a stream it is no answer. Quarantines are looked up once more right before a send.

--- a/crates/guava-policy/src/crash_ledger.rs
+++ b/crates/guava-policy/src/crash_ledger.rs
@@ -1,23 +1,28 @@
-//! Finds requests that crash the upstreams that run them, and quarantines them.
+//! Finds requests, and parts of prompts, that crash the upstreams that run them, and quarantines
+//! them.
 //!
 //! **The failure.** A request may crash every upstream that begins to run it, and its caller
 //! repeats it, at any daemon, under another id. In one day a single such request caused 67 crashes
 //! of 18 engines, each with all that ran there. What stays the same over the repeats is the
-//! request's digest: caller, path and body.
+//! request's digest: caller, path and body. Or a part of prompts crashes every engine that begins to
+//! answer it: then no two requests are alike, but all of them have that part.
 //!
-//! **Evidence** is the crash of an upstream together with the requests that were in flight there,
-//! of all daemons. It says which requests *may* have caused the crash: one of some twenty did.
+//! **Evidence** is the crash of an upstream together with the suspects: the requests that were in
+//! flight there, of all daemons, and the parts that their prompts share with others. It says which
+//! of them *may* have caused the crash: one of some twenty requests did.
 //!
-//! **Attribution** uses what else happened to each request. A request that completed successfully
-//! has caused no crash: its evidence is dropped. A request that was in flight at three crashes
-//! ([`CRASHES_TO_QUARANTINE`]) is quarantined, unless another request that was in flight at one of
-//! these was at as many or more: a request that is merely concurrent is at some of the crashes,
-//! seldom at all of them. Of requests that can't be told apart in this way none is quarantined
-//! until one is at a further crash, or they are at [`TIED_CRASHES_TO_QUARANTINE`] together. A crash
-//! at which a quarantined request was in flight is explained by it and is evidence against no
-//! other; a quarantined request whose crashes turn out to be explained is released. A crash with an
-//! unrelated cause counts against each request in flight there as one of three; a request must meet
-//! three of them, with no successful answer in between, to be quarantined by mistake.
+//! **Attribution** uses what else happened to each suspect. A request that completed successfully
+//! has caused no crash, and neither have its parts: their evidence is dropped. A suspect that was in
+//! flight at three crashes ([`CRASHES_TO_QUARANTINE`]) is quarantined, unless another one that was in
+//! flight at one of these was at as many or more: what is merely concurrent is at some of the
+//! crashes, seldom at all of them. Of suspects at equally many, the most specific is taken: a request
+//! before parts, and a part before those that precede it in prompts and that more requests share; if
+//! that was wrong, a further crash without it shows it. Suspects that can't be told apart in this way
+//! are not quarantined until one is at a further crash, or they are at [`TIED_CRASHES_TO_QUARANTINE`]
+//! together. A crash at which a quarantined suspect was in flight is explained by it and is evidence
+//! against no other; a quarantined suspect whose crashes turn out to be explained is released. A crash
+//! with an unrelated cause counts against each suspect there as one of three; it must meet three of
+//! them, with no successful answer in between, to be quarantined by mistake.
 //!
 //! **Simultaneous crashes** have a common cause, such as a rack without power or a fault of their
 //! host. A request that is retried at one upstream after another, or that its caller repeats at
@@ -25,12 +30,12 @@
 //! within [`SIMULTANEOUS_MS`] count as one. Daemons send crashes with their ages, since those that
 //! arrive in one message would otherwise look simultaneous.
 //!
-//! **Duration.** Evidence counts for [`EVIDENCE_RETENTION_MS`]. A request is quarantined for
+//! **Duration.** Evidence counts for [`EVIDENCE_RETENTION_MS`]. A suspect is quarantined for
 //! [`FIRST_QUARANTINE_MS`], then may be retried, since its upstreams may have been repaired: a
 //! successful answer clears it, one more crash quarantines it for twice as long, up to
 //! [`MAX_QUARANTINE_MS`].
 //!
-//! **Memory** is bounded by [`MAX_CRASHES`] crashes with [`MAX_REQUESTS_PER_CRASH`] requests each,
+//! **Memory** is bounded by [`MAX_CRASHES`] crashes with [`MAX_SUSPECTS_PER_CRASH`] suspects each,
 //! whose oldest crash is removed first, and by [`MAX_QUARANTINES`] quarantines, of which the one
 //! that is over first is removed first.
 
@@ -62,8 +67,10 @@
 const CLEARED_RETENTION_MS: u64 = 12_000;
 /// Crashes retained: some minutes at the highest rate seen, four crashes a second.
 const MAX_CRASHES: usize = 512;
-/// Requests retained for each crash: more than an upstream runs at a time, its queue included.
-const MAX_REQUESTS_PER_CRASH: usize = 320;
+/// Suspects retained for each crash: more than an upstream runs at a time, its queue included.
+const MAX_SUSPECTS_PER_CRASH: usize = 320;
+/// Specificity of a request; that of a part is the number of parts before it.
+const REQUEST_SPECIFICITY: u16 = u16::MAX;
 /// Quarantines retained. Each has cost three upstreams.
 const MAX_QUARANTINES: usize = 128;
 
@@ -111,7 +118,16 @@
 struct UpstreamCrash {
     /// The earliest moment reported for it.
     at: Moment,
-    requests: FastSet<RequestDigest>,
+    suspects: FastSet<RequestDigest>,
+}
+
+/// What is known of a suspect.
+#[derive(Clone, Copy, Debug, Default)]
+struct SuspectRecord {
+    /// Number of crashes at which it was in flight.
+    crashes: usize,
+    /// The more specific of two suspects is in fewer requests.
+    specificity: u16,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,12 +138,12 @@
     is_found_locally: bool,
 }
 
-/// Crashes of upstreams, the requests that were in flight there, and the quarantines that follow.
+/// Crashes of upstreams, the suspects that were in flight there, and the quarantines that follow.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     crashes: FastMap<UpstreamId, UpstreamCrash>,
-    /// At how many crashes each request was in flight.
-    counts: FastMap<RequestDigest, usize>,
+    /// All suspects at the retained crashes.
+    suspects: FastMap<RequestDigest, SuspectRecord>,
     quarantines: FastMap<RequestDigest, RequestQuarantine>,
     cleared: FastMap<RequestDigest, ClearedRequest>,
 }
@@ -150,7 +166,7 @@
 impl CrashLedger {
     /// Whether no request has evidence or a quarantine, so that callers need not compute a digest.
     pub fn is_empty(&self) -> bool {
-        self.counts.is_empty() && self.quarantines.is_empty()
+        self.suspects.is_empty() && self.quarantines.is_empty()
     }
 
     /// The end of a request's quarantine; `None` if it isn't quarantined at `now`.
@@ -172,6 +188,18 @@
         requests: &[RequestDigest],
         at: Moment,
         now: Moment,
+    ) -> LedgerChange {
+        self.note_crash_with_parts(upstream, requests, &[], at, now)
+    }
+
+    /// The same with the parts that their prompts share with others.
+    pub fn note_crash_with_parts(
+        &mut self,
+        upstream: &UpstreamId,
+        requests: &[RequestDigest],
+        parts: &[SuspectPart],
+        at: Moment,
+        now: Moment,
     ) -> LedgerChange {
         if !self.crashes.contains_key(upstream) && self.crashes.len() >= MAX_CRASHES {
             self.remove_oldest_crash();
@@ -179,29 +207,32 @@
         let mut change = LedgerChange::default();
         let crash = self.crashes.entry(upstream.clone()).or_insert_with(|| {
             change.is_change = true;
-            UpstreamCrash { at, requests: FastSet::default() }
+            UpstreamCrash { at, suspects: FastSet::default() }
         });
         // The earliest observation is the closest to the crash.
         crash.at = crash.at.min(at);
         let mut is_at_limit = false;
-        for request in requests {
-            // Peers repeat their reports, so a crash from before a request was cleared is not new
+        let parts = parts.iter().map(|part| (part.digest, u16::from(part.depth)));
+        let requests = requests.iter().map(|request| (*request, REQUEST_SPECIFICITY));
+        for (suspect, specificity) in parts.chain(requests) {
+            // Peers repeat their reports, so a crash from before a suspect was cleared is not new
             // evidence. Otherwise a request that meets a crash now and then would be quarantined,
             // although it was answered each time.
-            if self.cleared.get(request).is_some_and(|cleared| crash.at <= cleared.at) {
+            if self.cleared.get(&suspect).is_some_and(|cleared| crash.at <= cleared.at) {
                 continue;
             }
-            if crash.requests.len() >= MAX_REQUESTS_PER_CRASH || !crash.requests.insert(*request) {
+            if crash.suspects.len() >= MAX_SUSPECTS_PER_CRASH || !crash.suspects.insert(suspect) {
                 continue;
             }
             change.is_change = true;
-            let count = self.counts.entry(*request).or_default();
-            *count += 1;
+            let record = self.suspects.entry(suspect).or_default();
+            record.crashes += 1;
+            record.specificity = record.specificity.max(specificity);
             let is_quarantine_over = self
                 .quarantines
-                .get(request)
+                .get(&suspect)
                 .is_some_and(|quarantine| quarantine.until.passed(now));
-            is_at_limit |= *count >= CRASHES_TO_QUARANTINE || is_quarantine_over;
+            is_at_limit |= record.crashes >= CRASHES_TO_QUARANTINE || is_quarantine_over;
         }
         if is_at_limit {
             self.update_quarantines(now, &mut change);
@@ -213,7 +244,7 @@
     /// quarantine.
     pub fn note_answer(&mut self, request: RequestDigest, now: Moment) -> bool {
         let was_known =
-            self.counts.contains_key(&request) || self.quarantines.contains_key(&request);
+            self.suspects.contains_key(&request) || self.quarantines.contains_key(&request);
         if was_known {
             self.clear(ClearNotice { request, at: now }, now, true);
         }
@@ -269,13 +300,13 @@
         })
     }
 
-    /// Crashes since a moment, each with its own moment and the requests that were in flight there.
+    /// Crashes since a moment, each with its own moment and the suspects that were in flight there.
     pub fn crashes_since(
         &self,
         moment: Moment,
     ) -> impl Iterator<Item = (&UpstreamId, Moment, impl Iterator<Item = &RequestDigest>)> {
         let recent = self.crashes.iter().filter(move |(_, crash)| crash.at >= moment);
-        recent.map(|(upstream, crash)| (upstream, crash.at, crash.requests.iter()))
+        recent.map(|(upstream, crash)| (upstream, crash.at, crash.suspects.iter()))
     }
 
     /// All retained quarantines, those that are over included, with how often each request was
@@ -323,17 +354,17 @@
     fn clear(&mut self, notice: ClearNotice, now: Moment, is_own: bool) {
         let request = notice.request;
         let mut later_crashes = 0;
-        for crash in self.crashes.values_mut().filter(|crash| crash.requests.contains(&request)) {
+        for crash in self.crashes.values_mut().filter(|crash| crash.suspects.contains(&request)) {
             if crash.at <= notice.at {
-                crash.requests.remove(&request);
+                crash.suspects.remove(&request);
             } else {
                 later_crashes += 1;
             }
         }
         if later_crashes == 0 {
-            self.counts.remove(&request);
-        } else {
-            self.counts.insert(request, later_crashes);
+            self.suspects.remove(&request);
+        } else if let Some(record) = self.suspects.get_mut(&request) {
+            record.crashes = later_crashes;
         }
         if later_crashes < CRASHES_TO_QUARANTINE {
             self.quarantines.remove(&request);
@@ -369,11 +400,11 @@
 
     fn remove_crash(&mut self, upstream: &UpstreamId) {
         let Some(crash) = self.crashes.remove(upstream) else { return };
-        for request in &crash.requests {
-            if let Some(count) = self.counts.get_mut(request) {
-                *count -= 1;
-                if *count == 0 {
-                    self.counts.remove(request);
+        for suspect in &crash.suspects {
+            if let Some(record) = self.suspects.get_mut(suspect) {
+                record.crashes -= 1;
+                if record.crashes == 0 {
+                    self.suspects.remove(suspect);
                 }
             }
         }
@@ -408,9 +439,9 @@
     /// Whether a request was quarantined for crashes that others caused. A quarantine reported by a
     /// peer, on evidence that isn't all known here, is not explained.
     fn is_explained(&self, request: RequestDigest, crash_inducing: &[RequestDigest]) -> bool {
-        let own = self.crashes.values().filter(|crash| crash.requests.contains(&request));
+        let own = self.crashes.values().filter(|crash| crash.suspects.contains(&request));
         let is_unexplained =
-            |crash: &&UpstreamCrash| !crash_inducing.iter().any(|by| crash.requests.contains(by));
+            |crash: &&UpstreamCrash| !crash_inducing.iter().any(|by| crash.suspects.contains(by));
         let (unexplained, explained): (Vec<_>, Vec<_>) = own.partition(is_unexplained);
         let count = unexplained.len() + explained.len();
         // Crashes reported later may show that some were simultaneous.
@@ -428,7 +459,7 @@
         count >= CRASHES_TO_QUARANTINE && unexplained_count < CRASHES_TO_QUARANTINE
     }
 
-    /// The requests in flight at each incident: one crash, or several simultaneous ones.
+    /// The suspects in flight at each incident: one crash, or several simultaneous ones.
     fn incidents(&self) -> Vec<FastSet<RequestDigest>> {
         let mut crashes: Vec<&UpstreamCrash> = self.crashes.values().collect();
         crashes.sort_unstable_by_key(|crash| crash.at);
@@ -442,10 +473,10 @@
                 rest.split_at(rest.partition_point(|crash| !until.passed(crash.at)));
             rest = later;
             if simultaneous.len() >= SIMULTANEOUS_CRASHES {
-                let all = simultaneous.iter().flat_map(|crash| crash.requests.iter().copied());
+                let all = simultaneous.iter().flat_map(|crash| crash.suspects.iter().copied());
                 incidents.push(all.collect());
             } else {
-                incidents.extend(simultaneous.iter().map(|crash| crash.requests.clone()));
+                incidents.extend(simultaneous.iter().map(|crash| crash.suspects.clone()));
             }
         }
         incidents
@@ -458,7 +489,7 @@
         let mut unexplained: Vec<&FastSet<RequestDigest>> = incidents.iter().collect();
         // Quarantines that peers found by evidence that isn't all known here.
         let is_reported = |request: &RequestDigest, quarantine: &RequestQuarantine| {
-            let count = self.counts.get(request).copied().unwrap_or(0);
+            let count = self.suspects.get(request).map_or(0, |record| record.crashes);
             count < CRASHES_TO_QUARANTINE && !quarantine.until.passed(now)
         };
         let reported = self
@@ -471,8 +502,11 @@
         let is_quarantine_over = |request: &RequestDigest| {
             self.quarantines.get(request).is_some_and(|s| s.until.passed(now))
         };
+        let specificity = |suspect: &RequestDigest| {
+            self.suspects.get(suspect).map_or(REQUEST_SPECIFICITY, |record| record.specificity)
+        };
         loop {
-            let found = select_crash_inducing(&unexplained, is_quarantine_over);
+            let found = select_crash_inducing(&unexplained, specificity, is_quarantine_over);
             if found.is_empty() {
                 return crash_inducing;
             }
@@ -482,46 +516,49 @@
     }
 }
 
-/// The request that was in flight at the most of these crashes, if it can be distinguished from
-/// the others there; or all requests that were at as many, once these are too many.
+/// The suspect that was in flight at the most of these crashes, the most specific of several, if it
+/// can be distinguished from the others there; or all suspects that can't, once they are at too many.
 fn select_crash_inducing(
     unexplained: &[&FastSet<RequestDigest>],
+    specificity: impl Fn(&RequestDigest) -> u16,
     is_quarantine_over: impl Fn(&RequestDigest) -> bool,
 ) -> Vec<RequestDigest> {
     let mut counts: FastMap<RequestDigest, usize> = FastMap::default();
     let all = unexplained.iter().flat_map(|crash| crash.iter());
-    all.for_each(|request| *counts.entry(*request).or_default() += 1);
-    let mut suspects: Vec<(usize, RequestDigest)> = counts
+    all.for_each(|suspect| *counts.entry(*suspect).or_default() += 1);
+    let mut suspects: Vec<(usize, u16, RequestDigest)> = counts
         .iter()
-        .filter(|(request, count)| **count >= CRASHES_TO_QUARANTINE || is_quarantine_over(request))
-        .map(|(request, count)| (*count, *request))
+        .filter(|(suspect, count)| **count >= CRASHES_TO_QUARANTINE || is_quarantine_over(suspect))
+        .map(|(suspect, count)| (*count, specificity(suspect), *suspect))
         .collect();
     suspects.sort_unstable_by(|one, other| other.cmp(one));
-    for (count, request) in suspects {
-        if is_quarantine_over(&request) {
-            return vec![request];
+    for (count, _, suspect) in suspects {
+        if is_quarantine_over(&suspect) {
+            return vec![suspect];
         }
-        let mut tied = tied_with(unexplained, &counts, request);
+        let weight = |suspect: &RequestDigest| {
+            (counts.get(suspect).copied().unwrap_or(0), specificity(suspect))
+        };
+        let mut tied = tied_with(unexplained, weight, suspect);
         if tied.is_empty() || count >= TIED_CRASHES_TO_QUARANTINE {
-            tied.push(request);
+            tied.push(suspect);
             return tied;
         }
     }
     Vec::new()
 }
 
-/// Other requests that were at as many of these crashes or more, at least one of them in common
-/// with this request.
-fn tied_with(
+/// Other suspects of as much weight as this one or more, that were in flight at one of its crashes.
+fn tied_with<W: Ord>(
     unexplained: &[&FastSet<RequestDigest>],
-    counts: &FastMap<RequestDigest, usize>,
-    request: RequestDigest,
+    weight: impl Fn(&RequestDigest) -> W,
+    suspect: RequestDigest,
 ) -> Vec<RequestDigest> {
-    let count = |request: &RequestDigest| counts.get(request).copied().unwrap_or(0);
-    let shared = unexplained.iter().filter(|crash| crash.contains(&request));
-    let others = shared.flat_map(|crash| crash.iter()).filter(|other| **other != request);
+    let shared = unexplained.iter().filter(|crash| crash.contains(&suspect));
+    let others = shared.flat_map(|crash| crash.iter()).filter(|other| **other != suspect);
+    let own = weight(&suspect);
     let mut tied: Vec<RequestDigest> =
-        others.filter(|other| count(other) >= count(&request)).copied().collect();
+        others.filter(|other| weight(other) >= own).copied().collect();
     tied.sort_unstable();
     tied.dedup();
     tied
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -17,7 +17,7 @@
 use crate::upstreams::list_order::ListRevision;
 use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::upstreams::work_table::WorkShare;
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice};
+use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, SuspectPart};
 use guava_types::{
     CoreShare, Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount,
     TokenRate, UpstreamId,
@@ -245,6 +245,9 @@
     requests: Vec<Vec<u8>>,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// Digest and depth of each part.
+    #[prost(bytes = "vec", repeated, tag = "4")]
+    parts: Vec<Vec<u8>>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -787,15 +790,23 @@
 
 fn wire_crash(notice: &CrashNotice, now: Moment) -> WireCrash {
     let requests = notice.requests.iter().map(|digest| digest.to_bytes()).collect();
+    let part = |part: &SuspectPart| [part.digest.to_bytes().as_slice(), &[part.depth]].concat();
+    let parts = notice.parts.iter().map(part).collect();
     let age_ms = now.millis_since(notice.at);
-    WireCrash { upstream: notice.upstream.to_string(), requests, age_ms }
+    WireCrash { upstream: notice.upstream.to_string(), requests, age_ms, parts }
+}
+
+fn suspect_part(bytes: &[u8]) -> Option<SuspectPart> {
+    let (depth, digest) = bytes.split_last()?;
+    Some(SuspectPart { digest: RequestDigest::from_bytes(digest)?, depth: *depth })
 }
 
 fn crash_notice(wire: &WireCrash, now: Moment) -> Option<CrashNotice> {
     let requests =
         wire.requests.iter().filter_map(|bytes| RequestDigest::from_bytes(bytes)).collect();
     let at = now.minus_millis(wire.age_ms);
-    Some(CrashNotice { upstream: wire.upstream.parse().ok()?, at, requests, parts: Vec::new() })
+    let parts = wire.parts.iter().filter_map(|bytes| suspect_part(bytes)).collect();
+    Some(CrashNotice { upstream: wire.upstream.parse().ok()?, at, requests, parts })
 }
 
 fn wire_limit(notice: &LimitNotice, now: Moment) -> WireLimit {
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -16,7 +16,9 @@
 use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
-use crate::upstreams::upstream_crashes::{note_answer, note_interrupted, note_refused};
+use crate::upstreams::upstream_crashes::{
+    note_answer, note_interrupted, note_refused, quarantined_until,
+};
 use crate::upstreams::upstream_table::WeightVersion;
 use crate::upstreams::work_table::WorkTicket;
 use crate::weights::start_guard::StartGuard;
@@ -263,6 +265,11 @@
             self.note_closed(connection, closed.reason);
             return AttemptOutcome::Closed;
         }
+        // Crashes may have been reported while the connection was opened.
+        if quarantined_until(self.context, self.request).is_some() {
+            self.context.pool.keep(connection, None);
+            return AttemptOutcome::Closed;
+        }
         let guard = StartGuard::new(self.context, self.expected_weights());
         if guard.has_expired(Moment::now()) {
             self.note_closed(connection, CloseReason::Superseded);
@@ -498,7 +505,10 @@
             WaitOutcome::Withdrawn => return self.withdrawn(),
         };
         work.note_started();
-        note_answer(self.context, || self.request.digest());
+        // Without a length or chunks, the end of the body may be that of the upstream.
+        if marks.is_framed {
+            note_answer(self.context, self.request);
+        }
         if !marks.is_last && marks.is_framed {
             self.context.pool.keep(connection, marks.idle_limit_ms);
         }
@@ -524,7 +534,12 @@
         let step = source.next_step();
         let first = match wait_for_start(self.input, self.plan, guard, step).await {
             WaitOutcome::Done(StreamStep::Events(batch)) => batch,
-            WaitOutcome::Done(StreamStep::End) => EventBatch { bytes: Bytes::new(), last_id: None },
+            WaitOutcome::Done(StreamStep::End) if source.is_framed() => {
+                EventBatch { bytes: Bytes::new(), last_id: None }
+            }
+            WaitOutcome::Done(StreamStep::End) => {
+                return self.interrupted("the connection ended before the first event");
+            }
             WaitOutcome::Done(StreamStep::Interrupted(reason)) => return self.interrupted(&reason),
             WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
@@ -576,6 +591,11 @@
 }
 
 impl StreamSource {
+    /// Whether the end of the stream can be distinguished from that of its upstream.
+    pub fn is_framed(&self) -> bool {
+        self.marks.is_framed
+    }
+
     /// Reads until at least one more event is complete, or the stream ends or is interrupted.
     pub async fn next_step(&mut self) -> StreamStep {
         loop {
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -185,7 +185,9 @@
 
     fn finish(&mut self) {
         self.is_finished = true;
-        note_answer(&self.run.context, || self.run.request.digest());
+        if self.source.as_ref().is_some_and(StreamSource::is_framed) {
+            note_answer(&self.run.context, &self.run.request);
+        }
         let elapsed = Moment::now().millis_since(self.run.request.arrived);
         self.run.context.metrics.time_whole(elapsed);
         self.run.context.metrics.count_request("answered");
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -82,8 +82,7 @@
                 return unanswered(fallback, false);
             }
             // Looked up before each attempt, as other daemons may have reported crashes meanwhile.
-            self.record.quarantined_until =
-                quarantined_until(&self.context, || self.request.digest());
+            self.record.quarantined_until = quarantined_until(&self.context, &self.request);
             if self.record.quarantined_until.is_some() {
                 return unanswered(fallback, false);
             }
@@ -247,7 +246,7 @@
     /// whether one was reserved.
     pub fn reserve_retry(&mut self) -> bool {
         let is_timed_out = self.request.deadline.passed(Moment::now());
-        let is_quarantined = quarantined_until(&self.context, || self.request.digest()).is_some();
+        let is_quarantined = quarantined_until(&self.context, &self.request).is_some();
         let may_retry = !is_timed_out && !is_quarantined && self.may_attempt();
         let is_reserved =
             may_retry && has_available_upstream(self.plan_input()) && self.spend_retry();
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -16,6 +16,7 @@
 use crate::request::dialect::Dialect;
 use crate::request::retry_shares::{RetryLimit, RetryShares};
 use crate::serve_config::CurrentConfig;
+use crate::upstreams::answered_parts::AnsweredParts;
 use crate::upstreams::broken_send_table::BrokenSendTable;
 use crate::upstreams::connection_pool::ConnectionPool;
 use crate::upstreams::crash_gossip::CrashGossip;
@@ -135,6 +136,8 @@
     pub reach_due: Notify,
     /// Interrupted sends, until it is known whether their upstreams crashed.
     pub broken_sends: RefCell<BrokenSendTable>,
+    /// Parts of prompts that were answered lately.
+    pub answered_parts: RefCell<AnsweredParts>,
     /// Upstream crashes, and requests that are quarantined for them.
     pub ledger: RefCell<CrashLedger>,
     /// Crashes to send to peers.
@@ -226,6 +229,7 @@
             reach: RefCell::default(),
             reach_due: Notify::new(),
             broken_sends: RefCell::default(),
+            answered_parts: RefCell::default(),
             ledger: RefCell::default(),
             crash_gossip: RefCell::default(),
             verdicts_due: Cell::default(),
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -2,6 +2,7 @@
 //! connections to them.
 
 pub(crate) mod announcement_watch;
+pub(crate) mod answered_parts;
 pub(crate) mod broken_send_table;
 pub(crate) mod connection_pool;
 pub(crate) mod crash_gossip;
--- a/crates/guava-serve/src/upstreams/crash_gossip.rs
+++ b/crates/guava-serve/src/upstreams/crash_gossip.rs
@@ -11,9 +11,9 @@
 
 /// For how long a notice is repeated, in milliseconds: two summaries to remote data centres.
 const REPEAT_MS: u64 = 2_200;
-/// Largest number of requests in one message, at 18 bytes each, so that the message with its other
-/// contents fits into one datagram.
-const MAX_REQUESTS_PER_MESSAGE: usize = 80;
+/// Largest number of suspects in one message, at 18 or 19 bytes each, so that the message with its
+/// other contents fits into one datagram.
+const MAX_SUSPECTS_PER_MESSAGE: usize = 80;
 /// Largest number of notices that are repeated.
 const MAX_REPEATED_NOTICES: usize = 128;
 
@@ -39,7 +39,10 @@
         let notices =
             self.unsent.iter_mut().chain(self.recent.iter_mut().map(|(notice, _)| notice));
         let before = notices.filter(|notice| notice.at <= cleared.at);
-        before.for_each(|notice| notice.requests.retain(|other| *other != cleared.request));
+        before.for_each(|notice| {
+            notice.requests.retain(|other| *other != cleared.request);
+            notice.parts.retain(|part| part.digest != cleared.request);
+        });
     }
 
     /// Takes the notices that were not sent yet, grouped by message.
@@ -59,25 +62,27 @@
 fn group_by_message(notices: Vec<CrashNotice>) -> Vec<Vec<CrashNotice>> {
     let mut messages: Vec<Vec<CrashNotice>> = Vec::new();
     let mut capacity = 0;
-    for notice in notices {
-        for requests in notice.requests.chunks(MAX_REQUESTS_PER_MESSAGE) {
-            let piece = CrashNotice {
-                upstream: notice.upstream.clone(),
-                at: notice.at,
-                requests: requests.to_vec(),
-                parts: Vec::new(),
-            };
-            // An upstream's id takes about as many bytes as two digests.
-            let size = requests.len() + 2;
-            match messages.last_mut().filter(|_| capacity >= size) {
-                Some(message) => message.push(piece),
-                None => {
-                    messages.push(vec![piece]);
-                    capacity = MAX_REQUESTS_PER_MESSAGE + 2;
-                }
+    for piece in notices.iter().flat_map(pieces) {
+        // An upstream's id takes about as many bytes as two digests.
+        let size = piece.requests.len() + piece.parts.len() + 2;
+        match messages.last_mut().filter(|_| capacity >= size) {
+            Some(message) => message.push(piece),
+            None => {
+                messages.push(vec![piece]);
+                capacity = MAX_SUSPECTS_PER_MESSAGE + 2;
             }
-            capacity = capacity.saturating_sub(size);
         }
+        capacity = capacity.saturating_sub(size);
     }
     messages
 }
+
+/// A notice split into such as fit into a message, parts first.
+fn pieces(notice: &CrashNotice) -> Vec<CrashNotice> {
+    let empty = || CrashNotice { requests: Vec::new(), parts: Vec::new(), ..notice.clone() };
+    let parts = notice.parts.chunks(MAX_SUSPECTS_PER_MESSAGE);
+    let parts = parts.map(|parts| CrashNotice { parts: parts.to_vec(), ..empty() });
+    let requests = notice.requests.chunks(MAX_SUSPECTS_PER_MESSAGE);
+    let requests = requests.map(|requests| CrashNotice { requests: requests.to_vec(), ..empty() });
+    parts.chain(requests).collect()
+}
--- a/crates/guava-serve/src/upstreams/upstream_crashes.rs
+++ b/crates/guava-serve/src/upstreams/upstream_crashes.rs
@@ -81,7 +81,9 @@
     sends: InterruptedSends,
 ) {
     if confirm_reach(&context, sends.since).await {
-        let InterruptedSends { since, requests, parts } = sends;
+        let InterruptedSends { since, requests, mut parts } = sends;
+        let now = Moment::now();
+        parts.retain(|part| !context.answered_parts.borrow().is_answered(part.digest, now));
         note_upstream_crash(&context, CrashNotice { upstream, at: since, requests, parts });
     }
 }
@@ -111,7 +113,7 @@
     // Even without requests, it shows that the requests are not the cause of other crashes at the
     // same moment.
     let is_change = apply_crash(context, &notice, now);
-    if is_change && !notice.requests.is_empty() {
+    if is_change && !(notice.requests.is_empty() && notice.parts.is_empty()) {
         context.crash_gossip.borrow_mut().note_crash(notice, now);
         context.message_due.notify_one();
     }
@@ -133,7 +135,8 @@
 /// whether it changed anything. The upstream need not be listed here.
 pub fn apply_crash(context: &ServeContext, notice: &CrashNotice, now: Moment) -> bool {
     let mut ledger = context.ledger.borrow_mut();
-    let change = ledger.note_crash(&notice.upstream, &notice.requests, notice.at, now);
+    let CrashNotice { upstream, at, requests, parts } = notice;
+    let change = ledger.note_crash_with_parts(upstream, requests, parts, *at, now);
     drop(ledger);
     log_quarantine_changes(context, &change);
     change.is_change
@@ -167,17 +170,24 @@
     }
 }
 
-/// Notes that an upstream completed a request successfully. The digest is computed only if the
-/// ledger holds any evidence.
-pub fn note_answer(context: &ServeContext, digest: impl FnOnce() -> RequestDigest) {
-    // The ledger is nearly always empty, so the digest is rarely needed.
+/// Notes that an upstream completed a request successfully, which clears the request and the parts of
+/// its prompt.
+pub fn note_answer(context: &ServeContext, request: &AcceptedRequest) {
+    let now = Moment::now();
+    let parts = request.shared_parts();
+    for part in &parts {
+        context.answered_parts.borrow_mut().note(part.digest, now);
+    }
+    // The ledger is nearly always empty, so the request's digest is rarely needed.
     if context.ledger.borrow().is_empty() {
         return;
     }
-    note_request_answered(context, digest());
+    note_request_answered(context, request.digest());
+    parts.iter().for_each(|part| note_request_answered(context, part.digest));
 }
 
-/// Notes that the request with this digest was completed successfully, which clears it.
+/// Notes that the request with this digest, or one with this part, was completed successfully, which
+/// clears it.
 pub fn note_request_answered(context: &ServeContext, request: RequestDigest) {
     let now = Moment::now();
     if context.ledger.borrow_mut().note_answer(request, now) {
@@ -193,12 +203,14 @@
     context.crash_gossip.borrow_mut().remove_cleared(notice);
 }
 
-/// End of a request's quarantine; `None` if it is not quarantined. The digest is computed only if
-/// the ledger holds any evidence.
-pub fn quarantined_until(
-    context: &ServeContext,
-    digest: impl FnOnce() -> RequestDigest,
-) -> Option<Deadline> {
+/// End of a request's quarantine, or of that of a part of its prompt; `None` if none is quarantined.
+pub fn quarantined_until(context: &ServeContext, request: &AcceptedRequest) -> Option<Deadline> {
     let ledger = context.ledger.borrow();
-    if ledger.is_empty() { None } else { ledger.quarantined_until(digest(), Moment::now()) }
+    if ledger.is_empty() {
+        return None;
+    }
+    let now = Moment::now();
+    let parts = request.shared_parts().into_iter().map(|part| part.digest);
+    let suspects = parts.chain([request.digest()]);
+    suspects.filter_map(|suspect| ledger.quarantined_until(suspect, now)).max()
 }
