--- a/crates/guavatiller/tests/poison_parts.rs
+++ b/crates/guavatiller/tests/poison_parts.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_platform_standins::{
-    CrashableServer, DaemonProcess, PlatformDeployment, ServerFault, ServerKind, ServiceNames, ask,
+    CrashableServer, DaemonProcess, PlatformDeployment, ServerKind, ServiceNames, ask,
     request_of_parts, send,
 };
 use guava_standins::harness::wait_until;
@@ -41,10 +41,9 @@
         let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let mut deployment = PlatformDeployment::start(program, folder, &[]);
-        let fault = ServerFault::EndsOnPart(FATAL);
         let engine = |number| format!("e{number}");
         let engines = (0..engines)
-            .map(|number| deployment.start_ending(&engine(number), ServerKind::Engine, fault))
+            .map(|number| deployment.start_crashable(&engine(number), ServerKind::Engine, FATAL))
             .collect();
         let daemons = (0..daemons).map(|_| deployment.daemon().unwrap()).collect();
         let fleet = Self { deployment, daemons, engines };
