fix: brittle upstreams are not made to turn requests away

Upstreams that say Server-Brittle crash if they have to turn away more than so many requests in a second, and nobody read that: three daemons under load made each of three such upstreams turn away 260 to 533 requests in a second (brittle_upstreams.rs with the gate taken out; at most two in a second are allowed, and with it none more). Cause: sends are bounded by what an upstream says of its rate, not by its room, and a refusal costs the daemon nothing.

While an upstream says that it is brittle, all daemons together use its slots and no place in its queue, whose length is not named and may shrink: each has an equal whole number of them, or, where there are fewer slots than daemons, some have one, drawn for each upstream, so that attached daemons of a large deployment have places as well (slot_share.rs). It is asked at the one gate before sends; an answer to a later request that does not say so ends it.

--- a/crates/guava-policy/src/announcement_gate.rs
+++ b/crates/guava-policy/src/announcement_gate.rs
@@ -19,6 +19,8 @@
     Limit,
     /// It is cold, and this daemon has used up its share of the cold-start limit.
     Cold,
+    /// It is brittle, and this daemon has used up its share of its slots.
+    Brittle,
     /// Its data centre is drained.
     Drained,
     /// The time limit of its weights has come.
@@ -34,6 +36,7 @@
             Self::BackOff => "rest",
             Self::Limit => "limit",
             Self::Cold => "cold",
+            Self::Brittle => "brittle",
             Self::Drained => "drained",
             Self::Superseded => "superseded",
         }
--- a/crates/guava-policy/src/announcement_table.rs
+++ b/crates/guava-policy/src/announcement_table.rs
@@ -10,6 +10,9 @@
 //! **Leaving** is final for an id. Neither another answer nor the platform's list, which may be
 //! many seconds late, revokes it.
 //!
+//! **Brittle** upstreams crash if they have to turn away many requests. That holds and ends like a
+//! limit, but each daemon learns it from its own answers.
+//!
 //! **Back-off** applies to one daemon and is not sent to other daemons. A later answer can extend
 //! it but not shorten it: answers can overtake each other, and the upstream that sent the longer
 //! back-off still relies on it.
@@ -57,6 +60,10 @@
     Unlimited,
     /// The upstream is leaving.
     Leaving,
+    /// The upstream is brittle: it crashes if it turns away more requests than that in a second.
+    Brittle(u32),
+    /// The upstream is no longer brittle.
+    Sturdy,
     /// This daemon sends it no requests until then.
     BackingOff(Deadline),
     /// An announcement can't be parsed; holds its text, cut to a bounded length.
@@ -70,6 +77,8 @@
             Self::Limited { .. } => "limit",
             Self::Unlimited => "no-limit",
             Self::Leaving => "leaving",
+            Self::Brittle(_) => "brittle",
+            Self::Sturdy => "sturdy",
             Self::BackingOff(_) => "rest",
             Self::Unreadable(_) => "unreadable",
         }
@@ -81,7 +90,8 @@
             Self::Limited { rate, .. } => rate.to_string(),
             Self::BackingOff(until) => format!("{} ms", until.millis_left(now)),
             Self::Unreadable(value) => value.to_string(),
-            Self::Unlimited | Self::Leaving => String::new(),
+            Self::Brittle(refusals) => refusals.to_string(),
+            Self::Unlimited | Self::Leaving | Self::Sturdy => String::new(),
         }
     }
 
@@ -95,7 +105,11 @@
                 rate.thousandths() < before.thousandths() * URGENT_PERCENT / 100
             }
             Self::Limited { before: None, .. } | Self::Leaving => true,
-            Self::Unlimited | Self::BackingOff(_) | Self::Unreadable(_) => false,
+            Self::Unlimited
+            | Self::Brittle(_)
+            | Self::Sturdy
+            | Self::BackingOff(_)
+            | Self::Unreadable(_) => false,
         }
     }
 }
@@ -111,6 +125,10 @@
     limit_ended: Option<Moment>,
     /// When it was first known to be leaving, if it is.
     leaving_since: Option<Moment>,
+    /// Requests that it can turn away in a second, if it is brittle.
+    brittle: Option<u32>,
+    /// Moment as of which that is known.
+    brittle_as_of: Moment,
     /// End of its back-off for this daemon; may have passed.
     backoff_until: Option<Deadline>,
     unreadable: Option<Box<str>>,
@@ -155,6 +173,7 @@
         if announcements.is_leaving {
             changes.extend(self.note_leaving(upstream, now));
         }
+        changes.extend(self.note_brittle(upstream, announcements.brittle, sent, now));
         changes.extend(
             announcements.backoff_until.and_then(|until| self.note_backoff(upstream, until, now)),
         );
@@ -184,6 +203,28 @@
         (!is_known).then_some(AnnouncementChange::Leaving)
     }
 
+    /// An answer that does not say so shows the state at which its request was sent.
+    fn note_brittle(
+        &mut self,
+        upstream: &UpstreamId,
+        brittle: Option<u32>,
+        sent: Moment,
+        now: Moment,
+    ) -> Option<AnnouncementChange> {
+        if brittle.is_none() && !self.upstreams.contains_key(upstream) {
+            return None;
+        }
+        let known = self.entry(upstream, now)?;
+        let as_of = if brittle.is_some() { now } else { sent };
+        if as_of < known.brittle_as_of || (brittle.is_none() && as_of == known.brittle_as_of) {
+            return None;
+        }
+        known.brittle_as_of = as_of;
+        let before = std::mem::replace(&mut known.brittle, brittle);
+        let change = brittle.map_or(AnnouncementChange::Sturdy, AnnouncementChange::Brittle);
+        (before != brittle).then_some(change)
+    }
+
     fn note_backoff(
         &mut self,
         upstream: &UpstreamId,
@@ -268,6 +309,11 @@
         self.announcements(upstream)?.limit
     }
 
+    /// Whether an upstream is brittle.
+    pub fn is_brittle(&self, upstream: &UpstreamId) -> bool {
+        self.announcements(upstream).is_some_and(|known| known.brittle.is_some())
+    }
+
     /// An upstream's limit, or that it has none any more, to be sent to other daemons; `None` if it
     /// never had one.
     pub fn limit_notice(&self, upstream: &UpstreamId) -> Option<LimitNotice> {
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod route;
 mod send_ledger;
 mod send_share;
+mod slot_share;
 mod upstream_announcements;
 
 pub use admission::{
@@ -57,4 +58,5 @@
 };
 pub use send_ledger::SendLedger;
 pub use send_share::{SendShare, SendWindow, limit_share};
+pub use slot_share::slot_share;
 pub use upstream_announcements::{AnnouncedLimit, UpstreamAnnouncements, jitter_backoff};
--- a/crates/guava-policy/src/send_ledger.rs
+++ b/crates/guava-policy/src/send_ledger.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub struct SendLedger {
     windows: FastMap<UpstreamId, SendWindow>,
+    /// Requests that were sent and are not finished.
+    in_flight: FastMap<UpstreamId, u32>,
     started: Moment,
     swept: Moment,
 }
@@ -17,7 +19,8 @@
 impl SendLedger {
     /// An empty ledger of a daemon that started at this moment.
     pub fn new(started: Moment) -> Self {
-        Self { windows: FastMap::default(), started, swept: started }
+        let (windows, in_flight) = (FastMap::default(), FastMap::default());
+        Self { windows, in_flight, started, swept: started }
     }
 
     /// Whether one more request may be sent to an upstream now under this daemon's share.
@@ -56,6 +59,28 @@
         }
     }
 
+    /// Records that a request that was sent is in flight at an upstream.
+    pub fn begin(&mut self, upstream: &UpstreamId) {
+        match self.in_flight.get_mut(upstream) {
+            Some(count) => *count += 1,
+            None => drop(self.in_flight.insert(upstream.clone(), 1)),
+        }
+    }
+
+    /// Records that a request in flight at an upstream has finished.
+    pub fn finish(&mut self, upstream: &UpstreamId) {
+        let Some(count) = self.in_flight.get_mut(upstream) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.in_flight.remove(upstream);
+        }
+    }
+
+    /// Number of requests in flight at an upstream.
+    pub fn in_flight(&self, upstream: &UpstreamId) -> u32 {
+        self.in_flight.get(upstream).copied().unwrap_or(0)
+    }
+
     /// Number of sends to an upstream within the last `millis` milliseconds. `millis` is a few
     /// thousand at most, since older sends may be missing.
     pub fn count(&self, upstream: &UpstreamId, millis: u64, now: Moment) -> usize {
--- a/crates/guava-policy/src/upstream_announcements.rs
+++ b/crates/guava-policy/src/upstream_announcements.rs
@@ -36,6 +36,8 @@
     pub is_leaving: bool,
     /// End of the back-off that it asks of this daemon, if it refused with a `Retry-After`.
     pub backoff_until: Option<Deadline>,
+    /// Requests that it can turn away in a second without crashing, if it is brittle.
+    pub brittle: Option<u32>,
     /// The last value that can't be parsed, cut for logs, if there is one.
     pub unreadable: Option<Box<str>>,
 }
@@ -73,6 +75,21 @@
         }
     }
 
+    /// Parses the values of the header that announces that an upstream is brittle: the number of
+    /// requests that it can turn away in a second. Of several values the lowest applies; one that
+    /// can't be parsed counts as none at all.
+    pub fn read_brittle<'a>(&mut self, values: impl Iterator<Item = &'a [u8]>) {
+        for value in values {
+            let text = String::from_utf8_lossy(value);
+            let refusals = text.trim().parse::<u32>();
+            if refusals.is_err() {
+                self.note_unreadable(&text);
+            }
+            let refusals = refusals.unwrap_or_default();
+            self.brittle = Some(self.brittle.map_or(refusals, |known| known.min(refusals)));
+        }
+    }
+
     /// Parses the values of a refusal's `Retry-After`: seconds, also fractions of one, or an HTTP
     /// date. Of several values the longest applies.
     pub fn read_retry_after<'a>(&mut self, values: impl Iterator<Item = &'a [u8]>, now: Moment) {
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -47,6 +47,8 @@
     ticket: WorkTicket,
     fetch: Option<FetchTicket>,
     is_long: bool,
+    /// The upstream, once the request was sent there.
+    sent_to: Option<UpstreamId>,
 }
 
 impl WorkGuard {
@@ -60,7 +62,12 @@
         if plan.is_long {
             context.memory_budget.borrow_mut().begin(ticket.number(), plan.load.answer_ms, now);
         }
-        Self { context: Rc::clone(context), ticket, fetch, is_long: plan.is_long }
+        Self { context: Rc::clone(context), ticket, fetch, is_long: plan.is_long, sent_to: None }
+    }
+
+    fn note_sent(&mut self, upstream: &UpstreamId) {
+        self.context.sends.borrow_mut().begin(upstream);
+        self.sent_to = Some(upstream.clone());
     }
 
     fn note_started(&mut self) {
@@ -79,6 +86,7 @@
     fn drop(&mut self) {
         let now = Moment::now();
         self.context.work.borrow_mut().note_finished(&self.ticket, now);
+        self.sent_to.iter().for_each(|upstream| self.context.sends.borrow_mut().finish(upstream));
         if self.is_long {
             self.context.memory_budget.borrow_mut().dropped(self.ticket.number(), now);
         }
@@ -256,7 +264,7 @@
         let send = &self.plan.send;
         let was_idle = self.context.work.borrow().is_idle(&send.upstream, Moment::now());
         // Registered before connecting, so that concurrent choices of an upstream count it.
-        let work = WorkGuard::begin(self.context, self.plan);
+        let mut work = WorkGuard::begin(self.context, self.plan);
         let Some(mut connection) = self.connect().await else { return AttemptOutcome::NotSent };
         // The upstream may have been removed from the list while the connection was opened.
         await_fresh_list(self.context).await;
@@ -265,6 +273,7 @@
             self.note_closed(connection, closed.reason);
             return AttemptOutcome::Closed;
         }
+        work.note_sent(&send.upstream);
         // Crashes may have been reported while the connection was opened.
         if quarantined_until(self.context, self.request).is_some() {
             self.context.pool.keep(connection, None);
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -11,10 +11,11 @@
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::note_send;
 use crate::upstreams::drain_table::DrainTable;
+use crate::upstreams::service_rings::RingPosition;
 use crate::upstreams::upstream_table::UpstreamEntry;
 use guava_policy::{
     AnnouncementTable, CloseReason, ClosedUpstream, ColdRule, LimitNotice, SendLedger, SendShare,
-    announcement_gate, cold_share, limit_share, share_gate,
+    announcement_gate, cold_share, limit_share, share_gate, slot_share,
 };
 use guava_types::{Deadline, LimitRate, MemberName, Moment, UpstreamId};
 
@@ -57,7 +58,8 @@
 
 /// Decides whether an upstream may get a request from this daemon at a moment.
 ///
-/// Records no send. Reasons are checked in this order: drained data centre, announcements, cold start.
+/// Records no send. Reasons are checked in this order: drained data centre, announcements, use of a
+/// brittle upstream's slots, cold start.
 pub fn gate_state(input: &GateInput<'_>, entry: &UpstreamEntry, now: Moment) -> GateState {
     if input.drains.is_drained(&entry.data_centre) {
         return GateState::Closed(ClosedUpstream { reason: CloseReason::Drained, until: None });
@@ -67,6 +69,15 @@
     {
         return GateState::Closed(closed);
     }
+    if input.announcements.is_brittle(&entry.id) {
+        let members = input.members;
+        let daemons = members.count().max(members.deployment_size(now));
+        let draw = RingPosition::of(&format!("{} {}", input.local_daemon, entry.id.name()));
+        let share = slot_share(entry.slots, daemons, draw.as_fraction());
+        if input.sends.in_flight(&entry.id) >= share {
+            return GateState::Closed(ClosedUpstream { reason: CloseReason::Brittle, until: None });
+        }
+    }
     let Some(rule) = input.cold.filter(|rule| is_cold(input, *rule, entry, now)) else {
         return GateState::Open;
     };
