--- a/crates/guava-serve/src/upstreams/reach_task.rs
+++ b/crates/guava-serve/src/upstreams/reach_task.rs
@@ -2,6 +2,7 @@
 
 use crate::events;
 use crate::serve_context::ServeContext;
+use crate::upstreams::service_rings::RingPosition;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use guava_log::log_event;
 use guava_policy::ReachChange;
@@ -71,13 +72,13 @@
     false
 }
 
-/// Addresses of a few upstreams, in a random order; those that count as crashed are taken last.
+/// Addresses of a few upstreams of any service, in a random order; those that count as crashed are
+/// taken last.
 fn sample(context: &ServeContext, size: usize) -> Vec<SocketAddr> {
     let now = Moment::now();
     let upstreams = context.upstreams.borrow();
     let mut addresses: Vec<(bool, SocketAddr)> = upstreams
-        .entries()
-        .filter(|entry| !entry.is_leaving)
+        .sample(RingPosition(rand::random()), size)
         .map(|entry| (upstreams.has_crashed(&entry.id, now), entry.address))
         .collect();
     addresses.shuffle(&mut rand::rng());
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -515,6 +515,17 @@
         self.usable(rings.flat_map(move |rings| rings.from(start)), now)
     }
 
+    /// Upstreams that are not leaving, at most so many of each service that the configuration names,
+    /// from a ring position on.
+    pub fn sample(&self, start: RingPosition, size: usize) -> impl Iterator<Item = &UpstreamEntry> {
+        let is_named = |service: &ServiceName| {
+            self.services.as_ref().is_none_or(|services| services.contains(service))
+        };
+        let rings = self.by_service.iter().filter(move |(service, _)| is_named(service));
+        let ids = rings.flat_map(move |(_, rings)| rings.from(start).take(size));
+        ids.filter_map(|id| self.entry(id)).filter(|entry| !entry.is_leaving)
+    }
+
     fn usable<'a>(
         &'a self,
         ids: impl Iterator<Item = &'a UpstreamId>,
