--- a/crates/guava-serve/src/upstreams/reach_task.rs
+++ b/crates/guava-serve/src/upstreams/reach_task.rs
@@ -91,6 +91,8 @@
         Some(ReachChange::Lost) => {
             let upstreams = context.upstreams.borrow().count();
             log_event!(warn, events::REACH_LOST, upstreams = upstreams);
+            // They may be silent though they look open.
+            context.pool.close_all_idle();
         }
         Some(ReachChange::Regained(lost_ms)) => {
             log_event!(info, events::REACH_REGAINED, lost_ms = lost_ms);
@@ -99,8 +101,6 @@
         }
         None => return,
     }
-    // They may be silent though they look open.
-    context.pool.close_all_idle();
     let is_lost = change == Some(ReachChange::Lost);
     context.members.borrow_mut().note_cut_off(is_lost);
     context.metrics.note_reach(!is_lost);
