--- a/crates/guavatiller/tests/lost_upstream_links.rs
+++ b/crates/guavatiller/tests/lost_upstream_links.rs
@@ -76,10 +76,6 @@
             }
             tries
         };
-        let add = |sum: FirstTries, more: FirstTries| FirstTries {
-            sent: sum.sent + more.sent,
-            served: sum.served + more.served,
-        };
         scope(|scope| {
             let callers: Vec<Vec<_>> = self
                 .daemons
@@ -90,7 +86,7 @@
                 .collect();
             let tries = |callers: Vec<std::thread::ScopedJoinHandle<'_, FirstTries>>| {
                 let tries = callers.into_iter().map(|caller| caller.join().unwrap());
-                tries.fold(FirstTries::default(), add)
+                FirstTries::total(&tries.collect::<Vec<_>>())
             };
             callers.into_iter().map(tries).collect()
         })
@@ -138,10 +134,7 @@
 
     let tries = fleet.first_tries(WATCHED);
 
-    let others = FirstTries {
-        sent: tries[1].sent + tries[2].sent,
-        served: tries[1].served + tries[2].served,
-    };
+    let others = FirstTries::total(&tries[1..]);
     assert_eq!(recover_violation(tries[0], others), None);
     assert_eq!(fleet.ran_twice(), Vec::<String>::new());
 }
@@ -154,10 +147,7 @@
 
     let tries = fleet.first_tries(WATCHED);
 
-    let cut = FirstTries {
-        sent: tries[0].sent + tries[1].sent,
-        served: tries[0].served + tries[1].served,
-    };
+    let cut = FirstTries::total(&tries[..2]);
     assert_eq!(recover_violation(cut, tries[2]), None);
 }
 
@@ -206,10 +196,7 @@
     fleet.first_tries(STABLE);
     let tries = fleet.first_tries(WATCHED);
 
-    let others = FirstTries {
-        sent: tries[1].sent + tries[2].sent,
-        served: tries[1].served + tries[2].served,
-    };
+    let others = FirstTries::total(&tries[1..]);
     assert_eq!(recover_violation(others, tries[0]), None);
     assert!(tries[0].served * 50 >= tries[0].sent * 49, "{tries:?}");
 }
