feat: reported load of upstreams as a type, and a ledger of customers' use

Interfaces of the parts to come: an answer's report of load is read at the boundary into typed fields, and customers' use of a service decays with time and is summed over daemons. Nothing decides by either yet.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod backlog;
 mod cold_start;
 mod crash_ledger;
+mod customer_ledger;
 mod export;
 mod link;
 mod link_queue;
@@ -21,6 +22,7 @@
 mod prefix;
 mod reach_watch;
 mod reply;
+mod reported_load;
 mod retry;
 mod route;
 mod send_ledger;
@@ -40,6 +42,7 @@
     CRASHES_TO_QUARANTINE, ClearNotice, CrashLedger, FIRST_QUARANTINE_MS, LedgerChange,
     QuarantineNotice, SuspectPart,
 };
+pub use customer_ledger::CustomerLedger;
 pub use export::{ExportInput, should_export};
 pub use link::LinkTable;
 pub use link_queue::LinkQueue;
@@ -51,6 +54,7 @@
 pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain};
 pub use reach_watch::{ReachChange, ReachWatch};
 pub use reply::{ReplyAssembler, ReplyChunk, ReplyStep};
+pub use reported_load::{LoadObservation, PacePercent, ReportedLoad, ReportedLoadError};
 pub use retry::RetryBudget;
 pub use route::{
     CandidateCost, ImportOffer, NEAR_BEST_FRACTION, RouteCandidate, RouteDecision, RouteInput,
