fix: engines with old weights take short prompts until two seconds before the time limit

Cause: a busy engine was taken to begin any prompt up to two seconds late, so that 3.5 s before the time limit of old weights nearly all engines counted as closed; when weights are published while the daemon that orders loads is cut off, a quarter of the engines then gets everything. Change: the two seconds hold for long prompts that may run once; short ones, which engines begin first, and those that go elsewhere when they are withdrawn, have half a second. Tested: the new test fails before (no engine).

--- a/crates/guava-serve/src/request/engine_choice.rs
+++ b/crates/guava-serve/src/request/engine_choice.rs
@@ -34,6 +34,9 @@
 /// Further wait assumed at an engine that has other work, in milliseconds: for memory, or behind more
 /// urgent requests that arrive later.
 const BUSY_ENGINE_MARGIN_MS: u64 = 2_000;
+/// The same for a prompt that finds memory nearly always, or that is sent to another engine if it is
+/// withdrawn from this one.
+const SHORT_BUSY_MARGIN_MS: u64 = 500;
 /// Weights of the time to the first token, of recomputed tokens and of transfers. Recomputing uses
 /// engine time that other requests wait for, and costs callers more than the wait for a transfer.
 const ROUTE_PROFILE: WeightProfile = WeightProfile { first_token: 100, recompute: 12, link: 0 };
@@ -87,10 +90,17 @@
     let read_ms = input.prompt.input.0 as f64 * 1_000.0 / prefill as f64;
     let first_token_ms = input.wait_ms(engine) + input.fixed_ms + read_ms;
     let is_busy = input.work.total(engine).running > 0;
-    let margin_ms = if is_busy { BUSY_ENGINE_MARGIN_MS } else { 0 };
+    let margin_ms = if is_busy { busy_margin_ms(input) } else { 0 };
     Moment(input.now.0 + (first_token_ms * LONGEST_WAIT_FACTOR) as u64 + margin_ms)
 }
 
+/// Further wait of the prompt that is assumed at a busy engine, in milliseconds.
+fn busy_margin_ms(input: &EngineInput<'_>) -> u64 {
+    let route = &input.request.route;
+    let is_sent_again = route.repeat.may_repeat() && route.max_attempts > 1;
+    if is_sent_again || !is_long(input) { SHORT_BUSY_MARGIN_MS } else { BUSY_ENGINE_MARGIN_MS }
+}
+
 /// Open engines not yet tried that serve the model in a permitted version, with that version.
 fn usable_engines<'a>(
     input: &EngineInput<'a>,
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -267,6 +267,26 @@
     assert_eq!(choose(&fixture, &[]), None);
 }
 
+#[test]
+fn busy_engines_with_old_weights_take_short_prompts_while_few_have_the_new_ones() {
+    // Guards against all prompts at the few engines that are first to load, three seconds before the
+    // time limit of the weights that all others have.
+    let mut fixture = fixture(&[("old", 1)]);
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 7_000)));
+    let ticket =
+        fixture.work.begin(&id("old"), &load(TokenCount(0), TokenCount(20_000), 10.0), NOW);
+    fixture.work.started(&ticket, NOW);
+
+    fixture.prompt = prompt("packet", 100, 10);
+    let three_seconds_before = choose(&fixture, &[]).map(|choice| choice.upstream);
+    fixture.targets = VersionTargets::default();
+    fixture.targets.offer(&model(), published(2, Moment(NOW.0 - 8_100)));
+    let two_seconds_before = choose(&fixture, &[]);
+
+    assert_eq!(three_seconds_before, Some(id("old")));
+    assert_eq!(two_seconds_before, None);
+}
+
 #[test]
 fn heavy_prompts_spread_over_all_engines() {
     // The load is 24 prompts of 17,000 tokens in one second on 18 engines. Each engine prefills 48,000
