--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -7,14 +7,15 @@
 use guava_policy::ReachChange;
 use guava_serve::{
     AcceptedRequest, MemberDescriptor, MemberTable, PeerRole, RepeatRule, ServeContext,
-    serve_request,
+    UpstreamEntry, serve_request, watch_reach,
 };
 use guava_types::Moment;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use support::scripted::{ScriptStep, ScriptedUpstream};
 use support::served::{CallerResult, caller_answer, context, read, run};
-use support::{address, config, note, request, route};
+use support::{address, config, note, request, route, upstream};
 
 const NOW: Moment = Moment(100_000);
 
@@ -86,17 +87,29 @@
     assert!(first_of_others.iter().all(is_first_alone));
 }
 
-/// A daemon that has lost its links, and the daemons to which it may forward.
-fn cut_off_daemon(peers: &[&ScriptedUpstream]) -> Rc<ServeContext> {
+/// A daemon that knows upstreams at which nobody listens, and the daemons to which it may forward.
+fn unreached_daemon(upstreams: usize, peers: &[&ScriptedUpstream]) -> Rc<ServeContext> {
     let context = context(&[]);
     let now = Moment::now();
+    for number in 0..upstreams {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = closed.local_addr().unwrap();
+        let entry = UpstreamEntry { address, ..upstream(&format!("u{number}"), "app") };
+        context.upstreams.borrow_mut().note_entry(entry);
+    }
     for (number, peer) in peers.iter().enumerate() {
         // The first stands in this data centre, so it is tried first.
         let data_centre = if number == 0 { "east" } else { "west" };
         let peer = member(&format!("peer-{number}"), data_centre, peer.address);
         context.members.borrow_mut().note_from_peer(peer, now);
     }
-    let change = context.reach.borrow_mut().note_unreached_sample(now);
+    context
+}
+
+/// A daemon that has lost its links, and the daemons to which it may forward.
+fn cut_off_daemon(peers: &[&ScriptedUpstream]) -> Rc<ServeContext> {
+    let context = unreached_daemon(0, peers);
+    let change = context.reach.borrow_mut().note_unreached_sample(Moment::now());
     assert_eq!(change, Some(ReachChange::Lost));
     context
 }
@@ -188,3 +201,13 @@
 
     assert_eq!(result, CallerResult::NotRun);
 }
+
+#[test]
+fn request_that_reaches_neither_of_two_upstreams_is_forwarded_before_the_links_count_as_lost() {
+    // Guards against a request that is refused though another daemon reaches its upstreams.
+    let peer = answers("200 OK", "done");
+
+    let result = serve(&unreached_daemon(2, &[&peer]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
+}
