test: connections from before the links were lost carry no request after

Closing idle connections when the links are lost could be taken out and no test failed. The new test fails without it (trial on a scratch change: the old connection is used again) and passes with it.

--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -211,3 +211,24 @@
 
     assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
 }
+
+#[test]
+fn connections_from_before_the_links_were_lost_carry_no_request_after() {
+    // Guards against requests on connections that look open though the other end is gone.
+    let peer = answers("200 OK", "done");
+    let context = unreached_daemon(1, &[&peer]);
+
+    let is_new = run(async {
+        let idle = context.pool.open(peer.address).await.unwrap();
+        context.pool.keep(idle, Some(60_000));
+        tokio::task::spawn_local(watch_reach(Rc::clone(&context)));
+        let request = app_request(RepeatRule::NonIdempotent);
+        serve_request(&context, &Rc::new(config(7)), request).await;
+        while !context.reach.borrow().is_lost() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        context.pool.reuse_or_open(peer.address).await.unwrap().is_new()
+    });
+
+    assert!(is_new);
+}
