fix: a request waits for the publication of weights that its engine has already

Cause: a daemon that has had no summary of its peers hears of new weights up to half a second after the engines have them. Engines refuse its requests without naming their version, no published version is known to ask for instead, and each engine is asked once: the caller got 503.

Change: such a refusal no longer uses the engine up, and the request waits up to 700 ms, once, until an upstream may take it; then it is refused as before.

Tests: request_waits_for_the_publication_of_weights_that_its_engine_has_already in dispatch.rs, which fails without the change.

--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -154,6 +154,9 @@
     /// The engine did not run the request because its weights differ from the expected ones.
     /// Another version can now be requested from it.
     OtherWeights,
+    /// The engine did not run the request because its weights differ from the expected ones, and no
+    /// other published version is known here yet.
+    UnknownWeights,
     /// Abandoned in favour of another upstream, with a retry already taken from the budget. The
     /// request may have run.
     Abandoned,
@@ -251,6 +254,7 @@
         AttemptOutcome::Closed => "closed",
         AttemptOutcome::Refused => "refused",
         AttemptOutcome::OtherWeights => "other-weights",
+        AttemptOutcome::UnknownWeights => "unknown-weights",
         AttemptOutcome::Abandoned => "abandoned",
         AttemptOutcome::Lost => "lost",
         AttemptOutcome::TimedOut => "timed-out",
@@ -434,9 +438,7 @@
         if marks.is_unexpected && is_other {
             self.context.upstreams.borrow_mut().note_replaced(upstream);
         } else if marks.is_unexpected {
-            if self.note_other_weights(marks) {
-                outcome = AttemptOutcome::OtherWeights;
-            }
+            outcome = self.note_other_weights(marks);
         } else {
             // It is full or loading weights, so other upstreams are preferred for a short time.
             let until = Deadline::in_millis(LOADING_ESTIMATE_MS);
@@ -456,19 +458,24 @@
     /// Records that an engine has other weights than expected: the version that it names or, if it
     /// names none, one of the published versions that it has not refused. Otherwise requests would
     /// keep asking for the old version and be refused until the list is updated, a second later.
-    /// Returns whether another version can be requested from it.
-    fn note_other_weights(&self, marks: &AnswerMarks) -> bool {
-        let Some((model, expected)) = self.expected_weights() else { return false };
+    /// Returns whether another version can be requested from it now.
+    fn note_other_weights(&self, marks: &AnswerMarks) -> AttemptOutcome {
+        let Some((model, expected)) = self.expected_weights() else {
+            return AttemptOutcome::Refused;
+        };
         let upstream = &self.plan.send.upstream;
         let mut upstreams = self.context.upstreams.borrow_mut();
         if let Some(named) = marks.weights.filter(|version| *version > expected) {
             upstreams.note_version(upstream, model, named);
-            return true;
+            return AttemptOutcome::OtherWeights;
         }
         let now = Moment::now();
         upstreams.rule_out(upstream, model, expected, now);
         let published = self.context.targets.borrow().published(model);
-        upstreams.version(upstream, model, &published, now).is_some()
+        match upstreams.version(upstream, model, &published, now) {
+            Some(_) => AttemptOutcome::OtherWeights,
+            None => AttemptOutcome::UnknownWeights,
+        }
     }
 
     fn expected_weights(&self) -> Option<(&ModelName, WeightVersion)> {
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -95,6 +95,8 @@
     pub unreached: u32,
     /// Attempts that an upstream refused.
     pub refusals: u32,
+    /// Whether an engine refused it for weights whose publication was not known here yet.
+    pub lacks_weights: bool,
     /// Whether it was queued for engine memory and shed.
     pub was_shed: bool,
     /// Whether no daemon that it could be forwarded to reaches an upstream.
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -30,6 +30,9 @@
 /// Interval between checks whether an engine has memory for a queued prompt: a tenth of the time
 /// that the shortest long prompt takes.
 const QUEUE_POLL_INTERVAL_MS: u64 = 20;
+/// How long a request waits for the publication of weights that engines have already, in
+/// milliseconds: longer than the interval between two messages of the peer that reads publications.
+const WEIGHTS_WAIT_MS: u64 = 700;
 
 /// An accepted request that is being served, and the state of its attempts.
 pub struct RequestRun {
@@ -91,7 +94,12 @@
             }
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
-                PlanStep::NoOpenUpstream => return unanswered(fallback, false),
+                PlanStep::NoOpenUpstream => {
+                    if !self.wait_for_weights().await {
+                        return unanswered(fallback, false);
+                    }
+                    continue;
+                }
                 PlanStep::Crowded => {
                     self.record.was_shed = !self.wait_in_queue().await;
                     if self.record.was_shed {
@@ -130,6 +138,12 @@
                     // It can be asked again, for the version that it has.
                     self.record.tried.pop();
                 }
+                AttemptOutcome::UnknownWeights => {
+                    self.note_refusal();
+                    self.record.lacks_weights = true;
+                    // It can be asked again once its version is known.
+                    self.record.tried.pop();
+                }
                 AttemptOutcome::Abandoned => {
                     self.note_run();
                     self.is_retry_reserved = true;
@@ -223,6 +237,22 @@
         }
     }
 
+    /// Waits once until an upstream may take a request that engines refused for weights whose
+    /// publication is not known here yet. Returns false if none may in time.
+    async fn wait_for_weights(&mut self) -> bool {
+        if !std::mem::take(&mut self.record.lacks_weights) {
+            return false;
+        }
+        let until = Deadline::in_millis(WEIGHTS_WAIT_MS).earlier(self.request.deadline);
+        while !until.passed(Moment::now()) {
+            sleep(Duration::from_millis(QUEUE_POLL_INTERVAL_MS)).await;
+            if has_available_upstream(self.plan_input()) {
+                return true;
+            }
+        }
+        false
+    }
+
     fn note_refusal(&mut self) {
         self.record.reached += 1;
         self.record.refusals += 1;
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -363,6 +363,31 @@
     assert_eq!(known, WeightVersion(2));
 }
 
+#[test]
+fn request_waits_for_the_publication_of_weights_that_its_engine_has_already() {
+    // Guards against refusals by a daemon that hears of new weights after the engines have them.
+    let updated = ScriptedUpstream::start(vec![
+        vec![complete_answer("421 Misdirected", "", "")],
+        vec![complete_answer("200 OK", "", "id: 1\n\n")],
+    ]);
+
+    let result = run(async {
+        let context = context(&[]);
+        let entry = UpstreamEntry { address: updated.address, ..engine("e", 1) };
+        context.upstreams.borrow_mut().note_entry(entry);
+        let hearing = Rc::clone(&context);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            hearing.targets.borrow_mut().offer(&model(), published(2, Moment::now()));
+        });
+        let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
+        request.prompt = Some(prompt("packet", 100, 10));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, ok("id: 1\n\n"));
+}
+
 /// An engine whose memory is occupied by another run, and a long prompt for it.
 fn full_engine(engine_at: &ScriptedUpstream) -> (Rc<ServeContext>, WorkTicket, AcceptedRequest) {
     let context = context(&[]);
