--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -78,12 +78,16 @@
     /// Digest of caller, path and body, which a caller's retries share. Computed on each call, as
     /// few requests need it.
     pub fn digest(&self) -> RequestDigest {
-        let caller = match &self.caller {
+        let path = self.head.target.path_and_query().map_or("", |path| path.as_str());
+        RequestDigest::of(self.customer(), path, &self.body)
+    }
+
+    /// Name of the customer whose key the caller has; empty if it has none.
+    pub fn customer(&self) -> &str {
+        match &self.caller {
             CallerIdentity::Customer(customer) => customer.name.as_str(),
             CallerIdentity::Anonymous => "",
-        };
-        let path = self.head.target.path_and_query().map_or("", |path| path.as_str());
-        RequestDigest::of(caller, path, &self.body)
+        }
     }
 
     /// Parts of its prompt that it shares with others, as evidence names them. The last part is its
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -85,6 +85,7 @@
         info,
         events::ANSWERED,
         request = request.id,
+        customer = request.customer(),
         status = answer.status.as_u16(),
         elapsed_ms = elapsed,
         bytes = answer.body.len()
@@ -134,6 +135,7 @@
         events::REFUSED,
         request = request.id,
         route = request.route.name,
+        customer = request.customer(),
         reason = reason,
         elapsed_ms = Moment::now().millis_since(request.arrived),
         return_after_ms = return_after_ms
@@ -153,6 +155,7 @@
         events::REQUEST_FAILED,
         request = request.id,
         route = request.route.name,
+        customer = request.customer(),
         timed_out = is_timed_out,
         runs = runs,
         elapsed_ms = Moment::now().millis_since(request.arrived)
