feat: an operator releases a quarantined request by dropping its record

Dropping the record in keyed.stops took effect only after a restart of all daemons: records are read once, and a dropped one is not listed.

Change: while a request is quarantined, the reader follows the records' log every two seconds. A drop that stands after a record that this daemon wrote or read clears the request here, and at the others as an answer does.

Tests: upstream_crashes.rs (release at all daemons; an outage of the store; a table of what counts as dropped; its simulated store is a log now, the checks of the older tests are the same) and poison_requests.rs with real daemons.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -107,10 +107,13 @@
 pub use upstreams::http_call::{CallAnswer, CallError, call_request};
 pub use upstreams::list_order::{ListOrder, ListRevision};
 pub use upstreams::prefill_rate::PrefillRate;
-pub use upstreams::quarantine_record::{QuarantineRecord, QuarantineSync};
+pub use upstreams::quarantine_record::{
+    QuarantineChange, QuarantineLog, QuarantineRecord, QuarantineSync,
+};
 pub use upstreams::quarantine_task::{is_read_due, persist_quarantines};
 pub use upstreams::reach_task::watch_reach;
 pub use upstreams::service_rings::RingPosition;
+pub use upstreams::stored_quarantines::{StoredQuarantines, StoredUpdate};
 pub use upstreams::upstream_call::{call_store, call_upstream};
 pub use upstreams::upstream_crashes::{note_request_answered, note_upstream_crash};
 pub use upstreams::upstream_table::{
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -4,7 +4,7 @@
 //! The tasks decide when a call is made and what follows from its result.
 
 use crate::parts::part_index::{HeldPart, PartEvent};
-use crate::upstreams::quarantine_record::QuarantineRecord;
+use crate::upstreams::quarantine_record::{QuarantineLog, QuarantineRecord};
 use crate::upstreams::upstream_table::WeightVersion;
 use futures_util::future::LocalBoxFuture;
 use guava_state::LeaseEntry;
@@ -142,10 +142,10 @@
 
 /// Storage of quarantine records, which survives the exit of all daemons.
 pub struct QuarantinePort {
-    /// Reads all records.
-    pub read: Rc<dyn Fn() -> PortFuture<Vec<QuarantineRecord>>>,
-    /// Writes one record.
-    pub write: Rc<dyn Fn(QuarantineRecord) -> PortFuture<()>>,
+    /// Reads what follows an offset; all records without one.
+    pub read: Rc<dyn Fn(Option<u64>) -> PortFuture<QuarantineLog>>,
+    /// Writes one record, and returns its offset.
+    pub write: Rc<dyn Fn(QuarantineRecord) -> PortFuture<u64>>,
     /// Removes the record of a request.
     pub remove: Rc<dyn Fn(RequestDigest) -> PortFuture<()>>,
 }
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -17,6 +17,7 @@
 pub(crate) mod quarantine_task;
 pub(crate) mod reach_task;
 pub(crate) mod service_rings;
+pub(crate) mod stored_quarantines;
 pub(crate) mod upstream_call;
 pub(crate) mod upstream_crashes;
 pub(crate) mod upstream_table;
--- a/crates/guava-serve/src/upstreams/quarantine_task.rs
+++ b/crates/guava-serve/src/upstreams/quarantine_task.rs
@@ -5,6 +5,9 @@
 //! each quarantined request has a record in the platform's store. The reader and its standbys write
 //! the records. A daemon reads them if it starts and no peer reports them, or if its peers are
 //! silent.
+//!
+//! While requests are quarantined, the reader follows the log of their records: an operator drops
+//! a record there to release its request, at all daemons.
 
 use crate::events;
 use crate::members::retry_pause::{RetryPause, is_read_urgent};
@@ -12,8 +15,10 @@
 use crate::ports::{PortError, QuarantinePort};
 use crate::serve_context::ServeContext;
 use crate::upstreams::quarantine_record::{QuarantineRecord, QuarantineSync};
+use crate::upstreams::stored_quarantines::StoredQuarantines;
+use crate::upstreams::upstream_crashes::note_record_dropped;
 use guava_log::log_event;
-use guava_types::{Deadline, FastMap, Moment, RequestDigest};
+use guava_types::{Deadline, Moment, RequestDigest};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -23,7 +28,8 @@
 /// within which a daemon must know the records.
 const FIRST_REPORT_TIMEOUT_MS: u64 = 1_000;
 /// Time without a message from a peer after which the records are read again, in milliseconds: a
-/// daemon that reaches the store but none of its peers must still learn of new quarantines.
+/// daemon that reaches the store but none of its peers must still learn of new quarantines. The reader
+/// looks as often for records that were dropped.
 const PEER_SILENCE_MS: u64 = 2_000;
 /// Interval between two checks whether a read or write is due, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 250;
@@ -47,8 +53,9 @@
 /// Reads and writes the records of quarantined requests, in an endless loop.
 pub async fn persist_quarantines(context: Rc<ServeContext>, port: QuarantinePort) {
     let started = Moment::now();
+    let stored = StoredQuarantines::default();
     let mut task =
-        QuarantineTask { context, port, started, written: FastMap::default(), next_read: None };
+        QuarantineTask { context, port, started, stored, next_offset: None, next_read: None };
     let mut retry = RetryPause::default();
     loop {
         match task.step().await {
@@ -71,8 +78,9 @@
     context: Rc<ServeContext>,
     port: QuarantinePort,
     started: Moment,
-    /// Quarantine counts that this daemon wrote to the store or read from it.
-    written: FastMap<RequestDigest, u32>,
+    stored: StoredQuarantines,
+    /// Offset from which this daemon has not read the log; `None` before the first read or write.
+    next_offset: Option<u64>,
     /// Earliest moment of the next read; `None` until the first read.
     next_read: Option<Deadline>,
 }
@@ -93,8 +101,10 @@
             log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "over");
         }
         let may_read = self.next_read.is_none_or(|due| due.passed(now));
-        if may_read && is_read_due(sync, self.started, rank, peers, now) {
-            self.read_records().await?;
+        let is_followed =
+            rank == 0 && self.context.ledger.borrow().quarantines(now).next().is_some();
+        if may_read && (is_followed || is_read_due(sync, self.started, rank, peers, now)) {
+            self.read_records(sync).await?;
         }
         if rank <= STANDBYS {
             self.write_records(rank).await?;
@@ -102,15 +112,24 @@
         Ok(())
     }
 
-    async fn read_records(&mut self) -> Result<(), PortError> {
-        let records = (self.port.read)().await?;
+    async fn read_records(&mut self, sync: QuarantineSync) -> Result<(), PortError> {
+        // All records at first, then what follows, which shows what was dropped.
+        let from = self.next_offset.filter(|_| sync.is_known);
+        let log = (self.port.read)(from).await?;
         let now = Moment::now();
+        self.next_offset = log.next;
         self.next_read = Some(Deadline::after(now, PEER_SILENCE_MS));
         let sync = self.context.quarantine_sync.get();
         self.context.quarantine_sync.set(QuarantineSync { is_known: true, ..sync });
-        for record in records {
-            self.written.insert(record.request, record.quarantine_count);
-            let QuarantineRecord { request, quarantine_count } = record;
+        let update = self.stored.apply(&log.changes);
+        for QuarantineRecord { request, quarantine_count } in update.dropped {
+            // One that has been quarantined again since is not what was dropped.
+            let known = self.context.ledger.borrow().quarantine_count(request);
+            if known.is_some_and(|known| known <= quarantine_count) {
+                note_record_dropped(&self.context, request);
+            }
+        }
+        for QuarantineRecord { request, quarantine_count } in update.added {
             if self.context.ledger.borrow_mut().note_record(request, quarantine_count, now) {
                 log_event!(warn, events::REQUEST_QUARANTINED, digest = request, source = "store");
             }
@@ -130,23 +149,21 @@
                 .collect()
         };
         for record in &known {
-            if self
-                .written
-                .get(&record.request)
-                .is_none_or(|quarantine_count| *quarantine_count < record.quarantine_count)
-            {
-                (self.port.write)(*record).await?;
-                self.written.insert(record.request, record.quarantine_count);
+            if !self.stored.lacks(*record) {
+                continue;
             }
+            let offset = (self.port.write)(*record).await?;
+            self.stored.note_written(*record, offset);
+            self.next_offset.get_or_insert(offset);
         }
         let is_known = |request: &RequestDigest| known.iter().any(|kept| kept.request == *request);
         let obsolete: Vec<RequestDigest> =
-            self.written.keys().filter(|request| !is_known(request)).copied().collect();
+            self.stored.requests().filter(|request| !is_known(request)).collect();
         for request in obsolete {
             if rank == 0 {
                 (self.port.remove)(request).await?;
             }
-            self.written.remove(&request);
+            self.stored.forget(request);
         }
         Ok(())
     }
--- a/crates/guava-serve/src/upstreams/upstream_crashes.rs
+++ b/crates/guava-serve/src/upstreams/upstream_crashes.rs
@@ -189,10 +189,20 @@
 /// Notes that the request with this digest, or one with this part, was completed successfully, which
 /// clears it.
 pub fn note_request_answered(context: &ServeContext, request: RequestDigest) {
+    clear(context, request, "answered");
+}
+
+/// Notes that an operator dropped the record of a quarantined request, which clears it at all
+/// daemons as an answer does.
+pub fn note_record_dropped(context: &ServeContext, request: RequestDigest) {
+    clear(context, request, "dropped");
+}
+
+fn clear(context: &ServeContext, request: RequestDigest, reason: &str) {
     let now = Moment::now();
     if context.ledger.borrow_mut().note_answer(request, now) {
         context.crash_gossip.borrow_mut().remove_cleared(ClearNotice { request, at: now });
-        log_event!(info, events::REQUEST_CLEARED, digest = request, reason = "answered");
+        log_event!(info, events::REQUEST_CLEARED, digest = request, reason = reason);
         schedule_quarantine_gossip(context);
     }
 }
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -6,10 +6,11 @@
 mod support;
 
 use guava_serve::{
-    CrashNotice, MAX_DATAGRAM_BYTES, PeerMessage, PortError, QuarantinePort, QuarantineRecord,
-    QuarantineSync, ServeContext, ServiceInput, UpstreamTable, WorkTable, apply_message,
-    choose_instance, compose_crash_notices, compose_message, compose_reads, is_read_due,
-    note_request_answered, note_upstream_crash, persist_quarantines,
+    CrashNotice, MAX_DATAGRAM_BYTES, PeerMessage, PortError, QuarantineChange, QuarantineLog,
+    QuarantinePort, QuarantineRecord, QuarantineSync, ServeContext, ServiceInput,
+    StoredQuarantines, UpstreamTable, WorkTable, apply_message, choose_instance,
+    compose_crash_notices, compose_message, compose_reads, is_read_due, note_request_answered,
+    note_upstream_crash, persist_quarantines,
 };
 use guava_types::{Deadline, Moment, RequestDigest};
 use std::cell::{Cell, RefCell};
@@ -287,10 +288,10 @@
     assert!(!is_read_due(sync, Moment(0), 0, 0, Moment(60_000)));
 }
 
-/// Quarantine records in a simulated store that can be made unavailable.
+/// The log of quarantine records in a simulated store that can be made unavailable.
 #[derive(Default)]
 struct SimulatedStore {
-    records: RefCell<Vec<QuarantineRecord>>,
+    log: RefCell<Vec<QuarantineChange>>,
     is_unavailable: Cell<bool>,
     reads: Cell<usize>,
 }
@@ -299,31 +300,71 @@
     fn port(self: &Rc<Self>) -> QuarantinePort {
         let [reading, writing, removing] = [(); 3].map(|()| Rc::clone(self));
         QuarantinePort {
-            read: Rc::new(move || {
+            read: Rc::new(move |from| {
                 reading.reads.set(reading.reads.get() + 1);
-                let read = reading.answer().map(|()| reading.records.borrow().clone());
+                let read = reading.answer().map(|()| reading.log_from(from));
                 Box::pin(async { read })
             }),
-            write: Rc::new(move |record| {
-                let written = writing.answer().map(|()| writing.records.borrow_mut().push(record));
+            write: Rc::new(move |QuarantineRecord { request, quarantine_count }| {
+                let written =
+                    writing.answer().map(|()| writing.put(request, Some(quarantine_count)));
                 Box::pin(async { written })
             }),
             remove: Rc::new(move |request| {
-                let kept = |record: &QuarantineRecord| record.request != request;
-                let removed =
-                    removing.answer().map(|()| removing.records.borrow_mut().retain(kept));
+                let removed = removing.answer().map(|()| {
+                    removing.put(request, None);
+                });
                 Box::pin(async { removed })
             }),
         }
     }
 
+    /// Appends a record, or drops one; returns the offset.
+    fn put(&self, request: RequestDigest, quarantine_count: Option<u32>) -> u64 {
+        let mut log = self.log.borrow_mut();
+        let offset = log.len() as u64;
+        log.push(QuarantineChange { request, quarantine_count, offset });
+        offset
+    }
+
+    fn log_from(&self, from: Option<u64>) -> QuarantineLog {
+        let log = self.log.borrow();
+        let next = Some(log.len() as u64);
+        let changes = match from {
+            Some(from) => log.iter().skip(from as usize).copied().collect(),
+            None => {
+                let is_newest = |change: &&QuarantineChange| {
+                    let later = &log[change.offset as usize + 1..];
+                    later.iter().all(|other| other.request != change.request)
+                };
+                let newest = log.iter().filter(is_newest);
+                newest.filter(|change| change.quarantine_count.is_some()).copied().collect()
+            }
+        };
+        QuarantineLog { changes, next }
+    }
+
+    /// The records that stand.
+    fn records(&self) -> Vec<QuarantineRecord> {
+        let newest = self.log_from(None).changes.into_iter();
+        newest
+            .filter_map(|QuarantineChange { request, quarantine_count, .. }| {
+                Some(QuarantineRecord { request, quarantine_count: quarantine_count? })
+            })
+            .collect()
+    }
+
     fn answer(&self) -> Result<(), PortError> {
         if self.is_unavailable.get() { Err(PortError::new(&"unavailable")) } else { Ok(()) }
     }
 }
 
 /// Runs the task of a daemon that has no peers until a condition holds.
-fn persist_until(context: &Rc<ServeContext>, store: &Rc<SimulatedStore>, holds: impl Fn() -> bool) {
+fn persist_until(
+    context: &Rc<ServeContext>,
+    store: &Rc<SimulatedStore>,
+    mut holds: impl FnMut() -> bool,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let task = tokio::task::spawn_local(persist_quarantines(Rc::clone(context), store.port()));
@@ -348,13 +389,10 @@
     let (before, after) = (daemon_without_peers(), daemon_without_peers());
     (0..3).for_each(|number| crash_at(&before, number, &[CRASHING]));
 
-    persist_until(&before, &store, || !store.records.borrow().is_empty());
+    persist_until(&before, &store, || !store.records().is_empty());
     persist_until(&after, &store, || is_quarantined(&after, CRASHING));
 
-    assert_eq!(
-        *store.records.borrow(),
-        [QuarantineRecord { request: CRASHING, quarantine_count: 1 }]
-    );
+    assert_eq!(store.records(), [QuarantineRecord { request: CRASHING, quarantine_count: 1 }]);
     assert!(after.quarantine_sync.get().is_known);
 }
 
@@ -367,7 +405,7 @@
 
     persist_until(&context, &store, || store.reads.get() >= 2);
     store.is_unavailable.set(false);
-    persist_until(&context, &store, || store.records.borrow().len() == 1);
+    persist_until(&context, &store, || store.records().len() == 1);
 
     assert!(is_quarantined(&context, CRASHING));
 }
@@ -376,18 +414,105 @@
 fn record_of_a_cleared_request_is_removed() {
     let store = Rc::new(SimulatedStore::default());
     let context = daemon_without_peers();
-    store.records.borrow_mut().push(QuarantineRecord { request: CONCURRENT, quarantine_count: 1 });
+    store.put(CONCURRENT, Some(1));
     let (clearing, stored) = (Rc::clone(&context), Rc::clone(&store));
 
     persist_until(&context, &store, move || {
         // Its run was in flight when the request was quarantined, and completes successfully.
         clearing.ledger.borrow_mut().note_answer(CONCURRENT, Moment::now());
-        stored.records.borrow().is_empty()
+        stored.records().is_empty()
     });
 
     assert!(!is_quarantined(&context, CONCURRENT));
 }
 
+#[test]
+fn dropped_record_releases_its_request_at_all_daemons() {
+    // Guards against a request that stays refused for hours though its upstreams are repaired.
+    let store = Rc::new(SimulatedStore::default());
+    let (reader, other) = (daemon_without_peers(), daemon("d2"));
+    (0..3).for_each(|number| crash_at(&reader, number, &[CRASHING]));
+    deliver(&[summary(&reader, "d1")], &other);
+    assert!(is_quarantined(&other, CRASHING));
+    let mut is_dropped = false;
+
+    persist_until(&reader, &store, || {
+        if !is_dropped && !store.records().is_empty() {
+            store.put(CRASHING, None);
+            is_dropped = true;
+        }
+        !is_quarantined(&reader, CRASHING)
+    });
+    deliver(&[summary(&reader, "d1")], &other);
+
+    assert!(!is_quarantined(&other, CRASHING));
+}
+
+#[test]
+fn quarantine_that_could_not_be_written_is_not_taken_for_dropped() {
+    // Guards against an outage of the store that releases what crashes upstreams.
+    let store = Rc::new(SimulatedStore::default());
+    store.put(CRASHING, Some(1));
+    store.put(CRASHING, None);
+    let reader = daemon_without_peers();
+
+    persist_until(&reader, &store, || {
+        let reads = store.reads.get();
+        if reads == 1 && !is_quarantined(&reader, CRASHING) {
+            store.is_unavailable.set(true);
+            (0..3).for_each(|number| crash_at(&reader, number, &[CRASHING]));
+        }
+        store.is_unavailable.set((1..3).contains(&reads));
+        reads >= 5
+    });
+
+    assert!(is_quarantined(&reader, CRASHING));
+    assert_eq!(store.records().len(), 1);
+}
+
+/// Changes of one request's record, at these offsets.
+fn changes(of: &[(Option<u32>, u64)]) -> Vec<QuarantineChange> {
+    let change = |(quarantine_count, offset): &(Option<u32>, u64)| QuarantineChange {
+        request: CRASHING,
+        quarantine_count: *quarantine_count,
+        offset: *offset,
+    };
+    of.iter().map(change).collect()
+}
+
+#[parameterized(
+    dropped = { &[(None, 8)], true, 0 },
+    dropped_before_it_was_written = { &[(None, 6)], false, 0 },
+    merely_absent = { &[], false, 0 },
+    dropped_and_written_by_another = { &[(None, 8), (Some(1), 9)], true, 1 },
+    written_again_and_dropped = { &[(Some(2), 8), (None, 9)], true, 0 },
+    read_again = { &[(Some(1), 7)], false, 0 },
+)]
+fn record_counts_as_dropped_only_after_it_stood(
+    read: &[(Option<u32>, u64)],
+    is_dropped: bool,
+    added: usize,
+) {
+    let record = QuarantineRecord { request: CRASHING, quarantine_count: 1 };
+    let mut stored = StoredQuarantines::default();
+    stored.note_written(record, 7);
+
+    let update = stored.apply(&changes(read));
+
+    assert_eq!(update.dropped, if is_dropped { vec![record] } else { Vec::new() });
+    assert_eq!(update.added.len(), added);
+    assert_eq!(stored.lacks(record), is_dropped && added == 0);
+}
+
+#[test]
+fn record_that_came_and_went_between_two_reads_is_neither_dropped_nor_added() {
+    let mut stored = StoredQuarantines::default();
+
+    let update = stored.apply(&changes(&[(Some(1), 7), (None, 8)]));
+
+    assert!(update.dropped.is_empty() && update.added.is_empty(), "{update:?}");
+}
+
 #[test]
 fn crash_of_an_upstream_that_is_not_listed_here_counts() {
     let context = daemon("d1");
--- a/crates/guavatiller/tests/poison_requests.rs
+++ b/crates/guavatiller/tests/poison_requests.rs
@@ -205,3 +205,30 @@
 
     assert!(later <= MOST_LATER, "ran {later} times more");
 }
+
+#[test]
+fn poison_request_runs_again_once_an_operator_drops_its_record() {
+    // Guards against an operator who can release a request only by restarting all daemons.
+    let mut fleet = Fleet::start(2, 6, ServerKind::Plain);
+    fleet.send_poison_for("/submit/2f", KNOWN);
+    let digest = fleet.daemons.iter().find_map(quarantined_digest).unwrap();
+    assert_eq!(fleet.later_runs("/submit/2f"), 0);
+
+    fleet.deployment.store.put("keyed.stops", &digest, "");
+
+    let before = fleet.poison_runs();
+    wait_until("it runs again", || {
+        fleet.send_poison_for("/submit/2f", PAUSE);
+        fleet.poison_runs() > before
+    });
+    let is_dropped = |line: &String| line.contains("G8014") && line.contains("dropped");
+    assert!(fleet.daemons.iter().any(|daemon| daemon.lines().iter().any(is_dropped)));
+}
+
+/// The digest of a request that a daemon's log calls quarantined.
+fn quarantined_digest(daemon: &DaemonProcess) -> Option<String> {
+    let lines = daemon.lines();
+    let line = lines.iter().find(|line| line.contains("G8013"))?;
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    line["kv"]["digest"].as_str().map(str::to_owned)
+}
