--- a/crates/guava-losses/src/loss_account.rs
+++ b/crates/guava-losses/src/loss_account.rs
@@ -4,9 +4,7 @@
 use crate::loss_counts::{CauseKey, CustomerKey, LossCounts, MOST_KEYS, SecondKey, UpstreamKey};
 use crate::loss_report::{CustomerRow, KindRow, LossReport};
 use crate::loss_worth::WorthTable;
-use crate::report_rows::{
-    cause_row, customer_cause_row, customer_row, rounded, second_row, upstream_row,
-};
+use crate::report_rows::{cause_row, customer_cause_row, rounded, second_row, upstream_row};
 use guava_types::FastMap;
 use hdrhistogram::Histogram;
 use std::io::{BufRead, Error};
@@ -18,6 +16,8 @@
 const LONGEST_LINE: usize = 64 << 10;
 /// Longest time told apart from longer ones, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
+/// Customers and kinds at most whose times are kept: each takes some kilobytes.
+const MOST_TIMED: usize = 1_000;
 const OTHERS: &str = "(others)";
 const UNKNOWN: &str = "(unknown)";
 
@@ -41,6 +41,13 @@
     first: Option<Histogram<u64>>,
 }
 
+#[derive(Debug)]
+struct CustomerCount {
+    row: CustomerRow,
+    /// `None` beyond the bound.
+    first: Option<Histogram<u64>>,
+}
+
 /// What happened to requests, by log lines.
 #[derive(Debug, Default)]
 pub struct LossAccount {
@@ -49,7 +56,7 @@
     worth: WorthTable,
     kinds: FastMap<Box<str>, KindCount>,
     /// Rows by customer, then by kind; the names beyond the bound are `(others)`.
-    customers: FastMap<(Box<str>, Box<str>), CustomerRow>,
+    customers: FastMap<(Box<str>, Box<str>), CustomerCount>,
     seconds: LossCounts<SecondKey>,
     causes: LossCounts<CauseKey>,
     customer_causes: LossCounts<CustomerKey>,
@@ -186,15 +193,19 @@
         })
     }
 
-    fn customer(&mut self, customer: &str, kind: &str) -> &mut CustomerRow {
+    fn customer(&mut self, customer: &str, kind: &str) -> &mut CustomerCount {
         let mut key = (known(customer).into(), known(kind).into());
         if self.customers.len() >= MOST_KEYS && !self.customers.contains_key(&key) {
             key = (OTHERS.into(), OTHERS.into());
         }
-        self.customers.entry(key).or_insert_with_key(|(customer, kind)| CustomerRow {
-            customer: customer.clone(),
-            kind: kind.clone(),
-            ..CustomerRow::default()
+        let is_timed = self.customers.len() < MOST_TIMED;
+        self.customers.entry(key).or_insert_with_key(|(customer, kind)| CustomerCount {
+            row: CustomerRow {
+                customer: customer.clone(),
+                kind: kind.clone(),
+                ..CustomerRow::default()
+            },
+            first: if is_timed { histogram() } else { None },
         })
     }
 
@@ -211,7 +222,7 @@
         let row = &mut self.kind(route).row;
         row.requests += 1;
         row.worth += worth;
-        let row = self.customer(customer, route);
+        let row = &mut self.customer(customer, route).row;
         row.requests += 1;
         row.worth += worth;
     }
@@ -230,8 +241,11 @@
         kind.row.late += u64::from(is_late);
         kind.row.errors += u64::from(!is_success);
         let customer = self.customer(&open.customer, &open.route);
-        customer.late += u64::from(is_late && is_success);
-        customer.failed += u64::from(!is_success);
+        if let Some(first) = &mut customer.first {
+            first.saturating_record(first_ms);
+        }
+        customer.row.late += u64::from(is_late && is_success);
+        customer.row.failed += u64::from(!is_success);
         let outcome = match (is_success, is_late) {
             (false, _) => "error",
             (true, true) => "late",
@@ -256,7 +270,7 @@
         if open.sends == 0 && end != LostEnd::TurnedAway {
             self.note_request(&open.route, &open.customer);
         }
-        let row = self.customer(&open.customer, &open.route);
+        let row = &mut self.customer(&open.customer, &open.route).row;
         match end {
             LostEnd::Refused | LostEnd::TurnedAway => row.refused += 1,
             LostEnd::Failed | LostEnd::Broken => row.failed += 1,
@@ -273,7 +287,7 @@
         let Loss { second, open, outcome, cause, worth } = *loss;
         let kind = known(&open.route);
         self.kind(kind).row.lost_worth += worth;
-        self.customer(&open.customer, kind).lost_worth += worth;
+        self.customer(&open.customer, kind).row.lost_worth += worth;
         let key = |second, kind: &str, outcome: &str| SecondKey {
             second,
             kind: kind.into(),
@@ -325,17 +339,28 @@
     }
 }
 
+fn quantile(histogram: Option<&Histogram<u64>>, quantile: f64) -> u64 {
+    histogram.map_or(0, |histogram| histogram.value_at_quantile(quantile))
+}
+
+fn customer_row(count: &CustomerCount) -> CustomerRow {
+    CustomerRow {
+        first_p50_ms: quantile(count.first.as_ref(), 0.5),
+        first_p99_ms: quantile(count.first.as_ref(), 0.99),
+        worth: rounded(count.row.worth),
+        lost_worth: rounded(count.row.lost_worth),
+        ..count.row.clone()
+    }
+}
+
 fn kind_row(count: &KindCount) -> KindRow {
-    let quantile = |histogram: &Option<Histogram<u64>>, quantile| {
-        histogram.as_ref().map_or(0, |histogram| histogram.value_at_quantile(quantile))
-    };
     KindRow {
         worth: rounded(count.row.worth),
         lost_worth: rounded(count.row.lost_worth),
-        expected_p50_ms: quantile(&count.expected, 0.5),
-        first_p50_ms: quantile(&count.first, 0.5),
-        expected_p99_ms: quantile(&count.expected, 0.99),
-        first_p99_ms: quantile(&count.first, 0.99),
+        expected_p50_ms: quantile(count.expected.as_ref(), 0.5),
+        first_p50_ms: quantile(count.first.as_ref(), 0.5),
+        expected_p99_ms: quantile(count.expected.as_ref(), 0.99),
+        first_p99_ms: quantile(count.first.as_ref(), 0.99),
         ..count.row.clone()
     }
 }
--- a/crates/guava-losses/src/loss_report.rs
+++ b/crates/guava-losses/src/loss_report.rs
@@ -65,6 +65,11 @@
     pub refused: u64,
     /// Without a whole answer, or answered with an error of their upstream's; they may have run.
     pub failed: u64,
+    /// Median of the time to the answer or its first event, in milliseconds; zero if none was
+    /// answered, or beyond the first thousand rows.
+    pub first_p50_ms: u64,
+    /// The time that 99 in 100 stay within, in milliseconds; zero likewise.
+    pub first_p99_ms: u64,
     /// What they are worth.
     pub worth: f64,
     /// What the losses cost of that.
--- a/crates/guava-losses/src/report_rows.rs
+++ b/crates/guava-losses/src/report_rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the report from what was counted.
 
 use crate::loss_counts::{CauseKey, CustomerKey, LossSum, SecondKey, UpstreamKey};
-use crate::loss_report::{CauseRow, CustomerCauseRow, CustomerRow, SecondRow, UpstreamRow};
+use crate::loss_report::{CauseRow, CustomerCauseRow, SecondRow, UpstreamRow};
 
 /// Sums of worths without the noise of their last digits.
 pub fn rounded(worth: f64) -> f64 {
@@ -30,12 +30,6 @@
     }
 }
 
-/// One customer's requests of one kind.
-pub fn customer_row(row: &CustomerRow) -> CustomerRow {
-    let (worth, lost_worth) = (rounded(row.worth), rounded(row.lost_worth));
-    CustomerRow { worth, lost_worth, ..row.clone() }
-}
-
 /// Losses of one customer and cause.
 pub fn customer_cause_row(key: &CustomerKey, sum: LossSum) -> CustomerCauseRow {
     CustomerCauseRow {
--- a/crates/guava-losses/tests/losses.rs
+++ b/crates/guava-losses/tests/losses.rs
@@ -209,6 +209,7 @@
     let kinds: Vec<(&str, f64, f64)> =
         report.kinds.iter().map(|row| (&*row.kind, row.worth, row.lost_worth)).collect();
     assert_eq!(kinds, [("submit", 3.0, 2.0), ("draft", 10.0, 1.0)]);
+    assert_eq!((report.customers[1].first_p50_ms, report.customers[1].first_p99_ms), (100, 903));
     let refused = report.customer_causes.iter().find(|row| &*row.cause == "crowded").unwrap();
     assert_eq!((&*refused.customer, &*refused.outcome, refused.count), ("small", "refused", 1));
 }
--- a/crates/guavatiller/tests/platform.rs
+++ b/crates/guavatiller/tests/platform.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
+use guava_losses::LossAccount;
 use guava_platform_standins::{
     DaemonProcess, PlainAnswer, PlainConnection, PlatformDeployment, ServerFault, ServerKind,
     ServiceNames, StoreFault, ask, request_to, send, whole_stream,
@@ -255,6 +256,30 @@
     assert!(age_ms >= 2_000, "{age_ms} ms");
 }
 
+#[test]
+fn losses_are_told_by_customer_from_a_daemons_own_lines() {
+    // Guards against a field of log lines that its reader knows under another name.
+    let (deployment, daemons) = deploy(1);
+    submit(&daemons[0], "r1").unwrap();
+    draft(&daemons[0], "r2").unwrap();
+    ["i-app1", "i-app2"].iter().for_each(|id| deployment.list(id, "draining"));
+    wait_until("a request is refused", || {
+        submit(&daemons[0], "r3").is_some_and(|answer| answer.status == 503)
+    });
+    let is_over = |event: &str, id| {
+        lines_about(&daemons[0], id).iter().any(|line| line["kv"]["event"] == event)
+    };
+    wait_until("all are told", || is_over("G8004", "r2") && is_over("G8005", "r3"));
+
+    let mut account = LossAccount::default();
+    daemons[0].lines().iter().for_each(|line| account.take(line));
+
+    let report = account.report();
+    assert!(report.customers.iter().all(|row| &*row.customer == "acme"), "{report:?}");
+    assert_eq!((report.customers.len(), report.customers[0].refused), (2, 1), "{report:?}");
+    assert_eq!(&*report.customer_causes[0].cause, "no-upstream");
+}
+
 #[test]
 fn stream_whose_server_breaks_off_is_whole() {
     let (deployment, daemons) = deploy(1);
