feat: the line of a caller that left names its route and customer

A caller that leaves before its request was sent had neither in the log, so its losses were nobody's.

--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -186,7 +186,14 @@
         if self.is_armed {
             self.context.metrics.count_request("caller-left");
             let elapsed = Moment::now().millis_since(self.request.arrived);
-            log_event!(info, events::CALLER_LEFT, request = self.request.id, elapsed_ms = elapsed);
+            log_event!(
+                info,
+                events::CALLER_LEFT,
+                request = self.request.id,
+                route = self.request.route.name,
+                customer = self.request.customer(),
+                elapsed_ms = elapsed
+            );
         }
     }
 }
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -238,6 +238,8 @@
                 info,
                 events::CALLER_LEFT,
                 request = self.run.request.id,
+                route = self.run.request.route.name,
+                customer = self.run.request.customer(),
                 upstream = self.progress.upstream,
                 bytes = self.progress.bytes,
                 elapsed_ms = Moment::now().millis_since(self.run.request.arrived)
