--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -85,6 +85,7 @@
         info,
         events::ANSWERED,
         request = request.id,
+        customer = request.customer(),
         status = answer.status.as_u16(),
         elapsed_ms = elapsed,
         bytes = answer.body.len()
@@ -134,6 +135,7 @@
         events::REFUSED,
         request = request.id,
         route = request.route.name,
+        customer = request.customer(),
         reason = reason,
         elapsed_ms = Moment::now().millis_since(request.arrived),
         return_after_ms = return_after_ms
@@ -153,6 +155,7 @@
         events::REQUEST_FAILED,
         request = request.id,
         route = request.route.name,
+        customer = request.customer(),
         timed_out = is_timed_out,
         runs = runs,
         elapsed_ms = Moment::now().millis_since(request.arrived)
@@ -183,7 +186,14 @@
         if self.is_armed {
             self.context.metrics.count_request("caller-left");
             let elapsed = Moment::now().millis_since(self.request.arrived);
-            log_event!(info, events::CALLER_LEFT, request = self.request.id, elapsed_ms = elapsed);
+            log_event!(
+                info,
+                events::CALLER_LEFT,
+                request = self.request.id,
+                route = self.request.route.name,
+                customer = self.request.customer(),
+                elapsed_ms = elapsed
+            );
         }
     }
 }
