feat: the value of a cached prompt part, by its uses and its room

A full store takes no new part, whoever wants it: what comes first stays. Part values (GreedyDual-Size-Frequency with counts that decay, in a count-min sketch of 64 kB) say which parts go, ahead of need, and which new ones are let in. Nothing uses them yet.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -18,6 +18,8 @@
 mod load;
 mod memory_budget;
 mod memory_queue;
+mod part_uses;
+mod part_value;
 mod placement;
 mod prefix;
 mod reach_watch;
@@ -50,6 +52,10 @@
 pub use load::{LoadReport, LoadTable, PendingWork, UpstreamLoad};
 pub use memory_budget::{MemoryBudget, has_capacity};
 pub use memory_queue::MemoryQueue;
+pub use part_uses::PartUses;
+pub use part_value::{
+    RankedPart, StoreRoom, admission_floor, is_worth_room, part_value, parts_to_retire,
+};
 pub use placement::{PlacementInput, PlacementMove, plan_in_order, plan_moves};
 pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain};
 pub use reach_watch::{ReachChange, ReachWatch};
