feat: retirements of cached prompt parts as a state machine

A store frees a part on order even while it is fetched. A retirement is told to all daemons first; it is carried out only when each known one has said that it acts by it and fetches begun before have ended, else withdrawn. Nothing uses it yet.

Tested as pure state machines, one failure each: a daemon silent, started meanwhile, restarted; the decider replaced before and after the order; the store restarted; an order's answer lost; words that arrive late.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -63,6 +63,10 @@
 pub use parts::part_key::PartKey;
 pub use parts::part_task::follow_stores;
 pub use parts::part_transfers::FetchPlan;
+pub use parts::retirement::{
+    MAX_RETIRED_PARTS, RetireNotice, RetirePhase, RetirementId, RetirementTable,
+};
+pub use parts::retirement_ledger::{RetireInput, RetireStep, RetirementLedger, WithdrawReason};
 pub use parts::save_ledger::{PartSave, SaveLedger};
 pub use parts::sent_prompt::SentPrompt;
 pub use parts::store_links::{
--- a/crates/guava-serve/src/parts.rs
+++ b/crates/guava-serve/src/parts.rs
@@ -6,6 +6,8 @@
 pub(crate) mod part_key;
 pub(crate) mod part_task;
 pub(crate) mod part_transfers;
+pub(crate) mod retirement;
+pub(crate) mod retirement_ledger;
 pub(crate) mod save_ledger;
 pub(crate) mod sent_prompt;
 pub(crate) mod store_links;
--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -67,7 +67,7 @@
 /// based on its earlier contents have finished: they rely on a report that is at most
 /// [`REPORT_EXPIRY_MS`] old, and last at most [`MAX_FETCH_MS`]. A fetch of a part that is being written
 /// would read only a fraction of it.
-const RESTART_SETTLE_MS: u64 = REPORT_EXPIRY_MS + MAX_FETCH_MS;
+pub const RESTART_SETTLE_MS: u64 = REPORT_EXPIRY_MS + MAX_FETCH_MS;
 
 #[derive(Debug, Default)]
 struct StoreContents {
