feat: room of saves that broke off is freed in stores

A save that breaks off keeps its room in a store that frees only on order, and only the store's list shows it.

Not played against the platform's stores.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -64,6 +64,7 @@
 pub use parts::part_key::PartKey;
 pub use parts::part_task::follow_stores;
 pub use parts::part_transfers::FetchPlan;
+pub use parts::partial_saves::{PartialPart, PartialTable};
 pub use parts::retirement::{
     MAX_RETIRED_PARTS, RetireNotice, RetirePhase, RetirementId, RetirementTable,
 };
--- a/crates/guava-serve/src/parts.rs
+++ b/crates/guava-serve/src/parts.rs
@@ -7,6 +7,7 @@
 pub(crate) mod part_key;
 pub(crate) mod part_task;
 pub(crate) mod part_transfers;
+pub(crate) mod partial_saves;
 pub(crate) mod retirement;
 pub(crate) mod retirement_ledger;
 pub(crate) mod save_ledger;
--- a/crates/guava-serve/src/parts/part_eviction.rs
+++ b/crates/guava-serve/src/parts/part_eviction.rs
@@ -14,6 +14,7 @@
 use guava_log::log_event;
 use guava_types::{Deadline, Moment};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Timeout of a call to free parts, in milliseconds.
 pub(crate) const FREE_TIMEOUT_MS: u64 = 1_000;
@@ -23,6 +24,22 @@
     context.members.borrow().rank(&context.identity.name, &store.to_string(), now)
 }
 
+/// Lists a store in which saves may have broken off, if there is one; the others have their turn later.
+pub(crate) async fn list_broken_saves(context: &ServeContext, port: &PartPort) {
+    let Some(config) = context.config.borrow().current().cloned() else { return };
+    let now = Moment::now();
+    let is_due = |store: &&Rc<StoreTraits>| {
+        store.is_managed
+            && free_rank(context, store.address, now) == 0
+            && context.part_index.borrow_mut().is_list_due(store.address, now)
+    };
+    let Some(store) = config.stores.iter().find(is_due).map(|store| store.address) else { return };
+    // A list that fails is asked for again later.
+    if let Ok(list) = (port.list)(store).await {
+        context.part_index.borrow_mut().note_partials(store, list.epoch, list.partial, now);
+    }
+}
+
 /// Takes the next step of every retirement, begins new ones where stores lack room, and sends the
 /// orders that are due.
 pub(crate) async fn evict_parts(context: &ServeContext, port: &PartPort) {
--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -4,6 +4,7 @@
 //! contents of engines are estimated from the prompts that were sent to them.
 
 use crate::parts::part_key::PartKey;
+use crate::parts::partial_saves::{PartialPart, PartialTable};
 use crate::parts::retirement::{
     MAX_RETIRED_PARTS, RetireNotice, RetirePhase, RetirementId, RetirementTable,
 };
@@ -155,6 +156,7 @@
     saves: SaveLedger,
     uses: PartUses,
     retirements: RetirementTable,
+    partials: PartialTable,
     /// Of managed stores without free room.
     floors: FastMap<SocketAddr, StoreFloor>,
     /// Until when this daemon may not know of retirements that others know of.
@@ -319,10 +321,49 @@
             || is_worth_room(self.uses.uses(key.0, now), part.tokens, floor.value)
     }
 
-    /// Room that a store's parts and the saves in flight take.
+    /// Room that a store's parts take, with saves in flight and those that are known to have broken
+    /// off.
     fn taken(&self, store: SocketAddr, now: Moment) -> TokenCount {
         let used = self.used(store).unwrap_or_default();
-        TokenCount(used.0 + self.saves.reserved(store, now).0)
+        let broken: u64 = self.broken_saves(store, now).map(|(_, part)| part.reserved.0).sum();
+        TokenCount(used.0 + self.saves.reserved(store, now).0 + broken)
+    }
+
+    /// Saves to a store that broke off, without those that were ordered again or that are being freed.
+    fn broken_saves(
+        &self,
+        store: SocketAddr,
+        now: Moment,
+    ) -> impl Iterator<Item = (PartKey, &PartialPart)> {
+        let contents = self.stores.get(&store);
+        let epoch = contents.map_or(0, |contents| contents.epoch);
+        self.partials.broken(store, epoch, now).filter(move |(key, _)| {
+            let is_held = contents.is_some_and(|contents| contents.held.contains_key(key));
+            !is_held
+                && !self.saves.is_in_flight(key, now)
+                && !self.retirements.retires(store, *key, now)
+        })
+    }
+
+    /// Whether a store is to be listed for saves that broke off; if so, it counts as asked.
+    pub fn is_list_due(&mut self, store: SocketAddr, now: Moment) -> bool {
+        let has_lost_saves = self.saves.has_lost(store, now);
+        let is_due = self.partials.is_due(store, has_lost_saves, now);
+        if is_due {
+            self.partials.note_asked(store, now);
+        }
+        is_due
+    }
+
+    /// Applies the incomplete parts of a store's list.
+    pub fn note_partials(
+        &mut self,
+        store: SocketAddr,
+        epoch: u64,
+        partial: Vec<PartialPart>,
+        as_of: Moment,
+    ) {
+        self.partials.note_list(store, epoch, partial, as_of);
     }
 
     /// How full a managed store is; `None` if its contents are unknown.
@@ -360,17 +401,23 @@
         contents.held.iter().filter(is_kept).map(rank).collect()
     }
 
-    /// The parts that a store should give up for want of room, in its epoch; `None` if there are none,
-    /// or if too little is known of how often parts are used.
+    /// The parts that a store should give up, in its epoch: saves that broke off and, for want of
+    /// room, those that are worth least, unless too little is known of how often parts are used.
+    /// `None` if there are none.
     pub fn parts_to_retire(&self, store: &StoreTraits, now: Moment) -> Option<(u64, Vec<PartKey>)> {
         let epoch = self.reported_epoch(store.address, now)?;
-        let room = self.room(store, now).filter(|room| room.lacking().0 > 0)?;
-        if self.uses.watched_ms(now) < MIN_WATCHED_MS {
-            return None;
+        let mut room = self.room(store, now)?;
+        let broken = self.broken_saves(store.address, now).take(MAX_RETIRED_PARTS);
+        let mut parts = Vec::new();
+        for (key, part) in broken {
+            parts.push(key);
+            room.used = TokenCount(room.used.0.saturating_sub(part.reserved.0));
+        }
+        if room.lacking().0 > 0 && self.uses.watched_ms(now) >= MIN_WATCHED_MS {
+            let ranked = self.ranked(store.address, now);
+            let limit = MAX_RETIRED_PARTS - parts.len();
+            parts.extend(parts_to_retire(&ranked, room, limit).into_iter().map(PartKey));
         }
-        let ranked = self.ranked(store.address, now);
-        let parts: Vec<PartKey> =
-            parts_to_retire(&ranked, room, MAX_RETIRED_PARTS).into_iter().map(PartKey).collect();
         (!parts.is_empty()).then_some((epoch, parts))
     }
 
@@ -380,15 +427,20 @@
         (now.millis_since(contents.reported) <= REPORT_EXPIRY_MS).then_some(contents.epoch)
     }
 
-    /// Those of these parts that a store reported to this daemon itself, as an order names them.
+    /// Those of these parts that a store reported or listed to this daemon itself, as an order names
+    /// them.
     pub fn named_parts(&self, store: SocketAddr, parts: &[PartKey]) -> Vec<HeldPart> {
-        let Some(contents) = self.stores.get(&store) else { return Vec::new() };
-        let named = parts.iter().filter_map(|key| {
-            let (salt, id) = contents.names.get(key)?;
-            let tokens = contents.held.get(key).copied()?;
+        let contents = self.stores.get(&store);
+        let held = |key: &PartKey| {
+            let (salt, id) = contents?.names.get(key)?;
+            let tokens = contents?.held.get(key).copied()?;
             Some(HeldPart { salt: salt.clone(), id: id.clone(), tokens })
-        });
-        named.collect()
+        };
+        let partial = |key: &PartKey| {
+            let PartialPart { salt, id, reserved, .. } = self.partials.part(store, *key)?.clone();
+            Some(HeldPart { salt, id, tokens: reserved })
+        };
+        parts.iter().filter_map(|key| held(key).or_else(|| partial(key))).collect()
     }
 
     /// Applies a notice of parts that are retired. What a store was ordered to free counts as gone,
--- a/crates/guava-serve/src/parts/part_task.rs
+++ b/crates/guava-serve/src/parts/part_task.rs
@@ -5,7 +5,7 @@
 use crate::events;
 use crate::members::member_table::MemberRole;
 use crate::members::shared_reads::read_as_of;
-use crate::parts::part_eviction::{FREE_TIMEOUT_MS, evict_parts, free_rank};
+use crate::parts::part_eviction::{FREE_TIMEOUT_MS, evict_parts, free_rank, list_broken_saves};
 use crate::ports::{FreeOrder, PartPort, PortError};
 use crate::serve_context::ServeContext;
 use crate::weights::rollout_state::is_salt_unreferenced;
@@ -87,6 +87,7 @@
             }
         }
         free_unreferenced(&context, &port).await;
+        list_broken_saves(&context, &port).await;
         evict_parts(&context, &port).await;
         let is_configured = context.config.borrow().current().is_some();
         let interval_ms = match (is_configured, is_informed(&context)) {
--- a/crates/guava-serve/src/parts/save_ledger.rs
+++ b/crates/guava-serve/src/parts/save_ledger.rs
@@ -12,6 +12,8 @@
 /// Age, in milliseconds, from which a save that the store has not reported counts as lost. Stores
 /// reserve capacity at once, and the longest transfers take about a second.
 const SAVE_EXPIRY_MS: u64 = 4_000;
+/// Time for which a lost save is remembered, in milliseconds.
+const LOST_RETENTION_MS: u64 = 60_000;
 /// Number of saves from which expired ones are removed.
 const MAX_PENDING_SAVES: usize = 10_000;
 
@@ -47,6 +49,8 @@
     pending: FastMap<PartKey, PendingSave>,
     /// In order of their start; expired and superseded saves are ignored.
     by_store: FastMap<SocketAddr, VecDeque<PendingSave>>,
+    /// When each store's last save expired that it has not reported.
+    lost: FastMap<SocketAddr, Moment>,
     last_number: u64,
 }
 
@@ -58,12 +62,26 @@
         }
         self.last_number += 1;
         let pending = PendingSave { save, since: now, number: self.last_number };
+        self.remove_expired(save.store, now);
         self.pending.insert(save.key, pending);
-        let queue = self.by_store.entry(save.store).or_default();
-        while queue.front().is_some_and(|first| first.is_expired(now)) {
-            queue.pop_front();
+        self.by_store.entry(save.store).or_default().push_back(pending);
+    }
+
+    /// Whether a store did not report a save lately.
+    pub fn has_lost(&mut self, store: SocketAddr, now: Moment) -> bool {
+        self.remove_expired(store, now);
+        let lost = self.lost.get(&store);
+        lost.is_some_and(|lost| now.millis_since(*lost) < LOST_RETENTION_MS)
+    }
+
+    fn remove_expired(&mut self, store: SocketAddr, now: Moment) {
+        let Some(queue) = self.by_store.get_mut(&store) else { return };
+        while let Some(first) = queue.pop_front_if(|first| first.is_expired(now)) {
+            let last = self.pending.get(&first.save.key);
+            if last.is_some_and(|last| last.number == first.number) {
+                self.lost.insert(store, now);
+            }
         }
-        queue.push_back(pending);
     }
 
     /// Removes the save of a part that a store reported.
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -4,6 +4,7 @@
 //! The tasks decide when a call is made and what follows from its result.
 
 use crate::parts::part_index::{HeldPart, PartEvent};
+use crate::parts::partial_saves::PartialPart;
 use crate::upstreams::quarantine_record::QuarantineRecord;
 use crate::upstreams::upstream_table::WeightVersion;
 use futures_util::future::LocalBoxFuture;
@@ -107,7 +108,7 @@
 }
 
 /// Complete contents of a store of prompt parts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct PartList {
     /// Differs after each restart of the store.
     pub epoch: u64,
@@ -115,6 +116,8 @@
     pub next: u64,
     /// All parts that it holds.
     pub held: Vec<HeldPart>,
+    /// Parts of saves that are in progress or broke off.
+    pub partial: Vec<PartialPart>,
 }
 
 /// An order to a store to free prompt parts.
--- a/crates/guava-serve/tests/part_index.rs
+++ b/crates/guava-serve/tests/part_index.rs
@@ -6,8 +6,8 @@
 
 use guava_serve::{CallerIdentity, WeightVersion, salt_version};
 use guava_serve::{
-    HeldPart, PartChange, PartEvent, PartIndex, PartKey, PartSave, PromptPart, SaveLedger,
-    StoreTraits, StoreUpdate, cache_salt,
+    HeldPart, PartChange, PartEvent, PartIndex, PartKey, PartSave, PartialPart, PromptPart,
+    SaveLedger, StoreTraits, StoreUpdate, cache_salt,
 };
 use guava_types::{Moment, TokenCount};
 use std::net::SocketAddr;
@@ -358,3 +358,48 @@
     assert_eq!(in_flight, TokenCount(9_000));
     assert_eq!(ledger.reserved(store, Moment(NOW.0 + 20)), TokenCount(0));
 }
+
+fn broken_save(id: &str, complete: u64) -> PartialPart {
+    let tokens = TokenCount(9_000);
+    PartialPart {
+        salt: "m0/1".into(),
+        id: id.into(),
+        complete: TokenCount(complete),
+        reserved: tokens,
+    }
+}
+
+#[test]
+fn store_is_listed_only_after_a_save_that_it_did_not_report() {
+    let mut index = index_with(Vec::new());
+    let address = stores()[0].address;
+    let is_idle_due = index.is_list_due(address, NOW);
+
+    index.note_saving(save(&part("p", 9_000), address), NOW);
+
+    let dues = [3_999, 4_000, 4_500, 9_000, 64_000]
+        .map(|millis| index.is_list_due(address, Moment(NOW.0 + millis)));
+    assert!(!is_idle_due);
+    assert_eq!(dues, [false, true, false, true, false]);
+}
+
+#[test]
+fn room_of_a_save_that_broke_off_is_given_up_but_not_that_of_one_in_progress() {
+    // Guards against stores that fill up with what engines left behind that were killed.
+    let mut index = index_with(Vec::new());
+    let only = store("s1", 1);
+    let lists = [(0, 1_000), (5_000, 2_000), (10_000, 3_000)];
+    for (millis, progress) in lists {
+        let listed = vec![broken_save("broken", 500), broken_save("slow", progress)];
+        index.note_partials(only.address, 7, listed, Moment(NOW.0 + millis));
+    }
+    let now = Moment(NOW.0 + 10_000);
+    index.note_events(only.address, 7, Vec::new(), now);
+
+    let (epoch, parts) = index.parts_to_retire(&only, now).unwrap();
+
+    let named = index.named_parts(only.address, &parts);
+    assert_eq!(epoch, 7);
+    assert_eq!(named.iter().map(|part| &*part.id).collect::<Vec<_>>(), ["broken"]);
+    assert_eq!(index.room(&only, now).unwrap().used, TokenCount(9_000));
+}
--- a/crates/guava-serve/tests/part_task.rs
+++ b/crates/guava-serve/tests/part_task.rs
@@ -22,7 +22,7 @@
                 Ok(PartReport { epoch: 1, next: 0, is_gapped: false, events, clock_ms: Some(5) })
             })
         }),
-        list: Rc::new(|_| Box::pin(async { Ok(PartList { epoch: 1, next: 0, held: Vec::new() }) })),
+        list: Rc::new(|_| Box::pin(async { Ok(PartList { epoch: 1, ..PartList::default() }) })),
         free: Rc::new(|_| Box::pin(async { Ok(()) })),
     }
 }
