--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -57,12 +57,18 @@
     ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
 pub use members::transfer_budget::TransferBudget;
-pub use metrics::{KindLabel, LimitLevel, ServeMetrics, UpstreamLabel};
+pub use metrics::{KindLabel, LimitLevel, ServeMetrics, StoreLabel, StoreLevel, UpstreamLabel};
 pub use parts::cache_salt::{cache_salt, salt_version};
+pub use parts::part_eviction::eviction_orders;
 pub use parts::part_index::{HeldPart, PartChange, PartEvent, PartIndex, StoreUpdate};
 pub use parts::part_key::PartKey;
 pub use parts::part_task::follow_stores;
 pub use parts::part_transfers::FetchPlan;
+pub use parts::partial_saves::{PartialPart, PartialTable};
+pub use parts::retirement::{
+    MAX_RETIRED_PARTS, RetireNotice, RetirePhase, RetirementId, RetirementTable,
+};
+pub use parts::retirement_ledger::{RetireInput, RetireStep, RetirementLedger, WithdrawReason};
 pub use parts::save_ledger::{PartSave, SaveLedger};
 pub use parts::sent_prompt::SentPrompt;
 pub use parts::store_links::{
