fix: retirements that ended don't slow the choice of stores, and what new parts must be worth is a module

Late words of ended retirements must not revive them, so they were kept beside those in force, up to 512 that every look-up passed. They are kept apart. Tests as before.

--- a/crates/guava-serve/src/parts.rs
+++ b/crates/guava-serve/src/parts.rs
@@ -2,6 +2,7 @@
 //! stores.
 
 pub(crate) mod cache_salt;
+pub(crate) mod part_admission;
 pub(crate) mod part_eviction;
 pub(crate) mod part_index;
 pub(crate) mod part_key;
--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -3,6 +3,7 @@
 //! The contents of stores are known from the stores' own reports or from peers that follow them. The
 //! contents of engines are estimated from the prompts that were sent to them.
 
+use crate::parts::part_admission::{PartAdmission, StoreFloor};
 use crate::parts::part_key::PartKey;
 use crate::parts::partial_saves::{PartialPart, PartialTable};
 use crate::parts::retirement::{
@@ -11,12 +12,9 @@
 use crate::parts::save_ledger::{PartSave, SaveLedger};
 use crate::request::accepted_request::PromptPart;
 use crate::serve_config::StoreTraits;
-use guava_policy::{
-    PartUses, RankedPart, StoreRoom, admission_floor, is_worth_room, part_value, parts_to_retire,
-};
+use guava_policy::{RankedPart, StoreRoom};
 use guava_types::{Deadline, FastMap, Moment, TokenCount, UpstreamId};
 use rustc_hash::FxHasher;
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -80,10 +78,6 @@
 /// Time after its last use in which a part is not retired, in milliseconds: longer than its fetches
 /// last.
 const BUSY_MS: u64 = 5_000;
-/// Time for which uses are counted before parts are retired by them, in milliseconds: a daemon that
-/// has just started would take all parts for unused.
-const MIN_WATCHED_MS: u64 = 30_000;
-
 #[derive(Debug, Default)]
 struct StoreContents {
     epoch: u64,
@@ -137,14 +131,6 @@
     since: Moment,
 }
 
-/// What a new part must be worth in a store that is nearly full.
-#[derive(Clone, Copy, Debug)]
-struct StoreFloor {
-    /// Room that is left to parts that are worth more than `value`.
-    reserve: TokenCount,
-    value: f64,
-}
-
 /// Where prompt parts are cached, and which saves are in flight.
 #[derive(Debug, Default)]
 pub struct PartIndex {
@@ -154,15 +140,11 @@
     /// The engine that each part was last sent to, and when.
     last_sent: FastMap<PartKey, (UpstreamId, Moment)>,
     saves: SaveLedger,
-    uses: PartUses,
+    admission: PartAdmission,
     retirements: RetirementTable,
     partials: PartialTable,
-    /// Of managed stores without free room.
-    floors: FastMap<SocketAddr, StoreFloor>,
     /// Until when this daemon may not know of retirements that others know of.
     informed_at: Deadline,
-    /// Parts not saved because they are worth less than what has to go.
-    refused: Cell<u64>,
 }
 
 impl PartIndex {
@@ -271,9 +253,9 @@
     }
 
     /// The store that a part should be saved to; `None` if it is stored or being saved, or if no store
-    /// has capacity for it, or only such that hold nothing worth less. Rendezvous hashing, weighted by memory and link rate, selects among the
-    /// stores with capacity, so all daemons select the same. Weighted by memory alone, large stores
-    /// with slow links would get most parts, and fetches would queue there.
+    /// has capacity for it, or only such that hold nothing worth less. Rendezvous hashing, weighted by
+    /// memory and link rate, selects among the others, so all daemons select the same. Weighted by
+    /// memory alone, large stores with slow links would get most parts, and fetches would queue there.
     pub fn store_for<'a>(
         &self,
         stores: &'a [Rc<StoreTraits>],
@@ -304,23 +286,18 @@
             )
         };
         let with_capacity: Vec<&Rc<StoreTraits>> = stores.iter().filter(has_capacity).collect();
-        let admitting = with_capacity.iter().filter(|store| self.admits(store, key, part, now));
+        let admits = |store: &&&Rc<StoreTraits>| {
+            let taken = self.taken(store.address, now);
+            self.admission.admits(store, taken, (key, part.tokens), now)
+        };
+        let admitting = with_capacity.iter().filter(admits);
         let chosen = admitting.max_by(|a, b| weight(a).total_cmp(&weight(b))).copied();
         if chosen.is_none() && !with_capacity.is_empty() {
-            self.refused.set(self.refused.get() + 1);
+            self.admission.count_refused();
         }
         chosen
     }
 
-    /// Whether a store has room for a part beside its reserve, or the part is worth more than what
-    /// goes next.
-    fn admits(&self, store: &StoreTraits, key: PartKey, part: &PromptPart, now: Moment) -> bool {
-        let Some(floor) = self.floors.get(&store.address) else { return true };
-        let used = self.taken(store.address, now).0 + part.tokens.0;
-        used + floor.reserve.0 <= store.memory.0
-            || is_worth_room(self.uses.uses(key.0, now), part.tokens, floor.value)
-    }
-
     /// Room that a store's parts take, with saves in flight and those that are known to have broken
     /// off.
     fn taken(&self, store: SocketAddr, now: Moment) -> TokenCount {
@@ -378,13 +355,11 @@
     pub fn note_floors(&mut self, managed: &[&StoreTraits], now: Moment) {
         let floor = |store: &&StoreTraits| {
             let room = self.room(store, now)?;
-            let reserve = room.reserve();
-            // A second reserve, since saves go on until the next time.
-            let is_short = room.used.0 + 2 * reserve.0 > store.memory.0;
-            let value = is_short.then(|| admission_floor(&self.ranked(store.address, now)))?;
-            Some((store.address, StoreFloor { reserve, value }))
+            let floor = StoreFloor::new(room, || self.ranked(store.address, now))?;
+            Some((store.address, floor))
         };
-        self.floors = managed.iter().filter_map(floor).collect();
+        let floors = managed.iter().filter_map(floor).collect();
+        self.admission.note_floors(floors);
     }
 
     /// The parts of a store with their values, without those that are being retired.
@@ -393,10 +368,9 @@
         let is_kept =
             |(key, _): &(&PartKey, &TokenCount)| !self.retirements.retires(store, **key, now);
         let rank = |(key, tokens): (&PartKey, &TokenCount)| {
-            let value = part_value(self.uses.uses(key.0, now), *tokens);
             let sent = self.last_sent.get(key);
             let is_busy = sent.is_some_and(|(_, sent)| now.millis_since(*sent) < BUSY_MS);
-            RankedPart { key: key.0, tokens: *tokens, value, is_busy }
+            self.admission.rank(*key, *tokens, is_busy, now)
         };
         contents.held.iter().filter(is_kept).map(rank).collect()
     }
@@ -413,10 +387,10 @@
             parts.push(key);
             room.used = TokenCount(room.used.0.saturating_sub(part.reserved.0));
         }
-        if room.lacking().0 > 0 && self.uses.watched_ms(now) >= MIN_WATCHED_MS {
+        if room.lacking().0 > 0 && self.may_be_retiring(store) {
             let ranked = self.ranked(store.address, now);
             let limit = MAX_RETIRED_PARTS - parts.len();
-            parts.extend(parts_to_retire(&ranked, room, limit).into_iter().map(PartKey));
+            parts.extend(self.admission.to_retire(&ranked, room, limit, now));
         }
         (!parts.is_empty()).then_some((epoch, parts))
     }
@@ -479,7 +453,7 @@
     /// Number of parts, since the last call, that were not saved because they are worth less than
     /// what has to go.
     pub fn take_refused(&self) -> u64 {
-        self.refused.take()
+        self.admission.take_refused()
     }
 
     /// Records a save that this daemon or a peer ordered.
@@ -499,7 +473,7 @@
             self.last_sent.retain(|_, (_, sent)| now.millis_since(*sent) < SENT_EXPIRY_MS);
         }
         for part in parts {
-            self.uses.note(part.0, now);
+            self.admission.note_use(*part, now);
             self.last_sent.insert(*part, (engine.clone(), now));
         }
         let history = self.engines.entry(engine.clone()).or_default();
--- a/crates/guava-serve/src/parts/retirement.rs
+++ b/crates/guava-serve/src/parts/retirement.rs
@@ -19,8 +19,8 @@
 /// Most retirements by which a daemon acts at a time. Of further ones it does not say that it knows
 /// them, so they are withdrawn.
 const MAX_RETIREMENTS: usize = 64;
-/// Most retirements that a daemon keeps with those that ended, of which the oldest is forgotten first.
-const MAX_KEPT: usize = 512;
+/// Most ended retirements that a daemon remembers, of which the oldest is forgotten first.
+const MAX_ENDED: usize = 512;
 
 /// Identifies a retirement; drawn at random, so that no two daemons, or starts of one, use the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -61,36 +61,45 @@
 /// The retirements that a daemon knows of, its own and others'.
 #[derive(Debug, Default)]
 pub struct RetirementTable {
+    /// Those by which it acts.
     notices: FastMap<RetirementId, RetireNotice>,
+    /// When those began that have ended, so that late messages don't revive them.
+    ended: FastMap<RetirementId, Moment>,
 }
 
 impl RetirementTable {
     /// Applies a notice; one of an earlier phase than is known has no effect.
     pub fn note(&mut self, notice: RetireNotice, now: Moment) {
         self.notices.retain(|_, known| known.is_younger(RETENTION_MS, now));
-        let known = self.notices.get(&notice.id);
-        let is_news = known.is_none_or(|known| known.phase < notice.phase);
-        let has_place = known.is_some() || self.lasting(now).count() < MAX_RETIREMENTS;
-        if is_news && has_place && notice.is_younger(RETENTION_MS, now) {
+        self.ended.retain(|_, begun| now.millis_since(*begun) < RETENTION_MS);
+        if self.ended.contains_key(&notice.id) || !notice.is_younger(RETENTION_MS, now) {
+            return;
+        }
+        if notice.phase == RetirePhase::Ended {
+            self.notices.remove(&notice.id);
             self.forget_one();
+            self.ended.insert(notice.id, notice.begun);
+            return;
+        }
+        let known = self.notices.get(&notice.id);
+        let has_place = known.is_some() || self.notices.len() < MAX_RETIREMENTS;
+        if has_place && known.is_none_or(|known| known.phase < notice.phase) {
             self.notices.insert(notice.id, notice);
         }
     }
 
     /// Forgets the oldest of those that ended, if there are too many.
     fn forget_one(&mut self) {
-        if self.notices.len() < MAX_KEPT {
+        if self.ended.len() < MAX_ENDED {
             return;
         }
-        let ended = self.notices.values().filter(|notice| notice.phase == RetirePhase::Ended);
-        if let Some(id) = ended.min_by_key(|notice| notice.begun).map(|notice| notice.id) {
-            self.notices.remove(&id);
+        if let Some(id) = self.ended.iter().min_by_key(|(_, begun)| **begun).map(|(id, _)| *id) {
+            self.ended.remove(&id);
         }
     }
 
     fn lasting(&self, now: Moment) -> impl Iterator<Item = &RetireNotice> {
-        let lasting = self.notices.values().filter(|it| it.phase < RetirePhase::Ended);
-        lasting.filter(move |notice| notice.is_younger(RETENTION_MS, now))
+        self.notices.values().filter(move |notice| notice.is_younger(RETENTION_MS, now))
     }
 
     /// Whether a part is retired from a store.
