fix: a daemon that starts learns that it has heard its peers

It was never noted that a peer had sent a summary, so each start took the full five seconds before full stores were used. A daemon that said it leaves counts as gone after 30 s of silence rather than 3.9 s: it may only be cut off, and still has requests.

--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -417,6 +417,7 @@
     pub fn note_role(&mut self, name: &MemberName, role: PeerRole) {
         if let Some(entry) = self.members.get_mut(name) {
             entry.role = role;
+            entry.is_heard = true;
         }
     }
 
@@ -429,11 +430,11 @@
 
     /// All daemons that may act by what they knew earlier, silent ones included; `None` if there are
     /// some that this one doesn't know by name. A daemon that said that it is leaving is left out once
-    /// it has been silent for `settle_ms`.
-    pub fn acting_members(&self, settle_ms: u64, now: Moment) -> Option<Vec<MemberName>> {
+    /// it has been silent for `left_ms`.
+    pub fn acting_members(&self, left_ms: u64, now: Moment) -> Option<Vec<MemberName>> {
         let has_left = |entry: &MemberEntry| {
             let silent = entry.last_contact.map(|contact| now.millis_since(contact));
-            entry.is_leaving && silent.is_some_and(|silent_ms| silent_ms >= settle_ms)
+            entry.is_leaving && silent.is_some_and(|silent_ms| silent_ms >= left_ms)
         };
         let acting = self.core_entries().filter(|entry| !has_left(entry));
         let names = acting.map(|entry| entry.member.name.clone()).collect();
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -123,8 +123,9 @@
 }
 
 /// An immediate message about prompts that were just sent, upstreams that are about to load weights,
-/// and parts that begin to be retired; `None` if there are none. If these waited for the next summary, all daemons would choose
-/// the same idle engine and their prompts would queue there, or be refused by an engine that loads.
+/// and parts that begin to be retired; `None` if there are none. If these waited for the next summary,
+/// all daemons would choose the same idle engine and their prompts would queue there, or be refused by
+/// an engine that loads.
 pub fn compose_immediate(context: &ServeContext, member: MemberDescriptor) -> Option<PeerMessage> {
     let sent = std::mem::take(&mut *context.just_sent.borrow_mut());
     let loading = std::mem::take(&mut *context.just_loading.borrow_mut());
--- a/crates/guava-serve/src/parts/part_eviction.rs
+++ b/crates/guava-serve/src/parts/part_eviction.rs
@@ -5,7 +5,6 @@
 
 use crate::events;
 use crate::metrics::StoreLevel;
-use crate::parts::part_index::RESTART_SETTLE_MS;
 use crate::parts::retirement::RetirementId;
 use crate::parts::retirement_ledger::{RetireInput, RetireStep};
 use crate::ports::{FreeOrder, PartPort};
@@ -19,6 +18,10 @@
 /// Timeout of a call to free parts, in milliseconds.
 pub(crate) const FREE_TIMEOUT_MS: u64 = 1_000;
 
+/// Time after which a silent daemon that said it was leaving is taken to have exited, in milliseconds:
+/// longer than the requests last that it still had. It may only be cut off.
+const LEFT_MS: u64 = 30_000;
+
 /// This daemon's rank among all daemons that may free parts in a store.
 pub(crate) fn free_rank(context: &ServeContext, store: SocketAddr, now: Moment) -> usize {
     context.members.borrow().rank(&context.identity.name, &store.to_string(), now)
@@ -80,7 +83,7 @@
 }
 
 fn retire_input(context: &ServeContext, store: SocketAddr, now: Moment) -> RetireInput {
-    let members = context.members.borrow().acting_members(RESTART_SETTLE_MS, now);
+    let members = context.members.borrow().acting_members(LEFT_MS, now);
     RetireInput {
         is_decider: free_rank(context, store, now) == 0,
         epoch: context.part_index.borrow().reported_epoch(store, now),
--- a/crates/guava-serve/tests/part_eviction.rs
+++ b/crates/guava-serve/tests/part_eviction.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use guava_serve::{
-    FreeOrder, HeldPart, MemberDescriptor, OwnSummary, PartEvent, PartKey, PeerMessage,
+    FreeOrder, HeldPart, MemberDescriptor, OwnSummary, PartEvent, PartKey, PeerMessage, PeerRole,
     ServeConfig, ServeContext, StoreTraits, apply_config, apply_message, compose_immediate,
     compose_initial_sync, compose_message, eviction_orders,
 };
@@ -181,3 +181,38 @@
     let confirmed = compose_message(&new, news("d3"), now).heard_retirements;
     assert_eq!(confirmed, [id]);
 }
+
+#[test]
+fn silent_daemon_has_to_confirm_until_it_is_forgotten_or_known_to_have_left() {
+    // Guards against a free under a fetch by a daemon that this one merely doesn't hear.
+    let now = Moment(100_000);
+    let context = daemon("d1", now);
+    let left = MemberDescriptor { is_ready: false, ..note("left") };
+    let mut members = context.members.borrow_mut();
+    for member in [note("silent"), note("left"), left] {
+        members.note_from_peer(member, now);
+    }
+
+    let mut acting_at = |millis: u64| {
+        members.sweep(Moment(now.0 + millis));
+        members.acting_members(30_000, Moment(now.0 + millis)).unwrap().len()
+    };
+
+    assert_eq!([29_999, 30_000, 119_999, 120_000].map(&mut acting_at), [2, 1, 1, 0]);
+}
+
+#[test]
+fn daemons_known_only_by_number_can_not_confirm() {
+    // Guards against a free under a fetch by a daemon that is attached to another one.
+    let now = Moment(100_000);
+    let context = daemon("d1", now);
+    let mut members = context.members.borrow_mut();
+    members.note_from_peer(note("d2"), now);
+    let is_heard_before = members.all_heard(now);
+
+    let role = PeerRole { attached: 3, ..PeerRole::default() };
+    members.note_role(&"d2".parse().unwrap(), role);
+
+    assert!(!is_heard_before && members.all_heard(now));
+    assert_eq!(members.acting_members(30_000, now), None);
+}
