feat: calls are placed and held by the load that instances report

Cause: what upstreams state of their load in each answer was parsed and not used, so calls went by the count of requests in flight as daemons know it, were sent to full instances, and ended with the first refusal.

Change: ReportTable keeps the last report of each upstream, aged, and estimates what is in flight with what daemons know. choose_instance takes the least expected time; where all instances that report their load are full the request waits in the daemon, and a request that one of them turned away waits for another place or a retry. Engines' stated pace scales the time they take. Reports that answers contradict are ignored for a while. Unreadable reports are counted and logged once.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod prefix;
 mod reach_watch;
 mod reply;
+mod report_table;
 mod reported_load;
 mod retry;
 mod route;
@@ -54,6 +55,7 @@
 pub use prefix::{BLOCK_TOKENS, PrefixChain, PrefixHash, prefix_chain};
 pub use reach_watch::{ReachChange, ReachWatch};
 pub use reply::{ReplyAssembler, ReplyChunk, ReplyStep};
+pub use report_table::{KnownRequests, LoadEstimate, LoadNotice, ReportTable, request_bound};
 pub use reported_load::{LoadObservation, PacePercent, ReportedLoad, ReportedLoadError};
 pub use retry::RetryBudget;
 pub use route::{
--- a/crates/guava-policy/src/load.rs
+++ b/crates/guava-policy/src/load.rs
@@ -69,6 +69,12 @@
         self.pending.len()
     }
 
+    /// Number of requests in flight there that this daemon sent after a moment.
+    pub fn sent_since(&self, moment: Moment) -> u32 {
+        let count = self.pending.values().filter(|work| work.sent > moment).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Tokens that this daemon sent and that wait for prefill.
     pub fn pending_tokens(&self) -> TokenCount {
         let waiting = self.pending.values().filter(|work| !work.started);
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -90,7 +90,7 @@
 pub use request::send_gate::{
     GateInput, GateState, gate_state, limit_levels, pass_gate, reopening, with_gate_input,
 };
-pub use request::service_choice::{ServiceInput, choose_instance};
+pub use request::service_choice::{InstanceChoice, ServiceInput, choose_instance};
 pub use serve_config::{
     CallerIdentity, CallerLimits, ConfigParts, ConfigVersion, CurrentConfig, CustomerRule,
     EngineTraits, RepeatRule, RouteRule, ServeConfig, ServiceRule, StoreTraits,
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -54,6 +54,7 @@
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
     announcements: Family<KindLabel, Counter>,
+    reported_loads: Family<KindLabel, Counter>,
     limits: UpstreamLevels,
     limit_shares: UpstreamLevels,
     limited_sends: UpstreamLevels,
@@ -76,6 +77,7 @@
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
         let announcements = Family::<KindLabel, Counter>::default();
+        let reported_loads = Family::<KindLabel, Counter>::default();
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -95,6 +97,7 @@
         registry.register("upstream_limit_share", "This daemon's part", limit_shares.clone());
         registry.register("upstream_limited_sends", "Sent a second", limited_sends.clone());
         registry.register("upstream_words", "Changes of what upstreams say", announcements.clone());
+        registry.register("reported_loads", "Of upstreams, by use", reported_loads.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -111,6 +114,7 @@
             bad_records,
             lost_messages,
             announcements,
+            reported_loads,
             limits,
             limit_shares,
             limited_sends,
@@ -174,6 +178,11 @@
         self.announcements.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a load that an upstream reported; `kind` tells whether it was read, and what it decided.
+    pub fn count_reported_load(&self, kind: &'static str) {
+        self.reported_loads.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Sets the gauges of the upstreams that have a rate limit, and removes those of all others.
     pub fn note_limits(&self, levels: &[LimitLevel]) {
         for levels in [&self.limits, &self.limit_shares, &self.limited_sends] {
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -16,6 +16,7 @@
 use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
+use crate::upstreams::report_watch::note_report;
 use crate::upstreams::upstream_crashes::{
     note_answer, note_interrupted, note_refused, quarantined_until,
 };
@@ -151,6 +152,8 @@
     Closed,
     /// The upstream states that it did not run the request.
     Refused,
+    /// The same, of an instance that reports its load: it may be asked again when it has room.
+    TurnedAway,
     /// The engine did not run the request because its weights differ from the expected ones.
     /// Another version can now be requested from it.
     OtherWeights,
@@ -249,7 +252,7 @@
         AttemptOutcome::Complete(_) | AttemptOutcome::Stream(_) => "answered",
         AttemptOutcome::NotSent => "not-sent",
         AttemptOutcome::Closed => "closed",
-        AttemptOutcome::Refused => "refused",
+        AttemptOutcome::Refused | AttemptOutcome::TurnedAway => "refused",
         AttemptOutcome::OtherWeights => "other-weights",
         AttemptOutcome::Abandoned => "abandoned",
         AttemptOutcome::Lost => "lost",
@@ -312,6 +315,7 @@
         }
         let marks = (self.context.dialect.marks)(answer.status(), answer.headers());
         self.note_announcements(&marks, sent);
+        self.note_report(&marks);
         // The upstream answered an earlier request on this connection, or answered one twice.
         if marks.request.as_deref().is_some_and(|answered| answered != &*self.request.id) {
             return self.lost("the answer belongs to another request");
@@ -325,7 +329,7 @@
         if is_stream && answer.status() == StatusCode::OK {
             self.open_stream(connection, answer, marks, work, SendTime { sent, was_idle }).await
         } else {
-            self.read_complete(connection, answer, marks, work).await
+            self.read_complete(connection, answer, marks, work, sent).await
         }
     }
 
@@ -421,6 +425,18 @@
         }
     }
 
+    /// Records the load that the upstream reports, unless another upstream answered at its address.
+    fn note_report(&self, marks: &AnswerMarks) {
+        if let Some(report) = marks.load.as_ref().filter(|_| !self.is_from_other(marks)) {
+            note_report(self.context, &self.plan.send.upstream, report);
+        }
+    }
+
+    /// Whether the upstream is an instance of a plain service.
+    fn is_plain(&self) -> bool {
+        self.plan.send.engine.is_none()
+    }
+
     /// Whether the answer names another upstream than the one that the request was sent to.
     fn is_from_other(&self, marks: &AnswerMarks) -> bool {
         let name = self.plan.send.upstream.name();
@@ -441,6 +457,11 @@
             // It is full or loading weights, so other upstreams are preferred for a short time.
             let until = Deadline::in_millis(LOADING_ESTIMATE_MS);
             self.context.upstreams.borrow_mut().note_loading(upstream, until);
+            let is_reporting = self.is_plain()
+                && self.context.reports.borrow_mut().note_refused(upstream, Moment::now());
+            if is_reporting {
+                outcome = AttemptOutcome::TurnedAway;
+            }
         }
         log_event!(
             info,
@@ -504,6 +525,7 @@
         answer: Response<Incoming>,
         marks: AnswerMarks,
         mut work: WorkGuard,
+        sent: Moment,
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
         let body = match wait_for_answer(self.input, self.plan, collect_body(body)).await {
@@ -514,6 +536,11 @@
             WaitOutcome::Withdrawn => return self.withdrawn(),
         };
         work.note_started();
+        if self.is_plain() && head.status.is_success() {
+            let now = Moment::now();
+            let upstream = &self.plan.send.upstream;
+            self.context.reports.borrow_mut().note_answer(upstream, now.millis_since(sent), now);
+        }
         // Without a length or chunks, the end of the body may be that of the upstream.
         if marks.is_framed {
             note_answer(self.context, self.request);
@@ -559,26 +586,35 @@
             note_superseded_start(self.context, &self.request.id, self.plan, model, time.sent);
         }
         self.confirm_weights();
-        self.note_prefill_time(time.was_idle.then_some(time.sent));
+        self.note_prefill_time(time.sent, time.was_idle);
         let mut headers = head.headers;
         (self.context.dialect.strip)(&mut headers);
         AttemptOutcome::Stream(Box::new(OpenStream { status: head.status, headers, first, source }))
     }
 
     /// Updates the engines' prefill rate from a prompt that was sent to an idle engine and fetches
-    /// no parts, so that its time to the first event was spent on reading the prompt.
-    fn note_prefill_time(&self, sent_while_idle: Option<Moment>) {
+    /// no parts, so that its time to the first event was spent on reading the prompt. The pace that
+    /// the engine stated meanwhile is no property of it, and is divided out.
+    fn note_prefill_time(&self, sent: Moment, was_idle: bool) {
         let has_no_fetch =
             self.plan.send.engine.as_ref().is_some_and(|orders| orders.fetch_until_ms.is_none());
-        let is_measure = has_no_fetch && !self.plan.is_guess;
-        if let Some(sent) = sent_while_idle.filter(|_| is_measure) {
-            let elapsed = Moment::now().millis_since(sent);
-            let measured_rate =
-                self.context.prefill.borrow_mut().note(self.plan.load.prompt.0, elapsed);
-            if let Some(rate) = measured_rate {
-                let speed = EngineSpeed { engine: self.plan.send.upstream.clone(), rate };
-                self.context.speeds.borrow_mut().note_own(speed, Moment::now());
-            }
+        if !has_no_fetch || self.plan.is_guess {
+            return;
+        }
+        let now = Moment::now();
+        let AttemptPlan { send, load, pace, .. } = self.plan;
+        let elapsed = now.millis_since(sent);
+        let mut reports = self.context.reports.borrow_mut();
+        let is_plausible = reports.note_read(&send.upstream, elapsed, load.service_ms, now);
+        if !was_idle || !is_plausible {
+            return;
+        }
+        let pace = (pace + reports.pace(&send.upstream, now)) / 2.0;
+        let usual = (elapsed as f64 / pace) as u64;
+        let measured_rate = self.context.prefill.borrow_mut().note(load.prompt.0, usual);
+        if let Some(rate) = measured_rate {
+            let speed = EngineSpeed { engine: send.upstream.clone(), rate };
+            self.context.speeds.borrow_mut().note_own(speed, now);
         }
     }
 }
--- a/crates/guava-serve/src/request/attempt_plan.rs
+++ b/crates/guava-serve/src/request/attempt_plan.rs
@@ -4,6 +4,7 @@
 use crate::request::dialect::SendPlan;
 use crate::serve_config::ServiceRule;
 use crate::upstreams::work_table::ExpectedLoad;
+use guava_policy::LoadObservation;
 use guava_types::Deadline;
 use std::rc::Rc;
 
@@ -23,6 +24,10 @@
     /// Whether the engine may hold parts of the prompt that it is not known to hold: its time to the
     /// first token then does not measure its speed.
     pub is_guess: bool,
+    /// Load that the upstream reported, if it was chosen by that.
+    pub report: Option<LoadObservation>,
+    /// Factor by which work takes longer at the upstream than usual, by that report.
+    pub pace: f64,
     /// When another upstream is tried, if a retry is permitted.
     pub answer_timeout: Option<Deadline>,
     /// When the request times out.
--- a/crates/guava-serve/src/request/dialect.rs
+++ b/crates/guava-serve/src/request/dialect.rs
@@ -6,7 +6,7 @@
 use crate::request::accepted_request::AcceptedRequest;
 use crate::upstreams::upstream_table::WeightVersion;
 use bytes::Bytes;
-use guava_policy::{ReportedLoad, UpstreamAnnouncements};
+use guava_policy::{ReportedLoad, ReportedLoadError, UpstreamAnnouncements};
 use guava_types::UpstreamId;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
@@ -65,8 +65,8 @@
     pub is_framed: bool,
     /// Announcements of the upstream.
     pub announcements: UpstreamAnnouncements,
-    /// Load that the upstream reports, if it does and the report is readable.
-    pub load: Option<ReportedLoad>,
+    /// Load that the upstream reports, or why its report can't be read; `None` if it reports none.
+    pub load: Option<Result<ReportedLoad, ReportedLoadError>>,
 }
 
 /// The functions that implement one wire format.
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -43,6 +43,7 @@
         service,
         record: SendRecord::default(),
         is_retry_reserved: false,
+        is_turned_away: false,
         was_forwarded: false,
         first_ms: None,
     };
--- a/crates/guava-serve/src/request/engine_input.rs
+++ b/crates/guava-serve/src/request/engine_input.rs
@@ -8,6 +8,7 @@
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
+use guava_policy::ReportTable;
 use guava_types::{DataCentre, MemberName, Moment, ServiceName, TokenRate, UpstreamId};
 use std::rc::Rc;
 
@@ -39,6 +40,8 @@
     pub prefill: TokenRate,
     /// Measured prefill throughput of single engines, where known.
     pub speeds: &'a EngineSpeeds,
+    /// Load that the engines report.
+    pub reports: &'a ReportTable,
     /// Measured time to the first token in addition to the prefill, in milliseconds.
     pub fixed_ms: f64,
     /// Fraction of the engines' memory that the daemon plans with, 0 to 1.
@@ -64,11 +67,14 @@
     /// behind individually known requests and the wait by the totals that peers reported.
     pub(crate) fn wait_ms(&self, engine: &UpstreamId) -> f64 {
         let known_ms = self.work.wait_ms(engine, self.request.priority(), self.now);
+        let known_ms = known_ms * self.reports.pace(engine, self.now);
         known_ms.max(self.work.peers_wait_ms(engine, self.prefill_of(engine), self.now))
     }
 
-    /// Prefill throughput of an engine; the common one if its own is not known.
+    /// Prefill throughput of an engine at the pace that it states; the common one if its own is not
+    /// known.
     pub(crate) fn prefill_of(&self, engine: &UpstreamId) -> TokenRate {
-        self.speeds.rate(engine).unwrap_or(self.prefill)
+        let usual = self.speeds.rate(engine).unwrap_or(self.prefill);
+        TokenRate((usual.0 as f64 / self.reports.pace(engine, self.now)) as u64)
     }
 }
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -13,19 +13,17 @@
 use crate::request::engine_input::EngineInput;
 use crate::request::outcome::SendRecord;
 use crate::request::send_gate::{gate_state, with_gate_input};
-use crate::request::service_choice::{ServiceInput, choose_instance};
+use crate::request::service_choice::{InstanceChoice, ServiceInput, choose_instance};
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_table::UpstreamEntry;
 use crate::upstreams::work_table::ExpectedLoad;
 use crate::weights::start_guard::StartGuard;
 use guava_log::log_event;
+use guava_policy::ReportTable;
 use guava_types::{Deadline, MemberName, ModelName, Moment, ServiceName, TokenCount, UpstreamId};
 use std::rc::Rc;
 
-/// Expected time of a request to a plain service, in milliseconds. An instance's slowness is measured
-/// against it.
-const PLAIN_ANSWER_MS: f64 = 25.0;
 /// Prompts with at least this many tokens to prefill are reported to peers in an immediate message:
 /// their prefill keeps an engine busy for so long that the interval between summaries matters.
 const MIN_IMMEDIATE_PROMPT: TokenCount = TokenCount(1_000);
@@ -66,7 +64,8 @@
 pub enum PlanStep {
     /// Send the request by this plan.
     Send(Box<AttemptPlan>),
-    /// Queue the request: its prompt is long, and no engine has memory for it.
+    /// Queue the request: its prompt is long, and no engine has memory for it; or the instances of a
+    /// plain service report their load, and all have as many requests as they may get.
     Crowded,
     /// No upstream may take the request now.
     NoOpenUpstream,
@@ -74,14 +73,13 @@
 
 /// Plans a send to the service.
 ///
-/// `PlanStep::Crowded` is returned only if `may_hold`; without it a long prompt is sent to an engine
-/// whose memory is full. `resume_after` takes precedence over the request's own resume position.
+/// `PlanStep::Crowded` is returned only if `may_hold`; without it the request is sent to an upstream
+/// that is full. `resume_after` takes precedence over the request's own resume position.
 pub fn plan_attempt(input: PlanInput<'_>, resume_after: Option<&str>, may_hold: bool) -> PlanStep {
     let engine = engine_prompt(input);
     let mut step = match engine {
         Some((traits, prompt)) => plan_engine(input, traits, prompt, may_hold),
-        None => plan_plain(input)
-            .map_or(PlanStep::NoOpenUpstream, |plan| PlanStep::Send(Box::new(plan))),
+        None => plan_plain(input, may_hold),
     };
     if let PlanStep::Send(plan) = &mut step {
         let own = || input.request.resume_after.clone();
@@ -97,17 +95,28 @@
     Some((traits, input.request.prompt.as_ref()?))
 }
 
-/// Whether the request's prompt is long and no engine has memory for it now.
+/// Whether the request goes to a plain service, or has no prompt.
+pub fn is_plain(input: PlanInput<'_>) -> bool {
+    engine_prompt(input).is_none()
+}
+
+/// Whether the request's prompt is long and no engine has memory for it now, or all instances of its
+/// plain service are full.
 pub fn is_crowded(input: PlanInput<'_>) -> bool {
-    let Some((traits, prompt)) = engine_prompt(input) else { return false };
-    choose_for(input, traits, prompt).is_some_and(|choice| choice.is_crowded)
+    match engine_prompt(input) {
+        Some((traits, prompt)) => {
+            choose_for(input, traits, prompt).is_some_and(|choice| choice.is_crowded)
+        }
+        None => choose_plain(input, Moment::now()).is_some_and(|choice| choice.is_crowded),
+    }
 }
 
-/// Whether any upstream to which the request was not yet sent may take it now.
+/// Whether any upstream to which the request was not yet sent may take it now, and is not known to
+/// be full.
 pub fn has_available_upstream(input: PlanInput<'_>) -> bool {
     match engine_prompt(input) {
         Some((traits, prompt)) => choose_for(input, traits, prompt).is_some(),
-        None => plan_plain(input).is_some(),
+        None => choose_plain(input, Moment::now()).is_some_and(|choice| !choice.is_crowded),
     }
 }
 
@@ -117,6 +126,10 @@
     let now = Moment::now();
     let left_ms = request.deadline.millis_left(now);
     let list_age_ms = input.context.list_age_ms(now).unwrap_or_default();
+    let load = plan.report.map(|report| report.load.to_string()).unwrap_or_default();
+    let load_age_ms = plan.report.map_or(0, |report| now.millis_since(report.received));
+    let use_kind = if plan.report.is_some() { "used" } else { "none" };
+    input.context.metrics.count_reported_load(use_kind);
     match &plan.send.engine {
         None => log_event!(
             info,
@@ -129,6 +142,8 @@
             left_ms = left_ms,
             list_age_ms = list_age_ms,
             objective_ms = request.route.objective_ms,
+            load = load,
+            load_age_ms = load_age_ms,
             tries = record.tried.len()
         ),
         Some(instructions) => log_event!(
@@ -147,6 +162,8 @@
             left_ms = left_ms,
             list_age_ms = list_age_ms,
             objective_ms = request.route.objective_ms,
+            load = load,
+            load_age_ms = load_age_ms,
             tries = record.tried.len()
         ),
     }
@@ -161,9 +178,10 @@
     let service = input.config.service(input.service)?;
     let address = input.context.upstreams.borrow().entry(&upstream)?.address;
     let now = Moment::now();
+    let reports = input.context.reports.borrow();
     let answer_timeout = first_answer_timeout_ms(&request.route, input.record.runs, load.answer_ms);
     let send = SendPlan {
-        upstream,
+        upstream: upstream.clone(),
         address,
         left_ms: request.deadline.millis_left(now),
         priority: load.priority,
@@ -177,6 +195,8 @@
         wait: None,
         is_long: false,
         is_guess: false,
+        report: reports.report(&upstream, now),
+        pace: reports.pace(&upstream, now),
         answer_timeout: answer_timeout.map(|millis| Deadline::after(now, millis)),
         deadline: request.deadline,
     })
@@ -195,13 +215,14 @@
     })
 }
 
-fn plan_plain(input: PlanInput<'_>) -> Option<AttemptPlan> {
-    let now = Moment::now();
+/// Chooses an instance of a plain service by the current state; `None` if none may take the request.
+fn choose_plain(input: PlanInput<'_>, now: Moment) -> Option<InstanceChoice> {
     let choose = |is_closed: &dyn Fn(&UpstreamEntry) -> bool| {
         choose_instance(&ServiceInput {
             service: input.service,
             upstreams: &input.context.upstreams.borrow(),
             work: &input.context.work.borrow(),
+            reports: &input.context.reports.borrow(),
             local_daemon: &input.context.identity.name,
             data_centre: &input.context.identity.data_centre,
             tried: &input.record.tried,
@@ -210,13 +231,22 @@
             draw: rand::random(),
         })
     };
-    let upstream = choose_open(input, now, choose)?;
+    choose_open(input, now, choose)
+}
+
+fn plan_plain(input: PlanInput<'_>, may_hold: bool) -> PlanStep {
+    let Some(choice) = choose_plain(input, Moment::now()) else { return PlanStep::NoOpenUpstream };
+    if choice.is_crowded && may_hold {
+        return PlanStep::Crowded;
+    }
+    let answer_ms = choice.estimate.map(|estimate| estimate.answer_ms());
     let load = ExpectedLoad {
-        answer_ms: PLAIN_ANSWER_MS,
+        answer_ms: answer_ms.unwrap_or(ReportTable::INITIAL_SERVICE_MS),
         priority: input.request.priority(),
         ..ExpectedLoad::default()
     };
-    attempt_plan(input, upstream, load)
+    attempt_plan(input, choice.upstream, load)
+        .map_or(PlanStep::NoOpenUpstream, |plan| PlanStep::Send(Box::new(plan)))
 }
 
 fn plan_engine(
@@ -280,6 +310,7 @@
             version_limits: context.bounds.version_limits,
             prefill: context.prefill.borrow().rate(),
             speeds: &context.speeds.borrow(),
+            reports: &context.reports.borrow(),
             fixed_ms: context.prefill.borrow().fixed_ms(),
             memory_fraction,
             local_daemon: &context.identity.name,
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -8,7 +8,7 @@
 use crate::request::outcome::SendRecord;
 use crate::request::peer_forward::{ForwardOutcome, forward_request};
 use crate::request::request_plan::{
-    PlanInput, PlanStep, has_available_upstream, is_crowded, log_send, plan_attempt,
+    PlanInput, PlanStep, has_available_upstream, is_crowded, is_plain, log_send, plan_attempt,
 };
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
@@ -45,6 +45,8 @@
     pub record: SendRecord,
     /// Whether the next attempt has already been taken from the retry budget.
     pub is_retry_reserved: bool,
+    /// Whether an instance that reports its load has turned it away.
+    pub is_turned_away: bool,
     /// Whether it was already forwarded to peer daemons.
     pub was_forwarded: bool,
     /// Milliseconds from the request's arrival to a stream's first event.
@@ -93,7 +95,7 @@
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => return unanswered(fallback, false),
                 PlanStep::Crowded => {
-                    self.record.was_shed = !self.wait_in_queue().await;
+                    self.record.was_shed = !self.wait_for_room().await;
                     if self.record.was_shed {
                         return unanswered(fallback, false);
                     }
@@ -101,6 +103,9 @@
                 }
             };
             if !self.spend_retry() {
+                if self.wait_for_retry().await {
+                    continue;
+                }
                 return unanswered(fallback, false);
             }
             log_send(&self.plan_input(), &plan);
@@ -125,6 +130,12 @@
                 // Each upstream is asked only once, so the loop ends when none is left.
                 AttemptOutcome::Closed => {}
                 AttemptOutcome::Refused => self.note_refusal(),
+                AttemptOutcome::TurnedAway => {
+                    self.note_refusal();
+                    self.is_turned_away = true;
+                    // It can be asked again once it has room.
+                    self.record.tried.pop();
+                }
                 AttemptOutcome::OtherWeights => {
                     self.note_refusal();
                     // It can be asked again, for the version that it has.
@@ -192,17 +203,64 @@
     }
 
     fn plan(&self, resume_after: Option<&str>) -> PlanStep {
-        // A request that has already reached an upstream must not be queued as well.
-        let may_queue = resume_after.is_none() && self.record.reached == 0;
+        // A request that may run at an upstream must not be queued as well. One that an engine refused
+        // has waited there.
+        let is_unused = if is_plain(self.plan_input()) {
+            self.record.runs == 0
+        } else {
+            self.record.reached == 0
+        };
+        let may_queue = resume_after.is_none() && is_unused;
         plan_attempt(self.plan_input(), resume_after, may_queue)
     }
 
+    /// Waits for room at an upstream. Returns false if the request must be shed.
+    async fn wait_for_room(&self) -> bool {
+        if is_plain(self.plan_input()) {
+            self.wait_for_instance().await
+        } else {
+            self.wait_in_queue().await
+        }
+    }
+
+    /// Until when the request may wait in this daemon.
+    fn wait_limit(&self) -> Deadline {
+        let request = &self.request;
+        Deadline::after(request.arrived, request.route.objective_ms).earlier(request.deadline)
+    }
+
+    /// Waits until an instance of a plain service has room. Returns false if none has in time.
+    async fn wait_for_instance(&self) -> bool {
+        while is_crowded(self.plan_input()) {
+            if self.wait_limit().passed(Moment::now()) {
+                return false;
+            }
+            sleep(poll_interval()).await;
+        }
+        true
+    }
+
+    /// Waits until a request that instances turned away, and that has not run, may be sent again.
+    /// Returns false if it may not in time.
+    async fn wait_for_retry(&mut self) -> bool {
+        if !self.is_turned_away || self.record.runs > 0 {
+            return false;
+        }
+        while !self.wait_limit().passed(Moment::now()) {
+            sleep(poll_interval()).await;
+            if self.spend_retry() {
+                self.is_retry_reserved = true;
+                return true;
+            }
+        }
+        false
+    }
+
     /// Queues a long prompt until an engine has memory for it. Returns false if the prompt must be
     /// shed: its objective has passed or, at the rate at which the queue drains, would pass.
     async fn wait_in_queue(&self) -> bool {
         let request = &self.request;
-        let until = Deadline::after(request.arrived, request.route.objective_ms);
-        let until = until.earlier(request.deadline);
+        let until = self.wait_limit();
         let now = Moment::now();
         let wait = self.context.memory_queue.borrow().expected_wait_ms(request.priority(), now);
         if wait.is_some_and(|wait_ms| Deadline::after(now, wait_ms) > until) {
@@ -270,6 +328,13 @@
     }
 }
 
+/// Interval between two checks, at random: daemons that wait for the same instances must not find
+/// them free at the same moment.
+fn poll_interval() -> Duration {
+    let spread = QUEUE_POLL_INTERVAL_MS / 2;
+    Duration::from_millis(spread + rand::random::<u64>() % QUEUE_POLL_INTERVAL_MS)
+}
+
 fn unanswered(fallback: Option<CompleteAnswer>, is_timed_out: bool) -> SendResult {
     match fallback {
         Some(answer) => SendResult::Complete(answer),
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -30,7 +30,7 @@
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use bytes::Bytes;
 use guava_policy::{
-    AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, ReachWatch, SendLedger,
+    AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, ReachWatch, ReportTable, SendLedger,
 };
 use guava_types::{
     DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, TokenCount,
@@ -166,6 +166,8 @@
     pub prefill: RefCell<PrefillRate>,
     /// Measured prefill throughput of each engine.
     pub speeds: RefCell<EngineSpeeds>,
+    /// Load that upstreams report of themselves.
+    pub reports: RefCell<ReportTable>,
     /// Prompts sent to engines since the last summary to peers.
     pub sent_prompts: RefCell<Vec<SentPrompt>>,
     /// Large prompts sent to engines since the last immediate message.
@@ -244,6 +246,7 @@
             members: RefCell::new(MemberTable::new(identity.data_centre.clone())),
             prefill: RefCell::default(),
             speeds: RefCell::default(),
+            reports: RefCell::default(),
             sent_prompts: RefCell::default(),
             just_sent: RefCell::default(),
             just_loading: RefCell::default(),
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -16,6 +16,7 @@
 pub(crate) mod quarantine_record;
 pub(crate) mod quarantine_task;
 pub(crate) mod reach_task;
+pub(crate) mod report_watch;
 pub(crate) mod service_rings;
 pub(crate) mod upstream_call;
 pub(crate) mod upstream_crashes;
--- a/crates/guava-serve/src/upstreams/announcement_watch.rs
+++ b/crates/guava-serve/src/upstreams/announcement_watch.rs
@@ -100,6 +100,11 @@
     items
 }
 
+/// Logs that the load which an upstream reports can't be read.
+pub fn log_unreadable(context: &ServeContext, upstream: &UpstreamId, reason: &str) {
+    log_kind(context, upstream, "unreadable-load", reason, &"answer", 0);
+}
+
 fn log_announcement(
     context: &ServeContext,
     upstream: &UpstreamId,
--- a/crates/guava-serve/src/upstreams/work_table.rs
+++ b/crates/guava-serve/src/upstreams/work_table.rs
@@ -4,7 +4,7 @@
 //! peer has been silent for too long.
 
 use crate::parts::sent_prompt::SentPrompt;
-use guava_policy::{EngineBacklog, LoadTable, UpstreamLoad};
+use guava_policy::{EngineBacklog, KnownRequests, LoadTable, UpstreamLoad};
 use guava_types::{Deadline, FastMap, MemberName, Moment, TokenCount, TokenRate, UpstreamId};
 
 /// How much later than expected the first token of a healthy engine may come, in milliseconds: the
@@ -157,6 +157,16 @@
         total
     }
 
+    /// Requests in flight at an upstream whose last report was received at `reported`, as far as they
+    /// are known here.
+    pub fn known_requests(&self, upstream: &UpstreamId, reported: Moment) -> KnownRequests {
+        KnownRequests {
+            own: self.own.get(upstream).map_or(0, |share| share.running),
+            own_since: self.load(upstream).sent_since(reported),
+            total: self.total(upstream).running,
+        }
+    }
+
     /// This daemon's work at each upstream where it has requests in flight, for its peers.
     pub fn own_shares(&self) -> impl Iterator<Item = (&UpstreamId, WorkShare)> {
         let busy = self.own.iter().filter(|(_, share)| share.running > 0);
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use guava_policy::ReportTable;
 use guava_serve::{
     AcceptedRequest, EngineChoice, EngineInput, EngineSpeed, EngineSpeeds, EngineTraits,
     ExpectedLoad, HeldPart, MAX_CANDIDATES, PartEvent, PartIndex, PromptPart, PromptShape,
@@ -28,6 +29,7 @@
     work: WorkTable,
     parts: PartIndex,
     speeds: EngineSpeeds,
+    reports: ReportTable,
     links: StoreLinks,
     traits: EngineTraits,
     daemon: MemberName,
@@ -52,6 +54,7 @@
         work: WorkTable::default(),
         parts: PartIndex::default(),
         speeds: EngineSpeeds::default(),
+        reports: ReportTable::default(),
         links: StoreLinks::default(),
         traits: engine_traits(),
         daemon: "d1".parse().unwrap(),
@@ -101,6 +104,7 @@
         version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
         prefill: PREFILL,
         speeds: &fixture.speeds,
+        reports: &fixture.reports,
         fixed_ms: 25.0,
         memory_fraction: 0.95,
         local_daemon: &fixture.daemon,
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice};
+use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, ReportTable};
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
     ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
@@ -210,6 +210,7 @@
                 service: &"app".parse().unwrap(),
                 upstreams: &upstreams,
                 work,
+                reports: &ReportTable::default(),
                 local_daemon: &"d1".parse().unwrap(),
                 data_centre: &"east".parse().unwrap(),
                 tried: &[],
@@ -217,6 +218,7 @@
                 now,
                 draw,
             })
+            .map(|choice| choice.upstream)
         };
         (0..2).filter_map(chosen).collect::<Vec<_>>()
     };
--- a/crates/guava-serve/tests/support/load_simulation.rs
+++ b/crates/guava-serve/tests/support/load_simulation.rs
@@ -2,6 +2,7 @@
 //! of cached prompt parts. Time is an argument, so that runs are deterministic.
 
 use super::{engine, engine_traits, model, part, request, route};
+use guava_policy::ReportTable;
 use guava_serve::{
     EngineChoice, EngineInput, EngineSpeeds, ExpectedLoad, FetchTicket, HeldPart, PartEvent,
     PartIndex, PromptShape, RepeatRule, StoreLinks, StoreTraits, UpstreamEntry, UpstreamTable,
@@ -227,6 +228,7 @@
             version_limits: VersionLimits { stretch_ms: 10_000, total_ms: 14_000 },
             prefill: PREFILL,
             speeds: &EngineSpeeds::default(),
+            reports: &ReportTable::default(),
             fixed_ms: FIXED_MS,
             memory_fraction: 0.95,
             local_daemon: &"d1".parse().unwrap(),
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -60,7 +60,7 @@
             is_framed: headers.contains_key("content-length")
                 || headers.contains_key("transfer-encoding"),
             announcements: announcements(status, headers),
-            load: text(headers, "x-load").and_then(|text| text.parse().ok()),
+            load: text(headers, "x-load").map(|text| text.parse()),
         },
         strip: |headers| drop(headers.remove("transfer-encoding")),
     }
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use guava_policy::ReportTable;
 use guava_serve::{
     CrashNotice, MAX_DATAGRAM_BYTES, PeerMessage, PortError, QuarantinePort, QuarantineRecord,
     QuarantineSync, ServeContext, ServiceInput, UpstreamTable, WorkTable, apply_message,
@@ -176,6 +177,7 @@
             service: &"app".parse().unwrap(),
             upstreams: &upstreams,
             work: &WorkTable::default(),
+            reports: &ReportTable::default(),
             local_daemon: &"d1".parse().unwrap(),
             data_centre: &"east".parse().unwrap(),
             tried: &[],
@@ -183,6 +185,7 @@
             now,
             draw,
         })
+        .map(|choice| choice.upstream)
     };
 
     let while_crashed: Vec<_> = (0..4).map(|draw| choose(now, draw).unwrap()).collect();
