--- a/crates/guava-policy/src/report_table.rs
+++ b/crates/guava-policy/src/report_table.rs
@@ -1,20 +1,25 @@
 //! The load of upstreams by their own reports, and how far these are believed.
 //!
 //! A report describes a moment that has passed. Its weight halves with its age, and what takes its
-//! place is the mean of the requests that daemons know to be in flight; this daemon's sends since are
-//! added at once. Reports cost nobody a request if they are wrong: an upstream whose answers
+//! place is the mean of the requests that daemons know to be in flight at the service; this daemon's
+//! sends since are added at once. Reports cost nobody a request if they are wrong: an upstream whose answers
 //! contradict its reports is placed as if it reported nothing.
 
 use crate::reported_load::{LoadObservation, PacePercent, ReportedLoad};
 use guava_types::{Deadline, FastMap, Moment, UpstreamId};
 
-/// Age at which a report has half its weight, in milliseconds: several answers of a busy upstream.
-const HALF_WEIGHT_MS: f64 = 250.0;
+/// Age at which a stated pace has half its weight, in milliseconds.
+const PACE_HALF_WEIGHT_MS: f64 = 250.0;
+/// Age at which a stated number of requests has half its weight, as a multiple of a request's time:
+/// by then most of those requests are over.
+const COUNT_HALF_WEIGHT: f64 = 2.0;
 /// Age from which a report has no weight, in milliseconds.
 const EXPIRY_MS: u64 = 3_000;
 /// Requests beyond an upstream's slots, as a divisor of the slots: enough to keep it busy while an
 /// answer and the next request travel, few enough that they wait less than one request's time.
 const SPARE_DIVISOR: u32 = 4;
+/// Weight from which a report tells whether an upstream is full.
+const MIN_FULL_WEIGHT: f64 = 0.5;
 /// Requests per slot up to which a stated number is believed. Upstreams turn away what exceeds a short
 /// queue.
 const MAX_REQUESTS_PER_SLOT: u32 = 4;
@@ -51,7 +56,7 @@
     pub own: u32,
     /// Of this daemon, sent since the upstream's last report.
     pub own_since: u32,
-    /// Of this daemon and its peers, as these last told.
+    /// Of this daemon and its peers, as these last told it.
     pub total: u32,
 }
 
@@ -68,6 +73,8 @@
     pub service_ms: f64,
     /// Whether it has as many requests as it may get.
     pub is_full: bool,
+    /// Whether it had as many by its last report, which is too old to tell.
+    pub was_full: bool,
 }
 
 impl LoadEstimate {
@@ -133,8 +140,8 @@
     stated_pace(load) * rounds
 }
 
-fn weight(observation: LoadObservation, now: Moment) -> f64 {
-    0.5_f64.powf(now.millis_since(observation.received) as f64 / HALF_WEIGHT_MS)
+fn weight(observation: LoadObservation, half_weight_ms: f64, now: Moment) -> f64 {
+    0.5_f64.powf(now.millis_since(observation.received) as f64 / half_weight_ms)
 }
 
 /// Most requests that an upstream with so many slots may have.
@@ -194,12 +201,19 @@
         due.into_iter().filter_map(notice).collect()
     }
 
+    /// Notes that an upstream serves a request.
+    pub fn note_served(&mut self, upstream: &UpstreamId, now: Moment) {
+        if let Some(state) = self.states.get_mut(upstream) {
+            state.refusals = 0;
+            state.paused_until = now.into();
+        }
+    }
+
     /// Notes how long a request to a plain service took, after the report in its answer.
     pub fn note_answer(&mut self, upstream: &UpstreamId, elapsed_ms: u64, now: Moment) {
+        self.note_served(upstream, now);
         let Some(state) = self.states.get_mut(upstream) else { return };
         let Some(last) = state.usable(now) else { return };
-        state.refusals = 0;
-        state.paused_until = now.into();
         let service_ms = state.service_ms.unwrap_or(ReportTable::INITIAL_SERVICE_MS);
         let is_plausible = note_factor(state, elapsed_ms as f64, service_ms, true, now);
         if is_plausible {
@@ -248,16 +262,17 @@
     /// Factor by which work takes longer than usual at an upstream; 1 if it states none.
     pub fn pace(&self, upstream: &UpstreamId, now: Moment) -> f64 {
         let Some(last) = self.report(upstream, now) else { return 1.0 };
-        1.0 + (stated_pace(last.load) - 1.0) * weight(last, now)
+        1.0 + (stated_pace(last.load) - 1.0) * weight(last, PACE_HALF_WEIGHT_MS, now)
     }
 
-    /// Load of an upstream that has `listed_slots` by the list of upstreams; `None` if it reports
-    /// none.
+    /// Load of an upstream that has `listed_slots` by the list of upstreams, where daemons have
+    /// `mean_per_slot` requests in flight for each slot of the service; `None` if it reports none.
     pub fn estimate(
         &self,
         upstream: &UpstreamId,
         listed_slots: u32,
         known: KnownRequests,
+        mean_per_slot: f64,
         now: Moment,
     ) -> Option<LoadEstimate> {
         let state = self.states.get(upstream)?;
@@ -266,19 +281,20 @@
         let stated_slots = if is_trusted { last.load.slots } else { u32::MAX };
         let listed_slots = if listed_slots == 0 { last.load.slots } else { listed_slots };
         let slots = stated_slots.min(listed_slots).max(1);
-        let weight = if is_trusted { weight(last, now) } else { 0.0 };
+        let service_ms = state.service_ms.unwrap_or(Self::INITIAL_SERVICE_MS);
+        let pace = self.pace(upstream, now);
+        let half_weight_ms = COUNT_HALF_WEIGHT * service_ms * pace;
+        let weight = if is_trusted { weight(last, half_weight_ms, now) } else { 0.0 };
         let stated = last.load.running.saturating_add(last.load.waiting);
         let stated = stated.min(slots.saturating_mul(MAX_REQUESTS_PER_SLOT));
         let since = f64::from(stated) + f64::from(known.own_since);
-        let requests = since * weight + f64::from(known.total) * (1.0 - weight);
+        let requests = since * weight + (mean_per_slot * f64::from(slots)) * (1.0 - weight);
         let requests = requests.max(f64::from(known.own));
-        Some(LoadEstimate {
-            requests,
-            slots,
-            pace: 1.0 + (stated_pace(last.load) - 1.0) * weight,
-            service_ms: state.service_ms.unwrap_or(ReportTable::INITIAL_SERVICE_MS),
-            is_full: requests >= f64::from(request_bound(slots)) || !state.paused_until.passed(now),
-        })
+        let is_paused = !state.paused_until.passed(now);
+        let is_full = requests >= f64::from(request_bound(slots)) && weight >= MIN_FULL_WEIGHT;
+        let was_full = is_trusted && stated >= request_bound(slots);
+        let is_full = is_full || known.own >= request_bound(slots) || is_paused;
+        Some(LoadEstimate { requests, slots, pace, service_ms, is_full, was_full })
     }
 
     /// Drops the reports of upstreams that are no longer known.
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -85,6 +85,7 @@
         listed: if is_list_included { listed } else { Vec::new() },
         slow_links: context.links.borrow().slow_links(now),
         speeds: context.speeds.borrow_mut().recent_own(now),
+        reported_loads: context.reports.borrow_mut().take_due(),
         ended: context.crash_gossip.borrow_mut().repeated(now),
         stops: quarantine_notices(context, now),
         cleared: clear_notices(context),
@@ -121,7 +122,7 @@
 }
 
 /// An immediate message about prompts that were just sent and upstreams that are about to load
-/// weights; `None` if there are none. If these waited for the next summary, all daemons would choose
+/// weights, with the loads that have changed; `None` if there are none of the former. If these waited for the next summary, all daemons would choose
 /// the same idle engine and their prompts would queue there, or be refused by an engine that loads.
 pub fn compose_immediate(context: &ServeContext, member: MemberDescriptor) -> Option<PeerMessage> {
     let sent = std::mem::take(&mut *context.just_sent.borrow_mut());
@@ -129,7 +130,8 @@
     if sent.is_empty() && loading.is_empty() {
         return None;
     }
-    Some(PeerMessage { sent, loading, ..PeerMessage::empty(member) })
+    let reported_loads = context.reports.borrow_mut().take_due();
+    Some(PeerMessage { sent, loading, reported_loads, ..PeerMessage::empty(member) })
 }
 
 /// Immediate messages about upstreams that just crashed, with the requests quarantined or cleared as
@@ -397,6 +399,12 @@
     if message.knows_quarantines {
         context.quarantine_sync.set(QuarantineSync { is_known: true, last_confirmed: now });
     }
+    for notice in &message.reported_loads {
+        // Those of upstreams that this daemon doesn't know would stay in the table.
+        if context.upstreams.borrow().entry(&notice.upstream).is_some() {
+            context.reports.borrow_mut().apply_notice(notice);
+        }
+    }
     if message.is_immediate {
         for sent in &message.sent {
             let service_ms = context.read_ms(&sent.engine, sent.waiting);
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -17,7 +17,9 @@
 use crate::upstreams::list_order::ListRevision;
 use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::upstreams::work_table::WorkShare;
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, SuspectPart};
+use guava_policy::{
+    ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice, SuspectPart,
+};
 use guava_types::{
     CoreShare, Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount,
     TokenRate, UpstreamId,
@@ -224,6 +226,8 @@
     list_position: u64,
     #[prost(bool, tag = "37")]
     is_cut_off: bool,
+    #[prost(message, repeated, tag = "44")]
+    reported_loads: Vec<WireReportedLoad>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -258,6 +262,17 @@
     tokens_per_s: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireReportedLoad {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    /// As `ReportedLoad` is written.
+    #[prost(string, tag = "2")]
+    load: String,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WireClear {
     #[prost(bytes = "vec", tag = "1")]
@@ -401,6 +416,8 @@
     pub drains: Vec<DrainNotice>,
     /// Speeds of the engines that recently read prompts of the sender.
     pub speeds: Vec<EngineSpeed>,
+    /// Loads that upstreams reported and whose pace has changed by much.
+    pub reported_loads: Vec<LoadNotice>,
     /// Limits that upstreams announced, and those that no longer hold.
     pub limits: Vec<LimitNotice>,
     /// Upstreams that recently announced that they are leaving.
@@ -514,6 +531,7 @@
             listed: Vec::new(),
             slow_links: Vec::new(),
             speeds: Vec::new(),
+            reported_loads: Vec::new(),
             limits: Vec::new(),
             leaving: Vec::new(),
             ended: Vec::new(),
@@ -618,6 +636,7 @@
             knows_quarantines: self.knows_quarantines,
             drains: self.drains.iter().map(wire_drain).collect(),
             speeds: self.speeds.iter().map(wire_speed).collect(),
+            reported_loads: self.reported_loads.iter().map(|load| wire_load(load, now)).collect(),
             limits: self.limits.iter().map(|notice| wire_limit(notice, now)).collect(),
             leaving: self.leaving.iter().map(UpstreamId::to_string).collect(),
             is_immediate: self.is_immediate,
@@ -761,6 +780,11 @@
             knows_quarantines: wire.knows_quarantines,
             drains: wire.drains.iter().filter_map(drain_notice).collect(),
             speeds: wire.speeds.iter().filter_map(engine_speed).collect(),
+            reported_loads: wire
+                .reported_loads
+                .iter()
+                .filter_map(|wire| load_notice(wire, since))
+                .collect(),
             limits: wire.limits.iter().filter_map(|wire| limit_notice(wire, since)).collect(),
             leaving: wire.leaving.iter().filter_map(|id| id.parse().ok()).collect(),
             is_immediate: wire.is_immediate,
@@ -833,6 +857,20 @@
     Some(EngineSpeed { engine: wire.engine.parse().ok()?, rate: TokenRate(wire.tokens_per_s) })
 }
 
+fn wire_load(notice: &LoadNotice, now: Moment) -> WireReportedLoad {
+    WireReportedLoad {
+        upstream: notice.upstream.to_string(),
+        load: notice.observation.load.to_string(),
+        age_ms: now.millis_since(notice.observation.received),
+    }
+}
+
+fn load_notice(wire: &WireReportedLoad, since: Moment) -> Option<LoadNotice> {
+    let received = since.minus_millis(wire.age_ms);
+    let observation = LoadObservation { load: wire.load.parse().ok()?, received };
+    Some(LoadNotice { upstream: wire.upstream.parse().ok()?, observation })
+}
+
 fn wire_clear(notice: &ClearNotice, now: Moment) -> WireClear {
     WireClear { request: notice.request.to_bytes(), age_ms: now.millis_since(notice.at) }
 }
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -582,6 +582,7 @@
             WaitOutcome::Withdrawn => return self.withdrawn(),
         };
         source.work.note_started();
+        self.context.reports.borrow_mut().note_served(&self.plan.send.upstream, Moment::now());
         if let Some((model, _)) = self.expected_weights() {
             note_superseded_start(self.context, &self.request.id, self.plan, model, time.sent);
         }
--- a/crates/guava-serve/src/upstreams/report_watch.rs
+++ b/crates/guava-serve/src/upstreams/report_watch.rs
@@ -5,6 +5,9 @@
 use guava_policy::{ReportedLoad, ReportedLoadError};
 use guava_types::{Moment, UpstreamId};
 
+/// Longest reason in the log: it quotes the upstream.
+const MAX_REASON_CHARS: usize = 80;
+
 /// Notes what an upstream's answer reports of its load. Of several unreadable reports in a row the
 /// first one is logged.
 pub fn note_report(
@@ -20,7 +23,8 @@
         Err(error) => {
             context.metrics.count_reported_load("unreadable");
             if context.reports.borrow_mut().note_unreadable(upstream) {
-                log_unreadable(context, upstream, &error.to_string());
+                let reason: String = error.to_string().chars().take(MAX_REASON_CHARS).collect();
+                log_unreadable(context, upstream, &reason);
             }
         }
     }
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -18,6 +18,7 @@
 };
 use support::served::{CallerResult, context, read, run};
 use support::{config, engine, id, model, prompt, published, request, route, upstream};
+use yare::parameterized;
 
 /// Serves one request with a repeat rule, and returns its caller's result.
 fn serve(repeat: RepeatRule, upstreams: &[&ScriptedUpstream]) -> CallerResult {
@@ -47,6 +48,78 @@
     assert!(result.iter().all(|result| *result == ok("yes")), "{result:?}");
 }
 
+const TURNS_AWAY: &str = "x-not-run: 1\r\nx-load: 6,2,6\r\n";
+
+/// An instance that reports its load, and turns the first of two requests away.
+fn full_once() -> ScriptedUpstream {
+    let answers = [
+        complete_answer("503 Full", TURNS_AWAY, ""),
+        complete_answer("200 OK", "x-load: 1,0,6\r\n", "yes"),
+    ];
+    ScriptedUpstream::start(answers.map(|answer| vec![answer]).to_vec())
+}
+
+#[parameterized(
+    idempotent = { RepeatRule::Idempotent },
+    non_idempotent = { RepeatRule::NonIdempotent },
+)]
+fn call_that_the_only_instance_turned_away_waits_for_room_there(repeat: RepeatRule) {
+    let full = full_once();
+
+    let result = serve(repeat, &[&full]);
+
+    assert_eq!(result, ok("yes"));
+    assert_eq!(full.requests().len(), 2);
+}
+
+#[test]
+fn call_that_one_instance_turned_away_is_answered_by_another_and_runs_once() {
+    let full = ScriptedUpstream::start(vec![vec![complete_answer("503 Full", TURNS_AWAY, "")]; 4]);
+    let free =
+        ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "x-load: 1,0,6\r\n", "yes")]]);
+
+    let result = serve(RepeatRule::NonIdempotent, &[&full, &free]);
+
+    assert_eq!(result, ok("yes"));
+    assert_eq!(free.requests().len(), 1);
+}
+
+#[test]
+fn call_that_is_turned_away_each_time_has_not_run() {
+    // Guards against a call that instances turn away without an end.
+    let full = ScriptedUpstream::start(vec![vec![complete_answer("503 Full", TURNS_AWAY, "")]; 9]);
+
+    let result = serve(RepeatRule::NonIdempotent, &[&full]);
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert!(full.requests().len() <= 4, "{}", full.requests().len());
+}
+
+#[test]
+fn call_that_is_lost_after_a_refusal_runs_no_second_time() {
+    // Guards against a call that runs twice because its first instance stated that it had not run.
+    let full = ScriptedUpstream::start(vec![
+        vec![complete_answer("503 Full", TURNS_AWAY, "")],
+        vec![ScriptStep::Reset],
+        vec![complete_answer("200 OK", "", "yes")],
+    ]);
+
+    let result = serve(RepeatRule::NonIdempotent, &[&full]);
+
+    assert_eq!(result, CallerResult::Lost);
+    assert_eq!(full.requests().len(), 2);
+}
+
+#[test]
+fn unreadable_report_takes_nothing_from_the_answer() {
+    let garbled = "x-load: 1,2,many\r\n";
+    let answering = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", garbled, "yes")]]);
+
+    let result = serve(RepeatRule::Idempotent, &[&answering]);
+
+    assert_eq!(result, ok("yes"));
+}
+
 #[test]
 fn request_that_all_upstreams_refused_has_not_run() {
     let result = serve(RepeatRule::NonIdempotent, &[&refusing_upstream(), &refusing_upstream()]);
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, ReportTable};
+use guava_policy::{
+    ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice, ReportTable,
+};
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
     ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
@@ -211,6 +213,7 @@
                 upstreams: &upstreams,
                 work,
                 reports: &ReportTable::default(),
+                daemons: 1,
                 local_daemon: &"d1".parse().unwrap(),
                 data_centre: &"east".parse().unwrap(),
                 tried: &[],
@@ -395,6 +398,13 @@
             is_drained: true,
         }],
         speeds: vec![EngineSpeed { engine: id("e"), rate: TokenRate(35_000) }],
+        reported_loads: vec![LoadNotice {
+            upstream: id("e"),
+            observation: LoadObservation {
+                load: "3,0,8,250".parse().unwrap(),
+                received: Moment(99_950),
+            },
+        }],
         limits: vec![
             LimitNotice {
                 upstream: id("e"),
