--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -601,3 +601,65 @@
     let kept = before.iter().filter(|id| after.contains(id)).count();
     assert!(kept * 2 >= MAX_CANDIDATES, "{kept} of {MAX_CANDIDATES} kept");
 }
+
+/// A fixture with two idle engines, of which `b` reported a pace a while ago.
+fn paced_fixture(pace: u32, age_ms: u64) -> ChoiceFixture {
+    let mut fixture = fixture(&[("a", 1), ("b", 1)]);
+    let load = format!("1,0,8,{pace}").parse().unwrap();
+    fixture.reports.note(&id("b"), load, Moment(NOW.0 - age_ms));
+    fixture
+}
+
+/// The engines that are chosen with different random numbers.
+fn all_chosen(fixture: &ChoiceFixture) -> Vec<UpstreamId> {
+    let mut chosen: Vec<UpstreamId> =
+        (0..20).map(|draw| choose_drawn(fixture, &[], draw).unwrap().upstream).collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
+#[parameterized(
+    slow = { 250, 0, &["a"] },
+    fast = { 50, 0, &["b"] },
+    usual = { 100, 0, &["a", "b"] },
+    slow_long_ago = { 250, 3_000, &["a", "b"] },
+)]
+fn long_prompt_goes_by_the_stated_pace_while_that_is_fresh(
+    pace: u32,
+    age_ms: u64,
+    expected: &[&str],
+) {
+    let fixture = paced_fixture(pace, age_ms);
+
+    let chosen = all_chosen(&fixture);
+
+    assert_eq!(chosen, expected.iter().map(|name| id(name)).collect::<Vec<_>>());
+}
+
+#[parameterized(
+    little_slower = { 125, "b" },
+    much_slower = { 250, "a" },
+)]
+fn stated_pace_is_weighed_against_the_wait_elsewhere(pace: u32, expected: &str) {
+    let mut fixture = paced_fixture(pace, 0);
+    let waiting = load(TokenCount(9_600), TokenCount(9_600), 200.0);
+    fixture.work.begin(&id("a"), &waiting, NOW);
+
+    assert_eq!(all_chosen(&fixture), [id(expected)]);
+}
+
+#[test]
+fn engine_that_reads_faster_than_its_stated_pace_is_used_as_usual() {
+    // Guards against an engine that is left out because it misstates its pace.
+    let mut fixture = paced_fixture(10_000, 300);
+    let reports = &mut fixture.reports;
+
+    for age_ms in [200, 100, 0] {
+        let at = Moment(NOW.0 - age_ms);
+        reports.note(&id("b"), "1,0,8,10000".parse().unwrap(), at);
+        assert!(!reports.note_read(&id("b"), 350, 350.0, at));
+    }
+
+    assert_eq!(all_chosen(&fixture), [id("a"), id("b")]);
+}
