--- a/crates/guava-policy/src/report_table.rs
+++ b/crates/guava-policy/src/report_table.rs
@@ -8,6 +8,9 @@
 use crate::reported_load::{LoadObservation, PacePercent, ReportedLoad};
 use guava_types::{Deadline, FastMap, Moment, UpstreamId};
 
+/// Least factor that is taken from a stated pace: an upstream that states less must not attract what
+/// it can't serve.
+const MIN_PACE: f64 = 0.5;
 /// Age at which a stated pace has half its weight, in milliseconds.
 const PACE_HALF_WEIGHT_MS: f64 = 250.0;
 /// Age at which a stated number of requests has half its weight, as a multiple of a request's time:
@@ -130,7 +133,7 @@
 }
 
 fn stated_pace(load: ReportedLoad) -> f64 {
-    load.pace.unwrap_or(PacePercent::USUAL).factor()
+    load.pace.unwrap_or(PacePercent::USUAL).factor().max(MIN_PACE)
 }
 
 /// Factor by which a request takes longer than usual at a reported load.
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -649,6 +649,16 @@
     assert_eq!(all_chosen(&fixture), [id(expected)]);
 }
 
+#[test]
+fn engine_that_states_no_time_at_all_does_not_attract_what_it_can_not_serve() {
+    // Guards against an engine that gets all prompts because it states a pace of 1 percent.
+    let mut fixture = paced_fixture(1, 0);
+    let waiting = load(TokenCount(48_000), TokenCount(17_000), 1_000.0);
+    fixture.work.begin(&id("b"), &waiting, NOW);
+
+    assert_eq!(all_chosen(&fixture), [id("a")]);
+}
+
 #[test]
 fn engine_that_reads_faster_than_its_stated_pace_is_used_as_usual() {
     // Guards against an engine that is left out because it misstates its pace.
--- a/crates/guava-serve/tests/reported_load.rs
+++ b/crates/guava-serve/tests/reported_load.rs
@@ -292,6 +292,7 @@
     all_always_full = { 8, |_, _| Some(stated("6,900,6")) },
     one_slot = { 8, |number, load| Some(if number == 0 { stated("1,1,1") } else { load }) },
     stopped_pace = { 8, |number, load| Some(if number == 0 { stated("1,0,6,10000") } else { load }) },
+    endless_pace = { 8, |number, load| Some(if number == 0 { stated("0,0,6,1") } else { load }) },
     all_stopped_pace = { 8, |_, _| Some(stated("1,0,6,10000")) },
 )]
 fn wrong_reports_cost_no_call_its_answer_in_time(
