--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -914,3 +914,28 @@
 
     assert_eq!(result, ok("id: 1\n\n"));
 }
+
+#[test]
+fn pace_of_the_moment_is_not_learnt_as_the_speed_of_an_engine() {
+    // Guards against an engine that is left out for minutes because it was slow for half a second.
+    let slow = ScriptedUpstream::start(vec![vec![
+        ScriptStep::Wait(500),
+        complete_answer("200 OK", "x-load: 1,0,8,250\r\n", "id: 1\n\n"),
+    ]]);
+
+    let rate = run(async {
+        let context = context(&[]);
+        let entry = UpstreamEntry { address: slow.address, ..engine("e", 1) };
+        context.upstreams.borrow_mut().note_entry(entry);
+        let load = "1,0,8,250".parse().unwrap();
+        context.reports.borrow_mut().note(&id("e"), load, Moment::now());
+        let mut request = request(route("/llm/", "llm", RepeatRule::Stream));
+        request.prompt = Some(prompt("packet", 8_000, 400));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await;
+        context.speeds.borrow().rate(&id("e"))
+    });
+
+    // Read in 200 ms at the usual pace.
+    let rate = rate.unwrap().0;
+    assert!((30_000..80_000).contains(&rate), "{rate}");
+}
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -678,3 +678,21 @@
     assert_eq!(read, ListChangeEffect::Same);
     assert!(!one.upstreams.borrow().may_send(&id("e")));
 }
+
+#[test]
+fn changed_pace_of_a_known_upstream_reaches_peers_once() {
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    let now = Moment::now();
+    two.upstreams.borrow_mut().note_entry(engine("e", 1));
+    for name in ["e", "unknown"] {
+        one.reports.borrow_mut().note(&id(name), "3,0,8,250".parse().unwrap(), now);
+    }
+
+    let [first, second] = [(); 2].map(|()| compose_message(&one, news("d1"), now));
+    let second_count = second.reported_loads.len();
+    apply_message(&two, first, now);
+
+    assert_eq!(two.reports.borrow().pace(&id("e"), now), 2.5);
+    assert_eq!(two.reports.borrow().reported(&id("unknown"), now), None);
+    assert_eq!(second_count, 0);
+}
--- a/crates/guava-serve/tests/reported_load.rs
+++ b/crates/guava-serve/tests/reported_load.rs
@@ -324,3 +324,34 @@
     assert!(results.most_found < request_bound(SLOTS), "{}", results.most_found);
     assert_eq!(results.held_in_vain, 0);
 }
+
+#[test]
+fn instance_that_never_answers_is_avoided_whatever_it_states() {
+    // Guards against an instance that states that nothing runs there, and takes calls without an end.
+    let mut upstreams = UpstreamTable::default();
+    upstreams.note_entry(upstream("a", "app"));
+    upstreams.note_entry(upstream("b", "app"));
+    let (mut work, mut reports) = (WorkTable::default(), ReportTable::default());
+    let now = Moment(START_MS);
+    work.begin(&id("a"), &ExpectedLoad { answer_ms: 25.0, ..ExpectedLoad::default() }, now);
+    let now = Moment(START_MS + 200);
+    ["a", "b"].into_iter().for_each(|name| reports.note(&id(name), stated("0,0,6"), now));
+
+    let choose = |draw| {
+        choose_instance(&ServiceInput {
+            service: &"app".parse().unwrap(),
+            upstreams: &upstreams,
+            work: &work,
+            reports: &reports,
+            daemons: 1,
+            local_daemon: &"d1".parse().unwrap(),
+            data_centre: &"east".parse().unwrap(),
+            tried: &[],
+            is_closed: &|_| false,
+            now,
+            draw,
+        })
+    };
+
+    assert!((0..20).all(|draw| choose(draw).unwrap().upstream == id("b")));
+}
