fix: the service's load is summed only where instances report theirs

Calls of services that report nothing pay nothing for the estimate; calls that wait for room are counted.

--- a/crates/guava-policy/src/report_table.rs
+++ b/crates/guava-policy/src/report_table.rs
@@ -2,8 +2,8 @@
 //!
 //! A report describes a moment that has passed. Its weight halves with its age, and what takes its
 //! place is the mean of the requests that daemons know to be in flight at the service; this daemon's
-//! sends since are added at once. Reports cost nobody a request if they are wrong: an upstream whose answers
-//! contradict its reports is placed as if it reported nothing.
+//! sends since are added at once. Wrong reports must cost nobody a request: those of an upstream whose
+//! answers contradict them are ignored for a while.
 
 use crate::reported_load::{LoadObservation, PacePercent, ReportedLoad};
 use guava_types::{Deadline, FastMap, Moment, UpstreamId};
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -223,7 +223,7 @@
             upstreams: &input.context.upstreams.borrow(),
             work: &input.context.work.borrow(),
             reports: &input.context.reports.borrow(),
-            daemons: input.context.members.borrow().deployment_size(now),
+            daemons: &|| input.context.members.borrow().deployment_size(now),
             local_daemon: &input.context.identity.name,
             data_centre: &input.context.identity.data_centre,
             tried: &input.record.tried,
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -231,6 +231,7 @@
 
     /// Waits until an instance of a plain service has room. Returns false if none has in time.
     async fn wait_for_instance(&self) -> bool {
+        self.context.metrics.count_reported_load("held");
         while is_crowded(self.plan_input()) {
             if self.wait_limit().passed(Moment::now()) {
                 return false;
--- a/crates/guava-serve/src/request/service_choice.rs
+++ b/crates/guava-serve/src/request/service_choice.rs
@@ -35,8 +35,8 @@
     pub work: &'a WorkTable,
     /// Load that the upstreams report.
     pub reports: &'a ReportTable,
-    /// Number of daemons.
-    pub daemons: usize,
+    /// Counts the daemons.
+    pub daemons: &'a dyn Fn() -> usize,
     /// Name of this daemon.
     pub local_daemon: &'a MemberName,
     /// Data centre of this daemon.
@@ -62,7 +62,8 @@
     pub is_crowded: bool,
 }
 
-/// Requests in flight at all instances that may take the request, and the most that they may have.
+/// Requests in flight at all instances that may take the request, and the most that they may have;
+/// nothing if none of them reports its load.
 #[derive(Default)]
 struct ServiceLoad {
     own: u32,
@@ -73,6 +74,11 @@
 
 impl ServiceLoad {
     fn new(input: &ServiceInput<'_>, open: &[&UpstreamEntry]) -> Self {
+        let reports =
+            |entry: &&UpstreamEntry| input.reports.reported(&entry.id, input.now).is_some();
+        if !open.iter().any(reports) {
+            return Self::default();
+        }
         open.iter().fold(Self::default(), |sum, entry| {
             let known = input.work.known_requests(&entry.id, input.now);
             Self {
@@ -102,7 +108,7 @@
             return true;
         }
         let turn = format!("{} {}", input.local_daemon, input.now.0 / TURN_MS);
-        RingPosition::of(&turn).as_fraction() * (input.daemons as f64) < places
+        RingPosition::of(&turn).as_fraction() * ((input.daemons)() as f64) < places
     }
 }
 
@@ -144,8 +150,7 @@
     let is_crowded =
         is_all_full || (costs.iter().all(InstanceCost::was_full) && !load.may_probe(input));
     costs.retain(|cost| is_all_full || !cost.is_full());
-    let is_reported = costs.iter().any(|cost| cost.estimate.is_some());
-    let chosen = if is_reported && load.has_peers() {
+    let chosen = if load.has_peers() {
         cheaper_of_two(&costs, input.draw)?
     } else {
         cheapest(&costs, input.draw)?
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -213,7 +213,7 @@
                 upstreams: &upstreams,
                 work,
                 reports: &ReportTable::default(),
-                daemons: 1,
+                daemons: &|| 1,
                 local_daemon: &"d1".parse().unwrap(),
                 data_centre: &"east".parse().unwrap(),
                 tried: &[],
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -178,7 +178,7 @@
             upstreams: &upstreams,
             work: &WorkTable::default(),
             reports: &ReportTable::default(),
-            daemons: 1,
+            daemons: &|| 1,
             local_daemon: &"d1".parse().unwrap(),
             data_centre: &"east".parse().unwrap(),
             tried: &[],
