--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -87,6 +87,7 @@
         listed: if is_list_included { listed } else { Vec::new() },
         slow_links: context.links.borrow().slow_links(now),
         speeds: context.speeds.borrow_mut().recent_own(now),
+        reported_loads: context.reports.borrow_mut().take_due(),
         ended: context.crash_gossip.borrow_mut().repeated(now),
         stops: quarantine_notices(context, now),
         cleared: clear_notices(context),
@@ -123,9 +124,9 @@
 }
 
 /// An immediate message about prompts that were just sent, upstreams that are about to load weights,
-/// and parts that begin to be retired; `None` if there are none. If these waited for the next summary,
-/// all daemons would choose the same idle engine and their prompts would queue there, or be refused by
-/// an engine that loads.
+/// and parts that begin to be retired, with the loads that have changed; `None` if there are none of
+/// the first three. If these waited for the next summary, all daemons would choose the same idle engine
+/// and their prompts would queue there, or be refused by an engine that loads.
 pub fn compose_immediate(context: &ServeContext, member: MemberDescriptor) -> Option<PeerMessage> {
     let sent = std::mem::take(&mut *context.just_sent.borrow_mut());
     let loading = std::mem::take(&mut *context.just_loading.borrow_mut());
@@ -133,7 +134,9 @@
     if sent.is_empty() && loading.is_empty() && retirements.is_empty() {
         return None;
     }
-    Some(PeerMessage { sent, loading, retirements, ..PeerMessage::empty(member) })
+    let reported_loads = context.reports.borrow_mut().take_due();
+    let empty = PeerMessage::empty(member);
+    Some(PeerMessage { sent, loading, retirements, reported_loads, ..empty })
 }
 
 /// Immediate messages about upstreams that just crashed, with the requests quarantined or cleared as
@@ -413,6 +416,12 @@
     if message.knows_quarantines {
         context.quarantine_sync.set(QuarantineSync { is_known: true, last_confirmed: now });
     }
+    for notice in &message.reported_loads {
+        // Those of upstreams that this daemon doesn't know would stay in the table.
+        if context.upstreams.borrow().entry(&notice.upstream).is_some() {
+            context.reports.borrow_mut().apply_notice(notice);
+        }
+    }
     if message.is_immediate {
         for sent in &message.sent {
             let service_ms = context.read_ms(&sent.engine, sent.waiting);
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -73,6 +73,7 @@
     announcements: Family<KindLabel, Counter>,
     parts: Family<KindLabel, Counter>,
     store_fills: Family<StoreLabel, Gauge<f64, AtomicU64>>,
+    reported_loads: Family<KindLabel, Counter>,
     limits: UpstreamLevels,
     limit_shares: UpstreamLevels,
     limited_sends: UpstreamLevels,
@@ -97,6 +98,7 @@
         let announcements = Family::<KindLabel, Counter>::default();
         let parts = Family::<KindLabel, Counter>::default();
         let store_fills = Family::<StoreLabel, Gauge<f64, AtomicU64>>::default();
+        let reported_loads = Family::<KindLabel, Counter>::default();
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -118,6 +120,7 @@
         registry.register("upstream_words", "Changes of what upstreams say", announcements.clone());
         registry.register("prompt_parts", "Parts by what became of them", parts.clone());
         registry.register("part_store_fill", "Fraction of its room", store_fills.clone());
+        registry.register("reported_loads", "Of upstreams, by use", reported_loads.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -136,6 +139,7 @@
             announcements,
             parts,
             store_fills,
+            reported_loads,
             limits,
             limit_shares,
             limited_sends,
@@ -215,6 +219,11 @@
         }
     }
 
+    /// Counts a load that an upstream reported; `kind` tells whether it was read, and what it decided.
+    pub fn count_reported_load(&self, kind: &'static str) {
+        self.reported_loads.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Sets the gauges of the upstreams that have a rate limit, and removes those of all others.
     pub fn note_limits(&self, levels: &[LimitLevel]) {
         for levels in [&self.limits, &self.limit_shares, &self.limited_sends] {
