feat: customers' use and refused callers told between daemons

Cause: each daemon orders its queue by what it knows of customers' use, and a refused caller returns to any daemon. Without word of both, one customer gets its share at each daemon, and who returns as told stands behind newcomers.

A report replaces the peer's earlier one and counts until the peer is silent, with its age. Rows that can't be are ignored and counted. CustomerLedger keeps the sum of the reports, so a look-up costs the same with any number of peers, and is swept.

--- a/crates/guava-policy/src/customer_ledger.rs
+++ b/crates/guava-policy/src/customer_ledger.rs
@@ -8,6 +8,9 @@
 
 /// Half-life of charged use, in milliseconds: as long as bursts of demand last.
 const USE_HALF_LIFE_MS: f64 = 2_000.0;
+/// Use below which a customer counts as having used nothing, in units of cost: requests cost several
+/// units, and a tenth of one changes no order.
+const NO_USE: f64 = 0.1;
 
 /// A decaying sum.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -22,8 +25,10 @@
         self.amount * 0.5_f64.powf(age / USE_HALF_LIFE_MS)
     }
 
-    fn add(&mut self, amount: f64, now: Moment) {
-        *self = Self { amount: self.at(now) + amount, as_of: now };
+    fn add(&mut self, amount: f64, at: Moment) {
+        let now = self.as_of.max(at);
+        let added = Self { amount, as_of: at };
+        *self = Self { amount: self.at(now) + added.at(now), as_of: now };
     }
 }
 
@@ -39,6 +44,10 @@
 pub struct CustomerLedger {
     own: FastMap<Option<CustomerId>, DecayingUse>,
     peers: FastMap<MemberName, PeerUse>,
+    /// Sum of the peers' reports, so that a look-up takes the same time with any number of peers.
+    reported: FastMap<CustomerId, DecayingUse>,
+    /// Until when no peer is silent; `None` without peers.
+    current_until: Option<Deadline>,
 }
 
 impl CustomerLedger {
@@ -51,8 +60,16 @@
     pub fn used(&self, customer: Option<&CustomerId>, now: Moment) -> f64 {
         let own = self.own.get(&customer.cloned()).map_or(0.0, |own| own.at(now));
         let Some(customer) = customer else { return own };
-        let reported = self.peers.values().filter(|peer| !peer.silent_at.passed(now));
-        own + reported.filter_map(|peer| peer.uses.get(customer)).map(|it| it.at(now)).sum::<f64>()
+        if self.current_until.is_some_and(|until| until.passed(now)) {
+            return own + self.sum_reports(customer, now);
+        }
+        own + self.reported.get(customer).map_or(0.0, |reported| reported.at(now).max(0.0))
+    }
+
+    /// Sum of the reports on a customer of those peers that are not silent.
+    fn sum_reports(&self, customer: &CustomerId, now: Moment) -> f64 {
+        let current = self.peers.values().filter(|peer| !peer.silent_at.passed(now));
+        current.filter_map(|peer| peer.uses.get(customer)).map(|it| it.at(now)).sum()
     }
 
     /// The customers that used most at this daemon, largest first, at most `limit` of them.
@@ -60,22 +77,61 @@
         let named = self.own.iter().filter_map(|(customer, own)| Some((customer.clone()?, own)));
         let mut uses: Vec<(CustomerId, f64)> =
             named.map(|(customer, own)| (customer, own.at(now))).collect();
+        uses.retain(|(_, amount)| *amount >= NO_USE);
         uses.sort_by(|one, other| other.1.total_cmp(&one.1));
         uses.truncate(limit);
         uses
     }
 
-    /// Applies a peer's report, which replaces its earlier one and counts until `silent_at`.
+    /// Applies a peer's report of its use at `as_of`, which replaces its earlier one and counts
+    /// until `silent_at`.
     pub fn note_peer(
         &mut self,
         peer: &MemberName,
         report: Vec<(CustomerId, f64)>,
         silent_at: Deadline,
-        now: Moment,
+        as_of: Moment,
     ) {
-        let uses = report.into_iter().map(|(customer, amount)| {
-            (customer, DecayingUse { amount: amount.max(0.0), as_of: now })
+        self.drop_peer(peer, as_of);
+        if report.is_empty() {
+            return;
+        }
+        let mut uses: FastMap<CustomerId, DecayingUse> = FastMap::default();
+        for (customer, amount) in report {
+            let amount = amount.max(0.0);
+            self.reported.entry(customer.clone()).or_default().add(amount, as_of);
+            uses.entry(customer).or_default().add(amount, as_of);
+        }
+        self.peers.insert(peer.clone(), PeerUse { uses, silent_at });
+        self.current_until = Some(self.current_until.map_or(silent_at, |at| at.earlier(silent_at)));
+    }
+
+    fn drop_peer(&mut self, peer: &MemberName, now: Moment) {
+        let Some(dropped) = self.peers.remove(peer) else { return };
+        for (customer, used) in &dropped.uses {
+            if let Some(reported) = self.reported.get_mut(customer) {
+                reported.add(-used.at(now), now);
+            }
+        }
+    }
+
+    /// Removes the reports of silent peers, and customers that have used nothing lately.
+    pub fn sweep(&mut self, now: Moment) {
+        self.own.retain(|_, own| own.at(now) >= NO_USE);
+        self.peers.retain(|_, peer| {
+            peer.uses.retain(|_, used| used.at(now) >= NO_USE);
+            !peer.silent_at.passed(now) && !peer.uses.is_empty()
         });
-        self.peers.insert(peer.clone(), PeerUse { uses: uses.collect(), silent_at });
+        // Summed anew, as additions and subtractions leave rounding errors.
+        self.reported.clear();
+        for (customer, used) in self.peers.values().flat_map(|peer| &peer.uses) {
+            self.reported.entry(customer.clone()).or_default().add(used.at(now), now);
+        }
+        self.current_until = self.peers.values().map(|peer| peer.silent_at).min();
+    }
+
+    /// Whether nobody has used the service lately, as of the last sweep.
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.peers.is_empty()
     }
 }
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -24,11 +24,13 @@
 mod reply;
 mod reported_load;
 mod retry;
+mod return_ledger;
 mod route;
 mod send_ledger;
 mod send_share;
 mod slot_share;
 mod upstream_announcements;
+mod use_report;
 
 pub use admission::{
     AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, QueueAction, RetryAfter,
@@ -56,6 +58,7 @@
 pub use reply::{ReplyAssembler, ReplyChunk, ReplyStep};
 pub use reported_load::{LoadObservation, PacePercent, ReportedLoad, ReportedLoadError};
 pub use retry::RetryBudget;
+pub use return_ledger::{MAX_RETURNS, ReturnLedger, ReturnNotice, ReturnPlace};
 pub use route::{
     CandidateCost, ImportOffer, NEAR_BEST_FRACTION, RouteCandidate, RouteDecision, RouteInput,
     decide_route,
@@ -64,3 +67,6 @@
 pub use send_share::{SendShare, SendWindow, limit_share};
 pub use slot_share::slot_share;
 pub use upstream_announcements::{AnnouncedLimit, UpstreamAnnouncements, jitter_backoff};
+pub use use_report::{
+    MAX_USE_ROWS, UseReport, UseRow, apply_use_report, largest_uses, sweep_ledgers,
+};
--- a/crates/guava-policy/tests/customer_ledger.rs
+++ b/crates/guava-policy/tests/customer_ledger.rs
@@ -34,3 +34,34 @@
 
     assert!((later - 4.0).abs() < 1e-9, "{later}");
 }
+
+#[test]
+fn later_report_of_a_peer_replaces_its_earlier_one() {
+    let mut ledger = CustomerLedger::default();
+    let peer = "d2".parse().unwrap();
+    let silent_at = Deadline::after(NOW, 1_500);
+    ledger.note_peer(&peer, vec![(customer("a"), 6.0), (customer("b"), 3.0)], silent_at, NOW);
+
+    ledger.note_peer(&peer, vec![(customer("a"), 2.0)], silent_at, NOW);
+
+    let uses = ["a", "b"].map(|name| ledger.used(Some(&customer(name)), NOW));
+    assert_eq!(uses, [2.0, 0.0]);
+}
+
+#[test]
+fn swept_ledger_keeps_only_what_still_counts() {
+    // Guards against memory that grows with all customers and daemons that there ever were.
+    let mut ledger = CustomerLedger::default();
+    ledger.charge(Some(&customer("a")), 8.0, NOW);
+    let (lost, current) = ("d2".parse().unwrap(), "d3".parse().unwrap());
+    ledger.note_peer(&lost, vec![(customer("a"), 1e9)], Deadline::after(NOW, 500), NOW);
+    ledger.note_peer(&current, vec![(customer("a"), 4.0)], Deadline::after(NOW, 60_000), NOW);
+
+    let later = Moment(NOW.0 + 2_000);
+    ledger.sweep(later);
+    let kept = ledger.used(Some(&customer("a")), later);
+    ledger.sweep(Moment(NOW.0 + 50_000));
+
+    assert!((kept - 6.0).abs() < 1e-6, "{kept}");
+    assert!(ledger.is_empty());
+}
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -53,10 +53,14 @@
     OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
 };
 pub use members::retry_pause::{CopyPause, RetryPause, is_read_urgent};
+pub use members::return_gossip::{
+    MAX_TOLD_RETURNS, MessageAudience, ReturnGossip, first_attempt, note_return, sweep_queue_state,
+};
 pub use members::shared_reads::{
     ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
 pub use members::transfer_budget::TransferBudget;
+pub use members::use_gossip::UseGossip;
 pub use metrics::{KindLabel, LimitLevel, ServeMetrics, UpstreamLabel};
 pub use parts::cache_salt::{cache_salt, salt_version};
 pub use parts::part_index::{HeldPart, PartChange, PartEvent, PartIndex, StoreUpdate};
--- a/crates/guava-serve/src/members/message_split.rs
+++ b/crates/guava-serve/src/members/message_split.rs
@@ -24,6 +24,7 @@
 fn detach_lists(mut first: PeerMessage) -> (PeerMessage, PeerMessage) {
     let rest = PeerMessage {
         sent: std::mem::take(&mut first.sent),
+        returns: std::mem::take(&mut first.returns),
         stores: std::mem::take(&mut first.stores),
         loaded: std::mem::take(&mut first.loaded),
         listed: std::mem::take(&mut first.listed),
@@ -71,6 +72,7 @@
 fn longest_list(message: &PeerMessage) -> usize {
     let lengths = [
         message.sent.len(),
+        message.returns.len(),
         message.stores.len(),
         message.loaded.len(),
         message.listed.len(),
@@ -90,6 +92,7 @@
     }
     let second = PeerMessage {
         sent: second_half(&mut first.sent),
+        returns: second_half(&mut first.returns),
         stores: second_half(&mut first.stores),
         loaded: second_half(&mut first.loaded),
         listed: second_half(&mut first.listed),
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -9,7 +9,9 @@
 use crate::members::member_descriptor::{MemberDescriptor, status_address};
 use crate::members::member_table::{MemberRole, PeerRole};
 use crate::members::peer_message::{ListChange, LoadedVersion, PeerMessage, PublishedVersion};
+use crate::members::return_gossip::{MessageAudience, note_peer_returns};
 use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
+use crate::members::use_gossip::{compose_use_report, note_use_report};
 use crate::parts::part_index::StoreUpdate;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{
@@ -71,6 +73,8 @@
         role: context.members.borrow().own_role(now),
         callers: Vec::new(),
         shares,
+        uses: compose_use_report(context, now),
+        returns: context.return_gossip.borrow_mut().take(MessageAudience::Peers, now),
         sent: std::mem::take(&mut context.sent_prompts.borrow_mut()),
         loading: summary.loading,
         targets: published_versions(context, now),
@@ -418,8 +422,13 @@
             // also count tokens that have been read since.
             shares.values_mut().for_each(|share| share.waiting = TokenCount(0));
         }
-        context.work.borrow_mut().note_peer(&name, shares, Deadline::after(now, silent_ms), now);
+        let silent_at = Deadline::after(now, silent_ms);
+        context.work.borrow_mut().note_peer(&name, shares, silent_at, now);
+        if let Some(report) = message.uses {
+            note_use_report(context, &name, report, silent_at, now);
+        }
     }
+    note_peer_returns(context, &message.returns, now);
     for sent in &message.sent {
         context.part_index.borrow_mut().note_sent(&sent.engine, &sent.parts, sent.tokens, now);
     }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -5,6 +5,7 @@
 
 use crate::members::member_descriptor::MemberDescriptor;
 use crate::members::member_table::{MemberRole, PeerRole};
+use crate::members::queue_message::{WireReturn, WireUseReport};
 use crate::members::shared_reads::ReadMark;
 use crate::parts::part_index::{PartChange, StoreUpdate};
 use crate::parts::part_key::PartKey;
@@ -17,7 +18,9 @@
 use crate::upstreams::list_order::ListRevision;
 use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::upstreams::work_table::WorkShare;
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, SuspectPart};
+use guava_policy::{
+    ClearNotice, LimitNotice, QuarantineNotice, ReturnNotice, SuspectPart, UseReport,
+};
 use guava_types::{
     CoreShare, Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount,
     TokenRate, UpstreamId,
@@ -224,6 +227,10 @@
     list_position: u64,
     #[prost(bool, tag = "37")]
     is_cut_off: bool,
+    #[prost(message, optional, tag = "40")]
+    uses: Option<WireUseReport>,
+    #[prost(message, repeated, tag = "41")]
+    returns: Vec<WireReturn>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -362,6 +369,10 @@
     pub callers: Vec<SocketAddr>,
     /// Work of the sender at each upstream.
     pub shares: FastMap<UpstreamId, WorkShare>,
+    /// Use of services by the sender's customers; `None` while no daemon needs it.
+    pub uses: Option<UseReport>,
+    /// Callers that the sender lately refused and told when to return.
+    pub returns: Vec<ReturnNotice>,
     /// Prompts that the sender sent to engines since its last message.
     pub sent: Vec<SentPrompt>,
     /// Upstreams that are loading new weights by order of the sender.
@@ -500,6 +511,8 @@
             role: PeerRole::default(),
             callers: Vec::new(),
             shares: FastMap::default(),
+            uses: None,
+            returns: Vec::new(),
             sent: Vec::new(),
             loading: Vec::new(),
             targets: Vec::new(),
@@ -599,6 +612,8 @@
             caller_address: self.member.caller_address.to_string(),
             is_ready: self.member.is_ready,
             shares: self.shares.iter().map(share).collect(),
+            uses: self.uses.as_ref().map(|report| WireUseReport::of(report, now)),
+            returns: self.returns.iter().map(|notice| WireReturn::of(notice, now)).collect(),
             sent: self.sent.iter().map(sent).collect(),
             loading: self.loading.iter().map(UpstreamId::to_string).collect(),
             targets: self.targets.iter().map(target).collect(),
@@ -739,6 +754,8 @@
                 .filter_map(address_from_wire)
                 .collect(),
             shares: wire.shares.iter().filter_map(share).collect(),
+            uses: wire.uses.map(|report| report.decode(since)),
+            returns: wire.returns.iter().filter_map(|it| it.decode(since, now)).collect(),
             sent: wire.sent.iter().filter_map(sent).collect(),
             loading: wire.loading.iter().filter_map(|id| id.parse().ok()).collect(),
             targets: wire.targets.iter().filter_map(target).collect(),
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -10,9 +10,11 @@
     compose_crash_notices, compose_immediate, compose_initial_sync, compose_message, compose_reads,
 };
 use crate::members::peer_message::{MAX_DATAGRAM_BYTES, PeerMessage};
+use crate::members::return_gossip::MessageAudience;
 use crate::parts::sent_prompt::SentPrompt;
 use crate::serve_context::ServeContext;
 use crate::weights::rollout_state::VersionRollout;
+use guava_policy::ReturnNotice;
 use guava_types::{Deadline, Moment};
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
@@ -69,18 +71,30 @@
         if attached_due.passed(now) && context.members.borrow().has_attached(now) {
             attached_due = Deadline::after(now, ATTACHED_INTERVAL_MS);
             let callers = caller_addresses(&context, &state, now);
-            send_to_attached(&socket, &PeerMessage { callers, ..message.clone() }, &context).await;
+            let returns = take_returns(&context, MessageAudience::Attached, now);
+            let message = PeerMessage { callers, returns, ..message.clone() };
+            send_to_attached(&socket, &message, &context).await;
         }
         if is_large && remote_due.passed(now) {
             remote_due = Deadline::after(now, remote_interval_ms);
             let relays = context.members.borrow().relays(&context.identity.name, number, now);
             let relays = relays.into_iter().map(|(_, address)| address).collect();
-            send(&socket, &message.for_relay(), &context, relays).await;
+            let returns = take_returns(&context, MessageAudience::Relays, now);
+            let message = PeerMessage { returns, ..message.for_relay() };
+            send(&socket, &message, &context, relays).await;
         }
         sleep(Duration::from_millis(local_interval_ms)).await;
     }
 }
 
+fn take_returns(
+    context: &ServeContext,
+    audience: MessageAudience,
+    now: Moment,
+) -> Vec<ReturnNotice> {
+    context.return_gossip.borrow_mut().take(audience, now)
+}
+
 /// Ready daemons of which the daemons attached to this one tell callers.
 fn caller_addresses(context: &ServeContext, state: &OwnState, now: Moment) -> Vec<SocketAddr> {
     let me = state.is_ready.get().then_some(state.me.caller_address);
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -54,6 +54,8 @@
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
     announcements: Family<KindLabel, Counter>,
+    returns: Family<KindLabel, Counter>,
+    ignored_reports: Family<KindLabel, Counter>,
     limits: UpstreamLevels,
     limit_shares: UpstreamLevels,
     limited_sends: UpstreamLevels,
@@ -76,6 +78,7 @@
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
         let announcements = Family::<KindLabel, Counter>::default();
+        let [returns, ignored_reports] = [(); 2].map(|()| Family::<KindLabel, Counter>::default());
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
         let whole_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -95,6 +98,8 @@
         registry.register("upstream_limit_share", "This daemon's part", limit_shares.clone());
         registry.register("upstream_limited_sends", "Sent a second", limited_sends.clone());
         registry.register("upstream_words", "Changes of what upstreams say", announcements.clone());
+        registry.register("returns", "Refused callers by return", returns.clone());
+        registry.register("ignored_reports", "Rows from peers", ignored_reports.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
         registry.register("whole_answer_seconds", "To the last byte", whole_answer.clone());
         registry.register("config_version", "In force", config_version.clone());
@@ -111,6 +116,8 @@
             bad_records,
             lost_messages,
             announcements,
+            returns,
+            ignored_reports,
             limits,
             limit_shares,
             limited_sends,
@@ -174,6 +181,18 @@
         self.announcements.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a refused caller that was told when to return, or that returned; `kind` tells which.
+    pub fn count_return(&self, kind: &'static str) {
+        self.returns.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts rows of peers' reports that were ignored; `kind` tells of which reports.
+    pub fn count_ignored_reports(&self, kind: &'static str, count: usize) {
+        if count > 0 {
+            self.ignored_reports.get_or_create(&KindLabel { kind }).inc_by(count as u64);
+        }
+    }
+
     /// Sets the gauges of the upstreams that have a rate limit, and removes those of all others.
     pub fn note_limits(&self, levels: &[LimitLevel]) {
         for levels in [&self.limits, &self.limit_shares, &self.limited_sends] {
--- a/crates/guava-serve/src/serve_config.rs
+++ b/crates/guava-serve/src/serve_config.rs
@@ -1,7 +1,7 @@
 //! The effective configuration of the request path, independent of its published format.
 
 use guava_policy::ColdRule;
-use guava_types::{CustomerId, DataCentre, FastMap, ModelName, ServiceName, TokenCount};
+use guava_types::{CustomerId, DataCentre, FastMap, FastSet, ModelName, ServiceName, TokenCount};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -181,6 +181,7 @@
     hosts: FastMap<Box<str>, Vec<Rc<RouteRule>>>,
     services: FastMap<ServiceName, Rc<ServiceRule>>,
     keys: FastMap<Box<str>, Rc<CustomerRule>>,
+    customers: FastSet<CustomerId>,
     needs_keys: bool,
 }
 
@@ -197,7 +198,9 @@
         let services = parts.services.into_iter().map(|rule| (rule.name.clone(), Rc::new(rule)));
         let needs_keys = parts.customers.is_some();
         let mut keys = FastMap::default();
+        let mut customers = FastSet::default();
         for (customer, own_keys) in parts.customers.unwrap_or_default() {
+            customers.insert(customer.name.clone());
             let customer = Rc::new(customer);
             keys.extend(own_keys.into_iter().map(|key| (key, Rc::clone(&customer))));
         }
@@ -208,6 +211,7 @@
             hosts,
             services: services.collect(),
             keys,
+            customers,
             needs_keys,
         }
     }
@@ -228,6 +232,11 @@
         self.services.values()
     }
 
+    /// Whether the configuration contains a customer.
+    pub fn has_customer(&self, name: &CustomerId) -> bool {
+        self.customers.contains(name)
+    }
+
     /// Whether callers authenticate by key, so that keys must not be forwarded to upstreams.
     pub fn needs_keys(&self) -> bool {
         self.needs_keys
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -7,8 +7,10 @@
 use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
 use crate::members::peer_key::PeerKey;
+use crate::members::return_gossip::ReturnGossip;
 use crate::members::shared_reads::SharedReads;
 use crate::members::transfer_budget::TransferBudget;
+use crate::members::use_gossip::UseGossip;
 use crate::metrics::ServeMetrics;
 use crate::parts::part_index::PartIndex;
 use crate::parts::sent_prompt::SentPrompt;
@@ -30,11 +32,12 @@
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use bytes::Bytes;
 use guava_policy::{
-    AnnouncementTable, CrashLedger, MemoryBudget, MemoryQueue, ReachWatch, SendLedger,
+    AnnouncementTable, CrashLedger, CustomerLedger, MemoryBudget, MemoryQueue, ReachWatch,
+    ReturnLedger, SendLedger,
 };
 use guava_types::{
-    DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, TokenCount,
-    UpstreamId,
+    DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, ServiceName,
+    TokenCount, UpstreamId,
 };
 use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
@@ -206,6 +209,14 @@
     pub memory_budget: RefCell<MemoryBudget>,
     /// Long prompts that wait for memory at an engine.
     pub memory_queue: RefCell<MemoryQueue>,
+    /// Customers' use of each service that was used lately.
+    pub customer_ledgers: RefCell<FastMap<ServiceName, CustomerLedger>>,
+    /// Whether customers' use is reported to peers.
+    pub use_gossip: RefCell<UseGossip>,
+    /// Refused callers that are expected back.
+    pub returns: RefCell<ReturnLedger>,
+    /// Refused callers of which peers are to be told.
+    pub return_gossip: RefCell<ReturnGossip>,
     /// Bytes of the requests that this daemon holds.
     pub held_bytes: Cell<usize>,
 }
@@ -264,6 +275,10 @@
             is_operator_unavailable: Cell::new(false),
             memory_budget: RefCell::default(),
             memory_queue: RefCell::default(),
+            customer_ledgers: RefCell::default(),
+            use_gossip: RefCell::default(),
+            returns: RefCell::default(),
+            return_gossip: RefCell::default(),
             held_bytes: Cell::new(0),
             identity,
         }
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice};
+use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, ReturnNotice, UseReport, UseRow};
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
     ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
@@ -342,6 +342,20 @@
         },
         callers: vec![address(7), address(8)],
         shares: FastMap::from_iter([(id("e"), share)]),
+        uses: Some(UseReport {
+            as_of: Moment(99_900),
+            is_crowded: true,
+            rows: vec![UseRow {
+                service: "llm".parse().unwrap(),
+                customer: "acme".parse().unwrap(),
+                amount: 12.5,
+            }],
+        }),
+        returns: vec![ReturnNotice {
+            request: RequestDigest(6),
+            first: Moment(99_000),
+            due: Moment(101_500).into(),
+        }],
         sent: vec![SentPrompt {
             engine: id("e"),
             parts: vec![PartKey(9)],
