feat: a fair queue for each service, its drain rate and a schedule of returns

Cause: long prompts wait in one queue by priority and arrival, whoever's they are; the first one holds up all behind it, and refused callers come back as a burst.

Change: ServiceQueue orders by rank, the customer's recent use and arrival, asks the first few requests in turn whether they fit, bounds how often one is passed, and judges the wait by the rate at which the queue drains (DrainRate). Refused callers are given moments at that rate (ReturnSchedule). Not used yet.

Test: tests/service_queue.rs, small loops of load without a network.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod cold_start;
 mod crash_ledger;
 mod customer_ledger;
+mod drain_rate;
 mod export;
 mod link;
 mod link_queue;
@@ -24,9 +25,11 @@
 mod reply;
 mod reported_load;
 mod retry;
+mod return_schedule;
 mod route;
 mod send_ledger;
 mod send_share;
+mod service_queue;
 mod slot_share;
 mod upstream_announcements;
 
@@ -56,11 +59,16 @@
 pub use reply::{ReplyAssembler, ReplyChunk, ReplyStep};
 pub use reported_load::{LoadObservation, PacePercent, ReportedLoad, ReportedLoadError};
 pub use retry::RetryBudget;
+pub use return_schedule::{MAX_RETURN_MS, MIN_RETURN_MS};
 pub use route::{
     CandidateCost, ImportOffer, NEAR_BEST_FRACTION, RouteCandidate, RouteDecision, RouteInput,
     decide_route,
 };
 pub use send_ledger::SendLedger;
 pub use send_share::{SendShare, SendWindow, limit_share};
+pub use service_queue::{
+    MAX_ASKED, MAX_HOLD_MS, MAX_PASSES, MAX_QUEUED, QueueEntry, QueuePlace, QueueTicket,
+    QueueVerdict, ROUND_MS, ServiceQueue,
+};
 pub use slot_share::slot_share;
 pub use upstream_announcements::{AnnouncedLimit, UpstreamAnnouncements, jitter_backoff};
