feat: waiting requests of a customer far ahead yield to those at other daemons

Cause: each daemon orders its own queue, but the first one that finds a place takes it. Of 79 daemons most have one request or none waiting, so a customer whose requests wait at all of them got 490 of 2,511 starts where the others got 89 each.

--- a/crates/guava-policy/src/customer_ledger.rs
+++ b/crates/guava-policy/src/customer_ledger.rs
@@ -4,6 +4,7 @@
 //! Each daemon charges what it starts and reports that to its peers; the sum of all reports orders the
 //! queues of all daemons, whether a customer's requests arrive at one daemon or at all of them.
 
+use crate::yield_rule::{WaitingUse, YIELD_FACTOR};
 use guava_types::{CustomerId, Deadline, FastMap, MemberName, Moment};
 
 /// Half-life of charged use, in milliseconds: as long as bursts of demand last.
@@ -48,6 +49,10 @@
     reported: FastMap<CustomerId, DecayingUse>,
     /// Until when no peer is silent; `None` without peers.
     current_until: Option<Deadline>,
+    /// Who waits at each peer, as it last told, until that is too old to go by.
+    waiting: FastMap<MemberName, (WaitingUse, Deadline)>,
+    /// Mean use of the customers that had used anything at the last sweep, in units of cost.
+    mean_use: f64,
 }
 
 impl CustomerLedger {
@@ -115,6 +120,43 @@
         }
     }
 
+    /// Applies a peer's word of who waits at it, which counts until the deadline; `None` if nobody does.
+    pub fn note_peer_waiting(
+        &mut self,
+        peer: &MemberName,
+        waiting: Option<WaitingUse>,
+        until: Deadline,
+    ) {
+        match waiting {
+            Some(waiting) => drop(self.waiting.insert(peer.clone(), (waiting, until))),
+            None => drop(self.waiting.remove(peer)),
+        }
+    }
+
+    /// Whether a request of a customer yields to those that wait at peers: it is of no better rank, and
+    /// the customer has used far more than they, and than the mean of all customers.
+    pub fn must_yield(&self, customer: Option<&CustomerId>, rank: u8, now: Moment) -> bool {
+        let current = self.waiting.values().filter(|(_, until)| !until.passed(now));
+        let before = current.filter(|(waiting, _)| waiting.rank <= rank);
+        let lowest = before.map(|(waiting, _)| waiting.lowest).min_by(f64::total_cmp);
+        let Some(lowest) = lowest else { return false };
+        let used = self.used(customer, now);
+        used > YIELD_FACTOR * lowest.max(self.mean_use)
+    }
+
+    /// Mean use of the customers that have used anything lately, in units of cost.
+    fn mean_of_uses(&self, now: Moment) -> f64 {
+        let is_new = |customer: &&CustomerId| !self.own.contains_key(&Some((*customer).clone()));
+        let elsewhere = self.reported.keys().filter(is_new).map(Some);
+        let customers = self.own.keys().map(Option::as_ref).chain(elsewhere);
+        let (mut count, mut total) = (0, 0.0);
+        for used in customers.map(|customer| self.used(customer, now)).filter(|it| *it >= NO_USE) {
+            count += 1;
+            total += used;
+        }
+        total / f64::from(count.max(1))
+    }
+
     /// Removes the reports of silent peers, and customers that have used nothing lately.
     pub fn sweep(&mut self, now: Moment) {
         self.own.retain(|_, own| own.at(now) >= NO_USE);
@@ -122,16 +164,18 @@
             peer.uses.retain(|_, used| used.at(now) >= NO_USE);
             !peer.silent_at.passed(now) && !peer.uses.is_empty()
         });
+        self.waiting.retain(|_, (_, until)| !until.passed(now));
         // Summed anew, as additions and subtractions leave rounding errors.
         self.reported.clear();
         for (customer, used) in self.peers.values().flat_map(|peer| &peer.uses) {
             self.reported.entry(customer.clone()).or_default().add(used.at(now), now);
         }
         self.current_until = self.peers.values().map(|peer| peer.silent_at).min();
+        self.mean_use = self.mean_of_uses(now);
     }
 
-    /// Whether nobody has used the service lately, as of the last sweep.
+    /// Whether nobody has used the service or waited for it lately, as of the last sweep.
     pub fn is_empty(&self) -> bool {
-        self.own.is_empty() && self.peers.is_empty()
+        self.own.is_empty() && self.peers.is_empty() && self.waiting.is_empty()
     }
 }
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod slot_share;
 mod upstream_announcements;
 mod use_report;
+mod yield_rule;
 
 pub use admission::{
     AdmitDecision, AdmitOptions, CustomerUse, FairAdmission, QueueAction, RetryAfter,
@@ -78,3 +79,4 @@
 pub use use_report::{
     MAX_USE_ROWS, UseReport, UseRow, apply_use_report, largest_uses, sweep_ledgers,
 };
+pub use yield_rule::{WaitingUse, YIELD_FACTOR, YIELD_MS, YieldTimer};
--- a/crates/guava-policy/src/service_queue.rs
+++ b/crates/guava-policy/src/service_queue.rs
@@ -16,6 +16,7 @@
 use crate::customer_ledger::CustomerLedger;
 use crate::drain_rate::DrainRate;
 use crate::return_schedule::{ReturnSchedule, unscheduled_return_ms};
+use crate::yield_rule::WaitingUse;
 use guava_types::{CustomerId, Deadline, FastMap, Moment};
 
 /// Most requests that wait in one queue.
@@ -32,6 +33,9 @@
 /// Fraction of the time left that the expected wait of a request may take when it joins: one that is
 /// refused only after it has waited returns later than those that were refused at once.
 const JOIN_MARGIN: f64 = 0.9;
+/// Time from which a waiting request counts for other daemons, in milliseconds: it has been passed by
+/// in a few rounds.
+const LATE_MS: u64 = 3 * ROUND_MS;
 /// Factor by which the expected wait of a waiting request must exceed the time that it has left
 /// before it is refused: the measured rate varies, and a wrong refusal costs what it waited.
 const REFUSE_MARGIN: f64 = 1.5;
@@ -80,6 +84,7 @@
 struct WaitingEntry {
     ticket: QueueTicket,
     entry: QueueEntry,
+    joined: Moment,
     /// The last round in which it did not fit.
     asked_in: Option<u64>,
     /// Use of its customer before it starts, with that of the customer's requests before it.
@@ -113,6 +118,7 @@
         self.waiting.push(WaitingEntry {
             ticket,
             entry,
+            joined: now,
             asked_in: None,
             prior_use: 0.0,
             has_waited: false,
@@ -181,6 +187,22 @@
         }
     }
 
+    /// Records that a request yields, in this round, to those that wait elsewhere. They don't pass it.
+    pub fn note_yield(&mut self, ticket: QueueTicket) {
+        self.note_misfit(ticket);
+        if let Some(index) = self.index_of(ticket) {
+            self.waiting[index].passes = 0;
+        }
+    }
+
+    /// Who waits here, as other daemons are told; `None` if nobody does. Requests that have just come
+    /// don't count: most of them start before a peer hears of them.
+    pub fn waiting_use(&self, now: Moment) -> Option<WaitingUse> {
+        let is_late = |it: &&WaitingEntry| now.millis_since(it.joined) >= LATE_MS;
+        let first = self.waiting.iter().find(is_late)?;
+        Some(WaitingUse { rank: first.entry.rank, lowest: first.prior_use })
+    }
+
     /// What a request is to do now.
     ///
     /// A request that has just joined is refused by its expected wait alone; one that has waited
--- a/crates/guava-policy/src/use_report.rs
+++ b/crates/guava-policy/src/use_report.rs
@@ -1,6 +1,7 @@
 //! Reports of customers' use between daemons: what a report contains, and which rows are accepted.
 
 use crate::customer_ledger::CustomerLedger;
+use crate::yield_rule::WaitingUse;
 use guava_types::{CustomerId, Deadline, FastMap, MemberName, Moment, ServiceName};
 
 /// Most rows of a report, of all services together.
@@ -9,6 +10,9 @@
 /// Largest use that a report may state, in units of cost: more than any daemon starts within the time
 /// in which use decays.
 const MAX_USE: f64 = 1e12;
+/// How long a peer's word of who waits at it counts, in milliseconds: a little longer than the longest
+/// usual interval between two summaries.
+const WAITING_TTL_MS: u64 = 1_250;
 
 /// Use of one service by one customer at one daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,10 +28,14 @@
 impl UseRow {
     /// Whether the amount is one that a daemon can have measured.
     fn is_plausible(&self) -> bool {
-        self.amount.is_finite() && (0.0..=MAX_USE).contains(&self.amount)
+        is_use(self.amount)
     }
 }
 
+fn is_use(amount: f64) -> bool {
+    amount.is_finite() && (0.0..=MAX_USE).contains(&amount)
+}
+
 /// A daemon's report of what its customers used.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UseReport {
@@ -37,6 +45,8 @@
     pub is_crowded: bool,
     /// The largest amounts.
     pub rows: Vec<UseRow>,
+    /// Who waits at the sender for each service.
+    pub waiting: Vec<(ServiceName, WaitingUse)>,
 }
 
 /// The largest uses at this daemon, at most `MAX_USE_ROWS` of all services together. Uses are compared
@@ -72,12 +82,16 @@
         accepted.entry(row.service).or_default().push((row.customer, row.amount));
     }
     let ignored = received - accepted.values().map(Vec::len).sum::<usize>();
-    for (service, ledger) in ledgers.iter_mut() {
+    for service in accepted.keys() {
+        ledgers.entry(service.clone()).or_default();
+    }
+    let waiting: FastMap<ServiceName, WaitingUse> =
+        report.waiting.into_iter().filter(|(_, waiting)| is_use(waiting.lowest)).collect();
+    let waiting_until = Deadline::after(report.as_of, WAITING_TTL_MS);
+    for (service, ledger) in ledgers {
         let uses = accepted.remove(service).unwrap_or_default();
         ledger.note_peer(peer, uses, silent_at, report.as_of);
-    }
-    for (service, uses) in accepted {
-        ledgers.entry(service).or_default().note_peer(peer, uses, silent_at, report.as_of);
+        ledger.note_peer_waiting(peer, waiting.get(service).copied(), waiting_until);
     }
     ignored
 }
--- a/crates/guava-serve/src/members/queue_message.rs
+++ b/crates/guava-serve/src/members/queue_message.rs
@@ -1,7 +1,7 @@
 //! Encoding of what daemons tell each other for the order of their queues: customers' use, and refused
 //! callers that are expected back.
 
-use guava_policy::{ReturnNotice, UseReport, UseRow};
+use guava_policy::{ReturnNotice, UseReport, UseRow, WaitingUse};
 use guava_types::{Deadline, FastMap, Moment, RequestDigest, ServiceName};
 use prost::Message;
 
@@ -14,6 +14,17 @@
     customers: Vec<String>,
     #[prost(float, repeated, tag = "3")]
     amounts: Vec<f32>,
+    #[prost(message, optional, tag = "4")]
+    waiting: Option<WireWaiting>,
+}
+
+/// A `WaitingUse` as it is sent.
+#[derive(Clone, PartialEq, Message)]
+struct WireWaiting {
+    #[prost(uint32, tag = "1")]
+    rank: u32,
+    #[prost(float, tag = "2")]
+    lowest: f32,
 }
 
 /// A `UseReport` as it is sent.
@@ -38,18 +49,29 @@
     left_ms: u64,
 }
 
+fn service_use<'a, 'b>(
+    services: &'a mut FastMap<&'b ServiceName, WireServiceUse>,
+    service: &'b ServiceName,
+) -> &'a mut WireServiceUse {
+    services.entry(service).or_insert_with(|| WireServiceUse {
+        service: service.to_string(),
+        ..WireServiceUse::default()
+    })
+}
+
 impl WireUseReport {
     /// The report as it is sent at `now`.
     pub(crate) fn of(report: &UseReport, now: Moment) -> Self {
         let mut services: FastMap<&ServiceName, WireServiceUse> = FastMap::default();
         for row in &report.rows {
-            let used = services.entry(&row.service).or_insert_with(|| WireServiceUse {
-                service: row.service.to_string(),
-                ..WireServiceUse::default()
-            });
+            let used = service_use(&mut services, &row.service);
             used.customers.push(row.customer.to_string());
             used.amounts.push(row.amount as f32);
         }
+        for (service, waiting) in &report.waiting {
+            let (rank, lowest) = (waiting.rank.into(), waiting.lowest as f32);
+            service_use(&mut services, service).waiting = Some(WireWaiting { rank, lowest });
+        }
         let age_ms = now.millis_since(report.as_of);
         Self { age_ms, is_crowded: report.is_crowded, services: services.into_values().collect() }
     }
@@ -66,8 +88,18 @@
                 })
             })
         });
-        let as_of = since.minus_millis(self.age_ms);
-        UseReport { as_of, is_crowded: self.is_crowded, rows: rows.collect() }
+        let waiting = self.services.iter().filter_map(|used| {
+            let waiting = used.waiting.as_ref()?;
+            let rank = u8::try_from(waiting.rank).ok()?;
+            let lowest = f64::from(waiting.lowest);
+            Some((used.service.parse().ok()?, WaitingUse { rank, lowest }))
+        });
+        UseReport {
+            as_of: since.minus_millis(self.age_ms),
+            is_crowded: self.is_crowded,
+            rows: rows.collect(),
+            waiting: waiting.collect(),
+        }
     }
 }
 
--- a/crates/guava-serve/src/members/use_gossip.rs
+++ b/crates/guava-serve/src/members/use_gossip.rs
@@ -49,7 +49,12 @@
     }
     let rows = largest_uses(&context.customer_ledgers.borrow(), now);
     let is_crowded = gossip.is_crowded(now);
-    (is_crowded || !rows.is_empty()).then_some(UseReport { as_of: now, is_crowded, rows })
+    (is_crowded || !rows.is_empty()).then_some(UseReport {
+        as_of: now,
+        is_crowded,
+        rows,
+        waiting: Vec::new(),
+    })
 }
 
 /// Applies the report of a peer, which counts until `silent_at`. Rows on services or customers that
--- a/crates/guava-serve/tests/queue_gossip.rs
+++ b/crates/guava-serve/tests/queue_gossip.rs
@@ -104,7 +104,7 @@
     };
     let rows = vec![row(service, customer, amount), row("llm", "acme", 7.0)];
     let mut message = compose_message(&daemon("d1"), news("d1"), NOW);
-    message.uses = Some(UseReport { as_of: NOW, is_crowded: true, rows });
+    message.uses = Some(UseReport { as_of: NOW, is_crowded: true, rows, waiting: Vec::new() });
 
     apply_message(&context, PeerMessage::decode(&message.encode(NOW), NOW).unwrap(), NOW);
 
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use guava_policy::{ClearNotice, LimitNotice, QuarantineNotice, ReturnNotice, UseReport, UseRow};
+use guava_policy::{
+    ClearNotice, LimitNotice, QuarantineNotice, ReturnNotice, UseReport, UseRow, WaitingUse,
+};
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
     ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
@@ -350,6 +352,7 @@
                 customer: "acme".parse().unwrap(),
                 amount: 12.5,
             }],
+            waiting: vec![("llm".parse().unwrap(), WaitingUse { rank: 2, lowest: 0.5 })],
         }),
         returns: vec![ReturnNotice {
             request: RequestDigest(6),
