--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -79,4 +79,4 @@
 pub use use_report::{
     MAX_USE_ROWS, UseReport, UseRow, apply_use_report, largest_uses, sweep_ledgers,
 };
-pub use yield_rule::{WaitingUse, YIELD_FACTOR, YIELD_MS, YieldTimer};
+pub use yield_rule::{TurnStep, WaitingUse, YieldTimer};
--- a/crates/guava-policy/src/yield_rule.rs
+++ b/crates/guava-policy/src/yield_rule.rs
@@ -11,11 +11,11 @@
 /// Factor by which a customer's use exceeds the mean, and that of one that waits elsewhere, before it
 /// yields: no customer is to be ahead of the others by more than a quarter.
 pub const YIELD_FACTOR: f64 = 1.25;
-/// Time for which a yielding request leaves a place free, in milliseconds: two rounds of the queues in
-/// which daemons look for places.
-pub const YIELD_MS: u64 = 20;
+/// Time for which a yielding request leaves a place free, in milliseconds: as long as a round of the
+/// queues, in which each daemon where requests wait looks for places.
+const YIELD_MS: u64 = 20;
 /// Longest time between two looks at a place that is counted as free in between, in milliseconds.
-const LOOK_INTERVAL_MS: u64 = 30;
+const LOOK_INTERVAL_MS: u64 = 2 * YIELD_MS;
 
 /// Who waits in a queue: the lowest use of customers with requests of its first rank.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,6 +26,17 @@
     pub lowest: f64,
 }
 
+/// What a request does whose turn it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnStep {
+    /// It starts.
+    Start,
+    /// It leaves the room to requests that wait elsewhere.
+    Yield,
+    /// It finds no room.
+    NoRoom,
+}
+
 /// How long a queue's yielding requests have found places free.
 #[derive(Clone, Debug, Default)]
 pub struct YieldTimer {
@@ -34,17 +45,20 @@
 }
 
 impl YieldTimer {
-    /// Whether a request may start that now finds room, or none.
-    pub fn may_start(&mut self, must_yield: bool, has_room: bool, now: Moment) -> bool {
-        if !has_room || !must_yield {
-            self.room = self.room.filter(|_| has_room);
-            return has_room;
+    /// Decides on a request that is to yield or not, and that now finds room or none.
+    pub fn judge(&mut self, must_yield: bool, has_room: bool, now: Moment) -> TurnStep {
+        if !has_room {
+            self.room = None;
+            return TurnStep::NoRoom;
+        }
+        if !must_yield {
+            return TurnStep::Start;
         }
         let is_continued =
             |(_, last): &(Moment, Moment)| now.millis_since(*last) <= LOOK_INTERVAL_MS;
         let (since, _) = self.room.filter(is_continued).unwrap_or((now, now));
-        let may_start = now.millis_since(since) >= YIELD_MS;
-        self.room = (!may_start).then_some((since, now));
-        may_start
+        let is_over = now.millis_since(since) >= YIELD_MS;
+        self.room = (!is_over).then_some((since, now));
+        if is_over { TurnStep::Start } else { TurnStep::Yield }
     }
 }
--- a/crates/guava-policy/tests/customer_use.rs
+++ b/crates/guava-policy/tests/customer_use.rs
@@ -3,10 +3,10 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_policy::{
-    CustomerLedger, QueueEntry, QueueTicket, QueueVerdict, ROUND_MS, ServiceQueue, UseReport,
-    YieldTimer, apply_use_report, largest_uses, sweep_ledgers,
+    CustomerLedger, QueueEntry, QueueTicket, QueueVerdict, ROUND_MS, ReturnLedger, ReturnNotice,
+    ServiceQueue, TurnStep, UseReport, YieldTimer, apply_use_report, largest_uses, sweep_ledgers,
 };
-use guava_types::{CustomerId, Deadline, FastMap, MemberName, Moment, ServiceName};
+use guava_types::{CustomerId, Deadline, FastMap, MemberName, Moment, RequestDigest, ServiceName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
@@ -21,6 +21,10 @@
 const SILENT_MS: u64 = 1_500;
 /// One report in so many is lost.
 const LOST_REPORTS: u32 = 10;
+/// Callers that are refused and return, when the first of them came, and when it is to return.
+const CROWD: u128 = 150;
+const CROWD_CAME: u64 = 500;
+const FIRST_DUE: u64 = 1_500;
 
 fn customer(index: usize) -> CustomerId {
     format!("c{index}").parse().unwrap()
@@ -34,12 +38,24 @@
     format!("d{index}").parse().unwrap()
 }
 
+/// A request that waits at a daemon or was refused by it.
+#[derive(Clone, Copy)]
+struct WaitingCall {
+    customer: usize,
+    caller: u128,
+    /// When its caller's first attempt arrived.
+    first: u64,
+}
+
 #[derive(Default)]
 struct QueueDaemon {
     queue: ServiceQueue,
     ledgers: FastMap<ServiceName, CustomerLedger>,
     timer: YieldTimer,
-    waiting: FastMap<QueueTicket, usize>,
+    waiting: FastMap<QueueTicket, WaitingCall>,
+    returns: ReturnLedger,
+    /// What was refused, and when it is to return.
+    refused: Vec<(WaitingCall, u64)>,
     /// When each of its running requests ends.
     ends: Vec<u64>,
 }
@@ -49,17 +65,19 @@
         self.ledgers.entry(service()).or_default()
     }
 
-    fn join(&mut self, index: usize, now: u64) {
+    fn join(&mut self, index: usize, caller: u128, now: u64) {
         let now = Moment(now);
+        let first_arrived = self.returns.claim(RequestDigest(caller), now).first_attempt(now);
         let entry = QueueEntry {
             customer: Some(customer(index)),
             rank: 1,
-            first_arrived: now,
+            first_arrived,
             start_by: Deadline::after(now, PATIENCE_MS),
             cost: SERVICE_MS as f64,
         };
         let ledger = self.ledgers.entry(service()).or_default();
-        self.waiting.insert(self.queue.join(entry, ledger, now), index);
+        let call = WaitingCall { customer: index, caller, first: first_arrived.0 };
+        self.waiting.insert(self.queue.join(entry, ledger, now), call);
     }
 
     /// Ends what is over; returns how many places that frees.
@@ -74,28 +92,37 @@
         before - self.ends.len()
     }
 
-    /// Starts what fits into free places; returns the customers whose requests started.
-    fn start(&mut self, free: usize, now: u64) -> Vec<usize> {
+    /// Starts what fits into free places, and refuses what is too late; returns what started.
+    fn start(&mut self, free: usize, now: u64) -> Vec<WaitingCall> {
         let mut started = Vec::new();
         while let Some(ticket) = self.queue.turn(Moment(now)) {
-            let index = self.waiting[&ticket];
-            let must_yield = self.ledger().must_yield(Some(&customer(index)), 1, Moment(now));
+            let call = self.waiting[&ticket];
+            let customer = customer(call.customer);
+            let must_yield = self.ledger().must_yield(Some(&customer), 1, Moment(now));
             let has_room = started.len() < free;
-            if !self.timer.may_start(must_yield, has_room, Moment(now)) {
-                self.queue.note_yield(ticket);
-                continue;
+            match self.timer.judge(must_yield, has_room, Moment(now)) {
+                TurnStep::Start => {}
+                TurnStep::Yield => {
+                    self.queue.note_yield(ticket);
+                    continue;
+                }
+                TurnStep::NoRoom => {
+                    self.queue.note_misfit(ticket);
+                    continue;
+                }
             }
             self.queue.start(ticket, Moment(now));
             self.waiting.remove(&ticket);
-            self.ledger().charge(Some(&customer(index)), SERVICE_MS as f64, Moment(now));
-            started.push(index);
+            self.ledger().charge(Some(&customer), SERVICE_MS as f64, Moment(now));
+            started.push(call);
         }
         if now.is_multiple_of(ROUND_MS) {
             let queue = &mut self.queue;
-            self.waiting.retain(|ticket, _| {
+            let refused = &mut self.refused;
+            self.waiting.retain(|ticket, call| {
                 let is_kept = queue.verdict(*ticket, Moment(now)) != QueueVerdict::Refuse;
                 if !is_kept {
-                    queue.refuse(*ticket, 0, Moment(now));
+                    refused.push((*call, now + queue.refuse(*ticket, 0, Moment(now))));
                 }
                 is_kept
             });
@@ -104,12 +131,12 @@
     }
 }
 
-/// Requests served of each customer, of which the first asks for `first_rate` a second, at one daemon
+/// Requests asked and served of each customer, of which the first asks for `first_rate` a second, at one daemon
 /// or at all, and the others for `rate` a second each at all daemons.
-fn play(daemons: usize, rate: f64, first_rate: f64, is_spread: bool) -> Vec<usize> {
+fn play(daemons: usize, rate: f64, first_rate: f64, is_spread: bool) -> (Vec<usize>, Vec<usize>) {
     let mut fleet: Vec<QueueDaemon> = (0..daemons).map(|_| QueueDaemon::default()).collect();
     let mut random = ChaCha8Rng::seed_from_u64(1);
-    let mut served = vec![0; CUSTOMERS];
+    let [mut asked, mut served] = [(); 2].map(|()| vec![0; CUSTOMERS]);
     let mut running = 0;
     for now in 0..PLAYED_MS {
         for index in 0..CUSTOMERS {
@@ -117,15 +144,16 @@
             if random.random_bool(rate / 1_000.0) {
                 let is_anywhere = index > 0 || is_spread;
                 let at = if is_anywhere { random.random_range(0..daemons) } else { 0 };
-                fleet[at].join(index, now);
+                asked[index] += 1;
+                fleet[at].join(index, random.random(), now);
             }
         }
         let offset = random.random_range(0..daemons);
         for at in (0..daemons).map(|at| (at + offset) % daemons) {
             running -= fleet[at].end(now);
-            for index in fleet[at].start(PLACES - running, now) {
+            for call in fleet[at].start(PLACES - running, now) {
                 running += 1;
-                served[index] += 1;
+                served[call.customer] += 1;
                 fleet[at].ends.push(now + random.random_range(SERVICE_MS / 2..SERVICE_MS * 3 / 2));
             }
         }
@@ -134,7 +162,7 @@
             fleet.iter_mut().for_each(|daemon| sweep_ledgers(&mut daemon.ledgers, Moment(now)));
         }
     }
-    served
+    (asked, served)
 }
 
 /// Each daemon tells all others, at its own moments.
@@ -168,7 +196,8 @@
     daemons: usize,
     is_spread: bool,
 ) {
-    let (even, uneven) = (play(daemons, 20.8, 20.8, true), play(daemons, 20.8, 208.0, is_spread));
+    let (_, even) = play(daemons, 20.8, 20.8, true);
+    let (_, uneven) = play(daemons, 20.8, 208.0, is_spread);
 
     let sum = |served: &[usize]| served.iter().sum::<usize>() as f64;
     let least = |served: &[usize]| served.iter().min().copied().unwrap_or(0) as f64;
@@ -180,9 +209,73 @@
 
 #[test]
 fn customer_that_asks_for_more_uses_what_others_leave_at_all_daemons() {
-    let served = play(8, 5.0, 250.0, true);
+    let (asked, served) = play(8, 5.0, 250.0, true);
 
     let room = (PLACES as u64 * PLAYED_MS / SERVICE_MS) as f64;
     assert!(served.iter().sum::<usize>() as f64 >= 0.95 * room, "{served:?}");
-    assert!(served[1..].iter().all(|served| *served >= 35), "{served:?}");
+    let is_served = |index: usize| served[index] as f64 >= 0.95 * asked[index] as f64;
+    assert!((1..CUSTOMERS).all(is_served), "{served:?} of {asked:?}");
+}
+
+/// Plays 8 daemons with 500 newcomers a second of one customer, and 150 callers that one daemon refused
+/// and told to return one after the other, so that they take half of the room. They return to all
+/// daemons, `early_ms` before they are due. Returns callers with their first attempts and starts.
+fn play_returning_crowd(early_ms: u64) -> Vec<(WaitingCall, u64)> {
+    let mut fleet: Vec<QueueDaemon> = (0..8).map(|_| QueueDaemon::default()).collect();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let (mut starts, mut running) = (Vec::new(), 0);
+    for now in 0..4_000 {
+        if now % 2 == 0 {
+            fleet[random.random_range(0..8)].join(0, random.random_range(CROWD..u128::MAX), now);
+        }
+        for caller in 0..CROWD {
+            let due = FIRST_DUE + caller as u64 * 8;
+            let (request, first) = (RequestDigest(caller), Moment(CROWD_CAME + caller as u64));
+            let notice = ReturnNotice { request, first, due: Moment(due).into() };
+            if now == FIRST_DUE - 700 {
+                fleet.iter_mut().for_each(|it| assert!(it.returns.note(notice, Moment(now))));
+            }
+            if now + early_ms == due {
+                fleet[random.random_range(0..8)].join(0, caller, now);
+            }
+        }
+        let offset = random.random_range(0..8);
+        for at in (0..8).map(|at| (at + offset) % 8) {
+            running -= fleet[at].end(now);
+            for call in fleet[at].start(PLACES - running, now) {
+                running += 1;
+                starts.push((call, now));
+                fleet[at].ends.push(now + random.random_range(SERVICE_MS / 2..SERVICE_MS * 3 / 2));
+            }
+        }
+    }
+    starts
+}
+
+#[test]
+fn crowd_that_returns_as_told_to_other_daemons_goes_before_newcomers_in_order_of_first_attempts() {
+    let starts = play_returning_crowd(0);
+
+    let crowd: Vec<_> = starts.iter().filter(|(call, _)| call.caller < CROWD).collect();
+    assert_eq!(crowd.len(), CROWD as usize);
+    let mut latest = 0;
+    for caller in 0..CROWD {
+        let (call, start) = crowd.iter().find(|(call, _)| call.caller == caller).unwrap();
+        assert_eq!(call.first, CROWD_CAME + caller as u64);
+        assert!(start + 200 >= latest, "caller {caller} at {start}, after {latest}");
+        latest = latest.max(*start);
+    }
+}
+
+#[test]
+fn crowd_that_returns_earlier_than_told_is_served_as_newcomers_are() {
+    let starts = play_returning_crowd(600);
+
+    let from = FIRST_DUE - 600;
+    let is_new =
+        |call: &WaitingCall| call.caller >= CROWD && (from..from + 1_200).contains(&call.first);
+    let crowd = starts.iter().filter(|(call, _)| call.caller < CROWD).count();
+    let newcomers = starts.iter().filter(|(call, _)| is_new(call)).count();
+    let [early, new] = [crowd as f64 / 150.0, newcomers as f64 / 600.0];
+    assert!(early <= new + 0.1, "{early} of the crowd, {new} of the newcomers");
 }
