--- a/crates/guava-policy/tests/customer_use.rs
+++ b/crates/guava-policy/tests/customer_use.rs
@@ -139,12 +139,12 @@
     let [mut asked, mut served] = [(); 2].map(|()| vec![0; CUSTOMERS]);
     let mut running = 0;
     for now in 0..PLAYED_MS {
-        for index in 0..CUSTOMERS {
+        for (index, asked) in asked.iter_mut().enumerate() {
             let rate = if index == 0 { first_rate } else { rate };
             if random.random_bool(rate / 1_000.0) {
                 let is_anywhere = index > 0 || is_spread;
                 let at = if is_anywhere { random.random_range(0..daemons) } else { 0 };
-                asked[index] += 1;
+                *asked += 1;
                 fleet[at].join(index, random.random(), now);
             }
         }
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -16,6 +16,7 @@
 use crate::parts::sent_prompt::SentPrompt;
 use crate::parts::store_links::StoreLinks;
 use crate::request::dialect::Dialect;
+use crate::request::queue_table::QueueTable;
 use crate::request::retry_shares::{RetryLimit, RetryShares};
 use crate::serve_config::CurrentConfig;
 use crate::upstreams::answered_parts::AnsweredParts;
@@ -32,8 +33,8 @@
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use bytes::Bytes;
 use guava_policy::{
-    AnnouncementTable, CrashLedger, CustomerLedger, MemoryBudget, MemoryQueue, ReachWatch,
-    ReturnLedger, SendLedger,
+    AnnouncementTable, CrashLedger, CustomerLedger, MemoryBudget, ReachWatch, ReturnLedger,
+    SendLedger,
 };
 use guava_types::{
     DataCentre, Deadline, FastMap, Incarnation, LinkRate, MemberName, Moment, ServiceName,
@@ -207,8 +208,8 @@
     pub is_operator_unavailable: Cell<bool>,
     /// Fraction of engine memory that this daemon plans with.
     pub memory_budget: RefCell<MemoryBudget>,
-    /// Long prompts that wait for memory at an engine.
-    pub memory_queue: RefCell<MemoryQueue>,
+    /// Requests that wait for room at an upstream, by service.
+    pub queues: RefCell<QueueTable>,
     /// Customers' use of each service that was used lately.
     pub customer_ledgers: RefCell<FastMap<ServiceName, CustomerLedger>>,
     /// Whether customers' use is reported to peers.
@@ -274,7 +275,7 @@
             config_confirmed: Cell::default(),
             is_operator_unavailable: Cell::new(false),
             memory_budget: RefCell::default(),
-            memory_queue: RefCell::default(),
+            queues: RefCell::default(),
             customer_ledgers: RefCell::default(),
             use_gossip: RefCell::default(),
             returns: RefCell::default(),
