feat: returning callers keep their places, and customers far ahead yield, on the request path

Cause: the queues didn't know of other daemons' callers and queues.

Change: a request that joins a queue takes the arrival of its caller's first attempt from the ledger of returns; one refused for want of room is noted there and told to peers. Requests of a customer far ahead of those that wait at other daemons join the queue and yield as YieldTimer says. Use is reported while requests wait here or at a peer.

Tested: guava-serve's queue_gossip, dispatch, peer_exchange, small_rules and layout. customer_that_has_used_least_of_a_full_service_is_served_first of dispatch failed 2 times in 29 on a machine with a load of 20.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -52,10 +52,9 @@
 pub use members::peer_task::{
     OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
 };
+pub use members::queue_exchange::{first_attempt, note_return, sweep_queue_state};
 pub use members::retry_pause::{CopyPause, RetryPause, is_read_urgent};
-pub use members::return_gossip::{
-    MAX_TOLD_RETURNS, MessageAudience, ReturnGossip, first_attempt, note_return, sweep_queue_state,
-};
+pub use members::return_gossip::{MAX_TOLD_RETURNS, MessageAudience, ReturnGossip};
 pub use members::shared_reads::{
     ReadMark, ReadPace, ReadTracker, STANDBYS, SharedReads, read_as_of,
 };
--- a/crates/guava-serve/src/members.rs
+++ b/crates/guava-serve/src/members.rs
@@ -15,6 +15,7 @@
 pub(crate) mod peer_key;
 pub(crate) mod peer_message;
 pub(crate) mod peer_task;
+pub(crate) mod queue_exchange;
 pub(crate) mod queue_message;
 pub(crate) mod retry_pause;
 pub(crate) mod return_gossip;
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -9,9 +9,9 @@
 use crate::members::member_descriptor::{MemberDescriptor, status_address};
 use crate::members::member_table::{MemberRole, PeerRole};
 use crate::members::peer_message::{ListChange, LoadedVersion, PeerMessage, PublishedVersion};
-use crate::members::return_gossip::{MessageAudience, note_peer_returns};
+use crate::members::queue_exchange::{compose_use_report, note_peer_returns, note_use_report};
+use crate::members::return_gossip::MessageAudience;
 use crate::members::shared_reads::{ReadMark, ReadTracker, STANDBYS};
-use crate::members::use_gossip::{compose_use_report, note_use_report};
 use crate::parts::part_index::StoreUpdate;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{
--- a/crates/guava-serve/src/members/return_gossip.rs
+++ b/crates/guava-serve/src/members/return_gossip.rs
@@ -3,10 +3,8 @@
 //! Messages to different groups of daemons have different intervals, so each group has its own position
 //! in the list of what this daemon is to tell.
 
-use crate::request::accepted_request::AcceptedRequest;
-use crate::serve_context::ServeContext;
-use guava_policy::{ReturnNotice, ReturnPlace};
-use guava_types::{Deadline, Moment};
+use guava_policy::ReturnNotice;
+use guava_types::Moment;
 use std::collections::VecDeque;
 
 /// Most notices in one message, of some thirty bytes each.
@@ -74,49 +72,3 @@
         }
     }
 }
-
-/// Notes that a request was refused and its caller told to return at `due`; peers are told too.
-pub fn note_return(
-    context: &ServeContext,
-    request: &AcceptedRequest,
-    first: Moment,
-    due: Deadline,
-    now: Moment,
-) {
-    let notice = ReturnNotice { request: request.digest(), first, due };
-    if context.returns.borrow_mut().note(notice, now) {
-        context.return_gossip.borrow_mut().note(notice);
-        context.metrics.count_return("told");
-    } else {
-        context.metrics.count_return("not-kept");
-    }
-}
-
-/// When the first attempt of the caller of a request arrived: that of an earlier request which was
-/// refused, if the caller returns as it was told to, else that of this one.
-pub fn first_attempt(context: &ServeContext, request: &AcceptedRequest, now: Moment) -> Moment {
-    if context.returns.borrow().is_empty() {
-        return request.arrived;
-    }
-    let place = context.returns.borrow_mut().claim(request.digest(), now);
-    match place {
-        ReturnPlace::New => {}
-        ReturnPlace::Early => context.metrics.count_return("early"),
-        ReturnPlace::Returned(_) => context.metrics.count_return("as-told"),
-    }
-    place.first_attempt(request.arrived)
-}
-
-/// Applies the notices of a peer.
-pub(crate) fn note_peer_returns(context: &ServeContext, notices: &[ReturnNotice], now: Moment) {
-    let mut returns = context.returns.borrow_mut();
-    let ignored = notices.iter().filter(|notice| !returns.note(**notice, now)).count();
-    context.metrics.count_ignored_reports("return", ignored);
-}
-
-/// Removes what is no longer needed of customers' use and of refused callers.
-pub fn sweep_queue_state(context: &ServeContext, now: Moment) {
-    guava_policy::sweep_ledgers(&mut context.customer_ledgers.borrow_mut(), now);
-    context.returns.borrow_mut().sweep(now);
-    context.return_gossip.borrow_mut().sweep(now);
-}
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -1,6 +1,7 @@
 //! Serves accepted requests: from the choice of a service to the final answer.
 
 use crate::events;
+use crate::members::queue_exchange::note_return;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
 use crate::request::answer_timeout::return_after_ms;
@@ -47,6 +48,7 @@
         is_retry_reserved: false,
         has_turn: false,
         is_charged: false,
+        first_attempt: None,
         was_forwarded: false,
         first_ms: None,
     };
@@ -70,7 +72,7 @@
                 quarantined(context, &request, run.record.quarantined_until.unwrap_or_default())
             }
             Some(_) if is_timed_out => refused(context, &request, RefusalReason::TooLate),
-            Some(reason) => refuse_until_open(&run, reason),
+            Some(reason) => expect_return(&run, refuse_until_open(&run, reason)),
             None => failed(context, &request, is_timed_out, run.record.runs),
         },
     }
@@ -105,6 +107,18 @@
     refused_for(context, request, RefusalReason::Quarantined, left_ms)
 }
 
+/// Notes that the caller of a request that was refused for want of room is to return.
+fn expect_return(run: &RequestRun, outcome: ServeOutcome) -> ServeOutcome {
+    if let ServeOutcome::NotRun { reason, return_after_ms } = &outcome
+        && reason.is_for_room()
+    {
+        let now = Moment::now();
+        let due = Deadline::after(now, *return_after_ms);
+        note_return(&run.context, &run.request, run.first_attempt(), due, now);
+    }
+    outcome
+}
+
 /// Refuses a request. If all upstreams are closed and it is known when the first one reopens, the
 /// caller is told to return after that moment.
 fn refuse_until_open(run: &RequestRun, reason: RefusalReason) -> ServeOutcome {
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -50,6 +50,12 @@
 }
 
 impl RefusalReason {
+    /// Whether no upstream had room for the request, so that its caller keeps its place if it returns
+    /// as told.
+    pub fn is_for_room(self) -> bool {
+        matches!(self, Self::Crowded | Self::UpstreamsFull | Self::UpstreamsClosed)
+    }
+
     /// Whether another daemon may still serve the request now.
     pub fn is_local(self) -> bool {
         matches!(self, Self::Unreachable | Self::NoReach | Self::NotReady | Self::Overloaded)
--- a/crates/guava-serve/src/request/queue_table.rs
+++ b/crates/guava-serve/src/request/queue_table.rs
@@ -1,6 +1,6 @@
 //! The queues of this daemon by service, and whom to wake when a place may be free.
 
-use guava_policy::{CustomerLedger, QueueTicket, ServiceQueue};
+use guava_policy::{CustomerLedger, QueueTicket, ServiceQueue, WaitingUse, YieldTimer};
 use guava_types::{FastMap, Moment, ServiceName};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -20,6 +20,7 @@
 struct WaitingLine {
     queue: ServiceQueue,
     wakers: FastMap<QueueTicket, Rc<Notify>>,
+    timer: YieldTimer,
 }
 
 /// The queues of all services that a request has had to wait for.
@@ -34,6 +35,19 @@
         &mut self.lines.entry(service.clone()).or_default().queue
     }
 
+    /// How long the yielding requests of a service have found room.
+    pub fn timer(&mut self, service: &ServiceName) -> &mut YieldTimer {
+        &mut self.lines.entry(service.clone()).or_default().timer
+    }
+
+    /// Who waits in each queue, as peers are told.
+    pub fn waiting_uses(&self, now: Moment) -> Vec<(ServiceName, WaitingUse)> {
+        let waiting = |(service, line): (&ServiceName, &WaitingLine)| {
+            Some((service.clone(), line.queue.waiting_use(now)?))
+        };
+        self.lines.iter().filter_map(waiting).collect()
+    }
+
     /// Whether no request waits for a service.
     pub fn is_empty(&self, service: &ServiceName) -> bool {
         self.lines.get(service).is_none_or(|line| line.queue.is_empty())
--- a/crates/guava-serve/src/request/queued_request.rs
+++ b/crates/guava-serve/src/request/queued_request.rs
@@ -5,7 +5,7 @@
 use crate::serve_context::ServeContext;
 use guava_policy::{
     CustomerLedger, MAX_ASKED, QueueEntry, QueuePlace, QueueTicket, QueueVerdict, ROUND_MS,
-    ServiceQueue,
+    ServiceQueue, TurnStep,
 };
 use guava_types::{Deadline, Moment, ServiceName};
 use std::rc::Rc;
@@ -56,6 +56,19 @@
         queues.wake_next(&self.service, Moment::now());
     }
 
+    /// What the request does now that it is its turn.
+    pub fn judge(&self, must_yield: bool, has_room: bool) -> TurnStep {
+        let mut queues = self.context.queues.borrow_mut();
+        queues.timer(&self.service).judge(must_yield, has_room, Moment::now())
+    }
+
+    /// Passes the turn on, as the request leaves its room to others.
+    pub fn note_yield(&self) {
+        let mut queues = self.context.queues.borrow_mut();
+        queues.queue(&self.service).note_yield(self.ticket);
+        queues.wake_next(&self.service, Moment::now());
+    }
+
     /// Starts the request.
     pub fn start(self) {
         self.context.queues.borrow_mut().queue(&self.service).start(self.ticket, Moment::now());
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one upstream after another, until one answers or no attempt is left.
 
 use crate::events;
+use crate::members::queue_exchange::first_attempt;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
 use crate::request::attempt::{AttemptOutcome, CompleteAnswer, OpenStream, attempt};
@@ -16,7 +17,7 @@
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
 use guava_log::log_event;
-use guava_policy::{QueuePlace, QueueVerdict};
+use guava_policy::{CustomerLedger, QueueEntry, QueuePlace, QueueVerdict, TurnStep};
 use guava_types::{Moment, ServiceName};
 use http::Response;
 use std::rc::Rc;
@@ -47,6 +48,8 @@
     pub has_turn: bool,
     /// Whether its customer was charged for it.
     pub is_charged: bool,
+    /// When its caller's first attempt arrived; `None` until it waits in a queue.
+    pub first_attempt: Option<Moment>,
     /// Whether it was already forwarded to peer daemons.
     pub was_forwarded: bool,
     /// Milliseconds from the request's arrival to a stream's first event.
@@ -197,7 +200,7 @@
         // A request that has already reached an upstream must not be queued as well.
         let may_queue = resume_after.is_none() && self.record.reached == 0;
         let has_turn = std::mem::take(&mut self.has_turn);
-        if may_queue && !has_turn && self.is_behind_others() {
+        if may_queue && !has_turn && (self.is_behind_others() || self.must_yield()) {
             return PlanStep::Crowded;
         }
         plan_attempt(self.plan_input(), resume_after, may_queue)
@@ -208,25 +211,50 @@
         !self.context.queues.borrow().is_empty(&self.service) && needs_room(self.plan_input())
     }
 
+    /// Whether the request leaves the room to others that wait at other daemons.
+    fn must_yield(&self) -> bool {
+        let ledgers = self.context.customer_ledgers.borrow();
+        let (request, now) = (&self.request, Moment::now());
+        let must_yield = |ledger: &CustomerLedger| {
+            ledger.must_yield(request.customer_id(), request.priority(), now)
+        };
+        ledgers.get(&self.service).is_some_and(must_yield) && needs_room(self.plan_input())
+    }
+
+    /// When the first attempt of the request's caller arrived.
+    pub fn first_attempt(&self) -> Moment {
+        self.first_attempt.unwrap_or(self.request.arrived)
+    }
+
     /// Queues the request until an upstream has room for it. Returns false if it is refused: it has
     /// not started in time or, at the rate at which the queue drains, would not.
     async fn wait_in_queue(&mut self) -> bool {
-        let entry = queue_entry(self.plan_input());
+        if self.first_attempt.is_none() {
+            let first = first_attempt(&self.context, &self.request, Moment::now());
+            self.first_attempt = Some(first);
+        }
+        let first_arrived = self.first_attempt();
+        let entry = QueueEntry { first_arrived, ..queue_entry(self.plan_input()) };
         let queued = QueuedRequest::join(&self.context, &self.service, entry);
         let mut is_logged = false;
         loop {
             match queued.verdict() {
-                QueueVerdict::Ask if is_crowded(self.plan_input()) => queued.note_misfit(),
-                QueueVerdict::Ask => {
-                    queued.start();
-                    self.has_turn = true;
-                    return true;
-                }
+                QueueVerdict::Ask => match self.take_turn(&queued) {
+                    TurnStep::Start => {
+                        queued.start();
+                        self.has_turn = true;
+                        return true;
+                    }
+                    TurnStep::Yield => queued.note_yield(),
+                    TurnStep::NoRoom => queued.note_misfit(),
+                },
                 QueueVerdict::Refuse => {
+                    self.context.use_gossip.borrow_mut().note_crowd(Moment::now());
                     self.record.shed = Some(queued.refuse());
                     return false;
                 }
                 QueueVerdict::Wait => {
+                    self.context.use_gossip.borrow_mut().note_crowd(Moment::now());
                     if !std::mem::replace(&mut is_logged, true) {
                         self.log_queued(queued.place());
                     }
@@ -236,6 +264,10 @@
         }
     }
 
+    fn take_turn(&self, queued: &QueuedRequest) -> TurnStep {
+        queued.judge(self.must_yield(), !is_crowded(self.plan_input()))
+    }
+
     fn log_queued(&self, place: QueuePlace) {
         log_event!(
             info,
