test: a listener that closes before a full queue serves or refuses what waits

A caller that is refused is also told to return no sooner than its own cost has drained, checks of waiting requests are spread, and charging a customer allocates no name of a known service.

--- a/crates/guava-policy/src/service_queue.rs
+++ b/crates/guava-policy/src/service_queue.rs
@@ -219,7 +219,7 @@
             self.leave(ticket, now);
             return unscheduled_return_ms(draw);
         };
-        let wait_ms = self.cost_before(index) / rate;
+        let wait_ms = self.cost_before(index + 1) / rate;
         let entry = self.waiting.remove(index).entry;
         self.note_removed(now);
         // Half of what it would wait is left to be drained, so that the queue does not run empty if
--- a/crates/guava-serve/src/request/answer_timeout.rs
+++ b/crates/guava-serve/src/request/answer_timeout.rs
@@ -47,7 +47,7 @@
         // Lists and configurations are read within about this time.
         RefusalReason::NoUpstream | RefusalReason::NotReady | RefusalReason::NoReach => 300,
         RefusalReason::TooLate => 200,
-        // Used only by a daemon whose queue did not refuse it.
+        // Used only if its queue gave it no moment.
         RefusalReason::Crowded => 1_000,
         // Used only if the end of the quarantine is not known.
         RefusalReason::Quarantined => FIRST_QUARANTINE_MS,
--- a/crates/guava-serve/src/request/queued_request.rs
+++ b/crates/guava-serve/src/request/queued_request.rs
@@ -74,7 +74,9 @@
     pub async fn wait(&self) {
         let is_next = self.place().ahead < MAX_ASKED;
         let interval_ms = if is_next { ROUND_MS } else { BACK_CHECK_INTERVAL_MS };
-        let check = Deadline::in_millis(interval_ms).earlier(self.start_by);
+        // Daemons that wait for the same upstreams must not find them free at the same moment.
+        let spread_ms = rand::random::<u64>() % (ROUND_MS / 2);
+        let check = Deadline::in_millis(interval_ms + spread_ms).earlier(self.start_by);
         drop(timeout(check.time_left(), self.turn.notified()).await);
         with_queue(&self.context, &self.service, |queue, ledger| {
             queue.refresh(ledger, Moment::now());
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -16,7 +16,7 @@
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
 use guava_log::log_event;
-use guava_policy::{QueuePlace, QueueVerdict};
+use guava_policy::{CustomerLedger, QueuePlace, QueueVerdict};
 use guava_types::{Moment, ServiceName};
 use http::Response;
 use std::rc::Rc;
@@ -255,8 +255,12 @@
         }
         let cost = request_cost(self.plan_input());
         let mut ledgers = self.context.customer_ledgers.borrow_mut();
-        let ledger = ledgers.entry(self.service.clone()).or_default();
-        ledger.charge(self.request.customer_id(), cost, Moment::now());
+        if !ledgers.contains_key(&self.service) {
+            ledgers.insert(self.service.clone(), CustomerLedger::default());
+        }
+        if let Some(ledger) = ledgers.get_mut(&self.service) {
+            ledger.charge(self.request.customer_id(), cost, Moment::now());
+        }
     }
 
     fn note_refusal(&mut self) {
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -7,12 +7,14 @@
 
 use guava_policy::{CustomerLedger, QueueEntry, QueueTicket};
 use guava_serve::{
-    AcceptedRequest, CallerIdentity, ExpectedLoad, PublicationSource, RefusalReason, RepeatRule,
-    ServeContext, ServeOutcome, UpstreamEntry, WeightVersion, WorkTicket, apply_version,
-    call_request, serve_request,
+    AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ExpectedLoad, ListenerPhase,
+    PublicationSource, RefusalReason, RepeatRule, ServeContext, ServeOutcome, UpstreamEntry,
+    WeightVersion, WorkTicket, apply_version, call_request, open_listener, serve_listener,
+    serve_request,
 };
 use guava_types::{Deadline, Moment, ServiceName, TokenCount};
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use support::scripted::{
@@ -20,6 +22,9 @@
 };
 use support::served::{CallerResult, context, read, run};
 use support::{config, customer, engine, id, model, prompt, published, request, route, upstream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Serves one request with a repeat rule, and returns its caller's result.
 fn serve(repeat: RepeatRule, upstreams: &[&ScriptedUpstream]) -> CallerResult {
@@ -524,6 +529,62 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+/// Sends a request to a listener; returns the status line of the answer.
+async fn status_line(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer.lines().next().unwrap().to_owned()
+}
+
+#[test]
+fn listener_that_closes_before_a_full_queue_still_serves_or_refuses_all_that_wait() {
+    // Guards against requests that a stopping daemon cuts off while they wait in its queue.
+    let answer = vec![ScriptStep::Wait(600), complete_answer("200 OK", "", "yes")];
+    let upstream = ScriptedUpstream::start(vec![answer]);
+
+    let statuses = run(async {
+        let (context, running, mut request) = full_engine(&upstream);
+        request.prompt = Some(prompt("packet", 36_000, 4_000));
+        request.route = Rc::new(route("/llm/", "llm", RepeatRule::NonIdempotent));
+        let listener = open_listener(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let address = listener.local_addr().unwrap();
+        let phase = watch::Sender::new(ListenerPhase::Open);
+        let limits = || ConnectionLimits { header_bytes: 8_192, idle_ms: 5_000, connections: 9 };
+        let served = Rc::clone(&context);
+        let handler = move |_| {
+            let (context, request) = (Rc::clone(&served), request.clone());
+            async move {
+                match serve_request(&context, &Rc::new(config(1)), request).await {
+                    ServeOutcome::Answered(response) => response,
+                    _ => http::Response::builder()
+                        .status(503)
+                        .body(AnswerBody::complete(""))
+                        .unwrap(),
+                }
+            }
+        };
+        tokio::task::spawn_local(serve_listener(listener, limits, handler, phase.subscribe()));
+        let callers =
+            [(); 2].map(|()| tokio::task::spawn_local(async move { status_line(address).await }));
+        while context.queues.borrow_mut().queue(&llm()).len() < 2 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+
+        phase.send_replace(ListenerPhase::Closing);
+        context.work.borrow_mut().note_finished(&running, Moment::now());
+
+        let [one, other] = callers;
+        let mut statuses = [one.await.unwrap(), other.await.unwrap()];
+        statuses.sort();
+        statuses
+    });
+
+    assert_eq!(statuses, ["HTTP/1.1 200 OK", "HTTP/1.1 503 Service Unavailable"]);
+    assert_eq!(upstream.requests().len(), 1);
+}
+
 #[test]
 fn customer_that_has_used_least_of_a_full_service_is_served_first() {
     let answer = vec![ScriptStep::Wait(30), complete_answer("200 OK", "", "yes")];
