--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -287,8 +287,12 @@
         }
         let cost = request_cost(self.plan_input());
         let mut ledgers = self.context.customer_ledgers.borrow_mut();
-        let ledger = ledgers.entry(self.service.clone()).or_default();
-        ledger.charge(self.request.customer_id(), cost, Moment::now());
+        if !ledgers.contains_key(&self.service) {
+            ledgers.insert(self.service.clone(), CustomerLedger::default());
+        }
+        if let Some(ledger) = ledgers.get_mut(&self.service) {
+            ledger.charge(self.request.customer_id(), cost, Moment::now());
+        }
     }
 
     fn note_refusal(&mut self) {
