test: instances of short queues turn away less than retries are permitted

Tested: 8 and 62 daemons before four instances whose queue is as long as their slots, with a slow instance and at 0.9 of the capacity (reported_load.rs).

--- a/crates/guava-serve/tests/reported_load.rs
+++ b/crates/guava-serve/tests/reported_load.rs
@@ -23,6 +23,8 @@
 const MAX_HELD_MS: u64 = 150;
 /// Tries in a millisecond, so many that arrivals are nearly independent of each other.
 const ARRIVAL_TRIES: u32 = 32;
+/// Retries that a service may get for each request.
+const RETRY_RATIO: f64 = 0.2;
 /// Time until the instances have reported their load.
 const WARM_UP_MS: u64 = 500;
 const START_MS: u64 = 10_000;
@@ -35,6 +37,8 @@
     demand: f64,
     /// Factor by which one instance is slower, another one every 0.6 s.
     slow_factor: f64,
+    /// Requests that wait at an instance before it turns further ones away.
+    queue: u32,
     /// What an instance says, given its number and its true load.
     report: fn(usize, ReportedLoad) -> Option<ReportedLoad>,
     until_ms: u64,
@@ -53,6 +57,8 @@
     answer_ms: Vec<u64>,
     /// Calls that found no place in time.
     refused: usize,
+    /// Sends that instances turned away.
+    turned_away: usize,
     /// Most requests in flight at an instance when another one was sent there.
     most_found: u32,
     /// Decisions to hold a call while an instance had a free slot.
@@ -206,6 +212,18 @@
         if is_counted {
             self.results.most_found = self.results.most_found.max(found);
         }
+        if found - found.min(SLOTS) >= self.load.queue {
+            work.note_finished(&ticket, Moment(now));
+            reports.note(
+                &upstream,
+                stated(&format!("{SLOTS},{},{SLOTS}", found - SLOTS)),
+                Moment(now),
+            );
+            reports.note_refused(&upstream, Moment(now));
+            held.push_back((arrived, now + 10 + draw % 20));
+            self.results.turned_away += 1;
+            return;
+        }
         instance.waiting.push_back(Call { arrived, sent: now, daemon, ticket });
         self.serve(number, now);
     }
@@ -267,6 +285,7 @@
         instances: 4,
         demand: 0.7,
         slow_factor: 2.5,
+        queue: u32::MAX,
         report: |_, load| Some(load),
         until_ms: 6_000,
     }
@@ -306,6 +325,26 @@
     assert!(results.fraction_in_time() >= 0.99, "{:.3}", results.fraction_in_time());
 }
 
+#[parameterized(
+    slow_instance_and_eight_daemons = { 8, 0.7, 2.5 },
+    slow_instance_and_all_daemons = { 62, 0.7, 2.5 },
+    high_demand_and_eight_daemons = { 8, 0.9, 1.0 },
+    high_demand_and_all_daemons = { 62, 0.9, 1.0 },
+)]
+fn instances_of_short_queues_turn_away_less_than_retries_are_permitted(
+    daemons: usize,
+    demand: f64,
+    slow_factor: f64,
+) {
+    let load = CallLoad { demand, slow_factor, queue: SLOTS, ..slow_calls(daemons) };
+
+    let results = play(&load);
+
+    let fraction = results.turned_away as f64 / results.answer_ms.len() as f64;
+    assert!(fraction <= RETRY_RATIO, "{fraction:.3}");
+    assert!(results.fraction_in_time() >= 0.99, "{:.3}", results.fraction_in_time());
+}
+
 #[parameterized(one_daemon = { 1 }, eight_daemons = { 8 }, all_daemons = { 62 })]
 fn demand_beyond_capacity_leaves_four_fifths_of_it_to_calls_in_time(daemons: usize) {
     let load = CallLoad { demand: 1.3, slow_factor: 1.0, ..slow_calls(daemons) };
