fix: a daemon begins only retirements by which it can act itself

With as many retirements of others as it keeps, it would have told of one and gone on to fetch the parts. Tested on the table's bound; the tests of eviction, index and messages passed.

--- a/crates/guava-serve/src/parts/part_eviction.rs
+++ b/crates/guava-serve/src/parts/part_eviction.rs
@@ -74,8 +74,10 @@
     let retiring = context.retirements.borrow().stores();
     let orders =
         retiring.into_iter().filter_map(|store| step_retirement(context, store, now)).collect();
-    managed.iter().for_each(|store| begin_retirement(context, store, now));
-    // This daemon acts by its own retirements too.
+    // From a random one on, since only so many stores have a retirement at a time.
+    let first = rand::random_range(0..managed.len().max(1));
+    let in_turn = managed.iter().cycle().skip(first).take(managed.len());
+    in_turn.for_each(|store| begin_retirement(context, store, now));
     let notices = context.retirements.borrow().notices(now);
     let mut index = context.part_index.borrow_mut();
     notices.into_iter().for_each(|notice| index.note_retirement(notice, now));
@@ -128,7 +130,8 @@
 }
 
 fn begin_retirement(context: &ServeContext, store: &StoreTraits, now: Moment) {
-    if !context.retirements.borrow().may_begin(store.address, now) {
+    let has_place = context.part_index.borrow().has_retirement_place(now);
+    if !has_place || !context.retirements.borrow().may_begin(store.address, now) {
         return;
     }
     let input = retire_input(context, store.address, now);
@@ -147,6 +150,8 @@
     );
     let id = RetirementId(rand::random());
     let notice = context.retirements.borrow_mut().begin(id, store.address, epoch, parts, now);
+    // This daemon acts by its own retirements too.
+    context.part_index.borrow_mut().note_retirement(notice.clone(), now);
     context.just_retired.borrow_mut().push(notice);
     context.message_due.notify_one();
 }
--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -430,6 +430,11 @@
         self.retirements.note(notice, now);
     }
 
+    /// Whether this daemon can act by one more retirement.
+    pub fn has_retirement_place(&self, now: Moment) -> bool {
+        self.retirements.has_place(now)
+    }
+
     /// The retirements by which this daemon acts.
     pub fn heard_retirements(&self, now: Moment) -> Vec<RetirementId> {
         self.retirements.heard(now)
--- a/crates/guava-serve/src/parts/retirement.rs
+++ b/crates/guava-serve/src/parts/retirement.rs
@@ -82,12 +82,17 @@
             return;
         }
         let known = self.notices.get(&notice.id);
-        let has_place = known.is_some() || self.notices.len() < MAX_RETIREMENTS;
+        let has_place = known.is_some() || self.has_place(now);
         if has_place && known.is_none_or(|known| known.phase < notice.phase) {
             self.notices.insert(notice.id, notice);
         }
     }
 
+    /// Whether this daemon can act by one more.
+    pub fn has_place(&self, now: Moment) -> bool {
+        self.lasting(now).count() < MAX_RETIREMENTS
+    }
+
     /// Forgets the oldest of those that ended, if there are too many.
     fn forget_one(&mut self) {
         if self.ended.len() < MAX_ENDED {
--- a/crates/guava-serve/tests/retirement.rs
+++ b/crates/guava-serve/tests/retirement.rs
@@ -216,4 +216,5 @@
         .for_each(|id| table.note(RetireNotice { id: RetirementId(id), ..notice.clone() }, NOW));
 
     assert_eq!(table.heard(NOW).len(), 64);
+    assert!(!table.has_place(NOW), "nor may this daemon begin one");
 }
