fix: a request that joins a queue does not pass those that found no room in this round

Cause: a request that joined between two rounds was asked at once, and took a place that had become free since the others were asked. In a full queue newcomers passed those that waited, up to 20 ms in each round.

Change: it is asked in the next round if the one before it was asked in this one.

The order over all daemons is known red.

--- a/crates/guava-policy/src/service_queue.rs
+++ b/crates/guava-policy/src/service_queue.rs
@@ -128,9 +128,20 @@
         self.drain.note_waiting(now);
         self.sort(ledger, now);
         self.waiting.truncate(MAX_QUEUED);
+        self.skip_round(ticket);
         ticket
     }
 
+    /// Leaves a request that joined out of this round if the one before it was already asked: a place
+    /// that became free since is for those that wait.
+    fn skip_round(&mut self, ticket: QueueTicket) {
+        let Some(index) = self.index_of(ticket) else { return };
+        let before = index.checked_sub(1).and_then(|before| self.waiting.get(before));
+        if before.is_some_and(|before| before.asked_in == Some(self.round)) {
+            self.note_misfit(ticket);
+        }
+    }
+
     /// Removes a request that starts elsewhere, is refused or was abandoned.
     pub fn leave(&mut self, ticket: QueueTicket, now: Moment) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
