--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -484,49 +484,43 @@
     assert!(is_empty);
 }
 
-/// Serves two prompts, the first one's customer before the second's, of which an engine has memory
-/// for one at a time from the 60th millisecond on. Returns the customers in the order of their
-/// answers, with the results.
-fn serve_two(engine_at: &ScriptedUpstream, repeat: RepeatRule) -> Vec<(String, CallerResult)> {
+/// Serves a prompt that fills an engine's memory and, while it runs, two more, each of which would
+/// fill it too: of a customer that has used much, and then of one that has used nothing. Returns
+/// these customers in the order of their answers, with the results.
+fn serve_two_behind_one(engine_at: &ScriptedUpstream) -> Vec<(String, CallerResult)> {
     run(async {
-        let (context, running, request) = full_engine(engine_at);
-        let acme = "acme".parse().unwrap();
+        let (context, running, mut request) = full_engine(engine_at);
+        context.work.borrow_mut().note_finished(&running, Moment::now());
+        request.route = Rc::new(route("/llm/", "llm", RepeatRule::NonIdempotent));
+        request.prompt = Some(prompt("packet", 36_000, 4_000));
         let mut ledger = CustomerLedger::default();
-        ledger.charge(Some(&acme), 100_000.0, Moment::now());
+        ledger.charge(Some(&"acme".parse().unwrap()), 100_000.0, Moment::now());
         context.customer_ledgers.borrow_mut().insert(llm(), ledger);
-        let frees = Rc::clone(&context);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(Duration::from_millis(60)).await;
-            frees.work.borrow_mut().note_finished(&running, Moment::now());
-        });
-        let results = Rc::new(RefCell::new(Vec::new()));
+        let results = RefCell::new(Vec::new());
         let serve = async |name: &str| {
-            let request = AcceptedRequest {
-                caller: CallerIdentity::Customer(Rc::new(customer(name, false))),
-                route: Rc::new(route("/llm/", "llm", repeat)),
-                prompt: Some(prompt("packet", 36_000, 4_000)),
-                ..request.clone()
-            };
+            let caller = CallerIdentity::Customer(Rc::new(customer(name, false)));
+            let request = AcceptedRequest { caller, ..request.clone() };
             let outcome = serve_request(&context, &Rc::new(config(1)), request).await;
             let result = read(outcome).await;
             results.borrow_mut().push((name.to_owned(), result));
         };
-        tokio::join!(serve("acme"), serve("walled"));
-        results.take()
+        tokio::join!(serve("first"), serve("acme"), serve("walled"));
+        results.take().split_off(1)
     })
 }
 
 #[test]
 fn queued_request_that_may_run_once_runs_once_and_a_refused_one_does_not_run() {
     // Guards against a request that is sent from the queue twice, or sent and refused.
-    let answer = vec![ScriptStep::Wait(600), complete_answer("200 OK", "", "yes")];
-    let upstream = ScriptedUpstream::start(vec![answer]);
+    let answer_after =
+        |millis| vec![ScriptStep::Wait(millis), complete_answer("200 OK", "", "yes")];
+    let upstream = ScriptedUpstream::start(vec![answer_after(60), answer_after(900)]);
 
-    let results = serve_two(&upstream, RepeatRule::NonIdempotent);
+    let results = serve_two_behind_one(&upstream);
 
     let expected = [("acme".to_owned(), CallerResult::NotRun), ("walled".to_owned(), ok("yes"))];
     assert_eq!(results, expected);
-    assert_eq!(upstream.requests().len(), 1);
+    assert_eq!(upstream.requests().len(), 2);
 }
 
 /// Sends a request to a listener; returns the status line of the answer.
@@ -587,10 +581,10 @@
 
 #[test]
 fn customer_that_has_used_least_of_a_full_service_is_served_first() {
-    let answer = vec![ScriptStep::Wait(30), complete_answer("200 OK", "", "yes")];
+    let answer = vec![ScriptStep::Wait(60), complete_answer("200 OK", "", "yes")];
     let upstream = ScriptedUpstream::start(vec![answer]);
 
-    let results = serve_two(&upstream, RepeatRule::NonIdempotent);
+    let results = serve_two_behind_one(&upstream);
 
     let expected = [("walled".to_owned(), ok("yes")), ("acme".to_owned(), ok("yes"))];
     assert_eq!(results, expected);
