--- a/crates/guava-policy/src/yield_rule.rs
+++ b/crates/guava-policy/src/yield_rule.rs
@@ -37,6 +37,17 @@
     NoRoom,
 }
 
+impl TurnStep {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Yield => "yield",
+            Self::NoRoom => "no-room",
+        }
+    }
+}
+
 /// How long a queue's yielding requests have found places free.
 #[derive(Clone, Debug, Default)]
 pub struct YieldTimer {
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -65,6 +65,7 @@
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
     announcements: Family<KindLabel, Counter>,
+    turns: Family<KindLabel, Counter>,
     returns: Family<KindLabel, Counter>,
     ignored_reports: Family<KindLabel, Counter>,
     queue_depths: ServiceLevels,
@@ -92,7 +93,8 @@
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
         let announcements = Family::<KindLabel, Counter>::default();
-        let [returns, ignored_reports] = [(); 2].map(|()| Family::<KindLabel, Counter>::default());
+        let [turns, returns, ignored_reports] =
+            [(); 3].map(|()| Family::<KindLabel, Counter>::default());
         let [queue_depths, queue_ages] = [(); 2].map(|()| ServiceLevels::default());
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -116,6 +118,7 @@
         registry.register("upstream_limit_share", "This daemon's part", limit_shares.clone());
         registry.register("upstream_limited_sends", "Sent a second", limited_sends.clone());
         registry.register("upstream_words", "Changes of what upstreams say", announcements.clone());
+        registry.register("queue_turns", "Of waiting requests", turns.clone());
         registry.register("returns", "Refused callers by return", returns.clone());
         registry.register("ignored_reports", "Rows from peers", ignored_reports.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
@@ -135,6 +138,7 @@
             bad_records,
             lost_messages,
             announcements,
+            turns,
             returns,
             ignored_reports,
             queue_depths,
@@ -208,6 +212,11 @@
         self.announcements.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a turn of a waiting request; `kind` is what it did.
+    pub fn count_turn(&self, kind: &'static str) {
+        self.turns.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a refused caller that was told when to return, or that returned; `kind` tells which.
     pub fn count_return(&self, kind: &'static str) {
         self.returns.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -265,7 +265,9 @@
     }
 
     fn take_turn(&self, queued: &QueuedRequest) -> TurnStep {
-        queued.judge(self.must_yield(), !is_crowded(self.plan_input()))
+        let step = queued.judge(self.must_yield(), !is_crowded(self.plan_input()));
+        self.context.metrics.count_turn(step.name());
+        step
     }
 
     fn log_queued(&self, place: QueuePlace) {
@@ -275,6 +277,7 @@
             request = self.request.id,
             customer = self.request.customer(),
             service = self.service,
+            first_ms = Moment::now().millis_since(self.first_attempt()),
             ahead = place.ahead,
             expected_ms = expected_text(place)
         );
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -5,12 +5,12 @@
 
 mod support;
 
-use guava_policy::{CustomerLedger, QueueEntry, QueueTicket};
+use guava_policy::{CustomerLedger, QueueEntry, QueueTicket, WaitingUse};
 use guava_serve::{
     AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ExpectedLoad, ListenerPhase,
     PublicationSource, RefusalReason, RepeatRule, ServeContext, ServeOutcome, UpstreamEntry,
-    WeightVersion, WorkTicket, apply_version, call_request, open_listener, serve_listener,
-    serve_request,
+    WeightVersion, WorkTicket, apply_version, call_request, first_attempt, open_listener,
+    serve_listener, serve_request,
 };
 use guava_types::{Deadline, Moment, ServiceName, TokenCount};
 use std::cell::RefCell;
@@ -468,6 +468,45 @@
     assert!(waited < Duration::from_millis(200), "{waited:?}");
 }
 
+#[test]
+fn prompt_refused_for_want_of_room_has_its_place_when_it_returns_as_told() {
+    let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "id: 1\n\n")]]);
+
+    let (first, returned) = run(async {
+        let (context, _running, request) = full_engine(&upstream);
+        let outcome = serve_request(&context, &Rc::new(config(1)), request.clone()).await;
+        let ServeOutcome::NotRun { return_after_ms, .. } = outcome else { panic!("not refused") };
+        let due = Moment(Moment::now().0 + return_after_ms);
+        let returned = AcceptedRequest { id: "r2".into(), arrived: due, ..request.clone() };
+        (request.arrived, first_attempt(&context, &returned, due))
+    });
+
+    assert_eq!(first, returned);
+}
+
+#[test]
+fn prompt_of_a_customer_far_ahead_is_served_late_when_none_that_waits_elsewhere_takes_the_room() {
+    // Guards against room that stays free for a daemon that has just been lost.
+    let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "id: 1\n\n")]]);
+
+    let (result, waited) = run(async {
+        let (context, running, request) = full_engine(&upstream);
+        let now = Moment::now();
+        context.work.borrow_mut().note_finished(&running, now);
+        let mut ledger = CustomerLedger::default();
+        ledger.charge(Some(&"acme".parse().unwrap()), 100_000.0, now);
+        let waiting = WaitingUse { rank: 0, lowest: 0.0 };
+        let until = Deadline::after(now, 5_000);
+        ledger.note_peer_waiting(&"d9".parse().unwrap(), Some(waiting), until);
+        context.customer_ledgers.borrow_mut().insert(llm(), ledger);
+        let outcome = serve_request(&context, &Rc::new(config(1)), request).await;
+        (read(outcome).await, Moment::now().millis_since(now))
+    });
+
+    assert_eq!(result, ok("id: 1\n\n"));
+    assert!(waited >= 20, "{waited}");
+}
+
 #[test]
 fn long_prompt_whose_caller_leaves_leaves_the_queue() {
     let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "id: 1\n\n")]]);
