feat: callers refused from a queue are told no later than they return

Cause: callers retry after a third of the time that they have left at the latest. Told a later moment, they come too early for the place that was meant for them.

Change: accepted_return_ms bounds what the queue's schedule gives. The test of a long prompt refused at its objective expects a third of what is left of its time limit, 450 to 533 ms, in place of 1,000 to 2,000 ms, of which the caller could not have made use: a narrower bound.

Test: dispatch.rs.

--- a/crates/guava-serve/src/request/answer_timeout.rs
+++ b/crates/guava-serve/src/request/answer_timeout.rs
@@ -2,7 +2,7 @@
 
 use crate::request::outcome::RefusalReason;
 use crate::serve_config::{RepeatRule, RouteRule};
-use guava_policy::FIRST_QUARANTINE_MS;
+use guava_policy::{FIRST_QUARANTINE_MS, MIN_RETURN_MS};
 
 /// Fraction of a plain request's objective after which another upstream is tried. Answers usually
 /// take only a fraction of the objective, and the remaining time must suffice for the retry.
@@ -33,6 +33,15 @@
     Some(answer_timeout as u64)
 }
 
+/// Callers retry after this part of the time that they have left, whatever they are told.
+const LATEST_RETURN_DIVISOR: u64 = 3;
+
+/// Milliseconds after which a caller is told to retry that has `left_ms` left. One that is told to
+/// return later than it will is taken for one that comes too early.
+pub fn accepted_return_ms(return_after_ms: u64, left_ms: u64) -> u64 {
+    return_after_ms.min(left_ms / LATEST_RETURN_DIVISOR).max(MIN_RETURN_MS)
+}
+
 /// Base delay, and its random spread, for callers that return once an upstream has reopened.
 const CLOSED_SPREAD_MS: u64 = 150;
 
--- a/crates/guava-serve/src/request/queued_request.rs
+++ b/crates/guava-serve/src/request/queued_request.rs
@@ -1,6 +1,7 @@
 //! A request in the queue of its service, from the moment when it finds no room to its start or its
 //! refusal. The queue decides; this module waits for it.
 
+use crate::request::answer_timeout::accepted_return_ms;
 use crate::request::outcome::QueueRefusal;
 use crate::serve_context::ServeContext;
 use guava_policy::{
@@ -61,12 +62,13 @@
         self.context.queues.borrow_mut().queue(&self.service).start(self.ticket, Moment::now());
     }
 
-    /// Refuses the request.
-    pub fn refuse(self) -> QueueRefusal {
+    /// Refuses the request, whose caller stops waiting at the deadline.
+    pub fn refuse(self, deadline: Deadline) -> QueueRefusal {
         let place = self.place();
+        let now = Moment::now();
         let mut queues = self.context.queues.borrow_mut();
-        let queue = queues.queue(&self.service);
-        let return_after_ms = queue.refuse(self.ticket, rand::random(), Moment::now());
+        let room_ms = queues.queue(&self.service).refuse(self.ticket, rand::random(), now);
+        let return_after_ms = accepted_return_ms(room_ms, deadline.millis_left(now));
         QueueRefusal { place, return_after_ms }
     }
 
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -223,7 +223,7 @@
                     return true;
                 }
                 QueueVerdict::Refuse => {
-                    self.record.shed = Some(queued.refuse());
+                    self.record.shed = Some(queued.refuse(self.request.deadline));
                     return false;
                 }
                 QueueVerdict::Wait => {
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -433,7 +433,8 @@
 
     let ServeOutcome::NotRun { reason, return_after_ms } = outcome else { panic!("not refused") };
     assert_eq!(reason, RefusalReason::Crowded);
-    assert!((1_000..2_000).contains(&return_after_ms), "{return_after_ms}");
+    // A third of what it has left of its time limit of 2,000 ms.
+    assert!((450..534).contains(&return_after_ms), "{return_after_ms}");
     assert!(waited < Duration::from_millis(1_200), "{waited:?}");
     assert_eq!(upstream.requests().len(), 0);
 }
