--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -250,7 +250,7 @@
                 },
                 QueueVerdict::Refuse => {
                     self.context.use_gossip.borrow_mut().note_crowd(Moment::now());
-                    self.record.shed = Some(queued.refuse());
+                    self.record.shed = Some(queued.refuse(self.request.deadline));
                     return false;
                 }
                 QueueVerdict::Wait => {
