--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -85,6 +85,7 @@
     parts: Family<KindLabel, Counter>,
     store_fills: Family<StoreLabel, Gauge<f64, AtomicU64>>,
     reported_loads: Family<KindLabel, Counter>,
+    turns: Family<KindLabel, Counter>,
     returns: Family<KindLabel, Counter>,
     ignored_reports: Family<KindLabel, Counter>,
     queue_depths: ServiceLevels,
@@ -115,7 +116,8 @@
         let parts = Family::<KindLabel, Counter>::default();
         let store_fills = Family::<StoreLabel, Gauge<f64, AtomicU64>>::default();
         let reported_loads = Family::<KindLabel, Counter>::default();
-        let [returns, ignored_reports] = [(); 2].map(|()| Family::<KindLabel, Counter>::default());
+        let [turns, returns, ignored_reports] =
+            [(); 3].map(|()| Family::<KindLabel, Counter>::default());
         let [queue_depths, queue_ages] = [(); 2].map(|()| ServiceLevels::default());
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -142,6 +144,7 @@
         registry.register("prompt_parts", "Parts by what became of them", parts.clone());
         registry.register("part_store_fill", "Fraction of its room", store_fills.clone());
         registry.register("reported_loads", "Of upstreams, by use", reported_loads.clone());
+        registry.register("queue_turns", "Of waiting requests", turns.clone());
         registry.register("returns", "Refused callers by return", returns.clone());
         registry.register("ignored_reports", "Rows from peers", ignored_reports.clone());
         registry.register("first_answer_seconds", "To the first byte", first_answer.clone());
@@ -164,6 +167,7 @@
             parts,
             store_fills,
             reported_loads,
+            turns,
             returns,
             ignored_reports,
             queue_depths,
@@ -258,6 +262,11 @@
         self.reported_loads.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a turn of a waiting request; `kind` is what it did.
+    pub fn count_turn(&self, kind: &'static str) {
+        self.turns.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a refused caller that was told when to return, or that returned; `kind` tells which.
     pub fn count_return(&self, kind: &'static str) {
         self.returns.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -307,7 +307,7 @@
                 },
                 QueueVerdict::Refuse => {
                     self.context.use_gossip.borrow_mut().note_crowd(Moment::now());
-                    self.record.shed = Some(queued.refuse());
+                    self.record.shed = Some(queued.refuse(self.request.deadline));
                     return false;
                 }
                 QueueVerdict::Wait => {
@@ -338,7 +338,9 @@
     }
 
     fn take_turn(&self, queued: &QueuedRequest) -> TurnStep {
-        queued.judge(self.must_yield(), !is_crowded(self.plan_input()))
+        let step = queued.judge(self.must_yield(), !is_crowded(self.plan_input()));
+        self.context.metrics.count_turn(step.name());
+        step
     }
 
     fn log_queued(&self, place: QueuePlace) {
@@ -348,6 +350,7 @@
             request = self.request.id,
             customer = self.request.customer(),
             service = self.service,
+            first_ms = Moment::now().millis_since(self.first_attempt()),
             ahead = place.ahead,
             expected_ms = expected_text(place)
         );
