fix: requests of no customer neither yield nor make others yield

Cause: their use at other daemons is not told, so comparing it compares daemons.

Tested: request_yields_to_those_that_wait_elsewhere_for_a_limited_time.

--- a/crates/guava-policy/src/customer_ledger.rs
+++ b/crates/guava-policy/src/customer_ledger.rs
@@ -134,8 +134,12 @@
     }
 
     /// Whether a request of a customer yields to those that wait at peers: it is of no better rank, and
-    /// the customer has used far more than they, and than the mean of all customers.
+    /// the customer has used far more than they, and than the mean of all customers. A request of no
+    /// customer does not yield, as what others of them used elsewhere is not known.
     pub fn must_yield(&self, customer: Option<&CustomerId>, rank: u8, now: Moment) -> bool {
+        if customer.is_none() {
+            return false;
+        }
         let current = self.waiting.values().filter(|(_, until)| !until.passed(now));
         let before = current.filter(|(waiting, _)| waiting.rank <= rank);
         let lowest = before.map(|(waiting, _)| waiting.lowest).min_by(f64::total_cmp);
--- a/crates/guava-policy/src/service_queue.rs
+++ b/crates/guava-policy/src/service_queue.rs
@@ -207,10 +207,12 @@
     }
 
     /// Who waits here, as other daemons are told; `None` if nobody does. Requests that have just come
-    /// don't count: most of them start before a peer hears of them.
+    /// don't count, as most of them start before a peer hears of them, nor do those of no customer.
     pub fn waiting_use(&self, now: Moment) -> Option<WaitingUse> {
-        let is_late = |it: &&WaitingEntry| now.millis_since(it.joined) >= LATE_MS;
-        let first = self.waiting.iter().find(is_late)?;
+        let is_told = |it: &&WaitingEntry| {
+            it.entry.customer.is_some() && now.millis_since(it.joined) >= LATE_MS
+        };
+        let first = self.waiting.iter().find(is_told)?;
         Some(WaitingUse { rank: first.entry.rank, lowest: first.prior_use })
     }
 
--- a/crates/guava-policy/tests/customer_ledger.rs
+++ b/crates/guava-policy/tests/customer_ledger.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_policy::CustomerLedger;
+use guava_policy::{CustomerLedger, WaitingUse};
 use guava_types::{CustomerId, Deadline, Moment};
 
 const NOW: Moment = Moment(10_000);
@@ -65,3 +65,25 @@
     assert!((kept - 6.0).abs() < 1e-6, "{kept}");
     assert!(ledger.is_empty());
 }
+
+#[yare::parameterized(
+    far_ahead_of_the_waiting = { Some("a"), 1, 4.0, true },
+    a_little_ahead = { Some("a"), 1, 9.0, false },
+    of_better_rank = { Some("a"), 0, 4.0, false },
+    of_no_customer = { None, 1, 4.0, false },
+)]
+fn request_yields_to_those_that_wait_elsewhere_for_a_limited_time(
+    name: Option<&str>,
+    rank: u8,
+    lowest: f64,
+    must_yield: bool,
+) {
+    let mut ledger = CustomerLedger::default();
+    let name = name.map(customer);
+    ledger.charge(name.as_ref(), 10.0, NOW);
+    let waiting = WaitingUse { rank: 1, lowest };
+    ledger.note_peer_waiting(&"d2".parse().unwrap(), Some(waiting), Deadline::after(NOW, 500));
+
+    assert_eq!(ledger.must_yield(name.as_ref(), rank, NOW), must_yield);
+    assert!(!ledger.must_yield(name.as_ref(), rank, Moment(NOW.0 + 500)));
+}
