fix: a caller that returns before its turn keeps its moment

Cause: each early return of a refused caller was booked as one more, so that the schedule ran ahead of what the queue drains.

Change: only new callers, and those whose moment is over, advance it.

--- a/crates/guava-policy/src/return_schedule.rs
+++ b/crates/guava-policy/src/return_schedule.rs
@@ -47,10 +47,10 @@
         let earliest_ms = now_ms + room_ms.max(MIN_RETURN_MS as f64);
         let is_last = self.bookings.back().is_none_or(|last| last.arrived <= arrived);
         let earlier = self.bookings.iter().rev().find(|other| other.arrived <= arrived);
-        let earlier = earlier.filter(|earlier| earlier.return_ms > now_ms);
-        let next_ms = match earlier {
+        let own_ms = earlier.map(|earlier| earlier.return_ms).filter(|own_ms| *own_ms > now_ms);
+        let next_ms = match own_ms {
             _ if is_last => self.next_ms,
-            Some(earlier) => earlier.return_ms,
+            Some(own_ms) => own_ms,
             None => self.next_overdue_ms,
         };
         let return_ms = earliest_ms.max(next_ms);
@@ -59,10 +59,13 @@
         }
         if is_last {
             self.push(ReturnBooking { arrived, return_ms });
-        } else if earlier.is_none() {
+        } else if own_ms.is_none() {
             self.next_overdue_ms = return_ms + spacing_ms;
         }
-        self.next_ms = self.next_ms.max(return_ms) + spacing_ms;
+        // A caller that returns before its turn has its moment already.
+        if is_last || own_ms.is_none() {
+            self.next_ms = self.next_ms.max(return_ms) + spacing_ms;
+        }
         (return_ms - now_ms).ceil() as u64
     }
 
