--- a/crates/guava-losses/src/loss_report.rs
+++ b/crates/guava-losses/src/loss_report.rs
@@ -59,7 +59,7 @@
     pub kind: Box<str>,
     /// Requests that were sent to an upstream, or refused before.
     pub requests: u64,
-    /// Answered after the time in which they should be.
+    /// Answered with success, but after the time in which they should be.
     pub late: u64,
     /// Refused, or turned away before they had a route; they have not run.
     pub refused: u64,
