fix: what was known of a store before a gap, or is reported late, is not held any more

Found by review of the eviction. After a gap an incremental update confirmed parts that may have been freed meanwhile, a late complete one added parts that are gone, a former follower ignored freed parts, and a removal ended the pending save of the part to another store. Both new tests fail before.

--- a/crates/guava-serve/src/parts/part_index.rs
+++ b/crates/guava-serve/src/parts/part_index.rs
@@ -423,9 +423,11 @@
         if let Some(contents) = self.stores.get_mut(&notice.store)
             && notice.phase == RetirePhase::Freed
         {
-            let unnamed = notice.parts.iter().filter(|key| !contents.names.contains_key(key));
-            let gone: Vec<PartKey> = unnamed.copied().collect();
-            gone.iter().for_each(|key| drop_part(contents, key));
+            // A store that reports to this daemon itself says what is gone.
+            let is_followed = now.millis_since(contents.reported) <= REPORT_EXPIRY_MS;
+            if !is_followed {
+                notice.parts.iter().for_each(|key| drop_part(contents, key));
+            }
         }
         self.retirements.note(notice, now);
     }
@@ -576,6 +578,10 @@
         {
             return;
         }
+        if now.millis_since(update.as_of) > REPORT_EXPIRY_MS {
+            // What it says to be there may have been freed since.
+            return;
+        }
         let known = self.stores.get(&update.store).map(|contents| contents.epoch);
         if known != Some(update.epoch) {
             if self.stores.get(&update.store).is_some_and(|known| known.confirmed > update.as_of) {
@@ -585,6 +591,11 @@
         }
         self.note_start(update.store, update.epoch, now);
         let contents = self.stores.entry(update.store).or_default();
+        let is_gapped = update.as_of.millis_since(contents.confirmed) > REPORT_EXPIRY_MS;
+        if is_gapped && !update.is_complete {
+            // The changes of the time between are not known.
+            *contents = StoreContents::default();
+        }
         contents.epoch = update.epoch;
         if update.is_complete && update.as_of >= contents.confirmed {
             contents.held.clear();
@@ -593,8 +604,8 @@
         }
         contents.confirmed = contents.confirmed.max(update.as_of);
         for change in update.parts {
-            self.saves.end(&change.key);
             if change.tokens.0 > 0 {
+                self.saves.end(&change.key);
                 add_part(contents, change);
             } else {
                 drop_part(contents, &change.key);
--- a/crates/guava-serve/tests/part_index.rs
+++ b/crates/guava-serve/tests/part_index.rs
@@ -225,6 +225,30 @@
     assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), NOW).is_none());
 }
 
+#[test]
+fn changes_of_a_store_after_a_gap_do_not_confirm_what_was_known_before() {
+    // Guards against a fetch of a part that was freed while this daemon heard nothing of its store.
+    let mut index = PartIndex::default();
+    index.note_store_update(peer_update(7, NOW.0 - 300, true, &[("p", 9_000)]), NOW);
+
+    let later = Moment(NOW.0 + 2_000);
+    index.note_store_update(peer_update(7, later.0 - 300, false, &[("q", 9_000)]), later);
+
+    assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), later).is_none());
+    assert!(index.holder(&stores(), "m0/1", &part("q", 9_000), later).is_some());
+}
+
+#[test]
+fn expired_update_of_a_store_adds_nothing_to_newer_contents() {
+    // Guards against parts freed long ago that a follower, suspended meanwhile, reports when it wakes.
+    let mut index = PartIndex::default();
+    index.note_store_update(peer_update(7, NOW.0 - 100, true, &[("q", 9_000)]), NOW);
+
+    index.note_store_update(peer_update(7, NOW.0 - 5_000, true, &[("p", 9_000)]), NOW);
+
+    assert!(index.holder(&stores(), "m0/1", &part("p", 9_000), NOW).is_none());
+}
+
 #[test]
 fn complete_store_update_replaces_known_contents() {
     let mut index = PartIndex::default();
