fix: calls stay in their data centre while instances there are idle

Found by review: two instances were drawn among all data centres, so a fifth of the calls went to another one though nothing waits. One of the two is now of this data centre. A daemon also sends again to instances that were full when they last reported once fewer requests than slots are known there; it waited for its own earlier call to end. The new test fails before.

--- a/crates/guava-serve/src/request/service_choice.rs
+++ b/crates/guava-serve/src/request/service_choice.rs
@@ -100,6 +100,10 @@
 
     /// Whether this daemon may send a request to an instance that was full when it last reported.
     fn may_probe(&self, input: &ServiceInput<'_>) -> bool {
+        if self.total < self.slots {
+            // The reports are older than what has ended since.
+            return true;
+        }
         let places = f64::from(self.places);
         if self.own > 0 {
             return false;
@@ -119,6 +123,8 @@
     cost: f64,
     /// Requests that it serves in a millisecond.
     rate: f64,
+    /// Whether it is in this daemon's data centre.
+    is_local: bool,
 }
 
 impl InstanceCost<'_> {
@@ -165,8 +171,8 @@
     mean_per_slot: f64,
 ) -> InstanceCost<'a> {
     let upstream = &entry.id;
-    let remote =
-        if entry.data_centre == *input.data_centre { 0.0 } else { REMOTE_PENALTY_REQUESTS };
+    let is_local = entry.data_centre == *input.data_centre;
+    let remote = if is_local { 0.0 } else { REMOTE_PENALTY_REQUESTS };
     let slowness = input.work.load(upstream).slowness(input.now);
     let estimate = input.reports.reported(upstream, input.now).and_then(|reported| {
         let known = input.work.known_requests(upstream, reported);
@@ -180,7 +186,7 @@
         }
     };
     let rate = f64::from(slots.max(1)) / (service_ms * slowness);
-    InstanceCost { upstream, estimate, cost: (1.0 + running + remote) / rate, rate }
+    InstanceCost { upstream, estimate, cost: (1.0 + running + remote) / rate, rate, is_local }
 }
 
 /// The instance of the lowest cost; of several the one drawn.
@@ -191,12 +197,15 @@
     equal.get(index).copied()
 }
 
-/// The cheaper of two instances that are drawn in proportion to the requests that they serve.
+/// The cheaper of two instances that are drawn in proportion to the requests that they serve: one of
+/// this data centre, if there is any, and one of all others. While instances are idle requests thus
+/// stay in their data centre.
 fn cheaper_of_two<'a, 'b>(
     costs: &'a [InstanceCost<'b>],
     draw: u64,
 ) -> Option<&'a InstanceCost<'b>> {
-    let first = draw_by_rate(costs.iter(), draw)?;
+    let has_local = costs.iter().any(|cost| cost.is_local);
+    let first = draw_by_rate(costs.iter().filter(|cost| cost.is_local == has_local), draw)?;
     let others = costs.iter().filter(|cost| cost.upstream != first.upstream);
     let second = draw_by_rate(others, draw.rotate_left(32));
     Some(second.filter(|second| second.cost < first.cost).unwrap_or(first))
--- a/crates/guava-serve/tests/reported_load.rs
+++ b/crates/guava-serve/tests/reported_load.rs
@@ -6,7 +6,7 @@
 
 use guava_policy::{PacePercent, ReportTable, ReportedLoad, request_bound};
 use guava_serve::{
-    ExpectedLoad, InstanceChoice, ServiceInput, UpstreamEntry, UpstreamTable, WorkTable,
+    ExpectedLoad, InstanceChoice, ServiceInput, UpstreamEntry, UpstreamTable, WorkShare, WorkTable,
     WorkTicket, choose_instance,
 };
 use guava_types::{Deadline, MemberName, Moment, UpstreamId};
@@ -394,3 +394,41 @@
 
     assert!((0..20).all(|draw| choose(draw).unwrap().upstream == id("b")));
 }
+
+#[test]
+fn calls_stay_in_their_data_centre_while_instances_there_are_idle() {
+    // Guards against a fifth of all calls in another data centre, drawn there though nothing waits.
+    let mut upstreams = UpstreamTable::default();
+    let mut reports = ReportTable::default();
+    let now = Moment(START_MS);
+    for number in 0..4 {
+        let (local, remote) = (format!("a{number}"), format!("b{number}"));
+        upstreams.note_entry(upstream(&local, "app"));
+        let away =
+            UpstreamEntry { data_centre: "west".parse().unwrap(), ..upstream(&remote, "app") };
+        upstreams.note_entry(away);
+        [local, remote].iter().for_each(|name| reports.note(&id(name), stated("0,0,6"), now));
+    }
+    let mut work = WorkTable::default();
+    let share = WorkShare { running: 1, ..WorkShare::default() };
+    let shares = [(id("a0"), share)].into_iter().collect();
+    work.note_peer(&"d2".parse().unwrap(), shares, Deadline::after(now, 1_000), now);
+
+    let choose = |draw: u64| {
+        choose_instance(&ServiceInput {
+            service: &"app".parse().unwrap(),
+            upstreams: &upstreams,
+            work: &work,
+            reports: &reports,
+            daemons: &|| 2,
+            local_daemon: &"d1".parse().unwrap(),
+            data_centre: &"east".parse().unwrap(),
+            tried: &[],
+            is_closed: &|_| false,
+            now,
+            draw: draw.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        })
+    };
+
+    assert!((0..50).all(|draw| choose(draw).unwrap().upstream.name().starts_with('a')));
+}
