fix: the queue asks who may fit before it refuses, and holds places for a tenth of a second

A request was refused by the expected wait before it was asked whether it fits where those before it do not; a hold of 400 ms kept places free that other daemons took; a turned-away call took a turn before it had a retry; requests without a prompt waited for memory of engines; a look of a larger prompt restarted the wait of a yielding one; one slow moment closed the schedule of returns for long; a full ledger of returns was swept at each notice. An engine's speed is learnt at its usual pace only: with the mean of two paces divided out it drifted.

Tests added for the yield and for requests without a prompt; the test of learnt speeds now asks that nothing is learnt at another pace.

--- a/crates/guava-policy/src/return_ledger.rs
+++ b/crates/guava-policy/src/return_ledger.rs
@@ -8,6 +8,8 @@
 
 /// Most entries of a ledger.
 pub const MAX_RETURNS: usize = 4_096;
+/// Shortest interval between two sweeps of a full ledger, in milliseconds: each reads all of it.
+const SWEEP_INTERVAL_MS: u64 = 250;
 /// How much earlier than told a caller may return, in milliseconds: the word of its refusal reaches
 /// other daemons with a delay that they don't know.
 const EARLY_TOLERANCE_MS: u64 = 100;
@@ -64,6 +66,7 @@
 pub struct ReturnLedger {
     notices: FastMap<RequestDigest, Vec<ReturnNotice>>,
     count: usize,
+    swept: Moment,
 }
 
 impl ReturnLedger {
@@ -78,7 +81,7 @@
         if notice.is_over(now) || !is_near || notice.first > notice.due.0 {
             return false;
         }
-        if self.count >= MAX_RETURNS {
+        if self.count >= MAX_RETURNS && now.millis_since(self.swept) >= SWEEP_INTERVAL_MS {
             self.sweep(now);
         }
         if self.count >= MAX_RETURNS {
@@ -114,6 +117,7 @@
 
     /// Removes callers that did not return in time.
     pub fn sweep(&mut self, now: Moment) {
+        self.swept = now;
         self.notices.retain(|_, notices| {
             notices.retain(|notice| !notice.is_over(now));
             !notices.is_empty()
--- a/crates/guava-policy/src/return_schedule.rs
+++ b/crates/guava-policy/src/return_schedule.rs
@@ -44,6 +44,8 @@
     /// earliest, and the `spacing_ms` after it are its own. Returns the delay in milliseconds.
     pub fn book(&mut self, arrived: Moment, room_ms: f64, spacing_ms: f64, now: Moment) -> u64 {
         let now_ms = now.0 as f64;
+        // A rate that was low for a moment must not close the schedule for long.
+        let spacing_ms = spacing_ms.min(MAX_RETURN_MS as f64);
         let earliest_ms = now_ms + room_ms.max(MIN_RETURN_MS as f64);
         let is_last = self.bookings.back().is_none_or(|last| last.arrived <= arrived);
         let earlier = self.bookings.iter().rev().find(|other| other.arrived <= arrived);
--- a/crates/guava-policy/src/service_queue.rs
+++ b/crates/guava-policy/src/service_queue.rs
@@ -26,8 +26,8 @@
 /// Starts that may pass a request that does not fit before it holds the queue.
 pub const MAX_PASSES: u32 = 8;
 /// Longest time for which one request holds the queue, in milliseconds: places are kept free until
-/// some runs have finished. A request that does not fit by then does not lack room alone.
-pub const MAX_HOLD_MS: u64 = 400;
+/// some runs have finished. What it does not get by then other daemons have taken.
+pub const MAX_HOLD_MS: u64 = 100;
 /// Time after which a new round begins though no place is known to be free, in milliseconds.
 pub const ROUND_MS: u64 = 20;
 /// Fraction of the time left that the expected wait of a request may take when it joins: one that is
@@ -230,7 +230,15 @@
         }
         let margin = if waiting.has_waited { REFUSE_MARGIN } else { JOIN_MARGIN };
         let left_ms = waiting.entry.start_by.millis_left(now) as f64 * margin;
-        if is_over || self.wait_before(index, now).is_some_and(|wait_ms| wait_ms > left_ms) {
+        if is_over {
+            return QueueVerdict::Refuse;
+        }
+        // Among the first it is asked within a round or two, and may fit where those before it do not.
+        let is_new = now.millis_since(waiting.joined) < 2 * ROUND_MS;
+        if index < MAX_ASKED && waiting.asked_in.is_none() && is_new {
+            return QueueVerdict::Wait;
+        }
+        if self.wait_before(index, now).is_some_and(|wait_ms| wait_ms > left_ms) {
             return QueueVerdict::Refuse;
         }
         self.waiting[index].has_waited = true;
--- a/crates/guava-policy/src/yield_rule.rs
+++ b/crates/guava-policy/src/yield_rule.rs
@@ -59,7 +59,10 @@
     /// Decides on a request that is to yield or not, and that now finds room or none.
     pub fn judge(&mut self, must_yield: bool, has_room: bool, now: Moment) -> TurnStep {
         if !has_room {
-            self.room = None;
+            // A request that need not yield may find no room for its size where this one does.
+            if must_yield {
+                self.room = None;
+            }
             return TurnStep::NoRoom;
         }
         if !must_yield {
--- a/crates/guava-policy/tests/customer_use.rs
+++ b/crates/guava-policy/tests/customer_use.rs
@@ -207,6 +207,19 @@
     assert!(sum(&uneven) >= 0.95 * sum(&even), "{even:?}, then {uneven:?}");
 }
 
+#[test]
+fn yielding_request_starts_though_a_larger_one_before_it_finds_no_room() {
+    // Guards against a place that stays free: the look of the larger request began the wait anew.
+    let mut timer = YieldTimer::default();
+    let looks = [(0, false, false), (1, true, true), (20, false, false), (22, true, true)];
+
+    let steps = looks
+        .map(|(at, must_yield, has_room)| timer.judge(must_yield, has_room, Moment(10_000 + at)));
+
+    assert_eq!(steps[1], TurnStep::Yield);
+    assert_eq!(steps[3], TurnStep::Start);
+}
+
 #[test]
 fn customer_that_asks_for_more_uses_what_others_leave_at_all_daemons() {
     let (asked, served) = play(8, 5.0, 250.0, true);
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -41,6 +41,9 @@
 
 /// Maximum size of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Range of stated paces at which an engine's speed is learnt, as factors of the usual time.
+const MIN_USUAL_PACE: f64 = 0.8;
+const MAX_USUAL_PACE: f64 = 1.25;
 /// Timeout for reading a refusal's body, without which its connection can't be reused.
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 20;
 
@@ -612,8 +615,8 @@
     }
 
     /// Updates the engines' prefill rate from a prompt that was sent to an idle engine and fetches
-    /// no parts, so that its time to the first event was spent on reading the prompt. The pace that
-    /// the engine stated meanwhile is no property of it, and is divided out.
+    /// no parts, so that its time to the first event was spent on reading the prompt. Nothing is
+    /// learnt while the engine states another pace than the usual one: that is no property of it.
     fn note_prefill_time(&self, sent: Moment, was_idle: bool) {
         let has_no_fetch =
             self.plan.send.engine.as_ref().is_some_and(|orders| orders.fetch_until_ms.is_none());
@@ -625,12 +628,12 @@
         let elapsed = now.millis_since(sent);
         let mut reports = self.context.reports.borrow_mut();
         let is_plausible = reports.note_read(&send.upstream, elapsed, load.service_ms, now);
-        if !was_idle || !is_plausible {
+        let is_usual = |pace: f64| (MIN_USUAL_PACE..=MAX_USUAL_PACE).contains(&pace);
+        let is_usual = is_usual(*pace) && is_usual(reports.pace(&send.upstream, now));
+        if !was_idle || !is_plausible || !is_usual {
             return;
         }
-        let pace = (pace + reports.pace(&send.upstream, now)) / 2.0;
-        let usual = (elapsed as f64 / pace) as u64;
-        let measured_rate = self.context.prefill.borrow_mut().note(load.prompt.0, usual);
+        let measured_rate = self.context.prefill.borrow_mut().note(load.prompt.0, elapsed);
         if let Some(rate) = measured_rate {
             let speed = EngineSpeed { engine: send.upstream.clone(), rate };
             self.context.speeds.borrow_mut().note_own(speed, now);
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -111,9 +111,16 @@
     }
 }
 
-/// Whether the request may have to wait for room: it is a plain call, or its prompt is long.
+/// Whether the request may have to wait for room: it is a call to a plain service, or its prompt is
+/// long. What a request without a prompt uses of an engine is not known, so it does not wait.
 pub fn needs_room(input: PlanInput<'_>) -> bool {
-    engine_prompt(input).is_none_or(|(traits, prompt)| is_long(prompt, traits))
+    let service = input.config.service(input.service);
+    let traits = service.and_then(|service| service.engine.as_ref());
+    match (traits, &input.request.prompt) {
+        (Some(traits), Some(prompt)) => is_long(prompt, traits),
+        (Some(_), None) => false,
+        (None, _) => true,
+    }
 }
 
 /// What the request uses of its service: tokens of memory for a prompt, milliseconds for a call.
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -103,6 +103,9 @@
             if let Some(result) = self.forward(resume_after, &mut fallback).await {
                 return result;
             }
+            if !self.reserve_turned_away_retry().await {
+                return unanswered(fallback, false);
+            }
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => {
@@ -119,9 +122,6 @@
                 }
             };
             if !self.spend_retry() {
-                if self.wait_for_retry().await {
-                    continue;
-                }
                 return unanswered(fallback, false);
             }
             self.charge_customer();
@@ -150,8 +150,10 @@
                 AttemptOutcome::TurnedAway => {
                     self.note_refusal();
                     self.is_turned_away = true;
-                    // It can be asked again once it has room.
-                    self.record.tried.pop();
+                    if self.record.runs == 0 {
+                        // It can be asked again once it has room.
+                        self.record.tried.pop();
+                    }
                 }
                 AttemptOutcome::OtherWeights => {
                     self.note_refusal();
@@ -233,7 +235,7 @@
         } else {
             self.record.reached == 0
         };
-        let may_queue = resume_after.is_none() && is_unused;
+        let may_queue = resume_after.is_none() && is_unused && needs_room(self.plan_input());
         let has_turn = std::mem::take(&mut self.has_turn);
         if may_queue && !has_turn && (self.is_behind_others() || self.must_yield()) {
             return PlanStep::Crowded;
@@ -243,7 +245,7 @@
 
     /// Whether others wait for the room that the request needs.
     fn is_behind_others(&self) -> bool {
-        !self.context.queues.borrow().is_empty(&self.service) && needs_room(self.plan_input())
+        !self.context.queues.borrow().is_empty(&self.service)
     }
 
     /// Whether the request leaves the room to others that wait at other daemons.
@@ -253,7 +255,7 @@
         let must_yield = |ledger: &CustomerLedger| {
             ledger.must_yield(request.customer_id(), request.priority(), now)
         };
-        ledgers.get(&self.service).is_some_and(must_yield) && needs_room(self.plan_input())
+        ledgers.get(&self.service).is_some_and(must_yield)
     }
 
     /// When the first attempt of the request's caller arrived.
@@ -267,20 +269,21 @@
         Deadline::after(request.arrived, request.route.objective_ms).earlier(request.deadline)
     }
 
-    /// Waits until a request that instances turned away, and that has not run, may be sent again.
-    /// Returns false if it may not in time.
-    async fn wait_for_retry(&mut self) -> bool {
-        if !self.is_turned_away || self.record.runs > 0 {
-            return false;
+    /// Takes the next attempt of a request that instances turned away, and that has not run, from the
+    /// retry budget before it waits for room; waits for the budget if it is exhausted. Returns false if
+    /// it may not be sent again in time.
+    async fn reserve_turned_away_retry(&mut self) -> bool {
+        if !self.is_turned_away || self.record.runs > 0 || self.is_retry_reserved {
+            return true;
         }
-        while !self.wait_limit().passed(Moment::now()) {
-            sleep(poll_interval()).await;
-            if self.spend_retry() {
-                self.is_retry_reserved = true;
-                return true;
+        while !self.spend_retry() {
+            if self.wait_limit().passed(Moment::now()) {
+                return false;
             }
+            sleep(poll_interval()).await;
         }
-        false
+        self.is_retry_reserved = true;
+        true
     }
 
     /// Queues the request until an upstream has room for it. Returns false if it is refused: it has
