feat: logs tell by which record, roster and rank a request was sent

G8001 and G8010 name the record by which the upstream is listed, empty if its entry lapsed. G8023 tells roster, rank and requests in flight of each send under a share. Pages of the list carry the digest of the list that they were taken from, and G8111 says when a copy did not lead to it: a record that was skipped left no trace before.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -25,11 +25,13 @@
     REACH_LOST "G8020" "this daemon reaches no upstream";
     REACH_REGAINED "G8021" "this daemon reaches upstreams again";
     FORWARDED "G8022" "request forwarded to a daemon that reaches upstreams";
+    SHARED_SEND "G8023" "a request was sent under this daemon's share of an upstream";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
     COPY_REFUSED "G8109" "a copy that a peer gave was refused";
     LIST_COPIED "G8110" "the list of upstreams was copied from peers";
+    LIST_DIVERGED "G8111" "the list of upstreams differs from the peer's that it was copied from";
     CONFIG_APPLIED "G8104" "a configuration is in force";
     CONFIG_IGNORED "G8105" "an older configuration was ignored";
     VERSION_PUBLISHED "G8106" "new weights were published, or at another moment than was known";
--- a/crates/guava-serve/src/members/list_copy.rs
+++ b/crates/guava-serve/src/members/list_copy.rs
@@ -45,6 +45,8 @@
     pub position: ListRevision,
     /// Moment as of which the list was confirmed, on this daemon's clock.
     pub as_of: Moment,
+    /// Digest of the peer's list when it gave the last page; `None` from builds that don't state it.
+    pub digest: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -92,6 +94,9 @@
     /// Number of entries, so that a truncated page is not taken for a short one.
     #[prost(uint64, tag = "6")]
     count: u64,
+    /// Digest of the list that the page was taken from.
+    #[prost(fixed64, optional, tag = "8")]
+    digest: Option<u64>,
 }
 
 /// Indices of the names in a page.
@@ -170,6 +175,7 @@
         names: names.names,
         position: upstreams.list_position().0,
         age_ms,
+        digest: Some(upstreams.digest()),
     };
     let bytes = page.encode_to_vec();
     context.copies.borrow_mut().take(ByteCount(bytes.len() as u64));
@@ -346,6 +352,7 @@
     // The pages are no snapshot: what is certain is what the earliest of them contained.
     copy.position = copy.position.min(position);
     copy.as_of = copy.as_of.min(as_of);
+    copy.digest = page.digest;
     copy.changes.extend(changes);
     Ok(())
 }
--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -82,6 +82,7 @@
 /// Applies a copy, which counts as a read at the moment as of which the peer had it confirmed.
 pub fn apply_copy(context: &ServeContext, copy: ListCopy) {
     let now = Moment::now();
+    let (expected, position) = (copy.digest, copy.position);
     context.upstreams.borrow_mut().note_copied();
     if copy.is_whole {
         let entry = |change| match change {
@@ -99,6 +100,14 @@
     }
     let digest = context.upstreams.borrow().digest();
     context.reads.borrow_mut().list.note_own(digest, copy.as_of);
+    if expected.is_some_and(|expected| expected != digest) {
+        log_event!(
+            info,
+            events::LIST_DIVERGED,
+            position = position,
+            upstreams = context.upstreams.borrow().count()
+        );
+    }
 }
 
 /// Applies the whole list as of a position. The entries of the first one are not logged one by one.
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -161,6 +161,8 @@
     let now = Moment::now();
     let left_ms = request.deadline.millis_left(now);
     let list_age_ms = input.context.list_age_ms(now).unwrap_or_default();
+    let revision = input.context.upstreams.borrow().revision(&plan.send.upstream);
+    let revision = revision.map(|revision| revision.to_string()).unwrap_or_default();
     let load = plan.report.map(|report| report.load.to_string()).unwrap_or_default();
     let load_age_ms = plan.report.map_or(0, |report| now.millis_since(report.received));
     let use_kind = if plan.report.is_some() { "used" } else { "none" };
@@ -177,6 +179,7 @@
             upstream = plan.send.upstream,
             left_ms = left_ms,
             list_age_ms = list_age_ms,
+            revision = revision,
             objective_ms = request.route.objective_ms,
             load = load,
             load_age_ms = load_age_ms,
@@ -198,6 +201,7 @@
             saves = instructions.save.iter().flatten().count(),
             left_ms = left_ms,
             list_age_ms = list_age_ms,
+            revision = revision,
             objective_ms = request.route.objective_ms,
             load = load,
             load_age_ms = load_age_ms,
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -5,6 +5,7 @@
 //! checked twice: when an upstream is chosen, and right before the send. Connecting takes time in which
 //! a data centre may be drained, a share used up, or another answer may carry a new announcement.
 
+use crate::events;
 use crate::members::member_table::MemberTable;
 use crate::metrics::LimitLevel;
 use crate::serve_config::ServiceRule;
@@ -13,6 +14,7 @@
 use crate::upstreams::drain_table::DrainTable;
 use crate::upstreams::service_rings::RingPosition;
 use crate::upstreams::upstream_table::UpstreamEntry;
+use guava_log::log_event;
 use guava_policy::{
     AnnouncementTable, CloseReason, ClosedUpstream, ColdRule, LimitNotice, SendLedger, SendShare,
     announcement_gate, cold_share, limit_share, share_gate, slot_share,
@@ -180,6 +182,31 @@
     };
     if state.is_open() {
         note_send(context, upstream, now);
+        log_share(context, upstream, state);
     }
     state
 }
+
+/// Logs by which roster and rank this daemon sends to an upstream that all daemons share.
+fn log_share(context: &ServeContext, upstream: &UpstreamId, state: GateState) {
+    let announcements = context.announcements.borrow();
+    let limit = announcements.limit(upstream);
+    let reason = match (limit, state) {
+        (Some(_), _) => CloseReason::Limit,
+        (None, GateState::Cold) => CloseReason::Cold,
+        (None, _) if announcements.is_brittle(upstream) => CloseReason::Brittle,
+        (None, _) => return,
+    };
+    let members = context.members.borrow();
+    let rank = members.sender_rank(&context.identity.name, upstream.name());
+    log_event!(
+        info,
+        events::SHARED_SEND,
+        upstream = upstream,
+        reason = reason,
+        limit = limit.map(|limit| limit.to_string()).unwrap_or_default(),
+        daemons = members.count(),
+        rank = rank.map(|rank| rank.to_string()).unwrap_or_default(),
+        in_flight = context.sends.borrow().in_flight(upstream)
+    );
+}
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -480,6 +480,13 @@
         self.listed.get(id).is_some_and(|listed| !listed.entry.is_leaving)
     }
 
+    /// Position of the record by which an upstream may be used; `None` if it is not listed, or its
+    /// entry lapsed.
+    pub fn revision(&self, id: &UpstreamId) -> Option<ListRevision> {
+        let listed = self.listed.get(id).filter(|listed| listed.removal_due.is_none());
+        listed.map(|listed| listed.entry.revision)
+    }
+
     /// Entry of an upstream; `None` if it is not listed.
     pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
         self.listed.get(id).map(|listed| &listed.entry)
