fix: what the list contains and what a daemon keeps in use are apart

Cause: a removal that a daemon read within two seconds after what it took for an outage was held to be a lapse, whether one upstream was gone or all. The entry stayed in the list: usable for two seconds more, in the digest, untold to peers, and dropped by a timer that told all others so. An equal digest then made other daemons take over a position whose records they lacked. Class: a guess on why a record says what it says is kept as if it were the record.

Change: a removed entry leaves list, digest, history and copies at once, and peers are told. Whether this daemon still sends there is decided apart: only right after an outage, and only while the removed upstreams outnumber the listed ones, which those that leave never do. An outage is a gap in the known reads of all daemons, so peers that learn of lapses by message decide alike.

--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -124,7 +124,12 @@
     let now = Moment::now();
     let mut reads = context.reads.borrow_mut();
     reads.list.note_available(Some(now), context.bounds.renewal_ms);
-    if context.upstreams.borrow_mut().note_read(now, reads.list.is_unbroken()) {
+    let was_unavailable = {
+        let mut upstreams = context.upstreams.borrow_mut();
+        reads.list.outage_end().iter().for_each(|ended| upstreams.note_outage_end(*ended, now));
+        upstreams.note_read(now, reads.list.is_unbroken())
+    };
+    if was_unavailable {
         log_event!(info, events::LIST_AVAILABLE, upstreams = context.upstreams.borrow().count());
     }
 }
@@ -132,25 +137,18 @@
 /// Applies a change that was read from the store, and passes it on.
 pub fn apply_read_change(context: &ServeContext, change: ListChange, now: Moment) {
     let effect = apply_change(context, change.clone(), ListSource::Store, now);
-    // A lapsed entry may be listed again; peers that saw no outage would treat it as removed.
-    if !matches!(effect, ListChangeEffect::Same | ListChangeEffect::Lapsed) {
+    if effect != ListChangeEffect::Same {
         context.list_change_gossip.borrow_mut().note(change.clone(), now);
     }
     pass_to_attached(context, change, effect, now);
 }
 
-/// Drops entries that lapsed and were not listed again, and gossips their removal.
+/// Forgets upstreams that were removed from the list and were not listed again.
 pub fn drop_lapsed(context: &ServeContext, now: Moment) {
     let mut upstreams = context.upstreams.borrow_mut();
-    // No record before this daemon's position lists these upstreams again.
-    let revision = ListRevision(upstreams.order().position().0.saturating_sub(1));
-    for id in upstreams.drop_lapsed(now) {
-        log_change(&id, ListChangeEffect::Removed, revision);
-        upstreams.note_removal(&id, revision);
-        let change = ListChange::Removed(id, revision);
-        context.list_change_gossip.borrow_mut().note(change.clone(), now);
-        pass_to_attached(context, change, ListChangeEffect::Removed, now);
-    }
+    let lapsed = upstreams.drop_lapsed(now);
+    let position = upstreams.list_position();
+    lapsed.iter().for_each(|id| log_change(id, ListChangeEffect::Removed, position));
 }
 
 fn log_change(id: &UpstreamId, effect: ListChangeEffect, revision: ListRevision) {
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -501,8 +501,7 @@
     effect: ListChangeEffect,
     now: Moment,
 ) {
-    let is_passed = !matches!(effect, ListChangeEffect::Same | ListChangeEffect::Lapsed);
-    if is_passed && context.members.borrow().has_attached(now) {
+    if effect != ListChangeEffect::Same && context.members.borrow().has_attached(now) {
         context.attached_change_gossip.borrow_mut().note(change, now);
         context.reads_due.notify_one();
     }
@@ -578,7 +577,7 @@
             (id, effect)
         }
     };
-    if effect == ListChangeEffect::Removed {
+    if matches!(effect, ListChangeEffect::Removed | ListChangeEffect::Lapsed) {
         upstreams.note_removal(&id, revision);
     }
     if effect != ListChangeEffect::Same {
@@ -603,6 +602,9 @@
         reads.list.note_from_peer(mark);
     }
     reads.list.note_available(None, context.bounds.renewal_ms);
+    if let Some(ended) = reads.list.outage_end() {
+        context.upstreams.borrow_mut().note_outage_end(ended, Moment::now());
+    }
     if let Some(confirmed) = reads.operator.confirmed() {
         context.config_confirmed.set(confirmed);
     }
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -84,6 +84,8 @@
 struct ReadChain {
     since: Moment,
     last: Moment,
+    /// Whether it follows an earlier one, after a time in which nobody is known to have read.
+    is_resumed: bool,
 }
 
 impl ReadTracker {
@@ -127,6 +129,7 @@
         let Some(freshest) = self.freshest().max(read) else { return };
         if freshest.millis_since(self.chain.last) > MISSED_RENEWALS * renewal_ms {
             self.chain.since = freshest;
+            self.chain.is_resumed = renewal_ms > 0 && self.chain.last != Moment::default();
         }
         self.chain.last = self.chain.last.max(freshest);
     }
@@ -137,6 +140,12 @@
         self.own.is_some_and(|own| self.chain.since <= own.as_of)
     }
 
+    /// When the store was read again after a time in which entries may have lapsed, as far as is known
+    /// here; `None` if there was none.
+    pub fn outage_end(&self) -> Option<Moment> {
+        self.chain.is_resumed.then_some(self.chain.since)
+    }
+
     /// This daemon's last read, to be sent to its peers.
     pub fn own(&self) -> Option<ReadMark> {
         self.own
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -3,6 +3,12 @@
 //! An id identifies one start of one upstream and is never reused. Leaving is final for an id. When
 //! an upstream restarts under its name, the new start replaces the earlier one at once, and late
 //! data about the earlier start is ignored.
+//!
+//! What the list contains is one thing, what this daemon may use another. A removed entry leaves the
+//! list at once: it is in no digest, history or copy. Entries also lapse during an outage of the list,
+//! because upstreams can't renew them, and the record of a lapse is no different from that of an
+//! upstream that left. So for the time in which running upstreams register again after an outage,
+//! removed entries stay in use if they outnumber the listed ones: leaving upstreams are never that many.
 
 use crate::upstreams::list_history::ListHistory;
 use crate::upstreams::list_order::{ListOrder, ListRevision};
@@ -77,11 +83,20 @@
     pub versions: FastMap<ModelName, WeightVersion>,
 }
 
+/// Removal of an entry that may be registered again.
+#[derive(Clone, Copy, Debug)]
+struct EntryRemoval {
+    /// When the upstream is forgotten.
+    due: Deadline,
+    /// Whether the entry was removed right after an outage.
+    is_lapse: bool,
+}
+
 #[derive(Clone, Debug)]
 struct ListedUpstream {
     entry: UpstreamEntry,
-    /// When a missing entry is removed for good; set while it may be registered again.
-    removal_due: Option<Deadline>,
+    /// Set while the entry is removed from the list and the upstream is not forgotten.
+    removal: Option<EntryRemoval>,
     /// When it is expected to have loaded new weights; in the past if it loads none.
     loading_until: Deadline,
     /// Until when it counts as crashed; in the past if it does not.
@@ -111,8 +126,7 @@
     Cold,
     /// It is leaving and takes no new work.
     Leaving,
-    /// Its entry is missing after an outage of the list, and is kept while it may be registered
-    /// again.
+    /// Its entry was removed right after an outage of the list, and may be registered again.
     Lapsed,
     /// It was removed.
     Removed,
@@ -141,8 +155,12 @@
     by_service: FastMap<ServiceName, ServiceRings>,
     /// Sum of the digests of all listed entries.
     digest: u64,
-    /// Upstreams whose entries lapsed; some may have been listed again or removed since.
-    lapsed: Vec<UpstreamId>,
+    /// Upstreams whose entries were removed; some may have been listed again since.
+    removed: Vec<UpstreamId>,
+    /// Number of upstreams whose entries are removed.
+    removed_count: usize,
+    /// Until when entries that lapsed in an outage may be registered again; `None` without an outage.
+    lapse_grace: Option<Deadline>,
     /// Newest known start of each name, kept for a while after it is removed.
     newest: FastMap<Box<str>, UpstreamId>,
     /// Services that the configuration names; `None` until a configuration is applied.
@@ -156,7 +174,6 @@
     has_failed_read: bool,
     /// Whether the list has neither been read nor copied since a read of it failed.
     is_unavailable: bool,
-    available_since: Moment,
     order: ListOrder,
 }
 
@@ -218,11 +235,29 @@
         let was_unavailable = std::mem::replace(&mut self.has_failed_read, false);
         self.is_unavailable = false;
         if was_unavailable && was_known && !was_available {
-            self.available_since = now;
+            self.lapse_grace = Some(Deadline::after(now, LAPSE_GRACE_MS));
         }
         was_unavailable
     }
 
+    /// Notes that no daemon read the list for so long before this moment that entries may have lapsed.
+    /// A daemon that did not know the list before has none that could have.
+    pub fn note_outage_end(&mut self, ended: Moment, now: Moment) {
+        let grace = Deadline::after(ended, LAPSE_GRACE_MS);
+        if self.is_known && !grace.passed(now) {
+            self.lapse_grace = self.lapse_grace.max(Some(grace));
+        }
+    }
+
+    /// Whether upstreams that were removed from the list are still used.
+    fn are_removed_used(&self) -> bool {
+        self.lapse_grace.is_some() && self.removed_count > self.count()
+    }
+
+    fn is_in_use(&self, listed: &ListedUpstream) -> bool {
+        listed.removal.is_none() || self.are_removed_used()
+    }
+
     /// Notes that the list was copied from a peer. It does not end an outage: the peer may have seen
     /// none, and what it removed has not lapsed.
     pub fn note_copied(&mut self) {
@@ -274,7 +309,7 @@
                 self.digest = self.digest.wrapping_add(entry_digest(&entry));
                 let listed = ListedUpstream {
                     entry,
-                    removal_due: None,
+                    removal: None,
                     loading_until: Deadline::default(),
                     crashed_until: Deadline::default(),
                     refused: None,
@@ -283,10 +318,14 @@
                 if is_restart { ListChangeEffect::Restarted } else { ListChangeEffect::Added }
             }
             Some(listed) => {
-                listed.removal_due = None;
-                self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
+                let was_removed = listed.removal.take().is_some();
+                if was_removed {
+                    self.removed_count -= 1;
+                } else {
+                    self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
+                    self.history.forget_entry(&entry.id, listed.entry.revision);
+                }
                 let was_leaving = listed.entry.is_leaving;
-                self.history.forget_entry(&entry.id, listed.entry.revision);
                 self.history.note_entry(&entry.id, entry.revision);
                 let versions = newest_versions(&listed.entry.versions, &entry.versions);
                 let has_new_versions = listed.entry.versions != entry.versions;
@@ -301,33 +340,36 @@
                 // Leaving is final: an older copy of the entry must not make it eligible again.
                 listed.entry.is_leaving |= was_leaving;
                 self.digest = self.digest.wrapping_add(entry_digest(&listed.entry));
-                match (is_change, has_new_versions, is_colder) {
-                    (true, ..) => ListChangeEffect::Leaving,
-                    (false, true, _) => ListChangeEffect::Weights,
-                    (false, false, true) => ListChangeEffect::Cold,
-                    (false, false, false) => ListChangeEffect::Same,
+                match (was_removed, is_change, has_new_versions, is_colder) {
+                    (true, ..) => ListChangeEffect::Added,
+                    (false, true, ..) => ListChangeEffect::Leaving,
+                    (false, false, true, _) => ListChangeEffect::Weights,
+                    (false, false, false, true) => ListChangeEffect::Cold,
+                    (false, false, false, false) => ListChangeEffect::Same,
                 }
             }
         }
     }
 
-    /// Applies the removal of an entry from the list.
-    ///
-    /// Entries lapse during an outage of the list, since upstreams can't renew them. If all were
-    /// dropped at once, every request would be refused although all upstreams serve. So after an
-    /// outage a removed entry stays valid for the time in which running upstreams register again.
+    /// Applies the removal of an entry from the list. Unless it was leaving, the upstream is kept for
+    /// the time in which it may register again.
     pub fn note_removed(&mut self, id: &UpstreamId, now: Moment) -> ListChangeEffect {
         let Some(listed) = self.listed.get_mut(id) else { return ListChangeEffect::Same };
-        let grace = Deadline::after(self.available_since, LAPSE_GRACE_MS);
-        let may_return = !listed.entry.is_leaving && self.is_known && !grace.passed(now);
-        if may_return && self.available_since != Moment::default() {
-            if listed.removal_due.replace(grace).is_none() {
-                self.lapsed.push(id.clone());
-            }
-            return ListChangeEffect::Lapsed;
+        if listed.removal.is_some() {
+            return ListChangeEffect::Same;
         }
-        self.drop_entry(id);
-        ListChangeEffect::Removed
+        if listed.entry.is_leaving || !self.is_known {
+            self.drop_entry(id);
+            return ListChangeEffect::Removed;
+        }
+        let grace = self.lapse_grace.filter(|grace| !grace.passed(now));
+        let due = grace.unwrap_or(Deadline::after(now, LAPSE_GRACE_MS));
+        listed.removal = Some(EntryRemoval { due, is_lapse: grace.is_some() });
+        self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
+        self.history.forget_entry(id, listed.entry.revision);
+        self.removed_count += 1;
+        self.removed.push(id.clone());
+        if grace.is_some() { ListChangeEffect::Lapsed } else { ListChangeEffect::Removed }
     }
 
     /// Applies the complete list as of a revision. Entries missing from it are removed, unless a
@@ -347,7 +389,7 @@
         let missing: Vec<UpstreamId> = self
             .listed
             .iter()
-            .filter(|(id, listed)| listed.removal_due.is_none() && !is_named(id))
+            .filter(|(id, listed)| listed.removal.is_none() && !is_named(id))
             .filter(|(id, _)| !self.order.has_peer_record(id.name()))
             .map(|(id, _)| id.clone())
             .collect();
@@ -372,14 +414,23 @@
         changes
     }
 
-    /// Removes lapsed entries that were not registered again in time, and returns their ids.
+    /// Forgets removed upstreams that were not registered again in time. Returns those whose entries
+    /// were removed right after an outage.
     pub fn drop_lapsed(&mut self, now: Moment) -> Vec<UpstreamId> {
+        self.lapse_grace = self.lapse_grace.filter(|grace| !grace.passed(now));
         let listed = &self.listed;
-        let due = |id: &UpstreamId| listed.get(id).and_then(|listed| listed.removal_due);
-        self.lapsed.retain(|id| due(id).is_some());
-        let is_overdue = |id: &&UpstreamId| due(id).is_some_and(|due| due.passed(now));
-        let overdue: Vec<UpstreamId> = self.lapsed.iter().filter(is_overdue).cloned().collect();
+        let removal = |id: &UpstreamId| listed.get(id).and_then(|listed| listed.removal);
+        self.removed.retain(|id| removal(id).is_some());
+        let is_overdue = |id: &&UpstreamId| removal(id).is_some_and(|it| it.due.passed(now));
+        let mut overdue: Vec<UpstreamId> =
+            self.removed.iter().filter(is_overdue).cloned().collect();
+        let lapsed: FastSet<UpstreamId> = overdue
+            .iter()
+            .filter(|id| removal(id).is_some_and(|it| it.is_lapse))
+            .cloned()
+            .collect();
         overdue.iter().for_each(|id| self.drop_entry(id));
+        overdue.retain(|id| lapsed.contains(id));
         overdue
     }
 
@@ -474,22 +525,22 @@
         self.listed.get(id).is_some_and(|listed| !listed.crashed_until.passed(now))
     }
 
-    /// Whether an upstream is listed and not leaving. To be checked right before each send, since
+    /// Whether an upstream is in use and not leaving. To be checked right before each send, since
     /// it may have started to leave while it was chosen and connected to.
     pub fn may_send(&self, id: &UpstreamId) -> bool {
-        self.listed.get(id).is_some_and(|listed| !listed.entry.is_leaving)
+        self.entry(id).is_some_and(|entry| !entry.is_leaving)
     }
 
-    /// Position of the record by which an upstream may be used; `None` if it is not listed, or its
-    /// entry lapsed.
+    /// Position of the record by which an upstream is listed; `None` if it is not.
     pub fn revision(&self, id: &UpstreamId) -> Option<ListRevision> {
-        let listed = self.listed.get(id).filter(|listed| listed.removal_due.is_none());
+        let listed = self.listed.get(id).filter(|listed| listed.removal.is_none());
         listed.map(|listed| listed.entry.revision)
     }
 
-    /// Entry of an upstream; `None` if it is not listed.
+    /// Entry of an upstream; `None` if it is not in use.
     pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
-        self.listed.get(id).map(|listed| &listed.entry)
+        let listed = self.listed.get(id).filter(|listed| self.is_in_use(listed));
+        listed.map(|listed| &listed.entry)
     }
 
     /// Upstreams of a service that may get new work: those that don't count as crashed, or all that
@@ -502,7 +553,8 @@
     ) -> impl Iterator<Item = &UpstreamEntry> {
         let listed = || {
             let ids = self.by_service.get(service).into_iter().flat_map(ServiceRings::all);
-            ids.filter_map(|id| self.listed.get(id))
+            let listed = ids.filter_map(|id| self.listed.get(id));
+            listed.filter(|listed| self.is_in_use(listed))
         };
         let is_any_usable = listed().any(|listed| listed.is_usable(now));
         listed()
@@ -539,7 +591,9 @@
         now: Moment,
     ) -> impl Iterator<Item = &'a UpstreamEntry> {
         let listed = ids.filter_map(|id| self.listed.get(id));
-        listed.filter(move |listed| listed.is_usable(now)).map(|listed| &listed.entry)
+        listed
+            .filter(move |listed| self.is_in_use(listed) && listed.is_usable(now))
+            .map(|listed| &listed.entry)
     }
 
     /// The upstreams of a service that a daemon uses: all that may get new work, but of a large service
@@ -577,7 +631,7 @@
         self.by_service.iter().any(large)
     }
 
-    /// Number of listed upstreams of a service.
+    /// Number of upstreams of a service, those that were removed and are not forgotten included.
     pub fn service_count(&self, service: &ServiceName) -> usize {
         self.by_service.get(service).map_or(0, ServiceRings::count)
     }
@@ -593,14 +647,14 @@
     }
 
     /// Digest of the listed ids and whether each is leaving; equal on all daemons with the same
-    /// entries, in whatever order these were applied.
+    /// entries, in whatever order these were applied, and whatever removed upstreams they still use.
     pub fn digest(&self) -> u64 {
         self.digest
     }
 
-    /// Number of listed upstreams, including lapsed ones and those of services not configured.
+    /// Number of listed upstreams, including those of services not configured.
     pub fn count(&self) -> usize {
-        self.listed.len()
+        self.listed.len() - self.removed_count
     }
 
     /// Upstreams of the services that the configuration names; all until one is applied.
@@ -608,13 +662,18 @@
         let is_named = |entry: &&UpstreamEntry| {
             self.services.as_ref().is_none_or(|services| services.contains(&entry.service))
         };
-        self.listed.values().map(|listed| &listed.entry).filter(is_named)
+        let used = self.listed.values().filter(|listed| self.is_in_use(listed));
+        used.map(|listed| &listed.entry).filter(is_named)
     }
 
     fn drop_entry(&mut self, id: &UpstreamId) {
         let Some(listed) = self.listed.remove(id) else { return };
-        self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
-        self.history.forget_entry(id, listed.entry.revision);
+        if listed.removal.is_some() {
+            self.removed_count -= 1;
+        } else {
+            self.digest = self.digest.wrapping_sub(entry_digest(&listed.entry));
+            self.history.forget_entry(id, listed.entry.revision);
+        }
         if let Some(rings) = self.by_service.get_mut(&listed.entry.service) {
             rings.remove(id, &listed.entry.data_centre);
         }
--- a/crates/guava-serve/tests/upstream_table.rs
+++ b/crates/guava-serve/tests/upstream_table.rs
@@ -69,6 +69,64 @@
     assert_eq!(serving(&table), ["a"]);
 }
 
+#[test]
+fn removal_of_one_upstream_after_an_outage_is_final() {
+    // Guards against work for an upstream that left, at a daemon that took its own stall for an outage.
+    let mut table = table();
+    table.note_entry(upstream("c", "app"));
+    table.note_unavailable();
+    table.note_read(Moment(20_000), false);
+
+    table.note_removed(&id("a"), Moment(20_001));
+
+    assert!(!table.may_send(&id("a")));
+    assert_eq!(serving(&table), ["b", "c"]);
+}
+
+#[test]
+fn lapsed_entries_are_used_only_while_they_outnumber_the_listed_ones() {
+    let mut table = table();
+    table.note_entry(upstream("c", "app"));
+    table.note_unavailable();
+    table.note_read(Moment(20_000), false);
+    for name in ["a", "b", "c"] {
+        table.note_removed(&id(name), Moment(20_001));
+    }
+    let while_all_lapsed = serving(&table);
+
+    table.note_entry(upstream("a", "app"));
+    let with_one_listed = serving(&table);
+    table.note_entry(upstream("b", "app"));
+
+    assert_eq!(while_all_lapsed, ["a", "b", "c"]);
+    assert_eq!(with_one_listed, ["a", "b", "c"]);
+    assert_eq!(serving(&table), ["a", "b"]);
+    assert!(!table.may_send(&id("c")));
+}
+
+#[test]
+fn digest_of_the_list_does_not_depend_on_what_a_daemon_keeps_in_use() {
+    // Guards against a daemon that takes a peer's position for its own though it lacks records.
+    let mut table = table();
+    let empty = UpstreamTable::default().digest();
+    let complete = table.digest();
+    table.note_unavailable();
+    table.note_read(Moment(20_000), false);
+    for name in ["a", "b"] {
+        table.note_removed(&id(name), Moment(20_001));
+    }
+    let after_lapse = table.digest();
+    let listed_again = table.note_entry(upstream("a", "app"));
+    table.note_entry(upstream("b", "app"));
+
+    table.drop_lapsed(Moment(23_000));
+
+    assert_eq!(after_lapse, empty);
+    assert_eq!(listed_again, ListChangeEffect::Added, "peers are told");
+    assert_eq!(table.digest(), complete);
+    assert_eq!(serving(&table), ["a", "b"]);
+}
+
 #[test]
 fn removal_after_a_daemon_s_own_trouble_is_final() {
     // Guards against work for upstreams that left, at a daemon that alone can't read the store.
