fix: a message's digest and position of the list are of the same moment

Found while the cause of late requests to upstreams that had left (DRAIN) was looked for elsewhere. A mark's state was brought up to date every 120 ms, its position at once. For that long a daemon that had just heard of a removal sent the digest before it with the position after it. A peer with the same digest, to which the removal had not come, took over the position, and neither copies nor reads of its own brought the record then.

Class: two halves of one statement taken at different moments. The state is now taken when the message is composed. The test failed before.

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -61,6 +61,7 @@
 /// Composes the next summary for the peers. It takes the list of sent prompts, so that each is
 /// reported once.
 pub fn compose_message(context: &ServeContext, summary: OwnSummary, now: Moment) -> PeerMessage {
+    note_list_state(context);
     let work = context.work.borrow();
     let shares = work.own_shares().map(|(id, share)| (id.clone(), share)).collect();
     let reads = context.reads.borrow();
@@ -184,6 +185,7 @@
     if rank > STANDBYS {
         return Vec::new();
     }
+    note_list_state(context);
     let reads = context.reads.borrow();
     // The reader sends its marks even if it knows of a later read. Any other daemon reports its reads
     // only within its data centre, so the others would wait for the reader's and then read themselves.
@@ -201,8 +203,7 @@
     member: &MemberDescriptor,
     now: Moment,
 ) -> Vec<PeerMessage> {
-    let digest = context.upstreams.borrow().digest();
-    context.reads.borrow_mut().list.note_state(digest);
+    note_list_state(context);
     let reads = context.reads.borrow();
     let confirmed = |tracker: &ReadTracker| {
         let state = tracker.own()?.state;
@@ -217,6 +218,13 @@
     compose_marks(context, member, (confirmed(&reads.operator), list), listed, now)
 }
 
+/// Brings the state of the list in this daemon's marks up to date. A message carries it with the
+/// position of the list: an older state beside a newer position makes a peer skip the records between.
+fn note_list_state(context: &ServeContext) {
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_state(digest);
+}
+
 /// Messages with read marks of the operator's records and of the list, and the changes that led to
 /// the latter.
 fn compose_marks(
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -696,3 +696,25 @@
     assert_eq!(two.reports.borrow().reported(&id("unknown"), now), None);
     assert_eq!(second_count, 0);
 }
+
+#[test]
+fn position_of_a_mark_is_that_of_its_digest() {
+    // Guards against a daemon that skips a removal: it takes over a position with an older digest.
+    let (one, two) = (serve_context("d1"), serve_context("d2"));
+    for context in [&one, &two] {
+        apply_change(context, engine_record(1, 10), ListSource::Store, NOW);
+        context.upstreams.borrow_mut().order().note_position(ListRevision(11));
+        let digest = context.upstreams.borrow().digest();
+        context.reads.borrow_mut().list.note_own(digest, NOW);
+    }
+    let removed = ListChange::Removed(id("e"), ListRevision(12));
+    apply_change(&one, removed, ListSource::Peer(&"d3".parse().unwrap()), NOW);
+    let digest = one.upstreams.borrow().digest();
+    one.upstreams.borrow_mut().note_peer_position(digest, ListRevision(13));
+
+    let message = compose_message(&one, news("d1"), NOW);
+    deliver(&message, &two);
+
+    assert_eq!(message.list.unwrap().state, digest);
+    assert_eq!(two.upstreams.borrow().list_position(), ListRevision(11));
+}
