fix: a list that copies of changes don't bring up to date is obtained whole

Found while the cause of late requests to upstreams that had left (DRAIN) was looked for elsewhere: whatever makes a daemon skip a record, nothing ever noticed.

Pages of the list carry the digest of the peer's list. A copy of changes that does not lead to it confirms nothing and moves no position; after two in a row the daemon obtains the whole list, from a peer or the store. Two, since either daemon may know a later change for a moment.

--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -55,9 +55,7 @@
 /// Copies from a peer what this daemon lacks of the list. Returns the position up to which it then has
 /// all records; `None` if no peer gave them in time.
 pub async fn copy_missing(context: &ServeContext, deadline: Deadline) -> Option<ListRevision> {
-    let is_known = context.reads.borrow().list.own().is_some();
-    let since = context.upstreams.borrow().list_position();
-    let range = if is_known { CopyRange::Since(since) } else { CopyRange::Whole };
+    let range = copy_range(context);
     let teller = context.list_teller.take();
     let sources = context.members.borrow().list_sources(rand::random(), Moment::now());
     let sources = teller.into_iter().chain(sources).collect();
@@ -79,10 +77,21 @@
     Some(context.upstreams.borrow().list_position())
 }
 
-/// Applies a copy, which counts as a read at the moment as of which the peer had it confirmed.
+/// The part of the list that this daemon lacks.
+fn copy_range(context: &ServeContext) -> CopyRange {
+    let upstreams = context.upstreams.borrow();
+    let is_known = context.reads.borrow().list.own().is_some();
+    if is_known && !upstreams.is_diverged() {
+        CopyRange::Since(upstreams.list_position())
+    } else {
+        CopyRange::Whole
+    }
+}
+
+/// Applies a copy. It counts as a read at the moment as of which the peer had it confirmed, unless it
+/// contains changes only and these do not lead to the peer's list.
 pub fn apply_copy(context: &ServeContext, copy: ListCopy) {
     let now = Moment::now();
-    let (expected, position) = (copy.digest, copy.position);
     context.upstreams.borrow_mut().note_copied();
     if copy.is_whole {
         let entry = |change| match change {
@@ -96,18 +105,22 @@
             let effect = apply_change(context, change.clone(), ListSource::Copy, now);
             pass_to_attached(context, change, effect, now);
         }
-        context.upstreams.borrow_mut().note_synced(copy.position);
+        let mut upstreams = context.upstreams.borrow_mut();
+        let is_same = copy.digest.is_none_or(|digest| digest == upstreams.digest());
+        upstreams.note_copy_result(is_same);
+        if !is_same {
+            log_event!(
+                info,
+                events::LIST_DIVERGED,
+                position = copy.position,
+                upstreams = upstreams.count()
+            );
+            return;
+        }
+        upstreams.note_synced(copy.position);
     }
     let digest = context.upstreams.borrow().digest();
     context.reads.borrow_mut().list.note_own(digest, copy.as_of);
-    if expected.is_some_and(|expected| expected != digest) {
-        log_event!(
-            info,
-            events::LIST_DIVERGED,
-            position = position,
-            upstreams = context.upstreams.borrow().count()
-        );
-    }
 }
 
 /// Applies the whole list as of a position. The entries of the first one are not logged one by one.
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -44,6 +44,10 @@
 /// subset that a daemon uses.
 pub const MAX_CANDIDATES: usize = 192;
 
+/// Copies of changes after which this daemon's list still differed from the peer's before it obtains
+/// the whole list. One may differ because either daemon knows a later change.
+const MAX_DIVERGED_COPIES: u32 = 2;
+
 /// Names whose newest start is kept beyond the number of listed upstreams. Late messages arrive
 /// within seconds, in which no deployment replaces this many upstreams.
 const MAX_UNLISTED_NAMES: usize = 4_096;
@@ -175,6 +179,8 @@
     /// Whether the list has neither been read nor copied since a read of it failed.
     is_unavailable: bool,
     order: ListOrder,
+    /// Copies of changes in a row that did not lead to the peer's list.
+    diverged_copies: u32,
 }
 
 impl UpstreamTable {
@@ -258,6 +264,17 @@
         listed.removal.is_none() || self.are_removed_used()
     }
 
+    /// Notes whether a copy of changes led to the list of the peer that gave it.
+    pub fn note_copy_result(&mut self, is_same: bool) {
+        self.diverged_copies = if is_same { 0 } else { self.diverged_copies + 1 };
+    }
+
+    /// Whether this daemon lacks a record that copies of later changes do not bring, so that the whole
+    /// list is to be obtained.
+    pub fn is_diverged(&self) -> bool {
+        self.diverged_copies >= MAX_DIVERGED_COPIES
+    }
+
     /// Notes that the list was copied from a peer. It does not end an outage: the peer may have seen
     /// none, and what it removed has not lapsed.
     pub fn note_copied(&mut self) {
@@ -381,6 +398,7 @@
         now: Moment,
     ) -> Vec<(UpstreamId, ListChangeEffect)> {
         self.order.note_position(end);
+        self.diverged_copies = 0;
         // What is missing was removed by records that this daemon does not know.
         self.history.forget_removals(end);
         // By name, not by id: an entry of another start either replaces this one or is older.
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -6,16 +6,17 @@
 
 use bytes::Bytes;
 use guava_serve::{
-    CONFIG_PATH, CoreRecord, ListChange, ListChangeEffect, ListRevision, MAX_LOCAL_CORE,
+    CONFIG_PATH, CoreRecord, ListChange, ListChangeEffect, ListCopy, ListRevision, MAX_LOCAL_CORE,
     MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole, ReadMark,
     SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget, UpstreamEntry,
-    UpstreamTable, apply_message, changes_since, compose_attached_reads, compose_config,
-    compose_message, compose_page, entries_since, pass_to_attached, registration_pause, sync_step,
+    UpstreamTable, apply_copy, apply_message, changes_since, compose_attached_reads,
+    compose_config, compose_message, compose_page, entries_since, pass_to_attached,
+    registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
 use http::{HeaderValue, StatusCode};
 use std::net::SocketAddr;
-use support::{address, engine, news, note, serve_context};
+use support::{address, engine, news, note, serve_context, upstream};
 use yare::parameterized;
 
 const CENTRES: [&str; 5] = ["east", "west", "south", "north", "middle"];
@@ -384,6 +385,40 @@
     assert_eq!(members.peer_addresses(true).len(), SPARSE_LOCAL_CORE);
 }
 
+/// Changes that a peer gave as of now, with the digest of its list.
+fn changes_of(peer: &ServeContext, changes: Vec<ListChange>) -> ListCopy {
+    let digest = Some(peer.upstreams.borrow().digest());
+    let (position, as_of) = (ListRevision(20), Moment::now());
+    ListCopy { changes, is_whole: false, position, as_of, digest }
+}
+
+#[test]
+fn copies_that_do_not_lead_to_the_peers_list_are_followed_by_the_whole_list() {
+    // Guards against an upstream that is used for good though its removal was skipped.
+    let (context, peer) = (serve_context("d1"), serve_context("d2"));
+    for name in ["a", "b"] {
+        context.upstreams.borrow_mut().note_entry(upstream(name, "app"));
+    }
+    peer.upstreams.borrow_mut().note_entry(upstream("a", "app"));
+    apply_copy(&context, changes_of(&peer, Vec::new()));
+    let after_one = context.upstreams.borrow().is_diverged();
+    apply_copy(&context, changes_of(&peer, Vec::new()));
+    let after_two = context.upstreams.borrow().is_diverged();
+    let is_confirmed = context.reads.borrow().list.own().is_some();
+    let position = context.upstreams.borrow().list_position();
+
+    let entries = vec![ListChange::Entry(upstream("a", "app"))];
+    apply_copy(&context, ListCopy { is_whole: true, ..changes_of(&peer, entries) });
+
+    assert_eq!((after_one, after_two), (false, true));
+    assert!(
+        !is_confirmed && position == ListRevision(0),
+        "the record that is lacking is not skipped"
+    );
+    assert!(!context.upstreams.borrow().is_diverged());
+    assert_eq!(context.upstreams.borrow().digest(), peer.upstreams.borrow().digest());
+}
+
 /// A daemon that knows much or little of the list, as the newest mark shows.
 fn sync_input(rank: usize, gap: u64, waited_ms: u64) -> SyncInput {
     SyncInput {
