fix: a request is not sent by a list that others have read since

Found while the cause of late requests to upstreams that had left (DRAIN) was looked for elsewhere. A daemon whose own last read of the list had failed took that for an outage of the store: it sent by its old list without waiting, though marks of its peers showed that they had read a newer one. Class: a daemon's own trouble is taken for the store's.

Now the wait is left out only while no daemon is known to have read the list within the time for changes, and a request whose list is still too old after the wait is refused as not run (not-ready) instead of sent. The test failed before: the request was sent.

--- a/crates/guava-policy/src/announcement_gate.rs
+++ b/crates/guava-policy/src/announcement_gate.rs
@@ -11,6 +11,8 @@
 pub enum CloseReason {
     /// It is no longer listed as serving.
     Left,
+    /// The list may miss that it is leaving.
+    Unconfirmed,
     /// It has announced that it is leaving.
     Leaving,
     /// It asked this daemon for a back-off, which has not ended.
@@ -32,6 +34,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Left => "left",
+            Self::Unconfirmed => "unconfirmed",
             Self::Leaving => "leaving",
             Self::BackOff => "rest",
             Self::Limit => "limit",
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -288,7 +288,10 @@
         let mut work = WorkGuard::begin(self.context, self.plan);
         let Some(mut connection) = self.connect().await else { return AttemptOutcome::NotSent };
         // The upstream may have been removed from the list while the connection was opened.
-        await_fresh_list(self.context).await;
+        if !await_fresh_list(self.context).await {
+            self.note_closed(connection, CloseReason::Unconfirmed);
+            return AttemptOutcome::Closed;
+        }
         let gate = pass_gate(self.context, &self.plan.service, &send.upstream, Moment::now());
         if let GateState::Closed(closed) = gate {
             self.note_closed(connection, closed.reason);
--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -3,8 +3,9 @@
 //! A daemon that was suspended for a while resumes with requests in its sockets and with outdated
 //! upstreams and configuration. Its reads are due and take some milliseconds. Requests served before
 //! them would go to upstreams that have left, or by removed keys and routes, so requests wait for these
-//! reads for a bounded time. They don't wait while the platform's store is known to be unavailable: then
-//! no daemon can learn of a change.
+//! reads for a bounded time, and are not sent if the list is still stale then. They don't wait while the
+//! platform's store is unavailable to all daemons: then none can learn of a change. That this daemon's
+//! own reads fail does not show it.
 
 use crate::members::shared_reads::ReadTracker;
 use crate::serve_context::ServeContext;
@@ -29,9 +30,15 @@
 }
 
 fn is_list_stale(context: &ServeContext) -> bool {
-    let is_stale =
-        is_stale(&context.reads.borrow().list, context.bounds.leave_limit_ms, Moment::now());
-    is_stale && !context.upstreams.borrow().is_unavailable()
+    let (limit_ms, now) = (context.bounds.leave_limit_ms, Moment::now());
+    let list = &context.reads.borrow().list;
+    is_stale(list, limit_ms, now) && !is_list_away(context, list, limit_ms, now)
+}
+
+/// Whether no daemon can read the list, as far as is known here.
+fn is_list_away(context: &ServeContext, list: &ReadTracker, limit_ms: u64, now: Moment) -> bool {
+    let is_recent = |read: Moment| now.millis_since(read) <= limit_ms;
+    context.upstreams.borrow().is_unavailable() && !list.freshest().is_some_and(is_recent)
 }
 
 fn is_config_stale(context: &ServeContext) -> bool {
@@ -40,9 +47,10 @@
     is_stale && !context.is_operator_unavailable.get()
 }
 
-/// Waits until the list of upstreams is fresh enough for a send, at most `MAX_HOLD_MS`.
-pub async fn await_fresh_list(context: &ServeContext) {
-    hold_while(|| is_list_stale(context)).await;
+/// Waits until the list of upstreams is fresh enough for a send, at most `MAX_HOLD_MS`; returns whether
+/// it is.
+pub async fn await_fresh_list(context: &ServeContext) -> bool {
+    hold_while(|| is_list_stale(context)).await
 }
 
 /// Waits until the configuration is fresh enough for admission, at most `MAX_HOLD_MS`.
@@ -50,12 +58,13 @@
     hold_while(|| is_config_stale(context)).await;
 }
 
-async fn hold_while(is_stale: impl Fn() -> bool) {
-    if !is_stale() {
-        return;
-    }
+async fn hold_while(is_stale: impl Fn() -> bool) -> bool {
     let deadline = Deadline::in_millis(MAX_HOLD_MS);
-    while is_stale() && !deadline.passed(Moment::now()) {
+    while is_stale() {
+        if deadline.passed(Moment::now()) {
+            return false;
+        }
         sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
     }
+    true
 }
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -25,7 +25,8 @@
     TooLate,
     /// This daemon holds too many bytes of request bodies.
     Overloaded,
-    /// The daemon has no configuration yet, or none recent enough to reject a route or key by.
+    /// The daemon has no configuration yet, or none recent enough to reject a route or key by, or no
+    /// list of upstreams recent enough to send by.
     NotReady,
     /// It is quarantined, as it was in flight at several crashes of upstreams.
     Quarantined,
@@ -118,6 +119,8 @@
     pub refusals: u32,
     /// Whether an engine refused it for weights whose publication was not known here yet.
     pub lacks_weights: bool,
+    /// Whether the list of upstreams was too old for a send.
+    pub is_list_stale: bool,
     /// How it was refused from the queue of its service, if it was.
     pub shed: Option<QueueRefusal>,
     /// Whether no daemon that it could be forwarded to reaches an upstream.
@@ -136,6 +139,8 @@
             RefusalReason::Quarantined
         } else if self.is_out_of_reach {
             RefusalReason::NoReach
+        } else if self.is_list_stale {
+            RefusalReason::NotReady
         } else if self.shed.is_some() {
             RefusalReason::Crowded
         } else if self.refusals > 0 {
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -87,12 +87,12 @@
     pub async fn send(&mut self, resume_after: Option<&str>) -> SendResult {
         let mut fallback: Option<CompleteAnswer> = None;
         loop {
-            await_fresh_list(&self.context).await;
+            self.record.is_list_stale = !await_fresh_list(&self.context).await;
             let now = Moment::now();
             if self.request.deadline.passed(now) {
                 return unanswered(fallback, true);
             }
-            if !self.may_attempt() {
+            if self.record.is_list_stale || !self.may_attempt() {
                 return unanswered(fallback, false);
             }
             // Looked up before each attempt, as other daemons may have reported crashes meanwhile.
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -8,7 +8,7 @@
 use guava_policy::{CustomerLedger, QueueEntry, QueueTicket, WaitingUse};
 use guava_serve::{
     AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ExpectedLoad, ListenerPhase,
-    PublicationSource, RefusalReason, RepeatRule, RouteRule, ServeContext, ServeOutcome,
+    PublicationSource, ReadMark, RefusalReason, RepeatRule, RouteRule, ServeContext, ServeOutcome,
     UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request, first_attempt,
     open_listener, serve_listener, serve_request,
 };
@@ -863,6 +863,44 @@
     assert_eq!(left.requests().len(), 0);
 }
 
+/// Serves a call at a daemon whose last read of the list failed and whose list was confirmed long
+/// ago, when a peer last read another list.
+fn serve_by_an_old_list(peer_read_ms: u64) -> (CallerResult, ScriptedUpstream) {
+    let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "yes")]]);
+    let result = run(async {
+        let context = context(&[&upstream]);
+        let now = Moment::now();
+        context.upstreams.borrow_mut().note_read(now, false);
+        context.upstreams.borrow_mut().note_unavailable();
+        let as_of = now.minus_millis(peer_read_ms);
+        {
+            let list = &mut context.reads.borrow_mut().list;
+            list.note_own(1, now.minus_millis(5_000));
+            list.note_from_peer(ReadMark { state: 2, as_of });
+        }
+        let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+    (result, upstream)
+}
+
+#[test]
+fn request_is_refused_while_only_this_daemon_can_not_read_the_list() {
+    // Guards against work for upstreams that left, at a daemon that takes its trouble for an outage.
+    let (result, upstream) = serve_by_an_old_list(500);
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert_eq!(upstream.requests().len(), 0);
+}
+
+#[test]
+fn requests_are_sent_while_no_daemon_can_read_the_list() {
+    let (result, upstream) = serve_by_an_old_list(4_000);
+
+    assert_eq!(result, ok("yes"));
+    assert_eq!(upstream.requests().len(), 1);
+}
+
 /// Serves a stream whose engine pauses, and that the other upstream is asked to resume.
 fn serve_resumed(pause_ms: u64, other: &ScriptedUpstream) -> (CallerResult, ScriptedUpstream) {
     let engine = pausing_stream(pause_ms);
