--- a/crates/guavatiller/tests/upstream_words.rs
+++ b/crates/guavatiller/tests/upstream_words.rs
@@ -3,8 +3,9 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use guava_platform_standins::{
-    DaemonProcess, PlainAnswer, PlatformDeployment, ServerAnnouncements, ServerArrival, ServerKind,
-    ServiceNames, ask, most_during_backoff, most_over_limit, request_to, send,
+    DaemonProcess, PlainAnswer, PlatformDeployment, ServerAnnouncements, ServerArrival,
+    ServerFault, ServerKind, ServiceNames, ask, most_during_backoff, most_over_limit, request_to,
+    send,
 };
 use guava_standins::harness::wait_until;
 use std::path::Path;
@@ -116,6 +117,32 @@
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
+#[test]
+fn engine_that_names_a_limit_is_not_overrun_while_weights_are_rolled_out() {
+    // Guards against reports and orders that no share counts, and that end the limit for all.
+    let fleet = Fleet::start(6, ServerKind::Engine);
+    fleet.load("/draft/2f", Duration::from_secs(1));
+    let server = fleet.busiest();
+    let engine = &fleet.deployment.servers[server];
+    engine.set_fault(ServerFault::IgnoresOrders);
+    let named = Instant::now();
+    fleet.say(
+        server,
+        ServerAnnouncements { limit: Some("0.5".into()), ..ServerAnnouncements::default() },
+    );
+    fleet.load("/draft/2f", KNOWN);
+    fleet.deployment.publish(2);
+
+    let statuses = fleet.load("/draft/2f", Duration::from_secs(6));
+
+    let mut arrivals = moments(&fleet.received(server));
+    let calls = engine.calls();
+    arrivals.extend(&calls);
+    assert_eq!(most_over_limit(&arrivals, named + KNOWN, 0.5), 0, "{} calls", calls.len());
+    assert!(calls.len() >= 2, "it is asked and ordered");
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
 #[yare::parameterized(
     stream = { ServerKind::Engine, "/draft/2f" },
     idempotent = { ServerKind::Plain, "/ask/2f" },
