fix: calls to an upstream with a limit have a share of it

Upstreams saw more requests than they had said that they take (LIMIT, users' machines; real daemons here: 25 in four seconds where 8 are allowed, most of them the 33 reports and orders of a rollout).

Cause: the daemon that rolls out weights asked an engine that loads for its report every 150 ms, and orders went out whatever the limit; the requests' shares already add up to what is allowed. Class: sends that no share counts.

A property holds the sum for rosters that each lack other members, with the calls.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -75,7 +75,7 @@
     decide_route,
 };
 pub use send_ledger::SendLedger;
-pub use send_share::{SendShare, SendWindow, limit_share};
+pub use send_share::{SendShare, SendWindow, call_share, limit_share};
 pub use service_queue::{
     MAX_ASKED, MAX_HOLD_MS, MAX_PASSES, MAX_QUEUED, QueueEntry, QueuePlace, QueueTicket,
     QueueVerdict, ROUND_MS, ServiceQueue,
--- a/crates/guava-policy/src/send_ledger.rs
+++ b/crates/guava-policy/src/send_ledger.rs
@@ -1,6 +1,6 @@
 //! This daemon's recent sends to each upstream.
 
-use crate::send_share::{SendShare, SendWindow};
+use crate::send_share::{SendShare, SendWindow, call_share};
 use guava_types::{Deadline, FastMap, Moment, UpstreamId};
 
 /// Interval between two sweeps for upstreams whose sends no share counts any more, in milliseconds.
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub struct SendLedger {
     windows: FastMap<UpstreamId, SendWindow>,
+    /// Of the sends, those that were calls.
+    calls: FastMap<UpstreamId, SendWindow>,
     /// Requests that were sent and are not finished.
     in_flight: FastMap<UpstreamId, u32>,
     started: Moment,
@@ -19,8 +21,8 @@
 impl SendLedger {
     /// An empty ledger of a daemon that started at this moment.
     pub fn new(started: Moment) -> Self {
-        let (windows, in_flight) = (FastMap::default(), FastMap::default());
-        Self { windows, in_flight, started, swept: started }
+        let (windows, calls) = (FastMap::default(), FastMap::default());
+        Self { windows, calls, in_flight: FastMap::default(), started, swept: started }
     }
 
     /// Whether one more request may be sent to an upstream now under this daemon's share.
@@ -47,16 +49,26 @@
         next_send.map(|next_send| next_send.max(first_window_end))
     }
 
+    /// Whether one more call may be made to an upstream with a limit now.
+    pub fn has_call_capacity(&self, upstream: &UpstreamId, now: Moment) -> bool {
+        let window = self.calls.get(upstream);
+        window.is_none_or(|window| window.has_capacity(call_share(), now))
+    }
+
+    /// Records a call, which is a send too.
+    pub fn note_call(&mut self, upstream: &UpstreamId, now: Moment) {
+        self.note(upstream, now);
+        note_in(&mut self.calls, upstream, now);
+    }
+
     /// Records a send.
     pub fn note(&mut self, upstream: &UpstreamId, now: Moment) {
         if Deadline::after(self.swept, SWEEP_INTERVAL_MS).passed(now) {
             self.swept = now;
             self.windows.retain(|_, window| !window.is_over(now));
+            self.calls.retain(|_, window| !window.is_over(now));
         }
-        match self.windows.get_mut(upstream) {
-            Some(window) => window.note(now),
-            None => self.windows.entry(upstream.clone()).or_default().note(now),
-        }
+        note_in(&mut self.windows, upstream, now);
     }
 
     /// Records that a request that was sent is in flight at an upstream.
@@ -87,3 +99,10 @@
         self.windows.get(upstream).map_or(0, |window| window.count(millis, now))
     }
 }
+
+fn note_in(windows: &mut FastMap<UpstreamId, SendWindow>, upstream: &UpstreamId, now: Moment) {
+    match windows.get_mut(upstream) {
+        Some(window) => window.note(now),
+        None => windows.entry(upstream.clone()).or_default().note(now),
+    }
+}
--- a/crates/guava-policy/tests/send_share.rs
+++ b/crates/guava-policy/tests/send_share.rs
@@ -1,8 +1,10 @@
 //! Shares of an upstream's rate limit, which all daemons together must keep.
 
-use guava_policy::{SendShare, SendWindow, limit_share};
+use guava_policy::{SendShare, SendWindow, call_share, limit_share};
 use guava_types::{LimitRate, Moment};
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
 
 /// Requests in four seconds that an upstream tolerates beyond one and a half times its limit.
@@ -117,6 +119,32 @@
         );
     }
 
+    /// Guards against exceeding a limit where each daemon lacks other members in its roster, and one
+    /// calls the upstream besides.
+    #[test]
+    fn rosters_that_each_lack_other_members_keep_the_limit(
+        daemons in prop::sample::select(vec![6_usize, 8, 62, 79, 300]),
+        tenths in 1_u32..300,
+        seed in any::<u64>(),
+    ) {
+        let per_second = f64::from(tenths) / 10.0;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let rosters: Vec<(usize, Vec<usize>)> = (0..daemons)
+            .map(|daemon| {
+                let is_known = |other: &usize| *other == daemon || rng.random_range(0..10) > 0;
+                (daemon, (0..daemons).filter(is_known).collect())
+            })
+            .collect();
+
+        let sum = sum_of_shares(rate(per_second), &rosters) + max_in_four_seconds(call_share());
+
+        prop_assert!(
+            sum <= tolerated_requests(per_second),
+            "{sum} of {}",
+            tolerated_requests(per_second)
+        );
+    }
+
     /// Guards against exceeding a limit while some daemons do not know of a new peer yet, or have
     /// forgotten a member.
     #[test]
--- a/crates/guava-serve/src/upstreams/announcement_watch.rs
+++ b/crates/guava-serve/src/upstreams/announcement_watch.rs
@@ -37,6 +37,16 @@
 /// Notes a send to an upstream; the first one after a back-off is logged as its end.
 pub fn note_send(context: &ServeContext, upstream: &UpstreamId, now: Moment) {
     context.sends.borrow_mut().note(upstream, now);
+    note_backoff_end(context, upstream);
+}
+
+/// Notes a call to an upstream, in the same way.
+pub fn note_call(context: &ServeContext, upstream: &UpstreamId, now: Moment) {
+    context.sends.borrow_mut().note_call(upstream, now);
+    note_backoff_end(context, upstream);
+}
+
+fn note_backoff_end(context: &ServeContext, upstream: &UpstreamId) {
     if context.announcements.borrow_mut().note_send(upstream) {
         log_kind(context, upstream, "rest-over", "", &"clock", 0);
     }
--- a/crates/guava-serve/src/upstreams/http_call.rs
+++ b/crates/guava-serve/src/upstreams/http_call.rs
@@ -27,6 +27,9 @@
     /// The call was not made, since the server had asked for a back-off.
     #[snafu(display("not called: the server asked for a back-off"))]
     BackingOff,
+    /// The call was not made, since the calls that the upstream's limit allows are used up.
+    #[snafu(display("not called: the calls of its limit are used up"))]
+    Limited,
     /// The connection broke while the answer's body was read.
     #[snafu(display("connection broken while reading the answer's body"))]
     Interrupted,
--- a/crates/guava-serve/src/upstreams/upstream_call.rs
+++ b/crates/guava-serve/src/upstreams/upstream_call.rs
@@ -1,14 +1,14 @@
 //! Calls to upstreams that are not requests, namely reports and orders, and calls to stores of
 //! prompt parts.
 //!
-//! Calls use up an upstream's rate limit as requests do, so they are counted as sends, and the
-//! announcements in their answers are applied. They are few, and the loading of weights depends on
-//! them, so they are sent even when the limit is used up. A back-off is respected, at stores too.
+//! Calls use up an upstream's rate limit as requests do, so they are counted as sends, and have a share
+//! of their own in each limit: the loading of weights depends on them. Announcements in their answers
+//! are applied. A back-off is respected, at stores too.
 
 use crate::serve_context::ServeContext;
-use crate::upstreams::announcement_watch::{note_announcements, note_send};
+use crate::upstreams::announcement_watch::{note_announcements, note_call};
 use crate::upstreams::connection_pool::ExchangeError;
-use crate::upstreams::http_call::{BackingOffSnafu, CallAnswer, CallError};
+use crate::upstreams::http_call::{BackingOffSnafu, CallAnswer, CallError, LimitedSnafu};
 use crate::upstreams::reach_task::note_connect_failure;
 use bytes::Bytes;
 use guava_types::{Deadline, Moment, UpstreamId};
@@ -17,7 +17,8 @@
 use snafu::ensure;
 use std::net::SocketAddr;
 
-/// Makes a call to an upstream; fails at once while it wants no requests. `idle_ms` is the idle
+/// Makes a call to an upstream; fails at once while it wants no requests, or the calls of its limit are
+/// used up. `idle_ms` is the idle
 /// limit of the connection, which is kept for reuse.
 pub async fn call_upstream(
     context: &ServeContext,
@@ -32,7 +33,9 @@
         context.announcements.borrow().backoff_until(upstream, sent).is_none(),
         BackingOffSnafu
     );
-    note_send(context, upstream, sent);
+    let is_limited = context.announcements.borrow().limit(upstream).is_some();
+    ensure!(!is_limited || context.sends.borrow().has_call_capacity(upstream, sent), LimitedSnafu);
+    note_call(context, upstream, sent);
     let called = context.pool.call(address, request, deadline, idle_ms).await;
     if let Err(CallError::NoAnswer { source: ExchangeError::NotSent { .. } }) = &called {
         note_connect_failure(context, upstream);
--- a/crates/guava-serve/src/weights/order_task.rs
+++ b/crates/guava-serve/src/weights/order_task.rs
@@ -231,6 +231,10 @@
     async fn poll_engines(&mut self, model: &ModelName, version: WeightVersion) {
         let due = self.rollout.borrow_mut().due_polls(model, Moment::now());
         for id in due {
+            // The few calls to an engine with a limit are for orders; its entry tells its weights.
+            if self.context.announcements.borrow().limit(&id).is_some() {
+                continue;
+            }
             let Some(address) = self.address(&id) else { continue };
             let Ok(engine_report) = self.fetch_report(&id, address).await else { continue };
             let known = engine_report.versions.get(model).copied().unwrap_or_default();
--- a/crates/guava-serve/tests/upstream_announcements.rs
+++ b/crates/guava-serve/tests/upstream_announcements.rs
@@ -174,6 +174,26 @@
     assert_eq!((known, sends), (limit(2.0), 1));
 }
 
+#[test]
+fn calls_to_an_upstream_with_a_limit_are_few() {
+    let upstream = answers("200 OK", LIMIT);
+
+    let made = run(async {
+        let context = context(&[&upstream]);
+        let mut made = 0;
+        for _ in 0..6 {
+            let call = call_request(http::Method::GET, upstream.address, "/report", Vec::new());
+            let deadline = Deadline::in_millis(1_000);
+            let called =
+                call_upstream(&context, &id("u0"), upstream.address, call, deadline, 100).await;
+            made += usize::from(called.is_ok());
+        }
+        made
+    });
+
+    assert_eq!((made, upstream.requests().len()), (2, 2));
+}
+
 #[test]
 fn requests_beyond_the_limit_go_to_others_at_once() {
     let limited = answers("200 OK", LIMIT);
