fix: an answer to a call does not end what an upstream says of itself

Found while the cause of requests beyond a limit (LIMIT) was looked for elsewhere. A limit ends with an answer that does not name it, and reports and orders counted as such answers: one report without the header ended the limit, and that an upstream is brittle, for all daemons, until a later answer named it. Class: silence of one speaker taken for the word of another. Calls still tell what their answers name; what these leave out ends nothing. The test failed before.

--- a/crates/guava-serve/src/upstreams/upstream_call.rs
+++ b/crates/guava-serve/src/upstreams/upstream_call.rs
@@ -3,7 +3,8 @@
 //!
 //! Calls use up an upstream's rate limit as requests do, so they are counted as sends, and have a share
 //! of their own in each limit: the loading of weights depends on them. Announcements in their answers
-//! are applied. A back-off is respected, at stores too.
+//! are applied, but what an answer to a call leaves out may hold for requests. A back-off is respected,
+//! at stores too.
 
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{note_announcements, note_call};
@@ -43,7 +44,9 @@
     let answer = called?;
     let marks = (context.dialect.marks)(answer.status, &answer.headers);
     if !marks.is_unexpected {
-        note_announcements(context, upstream, &marks.announcements, sent);
+        // Dated so early, what the answer leaves out ends nothing.
+        let as_of = Moment::default();
+        note_announcements(context, upstream, &marks.announcements, as_of);
     }
     Ok(answer)
 }
--- a/crates/guava-serve/tests/upstream_announcements.rs
+++ b/crates/guava-serve/tests/upstream_announcements.rs
@@ -4,9 +4,10 @@
 
 mod support;
 
+use guava_policy::{AnnouncedLimit, UpstreamAnnouncements};
 use guava_serve::{
     AcceptedRequest, RefusalReason, RepeatRule, ServeContext, ServeOutcome, call_request,
-    call_store, call_upstream, serve_request,
+    call_store, call_upstream, note_announcements, serve_request,
 };
 use guava_types::{Deadline, LimitRate, Moment};
 use std::rc::Rc;
@@ -174,6 +175,32 @@
     assert_eq!((known, sends), (limit(2.0), 1));
 }
 
+#[test]
+fn answer_to_a_call_does_not_end_a_limit() {
+    // Guards against a limit that ends for all daemons with a report that does not name it.
+    let upstream = answers("200 OK", "");
+
+    let known = run(async {
+        let context = context(&[&upstream]);
+        let announced = UpstreamAnnouncements {
+            limit: AnnouncedLimit::Named(LimitRate::per_second(2.0).unwrap()),
+            brittle: Some(3),
+            ..UpstreamAnnouncements::default()
+        };
+        note_announcements(&context, &id("u0"), &announced, Moment::now());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let call = call_request(http::Method::GET, upstream.address, "/report", Vec::new());
+        let deadline = Deadline::in_millis(1_000);
+        let called =
+            call_upstream(&context, &id("u0"), upstream.address, call, deadline, 100).await;
+        assert!(called.is_ok());
+        let announcements = context.announcements.borrow();
+        (announcements.limit(&id("u0")), announcements.is_brittle(&id("u0")))
+    });
+
+    assert_eq!(known, (limit(2.0), true));
+}
+
 #[test]
 fn calls_to_an_upstream_with_a_limit_are_few() {
     let upstream = answers("200 OK", LIMIT);
