fix: daemons tell each other which upstreams are brittle

Class: knowledge that is at hand at a peer and not used.

Summaries carry it as they carry limits, with the moment as of which it is known; limits and this are one type now. The test can't be written for the code before, whose messages have no such field.

--- a/crates/guava-policy/src/announcement_gate.rs
+++ b/crates/guava-policy/src/announcement_gate.rs
@@ -78,7 +78,7 @@
     if let Some(Deadline(until)) = announcements.backoff_until(now) {
         return Some(ClosedUpstream { reason: CloseReason::BackOff, until: Some(until) });
     }
-    share_gate(sends, upstream, share(announcements.limit?), CloseReason::Limit, now)
+    share_gate(sends, upstream, share(announcements.limit()?), CloseReason::Limit, now)
 }
 
 /// Whether an upstream is closed because this daemon's share of its limit is used up.
--- a/crates/guava-policy/src/announcement_table.rs
+++ b/crates/guava-policy/src/announcement_table.rs
@@ -11,7 +11,7 @@
 //! many seconds late, revokes it.
 //!
 //! **Brittle** upstreams crash if they have to turn away many requests. That holds and ends like a
-//! limit, but each daemon learns it from its own answers.
+//! limit, and daemons tell each other: with many daemons, most have no recent answer of an upstream.
 //!
 //! **Back-off** applies to one daemon and is not sent to other daemons. A later answer can extend
 //! it but not shorten it: answers can overtake each other, and the upstream that sent the longer
@@ -46,6 +46,17 @@
     pub as_of: Moment,
 }
 
+/// Whether an upstream is brittle, as daemons send it to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrittleNotice {
+    /// Id of the upstream, which names one start of it.
+    pub upstream: UpstreamId,
+    /// Requests that it can turn away in a second; `None` if it is no longer brittle.
+    pub refusals: Option<u32>,
+    /// Moment as of which this is known, on this daemon's clock.
+    pub as_of: Moment,
+}
+
 /// What an announcement changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnnouncementChange {
@@ -114,21 +125,54 @@
     }
 }
 
+/// An announcement that holds for as long as answers repeat it.
+#[derive(Clone, Copy, Debug, Default)]
+struct RepeatedAnnouncement<T> {
+    /// What is announced; `None` while nothing is.
+    value: Option<T>,
+    /// Moment as of which the value, or its absence, is known.
+    as_of: Moment,
+    /// When the last value was found to have ended, if there is none now.
+    ended: Option<Moment>,
+}
+
+impl<T: Copy> RepeatedAnnouncement<T> {
+    /// Applies a value, or its absence, as of a moment; returns the previous value, unless a later
+    /// one is known.
+    fn note(&mut self, value: Option<T>, as_of: Moment, now: Moment) -> Option<Option<T>> {
+        if as_of < self.as_of || (value.is_none() && as_of == self.as_of) {
+            return None;
+        }
+        self.as_of = as_of;
+        let before = std::mem::replace(&mut self.value, value);
+        if value.is_some() {
+            self.ended = None;
+        } else if before.is_some() {
+            self.ended = Some(now);
+        }
+        Some(before)
+    }
+
+    /// Whether it was ever announced.
+    fn is_known(&self) -> bool {
+        self.value.is_some() || self.ended.is_some()
+    }
+
+    /// Whether summaries report it.
+    fn is_reported(&self, now: Moment) -> bool {
+        let is_recent = |ended| !Deadline::after(ended, GOSSIP_RETENTION_MS).passed(now);
+        self.value.is_some() || self.ended.is_some_and(is_recent)
+    }
+}
+
 /// What one upstream has announced.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KnownAnnouncements {
-    /// Its limit, if it has one.
-    pub(crate) limit: Option<LimitRate>,
-    /// Moment as of which the limit, or its absence, is known.
-    limit_as_of: Moment,
-    /// When the last limit was found to have ended, if there is none now.
-    limit_ended: Option<Moment>,
+    limit: RepeatedAnnouncement<LimitRate>,
     /// When it was first known to be leaving, if it is.
     leaving_since: Option<Moment>,
-    /// Requests that it can turn away in a second, if it is brittle.
-    brittle: Option<u32>,
-    /// Moment as of which that is known.
-    brittle_as_of: Moment,
+    /// Requests that it can turn away in a second.
+    brittle: RepeatedAnnouncement<u32>,
     /// End of its back-off for this daemon; may have passed.
     backoff_until: Option<Deadline>,
     unreadable: Option<Box<str>>,
@@ -137,6 +181,11 @@
 }
 
 impl KnownAnnouncements {
+    /// Its limit, if it has one.
+    pub(crate) fn limit(&self) -> Option<LimitRate> {
+        self.limit.value
+    }
+
     /// Whether it has announced that it is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
@@ -214,13 +263,18 @@
         if brittle.is_none() && !self.upstreams.contains_key(upstream) {
             return None;
         }
-        let known = self.entry(upstream, now)?;
         let as_of = if brittle.is_some() { now } else { sent };
-        if as_of < known.brittle_as_of || (brittle.is_none() && as_of == known.brittle_as_of) {
-            return None;
-        }
-        known.brittle_as_of = as_of;
-        let before = std::mem::replace(&mut known.brittle, brittle);
+        self.note_brittle_as_of(upstream, brittle, as_of, now)
+    }
+
+    fn note_brittle_as_of(
+        &mut self,
+        upstream: &UpstreamId,
+        brittle: Option<u32>,
+        as_of: Moment,
+        now: Moment,
+    ) -> Option<AnnouncementChange> {
+        let before = self.entry(upstream, now)?.brittle.note(brittle, as_of, now)?;
         let change = brittle.map_or(AnnouncementChange::Sturdy, AnnouncementChange::Brittle);
         (before != brittle).then_some(change)
     }
@@ -254,24 +308,12 @@
         if rate.is_none() && !self.upstreams.contains_key(upstream) {
             return None;
         }
-        let known = self.entry(upstream, now)?;
-        let is_stale = as_of < known.limit_as_of || (rate.is_none() && as_of == known.limit_as_of);
-        if is_stale {
-            return None;
-        }
-        known.limit_as_of = as_of;
-        let before = std::mem::replace(&mut known.limit, rate);
-        match rate {
-            Some(rate) => {
-                known.limit_ended = None;
-                (before != Some(rate)).then_some(AnnouncementChange::Limited { rate, before })
-            }
-            None if before.is_some() => {
-                known.limit_ended = Some(now);
-                Some(AnnouncementChange::Unlimited)
-            }
-            None => None,
-        }
+        let before = self.entry(upstream, now)?.limit.note(rate, as_of, now)?;
+        let change = match rate {
+            Some(rate) => AnnouncementChange::Limited { rate, before },
+            None => AnnouncementChange::Unlimited,
+        };
+        (before != rate).then_some(change)
     }
 
     fn note_unreadable(
@@ -306,38 +348,55 @@
 
     /// An upstream's limit, if it has one.
     pub fn limit(&self, upstream: &UpstreamId) -> Option<LimitRate> {
-        self.announcements(upstream)?.limit
+        self.announcements(upstream)?.limit()
     }
 
     /// Whether an upstream is brittle.
     pub fn is_brittle(&self, upstream: &UpstreamId) -> bool {
-        self.announcements(upstream).is_some_and(|known| known.brittle.is_some())
+        self.announcements(upstream).is_some_and(|known| known.brittle.value.is_some())
     }
 
     /// An upstream's limit, or that it has none any more, to be sent to other daemons; `None` if it
     /// never had one.
     pub fn limit_notice(&self, upstream: &UpstreamId) -> Option<LimitNotice> {
-        let announcements = self.upstreams.get(upstream)?;
-        let is_known = announcements.limit.is_some() || announcements.limit_ended.is_some();
-        is_known.then(|| LimitNotice {
+        let limit = self.upstreams.get(upstream)?.limit;
+        limit.is_known().then(|| LimitNotice {
             upstream: upstream.clone(),
-            rate: announcements.limit,
-            as_of: announcements.limit_as_of,
+            rate: limit.value,
+            as_of: limit.as_of,
         })
     }
 
     /// All limits in force, and the limits that ended recently, to be sent to other daemons.
     pub fn limit_notices(&self, now: Moment) -> impl Iterator<Item = LimitNotice> {
-        let is_recent =
-            move |ended: Moment| !Deadline::after(ended, GOSSIP_RETENTION_MS).passed(now);
-        let is_reported = move |announcements: &KnownAnnouncements| {
-            announcements.limit.is_some() || announcements.limit_ended.is_some_and(is_recent)
-        };
-        let reported =
-            self.upstreams.iter().filter(move |(_, announcements)| is_reported(announcements));
+        let reported = self.upstreams.iter().filter(move |(_, known)| known.limit.is_reported(now));
         reported.filter_map(|(id, _)| self.limit_notice(id))
     }
 
+    /// Upstreams that are brittle, or were recently, to be sent to other daemons.
+    pub fn brittle_notices(&self, now: Moment) -> impl Iterator<Item = BrittleNotice> {
+        let reported =
+            self.upstreams.iter().filter(move |(_, known)| known.brittle.is_reported(now));
+        reported.map(|(id, known)| BrittleNotice {
+            upstream: id.clone(),
+            refusals: known.brittle.value,
+            as_of: known.brittle.as_of,
+        })
+    }
+
+    /// Applies whether an upstream is brittle, as another daemon reported; returns the change, if it
+    /// makes one.
+    pub fn apply_brittle_notice(
+        &mut self,
+        notice: &BrittleNotice,
+        now: Moment,
+    ) -> Option<AnnouncementChange> {
+        if notice.refusals.is_none() && !self.upstreams.contains_key(&notice.upstream) {
+            return None;
+        }
+        self.note_brittle_as_of(&notice.upstream, notice.refusals, notice.as_of, now)
+    }
+
     /// Whether an upstream is known to be leaving.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         self.announcements(upstream).is_some_and(KnownAnnouncements::is_leaving)
--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -43,7 +43,7 @@
     WaitingRequest,
 };
 pub use announcement_gate::{CloseReason, ClosedUpstream, announcement_gate, share_gate};
-pub use announcement_table::{AnnouncementChange, AnnouncementTable, LimitNotice};
+pub use announcement_table::{AnnouncementChange, AnnouncementTable, BrittleNotice, LimitNotice};
 pub use backlog::EngineBacklog;
 pub use cold_start::{ColdRule, cold_share};
 pub use crash_ledger::{
--- a/crates/guava-serve/src/members/message_split.rs
+++ b/crates/guava-serve/src/members/message_split.rs
@@ -37,6 +37,7 @@
         ended: std::mem::take(&mut first.ended),
         limits: std::mem::take(&mut first.limits),
         leaving: std::mem::take(&mut first.leaving),
+        brittle: std::mem::take(&mut first.brittle),
         ..first.continued()
     };
     (first, rest)
@@ -83,6 +84,7 @@
         message.ended.len(),
         message.limits.len(),
         message.leaving.len(),
+        message.brittle.len(),
     ];
     lengths.into_iter().max().unwrap_or(0)
 }
@@ -106,6 +108,7 @@
         ended: second_half(&mut first.ended),
         limits: second_half(&mut first.limits),
         leaving: second_half(&mut first.leaving),
+        brittle: second_half(&mut first.brittle),
         ..first.continued()
     };
     (first, second)
--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -15,7 +15,8 @@
 use crate::parts::part_index::StoreUpdate;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::{
-    AnnouncementBatch, apply_leaving, apply_limit, summary_announcements, urgent_announcements,
+    AnnouncementBatch, apply_brittle, apply_leaving, apply_limit, summary_announcements,
+    urgent_announcements,
 };
 use crate::upstreams::crash_notice::CrashNotice;
 use crate::upstreams::drain_table::DrainNotice;
@@ -100,6 +101,7 @@
         drains: context.drains.borrow().notices(),
         limits: announcements.limits,
         leaving: announcements.leaving,
+        brittle: announcements.brittle,
         is_immediate: false,
         is_continued: false,
         is_for_relay: false,
@@ -168,7 +170,7 @@
     context: &ServeContext,
     member: &MemberDescriptor,
 ) -> Option<PeerMessage> {
-    let AnnouncementBatch { limits, leaving } = urgent_announcements(context);
+    let AnnouncementBatch { limits, leaving, .. } = urgent_announcements(context);
     let is_due = !limits.is_empty() || !leaving.is_empty();
     is_due.then(|| PeerMessage { limits, leaving, ..PeerMessage::empty(member.clone()) })
 }
@@ -397,6 +399,9 @@
     for upstream in &message.leaving {
         apply_leaving(context, upstream, &name, now);
     }
+    for notice in &message.brittle {
+        apply_brittle(context, notice, &name, now);
+    }
     if let (Some(mark), Some(since)) = (message.operator, message.published_since) {
         context.reads.borrow_mut().note_gossiped(since, mark.state);
     }
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -20,8 +20,8 @@
 use crate::upstreams::upstream_table::{UpstreamEntry, WeightVersion};
 use crate::upstreams::work_table::WorkShare;
 use guava_policy::{
-    ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice, ReturnNotice,
-    SuspectPart, UseReport,
+    BrittleNotice, ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice,
+    ReturnNotice, SuspectPart, UseReport,
 };
 use guava_types::{
     CoreShare, Deadline, FastMap, LimitRate, ModelName, Moment, RequestDigest, TokenCount,
@@ -211,6 +211,8 @@
     limits: Vec<WireLimit>,
     #[prost(string, repeated, tag = "28")]
     leaving: Vec<String>,
+    #[prost(message, repeated, tag = "50")]
+    brittle: Vec<WireBrittle>,
     #[prost(uint64, optional, tag = "29")]
     available_ms: Option<u64>,
     #[prost(uint32, tag = "30")]
@@ -267,6 +269,17 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct WireBrittle {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    /// `None` once it is no longer brittle.
+    #[prost(uint32, optional, tag = "2")]
+    refusals: Option<u32>,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct WireCrash {
     #[prost(string, tag = "1")]
@@ -456,6 +469,8 @@
     pub limits: Vec<LimitNotice>,
     /// Upstreams that recently announced that they are leaving.
     pub leaving: Vec<UpstreamId>,
+    /// Upstreams that are brittle, or were recently.
+    pub brittle: Vec<BrittleNotice>,
     /// Whether this is an immediate message: what it does not carry stays as it was last sent.
     pub is_immediate: bool,
     /// Whether this continues a message that was too long for one datagram, and does not carry the
@@ -572,6 +587,7 @@
             reported_loads: Vec::new(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            brittle: Vec::new(),
             ended: Vec::new(),
             stops: Vec::new(),
             cleared: Vec::new(),
@@ -681,6 +697,7 @@
             reported_loads: self.reported_loads.iter().map(|load| wire_load(load, now)).collect(),
             limits: self.limits.iter().map(|notice| wire_limit(notice, now)).collect(),
             leaving: self.leaving.iter().map(UpstreamId::to_string).collect(),
+            brittle: self.brittle.iter().map(|notice| wire_brittle(notice, now)).collect(),
             is_immediate: self.is_immediate,
             is_continued: self.is_continued,
             is_for_relay: self.is_for_relay,
@@ -834,6 +851,7 @@
                 .collect(),
             limits: wire.limits.iter().filter_map(|wire| limit_notice(wire, since)).collect(),
             leaving: wire.leaving.iter().filter_map(|id| id.parse().ok()).collect(),
+            brittle: wire.brittle.iter().filter_map(|wire| brittle_notice(wire, since)).collect(),
             is_immediate: wire.is_immediate,
             is_continued: wire.is_continued,
             is_for_relay: wire.is_for_relay,
@@ -926,6 +944,22 @@
     })
 }
 
+fn wire_brittle(notice: &BrittleNotice, now: Moment) -> WireBrittle {
+    WireBrittle {
+        upstream: notice.upstream.to_string(),
+        refusals: notice.refusals,
+        age_ms: now.millis_since(notice.as_of),
+    }
+}
+
+fn brittle_notice(wire: &WireBrittle, now: Moment) -> Option<BrittleNotice> {
+    Some(BrittleNotice {
+        upstream: wire.upstream.parse().ok()?,
+        refusals: wire.refusals,
+        as_of: now.minus_millis(wire.age_ms),
+    })
+}
+
 fn wire_speed(speed: &EngineSpeed) -> WireSpeed {
     WireSpeed { engine: speed.engine.to_string(), tokens_per_s: speed.rate.0 }
 }
--- a/crates/guava-serve/src/upstreams/announcement_watch.rs
+++ b/crates/guava-serve/src/upstreams/announcement_watch.rs
@@ -3,7 +3,9 @@
 use crate::events;
 use crate::serve_context::ServeContext;
 use guava_log::log_event;
-use guava_policy::{AnnouncementChange, LimitNotice, UpstreamAnnouncements, jitter_backoff};
+use guava_policy::{
+    AnnouncementChange, BrittleNotice, LimitNotice, UpstreamAnnouncements, jitter_backoff,
+};
 use guava_types::{MemberName, Moment, UpstreamId};
 use std::fmt::Display;
 
@@ -71,6 +73,19 @@
     changes.iter().for_each(|change| log_announcement(context, upstream, change, source, now, now));
 }
 
+/// Applies whether an upstream is brittle, as a peer reported.
+pub fn apply_brittle(
+    context: &ServeContext,
+    notice: &BrittleNotice,
+    source: &MemberName,
+    now: Moment,
+) {
+    let changes = context.announcements.borrow_mut().apply_brittle_notice(notice, now);
+    changes.iter().for_each(|change| {
+        log_announcement(context, &notice.upstream, change, source, notice.as_of, now)
+    });
+}
+
 /// Upstream announcements in one message to the peers.
 #[derive(Clone, Debug, Default)]
 pub struct AnnouncementBatch {
@@ -78,6 +93,8 @@
     pub limits: Vec<LimitNotice>,
     /// Upstreams that are leaving.
     pub leaving: Vec<UpstreamId>,
+    /// Upstreams that are brittle, and that no longer are.
+    pub brittle: Vec<BrittleNotice>,
 }
 
 /// Takes the urgent announcements since the last call, for an immediate message. If they waited for
@@ -88,6 +105,7 @@
     AnnouncementBatch {
         limits: due.iter().filter_map(|upstream| announcements.limit_notice(upstream)).collect(),
         leaving: due.into_iter().filter(|upstream| announcements.is_leaving(upstream)).collect(),
+        brittle: Vec::new(),
     }
 }
 
@@ -97,6 +115,7 @@
     AnnouncementBatch {
         limits: message_section(announcements.limit_notices(now).collect()),
         leaving: message_section(announcements.recently_leaving(now).cloned().collect()),
+        brittle: message_section(announcements.brittle_notices(now).collect()),
     }
 }
 
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -343,6 +343,24 @@
     fleet
 }
 
+#[test]
+fn brittle_upstream_is_known_to_daemons_without_an_answer_of_their_own() {
+    // Guards against upstreams that crash because each daemon learns from its own answers alone.
+    let (one, two) = (daemon("d1"), daemon("d2"));
+    let id = upstream("u", "app").id;
+    let announced = UpstreamAnnouncements { brittle: Some(2), ..UpstreamAnnouncements::default() };
+    note_announcements(&one, &id, &announced, Moment::now());
+
+    deliver(&compose_message(&one, news("d1"), Moment::now()), &two);
+    let while_brittle = two.announcements.borrow().is_brittle(&id);
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    note_announcements(&one, &id, &UpstreamAnnouncements::default(), Moment::now());
+    deliver(&compose_message(&one, news("d1"), Moment::now()), &two);
+
+    assert!(while_brittle);
+    assert!(!two.announcements.borrow().is_brittle(&id));
+}
+
 #[parameterized(
     few_and_slow = { 3, 0.5 },
     few = { 6, 2.0 },
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -5,8 +5,8 @@
 mod support;
 
 use guava_policy::{
-    ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice, ReportTable,
-    ReturnNotice, UseReport, UseRow, WaitingUse,
+    BrittleNotice, ClearNotice, LimitNotice, LoadNotice, LoadObservation, QuarantineNotice,
+    ReportTable, ReturnNotice, UseReport, UseRow, WaitingUse,
 };
 use guava_serve::{
     CallerIdentity, CrashNotice, DrainNotice, EngineSpeed, EventFramer, ExpectedLoad, ListChange,
@@ -439,6 +439,11 @@
             LimitNotice { upstream: id("f"), rate: None, as_of: Moment(99_980) },
         ],
         leaving: vec![id("g")],
+        brittle: vec![BrittleNotice {
+            upstream: id("e"),
+            refusals: Some(6),
+            as_of: Moment(99_700),
+        }],
         is_immediate: false,
         is_continued: true,
         is_for_relay: true,
