fix: slots of a brittle upstream are given to no more daemons than there are

Upstreams are given more than they have room for (LIMIT, users' machines, 62 daemons before engines of 16 slots; here, without a network: up to 20 requests in flight at 16 slots, among 57 upstreams).

Cause: with fewer slots than daemons each daemon drew for itself whether it has one, so that how many have one was bounded on average only; and a daemon that did not know the others took all slots. Class: a bound that holds for the mean of many draws, asked of each of many.

Where some daemons are attached, and have no rank, slots are drawn as before. The test failed before for 62 and 79 daemons, with whole rosters and with a tenth missing.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -80,7 +80,7 @@
     MAX_ASKED, MAX_HOLD_MS, MAX_PASSES, MAX_QUEUED, QueueEntry, QueuePlace, QueueTicket,
     QueueVerdict, ROUND_MS, ServiceQueue,
 };
-pub use slot_share::slot_share;
+pub use slot_share::{ranked_slot_share, slot_share};
 pub use upstream_announcements::{AnnouncedLimit, UpstreamAnnouncements, jitter_backoff};
 pub use use_report::{
     MAX_USE_ROWS, UseReport, UseRow, apply_use_report, largest_uses, sweep_ledgers,
--- a/crates/guava-serve/src/request/send_gate.rs
+++ b/crates/guava-serve/src/request/send_gate.rs
@@ -17,7 +17,7 @@
 use guava_log::log_event;
 use guava_policy::{
     AnnouncementTable, CloseReason, ClosedUpstream, ColdRule, LimitNotice, SendLedger, SendShare,
-    announcement_gate, cold_share, limit_share, share_gate, slot_share,
+    announcement_gate, cold_share, limit_share, ranked_slot_share, share_gate, slot_share,
 };
 use guava_types::{Deadline, LimitRate, MemberName, Moment, UpstreamId};
 
@@ -72,10 +72,7 @@
         return GateState::Closed(closed);
     }
     if input.announcements.is_brittle(&entry.id) {
-        let members = input.members;
-        let daemons = members.count().max(members.deployment_size(now));
-        let draw = RingPosition::of(&format!("{} {}", input.local_daemon, entry.id.name()));
-        let share = slot_share(entry.slots, daemons, draw.as_fraction());
+        let share = local_slot_share(input, entry, now);
         if input.sends.in_flight(&entry.id) >= share {
             return GateState::Closed(ClosedUpstream { reason: CloseReason::Brittle, until: None });
         }
@@ -91,6 +88,24 @@
     closed.map_or(GateState::Cold, GateState::Closed)
 }
 
+/// Requests that this daemon may have in flight at a brittle upstream; none if it does not know the
+/// other daemons.
+fn local_slot_share(input: &GateInput<'_>, entry: &UpstreamEntry, now: Moment) -> u32 {
+    let (members, name) = (input.members, entry.id.name());
+    let daemons = members.deployment_size(now);
+    match members.sender_rank(input.local_daemon, name) {
+        None => 0,
+        Some(rank) if daemons <= members.count() => {
+            ranked_slot_share(entry.slots, members.count(), rank)
+        }
+        // Attached daemons have no rank.
+        Some(_) => {
+            let draw = RingPosition::of(&format!("{} {name}", input.local_daemon));
+            slot_share(entry.slots, daemons, draw.as_fraction())
+        }
+    }
+}
+
 /// This daemon's share of an upstream's limit; an empty share if it does not know the other daemons.
 fn local_limit_share(
     members: &MemberTable,
--- a/crates/guava-serve/tests/send_gate.rs
+++ b/crates/guava-serve/tests/send_gate.rs
@@ -6,7 +6,8 @@
 mod support;
 
 use guava_policy::{
-    AnnouncedLimit, AnnouncementTable, ColdRule, LimitNotice, SendLedger, UpstreamAnnouncements,
+    AnnouncedLimit, AnnouncementTable, BrittleNotice, ColdRule, LimitNotice, SendLedger,
+    UpstreamAnnouncements,
 };
 use guava_serve::{
     DrainNotice, DrainTable, GateInput, GateState, ListChangeEffect, MemberTable, PeerMessage,
@@ -343,6 +344,42 @@
     fleet
 }
 
+/// How many requests daemons have in flight at a brittle upstream when each sends what it may; each
+/// knows the others but for one in `missing`.
+fn in_flight_at_a_brittle_upstream(daemons: usize, missing: usize, name: &str) -> usize {
+    let entry = UpstreamEntry { slots: 16, ..upstream(name, "app") };
+    let started = Moment(START.0 - 60_000);
+    let brittle = BrittleNotice { upstream: entry.id.clone(), refusals: Some(2), as_of: START };
+    let mut sent = 0;
+    for number in 0..daemons {
+        let known = (0..daemons).filter(|other| (other + number) % missing > 0 || *other == number);
+        let known: Vec<usize> = known.collect();
+        let mut daemon = SimulatedDaemon::new(number, known.into_iter(), started);
+        daemon.announcements.apply_brittle_notice(&brittle, START);
+        while daemon.try_send(&entry, later(10)) {
+            daemon.sends.begin(&entry.id);
+            sent += 1;
+        }
+    }
+    sent
+}
+
+#[parameterized(
+    few = { 6, 1_000 },
+    many = { 62, 1_000 },
+    many_that_lack_others = { 62, 10 },
+    more = { 79, 1_000 },
+    more_that_lack_others = { 79, 10 },
+)]
+fn slots_of_a_brittle_upstream_are_not_overrun(daemons: usize, missing: usize) {
+    // Guards against upstreams that crash because more daemons than slots draw one.
+    for number in 0..57 {
+        let sent = in_flight_at_a_brittle_upstream(daemons, missing, &format!("i-{number}"));
+
+        assert!((1..=16).contains(&sent), "i-{number}: {sent}");
+    }
+}
+
 #[test]
 fn brittle_upstream_is_known_to_daemons_without_an_answer_of_their_own() {
     // Guards against upstreams that crash because each daemon learns from its own answers alone.
