fix: parts of old weights are kept for engines that the list lacks

Cause: the daemon that frees parts of superseded weights goes by its own list of engines, and engines that are not in it may still use them: those that lapsed in an outage, and those that left and serve on, to which other daemons send until they hear of it. Class: absence in one daemon's list taken for absence.

Now the weights of an engine that was removed from the list count for as long as a fetch may last, and nothing is freed by a list that was not confirmed within the time for changes. The tests fail without the one and the other.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -67,7 +67,7 @@
 pub use parts::part_eviction::eviction_orders;
 pub use parts::part_index::{HeldPart, PartChange, PartEvent, PartIndex, StoreUpdate};
 pub use parts::part_key::PartKey;
-pub use parts::part_task::follow_stores;
+pub use parts::part_task::{follow_stores, unreferenced_parts};
 pub use parts::part_transfers::FetchPlan;
 pub use parts::partial_saves::{PartialPart, PartialTable};
 pub use parts::retirement::{
--- a/crates/guava-serve/src/parts/part_task.rs
+++ b/crates/guava-serve/src/parts/part_task.rs
@@ -6,6 +6,7 @@
 use crate::members::member_table::MemberRole;
 use crate::members::shared_reads::read_as_of;
 use crate::parts::part_eviction::{FREE_TIMEOUT_MS, evict_parts, free_rank, list_broken_saves};
+use crate::parts::part_index::HeldPart;
 use crate::ports::{FreeOrder, PartPort, PortError};
 use crate::serve_context::ServeContext;
 use crate::weights::rollout_state::is_salt_unreferenced;
@@ -178,6 +179,22 @@
     Ok(true)
 }
 
+/// Parts in a store whose weights no engine has any more, with the store's epoch; none while the list of
+/// engines may lack some that others use.
+pub fn unreferenced_parts(
+    context: &ServeContext,
+    store: SocketAddr,
+    now: Moment,
+) -> (u64, Vec<HeldPart>) {
+    let upstreams = context.upstreams.borrow();
+    let targets = context.targets.borrow();
+    let limit_ms = context.bounds.leave_limit_ms;
+    let is_current = context.list_age_ms(now).is_some_and(|age_ms| age_ms <= limit_ms);
+    let is_unreferenced =
+        |salt: &str| is_current && is_salt_unreferenced(salt, &upstreams, &targets, now);
+    context.part_index.borrow().unreferenced_parts(store, is_unreferenced)
+}
+
 /// Frees parts whose weights no engine has any more, in the stores for which this daemon has rank 0.
 async fn free_unreferenced(context: &ServeContext, port: &PartPort) {
     let Some(config) = context.config.borrow().current().cloned() else { return };
@@ -186,13 +203,7 @@
         if free_rank(context, store.address, now) > 0 {
             continue;
         }
-        let (epoch, unreferenced) = {
-            let upstreams = context.upstreams.borrow();
-            let targets = context.targets.borrow();
-            let is_unreferenced =
-                |salt: &str| is_salt_unreferenced(salt, &upstreams, &targets, now);
-            context.part_index.borrow().unreferenced_parts(store.address, is_unreferenced)
-        };
+        let (epoch, unreferenced) = unreferenced_parts(context, store.address, now);
         for chunk in unreferenced.chunks(MAX_FREED_PARTS) {
             let until_ms = context.upstream_clock_in(FREE_TIMEOUT_MS, now);
             let order = FreeOrder { store: store.address, epoch, parts: chunk.to_vec(), until_ms };
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -48,6 +48,10 @@
 /// the whole list. One may differ because either daemon knows a later change.
 const MAX_DIVERGED_COPIES: u32 = 2;
 
+/// For how long the weights of upstreams that were removed from the list are kept, in milliseconds:
+/// they may serve on, and other daemons may send to them until they hear of the removal.
+const DEPARTED_RETENTION_MS: u64 = 10_000;
+
 /// Names whose newest start is kept beyond the number of listed upstreams. Late messages arrive
 /// within seconds, in which no deployment replaces this many upstreams.
 const MAX_UNLISTED_NAMES: usize = 4_096;
@@ -181,6 +185,8 @@
     order: ListOrder,
     /// Copies of changes in a row that did not lead to the peer's list.
     diverged_copies: u32,
+    /// Weights of upstreams that were removed from the list, and when.
+    departed: Vec<(Moment, FastMap<ModelName, WeightVersion>)>,
 }
 
 impl UpstreamTable {
@@ -375,6 +381,11 @@
         if listed.removal.is_some() {
             return ListChangeEffect::Same;
         }
+        if !listed.entry.versions.is_empty() {
+            let is_kept = |removed: Moment| now.millis_since(removed) < DEPARTED_RETENTION_MS;
+            self.departed.retain(|(removed, _)| is_kept(*removed));
+            self.departed.push((now, listed.entry.versions.clone()));
+        }
         if listed.entry.is_leaving || !self.is_known {
             self.drop_entry(id);
             return ListChangeEffect::Removed;
@@ -512,6 +523,16 @@
         published.iter().filter(possible).max().copied()
     }
 
+    /// Versions of a model's weights on upstreams that were removed from the list after a moment.
+    pub fn departed_versions(
+        &self,
+        model: &ModelName,
+        since: Moment,
+    ) -> impl Iterator<Item = WeightVersion> {
+        let departed = self.departed.iter().filter(move |(removed, _)| *removed > since);
+        departed.filter_map(|(_, versions)| versions.get(model).copied())
+    }
+
     /// Notes that an upstream is loading new weights and is expected to finish by a deadline.
     pub fn note_loading(&mut self, id: &UpstreamId, until: Deadline) {
         if let Some(listed) = self.listed.get_mut(id) {
--- a/crates/guava-serve/src/weights/rollout_state.rs
+++ b/crates/guava-serve/src/weights/rollout_state.rs
@@ -187,11 +187,12 @@
 }
 
 /// Whether no request can fetch the prompt parts under a salt any more: newer weights have been
-/// known here for longer than `PART_RETENTION_MS`, and all engines of the model have newer weights
-/// than the salt's.
+/// known here for longer than `PART_RETENTION_MS`, and all engines of the model, those removed from
+/// the list within that time included, have newer weights than the salt's.
 ///
 /// A part must not be freed while a request fetches it. Only requests on engines with the salt's
-/// weights do that, and engines never load older weights again.
+/// weights do that, and engines never load older weights again. An engine that is not listed may still
+/// run requests, and be listed again.
 pub fn is_salt_unreferenced(
     salt: &str,
     upstreams: &UpstreamTable,
@@ -203,6 +204,7 @@
     let is_retention_over = targets.target(&model).is_some_and(|target| {
         target.version > version && now.millis_since(target.heard) > PART_RETENTION_MS
     });
-    let of_model = upstreams.entries().filter_map(|entry| entry.versions.get(&model));
-    is_retention_over && of_model.min().is_some_and(|oldest| *oldest > version)
+    let listed = upstreams.entries().filter_map(|entry| entry.versions.get(&model).copied());
+    let departed = upstreams.departed_versions(&model, now.minus_millis(PART_RETENTION_MS));
+    is_retention_over && listed.chain(departed).min().is_some_and(|oldest| oldest > version)
 }
--- a/crates/guava-serve/tests/part_task.rs
+++ b/crates/guava-serve/tests/part_task.rs
@@ -4,13 +4,18 @@
 
 mod support;
 
-use guava_serve::{PartList, PartPort, PartReport, ServeConfig, apply_config, follow_stores};
+use guava_serve::{
+    HeldPart, PartEvent, PartList, PartPort, PartReport, ServeConfig, apply_config, follow_stores,
+    unreferenced_parts,
+};
+use guava_types::{Moment, TokenCount};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use support::{config_parts, serve_context, store};
+use support::{address, config_parts, engine, model, published, serve_context, store};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
+use yare::parameterized;
 
 /// A port to stores that are empty and report no events.
 fn empty_stores() -> PartPort {
@@ -58,3 +63,21 @@
 
     assert!(waited < Duration::from_millis(200), "{waited:?}");
 }
+
+#[parameterized(current = { 1_000, 1 }, old = { 3_000, 0 })]
+fn parts_are_freed_by_a_current_list_only(list_age_ms: u64, expected: usize) {
+    // Guards against a part that is freed while engines that this daemon does not list fetch it.
+    let context = serve_context("d1");
+    let now = Moment(100_000);
+    let held = HeldPart { salt: "m0/1".into(), id: "p".into(), tokens: TokenCount(9_000) };
+    let store = address(7);
+    context.part_index.borrow_mut().note_events(store, 1, vec![PartEvent::Stored(held)], now);
+    context.targets.borrow_mut().offer(&model(), published(2, Moment(50_000)));
+    context.upstreams.borrow_mut().note_entry(engine("a", 2));
+    let digest = context.upstreams.borrow().digest();
+    context.reads.borrow_mut().list.note_own(digest, now.minus_millis(list_age_ms));
+
+    let (_, parts) = unreferenced_parts(&context, store, now);
+
+    assert_eq!(parts.len(), expected);
+}
--- a/crates/guava-serve/tests/weights.rs
+++ b/crates/guava-serve/tests/weights.rs
@@ -276,6 +276,23 @@
     assert_eq!(is_unreferenced, expected);
 }
 
+#[test]
+fn prompt_parts_of_an_engine_that_was_removed_from_the_list_are_kept_for_a_while() {
+    // Guards against a part that is freed while an engine that is not listed any more fetches it.
+    let mut upstreams = UpstreamTable::default();
+    upstreams.note_read(Moment(100_000), false);
+    upstreams.note_entry(engine("a", 2));
+    upstreams.note_entry(engine("b", 1));
+    upstreams.note_removed(&id("b"), Moment(120_000));
+    upstreams.drop_lapsed(Moment(123_000));
+    let targets = targets();
+
+    let is_unreferenced_at = |at| is_salt_unreferenced("m0/1", &upstreams, &targets, Moment(at));
+
+    assert!(!is_unreferenced_at(125_900));
+    assert!(is_unreferenced_at(126_100));
+}
+
 #[test]
 fn prompt_parts_are_kept_for_a_while_after_a_publication_that_was_heard_late() {
     // Guards against a part that is freed while a request reads it, by a daemon that has just heard.
