--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -71,7 +71,8 @@
     let numbers: Vec<usize> = text.split(',').filter_map(|number| number.parse().ok()).collect();
     let [daemons, engines, instances, callers, seconds] = numbers[..] else { return None };
     let span = Duration::from_secs(seconds as u64);
-    Some(FleetSize { daemons, engines, instances, callers, span })
+    let has_outages = std::env::var_os("SOAK_OUTAGES").is_some();
+    Some(FleetSize { daemons, engines, instances, callers, span, has_outages })
 }
 
 /// Another build of the program, such as one of an earlier version: `SOAK_PROGRAM=FILE`.
@@ -88,6 +89,7 @@
         instances: 4,
         callers: 8,
         span: Duration::from_secs(12),
+        has_outages: false,
     };
     let size = fleet_by_hand().unwrap_or(small);
     let seeds = seeds_by_hand().unwrap_or(vec![1, 5]);
@@ -100,6 +102,27 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+#[test]
+fn small_fleet_keeps_its_promises_while_the_store_is_away_and_forgets() {
+    // Guards against upstreams that are held or forgotten after a lapse, and that are overrun.
+    let small = FleetSize {
+        daemons: 8,
+        engines: 10,
+        instances: 4,
+        callers: 24,
+        span: Duration::from_secs(18),
+        has_outages: true,
+    };
+    let seeds = seeds_by_hand().unwrap_or(vec![1]);
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    let play = |seed| soak_fleet(&program, folder, seed, small).unwrap();
+    let failed = failed_seeds(seeds, at_a_time_by_hand(), play);
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 #[test]
 fn no_request_begins_on_superseded_weights_after_the_time_limit() {
     // Guards against old weights in use for too long, and engines that never get the new ones.
@@ -109,6 +132,7 @@
         instances: 0,
         callers: 24,
         span: Duration::from_secs(26),
+        has_outages: false,
     };
     let size = fleet_by_hand().unwrap_or(small);
     let seeds = seeds_by_hand().unwrap_or(vec![1, 4]);
