fix: a caller does not get an engine's report as its answer

Cause: reports and orders took their connections from the pool in which requests find theirs. A second answer to a report lay where the answer to the next request was due, and an answer that names no request was taken. Class: an answer is believed to be to whatever waits on the connection.

Now calls and requests use different connections, to upstreams, stores and peers alike, and a success that names no request ends the attempt as lost where upstreams name the request in each answer (the platform's dialect says so). A second answer to a report that meets the next report shows an older state, on which only conditional orders rely.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -111,7 +111,9 @@
 pub use upstreams::announcement_watch::note_announcements;
 pub use upstreams::answered_parts::AnsweredParts;
 pub use upstreams::broken_send_table::BrokenSendTable;
-pub use upstreams::connection_pool::{ConnectionPool, ExchangeError, UpstreamConnection};
+pub use upstreams::connection_pool::{
+    ConnectionPool, ConnectionUse, ExchangeError, UpstreamConnection,
+};
 pub use upstreams::crash_gossip::CrashGossip;
 pub use upstreams::crash_notice::CrashNotice;
 pub use upstreams::drain_table::{DrainNotice, DrainTable};
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -15,7 +15,7 @@
 use crate::serve_config::ServiceRule;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::note_announcements;
-use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
+use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
 use crate::upstreams::report_watch::note_report;
@@ -341,6 +341,9 @@
         if marks.request.as_deref().is_some_and(|answered| answered != &*self.request.id) {
             return self.lost("the answer belongs to another request");
         }
+        if marks.is_unnamed {
+            return self.lost("the answer names no request");
+        }
         if marks.is_not_run {
             let outcome = self.note_refusal(&marks, answer.status());
             self.recycle_connection(connection, answer, &marks).await;
@@ -367,10 +370,11 @@
 
     async fn connect(&self) -> Option<UpstreamConnection> {
         let address = self.plan.send.address;
+        let (pool, carries) = (&self.context.pool, ConnectionUse::Requests);
         let opened = if self.request.route.repeat.may_repeat() {
-            self.context.pool.reuse_or_open(address).await
+            pool.reuse_or_open(address, carries).await
         } else {
-            self.context.pool.open(address).await
+            pool.open(address, carries).await
         };
         match opened {
             Ok(connection) => Some(connection),
--- a/crates/guava-serve/src/request/dialect.rs
+++ b/crates/guava-serve/src/request/dialect.rs
@@ -49,6 +49,8 @@
 pub struct AnswerMarks {
     /// Id of the request that it answers, if stated.
     pub request: Option<Box<str>>,
+    /// Whether it states no id though upstreams state one in each such answer to a request.
+    pub is_unnamed: bool,
     /// Whether the upstream states that it did not run the request.
     pub is_not_run: bool,
     /// Whether the answer is a refusal by another upstream or other weights than the request named.
--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -10,7 +10,7 @@
 use crate::request::answer_body::{AnswerBody, InterruptedStream};
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
-use crate::upstreams::connection_pool::{ExchangeError, UpstreamConnection};
+use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
@@ -50,9 +50,9 @@
     peer: SocketAddr,
 ) -> ForwardOutcome {
     let opened = if request.route.repeat.may_repeat() {
-        context.pool.reuse_or_open(peer).await
+        context.pool.reuse_or_open(peer, ConnectionUse::Requests).await
     } else {
-        context.pool.open(peer).await
+        context.pool.open(peer, ConnectionUse::Requests).await
     };
     let mut connection = match opened {
         Ok(connection) => connection,
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -4,6 +4,10 @@
 //! must not be sent on a connection that its upstream may be closing at the same moment: after a
 //! reset it is unknown whether the request ran. So such requests always get a new connection, and
 //! others reuse one only well within its idle limit.
+//!
+//! Calls and requests use different connections. A server may answer twice, and the second answer
+//! arrives where the next one is due. That to a request names the request; that to a call names nothing,
+//! and would be taken for the answer to the request that follows.
 
 use bytes::Bytes;
 use guava_types::{Deadline, FastMap, Moment};
@@ -71,10 +75,20 @@
     }
 }
 
+/// What a connection carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ConnectionUse {
+    /// Customers' requests.
+    Requests,
+    /// Calls, whose answers name no request.
+    Calls,
+}
+
 /// An open connection that carries one request at a time.
 #[derive(Debug)]
 pub struct UpstreamConnection {
     address: SocketAddr,
+    carries: ConnectionUse,
     /// Whether it has not carried a request before.
     is_new: bool,
     sender: SendRequest<Full<Bytes>>,
@@ -91,7 +105,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     source: Option<IpAddr>,
-    idle: RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>,
+    idle: RefCell<FastMap<(SocketAddr, ConnectionUse), Vec<IdleConnection>>>,
 }
 
 impl UpstreamConnection {
@@ -132,17 +146,18 @@
     pub async fn reuse_or_open(
         &self,
         address: SocketAddr,
+        carries: ConnectionUse,
     ) -> Result<UpstreamConnection, ExchangeError> {
-        match self.take_idle(address) {
+        match self.take_idle(address, carries) {
             Some(connection) => Ok(connection),
-            None => self.open(address).await,
+            None => self.open(address, carries).await,
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
+    fn take_idle(&self, address: SocketAddr, carries: ConnectionUse) -> Option<UpstreamConnection> {
         let now = Moment::now();
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&(address, carries))?;
         while let Some(candidate) = connections.pop() {
             let sender = &candidate.connection.sender;
             if !candidate.usable_until.passed(now) && !sender.is_closed() && sender.is_ready() {
@@ -153,7 +168,11 @@
     }
 
     /// Opens a new connection; fails after `CONNECT_TIMEOUT_MS`.
-    pub async fn open(&self, address: SocketAddr) -> Result<UpstreamConnection, ExchangeError> {
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        carries: ConnectionUse,
+    ) -> Result<UpstreamConnection, ExchangeError> {
         let not_sent = |reason: String| ExchangeError::NotSent {
             address,
             reason: reason.into(),
@@ -179,7 +198,8 @@
             // Errors are reported by the exchange on the connection.
             drop(connection.await);
         });
-        Ok(UpstreamConnection { address, is_new: true, sender, _driver: ConnectionDriver(driver) })
+        let _driver = ConnectionDriver(driver);
+        Ok(UpstreamConnection { address, carries, is_new: true, sender, _driver })
     }
 
     /// Whether an address accepts connections and keeps them open.
@@ -220,7 +240,7 @@
         let limit = announced_idle_ms.unwrap_or(DEFAULT_IDLE_LIMIT_MS) as f64 * IDLE_LIMIT_FRACTION;
         let usable_until = Deadline::in_millis(limit as u64);
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(connection.address).or_default();
+        let connections = idle.entry((connection.address, connection.carries)).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
             connections.push(IdleConnection { connection, usable_until });
         }
@@ -229,7 +249,7 @@
     /// Closes the idle connections to an address whose process exited: a request written to one of
     /// them would be lost, or would count as possibly run.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+        self.idle.borrow_mut().retain(|(known, _), _| *known != address);
     }
 
     /// Closes all idle connections.
--- a/crates/guava-serve/src/upstreams/http_call.rs
+++ b/crates/guava-serve/src/upstreams/http_call.rs
@@ -2,7 +2,7 @@
 //! customers' requests.
 
 use crate::deadline_wait::until;
-use crate::upstreams::connection_pool::{ConnectionPool, ExchangeError};
+use crate::upstreams::connection_pool::{ConnectionPool, ConnectionUse, ExchangeError};
 use bytes::Bytes;
 use guava_types::Deadline;
 use http::header::HOST;
@@ -85,11 +85,11 @@
         request: Request<Full<Bytes>>,
         idle_ms: u64,
     ) -> Result<CallAnswer, CallError> {
-        let mut connection = self.reuse_or_open(address).await?;
+        let mut connection = self.reuse_or_open(address, ConnectionUse::Calls).await?;
         let response = match connection.exchange(request.clone()).await {
             // The idle connection was closed meanwhile, and nothing was sent.
             Err(ExchangeError::NotSent { .. }) => {
-                connection = self.open(address).await?;
+                connection = self.open(address, ConnectionUse::Calls).await?;
                 connection.exchange(request).await?
             }
             other => other?,
--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -6,8 +6,8 @@
 
 use guava_policy::ReachChange;
 use guava_serve::{
-    AcceptedRequest, MemberDescriptor, MemberTable, PeerRole, RepeatRule, ServeContext,
-    UpstreamEntry, serve_request, watch_reach,
+    AcceptedRequest, ConnectionUse, MemberDescriptor, MemberTable, PeerRole, RepeatRule,
+    ServeContext, UpstreamEntry, serve_request, watch_reach,
 };
 use guava_types::Moment;
 use std::net::SocketAddr;
@@ -219,7 +219,7 @@
     let context = unreached_daemon(1, &[&peer]);
 
     let is_new = run(async {
-        let idle = context.pool.open(peer.address).await.unwrap();
+        let idle = context.pool.open(peer.address, ConnectionUse::Requests).await.unwrap();
         context.pool.keep(idle, Some(60_000));
         tokio::task::spawn_local(watch_reach(Rc::clone(&context)));
         let request = app_request(RepeatRule::NonIdempotent);
@@ -227,7 +227,7 @@
         while !context.reach.borrow().is_lost() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        context.pool.reuse_or_open(peer.address).await.unwrap().is_new()
+        context.pool.reuse_or_open(peer.address, ConnectionUse::Requests).await.unwrap().is_new()
     });
 
     assert!(is_new);
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -7,10 +7,10 @@
 
 use guava_policy::{CustomerLedger, QueueEntry, QueueTicket, WaitingUse};
 use guava_serve::{
-    AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ExpectedLoad, ListenerPhase,
-    PublicationSource, ReadMark, RefusalReason, RepeatRule, RouteRule, ServeContext, ServeOutcome,
-    UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request, first_attempt,
-    open_listener, serve_listener, serve_request,
+    AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ConnectionUse, ExpectedLoad,
+    ListenerPhase, PublicationSource, ReadMark, RefusalReason, RepeatRule, RouteRule, ServeContext,
+    ServeOutcome, UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request,
+    first_attempt, open_listener, serve_listener, serve_request,
 };
 use guava_types::{Deadline, Moment, ServiceName, TokenCount};
 use std::cell::RefCell;
@@ -901,6 +901,49 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+#[test]
+fn calls_and_requests_use_different_connections() {
+    // Guards against an engine's second answer to a report that reaches a caller as its stream.
+    let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "report")]]);
+
+    let (for_request, for_call) = run(async {
+        let context = context(&[&upstream]);
+        let address = upstream.address;
+        let call = call_request(http::Method::GET, address, "/report", Vec::new());
+        let deadline = Deadline::in_millis(1_000);
+        context.pool.call(address, call, deadline, 5_000).await.unwrap();
+        let pool = &context.pool;
+        let for_request = pool.reuse_or_open(address, ConnectionUse::Requests).await.unwrap();
+        let for_call = pool.reuse_or_open(address, ConnectionUse::Calls).await.unwrap();
+        (for_request.is_new(), for_call.is_new())
+    });
+
+    assert_eq!((for_request, for_call), (true, false));
+}
+
+#[parameterized(
+    resumable = { RepeatRule::ResumableStream, ok("yes") },
+    idempotent = { RepeatRule::Idempotent, ok("yes") },
+    non_idempotent = { RepeatRule::NonIdempotent, CallerResult::Lost },
+)]
+fn answer_that_names_no_request_is_not_delivered(repeat: RepeatRule, expected: CallerResult) {
+    // Guards against an answer to another request that reaches a caller with status 200.
+    let unnamed = complete_answer("200 OK", "x-report: 1\r\n", "report");
+    let reporting = ScriptedUpstream::start(vec![vec![unnamed]]);
+    let other = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "yes")]]);
+
+    let result = run(async {
+        let context = context(&[&reporting, &other]);
+        // Only the first can be chosen at first.
+        context.upstreams.borrow_mut().note_crashed(&id("u1"), Deadline::in_millis(1));
+        let request = request(route("/x/", "app", repeat));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, expected);
+    assert_eq!(reporting.requests().len(), 1);
+}
+
 /// Serves a stream whose engine pauses, and that the other upstream is asked to resume.
 fn serve_resumed(pause_ms: u64, other: &ScriptedUpstream) -> (CallerResult, ScriptedUpstream) {
     let engine = pausing_stream(pause_ms);
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -49,6 +49,7 @@
         },
         marks: |status, headers| AnswerMarks {
             request: text(headers, "x-request"),
+            is_unnamed: headers.contains_key("x-report"),
             is_not_run: headers.contains_key("x-not-run") || status == 421,
             is_unexpected: status == StatusCode::MISDIRECTED_REQUEST,
             instance: text(headers, "x-instance"),
