fix: the hold of requests for a stale list outlasts a read without an answer

With the hold of 400 ms, requests that came in the last 0.2 s before a silent store is known to be away would be refused since the list is not sent by any more when it is stale. A read that is due at 0.65 of the time limit fails 1.2 s later, at most 0.6 s after the list counts as stale (by reckoning, not by a run).

--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Longest time for which a request is held, in milliseconds.
-const MAX_HOLD_MS: u64 = 400;
+/// Longest time for which a request is held, in milliseconds. When the store falls silent, this
+/// daemon's read has failed by then, which shows that it is away.
+const MAX_HOLD_MS: u64 = 650;
 /// Interval between two checks for fresh data, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 4;
 /// Fraction of the time limit of a change after which data counts as stale. The remainder is for the
