fix: a list that was old before an outage is not used in it

Class: a daemon's own trouble is taken for the store's, for the time before the outage.

While no daemon can read the list it does not change, so it must have been fresh when it was last read. The test failed before.

--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -33,7 +33,9 @@
 fn is_list_stale(context: &ServeContext) -> bool {
     let (limit_ms, now) = (context.bounds.leave_limit_ms, Moment::now());
     let list = &context.reads.borrow().list;
-    is_stale(list, limit_ms, now) && !is_list_away(context, list, limit_ms, now)
+    // While no daemon can read the list it does not change, so it must have been fresh at the last read.
+    let last_read = list.freshest().filter(|_| is_list_away(context, list, limit_ms, now));
+    is_stale(list, limit_ms, last_read.unwrap_or(now))
 }
 
 /// Whether no daemon can read the list, as far as is known here.
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -863,9 +863,9 @@
     assert_eq!(left.requests().len(), 0);
 }
 
-/// Serves a call at a daemon whose last read of the list failed and whose list was confirmed long
+/// Serves a call at a daemon whose last read of the list failed, by a list that was confirmed so long
 /// ago, when a peer last read another list.
-fn serve_by_an_old_list(peer_read_ms: u64) -> (CallerResult, ScriptedUpstream) {
+fn serve_by_an_old_list(confirmed_ms: u64, peer_read_ms: u64) -> (CallerResult, ScriptedUpstream) {
     let upstream = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "yes")]]);
     let result = run(async {
         let context = context(&[&upstream]);
@@ -875,7 +875,7 @@
         let as_of = now.minus_millis(peer_read_ms);
         {
             let list = &mut context.reads.borrow_mut().list;
-            list.note_own(1, now.minus_millis(5_000));
+            list.note_own(1, now.minus_millis(confirmed_ms));
             list.note_from_peer(ReadMark { state: 2, as_of });
         }
         let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
@@ -887,7 +887,16 @@
 #[test]
 fn request_is_refused_while_only_this_daemon_can_not_read_the_list() {
     // Guards against work for upstreams that left, at a daemon that takes its trouble for an outage.
-    let (result, upstream) = serve_by_an_old_list(500);
+    let (result, upstream) = serve_by_an_old_list(5_000, 500);
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert_eq!(upstream.requests().len(), 0);
+}
+
+#[test]
+fn request_is_refused_in_an_outage_by_a_list_that_was_old_before_it() {
+    // Guards against work for upstreams that left before the outage, while this daemon did not read.
+    let (result, upstream) = serve_by_an_old_list(9_000, 4_000);
 
     assert_eq!(result, CallerResult::NotRun);
     assert_eq!(upstream.requests().len(), 0);
@@ -895,7 +904,7 @@
 
 #[test]
 fn requests_are_sent_while_no_daemon_can_read_the_list() {
-    let (result, upstream) = serve_by_an_old_list(4_000);
+    let (result, upstream) = serve_by_an_old_list(5_000, 4_000);
 
     assert_eq!(result, ok("yes"));
     assert_eq!(upstream.requests().len(), 1);
