fix: a silent engine is not given up for the wait for a fresh list

The daemon's lines: no event for 0.9 s, the list too old to send by for another 0.7 s, which is longer than a silent source is kept; the engine that then took the request refused it, and the stream ended with 0.35 s left, though its engine paused for 1.2 s only.

A stream that has a source is not resumed elsewhere while the list may miss that an upstream is leaving; its source is read on. The test failed before: the answer ended after its first event.

--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -6,6 +6,7 @@
 use crate::request::answer_timeout::EVENT_TIMEOUT_MS;
 use crate::request::attempt::{OpenStream, StreamSource, StreamStep};
 use crate::request::event_framer::EventBatch;
+use crate::request::freshness_wait::is_list_stale;
 use crate::request::request_run::{RequestRun, SendResult};
 use crate::serve_config::RepeatRule;
 use crate::upstreams::upstream_crashes::{note_answer, note_interrupted};
@@ -125,6 +126,8 @@
                 None if deadline.passed(Moment::now()) => {
                     return StreamStep::Interrupted("no event in time".into());
                 }
+                // The wait for a fresh list would outlast the time for which a silent source is kept.
+                None if is_list_stale(&self.run.context) => {}
                 None if self.run.reserve_retry() => match self.resume("source is silent").await {
                     Ok(Some(batch)) => return StreamStep::Events(batch),
                     Ok(None) => {}
--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -30,7 +30,8 @@
     tracker.confirmed().is_some_and(|confirmed| now.millis_since(confirmed) > stale_ms)
 }
 
-fn is_list_stale(context: &ServeContext) -> bool {
+/// Whether the list of upstreams may miss that one is leaving.
+pub fn is_list_stale(context: &ServeContext) -> bool {
     let (limit_ms, now) = (context.bounds.leave_limit_ms, Moment::now());
     let list = &context.reads.borrow().list;
     // While no daemon can read the list it does not change, so it must have been fresh at the last read.
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -977,6 +977,26 @@
     assert_eq!((engine.requests().len(), other.requests().len()), (1, 1));
 }
 
+#[test]
+fn stream_continues_at_its_silent_engine_while_the_list_is_too_old_for_another() {
+    // Guards against answers that end early because their engine is given up for a wait.
+    let other = refusing_upstream();
+    let engine = pausing_stream(1_300);
+
+    let result = run(async {
+        let context = context(&[&engine, &other]);
+        context.upstreams.borrow_mut().note_crashed(&id("u1"), Deadline::in_millis(400));
+        let now = Moment::now();
+        context.upstreams.borrow_mut().note_read(now, false);
+        context.reads.borrow_mut().list.note_own(1, now.minus_millis(1_200));
+        let request = request(route("/x/", "app", RepeatRule::ResumableStream));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, ok("id: 1\ndata: one\n\nid: 2\ndata: two\n\n"));
+    assert_eq!((engine.requests().len(), other.requests().len()), (1, 0));
+}
+
 #[test]
 fn silent_engine_is_abandoned_before_two_work_on_a_stream_for_long() {
     // Guards against a stream that runs at two engines for long: the one that resumes it starts
