--- a/crates/guavatiller/tests/store_lapses.rs
+++ b/crates/guavatiller/tests/store_lapses.rs
@@ -43,13 +43,6 @@
     Some(send(daemon.callers, &request)?.status)
 }
 
-/// How many upstreams a daemon lists.
-fn listed(daemon: &DaemonProcess) -> Option<usize> {
-    let metrics = ask(daemon.metrics, "/metrics")?.body;
-    let line = metrics.lines().find(|line| line.starts_with("guavatiller_upstreams "))?;
-    line.split_whitespace().last()?.parse().ok()
-}
-
 #[test]
 fn upstream_that_leaves_as_the_store_returns_gets_no_late_request() {
     // Guards against a removal that is taken for a lapse.
@@ -89,6 +82,6 @@
     }
     sleep(DRAIN * 2);
 
-    let known: Vec<Option<usize>> = daemons.iter().map(listed).collect();
+    let known: Vec<Option<usize>> = daemons.iter().map(DaemonProcess::listed_upstreams).collect();
     assert_eq!(known, vec![Some(SERVERS.len()); daemons.len()]);
 }
