--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_platform_standins::{FleetSize, soak, soak_fleet, soak_versions};
+use guava_platform_standins::{FleetSize, ReviewDay, play_day, soak, soak_fleet, soak_versions};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::Duration;
@@ -144,3 +144,30 @@
 
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Plays a day in full by hand (`SOAK_SEEDS`), or one round of it soon after the start.
+fn broken_on_day(day: ReviewDay) -> Vec<(u64, Vec<String>)> {
+    let by_hand = seeds_by_hand();
+    let short = ReviewDay { lead_ms: 6_000, rounds: 1, ..day };
+    let day = if by_hand.is_some() { day } else { short };
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let play = |seed| play_day(&program, folder, seed, &day).unwrap();
+    failed_seeds(by_hand.unwrap_or(vec![1]), at_a_time_by_hand(), play)
+}
+
+#[test]
+fn engines_are_listed_and_load_weights_after_entries_lapse_and_history_is_lost() {
+    // Guards against daemons that forget living upstreams, and weights that are never loaded.
+    let failed = broken_on_day(ReviewDay::SERVERS_FORGOTTEN);
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[test]
+fn prompt_parts_are_not_freed_while_engines_fetch_them_after_entries_lapse() {
+    // Guards against parts that are freed by a daemon that lacks engines with old weights.
+    let failed = broken_on_day(ReviewDay::PARTS_FREED);
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
