fix: bodies of answers are read up to a limit, of each and of all

What was seen: a report, list or page of records without end is read until the call's deadline: 310 and 415 MB in 800 ms, where a process has 110 MB. An answer to a request had a limit of 8 MiB, so that some ten at the same time take all memory; a refusal's body had only 20 ms.

Cause: calls collected whole bodies, and no limit held for all together.

One reader of bodies has a limit of size; incomplete answers to requests also share one beyond their first 64 KiB, so short answers are always read. An answer that is too long counts as a failure of its upstream, not as a broken connection.

body_with_length and body_without_length of the call's test failed before.

--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -15,6 +15,7 @@
 use crate::serve_config::ServiceRule;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::note_announcements;
+use crate::upstreams::bounded_body::{BodyError, HeldAnswer, read_body};
 use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
@@ -26,7 +27,7 @@
 use crate::upstreams::work_table::WorkTicket;
 use crate::weights::start_guard::StartGuard;
 use crate::weights::superseded_requests::{note_superseded_send, note_superseded_start};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use guava_log::log_event;
 use guava_policy::CloseReason;
 use guava_types::{Deadline, ModelName, Moment, UpstreamId};
@@ -44,7 +45,9 @@
 /// Range of stated paces at which an engine's speed is learnt, as factors of the usual time.
 const MIN_USUAL_PACE: f64 = 0.8;
 const MAX_USUAL_PACE: f64 = 1.25;
-/// Timeout for reading a refusal's body, without which its connection can't be reused.
+/// Largest body of a refusal, in bytes, and the timeout for reading it; without it the connection can't
+/// be reused.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 20;
 
 /// Registers a request as in flight at an upstream, until the guard is dropped.
@@ -139,6 +142,7 @@
     pub upstream: UpstreamId,
     body: Incoming,
     framer: EventFramer,
+    held: HeldAnswer,
     connection: UpstreamConnection,
     marks: AnswerMarks,
     work: WorkGuard,
@@ -541,7 +545,7 @@
         marks: &AnswerMarks,
     ) {
         let limit = std::time::Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
-        let read = timeout(limit, answer.into_body().collect()).await;
+        let read = timeout(limit, read_body(answer.into_body(), MAX_REFUSAL_BYTES, None)).await;
         if matches!(read, Ok(Ok(_))) && !marks.is_last && marks.is_framed {
             self.context.pool.keep(connection, marks.idle_limit_ms);
         }
@@ -556,9 +560,13 @@
         sent: Moment,
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
-        let body = match wait_for_answer(self.input, self.plan, collect_body(body)).await {
-            WaitOutcome::Done(Some(body)) => body,
-            WaitOutcome::Done(None) => return self.interrupted("the answer was interrupted"),
+        let reading = read_body(body, MAX_ANSWER_BYTES, Some(HeldAnswer::new(self.context)));
+        let body = match wait_for_answer(self.input, self.plan, reading).await {
+            WaitOutcome::Done(Ok(body)) => body,
+            WaitOutcome::Done(Err(error @ BodyError::Interrupted { .. })) => {
+                return self.interrupted(&error.to_string());
+            }
+            WaitOutcome::Done(Err(error)) => return self.lost(&error.to_string()),
             WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
             WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
             WaitOutcome::Withdrawn => return self.withdrawn(),
@@ -592,7 +600,8 @@
         let (head, body) = answer.into_parts();
         let upstream = self.plan.send.upstream.clone();
         let framer = EventFramer::default();
-        let mut source = StreamSource { upstream, body, framer, connection, marks, work };
+        let held = HeldAnswer::new(self.context);
+        let mut source = StreamSource { upstream, body, framer, held, connection, marks, work };
         // The headers are withheld until the first event: until then another upstream may answer.
         let guard = StartGuard::new(self.context, self.expected_weights());
         let step = source.next_step();
@@ -651,19 +660,6 @@
 /// Time for which an upstream that refused a request counts as loading, and others are preferred.
 const LOADING_ESTIMATE_MS: u64 = 500;
 
-async fn collect_body(mut body: Incoming) -> Option<Bytes> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Some(data) = frame.ok()?.data_ref() {
-            bytes.extend_from_slice(data);
-        }
-        if bytes.len() > MAX_ANSWER_BYTES {
-            return None;
-        }
-    }
-    Some(bytes.freeze())
-}
-
 impl StreamSource {
     /// Whether the end of the stream can be distinguished from that of its upstream.
     pub fn is_framed(&self) -> bool {
@@ -679,7 +675,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map(|data| &data[..]).unwrap_or_default();
-                    if !self.framer.push(data) {
+                    if !self.framer.push(data) || !self.held.note_length(self.framer.len()) {
                         return StreamStep::Interrupted("an event exceeds the size limit".into());
                     }
                 }
@@ -690,10 +686,10 @@
     }
 
     fn step_at_end(&mut self) -> StreamStep {
-        if self.framer.is_at_boundary() {
+        if self.framer.len() == 0 {
             return StreamStep::End;
         }
-        if self.marks.is_framed {
+        if self.marks.is_framed || self.framer.is_at_boundary() {
             let bytes = self.framer.take_remainder();
             return StreamStep::Events(EventBatch { bytes, last_id: None });
         }
--- a/crates/guava-serve/src/request/event_framer.rs
+++ b/crates/guava-serve/src/request/event_framer.rs
@@ -19,52 +19,81 @@
 }
 
 /// Buffers bytes until they form complete events.
+///
+/// Comments and blank lines are no events: they are passed on with the next one.
 #[derive(Debug, Default)]
 pub struct EventFramer {
     pending: BytesMut,
-    /// Length of the prefix that was already searched for the end of an event.
-    searched_len: usize,
+    /// Length of the prefix whose lines are known.
+    scanned_len: usize,
+    /// Length of the prefix that ends with the last complete event.
+    event_end: usize,
+    /// Whether the block of lines that is not complete has a line that is no comment.
+    has_field: bool,
+    /// First byte of the line that is not complete.
+    line_begin: Option<u8>,
+    /// Whether the last scanned byte is a carriage return, which a line feed may follow.
+    is_after_return: bool,
 }
 
 impl EventFramer {
-    /// Appends received bytes; returns false if an incomplete event exceeds the size limit.
+    /// Appends received bytes; returns false if those that are no complete event exceed the size limit.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.pending.extend_from_slice(bytes);
-        self.pending.len() <= MAX_EVENT_BYTES
+        self.scan();
+        self.pending.len() - self.event_end <= MAX_EVENT_BYTES
+    }
+
+    /// Bytes that are buffered.
+    pub fn len(&self) -> usize {
+        self.pending.len()
     }
 
     /// Removes and returns all complete events.
     pub fn take_complete(&mut self) -> Option<EventBatch> {
-        let end = self.last_event_end()?;
+        let end = std::mem::take(&mut self.event_end);
+        if end == 0 {
+            return None;
+        }
+        self.scanned_len -= end;
         let bytes = self.pending.split_to(end).freeze();
-        self.searched_len = 0;
         let last_id = last_id(&bytes);
         Some(EventBatch { bytes, last_id })
     }
 
-    /// Whether no bytes of an incomplete event are buffered.
+    /// Whether no part of an incomplete event is buffered.
     pub fn is_at_boundary(&self) -> bool {
-        self.pending.is_empty()
+        !self.has_field && self.line_begin.is_none()
     }
 
-    /// Removes and returns the bytes of an incomplete event.
+    /// Removes and returns the bytes that are no complete event.
     pub fn take_remainder(&mut self) -> Bytes {
-        self.searched_len = 0;
-        self.pending.split().freeze()
+        std::mem::take(self).pending.freeze()
     }
 
-    /// The position after the last blank line.
-    fn last_event_end(&mut self) -> Option<usize> {
-        let bytes = &self.pending[..];
-        // A blank line may be split between two reads, so the search starts before the new bytes.
-        let from = self.searched_len.saturating_sub(3);
-        let is_end = |position: usize| {
-            let before = &bytes[..position];
-            before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n") || before.ends_with(b"\r\r")
-        };
-        let found = (from + 1..=bytes.len()).rev().find(|position| is_end(*position));
-        self.searched_len = bytes.len();
-        found
+    fn scan(&mut self) {
+        for place in self.scanned_len..self.pending.len() {
+            let byte = self.pending[place];
+            let is_line_end = matches!(byte, b'\r' | b'\n');
+            if byte == b'\n' && std::mem::take(&mut self.is_after_return) {
+                // It belongs to the line end before.
+                if self.event_end == place {
+                    self.event_end += 1;
+                }
+                continue;
+            }
+            self.is_after_return = byte == b'\r';
+            if !is_line_end {
+                self.line_begin.get_or_insert(byte);
+                continue;
+            }
+            match self.line_begin.take() {
+                Some(begin) => self.has_field |= begin != b':',
+                None if std::mem::take(&mut self.has_field) => self.event_end = place + 1,
+                None => {}
+            }
+        }
+        self.scanned_len = self.pending.len();
     }
 }
 
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -91,7 +91,7 @@
     pub retries: RetryLimit,
     /// Factor by which a cold upstream's load may exceed its configured cold rate.
     pub cold_times: f64,
-    /// Limit of `ServeContext::held_bytes`.
+    /// Limit of `ServeContext::held_bytes` and of `ServeContext::answer_bytes`, each.
     pub held_bytes: usize,
     /// Rate of the VM's link.
     pub link: LinkRate,
@@ -228,6 +228,8 @@
     pub return_gossip: RefCell<ReturnGossip>,
     /// Bytes of the requests that this daemon holds.
     pub held_bytes: Cell<usize>,
+    /// Bytes of incomplete answers that this daemon holds, without a free part of each.
+    pub answer_bytes: Cell<usize>,
 }
 
 impl ServeContext {
@@ -292,6 +294,7 @@
             returns: RefCell::default(),
             return_gossip: RefCell::default(),
             held_bytes: Cell::new(0),
+            answer_bytes: Cell::new(0),
             identity,
         }
     }
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod announcement_watch;
 pub(crate) mod answered_parts;
+pub(crate) mod bounded_body;
 pub(crate) mod broken_send_table;
 pub(crate) mod connection_pool;
 pub(crate) mod crash_gossip;
--- a/crates/guava-serve/src/upstreams/http_call.rs
+++ b/crates/guava-serve/src/upstreams/http_call.rs
@@ -2,15 +2,20 @@
 //! customers' requests.
 
 use crate::deadline_wait::until;
+use crate::upstreams::bounded_body::{BodyError, read_body};
 use crate::upstreams::connection_pool::{ConnectionPool, ConnectionUse, ExchangeError};
 use bytes::Bytes;
 use guava_types::Deadline;
 use http::header::HOST;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use snafu::Snafu;
 use std::net::SocketAddr;
 
+/// Largest body of an answer to a call, in bytes: several times the largest page of records, and the
+/// list of the prompt parts of a large store.
+const MAX_CALL_BYTES: usize = 8 << 20;
+
 /// Failure of a call.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -30,9 +35,12 @@
     /// The call was not made, since the calls that the upstream's limit allows are used up.
     #[snafu(display("not called: the calls of its limit are used up"))]
     Limited,
-    /// The connection broke while the answer's body was read.
-    #[snafu(display("connection broken while reading the answer's body"))]
-    Interrupted,
+    /// The answer's body was not read completely.
+    #[snafu(display("{source}"), context(false))]
+    Body {
+        /// Why not.
+        source: BodyError,
+    },
 }
 
 /// Complete answer to a call, of any status.
@@ -95,8 +103,8 @@
             other => other?,
         };
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|_| CallError::Interrupted)?;
+        let body = read_body(body, MAX_CALL_BYTES, None).await?;
         self.keep(connection, Some(idle_ms));
-        Ok(CallAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
+        Ok(CallAnswer { status: head.status, headers: head.headers, body })
     }
 }
--- a/crates/guava-serve/tests/endless_answers.rs
+++ b/crates/guava-serve/tests/endless_answers.rs
@@ -5,9 +5,11 @@
 
 mod support;
 
+use futures_util::future::join_all;
 use guava_serve::{RepeatRule, call_request, serve_request};
 use guava_types::Deadline;
 use http::Method;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -94,9 +96,13 @@
     interim_answers = { endless("", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"), 256 * KIB },
     interim_trickle = { trickle("", "HTTP/1.1 100 Continue\r\n\r\n"), 256 * KIB },
     head_trickle = { trickle("HTTP/1.1 200 OK\r\n", "x"), 256 * KIB },
+    body_without_length = { endless(&format!("{HEAD}\r\n"), "abc"), 10 << 20 },
+    body_with_length = { endless(&format!("{HEAD}content-length: 99999999999\r\n\r\n"), "abc"), 10 << 20 },
+    chunks = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n"), "3\r\nabc\r\n"), 60 << 20 },
     chunk_extension = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n3;a="), "a"), 256 * KIB },
     trailers = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n0\r\n"), "x-a: b\r\n"), 256 * KIB },
     body_trickle = { trickle(&format!("{HEAD}\r\n"), "a"), 256 * KIB },
+    refusal_body = { endless("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n\r\n", "abc"), 256 * KIB },
 )]
 fn request_with_an_endless_answer_is_sent_to_another_upstream(
     answer: Vec<ScriptStep>,
@@ -130,6 +136,9 @@
     head_line = { endless("HTTP/1.1 200 OK\r\nx-a: ", "a"), 256 * KIB },
     heads = { endless("HTTP/1.1 200 OK\r\n", "x-a: b\r\n"), 256 * KIB },
     interim_answers = { endless("", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"), 256 * KIB },
+    body_without_length = { endless(&format!("{HEAD}\r\n"), "abc"), 10 << 20 },
+    body_with_length = { endless(&format!("{HEAD}content-length: 99999999999\r\n\r\n"), "abc"), 10 << 20 },
+    chunks = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n"), "400\r\n"), 60 << 20 },
     chunk_extension = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n3;a="), "a"), 256 * KIB },
     trailers = { endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n0\r\n"), "x-a: b\r\n"), 256 * KIB },
     body_trickle = { trickle(&format!("{HEAD}\r\n"), "a"), 256 * KIB },
@@ -174,3 +183,38 @@
     assert!(is_closed(&upstream));
     assert!(upstream.endless_bytes() <= 256 * KIB + BUFFERED);
 }
+
+#[test]
+fn long_answers_that_come_at_the_same_time_share_a_limit_and_short_ones_pass() {
+    // Guards against endless answers that take all memory together, each within its own limit.
+    let endless = endless(&format!("{HEAD}\r\n"), "abc");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let upstream =
+        ScriptedUpstream::with_script(move |_, _| match asked.fetch_add(1, Ordering::SeqCst) {
+            0..30 => endless.clone(),
+            _ => good_answer(),
+        });
+
+    let (most, short) = run(async {
+        let context = context(&[&upstream]);
+        let config = Rc::new(config(1));
+        let most = Rc::new(Cell::new(0));
+        let long = (0..30).map(|_| {
+            let (context, config, most) =
+                (Rc::clone(&context), Rc::clone(&config), Rc::clone(&most));
+            async move {
+                let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
+                let serving = read(serve_request(&context, &config, request).await);
+                most.set(most.get().max(context.answer_bytes.get()));
+                serving.await
+            }
+        });
+        let results = join_all(long).await;
+        assert!(results.iter().all(|result| *result == CallerResult::Lost), "{results:?}");
+        let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
+        (most.get(), read(serve_request(&context, &config, request).await).await)
+    });
+
+    assert_eq!(short, ok("yes"));
+    assert!(most <= 2 << 20, "{most}");
+}
