--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -21,6 +21,10 @@
 /// arrive sooner, and two upstreams must not work on one stream for longer.
 const SILENT_SOURCE_RETENTION_MS: u64 = 300;
 
+/// Bytes of events that are relayed after the request's deadline: many times what a stream's upstream
+/// sends while a daemon does not run, so that what arrived before the deadline is delivered.
+const MAX_LATE_BYTES: usize = 256 << 10;
+
 /// A stream that is being relayed to a caller.
 struct EventRelay {
     run: RequestRun,
@@ -34,6 +38,8 @@
 /// How much of a stream was relayed, and from which upstream, for logs.
 struct RelayProgress {
     bytes: usize,
+    /// Of these, bytes relayed after the request's deadline.
+    late_bytes: usize,
     last_event_at: Moment,
     upstream: UpstreamId,
 }
@@ -43,8 +49,12 @@
 pub fn relay_response(run: RequestRun, opened: OpenStream) -> Response<AnswerBody> {
     let OpenStream { status, headers, first, source } = opened;
     let last_id = run.request.resume_after.clone();
-    let progress =
-        RelayProgress { bytes: 0, last_event_at: Moment::now(), upstream: source.upstream.clone() };
+    let progress = RelayProgress {
+        bytes: 0,
+        late_bytes: 0,
+        last_event_at: Moment::now(),
+        upstream: source.upstream.clone(),
+    };
     let relay = EventRelay {
         run,
         source: Some(source),
@@ -95,7 +105,11 @@
 
     fn note_relayed(&mut self, batch: EventBatch) -> Bytes {
         self.progress.bytes += batch.bytes.len();
-        self.progress.last_event_at = Moment::now();
+        let now = Moment::now();
+        self.progress.last_event_at = now;
+        if self.run.request.deadline.passed(now) {
+            self.progress.late_bytes += batch.bytes.len();
+        }
         if batch.last_id.is_some() {
             self.last_id = batch.last_id;
         }
@@ -112,6 +126,9 @@
             let Some(source) = &mut self.source else {
                 return StreamStep::Interrupted("no source".into());
             };
+            if self.progress.late_bytes > MAX_LATE_BYTES {
+                return StreamStep::Interrupted("the stream goes on after its deadline".into());
+            }
             let limit = if is_resumable {
                 deadline.earlier(Deadline::in_millis(EVENT_TIMEOUT_MS))
             } else {
--- a/crates/guava-serve/tests/endless_answers.rs
+++ b/crates/guava-serve/tests/endless_answers.rs
@@ -6,15 +6,18 @@
 mod support;
 
 use futures_util::future::join_all;
-use guava_serve::{RepeatRule, call_request, serve_request};
+use guava_serve::{RepeatRule, ServeOutcome, call_request, serve_request};
 use guava_types::Deadline;
 use http::Method;
+use http_body_util::BodyExt;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
-use support::scripted::{ScriptStep, ScriptedUpstream, complete_answer};
+use support::scripted::{
+    ScriptStep, ScriptedUpstream, chunk, complete_answer, last_chunk, stream_head,
+};
 use support::served::{CallerResult, context, read, run};
 use support::{config, request, route};
 use tokio::time::sleep;
@@ -184,6 +187,92 @@
     assert!(upstream.endless_bytes() <= 256 * KIB + BUFFERED);
 }
 
+/// The answer of a stream that begins well, goes on with these chunks, then repeats one for ever.
+fn endless_stream(begin: &[ScriptStep], text: &str, pause_ms: u64) -> Vec<ScriptStep> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    let forever = ScriptStep::SendForever(chunk, pause_ms);
+    [&[stream_head()], begin, &[forever]].concat()
+}
+
+const EVENTS: [&str; 2] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+
+fn good_stream(events: &[&str]) -> Vec<ScriptStep> {
+    let events = events.iter().map(|event| chunk(event));
+    [stream_head()].into_iter().chain(events).chain([last_chunk()]).collect()
+}
+
+#[parameterized(
+    line = { "a", 0 },
+    comments = { ":\n\n", 0 },
+    comment_trickle = { ":\n\n", 20 },
+    line_trickle = { "a", 20 },
+)]
+fn stream_without_an_event_is_asked_of_another_upstream(text: &str, pause_ms: u64) {
+    // Guards against a stream that never begins, and is relayed as if it had.
+    let upstreams = first_endless(endless_stream(&[], text, pause_ms), good_stream(&EVENTS));
+
+    let served = serve(RepeatRule::ResumableStream, &upstreams);
+
+    assert_eq!(served.result, ok(&EVENTS.concat()));
+    assert!(served.took < Duration::from_millis(1_500), "{served:?}");
+    assert!(served.closes > 0 && served.bytes <= (4 << 20) + BUFFERED, "{served:?}");
+}
+
+#[parameterized(
+    line = { "a", 0 },
+    comments = { ":\n\n", 0 },
+    comment_trickle = { ":\n\n", 20 },
+)]
+fn stream_without_further_events_is_resumed_at_another_upstream(text: &str, pause_ms: u64) {
+    // Guards against a stream that goes on without events until its time is over.
+    let begun = endless_stream(&[chunk(EVENTS[0])], text, pause_ms);
+    let upstreams = first_endless(begun, good_stream(&EVENTS[1..]));
+
+    let served = serve(RepeatRule::ResumableStream, &upstreams);
+
+    assert_eq!(served.result, ok(&EVENTS.concat()));
+    assert!(served.took < Duration::from_millis(1_900), "{served:?}");
+    assert!(served.closes > 0 && served.bytes <= (4 << 20) + BUFFERED, "{served:?}");
+}
+
+#[test]
+fn comments_of_a_stream_reach_the_caller_with_its_events() {
+    let stream = [stream_head(), chunk(":\n\n"), chunk(EVENTS[0]), chunk(":\n\n"), last_chunk()];
+    let upstreams = [(); 2].map(|()| ScriptedUpstream::start(vec![stream.to_vec()]));
+
+    let result = run(async {
+        let context = context(&[&upstreams[0], &upstreams[1]]);
+        let request = request(route("/x/", "app", RepeatRule::Stream));
+        read(serve_request(&context, &Rc::new(config(1)), request).await).await
+    });
+
+    assert_eq!(result, ok(&format!(":\n\n{}:\n\n", EVENTS[0])));
+}
+
+#[test]
+fn stream_of_events_without_end_ends_after_its_deadline() {
+    // Guards against a stream that is relayed for as long as its upstream sends.
+    let upstream = ScriptedUpstream::start(vec![endless_stream(&[], "data: a\n\n", 0)]);
+
+    let (result, took) = run(async {
+        let context = context(&[&upstream]);
+        let request = request(route("/x/", "app", RepeatRule::Stream));
+        let begun = Instant::now();
+        let outcome = serve_request(&context, &Rc::new(config(1)), request).await;
+        let ServeOutcome::Answered(mut response) = outcome else { return (None, begun.elapsed()) };
+        while let Some(frame) = response.body_mut().frame().await {
+            if frame.is_err() {
+                return (Some("interrupted"), begun.elapsed());
+            }
+        }
+        (Some("complete"), begun.elapsed())
+    });
+
+    assert_eq!(result, Some("interrupted"));
+    assert!(took < Duration::from_millis(4_000), "{took:?}");
+    assert!(is_closed(&upstream));
+}
+
 #[test]
 fn long_answers_that_come_at_the_same_time_share_a_limit_and_short_ones_pass() {
     // Guards against endless answers that take all memory together, each within its own limit.
