--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -219,11 +219,12 @@
 
 pub(crate) async fn refusal(response: Response<Incoming>, deadline: Deadline) -> HttpError {
     const MAX_SHOWN_BYTES: usize = 200;
+    const MAX_REFUSAL_BYTES: usize = 16 << 10;
     let status = response.status();
     let announcements = upstream_announcements(&response);
     let loaded = response.headers().get(LOADED_HEADER).and_then(|value| value.to_str().ok());
     let loaded = loaded.and_then(|text| text.parse().ok());
-    let body = collect_body(response.into_body(), MAX_JSON_BYTES, deadline).await;
+    let body = collect_body(response.into_body(), MAX_REFUSAL_BYTES, deadline).await;
     let text = body.unwrap_or_default();
     let shown = text.get(..MAX_SHOWN_BYTES.min(text.len())).unwrap_or_default();
     HttpError::Refused {
