--- a/crates/guava-serve/src/parts/part_task.rs
+++ b/crates/guava-serve/src/parts/part_task.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::members::member_table::MemberRole;
 use crate::members::shared_reads::read_as_of;
+use crate::parts::cache_salt::salt_version;
 use crate::parts::part_eviction::{FREE_TIMEOUT_MS, evict_parts, free_rank, list_broken_saves};
 use crate::parts::part_index::HeldPart;
 use crate::ports::{FreeOrder, PartPort, PortError};
@@ -204,6 +205,8 @@
             continue;
         }
         let (epoch, unreferenced) = unreferenced_parts(context, store.address, now);
+        let newest = unreferenced.iter().filter_map(|part| salt_version(&part.salt)).max();
+        let weights = newest.map(|(_, version)| version).unwrap_or_default();
         for chunk in unreferenced.chunks(MAX_FREED_PARTS) {
             let until_ms = context.upstream_clock_in(FREE_TIMEOUT_MS, now);
             let order = FreeOrder { store: store.address, epoch, parts: chunk.to_vec(), until_ms };
@@ -212,7 +215,10 @@
                     info,
                     events::PARTS_FREED,
                     store = store.address,
-                    parts = chunk.len()
+                    parts = chunk.len(),
+                    weights = weights,
+                    upstreams = context.upstreams.borrow().count(),
+                    list_age_ms = context.list_age_ms(now).unwrap_or_default()
                 ),
                 Err(error) => {
                     log_event!(warn, events::FREEING_FAILED, store = store.address, reason = error);
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -675,7 +675,8 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map(|data| &data[..]).unwrap_or_default();
-                    if !self.framer.push(data) || !self.held.note_length(self.framer.len()) {
+                    if !self.framer.push(data) || !self.held.note_length(self.framer.pending_len())
+                    {
                         return StreamStep::Interrupted("an event exceeds the size limit".into());
                     }
                 }
@@ -686,7 +687,7 @@
     }
 
     fn step_at_end(&mut self) -> StreamStep {
-        if self.framer.len() == 0 {
+        if self.framer.pending_len() == 0 {
             return StreamStep::End;
         }
         if self.marks.is_framed || self.framer.is_at_boundary() {
--- a/crates/guava-serve/src/request/event_framer.rs
+++ b/crates/guava-serve/src/request/event_framer.rs
@@ -45,7 +45,7 @@
     }
 
     /// Bytes that are buffered.
-    pub fn len(&self) -> usize {
+    pub fn pending_len(&self) -> usize {
         self.pending.len()
     }
 
