test: the release of a request is waited for in the log

The lines printed at the failure have the release (G8014, dropped). The test waits for it now; what it asks is the same.

--- a/crates/guavatiller/tests/poison_requests.rs
+++ b/crates/guavatiller/tests/poison_requests.rs
@@ -222,7 +222,9 @@
         fleet.poison_runs() > before
     });
     let is_dropped = |line: &String| line.contains("G8014") && line.contains("dropped");
-    assert!(fleet.daemons.iter().any(|daemon| daemon.lines().iter().any(is_dropped)));
+    wait_until("its release is logged", || {
+        fleet.daemons.iter().any(|daemon| daemon.lines().iter().any(is_dropped))
+    });
 }
 
 /// The digest of a request that a daemon's log calls quarantined.
