--- a/crates/guava-serve/src/upstreams/upstream_call.rs
+++ b/crates/guava-serve/src/upstreams/upstream_call.rs
@@ -19,8 +19,7 @@
 use std::net::SocketAddr;
 
 /// Makes a call to an upstream; fails at once while it wants no requests, or the calls of its limit are
-/// used up. `idle_ms` is the idle
-/// limit of the connection, which is kept for reuse.
+/// used up. `idle_ms` is the idle limit of the connection, which is kept for reuse.
 pub async fn call_upstream(
     context: &ServeContext,
     upstream: &UpstreamId,
