feat: daemons log why they read the store though others read it too

G8112 (list) and G8113 (operator's records) name the cause, and what is lacking. No change of behaviour.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -32,6 +32,8 @@
     COPY_REFUSED "G8109" "a copy that a peer gave was refused";
     LIST_COPIED "G8110" "the list of upstreams was copied from peers";
     LIST_DIVERGED "G8111" "the list of upstreams differs from the peer's that it was copied from";
+    LIST_READ "G8112" "the list of upstreams is read from the store, though others read it too";
+    OPERATOR_READ "G8113" "the operator's records are read from the store, though others read them too";
     CONFIG_APPLIED "G8104" "a configuration is in force";
     CONFIG_IGNORED "G8105" "an older configuration was ignored";
     VERSION_PUBLISHED "G8106" "new weights were published, or at another moment than was known";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -32,7 +32,8 @@
     note_list_read,
 };
 pub use members::list_sync::{
-    OperatorInput, SyncInput, SyncStep, operator_copy_ms, start_timeout_ms, sync_step,
+    OperatorInput, ReadCause, SyncInput, SyncStep, operator_copy_ms, operator_read_cause,
+    read_cause, start_timeout_ms, sync_step,
 };
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_descriptor::MemberDescriptor;
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -6,6 +6,8 @@
 //! much waits longer before it does: when upstreams register by the thousand, all daemons lack the
 //! same records at the same time.
 
+use std::fmt;
+
 /// Number of records that a daemon reads from the store soon if no peer gives them: as many as one
 /// call returns.
 const MAX_READ_GAP: u64 = 500;
@@ -104,6 +106,63 @@
     Read,
 }
 
+/// Why a daemon reads the list, or the operator's records, from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadCause {
+    /// It reads for all daemons.
+    Reader,
+    /// It has never had them, and no peer gave it.
+    Unknown,
+    /// No peer has reported a recent read.
+    Stale,
+    /// No peer gave what is lacking.
+    NoCopy,
+    /// The copy lacks records that a peer has reported.
+    Behind,
+    /// The copy has all reported records, and yet the list differs from a peer's.
+    Diverged,
+}
+
+impl fmt::Display for ReadCause {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Reader => "reader",
+            Self::Unknown => "unknown",
+            Self::Stale => "stale",
+            Self::NoCopy => "no-copy",
+            Self::Behind => "behind",
+            Self::Diverged => "diverged",
+        })
+    }
+}
+
+/// Why a daemon in this state reads the operator's records.
+pub fn operator_read_cause(input: &OperatorInput) -> ReadCause {
+    match (input.rank, input.has_config, input.is_told) {
+        (0, ..) => ReadCause::Reader,
+        (_, false, _) => ReadCause::Unknown,
+        (_, true, true) => ReadCause::NoCopy,
+        (_, true, false) => ReadCause::Stale,
+    }
+}
+
+/// Why a daemon in this state reads the list; `gap` is what it lacks after its attempt to copy.
+pub fn read_cause(input: &SyncInput, is_copied: bool, gap: u64) -> ReadCause {
+    if input.rank == 0 {
+        ReadCause::Reader
+    } else if !input.is_known {
+        ReadCause::Unknown
+    } else if !input.has_fresh_mark {
+        ReadCause::Stale
+    } else if !is_copied {
+        ReadCause::NoCopy
+    } else if gap > 0 {
+        ReadCause::Behind
+    } else {
+        ReadCause::Diverged
+    }
+}
+
 /// Decides from where to obtain what is lacking.
 pub fn sync_step(input: &SyncInput) -> SyncStep {
     if !input.is_due {
