--- a/crates/guavatiller/tests/store_lapses.rs
+++ b/crates/guavatiller/tests/store_lapses.rs
@@ -1,4 +1,4 @@
-//! Outages of the platform's store in which entries lapse, with real daemons.
+//! Outages of the platform's store in which entries lapse, and long backlogs, with real daemons.
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
@@ -24,6 +24,10 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// An outage in which leases of entries run out.
 const OUTAGE: Duration = Duration::from_millis(3_500);
+/// A backlog of the list that takes two seconds over the store's link, longer than a call may take.
+const BACKLOG_RECORDS: usize = 800;
+const RECORD_BYTES: usize = 1_000;
+const LINK_BYTES_PER_S: u64 = 400_000;
 
 fn deploy(daemons: usize) -> (PlatformDeployment, Vec<DaemonProcess>) {
     let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
@@ -85,3 +89,20 @@
     let known: Vec<Option<usize>> = daemons.iter().map(DaemonProcess::listed_upstreams).collect();
     assert_eq!(known, vec![Some(SERVERS.len()); daemons.len()]);
 }
+
+#[test]
+fn backlog_of_the_list_is_read_over_a_link_that_takes_longer_than_a_call() {
+    // Guards against daemons that read the same records again and again, since no call ends in time.
+    let (deployment, daemons) = deploy(1);
+    deployment.store.slow_reads(LINK_BYTES_PER_S);
+    let value = "x".repeat(RECORD_BYTES);
+    for number in 0..BACKLOG_RECORDS {
+        deployment.store.put("keyed.servers", &format!("other{number}"), &value);
+    }
+
+    deployment.unlist("i-app1");
+
+    wait_until("the removal behind the backlog is known", || {
+        daemons[0].listed_upstreams() == Some(SERVERS.len() - 1)
+    });
+}
