fix: a state that a peer's read confirmed stays confirmed when the next read finds a change

What a daemon has was taken for right as of a peer's read only while that read was the last known. Requests are held or refused for a list or configuration of that age, a core daemon passes the age on to those attached to it, and publications are dated too early. Class: what was once known is forgotten because something newer is.

--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -120,7 +120,12 @@
         upstreams.note_synced(copy.position);
     }
     let digest = context.upstreams.borrow().digest();
-    context.reads.borrow_mut().list.note_own(digest, copy.as_of);
+    let mut reads = context.reads.borrow_mut();
+    if copy.is_whole {
+        reads.list.note_replaced(digest, copy.as_of);
+    } else {
+        reads.list.note_own(digest, copy.as_of);
+    }
 }
 
 /// Applies the whole list as of a position. The entries of the first one are not logged one by one.
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -72,6 +72,9 @@
 pub struct ReadTracker {
     own: Option<ReadMark>,
     received: Option<ReadMark>,
+    /// The last moment as of which a peer's read found what this daemon had then. What it has now
+    /// contains that.
+    confirmed: Moment,
     chain: ReadChain,
 }
 
@@ -91,9 +94,21 @@
 impl ReadTracker {
     /// Records a read by this daemon.
     pub fn note_own(&mut self, state: u64, as_of: Moment) {
+        self.keep_confirmation();
         self.own = Some(ReadMark { state, as_of });
     }
 
+    /// Records a state that replaces all that this daemon had, and may be older.
+    pub fn note_replaced(&mut self, state: u64, as_of: Moment) {
+        self.own = Some(ReadMark { state, as_of });
+        self.confirmed = as_of;
+    }
+
+    /// Keeps the moment as of which a peer's read found this daemon's state, before either changes.
+    fn keep_confirmation(&mut self) {
+        self.confirmed = self.confirmed().unwrap_or_default();
+    }
+
     /// Whether a read that returned `state` must be sent to peers at once: it shows a change, or
     /// the last known read is so old that all daemons are about to read themselves.
     pub fn is_urgent(&self, state: u64, as_of: Moment, pace: ReadPace) -> bool {
@@ -104,6 +119,7 @@
     /// Records that all records from `since` up to `state` hold only what a peer has already sent
     /// by gossip, so this daemon need not read them.
     pub fn note_skipped(&mut self, since: u64, state: u64) {
+        self.keep_confirmation();
         if let Some(own) = self.own.as_mut().filter(|own| (since..state).contains(&own.state)) {
             own.state = state;
         }
@@ -111,6 +127,7 @@
 
     /// Records a state that this daemon reached without a read; the moment of its last read stays.
     pub fn note_state(&mut self, state: u64) {
+        self.keep_confirmation();
         if let Some(own) = &mut self.own {
             own.state = state;
         }
@@ -119,6 +136,7 @@
     /// Records a read by another daemon, unless a fresher one is already known.
     pub fn note_from_peer(&mut self, mark: ReadMark) {
         if self.received.is_none_or(|received| received.as_of < mark.as_of) {
+            self.keep_confirmation();
             self.received = Some(mark);
         }
     }
@@ -155,9 +173,9 @@
     /// peer's read of the same state; `None` before its first read.
     pub fn confirmed(&self) -> Option<Moment> {
         let own = self.own?;
-        let is_same =
-            |received: &ReadMark| received.state == own.state && received.as_of > own.as_of;
-        Some(self.received.filter(is_same).map_or(own.as_of, |received| received.as_of))
+        let received = self.received.filter(|received| received.state == own.state);
+        let received = received.map_or(own.as_of, |received| received.as_of);
+        Some(own.as_of.max(received).max(self.confirmed))
     }
 
     /// Moment of the last read by another daemon.
