fix: a daemon whose list changes with its peers' does not read the store for that

Cause: since a copy of changes confirms nothing unless the list then has the digest of the peer's. Lists that change at the same moment are never equal: the peer is behind this daemon, or knows a later record. Class: a check that holds only at rest decides under load, and failing it costs more load.

Change: pages carry the position after the newest record of the peer's list. Lists are compared only where the peer's may contain all records of this one; otherwise the copy counts as before, and a skipped record is found at the next comparison. With all records that peers have reported the list is right as of their last read, and the store is not read; a copy that lacks some of them is tried again for as long as a copy may take. How long a daemon has waited counts from its last progress, and a list that is to be obtained whole is not read from the store before peers were asked for it.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -29,11 +29,11 @@
 };
 pub use members::list_reader::{
     ListReader, apply_copy, apply_list, apply_read_change, copy_missing, drop_lapsed,
-    note_list_read,
+    is_copy_enough, note_list_read,
 };
 pub use members::list_sync::{
-    OperatorInput, ReadCause, SyncInput, SyncStep, operator_copy_ms, operator_read_cause,
-    read_cause, start_timeout_ms, sync_step,
+    CopyState, OperatorInput, ReadCause, SyncInput, SyncStep, is_copy_sufficient, operator_copy_ms,
+    operator_read_cause, read_cause, start_timeout_ms, sync_step,
 };
 pub use members::lost_messages::{LostMessages, MessageLoss};
 pub use members::member_descriptor::MemberDescriptor;
--- a/crates/guava-serve/src/members/list_copy.rs
+++ b/crates/guava-serve/src/members/list_copy.rs
@@ -47,6 +47,9 @@
     pub as_of: Moment,
     /// Digest of the peer's list when it gave the last page; `None` from builds that don't state it.
     pub digest: Option<u64>,
+    /// Position after the newest record that the peer's list contained then; `None` from builds that
+    /// don't state it.
+    pub end: Option<ListRevision>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -97,6 +100,9 @@
     /// Digest of the list that the page was taken from.
     #[prost(fixed64, optional, tag = "8")]
     digest: Option<u64>,
+    /// Position after the newest record in that list.
+    #[prost(uint64, optional, tag = "9")]
+    end: Option<u64>,
 }
 
 /// Indices of the names in a page.
@@ -176,6 +182,7 @@
         position: upstreams.list_position().0,
         age_ms,
         digest: Some(upstreams.digest()),
+        end: Some(upstreams.list_end().0),
     };
     let bytes = page.encode_to_vec();
     context.copies.borrow_mut().take(ByteCount(bytes.len() as u64));
@@ -353,6 +360,7 @@
     copy.position = copy.position.min(position);
     copy.as_of = copy.as_of.min(as_of);
     copy.digest = page.digest;
+    copy.end = page.end.map(ListRevision);
     copy.changes.extend(changes);
     Ok(())
 }
--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -6,20 +6,22 @@
 use crate::deadline_wait::until;
 use crate::events;
 use crate::members::list_copy::{CopyRange, ListCopy, copy_list};
-use crate::members::list_sync::{SyncInput, start_timeout_ms};
+use crate::members::list_sync::{CopyState, SyncInput, is_copy_sufficient, start_timeout_ms};
 use crate::members::peer_exchange::{ListSource, apply_change, pass_to_attached};
 use crate::members::peer_message::ListChange;
 use crate::members::shared_reads::ReadPace;
 use crate::serve_context::ServeContext;
 use crate::upstreams::list_order::ListRevision;
-use crate::upstreams::upstream_table::{ListChangeEffect, UpstreamEntry};
+use crate::upstreams::upstream_table::{CopyComparison, ListChangeEffect, UpstreamEntry};
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, UpstreamId};
 
 /// Progress of a daemon in obtaining what it lacks of the list.
 pub struct ListReader {
-    /// Since when the list has been due; `None` while it is known to be right.
+    /// Since when the list has been due without progress; `None` while it is known to be right.
     due_since: Option<Moment>,
+    /// Position of the list at the last check.
+    position: ListRevision,
     /// How long this daemon waits for a peer if it lacks much, in milliseconds.
     copy_timeout_ms: u64,
 }
@@ -28,7 +30,8 @@
     /// Progress at the start; `draw` in 0..1 spreads the moments at which daemons give up waiting for a
     /// peer, so that the store is not asked by all at once.
     pub fn new(draw: f64) -> Self {
-        Self { due_since: None, copy_timeout_ms: start_timeout_ms(draw) }
+        let position = ListRevision::default();
+        Self { due_since: None, position, copy_timeout_ms: start_timeout_ms(draw) }
     }
 
     /// State on which the next step depends.
@@ -36,13 +39,16 @@
         let rank = context.members.borrow().reader_rank(&context.identity.name, now);
         let reads = context.reads.borrow();
         let is_due = reads.list.is_due(rank, pace, now);
-        self.due_since = is_due.then(|| self.due_since.unwrap_or(now));
+        let position = context.upstreams.borrow().list_position();
+        let has_progress = std::mem::replace(&mut self.position, position) < position;
+        let since = self.due_since.filter(|_| !has_progress);
+        self.due_since = is_due.then(|| since.unwrap_or(now));
         let is_fresh = |received: Moment| !Deadline::after(received, pace.expiry_ms).passed(now);
         SyncInput {
             is_due,
             rank,
             daemons: context.members.borrow().count(),
-            is_known: reads.list.own().is_some(),
+            is_known: reads.list.own().is_some() && !context.upstreams.borrow().is_diverged(),
             has_fresh_mark: reads.list.received().is_some_and(is_fresh),
             gap: context.upstreams.borrow().list_gap(),
             waited_ms: self.due_since.map_or(0, |since| now.millis_since(since)),
@@ -77,6 +83,18 @@
     Some(context.upstreams.borrow().list_position())
 }
 
+/// Whether this daemon need not read the store after an attempt to copy what it lacks.
+pub fn is_copy_enough(context: &ServeContext, input: &SyncInput, is_copied: bool) -> bool {
+    let upstreams = context.upstreams.borrow();
+    let copy = CopyState {
+        is_copied,
+        is_confirmed: context.reads.borrow().list.is_confirmed(),
+        gap: upstreams.list_gap(),
+        has_diverged: upstreams.has_diverged(),
+    };
+    is_copy_sufficient(input, &copy)
+}
+
 /// The part of the list that this daemon lacks.
 fn copy_range(context: &ServeContext) -> CopyRange {
     let upstreams = context.upstreams.borrow();
@@ -89,7 +107,8 @@
 }
 
 /// Applies a copy. It counts as a read at the moment as of which the peer had it confirmed, unless it
-/// contains changes only and these do not lead to the peer's list.
+/// contains changes only and these do not lead to the peer's list. With all records that peers have
+/// reported, the list is right as of their last read.
 pub fn apply_copy(context: &ServeContext, copy: ListCopy) {
     let now = Moment::now();
     context.upstreams.borrow_mut().note_copied();
@@ -106,9 +125,8 @@
             pass_to_attached(context, change, effect, now);
         }
         let mut upstreams = context.upstreams.borrow_mut();
-        let is_same = copy.digest.is_none_or(|digest| digest == upstreams.digest());
-        upstreams.note_copy_result(is_same);
-        if !is_same {
+        let compared = copy.digest.map(|digest| upstreams.compare_copy(digest, copy.end));
+        if compared == Some(CopyComparison::Diverged) {
             log_event!(
                 info,
                 events::LIST_DIVERGED,
@@ -119,12 +137,13 @@
         }
         upstreams.note_synced(copy.position);
     }
-    let digest = context.upstreams.borrow().digest();
+    let upstreams = context.upstreams.borrow();
+    let digest = upstreams.digest();
     let mut reads = context.reads.borrow_mut();
     if copy.is_whole {
         reads.list.note_replaced(digest, copy.as_of);
     } else {
-        reads.list.note_own(digest, copy.as_of);
+        reads.list.note_copied(digest, copy.as_of, upstreams.list_gap() == 0);
     }
 }
 
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -76,13 +76,13 @@
     pub rank: usize,
     /// Number of daemons that are ranked.
     pub daemons: usize,
-    /// Whether this daemon has read or copied the list before.
+    /// Whether this daemon has read or copied the list before, and does not need the whole list again.
     pub is_known: bool,
     /// Whether a peer has reported a recent read.
     pub has_fresh_mark: bool,
     /// Number of records that are known to be lacking.
     pub gap: u64,
-    /// For how long this daemon has been due, in milliseconds.
+    /// For how long this daemon has been due without progress, in milliseconds.
     pub waited_ms: u64,
     /// How long it waits for a peer at most if it lacks much, in milliseconds.
     pub copy_timeout_ms: u64,
@@ -106,6 +106,27 @@
     Read,
 }
 
+/// What an attempt to copy led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyState {
+    /// Whether a peer gave a copy.
+    pub is_copied: bool,
+    /// Whether the list is now known to be right as of the freshest read.
+    pub is_confirmed: bool,
+    /// Number of reported records that are still lacking.
+    pub gap: u64,
+    /// Whether the list differs from the peer's by records that only the whole list contains.
+    pub has_diverged: bool,
+}
+
+/// Whether a daemon in this state need not read the store after a copy: it has all that peers have
+/// reported, will copy the whole list, or has time to ask another peer, as the one that gave the copy
+/// may be about to get the newest records itself.
+pub fn is_copy_sufficient(input: &SyncInput, copy: &CopyState) -> bool {
+    let has_time = input.waited_ms < input.change_limit_ms / COPY_TIME_DIVISOR;
+    copy.is_copied && (copy.is_confirmed || copy.gap == 0 || copy.has_diverged || has_time)
+}
+
 /// Why a daemon reads the list, or the operator's records, from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadCause {
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -109,6 +109,15 @@
         self.confirmed = self.confirmed().unwrap_or_default();
     }
 
+    /// Records a state that was copied from a peer which had it confirmed as of a moment. If it contains
+    /// all records that peers have reported, it is right as of the last read of any of them.
+    pub fn note_copied(&mut self, state: u64, as_of: Moment, is_complete: bool) {
+        let received = self.received.filter(|_| is_complete).map(|received| received.as_of);
+        let own = self.own.map(|own| own.as_of);
+        let latest = own.max(received).unwrap_or_default();
+        self.note_own(state, as_of.max(latest));
+    }
+
     /// Whether a read that returned `state` must be sent to peers at once: it shows a change, or
     /// the last known read is so old that all daemons are about to read themselves.
     pub fn is_urgent(&self, state: u64, as_of: Moment, pace: ReadPace) -> bool {
--- a/crates/guava-serve/src/upstreams/list_order.rs
+++ b/crates/guava-serve/src/upstreams/list_order.rs
@@ -28,6 +28,8 @@
     position: ListRevision,
     /// Newest record from a peer at or after it, by the upstream's name.
     from_peers: FastMap<Box<str>, ListRevision>,
+    /// Position after the newest record that was applied.
+    end: ListRevision,
 }
 
 impl ListOrder {
@@ -36,12 +38,18 @@
         self.position
     }
 
+    /// Position after the newest record that was applied, whatever its source.
+    pub fn end(&self) -> ListRevision {
+        self.end
+    }
+
     /// Whether a record reported by a peer is to be applied; if so, it is noted as the newest one
     /// of its upstream.
     pub fn admit_from_peer(&mut self, name: &str, revision: ListRevision) -> bool {
         if revision < self.position || !self.admit_read(name, revision) {
             return false;
         }
+        self.end = self.end.max(ListRevision(revision.0 + 1));
         if let Some(known) = self.from_peers.get_mut(name) {
             *known = revision;
             return true;
@@ -66,6 +74,7 @@
     /// Notes that all records before a position were applied.
     pub fn note_position(&mut self, position: ListRevision) {
         self.position = position;
+        self.end = self.end.max(position);
         self.from_peers.retain(|_, known| *known >= position);
     }
 
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -45,7 +45,7 @@
 pub const MAX_CANDIDATES: usize = 192;
 
 /// Copies of changes after which this daemon's list still differed from the peer's before it obtains
-/// the whole list. One may differ because either daemon knows a later change.
+/// the whole list. One may differ because the peer's list changed between two pages.
 const MAX_DIVERGED_COPIES: u32 = 2;
 
 /// For how long the weights of upstreams that were removed from the list are kept, in milliseconds:
@@ -119,6 +119,17 @@
     }
 }
 
+/// This daemon's list beside that of a peer, once it has the changes that the peer gave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyComparison {
+    /// Both are the same.
+    Same,
+    /// This daemon knows newer records, so that the lists can't be compared.
+    Ahead,
+    /// They differ though the peer knows no older records than this daemon.
+    Diverged,
+}
+
 /// Effect of a list change on this daemon's table, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListChangeEffect {
@@ -201,6 +212,11 @@
         self.order.position().max(self.synced)
     }
 
+    /// Position after the newest record that the entries contain; records before it may be lacking.
+    pub fn list_end(&self) -> ListRevision {
+        self.order.end().max(self.synced)
+    }
+
     /// Notes that the entries contain all records before a position.
     pub fn note_synced(&mut self, position: ListRevision) {
         self.synced = self.synced.max(position);
@@ -270,9 +286,24 @@
         listed.removal.is_none() || self.are_removed_used()
     }
 
-    /// Notes whether a copy of changes led to the list of the peer that gave it.
-    pub fn note_copy_result(&mut self, is_same: bool) {
-        self.diverged_copies = if is_same { 0 } else { self.diverged_copies + 1 };
+    /// Compares this daemon's list, with the changes that a peer gave, to the peer's, whose newest
+    /// record is before `end`. Lists are compared only where the peer's may contain all records of this
+    /// one: while the list changes, either daemon may know records that the other lacks.
+    pub fn compare_copy(&mut self, digest: u64, end: Option<ListRevision>) -> CopyComparison {
+        if digest == self.digest {
+            self.diverged_copies = 0;
+            CopyComparison::Same
+        } else if end.is_some_and(|end| end < self.list_end()) {
+            CopyComparison::Ahead
+        } else {
+            self.diverged_copies += 1;
+            CopyComparison::Diverged
+        }
+    }
+
+    /// Whether the last copy of changes did not lead to the peer's list.
+    pub fn has_diverged(&self) -> bool {
+        self.diverged_copies > 0
     }
 
     /// Whether this daemon lacks a record that copies of later changes do not bring, so that the whole
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -389,7 +389,7 @@
 fn changes_of(peer: &ServeContext, changes: Vec<ListChange>) -> ListCopy {
     let digest = Some(peer.upstreams.borrow().digest());
     let (position, as_of) = (ListRevision(20), Moment::now());
-    ListCopy { changes, is_whole: false, position, as_of, digest }
+    ListCopy { changes, is_whole: false, position, as_of, digest, end: Some(position) }
 }
 
 #[test]
