fix: an attached daemon without recent marks asks its core daemons before the store

Change: such a daemon copies from peers first, for as long as a copy may take; a copy saves the read only if the list is then right as of a recent moment. A daemon of the core reads at once, as before. The test of the decision says so (attached: before, Read).

--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -7,6 +7,7 @@
 use crate::events;
 use crate::members::list_copy::{CopyRange, ListCopy, copy_list};
 use crate::members::list_sync::{CopyState, SyncInput, is_copy_sufficient, start_timeout_ms};
+use crate::members::member_table::MemberRole;
 use crate::members::peer_exchange::{ListSource, apply_change, pass_to_attached};
 use crate::members::peer_message::ListChange;
 use crate::members::shared_reads::ReadPace;
@@ -50,6 +51,7 @@
             daemons: context.members.borrow().count(),
             is_known: reads.list.own().is_some() && !context.upstreams.borrow().is_diverged(),
             has_fresh_mark: reads.list.received().is_some_and(is_fresh),
+            is_attached: context.members.borrow().role() == MemberRole::Attached,
             gap: context.upstreams.borrow().list_gap(),
             waited_ms: self.due_since.map_or(0, |since| now.millis_since(since)),
             copy_timeout_ms: self.copy_timeout_ms,
@@ -84,11 +86,20 @@
 }
 
 /// Whether this daemon need not read the store after an attempt to copy what it lacks.
-pub fn is_copy_enough(context: &ServeContext, input: &SyncInput, is_copied: bool) -> bool {
+pub fn is_copy_enough(
+    context: &ServeContext,
+    input: &SyncInput,
+    is_copied: bool,
+    pace: ReadPace,
+    now: Moment,
+) -> bool {
     let upstreams = context.upstreams.borrow();
+    let reads = context.reads.borrow();
+    let is_recent = |confirmed: Moment| !Deadline::after(confirmed, pace.expiry_ms).passed(now);
     let copy = CopyState {
         is_copied,
-        is_confirmed: context.reads.borrow().list.is_confirmed(),
+        is_confirmed: reads.list.is_confirmed(),
+        is_recent: reads.list.confirmed().is_some_and(is_recent),
         gap: upstreams.list_gap(),
         has_diverged: upstreams.has_diverged(),
     };
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -80,6 +80,8 @@
     pub is_known: bool,
     /// Whether a peer has reported a recent read.
     pub has_fresh_mark: bool,
+    /// Whether it is attached to core daemons, which may have what they have not told yet.
+    pub is_attached: bool,
     /// Number of records that are known to be lacking.
     pub gap: u64,
     /// For how long this daemon has been due without progress, in milliseconds.
@@ -113,6 +115,8 @@
     pub is_copied: bool,
     /// Whether the list is now known to be right as of the freshest read.
     pub is_confirmed: bool,
+    /// Whether the list is now known to be right as of a recent moment.
+    pub is_recent: bool,
     /// Number of reported records that are still lacking.
     pub gap: u64,
     /// Whether the list differs from the peer's by records that only the whole list contains.
@@ -124,7 +128,8 @@
 /// may be about to get the newest records itself.
 pub fn is_copy_sufficient(input: &SyncInput, copy: &CopyState) -> bool {
     let has_time = input.waited_ms < input.change_limit_ms / COPY_TIME_DIVISOR;
-    copy.is_copied && (copy.is_confirmed || copy.gap == 0 || copy.has_diverged || has_time)
+    let is_complete = copy.is_confirmed || copy.gap == 0 || copy.has_diverged;
+    copy.is_copied && (has_time || (is_complete && copy.is_recent))
 }
 
 /// Why a daemon reads the list, or the operator's records, from the store.
@@ -194,7 +199,7 @@
     }
     let lacks_much = !input.is_known || input.gap > MAX_READ_GAP;
     if !lacks_much {
-        return if input.has_fresh_mark {
+        return if input.has_fresh_mark || input.is_attached {
             let timeout_ms = input.change_limit_ms / COPY_TIME_DIVISOR;
             SyncStep::Copy { may_read: true, timeout_ms }
         } else {
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use guava_serve::{
-    CONFIG_PATH, CoreRecord, ListChange, ListChangeEffect, ListCopy, ListRevision, MAX_LOCAL_CORE,
-    MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole, ReadMark,
-    SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget, UpstreamEntry,
+    CONFIG_PATH, CopyState, CoreRecord, ListChange, ListChangeEffect, ListCopy, ListRevision,
+    MAX_LOCAL_CORE, MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole,
+    ReadMark, SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget, UpstreamEntry,
     UpstreamTable, apply_copy, apply_message, changes_since, compose_attached_reads,
-    compose_config, compose_message, compose_page, entries_since, pass_to_attached,
-    registration_pause, sync_step,
+    compose_config, compose_message, compose_page, entries_since, is_copy_sufficient,
+    pass_to_attached, registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
 use http::{HeaderValue, StatusCode};
@@ -427,6 +427,7 @@
         daemons: CORE,
         is_known: true,
         has_fresh_mark: true,
+        is_attached: false,
         gap,
         waited_ms,
         copy_timeout_ms: 9_000,
@@ -466,6 +467,8 @@
     assert_eq!(few, SyncStep::Copy { may_read: true, timeout_ms: 300 });
     let alone = SyncInput { has_fresh_mark: false, ..sync_input(any_rank, 3, 0) };
     assert_eq!(sync_step(&alone), SyncStep::Read, "no peer tells what it reads");
+    let attached = SyncInput { is_attached: true, ..alone };
+    assert_eq!(sync_step(&attached), few, "its core daemons may have what they don't tell");
 }
 
 #[test]
@@ -545,3 +548,24 @@
     let marks = compose_attached_reads(&context, &note("d2"), now);
     assert_eq!(marks.last().unwrap().published_since, None);
 }
+
+#[parameterized(
+    recent_and_complete = { true, true, 2_000, true },
+    behind_at_first = { false, true, 200, true },
+    behind_for_long = { false, true, 400, false },
+    complete_but_old = { true, false, 400, false },
+)]
+fn copy_saves_the_read_of_the_store(
+    is_complete: bool,
+    is_recent: bool,
+    waited_ms: u64,
+    expected: bool,
+) {
+    let input = sync_input(usize::MAX, 3, waited_ms);
+    let gap = if is_complete { 0 } else { 3 };
+    let copy =
+        CopyState { is_copied: true, is_confirmed: false, is_recent, gap, has_diverged: false };
+
+    assert_eq!(is_copy_sufficient(&input, &copy), expected);
+    assert!(!is_copy_sufficient(&input, &CopyState { is_copied: false, ..copy }));
+}
--- a/crates/guava-serve/tests/list_in_motion.rs
+++ b/crates/guava-serve/tests/list_in_motion.rs
@@ -206,7 +206,9 @@
         apply_copy(&daemon.context, copy);
         let position = daemon.context.upstreams.borrow().list_position();
         daemon.next = daemon.next.max(position.0);
-        if may_read && !is_copy_enough(&daemon.context, &input, true) {
+        if may_read
+            && !is_copy_enough(&daemon.context, &input, true, ReadPace::within(LIMIT_MS), now)
+        {
             self.read_store(index, now);
         }
     }
