fix: a daemon that starts knows the daemons' records before it reads the list or a configuration

Cause: how long a daemon waits for a copy is worked out from its rank and the number of daemons. Class: a decision by a count that is not known yet.

Change: without the records a daemon waits for them, a second at most, since the store may withhold that topic alone. The test failed before (Read at once).

--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -28,6 +28,10 @@
 /// in milliseconds.
 const RANK_STEP_DIVISOR: usize = 32;
 
+/// Longest time for which a daemon that starts waits for the daemons' records, in milliseconds: they
+/// take two calls. Before it has them it knows no peer to copy from, and no rank.
+const RECORDS_TIMEOUT_MS: u64 = 1_000;
+
 /// How long the daemon of a rank waits for a peer, in milliseconds. When all daemons start together,
 /// the reader may be the last of them, or not start at all. Others then read one after the other: the
 /// more daemons there are, the longer is the list, and the more of them may ask for it.
@@ -36,6 +40,11 @@
     longest_ms.min(u64::try_from(graded_ms).unwrap_or(u64::MAX))
 }
 
+/// How long a daemon without any list or configuration waits for a peer, in milliseconds.
+fn unknown_timeout_ms(is_listed: bool, rank: usize, daemons: usize, longest_ms: u64) -> u64 {
+    if is_listed { peer_timeout_ms(rank, daemons, longest_ms) } else { RECORDS_TIMEOUT_MS }
+}
+
 /// State on which it depends whether the operator's records are copied from peers.
 #[derive(Clone, Copy, Debug)]
 pub struct OperatorInput {
@@ -43,6 +52,8 @@
     pub rank: usize,
     /// Number of daemons that are ranked.
     pub daemons: usize,
+    /// Whether the daemons' records were read since this daemon started.
+    pub is_listed: bool,
     /// Whether this daemon has a configuration.
     pub has_config: bool,
     /// Whether a peer has reported records that this daemon lacks.
@@ -60,7 +71,10 @@
 /// tell.
 pub fn operator_copy_ms(input: &OperatorInput) -> u64 {
     let timeout_ms = match (input.has_config, input.is_told) {
-        (false, _) => peer_timeout_ms(input.rank, input.daemons, input.start_timeout_ms),
+        (false, _) => {
+            let (rank, daemons) = (input.rank, input.daemons);
+            unknown_timeout_ms(input.is_listed, rank, daemons, input.start_timeout_ms)
+        }
         (true, true) => input.config_limit_ms / COPY_TIME_DIVISOR,
         (true, false) => 0,
     };
@@ -76,6 +90,8 @@
     pub rank: usize,
     /// Number of daemons that are ranked.
     pub daemons: usize,
+    /// Whether the daemons' records were read since this daemon started.
+    pub is_listed: bool,
     /// Whether this daemon has read or copied the list before, and does not need the whole list again.
     pub is_known: bool,
     /// Whether a peer has reported a recent read.
@@ -206,7 +222,8 @@
             SyncStep::Read
         };
     }
-    let timeout_ms = peer_timeout_ms(input.rank, input.daemons, input.copy_timeout_ms);
+    let timeout_ms =
+        unknown_timeout_ms(input.is_listed, input.rank, input.daemons, input.copy_timeout_ms);
     match timeout_ms.saturating_sub(input.waited_ms) {
         0 => SyncStep::Read,
         timeout_ms => SyncStep::Copy { may_read: false, timeout_ms },
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use guava_serve::{
     CONFIG_PATH, CopyState, CoreRecord, ListChange, ListChangeEffect, ListCopy, ListRevision,
-    MAX_LOCAL_CORE, MemberDescriptor, MemberRole, MemberTable, PageRefusal, PeerKey, PeerRole,
-    ReadMark, SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget, UpstreamEntry,
-    UpstreamTable, apply_copy, apply_message, changes_since, compose_attached_reads,
+    MAX_LOCAL_CORE, MemberDescriptor, MemberRole, MemberTable, OperatorInput, PageRefusal, PeerKey,
+    PeerRole, ReadMark, SPARSE_LOCAL_CORE, ServeContext, SyncInput, SyncStep, TransferBudget,
+    UpstreamEntry, UpstreamTable, apply_copy, apply_message, changes_since, compose_attached_reads,
     compose_config, compose_message, compose_page, entries_since, is_copy_sufficient,
-    pass_to_attached, registration_pause, sync_step,
+    operator_copy_ms, pass_to_attached, registration_pause, sync_step,
 };
 use guava_types::{ByteCount, CoreShare, FastMap, LinkRate, MemberName, Moment, RequestRate};
 use http::{HeaderValue, StatusCode};
@@ -425,6 +425,7 @@
         is_due: true,
         rank,
         daemons: CORE,
+        is_listed: true,
         is_known: true,
         has_fresh_mark: true,
         is_attached: false,
@@ -549,6 +550,38 @@
     assert_eq!(marks.last().unwrap().published_since, None);
 }
 
+#[parameterized(
+    at_once = { false, 0, 0 },
+    records_read = { true, 150, 0 },
+    records_unavailable = { false, 1_000, 1 },
+)]
+fn daemon_that_starts_reads_the_daemons_records_first(
+    is_listed: bool,
+    waited_ms: u64,
+    expected: usize,
+) {
+    // Guards against the whole list read from the store by each daemon after the loss of all.
+    let daemons = if is_listed { CORE } else { 1 };
+    let state = sync_input(usize::MAX, 0, waited_ms);
+    let has_fresh_mark = false;
+    let list = SyncInput { daemons, is_listed, is_known: false, has_fresh_mark, ..state };
+    let operator = OperatorInput {
+        rank: usize::MAX,
+        daemons,
+        is_listed,
+        has_config: false,
+        is_told: true,
+        waited_ms,
+        start_timeout_ms: 9_000,
+        config_limit_ms: 5_000,
+    };
+
+    let reads = usize::from(sync_step(&list) == SyncStep::Read);
+
+    assert_eq!(reads, expected);
+    assert_eq!(usize::from(operator_copy_ms(&operator) == 0), expected);
+}
+
 #[parameterized(
     recent_and_complete = { true, true, 2_000, true },
     behind_at_first = { false, true, 200, true },
