fix: a daemon that is behind is not asked for a configuration

Whoever last told of another position in the operator's records counted as the one that has the change, also one that lacks it itself: summaries of daemons that are behind arrive all the time while a change spreads. Only a daemon that is ahead is asked first now. The test failed before (by the old comparison, any other position).

--- a/crates/guava-serve/src/members/peer_exchange.rs
+++ b/crates/guava-serve/src/members/peer_exchange.rs
@@ -406,7 +406,7 @@
         context.reads.borrow_mut().note_gossiped(since, mark.state);
     }
     let own_operator = context.reads.borrow().operator.own().map(|own| own.state);
-    if message.operator.is_some_and(|mark| own_operator != Some(mark.state)) {
+    if message.operator.is_some_and(|mark| own_operator < Some(mark.state)) {
         context.operator_teller.set(Some(status_address(address)));
     }
     if let Some(mark) = message.list {
--- a/crates/guava-serve/tests/peer_exchange.rs
+++ b/crates/guava-serve/tests/peer_exchange.rs
@@ -718,3 +718,21 @@
     assert_eq!(message.list.unwrap().state, digest);
     assert_eq!(two.upstreams.borrow().list_position(), ListRevision(11));
 }
+
+#[test]
+fn daemon_that_is_behind_is_not_asked_for_a_configuration() {
+    // Guards against attempts to copy that go to daemons which lack the change themselves.
+    let context = serve_context("d1");
+    context.reads.borrow_mut().operator.note_own(7, NOW);
+    let told = |state| PeerMessage {
+        operator: Some(ReadMark { state, as_of: NOW }),
+        ..PeerMessage::empty(note("d2"))
+    };
+
+    apply_message(&context, told(6), NOW);
+    let behind = context.operator_teller.take();
+    apply_message(&context, told(8), NOW);
+
+    assert_eq!(behind, None);
+    assert_eq!(context.operator_teller.take(), Some(note("d2").status_address()));
+}
