fix: copies of the configuration leave room on a daemon's link

Cause: copies of the list may use half of a VM's link, copies of the configuration (some 185 kB) had no limit. After a loss of all, one daemon has read it, and 299 ask at once: 55 MB, 22 s of a weak VM's link. Class: work that is done and thrown away, because nothing bounds how much is begun (a metastable state).

Change: a budget of its own, half of the link, with a second of it at once. The test failed before (all 200 got one).

--- a/crates/guava-serve/src/members/config_copy.rs
+++ b/crates/guava-serve/src/members/config_copy.rs
@@ -12,7 +12,7 @@
 use crate::serve_context::ServeContext;
 use crate::upstreams::http_call::call_request;
 use bytes::Bytes;
-use guava_types::Moment;
+use guava_types::{ByteCount, Moment};
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Method, StatusCode};
 use prost::Message;
@@ -54,7 +54,7 @@
 }
 
 /// The answer to a peer that asks for the configuration; an error status if it does not know the
-/// daemons' key, or none is known here.
+/// daemons' key, none is known here, or others are being sent copies.
 pub fn compose_config(
     context: &ServeContext,
     member: &MemberDescriptor,
@@ -75,6 +75,13 @@
     let known = query.and_then(|query| query.strip_prefix(STATE_QUERY)?.parse().ok());
     let state = message.operator.map(|mark| mark.state);
     let record = (known.is_none() || state != known).then_some(record);
+    if let Some(record) = &record {
+        let mut budget = context.config_copies.borrow_mut();
+        if !budget.is_open(now) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        budget.take(ByteCount(record.len() as u64));
+    }
     let copy = WireCopy { message: message.encode(now), record }.encode_to_vec();
     let tag = key.answer_tag(tag, &copy).to_vec();
     Ok(WireSealed { copy: copy.into(), tag }.encode_to_vec())
--- a/crates/guava-serve/src/members/transfer_budget.rs
+++ b/crates/guava-serve/src/members/transfer_budget.rs
@@ -1,5 +1,6 @@
-//! Limits what a daemon sends to peers that copy its list of upstreams, so that copies leave the
-//! larger part of its link to requests and messages.
+//! Limits what a daemon sends to peers that copy its list of upstreams, or its configuration, so that
+//! copies leave room on its link for requests and messages, and those under way end in time: of many at
+//! once over one link none would.
 
 use guava_types::{ByteCount, LinkRate, Moment};
 
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -208,6 +208,8 @@
     pub attached_change_gossip: RefCell<ListChangeGossip>,
     /// What may be sent to peers that copy the list of upstreams.
     pub copies: RefCell<TransferBudget>,
+    /// The same for copies of the configuration, which are not to wait for those of the list.
+    pub config_copies: RefCell<TransferBudget>,
     /// Messages from peers that this daemon lost.
     pub lost_messages: RefCell<LostMessages>,
     /// When the current configuration was last confirmed to be the newest.
@@ -284,6 +286,7 @@
             list_change_gossip: RefCell::default(),
             attached_change_gossip: RefCell::default(),
             copies: RefCell::new(TransferBudget::new(bounds.link, Moment::now())),
+            config_copies: RefCell::new(TransferBudget::new(bounds.link, Moment::now())),
             lost_messages: RefCell::default(),
             config_confirmed: Cell::default(),
             is_operator_unavailable: Cell::new(false),
--- a/crates/guava-serve/tests/fleet_growth.rs
+++ b/crates/guava-serve/tests/fleet_growth.rs
@@ -535,6 +535,24 @@
     assert!(length("state=6") > 100_000);
 }
 
+#[test]
+fn configuration_is_given_to_no_more_peers_at_once_than_the_link_carries() {
+    // Guards against copies that share a link, all outlast their time, and begin again.
+    let now = Moment::now();
+    let (context, key) = config_holder(vec![7; 1_000_000].into(), now);
+    let me = note("d1");
+    let tag = key.call_tag(CONFIG_PATH, &me.status_address()).parse().unwrap();
+    let compose = |query, now| compose_config(&context, &me, query, Some(&tag), now);
+
+    let given = (0..200).filter(|_| compose(None, now).is_ok()).count();
+
+    // Half of the link for a second, and a begun copy.
+    assert_eq!(given, 125 / 2 + 1);
+    assert_eq!(compose(None, now), Err(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(compose(Some("state=7"), now).is_ok(), "who has it is told so");
+    assert!(compose(None, Moment(now.0 + 100)).is_ok());
+}
+
 #[test]
 fn copied_configuration_is_not_told_as_published_weights() {
     // Guards against daemons that skip a configuration which a peer copied after weights were published.
