fix: a daemon without the daemons' records waits for them as long as for a peer

A fixed time for all is a moment for all.

The store withholds the daemons' records alone only in a partial outage.

--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -28,10 +28,6 @@
 /// in milliseconds.
 const RANK_STEP_DIVISOR: usize = 32;
 
-/// Longest time for which a daemon that starts waits for the daemons' records, in milliseconds: they
-/// take two calls. Before it has them it knows no peer to copy from, and no rank.
-const RECORDS_TIMEOUT_MS: u64 = 1_000;
-
 /// How long the daemon of a rank waits for a peer, in milliseconds. When all daemons start together,
 /// the reader may be the last of them, or not start at all. Others then read one after the other: the
 /// more daemons there are, the longer is the list, and the more of them may ask for it.
@@ -40,9 +36,11 @@
     longest_ms.min(u64::try_from(graded_ms).unwrap_or(u64::MAX))
 }
 
-/// How long a daemon without any list or configuration waits for a peer, in milliseconds.
+/// How long a daemon without any list or configuration waits for a peer, in milliseconds. Before it has
+/// read the daemons' records it knows neither its rank nor whom to ask. It waits for these, but not for
+/// good: the store may withhold that topic alone.
 fn unknown_timeout_ms(is_listed: bool, rank: usize, daemons: usize, longest_ms: u64) -> u64 {
-    if is_listed { peer_timeout_ms(rank, daemons, longest_ms) } else { RECORDS_TIMEOUT_MS }
+    if is_listed { peer_timeout_ms(rank, daemons, longest_ms) } else { longest_ms }
 }
 
 /// State on which it depends whether the operator's records are copied from peers.
