--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -28,8 +28,8 @@
     entries_since,
 };
 pub use members::list_reader::{
-    ListReader, apply_copy, apply_list, apply_read_change, copy_missing, drop_lapsed,
-    is_copy_enough, note_list_read,
+    ListReader, apply_copy, apply_list, apply_read_change, copy_missing, copy_state, drop_lapsed,
+    note_list_read,
 };
 pub use members::list_sync::{
     CopyState, OperatorInput, ReadCause, SyncInput, SyncStep, is_copy_sufficient, operator_copy_ms,
--- a/crates/guava-serve/src/members/list_reader.rs
+++ b/crates/guava-serve/src/members/list_reader.rs
@@ -6,14 +6,14 @@
 use crate::deadline_wait::until;
 use crate::events;
 use crate::members::list_copy::{CopyRange, ListCopy, copy_list};
-use crate::members::list_sync::{CopyState, SyncInput, is_copy_sufficient, start_timeout_ms};
+use crate::members::list_sync::{CopyState, SyncInput, start_timeout_ms};
 use crate::members::member_table::MemberRole;
 use crate::members::peer_exchange::{ListSource, apply_change, pass_to_attached};
 use crate::members::peer_message::ListChange;
 use crate::members::shared_reads::ReadPace;
 use crate::serve_context::ServeContext;
 use crate::upstreams::list_order::ListRevision;
-use crate::upstreams::upstream_table::{CopyComparison, ListChangeEffect, UpstreamEntry};
+use crate::upstreams::upstream_table::{ListChangeEffect, UpstreamEntry};
 use guava_log::log_event;
 use guava_types::{Deadline, Moment, UpstreamId};
 
@@ -44,7 +44,7 @@
         let has_progress = std::mem::replace(&mut self.position, position) < position;
         let since = self.due_since.filter(|_| !has_progress);
         self.due_since = is_due.then(|| since.unwrap_or(now));
-        let is_fresh = |received: Moment| !Deadline::after(received, pace.expiry_ms).passed(now);
+        let is_fresh = |received: Moment| !pace.is_expired(received, now);
         SyncInput {
             is_due,
             rank,
@@ -85,25 +85,22 @@
     Some(context.upstreams.borrow().list_position())
 }
 
-/// Whether this daemon need not read the store after an attempt to copy what it lacks.
-pub fn is_copy_enough(
+/// What an attempt to copy led to.
+pub fn copy_state(
     context: &ServeContext,
-    input: &SyncInput,
     is_copied: bool,
     pace: ReadPace,
     now: Moment,
-) -> bool {
+) -> CopyState {
     let upstreams = context.upstreams.borrow();
-    let reads = context.reads.borrow();
-    let is_recent = |confirmed: Moment| !Deadline::after(confirmed, pace.expiry_ms).passed(now);
-    let copy = CopyState {
+    let list = &context.reads.borrow().list;
+    CopyState {
         is_copied,
-        is_confirmed: reads.list.is_confirmed(),
-        is_recent: reads.list.confirmed().is_some_and(is_recent),
+        is_confirmed: list.is_confirmed(),
+        is_recent: list.confirmed().is_some_and(|confirmed| !pace.is_expired(confirmed, now)),
         gap: upstreams.list_gap(),
         has_diverged: upstreams.has_diverged(),
-    };
-    is_copy_sufficient(input, &copy)
+    }
 }
 
 /// The part of the list that this daemon lacks.
@@ -136,8 +133,7 @@
             pass_to_attached(context, change, effect, now);
         }
         let mut upstreams = context.upstreams.borrow_mut();
-        let compared = copy.digest.map(|digest| upstreams.compare_copy(digest, copy.end));
-        if compared == Some(CopyComparison::Diverged) {
+        if copy.digest.is_some_and(|digest| upstreams.note_copy_digest(digest, copy.end)) {
             log_event!(
                 info,
                 events::LIST_DIVERGED,
--- a/crates/guava-serve/src/members/list_sync.rs
+++ b/crates/guava-serve/src/members/list_sync.rs
@@ -138,11 +138,9 @@
     copy.is_copied && (has_time || (is_complete && copy.is_recent))
 }
 
-/// Why a daemon reads the list, or the operator's records, from the store.
+/// Why a daemon that is not the reader reads the list, or the operator's records, from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadCause {
-    /// It reads for all daemons.
-    Reader,
     /// It has never had them, and no peer gave it.
     Unknown,
     /// No peer has reported a recent read.
@@ -158,7 +156,6 @@
 impl fmt::Display for ReadCause {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         out.write_str(match self {
-            Self::Reader => "reader",
             Self::Unknown => "unknown",
             Self::Stale => "stale",
             Self::NoCopy => "no-copy",
@@ -168,31 +165,29 @@
     }
 }
 
-/// Why a daemon in this state reads the operator's records.
-pub fn operator_read_cause(input: &OperatorInput) -> ReadCause {
+/// Why a daemon in this state reads the operator's records; `None` if it is their reader.
+pub fn operator_read_cause(input: &OperatorInput) -> Option<ReadCause> {
     match (input.rank, input.has_config, input.is_told) {
-        (0, ..) => ReadCause::Reader,
-        (_, false, _) => ReadCause::Unknown,
-        (_, true, true) => ReadCause::NoCopy,
-        (_, true, false) => ReadCause::Stale,
+        (0, ..) => None,
+        (_, false, _) => Some(ReadCause::Unknown),
+        (_, true, true) => Some(ReadCause::NoCopy),
+        (_, true, false) => Some(ReadCause::Stale),
     }
 }
 
-/// Why a daemon in this state reads the list; `gap` is what it lacks after its attempt to copy.
-pub fn read_cause(input: &SyncInput, is_copied: bool, gap: u64) -> ReadCause {
+/// Why a daemon in this state reads the list; `gap` is what it lacks after its attempt to copy. `None`
+/// if it is the list's reader.
+pub fn read_cause(input: &SyncInput, is_copied: bool, gap: u64) -> Option<ReadCause> {
     if input.rank == 0 {
-        ReadCause::Reader
-    } else if !input.is_known {
-        ReadCause::Unknown
-    } else if !input.has_fresh_mark {
-        ReadCause::Stale
-    } else if !is_copied {
-        ReadCause::NoCopy
-    } else if gap > 0 {
-        ReadCause::Behind
-    } else {
-        ReadCause::Diverged
+        return None;
     }
+    Some(match (input.is_known, input.has_fresh_mark, is_copied, gap) {
+        (false, ..) => ReadCause::Unknown,
+        (true, false, ..) => ReadCause::Stale,
+        (true, true, false, _) => ReadCause::NoCopy,
+        (true, true, true, 0) => ReadCause::Diverged,
+        (true, true, true, _) => ReadCause::Behind,
+    })
 }
 
 /// Decides from where to obtain what is lacking.
--- a/crates/guava-serve/src/members/shared_reads.rs
+++ b/crates/guava-serve/src/members/shared_reads.rs
@@ -45,6 +45,11 @@
             expiry_ms: fraction(EXPIRY_FRACTION),
         }
     }
+
+    /// Whether a read is so old that all daemons read themselves.
+    pub fn is_expired(self, read: Moment, now: Moment) -> bool {
+        Deadline::after(read, self.expiry_ms).passed(now)
+    }
 }
 
 /// The moment as of which the result of a read is known to be right. The read was sent at `asked`
@@ -74,7 +79,7 @@
     received: Option<ReadMark>,
     /// The last moment as of which a peer's read found what this daemon had then. What it has now
     /// contains that.
-    confirmed: Moment,
+    last_confirmed: Moment,
     chain: ReadChain,
 }
 
@@ -101,12 +106,12 @@
     /// Records a state that replaces all that this daemon had, and may be older.
     pub fn note_replaced(&mut self, state: u64, as_of: Moment) {
         self.own = Some(ReadMark { state, as_of });
-        self.confirmed = as_of;
+        self.last_confirmed = as_of;
     }
 
     /// Keeps the moment as of which a peer's read found this daemon's state, before either changes.
     fn keep_confirmation(&mut self) {
-        self.confirmed = self.confirmed().unwrap_or_default();
+        self.last_confirmed = self.confirmed().unwrap_or_default();
     }
 
     /// Records a state that was copied from a peer which had it confirmed as of a moment. If it contains
@@ -184,7 +189,7 @@
         let own = self.own?;
         let received = self.received.filter(|received| received.state == own.state);
         let received = received.map_or(own.as_of, |received| received.as_of);
-        Some(own.as_of.max(received).max(self.confirmed))
+        Some(own.as_of.max(received).max(self.last_confirmed))
     }
 
     /// Moment of the last read by another daemon.
@@ -225,7 +230,7 @@
         let is_stale = match rank {
             0 => is_older(own.as_of, pace.interval_ms),
             1..=STANDBYS => is_older(confirmed, pace.standby_ms),
-            _ => is_older(confirmed, pace.expiry_ms),
+            _ => pace.is_expired(confirmed, now),
         };
         is_stale || !self.is_confirmed()
     }
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -119,17 +119,6 @@
     }
 }
 
-/// This daemon's list beside that of a peer, once it has the changes that the peer gave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CopyComparison {
-    /// Both are the same.
-    Same,
-    /// This daemon knows newer records, so that the lists can't be compared.
-    Ahead,
-    /// They differ though the peer knows no older records than this daemon.
-    Diverged,
-}
-
 /// Effect of a list change on this daemon's table, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListChangeEffect {
@@ -287,21 +276,20 @@
     }
 
     /// Compares this daemon's list, with the changes that a peer gave, to the peer's, whose newest
-    /// record is before `end`. Lists are compared only where the peer's may contain all records of this
-    /// one: while the list changes, either daemon may know records that the other lacks.
-    pub fn compare_copy(&mut self, digest: u64, end: Option<ListRevision>) -> CopyComparison {
-        if digest == self.digest {
+    /// record is before `end`; returns whether they have diverged. Lists are compared only where the
+    /// peer's may contain all records of this one: while the list changes, either daemon may know
+    /// records that the other lacks.
+    pub fn note_copy_digest(&mut self, digest: u64, end: Option<ListRevision>) -> bool {
+        let is_same = digest == self.digest;
+        let has_diverged = !is_same && end.is_none_or(|end| end >= self.list_end());
+        if is_same {
             self.diverged_copies = 0;
-            CopyComparison::Same
-        } else if end.is_some_and(|end| end < self.list_end()) {
-            CopyComparison::Ahead
-        } else {
-            self.diverged_copies += 1;
-            CopyComparison::Diverged
         }
+        self.diverged_copies += u32::from(has_diverged);
+        has_diverged
     }
 
-    /// Whether the last copy of changes did not lead to the peer's list.
+    /// Whether a copy of changes did not lead to the peer's list, and none has since.
     pub fn has_diverged(&self) -> bool {
         self.diverged_copies > 0
     }
--- a/crates/guava-serve/tests/list_in_motion.rs
+++ b/crates/guava-serve/tests/list_in_motion.rs
@@ -10,7 +10,7 @@
     CoreRecord, ListChange, ListCopy, ListReader, ListRevision, MemberDescriptor, MemberTable,
     PeerMessage, ReadPace, ServeContext, SyncInput, SyncStep, UpstreamEntry, apply_copy,
     apply_list, apply_message, apply_read_change, changes_since, compose_attached_reads,
-    compose_reads, entries_since, is_copy_enough, sync_step,
+    compose_reads, copy_state, entries_since, is_copy_sufficient, sync_step,
 };
 use guava_types::{CoreShare, Moment};
 use std::net::SocketAddr;
@@ -206,9 +206,8 @@
         apply_copy(&daemon.context, copy);
         let position = daemon.context.upstreams.borrow().list_position();
         daemon.next = daemon.next.max(position.0);
-        if may_read
-            && !is_copy_enough(&daemon.context, &input, true, ReadPace::within(LIMIT_MS), now)
-        {
+        let copy = copy_state(&daemon.context, true, ReadPace::within(LIMIT_MS), now);
+        if may_read && !is_copy_sufficient(&input, &copy) {
             self.read_store(index, now);
         }
     }
