feat: logs and metrics tell the software versions of a stream's upstreams

Of the incident on streams of two software versions no line told which version an upstream has, nor that a request takes up a stream of another attempt. The entry's version now reaches the list of upstreams, with its changes and copies between daemons; G8001 and G8010 name it and the attempt that is resumed, G8007 the versions before and after, G8024 is a stream taken up, and resumptions_total counts by kind. Nothing is decided by it yet.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -26,6 +26,7 @@
     REACH_REGAINED "G8021" "this daemon reaches upstreams again";
     FORWARDED "G8022" "request forwarded to a daemon that reaches upstreams";
     SHARED_SEND "G8023" "a request was sent under this daemon's share of an upstream";
+    TAKEN_UP "G8024" "a caller takes up a stream that another attempt began";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/members/list_copy.rs
+++ b/crates/guava-serve/src/members/list_copy.rs
@@ -15,7 +15,8 @@
 use crate::upstreams::list_order::ListRevision;
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable, WeightVersion};
 use guava_types::{
-    ByteCount, DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, UpstreamId,
+    ByteCount, DataCentre, Deadline, FastMap, ModelName, Moment, ServiceName, SoftwareVersion,
+    UpstreamId,
 };
 use http::{Method, StatusCode};
 use prost::Message;
@@ -76,6 +77,9 @@
     revision: u64,
     #[prost(bool, tag = "11")]
     is_removed: bool,
+    /// Index of the software version; `None` from builds that don't state it.
+    #[prost(uint32, optional, tag = "12")]
+    software: Option<u32>,
 }
 
 /// A page; names that many entries share are indices into `names`.
@@ -235,6 +239,7 @@
         address: wire_address(&entry.address),
         service: names.index(entry.service.as_str()),
         data_centre: names.index(entry.data_centre.as_str()),
+        software: entry.software.as_ref().map(|version| names.index(version.as_str())),
         slots: entry.slots,
         is_leaving: entry.is_leaving,
         models: entry.versions.keys().map(|model| names.index(model.as_str())).collect(),
@@ -266,6 +271,10 @@
         service: name(&wire.service)?.parse::<ServiceName>().ok()?,
         address: address_from_wire(&wire.address)?,
         data_centre: name(&wire.data_centre)?.parse::<DataCentre>().ok()?,
+        software: match &wire.software {
+            Some(index) => Some(name(index)?.parse::<SoftwareVersion>().ok()?),
+            None => None,
+        },
         slots: wire.slots,
         is_leaving: wire.is_leaving,
         cold_until: if is_cold {
--- a/crates/guava-serve/src/members/peer_message.rs
+++ b/crates/guava-serve/src/members/peer_message.rs
@@ -151,6 +151,8 @@
     cold_left_ms: u64,
     #[prost(fixed64, tag = "11")]
     revision: u64,
+    #[prost(string, tag = "12")]
+    software: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -1025,6 +1027,7 @@
             service: entry.service.to_string(),
             address: entry.address.to_string(),
             data_centre: entry.data_centre.to_string(),
+            software: entry.software.as_ref().map(ToString::to_string).unwrap_or_default(),
             slots: entry.slots,
             is_leaving: entry.is_leaving,
             models: entry.versions.keys().map(ModelName::to_string).collect(),
@@ -1051,6 +1054,8 @@
         service: wire.service.parse().ok()?,
         address: wire.address.parse().ok()?,
         data_centre: wire.data_centre.parse().ok()?,
+        // Earlier builds leave it empty.
+        software: wire.software.parse().ok(),
         slots: wire.slots,
         is_leaving: wire.is_leaving,
         cold_until,
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -78,6 +78,7 @@
     refusals: Family<KindLabel, Counter>,
     sends: Family<KindLabel, Counter>,
     superseded: Family<KindLabel, Counter>,
+    resumptions: Family<KindLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
     bad_records: Family<KindLabel, Counter>,
     lost_messages: Family<KindLabel, Counter>,
@@ -109,6 +110,7 @@
         let refusals = Family::<KindLabel, Counter>::default();
         let sends = Family::<KindLabel, Counter>::default();
         let superseded = Family::<KindLabel, Counter>::default();
+        let resumptions = Family::<KindLabel, Counter>::default();
         let store_calls = Family::<KindLabel, Counter>::default();
         let bad_records = Family::<KindLabel, Counter>::default();
         let lost_messages = Family::<KindLabel, Counter>::default();
@@ -132,6 +134,7 @@
         registry.register("refusals", "Refused requests by reason", refusals.clone());
         registry.register("sends", "Sends to upstreams by result", sends.clone());
         registry.register("superseded_requests", "On superseded weights", superseded.clone());
+        registry.register("resumptions", "Of streams, by kind", resumptions.clone());
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         registry.register("bad_records", "Unreadable records by kind", bad_records.clone());
         registry.register("lost_messages", "Between daemons, by reason", lost_messages.clone());
@@ -160,6 +163,7 @@
             refusals,
             sends,
             superseded,
+            resumptions,
             store_calls,
             bad_records,
             lost_messages,
@@ -216,6 +220,11 @@
         self.superseded.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a resumption of a stream; `kind` tells by whom, and whether versions agree.
+    pub fn count_resumption(&self, kind: &'static str) {
+        self.resumptions.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a call to the platform's store; `kind` names the call.
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -64,6 +64,8 @@
     pub prompt: Option<PromptShape>,
     /// Id of the event after which the caller asks to resume a stream.
     pub resume_after: Option<Box<str>>,
+    /// Id of the attempt that brought its caller the first event of that stream, if it is named.
+    pub resumes: Option<Box<str>>,
     /// Head to send to the upstream.
     pub head: RequestHead,
     /// The complete body.
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -30,7 +30,7 @@
 use bytes::Bytes;
 use guava_log::log_event;
 use guava_policy::CloseReason;
-use guava_types::{Deadline, ModelName, Moment, UpstreamId};
+use guava_types::{Deadline, ModelName, Moment, SoftwareVersion, UpstreamId};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -140,6 +140,8 @@
 pub struct StreamSource {
     /// The upstream that sends the stream.
     pub upstream: UpstreamId,
+    /// Version of its software; `None` if it is not known.
+    pub software: Option<SoftwareVersion>,
     body: Incoming,
     framer: EventFramer,
     held: HeldAnswer,
@@ -601,7 +603,9 @@
         let upstream = self.plan.send.upstream.clone();
         let framer = EventFramer::default();
         let held = HeldAnswer::new(self.context);
-        let mut source = StreamSource { upstream, body, framer, held, connection, marks, work };
+        let software = self.plan.software.clone();
+        let mut source =
+            StreamSource { upstream, software, body, framer, held, connection, marks, work };
         // The headers are withheld until the first event: until then another upstream may answer.
         let guard = StartGuard::new(self.context, self.expected_weights());
         let step = source.next_step();
--- a/crates/guava-serve/src/request/attempt_plan.rs
+++ b/crates/guava-serve/src/request/attempt_plan.rs
@@ -5,7 +5,7 @@
 use crate::serve_config::ServiceRule;
 use crate::upstreams::work_table::ExpectedLoad;
 use guava_policy::LoadObservation;
-use guava_types::Deadline;
+use guava_types::{Deadline, SoftwareVersion};
 use std::rc::Rc;
 
 /// Everything that was decided for one attempt.
@@ -15,6 +15,8 @@
     pub send: SendPlan,
     /// The service, from whose retry budget a further attempt is taken.
     pub service: Rc<ServiceRule>,
+    /// Version of the upstream's software; `None` if it is not known.
+    pub software: Option<SoftwareVersion>,
     /// Load that the attempt is expected to cause at the upstream.
     pub load: ExpectedLoad,
     /// Transfers from stores that the attempt waits for, if the engine fetches prompt parts.
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -39,6 +39,17 @@
     if request.is_forwarded || !context.reach.borrow().is_lost() {
         context.retries.borrow_mut().earn(&service);
     }
+    if let Some(after) = &request.resume_after {
+        context.metrics.count_resumption("taken-up");
+        log_event!(
+            info,
+            events::TAKEN_UP,
+            request = request.id,
+            resumes = request.resumes.as_deref().unwrap_or("not named"),
+            after = after,
+            left_ms = request.deadline.millis_left(Moment::now())
+        );
+    }
     let mut run = RequestRun {
         context: Rc::clone(context),
         config: Rc::clone(config),
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
-use guava_types::{Deadline, Moment, UpstreamId};
+use guava_types::{Deadline, Moment, SoftwareVersion, UpstreamId};
 use http::{Response, StatusCode};
 use std::pin::pin;
 
@@ -42,6 +42,8 @@
     late_bytes: usize,
     last_event_at: Moment,
     upstream: UpstreamId,
+    /// Version of the software that began the stream.
+    software: Option<SoftwareVersion>,
 }
 
 /// Creates the response whose body relays a stream's events. Attempts to resume the stream are made
@@ -54,6 +56,7 @@
         late_bytes: 0,
         last_event_at: Moment::now(),
         upstream: source.upstream.clone(),
+        software: source.software.clone(),
     };
     let relay = EventRelay {
         run,
@@ -177,11 +180,19 @@
                 return Err(failure(reason));
             }
         };
+        let software = opened.source.software.clone();
+        self.run.context.metrics.count_resumption(match (&self.progress.software, &software) {
+            (Some(first), Some(next)) if first == next => "same-version",
+            (Some(_), Some(_)) => "other-version",
+            _ => "unknown-version",
+        });
         log_event!(
             info,
             events::RESUMED,
             request = self.run.request.id,
             upstream = opened.source.upstream,
+            software = software.as_ref().map_or("unknown", SoftwareVersion::as_str),
+            began_at = self.progress.software.as_ref().map_or("unknown", SoftwareVersion::as_str),
             after = last_id.as_deref().unwrap_or("the beginning"),
             reason = reason
         );
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -21,7 +21,9 @@
 use crate::weights::start_guard::StartGuard;
 use guava_log::log_event;
 use guava_policy::{QueueEntry, ReportTable};
-use guava_types::{Deadline, MemberName, ModelName, Moment, ServiceName, TokenCount, UpstreamId};
+use guava_types::{
+    Deadline, MemberName, ModelName, Moment, ServiceName, SoftwareVersion, TokenCount, UpstreamId,
+};
 use std::rc::Rc;
 
 /// Prompts with at least this many tokens to prefill are reported to peers in an immediate message:
@@ -165,6 +167,8 @@
     let revision = revision.map(|revision| revision.to_string()).unwrap_or_default();
     let load = plan.report.map(|report| report.load.to_string()).unwrap_or_default();
     let load_age_ms = plan.report.map_or(0, |report| now.millis_since(report.received));
+    let software = plan.software.as_ref().map_or("unknown", SoftwareVersion::as_str);
+    let resumes = request.resumes.as_deref().unwrap_or_default();
     let use_kind = if plan.report.is_some() { "used" } else { "none" };
     input.context.metrics.count_reported_load(use_kind);
     match &plan.send.engine {
@@ -177,6 +181,8 @@
             config = config.version,
             service = plan.service.name,
             upstream = plan.send.upstream,
+            software = software,
+            resumes = resumes,
             left_ms = left_ms,
             list_age_ms = list_age_ms,
             revision = revision,
@@ -194,6 +200,8 @@
             config = config.version,
             service = plan.service.name,
             upstream = plan.send.upstream,
+            software = software,
+            resumes = resumes,
             weights = instructions.version,
             expected_ms = plan.load.answer_ms.round(),
             reads = plan.load.prompt.0,
@@ -217,7 +225,11 @@
 ) -> Option<AttemptPlan> {
     let request = input.request;
     let service = input.config.service(input.service)?;
-    let address = input.context.upstreams.borrow().entry(&upstream)?.address;
+    let (address, software) = {
+        let upstreams = input.context.upstreams.borrow();
+        let entry = upstreams.entry(&upstream)?;
+        (entry.address, entry.software.clone())
+    };
     let now = Moment::now();
     let reports = input.context.reports.borrow();
     let answer_timeout = first_answer_timeout_ms(&request.route, input.record.runs, load.answer_ms);
@@ -232,6 +244,7 @@
     Some(AttemptPlan {
         send,
         service: Rc::clone(service),
+        software,
         load,
         wait: None,
         is_long: false,
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -14,7 +14,8 @@
 use crate::upstreams::list_order::{ListOrder, ListRevision};
 use crate::upstreams::service_rings::{RingPosition, ServiceRings};
 use guava_types::{
-    DataCentre, Deadline, FastMap, FastSet, MemberName, ModelName, Moment, ServiceName, UpstreamId,
+    DataCentre, Deadline, FastMap, FastSet, MemberName, ModelName, Moment, ServiceName,
+    SoftwareVersion, UpstreamId,
 };
 use rustc_hash::FxHasher;
 use std::fmt;
@@ -81,6 +82,8 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub data_centre: DataCentre,
+    /// Version of its software; `None` from a daemon of an earlier build, which doesn't state it.
+    pub software: Option<SoftwareVersion>,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it takes no new work and will exit; final for this id.
@@ -372,12 +375,15 @@
                 let versions = newest_versions(&listed.entry.versions, &entry.versions);
                 let has_new_versions = listed.entry.versions != entry.versions;
                 let cold_until = listed.entry.cold_until;
+                let software = listed.entry.software.take();
                 let is_colder =
                     Deadline::after(cold_until.0, MIN_COLD_EXTENSION_MS) < entry.cold_until;
                 listed.entry = entry;
                 // A late entry must not shorten the cold period.
                 listed.entry.cold_until = listed.entry.cold_until.max(cold_until);
                 listed.entry.versions = versions;
+                // One start has one version, whichever daemon stated it.
+                listed.entry.software = software.or(listed.entry.software.take());
                 let is_change = listed.entry.is_leaving && !was_leaving;
                 // Leaving is final: an older copy of the entry must not make it eligible again.
                 listed.entry.is_leaving |= was_leaving;
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -39,6 +39,7 @@
         service: service.parse().unwrap(),
         address: address(9),
         data_centre: "east".parse().unwrap(),
+        software: Some("v1".parse().unwrap()),
         slots: 8,
         is_leaving: false,
         cold_until: Deadline::default(),
@@ -155,6 +156,7 @@
         arrived: now,
         prompt: None,
         resume_after: None,
+        resumes: None,
         head: RequestHead {
             method: http::Method::POST,
             target: "/x".parse().unwrap(),
--- a/crates/guava-types/src/lib.rs
+++ b/crates/guava-types/src/lib.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod moments;
 mod names;
+mod software;
 mod units;
 mod upstream_id;
 
@@ -15,6 +16,7 @@
 pub use names::{
     CustomerId, DataCentre, MemberName, ModelName, NameError, ServiceName, VersionName,
 };
+pub use software::{MAX_SOFTWARE_VERSION_BYTES, SoftwareVersion, SoftwareVersionError};
 pub use units::{
     ByteCount, CoreShare, LimitRate, LinkRate, RequestRate, TokenCount, TokenRate, UnitError,
 };
