fix: a test of unnamed answers no longer depends on a choice within a millisecond

answer_that_names_no_request_is_not_delivered::non_idempotent failed once beside a build. The second upstream counted as crashed for 1 ms only; the request came to be planned later than that and went there (its log has u1 and status 200). The second upstream now counts as crashed for 100 ms and the first answers after 150 ms, so that it is chosen first and the retry still finds the second. What is asserted is unchanged.

--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -938,13 +938,13 @@
 fn answer_that_names_no_request_is_not_delivered(repeat: RepeatRule, expected: CallerResult) {
     // Guards against an answer to another request that reaches a caller with status 200.
     let unnamed = complete_answer("200 OK", "x-report: 1\r\n", "report");
-    let reporting = ScriptedUpstream::start(vec![vec![unnamed]]);
+    let reporting = ScriptedUpstream::start(vec![vec![ScriptStep::Wait(150), unnamed]]);
     let other = ScriptedUpstream::start(vec![vec![complete_answer("200 OK", "", "yes")]]);
 
     let result = run(async {
         let context = context(&[&reporting, &other]);
         // Only the first can be chosen at first.
-        context.upstreams.borrow_mut().note_crashed(&id("u1"), Deadline::in_millis(1));
+        context.upstreams.borrow_mut().note_crashed(&id("u1"), Deadline::in_millis(100));
         let request = request(route("/x/", "app", repeat));
         read(serve_request(&context, &Rc::new(config(1)), request).await).await
     });
