--- /dev/null
+++ b/crates/guavatiller/tests/stream_versions.rs
@@ -0,0 +1,217 @@
+//! Streams before engines of several software versions, with real daemons and upstreams.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use guava_platform_standins::{
+    DaemonProcess, PlainAnswer, PlainConnection, PlatformDeployment, ServerFault, ServerKind,
+    ServiceNames, request_of_parts, send, taking_up, whole_stream,
+};
+use guava_standins::harness::wait_until;
+use rustix::process::Signal;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time within which a stream that can't go on is refused.
+const AT_ONCE: Duration = Duration::from_millis(500);
+/// Streams that a test begins.
+const STREAMS: usize = 12;
+/// Event after which callers lose their streams.
+const FIRST_EVENT: &str = "1";
+/// Time that callers state.
+const CALLER_TIMEOUT_MS: u64 = 10_000;
+/// Requests sent so far, for their ids.
+static SENT: AtomicUsize = AtomicUsize::new(0);
+
+struct Fleet {
+    deployment: PlatformDeployment,
+    daemons: Vec<DaemonProcess>,
+}
+
+/// A stream of which the caller has the first event.
+struct BegunStream {
+    id: String,
+    software: String,
+    /// Where it is read; the stream is lost with it.
+    _connection: PlainConnection,
+}
+
+impl Fleet {
+    /// Starts five daemons in three data centres before engines of these software versions.
+    fn start(engines: &[(&str, &str)]) -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_guavatiller"));
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let servers: Vec<_> = engines.iter().map(|(id, _)| (*id, ServerKind::Engine)).collect();
+        let mut deployment = PlatformDeployment::start(program, folder, &servers);
+        for (id, software) in engines {
+            deployment.servers[*id].set_software(software);
+            deployment.list(id, "ready");
+        }
+        let zones = ["east", "east", "north", "west", "west"];
+        let daemons = zones.map(|zone| deployment.daemon_in(zone).unwrap()).into();
+        let fleet = Self { deployment, daemons };
+        fleet.daemons.iter().for_each(wait_until_it_serves);
+        wait_until("daemons know each other", || {
+            fleet.daemons.iter().all(|daemon| reachable_peers(daemon) >= zones.len() - 1)
+        });
+        fleet
+    }
+
+    /// Begins a stream and reads its first event.
+    fn begin(&self, daemon: usize) -> BegunStream {
+        let id = next_id();
+        let callers = self.daemons[daemon].callers;
+        let mut connection = PlainConnection::open(callers, Duration::from_secs(5)).unwrap();
+        let answer = connection.first_event(&draft(&id)).unwrap();
+        let software = self.software_of(&answer);
+        BegunStream { id, software, _connection: connection }
+    }
+
+    /// The software version of the engine that an answer is from.
+    fn software_of(&self, answer: &PlainAnswer) -> String {
+        let engine = answer.header("x-response-seal").unwrap().strip_prefix("seal-").unwrap();
+        self.deployment.servers[engine].software()
+    }
+
+    /// Takes a stream up at a daemon; what comes of it, and after how long.
+    fn take_up(&self, stream: &BegunStream, daemon: usize) -> (Option<PlainAnswer>, Duration) {
+        let request = taking_up(&draft(&next_id()), &stream.id, FIRST_EVENT);
+        let sent = Instant::now();
+        let answer = send(self.daemons[daemon].callers, &request);
+        (answer, sent.elapsed())
+    }
+
+    /// Whether a stream went on, at the software version that began it; the rest of it must be whole.
+    fn goes_on(&self, stream: &BegunStream, daemon: usize) -> bool {
+        let (answer, _) = self.take_up(stream, daemon);
+        let Some(answer) = answer.filter(|answer| answer.status == 200) else { return false };
+        assert_eq!(self.software_of(&answer), stream.software, "{} was joined", stream.id);
+        let (_, rest) = whole_stream().split_once("\n\n").map(|(a, b)| (a.len(), b.len())).unwrap();
+        assert!(whole_stream().ends_with(&answer.body) && answer.body.len() == rest);
+        true
+    }
+
+    /// Checks that a stream is refused at once, and that nothing of it ran.
+    fn assert_refused(&self, stream: &BegunStream, daemon: usize) {
+        let (answer, elapsed) = self.take_up(stream, daemon);
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.header("retry-after").is_some());
+        assert!(elapsed < AT_ONCE, "refused after {elapsed:?}");
+    }
+
+    /// Ids of streams that ran at engines of more than one software version.
+    fn joined(&self) -> Vec<String> {
+        let servers = self.deployment.servers.values();
+        let runs = servers
+            .flat_map(|server| server.runs().into_iter().map(|(id, _)| (id, server.software())));
+        let runs: BTreeSet<(String, String)> = runs.collect();
+        let ids: Vec<String> = runs.into_iter().map(|(id, _)| id).collect();
+        let pairs = ids.windows(2).filter(|pair| pair[0] == pair[1]);
+        pairs.map(|pair| pair[0].clone()).collect()
+    }
+}
+
+fn next_id() -> String {
+    format!("draft-{}", SENT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A request whose prompt shares no part with others, so that any engine may get it.
+fn draft(id: &str) -> String {
+    let parts = format!("{:x}:80,bb:20", SENT.fetch_add(1, Ordering::Relaxed));
+    request_of_parts(&parts, CALLER_TIMEOUT_MS, "POST", "/draft/2f", id, ServiceNames::KEY, id)
+}
+
+fn wait_until_it_serves(daemon: &DaemonProcess) {
+    wait_until("a daemon serves", || {
+        send(daemon.callers, &draft(&next_id())).is_some_and(|answer| answer.status == 200)
+    });
+}
+
+fn reachable_peers(daemon: &DaemonProcess) -> usize {
+    let lines = daemon.lines();
+    let reachable = lines.iter().filter(|line| line.contains("\"G8201\""));
+    let name = |line: &String| {
+        let line: serde_json::Value = serde_json::from_str(line).ok()?;
+        Some(line["kv"]["member"].as_str()?.to_owned())
+    };
+    reachable.filter_map(name).collect::<BTreeSet<_>>().len()
+}
+
+#[test]
+fn stream_that_breaks_off_is_resumed_at_its_own_software_version() {
+    // Guards against an answer whose events are from two software versions.
+    let fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    for breaking in ["a0", "b0"] {
+        fleet.deployment.servers[breaking].set_fault(ServerFault::Breaks);
+    }
+
+    let answers: Vec<Option<PlainAnswer>> = (0..4 * STREAMS)
+        .map(|number| {
+            let daemon = &fleet.daemons[number % fleet.daemons.len()];
+            send(daemon.callers, &draft(&next_id()))
+        })
+        .collect();
+
+    assert_eq!(fleet.joined(), Vec::<String>::new());
+    let whole = answers.iter().flatten().filter(|answer| answer.body == whole_stream()).count();
+    assert_eq!(whole, answers.len());
+}
+
+#[test]
+fn stream_of_a_killed_daemon_goes_on_at_its_own_software_version() {
+    // Guards against a stream that is taken up at a daemon that did not begin it and is joined.
+    let mut fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    let streams: Vec<BegunStream> = (0..STREAMS).map(|number| fleet.begin(number % 2)).collect();
+    fleet.daemons[0].signal(Signal::KILL);
+    fleet.daemons[1].signal(Signal::KILL);
+    // The engines at which streams began may be full.
+    for full in ["a0", "b0"] {
+        fleet.deployment.servers[full].set_fault(ServerFault::Full);
+    }
+
+    let number_and_stream = streams.iter().enumerate();
+    let went_on =
+        number_and_stream.filter(|(number, stream)| fleet.goes_on(stream, 2 + number % 3)).count();
+
+    assert!(went_on > STREAMS / 2, "{went_on} of {STREAMS} went on");
+    fleet.daemons[0].restart().unwrap();
+}
+
+#[test]
+fn stream_that_no_daemon_remembers_is_refused_at_once() {
+    // Guards against a stream that is taken up after the loss of all daemons and is joined.
+    let mut fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    let streams: Vec<BegunStream> = (0..STREAMS).map(|number| fleet.begin(number % 5)).collect();
+    fleet.daemons.iter_mut().for_each(|daemon| daemon.restart().unwrap());
+    fleet.daemons.iter().for_each(wait_until_it_serves);
+
+    let number_and_stream = streams.iter().enumerate();
+    number_and_stream.for_each(|(number, stream)| fleet.assert_refused(stream, number % 5));
+}
+
+#[test]
+fn stream_whose_software_version_has_left_is_refused_at_once() {
+    // Guards against a stream that goes on at the version that replaced its own, or waits for it.
+    let fleet = Fleet::start(&[("a0", "v1"), ("b0", "v2")]);
+    let streams: Vec<BegunStream> = (0..STREAMS).map(|number| fleet.begin(number % 5)).collect();
+    fleet.deployment.list("a0", "draining");
+    wait_until("all daemons know that it leaves", || {
+        let knows = |daemon: &DaemonProcess| {
+            daemon
+                .lines()
+                .iter()
+                .any(|line| line.contains("\"leaving\"") && line.contains("\"a0\""))
+        };
+        fleet.daemons.iter().all(knows)
+    });
+
+    for (number, stream) in streams.iter().enumerate() {
+        match &*stream.software {
+            "v1" => fleet.assert_refused(stream, number % 5),
+            _ => assert!(fleet.goes_on(stream, number % 5)),
+        }
+    }
+    assert!(streams.iter().any(|stream| stream.software == "v1"));
+}
