fix: a broken stream is resumed at the software version that began it

Callers saw one answer whose events were from two software versions of a service. Cause: the adapter dropped the version of an upstream's entry, so the resumption within one answer chose among all upstreams of the service.

A stream whose upstream's version is not known is not resumed.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod send_share;
 mod service_queue;
 mod slot_share;
+mod stream_origin;
 mod upstream_announcements;
 mod use_report;
 mod yield_rule;
@@ -81,6 +82,7 @@
     QueueVerdict, ROUND_MS, ServiceQueue,
 };
 pub use slot_share::{ranked_slot_share, slot_share};
+pub use stream_origin::StreamOrigin;
 pub use upstream_announcements::{AnnouncedLimit, UpstreamAnnouncements, jitter_backoff};
 pub use use_report::{
     MAX_USE_ROWS, UseReport, UseRow, apply_use_report, largest_uses, sweep_ledgers,
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -24,3 +24,4 @@
 pub(crate) mod retry_shares;
 pub(crate) mod send_gate;
 pub(crate) mod service_choice;
+pub(crate) mod stream_scope;
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -72,6 +72,7 @@
         SendResult::Stream(stream) => {
             let first_ms = Moment::now().millis_since(request.arrived);
             run.first_ms = Some(first_ms);
+            run.note_begun(&stream.source);
             context.metrics.time_first(first_ms);
             ServeOutcome::Answered(relay_response(run, *stream))
         }
--- a/crates/guava-serve/src/request/engine_input.rs
+++ b/crates/guava-serve/src/request/engine_input.rs
@@ -9,7 +9,9 @@
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use guava_policy::ReportTable;
-use guava_types::{DataCentre, MemberName, Moment, ServiceName, TokenRate, UpstreamId};
+use guava_types::{
+    DataCentre, MemberName, Moment, ServiceName, SoftwareVersion, TokenRate, UpstreamId,
+};
 use std::rc::Rc;
 
 /// Inputs of one choice of an engine.
@@ -52,6 +54,8 @@
     pub peers: &'a [MemberName],
     /// Data centre of this daemon.
     pub data_centre: &'a DataCentre,
+    /// Software version that an engine must have; `None` if any may take the request.
+    pub software: Option<&'a SoftwareVersion>,
     /// Engines to which this request was already sent.
     pub tried: &'a [UpstreamId],
     /// Whether an upstream may get no request now.
--- a/crates/guava-serve/src/request/engine_subset.rs
+++ b/crates/guava-serve/src/request/engine_subset.rs
@@ -36,6 +36,10 @@
     /// The candidates for a prompt; not all of them may take it now.
     pub(crate) fn new(input: &EngineInput<'a>) -> Self {
         let (upstreams, service, now) = (input.upstreams, input.service, input.now);
+        if let Some(software) = input.software {
+            let entries = upstreams.candidates_of(service, software, input.local_daemon, now);
+            return Self { entries, home: None, homed: None };
+        }
         let own = upstreams.candidates(service, input.local_daemon, input.data_centre, now);
         if upstreams.service_count(service) <= MAX_CANDIDATES {
             return Self { entries: own, home: None, homed: None };
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -1,6 +1,7 @@
 //! Final outcomes of a request, and the record of its attempts.
 
 use crate::request::answer_body::AnswerBody;
+use crate::request::stream_scope::StreamScope;
 use guava_policy::QueuePlace;
 use guava_types::{Deadline, UpstreamId};
 use http::Response;
@@ -123,6 +124,8 @@
     pub is_list_stale: bool,
     /// How it was refused from the queue of its service, if it was.
     pub shed: Option<QueueRefusal>,
+    /// Upstreams that may take it.
+    pub scope: StreamScope,
     /// Whether no daemon that it could be forwarded to reaches an upstream.
     pub is_out_of_reach: bool,
     /// End of its quarantine, if it is quarantined.
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -14,6 +14,7 @@
 use crate::request::outcome::SendRecord;
 use crate::request::send_gate::{gate_state, with_gate_input};
 use crate::request::service_choice::{InstanceChoice, ServiceInput, choose_instance};
+use crate::request::stream_scope::StreamScope;
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_table::UpstreamEntry;
@@ -263,6 +264,9 @@
     now: Moment,
     choose: impl FnOnce(&dyn Fn(&UpstreamEntry) -> bool) -> Option<T>,
 ) -> Option<T> {
+    if matches!(input.record.scope, StreamScope::Nowhere) {
+        return None;
+    }
     let rule = input.config.service(input.service)?;
     with_gate_input(input.context, rule, |gate| {
         choose(&|entry: &UpstreamEntry| !gate_state(gate, entry, now).is_open())
@@ -280,6 +284,7 @@
             daemons: &|| input.context.members.borrow().deployment_size(now),
             local_daemon: &input.context.identity.name,
             data_centre: &input.context.identity.data_centre,
+            software: input.record.scope.software(),
             tried: &input.record.tried,
             is_closed,
             now,
@@ -371,6 +376,7 @@
             local_daemon: &context.identity.name,
             peers: &peers,
             data_centre: &context.identity.data_centre,
+            software: input.record.scope.software(),
             tried: &input.record.tried,
             is_closed,
             now,
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -4,7 +4,7 @@
 use crate::members::queue_exchange::first_attempt;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
-use crate::request::attempt::{AttemptOutcome, CompleteAnswer, OpenStream, attempt};
+use crate::request::attempt::{AttemptOutcome, CompleteAnswer, OpenStream, StreamSource, attempt};
 use crate::request::freshness_wait::await_fresh_list;
 use crate::request::outcome::{SendRecord, expected_text};
 use crate::request::peer_forward::{ForwardOutcome, forward_request};
@@ -13,11 +13,12 @@
     PlanInput, PlanStep, has_available_upstream, is_crowded, is_plain, log_send, needs_room,
     plan_attempt, queue_entry, request_cost,
 };
+use crate::request::stream_scope::StreamScope;
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
 use guava_log::log_event;
-use guava_policy::{CustomerLedger, QueueEntry, QueuePlace, QueueVerdict, TurnStep};
+use guava_policy::{CustomerLedger, QueueEntry, QueuePlace, QueueVerdict, StreamOrigin, TurnStep};
 use guava_types::{Deadline, Moment, ServiceName};
 use http::Response;
 use std::rc::Rc;
@@ -179,6 +180,14 @@
         }
     }
 
+    /// Notes which upstream the first event of the answer is from, before the caller gets it: the rest
+    /// of the stream may come only from others of its software version.
+    pub fn note_begun(&mut self, source: &StreamSource) {
+        let service = self.service.clone();
+        let origin = source.software.clone().map(|software| StreamOrigin { service, software });
+        self.record.scope = origin.map_or(StreamScope::Nowhere, StreamScope::Only);
+    }
+
     /// Forwards the request to a peer daemon, if this one does not reach upstreams; `None` if it is
     /// to be sent from here.
     async fn forward(
--- a/crates/guava-serve/src/request/service_choice.rs
+++ b/crates/guava-serve/src/request/service_choice.rs
@@ -14,7 +14,7 @@
 use crate::upstreams::upstream_table::{UpstreamEntry, UpstreamTable};
 use crate::upstreams::work_table::WorkTable;
 use guava_policy::{LoadEstimate, ReportTable, request_bound};
-use guava_types::{DataCentre, MemberName, Moment, ServiceName, UpstreamId};
+use guava_types::{DataCentre, MemberName, Moment, ServiceName, SoftwareVersion, UpstreamId};
 
 /// Requests added to the count of an instance in another data centre: the round trip is longer and
 /// traffic between data centres is expensive, but waiting in a queue costs more.
@@ -41,6 +41,8 @@
     pub local_daemon: &'a MemberName,
     /// Data centre of this daemon.
     pub data_centre: &'a DataCentre,
+    /// Software version that an instance must have; `None` if any may take the request.
+    pub software: Option<&'a SoftwareVersion>,
     /// Instances to which this request was already sent.
     pub tried: &'a [UpstreamId],
     /// Whether an instance may get no request now.
@@ -144,7 +146,10 @@
 /// slowness. Answers are expected by the stated load, so the slowness covers what it leaves out.
 pub fn choose_instance(input: &ServiceInput<'_>) -> Option<InstanceChoice> {
     let ServiceInput { service, upstreams, local_daemon, data_centre, now, .. } = *input;
-    let entries = upstreams.candidates(service, local_daemon, data_centre, now);
+    let entries = match input.software {
+        None => upstreams.candidates(service, local_daemon, data_centre, now),
+        Some(software) => upstreams.candidates_of(service, software, local_daemon, now),
+    };
     let is_open =
         |entry: &&UpstreamEntry| !input.tried.contains(&entry.id) && !(input.is_closed)(entry);
     let open: Vec<&UpstreamEntry> = entries.into_iter().filter(is_open).collect();
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -684,6 +684,22 @@
         subset
     }
 
+    /// The upstreams of a service with a software version that a daemon uses: all that may get new work,
+    /// but at most so many as of a large service, from the daemon's own place on the ring on. They are
+    /// sought among all upstreams, since few may have the version.
+    pub fn candidates_of(
+        &self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        daemon: &MemberName,
+        now: Moment,
+    ) -> Vec<&UpstreamEntry> {
+        let place = RingPosition::of(daemon.as_str());
+        let usable = self.serving_from(service, place, now);
+        let of_version = usable.filter(|entry| entry.software.as_ref() == Some(software));
+        of_version.take(MAX_CANDIDATES).collect()
+    }
+
     /// Whether any configured service has so many upstreams that daemons use subsets of them.
     pub fn has_large_service(&self) -> bool {
         let is_named = |service: &ServiceName| {
--- a/crates/guava-serve/tests/engine_choice.rs
+++ b/crates/guava-serve/tests/engine_choice.rs
@@ -110,6 +110,7 @@
         local_daemon: &fixture.daemon,
         peers: &fixture.peers,
         data_centre: &fixture.data_centre,
+        software: None,
         tried,
         is_closed,
         now: NOW,
--- a/crates/guava-serve/tests/reported_pace.rs
+++ b/crates/guava-serve/tests/reported_pace.rs
@@ -116,6 +116,7 @@
         local_daemon: &"d1".parse().unwrap(),
         peers: &[],
         data_centre: &"east".parse().unwrap(),
+        software: None,
         tried: &[],
         is_closed: &|_| false,
         now: Moment(at),
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -218,6 +218,7 @@
                 daemons: &|| 1,
                 local_daemon: &"d1".parse().unwrap(),
                 data_centre: &"east".parse().unwrap(),
+                software: None,
                 tried: &[],
                 is_closed: &|_| false,
                 now,
--- a/crates/guava-serve/tests/support/load_simulation.rs
+++ b/crates/guava-serve/tests/support/load_simulation.rs
@@ -234,6 +234,7 @@
             local_daemon: &"d1".parse().unwrap(),
             peers: &[],
             data_centre: &"east".parse().unwrap(),
+            software: None,
             tried: &[],
             is_closed: &|_| false,
             now,
--- a/crates/guava-serve/tests/upstream_crashes.rs
+++ b/crates/guava-serve/tests/upstream_crashes.rs
@@ -182,6 +182,7 @@
             daemons: &|| 1,
             local_daemon: &"d1".parse().unwrap(),
             data_centre: &"east".parse().unwrap(),
+            software: None,
             tried: &[],
             is_closed: &|_| false,
             now,
