fix: a stream that is taken up goes on at the software version that began it

A caller whose daemon was killed takes its stream up at another one, and names the attempt that began it.

The daemon that begins a resumable stream tells three others, found by rendezvous hashing of the stream, before the first event is relayed; a daemon at which it is taken up asks them.

--- a/crates/guava-policy/src/lib.rs
+++ b/crates/guava-policy/src/lib.rs
@@ -18,6 +18,9 @@
 mod link_watch;
 mod load;
 mod memory_budget;
+mod origin_homes;
+mod origin_query;
+mod origin_table;
 mod part_uses;
 mod part_value;
 mod placement;
@@ -58,6 +61,9 @@
 pub use link_watch::{AwaitedFetch, LinkWatch};
 pub use load::{LoadReport, LoadTable, PendingWork, UpstreamLoad};
 pub use memory_budget::{MemoryBudget, has_capacity};
+pub use origin_homes::{ASKED_HOMES, ORIGIN_COPIES, first_homes};
+pub use origin_query::{OriginQuery, QueryState};
+pub use origin_table::{MAX_ORIGINS, OriginNotice, OriginRecord, OriginTable};
 pub use part_uses::PartUses;
 pub use part_value::{
     RankedPart, StoreRoom, admission_floor, is_worth_room, part_value, parts_to_retire,
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -39,6 +39,9 @@
 pub use members::member_descriptor::MemberDescriptor;
 pub use members::member_table::{MemberRole, MemberTable, PeerRole};
 pub use members::message_split::datagrams;
+pub use members::origin_exchange::OriginExchange;
+pub use members::origin_message::OriginMessage;
+pub use members::origin_search::{OriginSearch, apply_origin_message, find_origin, note_origin};
 pub use members::peer_copy::CopyError;
 pub use members::peer_exchange::{
     ListSource, OwnSummary, apply_change, apply_drain, apply_message, apply_target, apply_version,
@@ -51,7 +54,7 @@
     ListChange, LoadedVersion, MAX_DATAGRAM_BYTES, PeerMessage, PublishedVersion,
 };
 pub use members::peer_task::{
-    OwnState, receive_messages, send_immediate, send_read_marks, send_summaries,
+    OwnState, receive_messages, send_immediate, send_origins, send_read_marks, send_summaries,
 };
 pub use members::queue_exchange::{first_attempt, note_return, sweep_queue_state};
 pub use members::retry_pause::{CopyPause, RetryPause, is_read_urgent};
@@ -95,9 +98,10 @@
 pub use request::event_framer::{EventBatch, EventFramer};
 pub use request::freshness_wait::{await_fresh_config, is_stale};
 pub use request::http_listener::{ConnectionLimits, ListenerPhase, open_listener, serve_listener};
-pub use request::outcome::{QueueRefusal, RefusalReason, SendRecord, ServeOutcome};
+pub use request::outcome::{QueueRefusal, SendRecord, ServeOutcome};
 pub use request::peer_forward::{FORWARDED, UNSERVED};
 pub use request::queue_table::{QueueLevel, QueueTable};
+pub use request::refusal_reason::RefusalReason;
 pub use request::request_plan::draw_service;
 pub use request::retry_shares::{RetryLimit, RetryShares};
 pub use request::send_gate::{
--- a/crates/guava-serve/src/members/member_table.rs
+++ b/crates/guava-serve/src/members/member_table.rs
@@ -3,7 +3,8 @@
 use crate::members::core_group::{CoreRecord, MAX_LOCAL_CORE, SPARSE_LOCAL_CORE, core_records};
 use crate::members::member_descriptor::MemberDescriptor;
 use crate::parts::part_index::rendezvous_weight;
-use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment};
+use guava_policy::first_homes;
+use guava_types::{CoreShare, DataCentre, Deadline, FastMap, MemberName, Moment, StreamKey};
 use rand::seq::SliceRandom;
 use rustc_hash::FxHasher;
 use std::hash::{Hash, Hasher};
@@ -298,6 +299,28 @@
         core.iter().take(UPLINKS).map(|entry| entry.member.peer_address).collect()
     }
 
+    /// Peer addresses of the daemons that remember where a stream began, of its first `places` homes
+    /// those that are not this daemon. An attached daemon has its core daemons' instead, which pass
+    /// on what they are told and asked.
+    pub fn origin_homes(
+        &self,
+        me: &MemberName,
+        stream: StreamKey,
+        places: usize,
+        now: Moment,
+    ) -> Vec<SocketAddr> {
+        if self.role == MemberRole::Attached {
+            return self.uplinks(me, now);
+        }
+        let weight = |name: &MemberName| rendezvous_weight(&(stream.0, name), 1.0);
+        let others = self.core_entries().filter(|entry| entry.member.name != *me);
+        let others = others
+            .filter(|entry| self.is_reachable_or_new(entry, now))
+            .map(|entry| (Some(entry.member.peer_address), weight(&entry.member.name)));
+        let own = (None, weight(me));
+        first_homes(others.chain([own]).collect(), places).flatten().collect()
+    }
+
     /// Status addresses of core daemons from which the list of upstreams may be copied, in a random
     /// order, strong VMs before weak ones: some of this data centre, and one of any.
     pub fn list_sources(&self, draw: u64, now: Moment) -> Vec<SocketAddr> {
--- a/crates/guava-serve/src/members/peer_task.rs
+++ b/crates/guava-serve/src/members/peer_task.rs
@@ -5,6 +5,8 @@
 use crate::members::member_descriptor::MemberDescriptor;
 use crate::members::member_table::{ATTACHED_INTERVAL_MS, MemberRole};
 use crate::members::message_split::datagrams;
+use crate::members::origin_message::OriginMessage;
+use crate::members::origin_search::apply_origin_message;
 use crate::members::peer_exchange::{
     OwnSummary, apply_message, compose_announcements, compose_attached_reads,
     compose_crash_notices, compose_immediate, compose_initial_sync, compose_message, compose_reads,
@@ -233,6 +235,18 @@
     }
 }
 
+/// Task that tells peers where streams began, asks them and answers them; never returns.
+pub async fn send_origins(context: Rc<ServeContext>, socket: Rc<UdpSocket>) {
+    loop {
+        context.origins.due.notified().await;
+        for (receiver, message) in context.origins.take_due() {
+            for bytes in message.datagrams(Moment::now()) {
+                send_datagram(&socket, &bytes, &context, &[receiver]).await;
+            }
+        }
+    }
+}
+
 async fn sync_new_peers(context: &ServeContext, socket: &UdpSocket, state: &OwnState) {
     let new_peers = std::mem::take(&mut *context.new_peers.borrow_mut());
     if new_peers.is_empty() {
@@ -333,12 +347,19 @@
     state: &OwnState,
 ) {
     let now = Moment::now();
+    let note_unreadable = || {
+        let reason = format!("{} bytes from {sender}", bytes.len());
+        note_loss(context, MessageLoss::Unreadable, &reason);
+    };
+    if OriginMessage::is_marked(bytes) {
+        match OriginMessage::decode(bytes, now) {
+            Some(message) => apply_origin_message(context, message, sender, now),
+            None => note_unreadable(),
+        }
+        return;
+    }
     let Some(message) = PeerMessage::decode_waiting(bytes, since, now) else {
-        note_loss(
-            context,
-            MessageLoss::Unreadable,
-            &format!("{} bytes from {sender}", bytes.len()),
-        );
+        note_unreadable();
         return;
     };
     let is_from_attached = context.members.borrow().is_attached(&message.member.name);
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -19,6 +19,7 @@
 pub(crate) mod peer_forward;
 pub(crate) mod queue_table;
 pub(crate) mod queued_request;
+pub(crate) mod refusal_reason;
 pub(crate) mod request_plan;
 pub(crate) mod request_run;
 pub(crate) mod retry_shares;
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -3,7 +3,7 @@
 use crate::serve_config::{CallerIdentity, RouteRule};
 use bytes::Bytes;
 use guava_policy::SuspectPart;
-use guava_types::{CustomerId, Deadline, ModelName, Moment, RequestDigest, TokenCount};
+use guava_types::{CustomerId, Deadline, ModelName, Moment, RequestDigest, StreamKey, TokenCount};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use std::rc::Rc;
 
@@ -60,6 +60,8 @@
     pub arrived: Moment,
     /// When its caller stops waiting or its route's time limit passes, whichever is earlier.
     pub deadline: Deadline,
+    /// When its caller stops waiting.
+    pub caller_deadline: Deadline,
     /// The prompt, if the request is for a language model.
     pub prompt: Option<PromptShape>,
     /// Id of the event after which the caller asks to resume a stream.
@@ -84,6 +86,17 @@
         RequestDigest::of(self.customer(), path, &self.body)
     }
 
+    /// Whether its caller takes up a stream of which it has events.
+    pub fn takes_up(&self) -> bool {
+        let has_events = self.resume_after.is_some() || self.resumes.is_some();
+        self.route.repeat.is_stream() && has_events
+    }
+
+    /// Key of the stream that an attempt of the same customer began.
+    pub fn stream_key(&self, attempt: &str) -> StreamKey {
+        StreamKey::of(self.customer(), attempt)
+    }
+
     /// Name of the customer whose key the caller has; empty if it has none.
     pub fn customer(&self) -> &str {
         self.customer_id().map_or("", CustomerId::as_str)
--- a/crates/guava-serve/src/request/admit.rs
+++ b/crates/guava-serve/src/request/admit.rs
@@ -1,7 +1,7 @@
 //! Admission: finds a request's route and caller by the current configuration, and bounds the memory
 //! that requests hold.
 
-use crate::request::outcome::RefusalReason;
+use crate::request::refusal_reason::RefusalReason;
 use crate::serve_config::{CallerIdentity, RouteRule};
 use crate::serve_context::ServeContext;
 use guava_types::Moment;
--- a/crates/guava-serve/src/request/answer_timeout.rs
+++ b/crates/guava-serve/src/request/answer_timeout.rs
@@ -1,6 +1,6 @@
 //! How long to wait for an upstream before another is tried, and when refused callers retry.
 
-use crate::request::outcome::RefusalReason;
+use crate::request::refusal_reason::RefusalReason;
 use crate::serve_config::{RepeatRule, RouteRule};
 use guava_policy::{FIRST_QUARANTINE_MS, MIN_RETURN_MS};
 
@@ -61,6 +61,10 @@
         // Used only if the end of the quarantine is not known.
         RefusalReason::Quarantined => FIRST_QUARANTINE_MS,
         RefusalReason::UpstreamsClosed => CLOSED_SPREAD_MS,
+        // Another daemon may be told at any moment.
+        RefusalReason::StreamUnconfirmed => 100,
+        // Used only if the caller's time is over.
+        RefusalReason::StreamUnknown | RefusalReason::VersionGone => 1_000,
     };
     base + draw % base
 }
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -7,15 +7,15 @@
 use crate::request::answer_timeout::return_after_ms;
 use crate::request::attempt::CompleteAnswer;
 use crate::request::event_relay::relay_response;
-use crate::request::outcome::{
-    QueueRefusal, RefusalReason, SendRecord, ServeOutcome, expected_text,
-};
+use crate::request::outcome::{QueueRefusal, SendRecord, ServeOutcome, expected_text};
+use crate::request::refusal_reason::RefusalReason;
 use crate::request::request_plan::draw_service;
 use crate::request::request_run::{RequestRun, SendResult};
 use crate::request::send_gate::reopening;
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
 use guava_log::log_event;
+use guava_policy::MIN_RETURN_MS;
 use guava_types::{Deadline, Moment};
 use http::Response;
 use std::rc::Rc;
@@ -39,17 +39,6 @@
     if request.is_forwarded || !context.reach.borrow().is_lost() {
         context.retries.borrow_mut().earn(&service);
     }
-    if let Some(after) = &request.resume_after {
-        context.metrics.count_resumption("taken-up");
-        log_event!(
-            info,
-            events::TAKEN_UP,
-            request = request.id,
-            resumes = request.resumes.as_deref().unwrap_or("not named"),
-            after = after,
-            left_ms = request.deadline.millis_left(Moment::now())
-        );
-    }
     let mut run = RequestRun {
         context: Rc::clone(context),
         config: Rc::clone(config),
@@ -85,6 +74,7 @@
                 quarantined(context, &request, run.record.quarantined_until.unwrap_or_default())
             }
             Some(_) if is_timed_out => refused(context, &request, RefusalReason::TooLate),
+            Some(reason) if reason.is_final() => refused_for_good(context, &request, reason),
             Some(reason) => expect_return(&run, refuse_until_open(&run, reason)),
             None => failed(context, &request, is_timed_out, run.record.runs),
         },
@@ -121,6 +111,16 @@
     refused_for(context, request, RefusalReason::Quarantined, left_ms)
 }
 
+/// Refuses a request that can't be served later either: its caller is told the end of its own time.
+fn refused_for_good(
+    context: &ServeContext,
+    request: &AcceptedRequest,
+    reason: RefusalReason,
+) -> ServeOutcome {
+    let left_ms = request.caller_deadline.millis_left(Moment::now());
+    refused_for(context, request, reason, left_ms.max(MIN_RETURN_MS))
+}
+
 /// Notes that the caller of a request that was refused for want of room is to return.
 fn expect_return(run: &RequestRun, outcome: ServeOutcome) -> ServeOutcome {
     if let ServeOutcome::NotRun { reason, return_after_ms } = &outcome
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -1,74 +1,11 @@
 //! Final outcomes of a request, and the record of its attempts.
 
 use crate::request::answer_body::AnswerBody;
+use crate::request::refusal_reason::RefusalReason;
 use crate::request::stream_scope::StreamScope;
 use guava_policy::QueuePlace;
 use guava_types::{Deadline, UpstreamId};
 use http::Response;
-use std::fmt;
-
-/// Why a request was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// The configuration has no service for its route, or no upstream may take it.
-    NoUpstream,
-    /// All upstreams are closed, and it is known when the first one reopens.
-    UpstreamsClosed,
-    /// The upstreams that were asked are full.
-    UpstreamsFull,
-    /// No upstream could be reached.
-    Unreachable,
-    /// No upstream has room for it, and it could not start in time from the queue.
-    Crowded,
-    /// This daemon reaches no upstream, and no other daemon that does.
-    NoReach,
-    /// Its deadline passed.
-    TooLate,
-    /// This daemon holds too many bytes of request bodies.
-    Overloaded,
-    /// The daemon has no configuration yet, or none recent enough to reject a route or key by, or no
-    /// list of upstreams recent enough to send by.
-    NotReady,
-    /// It is quarantined, as it was in flight at several crashes of upstreams.
-    Quarantined,
-}
-
-impl RefusalReason {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NoUpstream => "no-upstream",
-            Self::UpstreamsClosed => "upstreams-closed",
-            Self::UpstreamsFull => "upstreams-full",
-            Self::Unreachable => "unreachable",
-            Self::Crowded => "crowded",
-            Self::NoReach => "no-reach",
-            Self::TooLate => "too-late",
-            Self::Overloaded => "overloaded",
-            Self::NotReady => "not-ready",
-            Self::Quarantined => "stopped",
-        }
-    }
-}
-
-impl RefusalReason {
-    /// Whether no upstream had room for the request, so that its caller keeps its place if it returns
-    /// as told.
-    pub fn is_for_room(self) -> bool {
-        matches!(self, Self::Crowded | Self::UpstreamsFull | Self::UpstreamsClosed)
-    }
-
-    /// Whether another daemon may still serve the request now.
-    pub fn is_local(self) -> bool {
-        matches!(self, Self::Unreachable | Self::NoReach | Self::NotReady | Self::Overloaded)
-    }
-}
-
-impl fmt::Display for RefusalReason {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        out.write_str(self.name())
-    }
-}
 
 /// Final outcome of a request.
 pub enum ServeOutcome {
@@ -126,6 +63,8 @@
     pub shed: Option<QueueRefusal>,
     /// Upstreams that may take it.
     pub scope: StreamScope,
+    /// Whether no upstream serves at the software version that began its stream.
+    pub is_version_gone: bool,
     /// Whether no daemon that it could be forwarded to reaches an upstream.
     pub is_out_of_reach: bool,
     /// End of its quarantine, if it is quarantined.
@@ -142,6 +81,10 @@
             RefusalReason::Quarantined
         } else if self.is_out_of_reach {
             RefusalReason::NoReach
+        } else if let StreamScope::Nowhere(reason) = self.scope {
+            reason
+        } else if self.is_version_gone {
+            RefusalReason::VersionGone
         } else if self.is_list_stale {
             RefusalReason::NotReady
         } else if self.shed.is_some() {
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -264,7 +264,7 @@
     now: Moment,
     choose: impl FnOnce(&dyn Fn(&UpstreamEntry) -> bool) -> Option<T>,
 ) -> Option<T> {
-    if matches!(input.record.scope, StreamScope::Nowhere) {
+    if matches!(input.record.scope, StreamScope::Nowhere(_)) {
         return None;
     }
     let rule = input.config.service(input.service)?;
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one upstream after another, until one answers or no attempt is left.
 
 use crate::events;
+use crate::members::origin_search::{OriginSearch, find_origin, note_origin};
 use crate::members::queue_exchange::first_attempt;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
@@ -9,17 +10,20 @@
 use crate::request::outcome::{SendRecord, expected_text};
 use crate::request::peer_forward::{ForwardOutcome, forward_request};
 use crate::request::queued_request::QueuedRequest;
+use crate::request::refusal_reason::RefusalReason;
 use crate::request::request_plan::{
     PlanInput, PlanStep, has_available_upstream, is_crowded, is_plain, log_send, needs_room,
     plan_attempt, queue_entry, request_cost,
 };
 use crate::request::stream_scope::StreamScope;
-use crate::serve_config::ServeConfig;
+use crate::serve_config::{RepeatRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
 use guava_log::log_event;
-use guava_policy::{CustomerLedger, QueueEntry, QueuePlace, QueueVerdict, StreamOrigin, TurnStep};
-use guava_types::{Deadline, Moment, ServiceName};
+use guava_policy::{
+    CustomerLedger, OriginNotice, QueueEntry, QueuePlace, QueueVerdict, StreamOrigin, TurnStep,
+};
+use guava_types::{Deadline, Moment, ServiceName, SoftwareVersion};
 use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +38,9 @@
 const MAX_FORWARDS: usize = 2;
 /// Interval between checks of a request that waits for weights or for a retry, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
+/// For how long after its caller's time where a stream began is remembered, in milliseconds: what a
+/// caller measures begins before its request arrives.
+const TAKE_UP_SLACK_MS: u64 = 1_000;
 /// How long a request waits for the publication of weights that engines have already, in
 /// milliseconds: longer than the interval between two messages of the peer that reads publications.
 const WEIGHTS_WAIT_MS: u64 = 700;
@@ -104,6 +111,9 @@
             if let Some(result) = self.forward(resume_after, &mut fallback).await {
                 return result;
             }
+            if !self.bind_to_origin().await {
+                return unanswered(fallback, false);
+            }
             if !self.reserve_turned_away_retry().await {
                 return unanswered(fallback, false);
             }
@@ -180,12 +190,71 @@
         }
     }
 
+    /// Restricts a request that goes on with a stream to upstreams of the software version that began
+    /// it. Returns false if there is none that may take it.
+    async fn bind_to_origin(&mut self) -> bool {
+        if self.record.scope == StreamScope::Any && self.request.takes_up() {
+            self.record.scope = self.find_scope().await;
+        }
+        if let StreamScope::Only(origin) = &self.record.scope {
+            self.service = origin.service.clone();
+        }
+        let upstreams = self.context.upstreams.borrow();
+        self.record.is_version_gone = self.record.scope.is_version_gone(&upstreams, Moment::now());
+        !self.record.is_version_gone && !matches!(self.record.scope, StreamScope::Nowhere(_))
+    }
+
+    /// Finds out which upstreams may go on with the stream that the caller takes up.
+    async fn find_scope(&self) -> StreamScope {
+        let (request, asked) = (&self.request, Moment::now());
+        let search = match &request.resumes {
+            Some(attempt) => Some(find_origin(&self.context, request.stream_key(attempt)).await),
+            None => None,
+        };
+        let source = search.as_ref().map_or("unnamed", OriginSearch::name);
+        let scope = match search {
+            Some(OriginSearch::Here(origin) | OriginSearch::Peer(origin)) => {
+                StreamScope::of_origin(origin, &request.route)
+            }
+            Some(OriginSearch::Unanswered) => {
+                StreamScope::Nowhere(RefusalReason::StreamUnconfirmed)
+            }
+            Some(OriginSearch::Unknown) | None => {
+                StreamScope::Nowhere(RefusalReason::StreamUnknown)
+            }
+        };
+        self.context.metrics.count_resumption(source);
+        log_event!(
+            info,
+            events::TAKEN_UP,
+            request = request.id,
+            resumes = request.resumes.as_deref().unwrap_or_default(),
+            after = request.resume_after.as_deref().unwrap_or("the beginning"),
+            source = source,
+            software = scope.software().map_or("unknown", SoftwareVersion::as_str),
+            asked_ms = Moment::now().millis_since(asked),
+            left_ms = request.deadline.millis_left(Moment::now())
+        );
+        scope
+    }
+
     /// Notes which upstream the first event of the answer is from, before the caller gets it: the rest
-    /// of the stream may come only from others of its software version.
+    /// of the stream may come only from others of its software version, also if it is taken up.
     pub fn note_begun(&mut self, source: &StreamSource) {
-        let service = self.service.clone();
-        let origin = source.software.clone().map(|software| StreamOrigin { service, software });
-        self.record.scope = origin.map_or(StreamScope::Nowhere, StreamScope::Only);
+        let route = &self.request.route;
+        if route.repeat != RepeatRule::ResumableStream || self.record.scope != StreamScope::Any {
+            return;
+        }
+        let Some(software) = source.software.clone() else {
+            self.record.scope = StreamScope::Nowhere(RefusalReason::StreamUnknown);
+            return;
+        };
+        let origin = StreamOrigin { service: self.service.clone(), software };
+        self.record.scope = StreamScope::Only(origin.clone());
+        let now = Moment::now();
+        let until = Deadline::after(self.request.caller_deadline.0, TAKE_UP_SLACK_MS);
+        let stream = self.request.stream_key(&self.request.id);
+        note_origin(&self.context, OriginNotice { stream, origin, until }, now);
     }
 
     /// Forwards the request to a peer daemon, if this one does not reach upstreams; `None` if it is
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -6,6 +6,7 @@
 use crate::members::list_change_gossip::ListChangeGossip;
 use crate::members::lost_messages::LostMessages;
 use crate::members::member_table::MemberTable;
+use crate::members::origin_exchange::OriginExchange;
 use crate::members::peer_key::PeerKey;
 use crate::members::return_gossip::ReturnGossip;
 use crate::members::shared_reads::SharedReads;
@@ -228,6 +229,8 @@
     pub returns: RefCell<ReturnLedger>,
     /// Refused callers of which peers are to be told.
     pub return_gossip: RefCell<ReturnGossip>,
+    /// Where streams began, as told between daemons.
+    pub origins: OriginExchange,
     /// Bytes of the requests that this daemon holds.
     pub held_bytes: Cell<usize>,
     /// Bytes of incomplete answers that this daemon holds, without a free part of each.
@@ -296,6 +299,7 @@
             use_gossip: RefCell::default(),
             returns: RefCell::default(),
             return_gossip: RefCell::default(),
+            origins: OriginExchange::default(),
             held_bytes: Cell::new(0),
             answer_bytes: Cell::new(0),
             identity,
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -1,23 +1,303 @@
-//! Streams that go on at the software version that began them.
+//! Streams that go on at the software version that began them: what daemons tell and ask each other,
+//! and what they send.
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 mod support;
 
+use guava_policy::{ASKED_HOMES, ORIGIN_COPIES, OriginNotice, OriginRecord, StreamOrigin};
 use guava_serve::{
-    AcceptedRequest, MAX_CANDIDATES, RepeatRule, ServeContext, UpstreamEntry, UpstreamTable,
-    serve_request,
+    AcceptedRequest, CoreRecord, MAX_CANDIDATES, MAX_LOCAL_CORE, MemberDescriptor, OriginMessage,
+    OriginSearch, RepeatRule, ServeContext, UpstreamEntry, UpstreamTable, apply_origin_message,
+    find_origin, note_origin, serve_request,
 };
-use guava_types::Moment;
+use guava_types::{Deadline, Moment, StreamKey};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use support::scripted::{ScriptStep, ScriptedUpstream, chunk, last_chunk, stream_head};
 use support::served::{CallerResult, caller_answer, context, read, run};
-use support::{config, engine, id, request, route, upstream};
+use support::{config, engine, id, note, request, route, serve_context, upstream};
 use yare::parameterized;
 
 /// Time within which a stream that can't go on is refused.
 const AT_ONCE: Duration = Duration::from_millis(500);
+const STREAM: StreamKey = StreamKey(7);
+
+/// Daemons that pass each other datagrams, without a network.
+struct Fleet {
+    daemons: Vec<ServeContext>,
+    /// Of those that are down, no datagram is delivered.
+    down: Vec<usize>,
+    /// Datagrams that are lost before any is delivered.
+    lost: usize,
+    delivered: usize,
+}
+
+fn peer_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_700))
+}
+
+fn descriptor(index: usize) -> MemberDescriptor {
+    MemberDescriptor { peer_address: peer_address(index), ..note(&format!("d{index}")) }
+}
+
+fn origin(software: &str) -> StreamOrigin {
+    StreamOrigin { service: "llm".parse().unwrap(), software: software.parse().unwrap() }
+}
+
+fn began(stream: StreamKey, software: &str) -> OriginNotice {
+    OriginNotice { stream, origin: origin(software), until: Deadline::in_millis(5_000) }
+}
+
+impl Fleet {
+    /// Core daemons that have just heard of each other.
+    fn of_core(count: usize) -> Self {
+        Self::new(count, count)
+    }
+
+    /// Daemons of which the first are the core, and the others are attached to it.
+    fn new(core: usize, count: usize) -> Self {
+        let daemon = |index: usize| {
+            let context = serve_context(&format!("d{index}"));
+            let now = Moment::now();
+            let others = (0..core).filter(|other| *other != index);
+            let record = |index| CoreRecord { member: descriptor(index), registered: index as u64 };
+            let mut members = context.members.borrow_mut();
+            if index < core {
+                members.note_records(others.clone().map(record).collect(), Some(index as u64), now);
+            } else {
+                // Its data centre has no place left in the core.
+                let full = (0..MAX_LOCAL_CORE).map(record);
+                members.note_records(full.collect(), None, now);
+                members.sweep(now);
+            }
+            for other in others {
+                members.note_from_peer(descriptor(other), now);
+            }
+            drop(members);
+            context
+        };
+        Self { daemons: (0..count).map(daemon).collect(), down: Vec::new(), lost: 0, delivered: 0 }
+    }
+
+    /// Delivers what daemons send until nothing is left; lost datagrams don't arrive.
+    fn deliver(&mut self) {
+        loop {
+            let mut is_idle = true;
+            for sender in 0..self.daemons.len() {
+                for (receiver, message) in self.daemons[sender].origins.take_due() {
+                    is_idle = false;
+                    for bytes in message.datagrams(Moment::now()) {
+                        self.pass(sender, receiver, &bytes);
+                    }
+                }
+            }
+            if is_idle {
+                return;
+            }
+        }
+    }
+
+    fn pass(&mut self, sender: usize, receiver: SocketAddr, bytes: &[u8]) {
+        let Some(index) = (0..self.daemons.len()).find(|it| peer_address(*it) == receiver) else {
+            return;
+        };
+        if self.down.contains(&sender) || self.down.contains(&index) {
+            return;
+        }
+        if self.lost > 0 {
+            self.lost -= 1;
+            return;
+        }
+        self.delivered += 1;
+        let now = Moment::now();
+        let message = OriginMessage::decode(bytes, now).unwrap();
+        apply_origin_message(&self.daemons[index], message, peer_address(sender), now);
+    }
+
+    fn begin(&mut self, daemon: usize, stream: StreamKey, software: &str) {
+        note_origin(&self.daemons[daemon], began(stream, software), Moment::now());
+        self.deliver();
+    }
+
+    /// Searches at a daemon while the others answer.
+    fn find(&mut self, daemon: usize, stream: StreamKey) -> OriginSearch {
+        run(async {
+            let asker = std::mem::replace(&mut self.daemons[daemon], serve_context("none"));
+            let asker = Rc::new(asker);
+            let searching = Rc::clone(&asker);
+            let search =
+                tokio::task::spawn_local(async move { find_origin(&searching, stream).await });
+            let begun = Instant::now();
+            while !search.is_finished() && begun.elapsed() < AT_ONCE {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+                self.relay(daemon, &asker);
+            }
+            let found = search.await.unwrap();
+            self.daemons[daemon] = Rc::into_inner(asker).unwrap();
+            found
+        })
+    }
+
+    /// Passes datagrams between the asker and the others.
+    fn relay(&mut self, daemon: usize, asker: &ServeContext) {
+        for (receiver, message) in asker.origins.take_due() {
+            for bytes in message.datagrams(Moment::now()) {
+                self.pass(daemon, receiver, &bytes);
+            }
+        }
+        for sender in (0..self.daemons.len()).filter(|it| *it != daemon) {
+            for (receiver, message) in self.daemons[sender].origins.take_due() {
+                for bytes in message.datagrams(Moment::now()) {
+                    if receiver != peer_address(daemon) {
+                        self.pass(sender, receiver, &bytes);
+                    } else if !self.down.contains(&sender) {
+                        let now = Moment::now();
+                        let message = OriginMessage::decode(&bytes, now).unwrap();
+                        apply_origin_message(asker, message, peer_address(sender), now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn holders(&self, stream: StreamKey) -> Vec<usize> {
+        let knows = |index: &usize| {
+            let table = self.daemons[*index].origins.table.borrow();
+            table.find(stream, Moment::now()) != OriginRecord::Unknown
+        };
+        (0..self.daemons.len()).filter(knows).collect()
+    }
+}
+
+#[parameterized(six = { 6 }, sixty = { 60 })]
+fn stream_is_known_to_as_few_daemons_however_many_there_are(daemons: usize) {
+    let mut fleet = Fleet::of_core(daemons);
+
+    fleet.begin(0, STREAM, "v1");
+
+    assert_eq!(fleet.holders(STREAM).len(), ORIGIN_COPIES + 1);
+    assert_eq!(fleet.delivered, ORIGIN_COPIES);
+}
+
+#[test]
+fn every_daemon_finds_out_where_a_stream_began() {
+    let mut fleet = Fleet::of_core(8);
+    fleet.begin(0, STREAM, "v1");
+
+    for daemon in 0..8 {
+        let found = fleet.find(daemon, STREAM);
+        let is_known = |found: &OriginSearch| matches!(found, OriginSearch::Here(it) | OriginSearch::Peer(it) if *it == origin("v1"));
+        assert!(is_known(&found), "d{daemon}: {found:?}");
+    }
+}
+
+#[test]
+fn stream_is_found_after_the_loss_of_its_daemon_and_all_homes_but_one() {
+    let mut fleet = Fleet::of_core(8);
+    fleet.begin(0, STREAM, "v1");
+    let holders = fleet.holders(STREAM);
+    fleet.down = holders[..holders.len() - 1].to_vec();
+    let asker = (0..8).find(|index| !holders.contains(index)).unwrap();
+
+    assert_eq!(fleet.find(asker, STREAM), OriginSearch::Peer(origin("v1")));
+}
+
+#[test]
+fn stream_is_found_though_the_first_datagrams_are_lost() {
+    let mut fleet = Fleet::of_core(8);
+    fleet.begin(0, STREAM, "v1");
+    let holders = fleet.holders(STREAM);
+    let asker = (0..8).find(|index| !holders.contains(index)).unwrap();
+    fleet.lost = ASKED_HOMES;
+
+    assert_eq!(fleet.find(asker, STREAM), OriginSearch::Peer(origin("v1")));
+}
+
+#[test]
+fn stream_that_nobody_knows_is_unknown_as_soon_as_all_have_answered() {
+    let mut fleet = Fleet::of_core(8);
+
+    let asked = Instant::now();
+    let found = fleet.find(3, STREAM);
+
+    assert_eq!(found, OriginSearch::Unknown);
+    assert!(asked.elapsed() < Duration::from_millis(60), "{:?}", asked.elapsed());
+}
+
+#[test]
+fn daemon_that_hears_no_peer_does_not_guess_where_a_stream_began() {
+    let mut fleet = Fleet::of_core(8);
+    fleet.begin(0, STREAM, "v1");
+    let holders = fleet.holders(STREAM);
+    let asker = (0..8).find(|index| !holders.contains(index)).unwrap();
+    fleet.down = (0..8).filter(|index| *index != asker).collect();
+
+    let asked = Instant::now();
+    let found = fleet.find(asker, STREAM);
+
+    assert_eq!(found, OriginSearch::Unanswered);
+    assert!(asked.elapsed() < AT_ONCE, "{:?}", asked.elapsed());
+}
+
+#[test]
+fn daemon_without_peers_knows_its_own_streams_only() {
+    let mut fleet = Fleet::of_core(1);
+    fleet.begin(0, STREAM, "v1");
+
+    assert_eq!(fleet.find(0, STREAM), OriginSearch::Here(origin("v1")));
+    assert_eq!(fleet.find(0, StreamKey(8)), OriginSearch::Unknown);
+}
+
+#[test]
+fn attached_daemon_finds_a_stream_that_another_attached_one_began() {
+    let mut fleet = Fleet::new(MAX_LOCAL_CORE, MAX_LOCAL_CORE + 2);
+    fleet.begin(MAX_LOCAL_CORE, STREAM, "v1");
+    assert!((ORIGIN_COPIES + 1..=ORIGIN_COPIES + 2).contains(&fleet.holders(STREAM).len()));
+    fleet.down = vec![MAX_LOCAL_CORE];
+
+    assert_eq!(fleet.find(MAX_LOCAL_CORE + 1, STREAM), OriginSearch::Peer(origin("v1")));
+}
+
+#[test]
+fn equal_ids_of_two_customers_are_two_streams() {
+    // Guards against a caller that is served by where another customer's stream began.
+    assert_ne!(StreamKey::of("acme", "r1"), StreamKey::of("other", "r1"));
+    assert_ne!(StreamKey::of("ab", "c"), StreamKey::of("a", "bc"));
+    assert_eq!(StreamKey::of("acme", "r1"), StreamKey::of("acme", "r1"));
+}
+
+#[test]
+fn messages_are_cut_into_datagrams_and_decode_to_the_same() {
+    let now = Moment::now();
+    let notices: Vec<OriginNotice> =
+        (0..70).map(|stream| began(StreamKey(stream), "v1.2+build 7")).collect();
+    let answers = vec![
+        (StreamKey(1), OriginRecord::Known(origin("v1"))),
+        (StreamKey(2), OriginRecord::Ambiguous),
+        (StreamKey(3), OriginRecord::Unknown),
+    ];
+    let message = OriginMessage {
+        notices: notices.clone(),
+        queries: vec![StreamKey(9)],
+        answers: answers.clone(),
+        is_for_homes: true,
+        reply_to: Some(peer_address(3)),
+    };
+
+    let datagrams = message.datagrams(now);
+    let decoded: Vec<OriginMessage> =
+        datagrams.iter().map(|bytes| OriginMessage::decode(bytes, now).unwrap()).collect();
+
+    assert!(datagrams.iter().all(|bytes| OriginMessage::is_marked(bytes) && bytes.len() < 4_096));
+    let streams = |it: &OriginMessage| it.notices.iter().map(|it| it.stream).collect::<Vec<_>>();
+    let expected: Vec<StreamKey> = notices.iter().map(|it| it.stream).collect();
+    assert_eq!(decoded.iter().flat_map(streams).collect::<Vec<_>>(), expected);
+    assert_eq!(decoded[0].answers, answers);
+    assert_eq!(decoded[0].queries, vec![StreamKey(9)]);
+    assert!(decoded.iter().all(|it| it.is_for_homes && it.reply_to == Some(peer_address(3))));
+}
 
 /// A stream of three events: the first engine breaks off after one, the others go on after that.
 fn engines(count: usize) -> Vec<ScriptedUpstream> {
@@ -52,10 +332,23 @@
     request(route("/x/", "app", RepeatRule::ResumableStream))
 }
 
+/// A request that takes up the stream of an attempt after its first event.
+fn taking_up(attempt: Option<&str>) -> AcceptedRequest {
+    let resumes = attempt.map(Into::into);
+    AcceptedRequest { resume_after: Some("1".into()), resumes, ..stream_request() }
+}
+
 fn serve(context: &Rc<ServeContext>, request: AcceptedRequest) -> CallerResult {
     run(async { read(serve_request(context, &Rc::new(config(1)), request).await).await })
 }
 
+fn note_begun(context: &ServeContext, attempt: &str, service: &str, software: &str) {
+    let origin = StreamOrigin { service: service.parse().unwrap(), ..origin(software) };
+    let stream = stream_request().stream_key(attempt);
+    let until = Deadline::in_millis(5_000);
+    note_origin(context, OriginNotice { stream, origin, until }, Moment::now());
+}
+
 const FIRST: &str = "id: 1\ndata: a\n\n";
 const REST: &str = "id: 2\ndata: b\n\n";
 
@@ -96,6 +389,74 @@
     assert_eq!(engines[0].requests().len() + engines[1].requests().len(), 1);
 }
 
+#[test]
+fn stream_is_taken_up_at_the_version_that_began_it() {
+    for (software, expected) in [("v1", 0), ("v2", 1)] {
+        let engines = engines(2);
+        let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+        note_begun(&context, "first", "app", software);
+
+        let result = serve(&context, taking_up(Some("first")));
+
+        assert_eq!(result, caller_answer(200, REST.as_bytes().to_vec(), true));
+        assert_eq!(engines[expected].requests().len(), 1);
+    }
+}
+
+#[test]
+fn stream_is_known_by_the_attempt_that_began_it_however_often_it_is_taken_up() {
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+    let first = serve(&context, AcceptedRequest { id: "r1".into(), ..stream_request() });
+    assert_eq!(first, caller_answer(200, FIRST.as_bytes().to_vec(), false));
+    let begun_at = engines.iter().position(|engine| engine.requests().len() == 1).unwrap();
+
+    for _ in 0..3 {
+        let result = serve(&context, taking_up(Some("r1")));
+        assert_eq!(result, caller_answer(200, REST.as_bytes().to_vec(), true));
+    }
+
+    assert_eq!(engines[begun_at].requests().len(), 4);
+}
+
+#[parameterized(
+    not_named = { None, "app", "v1" },
+    unknown = { Some("other"), "app", "v1" },
+    version_without_upstreams = { Some("first"), "app", "v0" },
+    service_that_left_the_route = { Some("first"), "former", "v1" },
+)]
+fn stream_that_can_not_go_on_is_refused_at_once(
+    attempt: Option<&str>,
+    service: &str,
+    software: &str,
+) {
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+    note_begun(&context, "first", service, software);
+
+    let begun = Instant::now();
+    let result = serve(&context, taking_up(attempt));
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+    assert!(engines.iter().all(|engine| engine.requests().is_empty()));
+}
+
+#[test]
+fn headers_of_streams_on_a_plain_call_restrict_nothing() {
+    let app = ScriptedUpstream::start(vec![vec![support::scripted::complete_answer(
+        "200 OK", "", "yes",
+    )]]);
+    let call = AcceptedRequest {
+        resume_after: Some("1".into()),
+        ..request(route("/x/", "app", RepeatRule::Idempotent))
+    };
+
+    let result = serve(&daemon(&[(&app, "v1")]), call);
+
+    assert_eq!(result, caller_answer(200, b"yes".to_vec(), true));
+}
+
 #[test]
 fn upstreams_of_a_rare_version_are_found_in_a_large_service() {
     // Guards against streams that are refused since a daemon's subset has none of their version.
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -151,6 +151,7 @@
     AcceptedRequest {
         id: "r1".into(),
         deadline: Deadline::after(now, route.time_limit_ms),
+        caller_deadline: Deadline::after(now, route.time_limit_ms),
         route: Rc::new(route),
         caller: CallerIdentity::Customer(Rc::new(customer("acme", false))),
         arrived: now,
--- a/crates/guava-types/src/ids.rs
+++ b/crates/guava-types/src/ids.rs
@@ -70,6 +70,28 @@
     RequestDigest
 );
 
+hex_id!(
+    /// A stream: a digest of its caller's customer and of the id of the attempt that began it.
+    StreamKey
+);
+
+impl StreamKey {
+    /// The key of the stream that an attempt of a customer began. Customers may use the same ids.
+    pub fn of(customer: &str, attempt: &str) -> Self {
+        Self(RequestDigest::of(customer, attempt, b"stream").0)
+    }
+
+    /// Its bytes, for messages.
+    pub fn to_bytes(self) -> Vec<u8> {
+        self.0.to_be_bytes().to_vec()
+    }
+
+    /// A key from a message's bytes; `None` if they are not as many as a key has.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(|bytes| Self(u128::from_be_bytes(bytes)))
+    }
+}
+
 impl Incarnation {
     /// A fresh random value.
     pub fn random() -> Self {
--- a/crates/guava-types/src/lib.rs
+++ b/crates/guava-types/src/lib.rs
@@ -10,7 +10,7 @@
 mod upstream_id;
 
 pub use collections::{FastMap, FastSet};
-pub use ids::{IdError, Incarnation, Offset, RecordId, RequestDigest};
+pub use ids::{IdError, Incarnation, Offset, RecordId, RequestDigest, StreamKey};
 pub use keys::{CallKey, CallerKey, KeyError, PinnedKey};
 pub use moments::{Deadline, Moment, WallTime};
 pub use names::{
