test: a soak of streams that callers take up again, versions side by side

Callers take their streams up again at other daemons, those that break off and one in three that they leave after the first event, before nine engines that are replaced one by one over three software versions, while daemons are killed alone, in pairs and all at once, stopped, and cut off from the store. Checked: events in order and of one version, by what servers ran and by their seals; a refusal comes within a second; with two servers of the version, streams go on at least half as often as new ones begin, from twelve streams on.

--- a/crates/guavatiller/tests/soak.rs
+++ b/crates/guavatiller/tests/soak.rs
@@ -3,7 +3,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use guava_platform_standins::{FleetSize, ReviewDay, play_day, soak, soak_fleet, soak_versions};
+use guava_platform_standins::{
+    FleetSize, ReviewDay, play_day, soak, soak_fleet, soak_streams, soak_versions,
+};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::Duration;
@@ -145,6 +147,28 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+#[test]
+fn streams_that_are_taken_up_go_on_at_their_software_version() {
+    // Guards against streams of two software versions, and streams that are refused without need.
+    let small = FleetSize {
+        daemons: 6,
+        engines: 9,
+        instances: 0,
+        callers: 16,
+        span: Duration::from_secs(15),
+        has_outages: false,
+    };
+    let size = fleet_by_hand().unwrap_or(small);
+    let seeds = seeds_by_hand().unwrap_or(vec![1, 2]);
+    let program = program_by_hand().unwrap_or(env!("CARGO_BIN_EXE_guavatiller").into());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    let play = |seed| soak_streams(&program, folder, seed, size).unwrap();
+    let failed = failed_seeds(seeds, at_a_time_by_hand(), play);
+
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// Plays a day in full by hand (`SOAK_SEEDS`), or one round of it soon after the start.
 fn broken_on_day(day: ReviewDay) -> Vec<(u64, Vec<String>)> {
     let by_hand = seeds_by_hand();
