fix: a stream of unknown origin goes on where only one software version can have begun it

A census counts the versions of each service's upstreams, those that left included, for as long as the list is followed without a gap. Where one version alone can have begun the stream it goes on; a caller that names its attempt waits until the list is confirmed as of a later moment than its request. The time in which a stream can have begun is what is left of its route's limit and a second.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -132,6 +132,7 @@
 pub use upstreams::quarantine_task::{is_read_due, persist_quarantines};
 pub use upstreams::reach_task::watch_reach;
 pub use upstreams::service_rings::RingPosition;
+pub use upstreams::software_census::SoftwareCensus;
 pub use upstreams::stored_quarantines::{StoredQuarantines, StoredUpdate};
 pub use upstreams::upstream_call::{call_store, call_upstream};
 pub use upstreams::upstream_crashes::{note_request_answered, note_upstream_crash};
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -26,3 +26,4 @@
 pub(crate) mod send_gate;
 pub(crate) mod service_choice;
 pub(crate) mod stream_scope;
+pub(crate) mod stream_search;
--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -16,6 +16,9 @@
 /// Longest time for which a request is held, in milliseconds. When the store falls silent, this
 /// daemon's read has failed by then, which shows that it is away.
 const MAX_HOLD_MS: u64 = 650;
+/// Longest wait for the next read of the list by any daemon, in milliseconds: longer than the interval
+/// between two of them, and shorter than callers wait for an event.
+const MAX_CONFIRM_MS: u64 = 1_500;
 /// Interval between two checks for fresh data, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 4;
 /// Fraction of the time limit of a change after which data counts as stale. The remainder is for the
@@ -62,8 +65,18 @@
     hold_while(|| is_config_stale(context)).await;
 }
 
+/// Waits until the list of upstreams is known to contain all that had been listed at a moment, at most
+/// `MAX_CONFIRM_MS`; returns whether it is.
+pub async fn await_list_since(context: &ServeContext, moment: Moment) -> bool {
+    let is_older = || context.reads.borrow().list.confirmed() < Some(moment);
+    hold_until(Deadline::in_millis(MAX_CONFIRM_MS), is_older).await
+}
+
 async fn hold_while(is_stale: impl Fn() -> bool) -> bool {
-    let deadline = Deadline::in_millis(MAX_HOLD_MS);
+    hold_until(Deadline::in_millis(MAX_HOLD_MS), is_stale).await
+}
+
+async fn hold_until(deadline: Deadline, is_stale: impl Fn() -> bool) -> bool {
     while is_stale() {
         if deadline.passed(Moment::now()) {
             return false;
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream after another, until one answers or no attempt is left.
 
 use crate::events;
-use crate::members::origin_search::{OriginSearch, find_origin, note_origin};
+use crate::members::origin_search::note_origin;
 use crate::members::queue_exchange::first_attempt;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
@@ -16,6 +16,7 @@
     plan_attempt, queue_entry, request_cost,
 };
 use crate::request::stream_scope::StreamScope;
+use crate::request::stream_search::find_scope;
 use crate::serve_config::{RepeatRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
@@ -23,7 +24,7 @@
 use guava_policy::{
     CustomerLedger, OriginNotice, QueueEntry, QueuePlace, QueueVerdict, StreamOrigin, TurnStep,
 };
-use guava_types::{Deadline, Moment, ServiceName, SoftwareVersion};
+use guava_types::{Deadline, Moment, ServiceName};
 use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
@@ -194,7 +195,7 @@
     /// it. Returns false if there is none that may take it.
     async fn bind_to_origin(&mut self) -> bool {
         if self.record.scope == StreamScope::Any && self.request.takes_up() {
-            self.record.scope = self.find_scope().await;
+            self.record.scope = find_scope(&self.context, &self.request).await;
         }
         if let StreamScope::Only(origin) = &self.record.scope {
             self.service = origin.service.clone();
@@ -204,40 +205,6 @@
         !self.record.is_version_gone && !matches!(self.record.scope, StreamScope::Nowhere(_))
     }
 
-    /// Finds out which upstreams may go on with the stream that the caller takes up.
-    async fn find_scope(&self) -> StreamScope {
-        let (request, asked) = (&self.request, Moment::now());
-        let search = match &request.resumes {
-            Some(attempt) => Some(find_origin(&self.context, request.stream_key(attempt)).await),
-            None => None,
-        };
-        let source = search.as_ref().map_or("unnamed", OriginSearch::name);
-        let scope = match search {
-            Some(OriginSearch::Here(origin) | OriginSearch::Peer(origin)) => {
-                StreamScope::of_origin(origin, &request.route)
-            }
-            Some(OriginSearch::Unanswered) => {
-                StreamScope::Nowhere(RefusalReason::StreamUnconfirmed)
-            }
-            Some(OriginSearch::Unknown) | None => {
-                StreamScope::Nowhere(RefusalReason::StreamUnknown)
-            }
-        };
-        self.context.metrics.count_resumption(source);
-        log_event!(
-            info,
-            events::TAKEN_UP,
-            request = request.id,
-            resumes = request.resumes.as_deref().unwrap_or_default(),
-            after = request.resume_after.as_deref().unwrap_or("the beginning"),
-            source = source,
-            software = scope.software().map_or("unknown", SoftwareVersion::as_str),
-            asked_ms = Moment::now().millis_since(asked),
-            left_ms = request.deadline.millis_left(Moment::now())
-        );
-        scope
-    }
-
     /// Notes which upstream the first event of the answer is from, before the caller gets it: the rest
     /// of the stream may come only from others of its software version, also if it is taken up.
     pub fn note_begun(&mut self, source: &StreamSource) {
--- /dev/null
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -0,0 +1,80 @@
+//! Finds out which upstreams may go on with a stream that its caller takes up.
+//!
+//! The daemon that began the stream, or one that it told, knows where. If none does, or the caller does
+//! not name the attempt that began it, the stream can go on only if all upstreams that can have begun
+//! it have one software version.
+
+use crate::events;
+use crate::members::origin_search::{OriginSearch, find_origin};
+use crate::request::accepted_request::AcceptedRequest;
+use crate::request::freshness_wait::await_list_since;
+use crate::request::refusal_reason::RefusalReason;
+use crate::request::stream_scope::StreamScope;
+use crate::serve_context::ServeContext;
+use guava_log::log_event;
+use guava_policy::StreamOrigin;
+use guava_types::{Moment, SoftwareVersion};
+
+/// By how much a caller's time for all attempts at one stream may exceed its route's time limit, in
+/// milliseconds.
+const CALLER_TIME_SLACK_MS: u64 = 1_000;
+
+/// The upstreams that may go on with the stream that the request takes up.
+pub async fn find_scope(context: &ServeContext, request: &AcceptedRequest) -> StreamScope {
+    let asked = Moment::now();
+    let search = match &request.resumes {
+        Some(attempt) => Some(find_origin(context, request.stream_key(attempt)).await),
+        None => None,
+    };
+    let mut source = search.as_ref().map_or("unnamed", OriginSearch::name);
+    let scope = match search {
+        Some(OriginSearch::Here(origin) | OriginSearch::Peer(origin)) => {
+            StreamScope::of_origin(origin, &request.route)
+        }
+        // A daemon that hears no peer may not know the upstreams either.
+        Some(OriginSearch::Unanswered) => StreamScope::Nowhere(RefusalReason::StreamUnconfirmed),
+        Some(OriginSearch::Unknown) | None => match only_origin(context, request).await {
+            Some(origin) => {
+                source = "only-version";
+                StreamScope::Only(origin)
+            }
+            None => StreamScope::Nowhere(RefusalReason::StreamUnknown),
+        },
+    };
+    context.metrics.count_resumption(source);
+    log_event!(
+        info,
+        events::TAKEN_UP,
+        request = request.id,
+        resumes = request.resumes.as_deref().unwrap_or_default(),
+        after = request.resume_after.as_deref().unwrap_or("the beginning"),
+        source = source,
+        software = scope.software().map_or("unknown", SoftwareVersion::as_str),
+        asked_ms = Moment::now().millis_since(asked),
+        left_ms = request.deadline.millis_left(Moment::now())
+    );
+    scope
+}
+
+/// Where a stream began if all upstreams that can have begun it have one version.
+async fn only_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
+    let known = known_origin(context, request)?;
+    if request.resumes.is_none() {
+        return Some(known);
+    }
+    // An upstream that began the stream was listed before the request arrived.
+    let is_confirmed = await_list_since(context, request.arrived).await;
+    known_origin(context, request).filter(|_| is_confirmed)
+}
+
+/// The same by the list as it is known now.
+fn known_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
+    let [(service, _)] = &request.route.services[..] else { return None };
+    let longest_ms = request.route.time_limit_ms.saturating_add(CALLER_TIME_SLACK_MS);
+    // What the caller has left has not passed since the stream began.
+    let left_ms = request.caller_deadline.millis_left(request.arrived);
+    let since = request.arrived.minus_millis(longest_ms.saturating_sub(left_ms));
+    let upstreams = context.upstreams.borrow();
+    let software = upstreams.census().only_version(service, since, Moment::now())?.clone();
+    Some(StreamOrigin { service: service.clone(), software })
+}
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -20,6 +20,7 @@
 pub(crate) mod reach_task;
 pub(crate) mod report_watch;
 pub(crate) mod service_rings;
+pub(crate) mod software_census;
 pub(crate) mod stored_quarantines;
 pub(crate) mod upstream_call;
 pub(crate) mod upstream_crashes;
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -13,6 +13,7 @@
 use crate::upstreams::list_history::ListHistory;
 use crate::upstreams::list_order::{ListOrder, ListRevision};
 use crate::upstreams::service_rings::{RingPosition, ServiceRings};
+use crate::upstreams::software_census::SoftwareCensus;
 use guava_types::{
     DataCentre, Deadline, FastMap, FastSet, MemberName, ModelName, Moment, ServiceName,
     SoftwareVersion, UpstreamId,
@@ -188,6 +189,7 @@
     order: ListOrder,
     /// Copies of changes in a row that did not lead to the peer's list.
     diverged_copies: u32,
+    census: SoftwareCensus,
     /// Weights of upstreams that were removed from the list, and when.
     departed: Vec<(Moment, FastMap<ModelName, WeightVersion>)>,
 }
@@ -198,6 +200,16 @@
         &mut self.order
     }
 
+    /// Software versions that upstreams have and had.
+    pub fn census(&self) -> &SoftwareCensus {
+        &self.census
+    }
+
+    /// Notes that the list was last confirmed `age_ms` ago, or `None` if never.
+    pub fn check_census(&mut self, age_ms: Option<u64>, now: Moment) {
+        self.census.check(age_ms, now);
+    }
+
     /// Position in the list up to which all records are contained in the entries, by this daemon's
     /// own reads or since its digest was that of a peer at this position.
     pub fn list_position(&self) -> ListRevision {
@@ -352,6 +364,7 @@
                 rings.insert(&id, &entry.data_centre);
                 self.history.note_entry(&id, entry.revision);
                 self.digest = self.digest.wrapping_add(entry_digest(&entry));
+                self.census.note_added(&entry.service, entry.software.as_ref());
                 let listed = ListedUpstream {
                     entry,
                     removal: None,
@@ -383,6 +396,11 @@
                 listed.entry.cold_until = listed.entry.cold_until.max(cold_until);
                 listed.entry.versions = versions;
                 // One start has one version, whichever daemon stated it.
+                if software.is_none() && listed.entry.software.is_some() {
+                    self.census.note_removed(&listed.entry.service, None);
+                    let stated = listed.entry.software.as_ref();
+                    self.census.note_added(&listed.entry.service, stated);
+                }
                 listed.entry.software = software.or(listed.entry.software.take());
                 let is_change = listed.entry.is_leaving && !was_leaving;
                 // Leaving is final: an older copy of the entry must not make it eligible again.
@@ -748,6 +766,7 @@
 
     fn drop_entry(&mut self, id: &UpstreamId) {
         let Some(listed) = self.listed.remove(id) else { return };
+        self.census.note_removed(&listed.entry.service, listed.entry.software.as_ref());
         if listed.removal.is_some() {
             self.removed_count -= 1;
         } else {
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -485,3 +485,123 @@
 
     assert_eq!(table.entry(&id("e1")).unwrap().software, stated.software);
 }
+
+/// A table that has been followed since `START` and has engines of these versions.
+fn followed_table(versions: &[&str]) -> UpstreamTable {
+    let mut table = UpstreamTable::default();
+    for (index, software) in versions.iter().enumerate() {
+        let entry = engine(&format!("e{index}"), 1);
+        table.note_entry(UpstreamEntry { software: software.parse().ok(), ..entry });
+    }
+    follow(&mut table, START, START);
+    table
+}
+
+const START: Moment = Moment(100_000);
+
+/// Checks the census as often as a daemon does, with a fresh list.
+fn follow(table: &mut UpstreamTable, from: Moment, until: Moment) {
+    (from.0..=until.0).step_by(250).for_each(|now| table.check_census(Some(300), Moment(now)));
+}
+
+fn after(millis: u64) -> Moment {
+    Moment(START.0 + millis)
+}
+
+/// The only version of the engines since a moment, as text.
+fn only_version(table: &UpstreamTable, since: Moment, now: Moment) -> Option<String> {
+    let version = table.census().only_version(&"llm".parse().unwrap(), since, now);
+    version.map(|version| version.to_string())
+}
+
+#[parameterized(
+    one = { &["v1", "v1"], Some("v1") },
+    two = { &["v1", "v2"], None },
+    one_not_stated = { &["v1", ""], None },
+    none = { &[], None },
+)]
+fn only_version_is_known_if_all_upstreams_have_it(versions: &[&str], expected: Option<&str>) {
+    let mut table = followed_table(versions);
+    follow(&mut table, START, after(10_000));
+
+    assert_eq!(only_version(&table, START, after(10_000)).as_deref(), expected);
+}
+
+#[test]
+fn version_that_has_left_counts_as_long_as_its_streams_can_be_taken_up() {
+    let mut table = followed_table(&["v1", "v2"]);
+    table.note_entry(UpstreamEntry { is_leaving: true, ..engine("e1", 1) });
+    follow(&mut table, START, after(1_000));
+    table.note_removed(&id("e1"), after(1_100));
+    follow(&mut table, after(1_250), after(20_000));
+
+    assert_eq!(only_version(&table, after(900), after(20_000)), None);
+    assert_eq!(only_version(&table, after(10_000), after(20_000)).as_deref(), Some("v1"));
+}
+
+#[parameterized(
+    list_too_old = { Some(2_001), 250 },
+    list_never_read = { None, 250 },
+    daemon_did_not_run = { Some(0), 2_100 },
+)]
+fn nothing_is_known_of_the_time_before_a_gap(age_ms: Option<u64>, pause_ms: u64) {
+    // Guards against upstreams that came and went while this daemon did not see the list.
+    let mut table = followed_table(&["v1"]);
+    follow(&mut table, START, after(5_000));
+    let back = after(5_000 + pause_ms);
+    table.check_census(age_ms, back);
+    follow(&mut table, back, after(20_000));
+
+    assert_eq!(only_version(&table, START, after(20_000)), None);
+    assert_eq!(only_version(&table, after(10_000), after(20_000)).as_deref(), Some("v1"));
+}
+
+#[test]
+fn census_that_is_not_kept_up_tells_nothing() {
+    let mut table = followed_table(&["v1"]);
+    follow(&mut table, START, after(5_000));
+
+    assert_eq!(only_version(&table, START, after(5_100)).as_deref(), Some("v1"));
+    assert_eq!(only_version(&table, START, after(7_100)), None);
+}
+
+#[test]
+fn version_that_the_list_states_late_counts_once() {
+    let mut table = followed_table(&["", ""]);
+    table.note_entry(engine("e0", 1));
+    table.note_entry(engine("e1", 1));
+    follow(&mut table, START, after(10_000));
+
+    assert_eq!(only_version(&table, after(5_000), after(10_000)).as_deref(), Some("v1"));
+}
+
+/// Has a daemon follow its list as if for long.
+fn follow_for_long(context: &ServeContext, confirmed: Moment) {
+    let now = Moment::now();
+    context.reads.borrow_mut().list.note_own(1, confirmed);
+    let mut upstreams = context.upstreams.borrow_mut();
+    (0..=80).rev().for_each(|back| upstreams.check_census(Some(300), now.minus_millis(back * 250)));
+}
+
+#[parameterized(
+    unnamed = { None, "v1", 0, true },
+    unnamed_of_two_versions = { None, "v2", 0, false },
+    unknown_by_a_later_list = { Some("other"), "v1", 0, true },
+    unknown_by_an_old_list = { Some("other"), "v1", 1_000, false },
+    unknown_of_two_versions = { Some("other"), "v2", 0, false },
+)]
+fn stream_of_unknown_origin_goes_on_where_only_one_version_can_have_begun_it(
+    attempt: Option<&str>,
+    other: &str,
+    list_age_ms: u64,
+    goes_on: bool,
+) {
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], other)]);
+    follow_for_long(&context, Moment::now().minus_millis(list_age_ms));
+
+    let result = serve(&context, taking_up(attempt));
+
+    let rest = caller_answer(200, REST.as_bytes().to_vec(), true);
+    assert_eq!(result, if goes_on { rest } else { CallerResult::NotRun });
+}
