fix: the search for where a stream began ends with its request's time

A stream that is taken up with little time left could wait for peers and for the list for up to 1.8 s, past its time limit. Both waits end at the request's deadline.

--- a/crates/guava-serve/src/members/origin_search.rs
+++ b/crates/guava-serve/src/members/origin_search.rs
@@ -64,8 +64,13 @@
     }
 }
 
-/// Finds out where a stream began: from this daemon's own table, else from the stream's homes.
-pub async fn find_origin(context: &ServeContext, stream: StreamKey) -> OriginSearch {
+/// Finds out where a stream began: from this daemon's own table, else from the stream's homes, which
+/// are waited for until the deadline at most.
+pub async fn find_origin(
+    context: &ServeContext,
+    stream: StreamKey,
+    deadline: Deadline,
+) -> OriginSearch {
     let now = Moment::now();
     match context.origins.table.borrow().find(stream, now) {
         OriginRecord::Known(origin) => return OriginSearch::Here(origin),
@@ -84,7 +89,7 @@
     // Homes answer in place of the core daemons that an attached one asks.
     let asked = (!is_attached).then_some(homes.len());
     let ticket = exchange.query(stream, asked);
-    let until = Deadline::after(now, QUERY_TIMEOUT_MS);
+    let until = Deadline::after(now, QUERY_TIMEOUT_MS).earlier(deadline);
     let repeat_at = Deadline::after(now, REPEAT_MS);
     let mut is_repeated = false;
     ask(exchange, &homes, is_attached, stream);
@@ -102,7 +107,7 @@
             is_repeated = true;
             ask(exchange, &homes, is_attached, stream);
         }
-        let next = if is_repeated { until } else { repeat_at };
+        let next = if is_repeated { until } else { repeat_at.earlier(until) };
         // A time-out and a notification have the same effect.
         drop(timeout(next.time_left(), exchange.answered.notified()).await);
     }
--- a/crates/guava-serve/src/request/freshness_wait.rs
+++ b/crates/guava-serve/src/request/freshness_wait.rs
@@ -66,10 +66,10 @@
 }
 
 /// Waits until the list of upstreams is known to contain all that had been listed at a moment, at most
-/// `MAX_CONFIRM_MS`; returns whether it is.
-pub async fn await_list_since(context: &ServeContext, moment: Moment) -> bool {
+/// `MAX_CONFIRM_MS` and until the deadline; returns whether it is.
+pub async fn await_list_since(context: &ServeContext, moment: Moment, deadline: Deadline) -> bool {
     let is_older = || context.reads.borrow().list.confirmed() < Some(moment);
-    hold_until(Deadline::in_millis(MAX_CONFIRM_MS), is_older).await
+    hold_until(Deadline::in_millis(MAX_CONFIRM_MS).earlier(deadline), is_older).await
 }
 
 async fn hold_while(is_stale: impl Fn() -> bool) -> bool {
--- a/crates/guava-serve/src/request/stream_search.rs
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -23,7 +23,10 @@
 pub async fn find_scope(context: &ServeContext, request: &AcceptedRequest) -> StreamScope {
     let asked = Moment::now();
     let search = match &request.resumes {
-        Some(attempt) => Some(find_origin(context, request.stream_key(attempt)).await),
+        Some(attempt) => {
+            let stream = request.stream_key(attempt);
+            Some(find_origin(context, stream, request.deadline).await)
+        }
         None => None,
     };
     let mut source = search.as_ref().map_or("unnamed", OriginSearch::name);
@@ -63,7 +66,7 @@
         return Some(known);
     }
     // An upstream that began the stream was listed before the request arrived.
-    let is_confirmed = await_list_since(context, request.arrived).await;
+    let is_confirmed = await_list_since(context, request.arrived, request.deadline).await;
     known_origin(context, request).filter(|_| is_confirmed)
 }
 
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -127,8 +127,9 @@
             let asker = std::mem::replace(&mut self.daemons[daemon], serve_context("none"));
             let asker = Rc::new(asker);
             let searching = Rc::clone(&asker);
-            let search =
-                tokio::task::spawn_local(async move { find_origin(&searching, stream).await });
+            let search = tokio::task::spawn_local(async move {
+                find_origin(&searching, stream, Deadline::in_millis(5_000)).await
+            });
             let begun = Instant::now();
             while !search.is_finished() && begun.elapsed() < AT_ONCE {
                 tokio::time::sleep(Duration::from_millis(2)).await;
@@ -583,6 +584,22 @@
     (0..=80).rev().for_each(|back| upstreams.check_census(Some(300), now.minus_millis(back * 250)));
 }
 
+#[test]
+fn search_for_a_stream_ends_with_the_time_of_its_request() {
+    // Guards against requests that are unanswered past their time limit.
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v1")]);
+    follow_for_long(&context, Moment::now().minus_millis(1_000));
+    let deadline = Deadline::in_millis(100);
+    let request = AcceptedRequest { deadline, ..taking_up(Some("other")) };
+
+    let begun = Instant::now();
+    let result = serve(&context, request);
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+}
+
 #[parameterized(
     unnamed = { None, "v1", 0, true },
     unnamed_of_two_versions = { None, "v2", 0, false },
