fix: a daemon that has just started does not tell that nobody knows a stream

A daemon that has not read the daemons' records yet knows nobody to ask; it refused a stream that was taken up there for good, as if all had said that they don't know it. It now refuses with a short time to return, and another daemon may serve a request that was forwarded to it. The test failed before (Unknown).

--- a/crates/guava-serve/src/members/origin_search.rs
+++ b/crates/guava-serve/src/members/origin_search.rs
@@ -2,8 +2,7 @@
 //!
 //! A daemon that begins a stream keeps where, and tells the stream's homes before it relays the first
 //! event. Each daemon finds the same homes for a stream, as far as it knows the same daemons. Where a
-//! stream is taken up, the daemon looks in its own table first and then asks the homes. If none of them
-//! knows the stream, it can't go on: its version is never assumed.
+//! stream is taken up, the daemon looks in its own table first and then asks the homes.
 
 use crate::members::member_table::MemberRole;
 use crate::members::origin_exchange::{OriginAddress, OriginExchange};
@@ -77,13 +76,14 @@
         OriginRecord::Ambiguous => return OriginSearch::Unknown,
         OriginRecord::Unknown => {}
     }
-    let (homes, is_attached) = {
+    let (homes, is_attached, is_listed) = {
         let members = context.members.borrow();
         let homes = members.origin_homes(&context.identity.name, stream, ASKED_HOMES, now);
-        (homes, members.role() == MemberRole::Attached)
+        (homes, members.role() == MemberRole::Attached, members.is_listed())
     };
     if homes.is_empty() {
-        return OriginSearch::Unknown;
+        // A daemon that has just started knows no others yet.
+        return if is_listed { OriginSearch::Unknown } else { OriginSearch::Unanswered };
     }
     let exchange = &context.origins;
     // Homes answer in place of the core daemons that an attached one asks.
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -251,6 +251,15 @@
     assert_eq!(fleet.find(0, StreamKey(8)), OriginSearch::Unknown);
 }
 
+#[test]
+fn daemon_that_knows_no_others_yet_does_not_tell_that_nobody_knows_a_stream() {
+    let context = serve_context("d0");
+
+    let found = run(find_origin(&context, STREAM, Deadline::in_millis(1_000)));
+
+    assert_eq!(found, OriginSearch::Unanswered);
+}
+
 #[test]
 fn attached_daemon_finds_a_stream_that_another_attached_one_began() {
     let mut fleet = Fleet::new(MAX_LOCAL_CORE, MAX_LOCAL_CORE + 2);
@@ -319,6 +328,7 @@
 /// A daemon before upstreams with these software versions.
 fn daemon(upstreams: &[(&ScriptedUpstream, &str)]) -> Rc<ServeContext> {
     let context = context(&[]);
+    context.members.borrow_mut().note_listed();
     for (index, (scripted, software)) in upstreams.iter().enumerate() {
         // An empty version is one that the list does not state.
         let software = software.parse().ok();
