perf: the homes of a stream are selected, not sorted out of all daemons

They are looked up for each stream that begins, and all core daemons were sorted for it, some hundreds in a large deployment. The heaviest few are selected and only those sorted; the result is the same. Not measured; 17 tests of homes and queries pass.

--- a/crates/guava-policy/src/origin_homes.rs
+++ b/crates/guava-policy/src/origin_homes.rs
@@ -13,6 +13,12 @@
 
 /// The first homes of a stream: the heaviest candidates, by their rendezvous weights.
 pub fn first_homes<T>(mut candidates: Vec<(T, f64)>, count: usize) -> impl Iterator<Item = T> {
-    candidates.sort_by(|one, other| other.1.total_cmp(&one.1));
-    candidates.into_iter().take(count).map(|(candidate, _)| candidate)
+    let heavier_first = |one: &(T, f64), other: &(T, f64)| other.1.total_cmp(&one.1);
+    if count < candidates.len() {
+        // One of these is computed for nearly each stream, so not all candidates are sorted.
+        candidates.select_nth_unstable_by(count, heavier_first);
+        candidates.truncate(count);
+    }
+    candidates.sort_unstable_by(heavier_first);
+    candidates.into_iter().map(|(candidate, _)| candidate)
 }
