refactor: a relay takes its stream's software version from the request's scope

The relay kept the version that began the stream beside the request's scope, which holds it. Two impl blocks of RefusalReason are one.

--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -42,8 +42,6 @@
     late_bytes: usize,
     last_event_at: Moment,
     upstream: UpstreamId,
-    /// Version of the software that began the stream.
-    software: Option<SoftwareVersion>,
 }
 
 /// Creates the response whose body relays a stream's events. Attempts to resume the stream are made
@@ -56,7 +54,6 @@
         late_bytes: 0,
         last_event_at: Moment::now(),
         upstream: source.upstream.clone(),
-        software: source.software.clone(),
     };
     let relay = EventRelay {
         run,
@@ -181,7 +178,8 @@
             }
         };
         let software = opened.source.software.clone();
-        self.run.context.metrics.count_resumption(match (&self.progress.software, &software) {
+        let began_at = self.run.record.scope.software();
+        self.run.context.metrics.count_resumption(match (began_at, &software) {
             (Some(first), Some(next)) if first == next => "same-version",
             (Some(_), Some(_)) => "other-version",
             _ => "unknown-version",
@@ -192,7 +190,7 @@
             request = self.run.request.id,
             upstream = opened.source.upstream,
             software = software.as_ref().map_or("unknown", SoftwareVersion::as_str),
-            began_at = self.progress.software.as_ref().map_or("unknown", SoftwareVersion::as_str),
+            began_at = began_at.map_or("unknown", SoftwareVersion::as_str),
             after = last_id.as_deref().unwrap_or("the beginning"),
             reason = reason
         );
--- a/crates/guava-serve/src/request/refusal_reason.rs
+++ b/crates/guava-serve/src/request/refusal_reason.rs
@@ -53,9 +53,7 @@
             Self::Quarantined => "stopped",
         }
     }
-}
 
-impl RefusalReason {
     /// Whether no upstream had room for the request, so that its caller keeps its place if it returns
     /// as told.
     pub fn is_for_room(self) -> bool {
