refactor: fields of a daemon's log lines are read in one place in the stand-ins

The stream soak and stream_versions.rs parsed log lines by an event's code as DaemonProcess::forwards did.

--- a/crates/guavatiller/tests/stream_versions.rs
+++ b/crates/guavatiller/tests/stream_versions.rs
@@ -136,13 +136,9 @@
 }
 
 fn reachable_peers(daemon: &DaemonProcess) -> usize {
-    let lines = daemon.lines();
-    let reachable = lines.iter().filter(|line| line.contains("\"G8201\""));
-    let name = |line: &String| {
-        let line: serde_json::Value = serde_json::from_str(line).ok()?;
-        Some(line["kv"]["member"].as_str()?.to_owned())
-    };
-    reachable.filter_map(name).collect::<BTreeSet<_>>().len()
+    let reachable = daemon.events("G8201");
+    let names = reachable.iter().filter_map(|fields| fields["member"].as_str());
+    names.collect::<BTreeSet<_>>().len()
 }
 
 #[test]
