fix: a stream that a peer may have begun is not begun at a second daemon

Callers of a daemon without links got, after two daemons had begun their stream, events of the second; if they took it up at the first, which was alive, that one knew the stream by the same id as its own and went on at its version. The homes of the stream know both and refuse, but a daemon's own table is asked before them.

Cause: an idempotent request whose answer a peer lost is forwarded to one more, or sent from here where only two upstreams were unreachable, and a stream that can be resumed counts as idempotent.

A stream that begins is not sent on after a peer may have begun it: the caller is told at once that the outcome is unknown, and asks again with an id of its own. Its connection to the peer is a new one, as for requests that may run once, since one that the peer closes at that moment would cost the answer. A stream that is taken up is bound to its origin and goes to one more daemon as before.

stream_that_another_daemon_may_have_begun_is_not_begun_again failed before (the second daemon's answer was returned).

--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -1,6 +1,6 @@
 //! A request that was read completely, authenticated and matched to a route.
 
-use crate::serve_config::{CallerIdentity, RouteRule};
+use crate::serve_config::{CallerIdentity, RepeatRule, RouteRule};
 use bytes::Bytes;
 use guava_policy::SuspectPart;
 use guava_types::{CustomerId, Deadline, ModelName, Moment, RequestDigest, StreamKey, TokenCount};
@@ -92,6 +92,11 @@
         self.route.repeat.is_stream() && has_events
     }
 
+    /// Whether its answer begins a stream that its caller can take up later.
+    pub fn begins_stream(&self) -> bool {
+        self.route.repeat == RepeatRule::ResumableStream && !self.takes_up()
+    }
+
     /// Key of the stream that an attempt of the same customer began.
     pub fn stream_key(&self, attempt: &str) -> StreamKey {
         StreamKey::of(self.customer(), attempt)
--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -49,7 +49,9 @@
     request: &Rc<AcceptedRequest>,
     peer: SocketAddr,
 ) -> ForwardOutcome {
-    let opened = if request.route.repeat.may_repeat() {
+    // A connection that the peer closes at this moment would cost a request that is not sent again.
+    let is_sent_again = request.route.repeat.may_repeat() && !request.begins_stream();
+    let opened = if is_sent_again {
         context.pool.reuse_or_open(peer, ConnectionUse::Requests).await
     } else {
         context.pool.open(peer, ConnectionUse::Requests).await
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -251,7 +251,14 @@
             match forward_request(&self.context, &self.config, &self.request, peer).await {
                 ForwardOutcome::Answered(response) => return Some(SendResult::Forwarded(response)),
                 ForwardOutcome::NotRun => self.record.unreached += 1,
-                ForwardOutcome::Lost => self.note_run(),
+                ForwardOutcome::Lost => {
+                    self.note_run();
+                    // The peer may know the stream as one that it began: with a second beginning, it
+                    // would take the caller's stream for its own.
+                    if self.request.begins_stream() {
+                        return Some(unanswered(fallback.take(), false));
+                    }
+                }
                 ForwardOutcome::TimedOut => {
                     self.note_run();
                     return Some(unanswered(fallback.take(), true));
--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -161,6 +161,30 @@
     assert_eq!((result, second.requests().len()), (CallerResult::Lost, 0));
 }
 
+#[test]
+fn stream_that_another_daemon_may_have_begun_is_not_begun_again() {
+    // Guards against a stream that two daemons know by the same id, at two software versions.
+    let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
+    let second = answers("200 OK", "done");
+
+    let result =
+        serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::ResumableStream));
+
+    assert_eq!((result, second.requests().len()), (CallerResult::Lost, 0));
+}
+
+#[test]
+fn stream_that_is_taken_up_goes_to_one_more_daemon_where_an_answer_is_lost() {
+    let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
+    let second = answers("200 OK", "done");
+    let stream = app_request(RepeatRule::ResumableStream);
+    let taken_up = AcceptedRequest { resumes: Some("first".into()), ..stream };
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), taken_up);
+
+    assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
+}
+
 #[test]
 fn idempotent_request_whose_answer_another_daemon_lost_goes_to_one_more() {
     let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
