fix: a stream that is taken up is sent while all upstreams count as crashed

Callers that took up a stream were refused while a daemon's links came back, where new requests were already sent: upstreams that all count as crashed are tried for new requests, but the choice among those of one software version left them out.

upstreams_of_a_version_are_tried_while_all_of_the_service_count_as_crashed failed before. Where only those of the version count as crashed the request is refused at once, as before.

--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -704,7 +704,8 @@
 
     /// The upstreams of a service with a software version that a daemon uses: all that may get new work,
     /// but at most so many as of a large service, from the daemon's own place on the ring on. They are
-    /// sought among all upstreams, since few may have the version.
+    /// sought among all upstreams, since few may have the version. If every upstream of the service counts
+    /// as crashed, those with the version are returned.
     pub fn candidates_of(
         &self,
         service: &ServiceName,
@@ -713,9 +714,13 @@
         now: Moment,
     ) -> Vec<&UpstreamEntry> {
         let place = RingPosition::of(daemon.as_str());
-        let usable = self.serving_from(service, place, now);
-        let of_version = usable.filter(|entry| entry.software.as_ref() == Some(software));
-        of_version.take(MAX_CANDIDATES).collect()
+        let has_version = |entry: &&UpstreamEntry| entry.software.as_ref() == Some(software);
+        let usable = self.serving_from(service, place, now).filter(has_version);
+        let candidates: Vec<&UpstreamEntry> = usable.take(MAX_CANDIDATES).collect();
+        if !candidates.is_empty() {
+            return candidates;
+        }
+        self.serving(service, now).filter(has_version).take(MAX_CANDIDATES).collect()
     }
 
     /// Whether any configured service has so many upstreams that daemons use subsets of them.
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -486,6 +486,23 @@
     assert_eq!((of("v0"), of("v1"), of("v2")), (2, MAX_CANDIDATES, 0));
 }
 
+#[test]
+fn upstreams_of_a_version_are_tried_while_all_of_the_service_count_as_crashed() {
+    // Guards against streams that are refused though new ones are sent, while links come back.
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+    note_begun(&context, "first", "app", "v1");
+    for crashed in ["u0", "u1"] {
+        let until = Deadline::in_millis(5_000);
+        context.upstreams.borrow_mut().note_crashed(&id(crashed), until);
+    }
+
+    let result = serve(&context, taking_up(Some("first")));
+
+    assert_eq!(result, caller_answer(200, REST.as_bytes().to_vec(), true));
+    assert!(engines[1].requests().is_empty());
+}
+
 #[test]
 fn software_version_of_a_start_stays_known_if_a_peer_does_not_state_it() {
     let mut table = UpstreamTable::default();
