fix: versions that left count for callers with more time than their route

A caller that takes up a stream nobody knows, and has more time left than its route allows at all, can have begun it long ago. The time looked back was its route's limit less what it has left, so nothing at all: if another version had left meanwhile, the stream went on at the only version of now.

For such callers the census is asked for the last minute, for which records of streams are kept; the daemon must have followed its list that long, else the request is refused. What remains: a caller whose time is longer than its route's but has less than that left.

version_that_has_left_counts_for_callers_with_more_time_than_their_route failed before.

--- a/crates/guava-serve/src/request/stream_search.rs
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -18,6 +18,8 @@
 /// By how much a caller's time for all attempts at one stream may exceed its route's time limit, in
 /// milliseconds.
 const CALLER_TIME_SLACK_MS: u64 = 1_000;
+/// Time for all attempts of a caller that has more than its route allows, in milliseconds.
+const LONGEST_CALLER_MS: u64 = 60_000;
 
 /// The upstreams that may go on with the stream that the request takes up.
 pub async fn find_scope(context: &ServeContext, request: &AcceptedRequest) -> StreamScope {
@@ -76,7 +78,8 @@
     let longest_ms = request.route.time_limit_ms.saturating_add(CALLER_TIME_SLACK_MS);
     // What the caller has left has not passed since the stream began.
     let left_ms = request.caller_deadline.millis_left(request.arrived);
-    let since = request.arrived.minus_millis(longest_ms.saturating_sub(left_ms));
+    let begun_ms = longest_ms.checked_sub(left_ms).unwrap_or(LONGEST_CALLER_MS);
+    let since = request.arrived.minus_millis(begun_ms);
     let upstreams = context.upstreams.borrow();
     let software = upstreams.census().only_version(service, since, Moment::now())?.clone();
     Some(StreamOrigin { service: service.clone(), software })
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -605,10 +605,38 @@
 
 /// Has a daemon follow its list as if for long.
 fn follow_for_long(context: &ServeContext, confirmed: Moment) {
-    let now = Moment::now();
     context.reads.borrow_mut().list.note_own(1, confirmed);
-    let mut upstreams = context.upstreams.borrow_mut();
-    (0..=80).rev().for_each(|back| upstreams.check_census(Some(300), now.minus_millis(back * 250)));
+    follow_back(context, 20_000, 0);
+}
+
+/// Checks the census from so many milliseconds ago until so many ago.
+fn follow_back(context: &ServeContext, from_ms: u64, until_ms: u64) {
+    let (now, mut upstreams) = (Moment::now(), context.upstreams.borrow_mut());
+    let backs = (until_ms..=from_ms).rev().step_by(250);
+    backs.for_each(|back| upstreams.check_census(Some(300), now.minus_millis(back)));
+}
+
+#[parameterized(
+    as_its_route = { 2_500, true },
+    more_than_its_route = { 30_000, false },
+)]
+fn version_that_has_left_counts_for_callers_with_more_time_than_their_route(
+    left_ms: u64,
+    goes_on: bool,
+) {
+    // Guards against a stream that is joined, since its caller began it before another version left.
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+    follow_back(&context, 20_000, 10_000);
+    let left = Moment::now().minus_millis(10_000);
+    context.upstreams.borrow_mut().note_removed(&id("u1"), left);
+    follow_back(&context, 10_000, 0);
+    let caller_deadline = Deadline::in_millis(left_ms);
+
+    let result = serve(&context, AcceptedRequest { caller_deadline, ..taking_up(None) });
+
+    let rest = caller_answer(200, REST.as_bytes().to_vec(), true);
+    assert_eq!(result, if goes_on { rest } else { CallerResult::NotRun });
 }
 
 #[test]
