feat: a log line tells where a stream began and which daemons were told

G8024 tells how a daemon finds out where a stream began that its caller takes up, but nothing told which daemons had been told of it: a stream that nobody knew could not be traced to homes that were lost or to datagrams that were. G8025 names service, upstream, software version and the daemons.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -27,6 +27,7 @@
     FORWARDED "G8022" "request forwarded to a daemon that reaches upstreams";
     SHARED_SEND "G8023" "a request was sent under this daemon's share of an upstream";
     TAKEN_UP "G8024" "a caller takes up a stream that another attempt began";
+    STREAM_BEGUN "G8025" "a stream began, other daemons are told where";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/members/origin_search.rs
+++ b/crates/guava-serve/src/members/origin_search.rs
@@ -45,22 +45,25 @@
     }
 }
 
-/// Records where a stream began, and queues that for its homes.
-pub fn note_origin(context: &ServeContext, notice: OriginNotice, now: Moment) {
+/// Records where a stream began, and queues that for its homes; returns the daemons that are told.
+pub fn note_origin(context: &ServeContext, notice: OriginNotice, now: Moment) -> Vec<SocketAddr> {
     context.origins.table.borrow_mut().note(notice.clone(), now);
-    tell_homes(context, &notice, now);
+    tell_homes(context, &notice, now)
 }
 
-fn tell_homes(context: &ServeContext, notice: &OriginNotice, now: Moment) {
+fn tell_homes(context: &ServeContext, notice: &OriginNotice, now: Moment) -> Vec<SocketAddr> {
     let members = context.members.borrow();
     // The core daemons of an attached one pass it on, so one of them is enough.
     let is_attached = members.role() == MemberRole::Attached;
     let copies = if is_attached { 1 } else { ORIGIN_COPIES };
-    let homes = members.origin_homes(&context.identity.name, notice.stream, ORIGIN_COPIES + 1, now);
-    for home in homes.into_iter().take(copies) {
-        let address = OriginAddress { is_for_homes: is_attached, ..OriginAddress::of(home) };
+    let mut homes =
+        members.origin_homes(&context.identity.name, notice.stream, ORIGIN_COPIES + 1, now);
+    homes.truncate(copies);
+    for home in &homes {
+        let address = OriginAddress { is_for_homes: is_attached, ..OriginAddress::of(*home) };
         context.origins.post(address, |message| message.notices.push(notice.clone()));
     }
+    homes
 }
 
 /// Finds out where a stream began: from this daemon's own table, else from the stream's homes, which
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -26,6 +26,7 @@
 };
 use guava_types::{Deadline, Moment, ServiceName};
 use http::Response;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -221,7 +222,17 @@
         let now = Moment::now();
         let until = Deadline::after(self.request.caller_deadline.0, TAKE_UP_SLACK_MS);
         let stream = self.request.stream_key(&self.request.id);
-        note_origin(&self.context, OriginNotice { stream, origin, until }, now);
+        let notice = OriginNotice { stream, origin: origin.clone(), until };
+        let homes = note_origin(&self.context, notice, now);
+        log_event!(
+            info,
+            events::STREAM_BEGUN,
+            request = self.request.id,
+            service = origin.service,
+            upstream = source.upstream,
+            software = origin.software,
+            told = address_list(&homes)
+        );
     }
 
     /// Forwards the request to a peer daemon, if this one does not reach upstreams; `None` if it is
@@ -480,6 +491,12 @@
     Duration::from_millis(spread + rand::random::<u64>() % POLL_INTERVAL_MS)
 }
 
+/// Addresses as a log value.
+fn address_list(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    texts.join(" ")
+}
+
 fn unanswered(fallback: Option<CompleteAnswer>, is_timed_out: bool) -> SendResult {
     match fallback {
         Some(answer) => SendResult::Complete(answer),
