--- a/crates/guavatiller/tests/lost_upstream_links.rs
+++ b/crates/guavatiller/tests/lost_upstream_links.rs
@@ -139,6 +139,27 @@
     assert_eq!(fleet.ran_twice(), Vec::<String>::new());
 }
 
+#[yare::parameterized(
+    none_served_there = { (27, 0), (26, 26), true },
+    half_served_elsewhere = { (20, 0), (60, 30), true },
+    less_than_two_thirds_as_often = { (300, 180), (300, 290), true },
+    nearly_as_often = { (300, 220), (300, 290), false },
+    few_failures = { (9, 0), (60, 60), false },
+    upstreams_turn_nearly_all_away = { (14, 0), (84, 5), false },
+    one_served_request_more = { (34, 1), (39, 2), false },
+)]
+fn worse_service_at_daemons_without_links_counts_unless_it_is_chance(
+    cut: (usize, usize),
+    others: (usize, usize),
+    is_violation: bool,
+) {
+    let tries = |(sent, served)| FirstTries { sent, served };
+
+    let violation = recover_violation(tries(cut), tries(others));
+
+    assert_eq!(violation.is_some(), is_violation, "{violation:?}");
+}
+
 #[test]
 fn callers_of_a_data_centre_without_upstreams_are_served_like_others() {
     let fleet = Fleet::start();
