--- a/crates/guavatiller/tests/stream_versions.rs
+++ b/crates/guavatiller/tests/stream_versions.rs
@@ -11,10 +11,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// Time within which a stream that can't go on is refused.
 const AT_ONCE: Duration = Duration::from_millis(500);
+/// For how long a daemon stands still.
+const STILL: Duration = Duration::from_secs(2);
 /// Streams that a test begins.
 const STREAMS: usize = 12;
 /// Event after which callers lose their streams.
@@ -217,3 +220,33 @@
     }
     assert!(streams.iter().any(|stream| stream.software == "v1"));
 }
+
+#[test]
+fn daemon_that_hears_no_other_joins_no_stream() {
+    // Guards against a daemon that is cut off from its peers and takes what it lists for all there was.
+    let fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    let begun = (0..4 * STREAMS).map(|number| fleet.begin(number % 4));
+    let streams: Vec<BegunStream> = begun.collect();
+    let others = &fleet.daemons[..4];
+    others.iter().for_each(|daemon| daemon.signal(Signal::STOP));
+
+    let refused = streams.iter().filter(|stream| !fleet.goes_on(stream, 4)).collect::<Vec<_>>();
+    refused.iter().for_each(|stream| fleet.assert_refused(stream, 4));
+
+    others.iter().for_each(|daemon| daemon.signal(Signal::CONT));
+    assert!(!refused.is_empty(), "all streams have a home at the last daemon");
+}
+
+#[test]
+fn daemon_that_stood_still_goes_on_with_streams_of_meanwhile() {
+    // Guards against streams that are joined, or refused, by a daemon that missed where they began.
+    let fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    fleet.daemons[4].signal(Signal::STOP);
+    let streams: Vec<BegunStream> = (0..STREAMS).map(|number| fleet.begin(number % 4)).collect();
+    sleep(STILL);
+    fleet.daemons[4].signal(Signal::CONT);
+
+    let went_on = streams.iter().filter(|stream| fleet.goes_on(stream, 4)).count();
+
+    assert!(went_on > STREAMS / 2, "{went_on} of {STREAMS} went on");
+}
