feat: log lines of a service call name its key, and what stopped it

The lines of one call could not be put together over daemons: a call that is forwarded has no request id of its caller's, and a call that was not sent left no line at all. Each line now has customer and idempotency key; new are the append of an intent (G4105) and a call that is not sent from here, with the reason (G4106); an intent given up tells why.

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -55,7 +55,13 @@
         CallEntry::Mismatch => mismatch(),
         CallEntry::Full => call.refused(RefusalKind::OVERLOADED, "too many keys", COME_BACK_MS),
         CallEntry::Known(receiver) => {
-            log_event!(info, events::CALL_ATTACHED, request = call.request, holder = context.me);
+            log_event!(
+                info,
+                events::CALL_ATTACHED,
+                request = call.request,
+                key = call.key,
+                holder = context.me
+            );
             wait_or_unknown(wait_outcome(receiver, deadline).await)
         }
         CallEntry::New => {
@@ -88,11 +94,22 @@
                 info,
                 events::CALL_FINISHED,
                 request = call.request,
+                key = call.key,
                 outcome = outcome.name()
             );
             context.calls.settle(&key, outcome);
         }
-        RunEnd::Elsewhere(outcome) => context.calls.settle_and_forget(&key, outcome),
+        RunEnd::Elsewhere(outcome) => {
+            log_event!(
+                info,
+                events::CALL_NOT_SENT,
+                request = call.request,
+                key = call.key,
+                outcome = outcome.name(),
+                reason = outcome.reason()
+            );
+            context.calls.settle_and_forget(&key, outcome);
+        }
     }
     drop(work);
 }
@@ -142,6 +159,14 @@
             return RunEnd::Elsewhere(outcome);
         }
         let intent = IntentEntry { id: RecordId::random(), key: call.key.clone() };
+        log_event!(
+            info,
+            events::CALL_INTENT,
+            request = call.request,
+            key = call.key,
+            daemon = context.me,
+            intent = intent.id
+        );
         let limit = Deadline::in_millis(INTENT_MS).earlier(call.deadline);
         let appended = context.appends.append(AppendBody::Intent(intent.clone()), limit).await;
         match appended {
@@ -165,8 +190,8 @@
                 return RunEnd::Elsewhere(outcome);
             }
             Ok(_) | Err(_) => {
-                give_up(context, call, intent);
                 let reason = "the log does not answer";
+                give_up(context, call, intent, reason);
                 let outcome = call.refused(RefusalKind::LOG_OUT, reason, COME_BACK_MS);
                 return RunEnd::Elsewhere(outcome);
             }
@@ -176,8 +201,15 @@
 
 /// Gives an intent up before anything was sent. Whether or not its append takes effect later, this
 /// incarnation never dispatches it; the release lets a later attempt run.
-fn give_up(context: &DaemonContext, call: &KeyedCall, intent: IntentEntry) {
-    log_event!(info, events::CALL_GIVEN_UP, request = call.request, intent = intent.id);
+fn give_up(context: &DaemonContext, call: &KeyedCall, intent: IntentEntry, reason: &str) {
+    log_event!(
+        info,
+        events::CALL_GIVEN_UP,
+        request = call.request,
+        key = call.key,
+        intent = intent.id,
+        reason = reason
+    );
     context.appends.append_later(AppendBody::Release(intent), Deadline::in_millis(RELEASE_MS));
 }
 
@@ -187,8 +219,8 @@
     intent: IntentEntry,
 ) -> RunEnd {
     let end = dispatch(context, call).await;
-    if matches!(end, RunEnd::Elsewhere(_)) {
-        give_up(context, call, intent);
+    if let RunEnd::Elsewhere(outcome) = &end {
+        give_up(context, call, intent, outcome.reason());
     }
     end
 }
@@ -266,6 +298,8 @@
             info,
             events::CALL_DISPATCHED,
             request = call.request,
+            key = call.key,
+            daemon = context.me,
             service = call.service,
             choice = upstream,
             others = instances.len(),
--- a/crates/guava-daemon/src/call_forward.rs
+++ b/crates/guava-daemon/src/call_forward.rs
@@ -36,7 +36,13 @@
         time_left_ms: u32::try_from(left).unwrap_or(u32::MAX),
         attempt: call.attempt.unwrap_or(0),
     };
-    log_event!(info, events::CALL_ATTACHED, request = call.request, holder = holder);
+    log_event!(
+        info,
+        events::CALL_ATTACHED,
+        request = call.request,
+        key = call.key,
+        holder = holder
+    );
     match context.links.run_pinned(address, request, left + FORWARD_SLACK_MS).await {
         Ok(reply) => CallOutcome::from_reply(reply),
         Err(error) if error.may_have_run() => {
@@ -66,7 +72,13 @@
     call: &KeyedCall,
     holder: Incarnation,
 ) -> CallOutcome {
-    log_event!(info, events::CALL_ATTACHED, request = call.request, holder = holder);
+    log_event!(
+        info,
+        events::CALL_ATTACHED,
+        request = call.request,
+        key = call.key,
+        holder = holder
+    );
     let gone = "the daemon that held this key is gone; whether it ran is not known";
     if holder == context.me {
         return CallOutcome::unknown("the outcome is no longer kept", COME_BACK_MS);
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -32,6 +32,8 @@
     CALL_ATTACHED "G4102" "repeat of a key joined its run";
     CALL_GIVEN_UP "G4103" "intent given up before dispatch";
     CALL_FINISHED "G4104" "service call finished";
+    CALL_INTENT "G4105" "intent for a key is appended";
+    CALL_NOT_SENT "G4106" "service call not sent from here";
     UPSTREAM_LEAVING "G5001" "upstream is leaving and gets no new work";
     UPSTREAM_BACK "G5002" "upstream serves again as a new instance";
     UPSTREAM_SILENT "G5003" "upstream gives no reports";
--- a/crates/guava-daemon/src/outcome.rs
+++ b/crates/guava-daemon/src/outcome.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Why there is no answer; empty if there is one.
+    pub fn reason(&self) -> &str {
+        self.refusal().map_or("", |refusal| &refusal.reason)
+    }
+
     /// The outcome as passed between daemons.
     pub fn to_reply(&self) -> CallReply {
         let (outcome, refusal) = match self {
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -142,6 +142,8 @@
             info,
             events::CALL_DISPATCHED,
             request = caller.request,
+            key = "",
+            daemon = context.me,
             service = service,
             choice = upstream,
             others = instances.len(),
