fix: a refusal of the first attempt is not passed to a later one as "not run"

Callers saw "not-run" on a third attempt whose second attempt had run at another daemon; who believes it sends the call anew, and it runs twice.

A daemon that is cut off keeps a first attempt waiting for the log. The caller gives it up and is served elsewhere. A later attempt at the first daemon joins the run that waits there, and was given its outcome as it was: a refusal that is "not run" for the first attempt only.

Whoever joins a run, at its daemon or through another, now gets a refusal as its own attempt and deadline allow: one place at the exit of a keyed call, KeyedCall::told.

Without it repeat_that_joins_a_refused_first_attempt_is_not_told_not_run prints: left "not-run" (the log does not answer), right "unknown".

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -49,6 +49,11 @@
 
 /// Runs a call once, or joins its run wherever that is.
 pub async fn call_once(context: &Arc<DaemonContext>, call: KeyedCall) -> CallOutcome {
+    let outcome = run_or_join(context, &call).await;
+    call.told(outcome)
+}
+
+async fn run_or_join(context: &Arc<DaemonContext>, call: &KeyedCall) -> CallOutcome {
     let fingerprint = call.fingerprint();
     let deadline = call.deadline;
     match context.calls.enter(&call.key, fingerprint, call.keep_until()) {
@@ -70,7 +75,7 @@
             };
             // A task of its own: the caller's connection may go, and a run that was dropped half
             // way would lose its outcome for all repeats.
-            tokio::spawn(run_new(Arc::clone(context), call));
+            tokio::spawn(run_new(Arc::clone(context), call.clone()));
             wait_or_unknown(wait_outcome(receiver, deadline).await)
         }
     }
--- a/crates/guava-daemon/src/keyed_call.rs
+++ b/crates/guava-daemon/src/keyed_call.rs
@@ -71,7 +71,20 @@
         CallOutcome::refused(attempt, refusal)
     }
 
-    /// As above, in short.
+    /// What this attempt is told of an outcome that another attempt may have got.
+    ///
+    /// A refusal speaks for the attempt that was refused: one that joined it comes later, and an
+    /// attempt between the two may have run elsewhere.
+    pub fn told(&self, outcome: CallOutcome) -> CallOutcome {
+        match outcome {
+            CallOutcome::NotRun(refusal) if refusal.kind != RefusalKind::MISMATCH => {
+                self.refused_for(refusal)
+            }
+            other => other,
+        }
+    }
+
+    /// As `refused_for`, in short.
     pub fn refused(&self, kind: RefusalKind, reason: &str, after_ms: u64) -> CallOutcome {
         self.refused_for(Refusal::later(kind, reason, after_ms))
     }
--- a/crates/guavatiller/tests/not_run.rs
+++ b/crates/guavatiller/tests/not_run.rs
@@ -189,6 +189,32 @@
     assert_eq!([second.outcome, bare.outcome], ["unknown", "unknown"]);
 }
 
+#[test]
+fn repeat_that_joins_a_refused_first_attempt_is_not_told_not_run() {
+    // Guards against a refusal of the first attempt that is passed to a later one.
+    let deployment = deploy_default();
+    let key = fresh_key();
+    let source = deployment.daemons[0].source;
+    for name in ["log", "entry-1", "entry-2"] {
+        deployment.proxies[name].set_for(source, LinkFault::Freeze);
+    }
+    deployment.proxies["entry-0"].set(LinkFault::Freeze);
+    let [first, third] = [1, 3].map(|attempt| submission(&key, Some(attempt)));
+    let address = deployment.daemons[0].callers;
+    let first = std::thread::spawn(move || call(address, &first));
+    wait_until("the first attempt has appended its intent", || {
+        deployment.log_of("entry-0").contains("\"G4105\"")
+    });
+    let second = call(deployment.daemons[1].callers, &submission(&key, Some(2)));
+
+    let third = call(address, &third);
+
+    assert_eq!(second.outcome, "done", "{second:?}");
+    assert_eq!(third.outcome, "unknown", "{third:?}");
+    assert!(deployment.log_of("entry-0").contains("\"G4102\""));
+    drop(first.join());
+}
+
 #[test]
 fn completion_over_the_limits_is_refused_and_not_run() {
     let settings = vec!["\"address_keep_ms\": 500".into()];
