fix: a repeat waits for the log only until the state tells who holds its key

A repeat got "unknown" (the log does not answer) instead of the answer of its run, though other daemons knew who held the key.

The log went out between the append of an intent and the read of another daemon. The repeat came to that daemon, which looked for a holder once, found none and waited 5 s for the append of its own intent. Meanwhile the log duty had taken the state over from a peer, as it does when the log is out of sight for 2 s; the waiting call did not look again.

The wait for the append now ends when the state says that another incarnation holds the key, by a record or by a state taken over. The intent is given up before, so it is released if its append takes effect, and can not hold the key: the other one is earlier in the log. No daemon asks another on behalf of a caller that asks it, so no two can wait for each other. A daemon that no peer reaches, or whose peers say later than 5 s that they are ahead, answers "unknown" as before.

log_outage_before_a_daemon_has_read_the_intent keeps the log's answers from one daemon while the intent is appended, then takes the log out. Without the change it prints: left "unknown" (the log does not answer; an earlier attempt may have run), right "done".

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -18,9 +18,10 @@
 use crate::readiness::readiness_refusal;
 use guava_log::log_event;
 use guava_outside::{HttpError, ServiceCall, ServiceClient};
-use guava_state::{IntentEntry, IntentVerdict, UpstreamKind};
+use guava_state::{FleetState, IntentEntry, IntentVerdict, UpstreamKind};
 use guava_types::{
-    CallerKey, Deadline, Moment, PinnedKey, RecordId, ServiceName, UpstreamId, WallTime,
+    CallKey, CallerKey, Deadline, Incarnation, Moment, PinnedKey, RecordId, ServiceName,
+    UpstreamId, WallTime,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -173,7 +174,16 @@
             intent = intent.id
         );
         let limit = Deadline::in_millis(INTENT_MS).earlier(call.deadline);
-        let appended = context.appends.append(AppendBody::Intent(intent.clone()), limit).await;
+        let appending = context.appends.append(AppendBody::Intent(intent.clone()), limit);
+        // Where the log is out, peers may tell in their state that another daemon holds the key.
+        let appended = tokio::select! {
+            biased;
+            appended = appending => appended,
+            holder = context.state.wait_for(|state| other_holder(state, context.me, &call.key)) => {
+                give_up(context, call, intent, "another daemon holds the key");
+                return RunEnd::Elsewhere(attach(context, call, holder).await);
+            }
+        };
         match appended {
             Ok(AppendVerdict::Intent(IntentVerdict::Held)) => {
                 return dispatch_intent(context, call, intent).await;
@@ -204,6 +214,12 @@
     }
 }
 
+/// The daemon that has the outcome of a key held by another incarnation than this one.
+fn other_holder(state: &FleetState, me: Incarnation, key: &CallKey) -> Option<Incarnation> {
+    let held = state.intents().holder(key)?;
+    (held.holder != me).then(|| state.successor_of(held.holder))
+}
+
 /// Gives an intent up before anything was sent. Whether or not its append takes effect later, this
 /// incarnation never dispatches it; the release lets a later attempt run.
 fn give_up(context: &DaemonContext, call: &KeyedCall, intent: IntentEntry, reason: &str) {
--- a/crates/guava-daemon/src/shared_state.rs
+++ b/crates/guava-daemon/src/shared_state.rs
@@ -87,6 +87,21 @@
         *self.progress.borrow()
     }
 
+    /// Waits until the state has what is looked for, by a record or a state taken over.
+    pub async fn wait_for<T>(&self, look: impl Fn(&FleetState) -> Option<T>) -> T {
+        let mut progress = self.progress.subscribe();
+        loop {
+            progress.mark_unchanged();
+            if let Some(found) = self.read(&look) {
+                return found;
+            }
+            if progress.changed().await.is_err() {
+                // The sender lives as long as the state.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// This daemon's last sight of the log's end.
     pub fn log_sight(&self) -> Option<LogObservation> {
         *self.sight.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/guavatiller/tests/at_most_once.rs
+++ b/crates/guavatiller/tests/at_most_once.rs
@@ -264,6 +264,26 @@
     assert_eq!(runs_of(&deployment, "acme", &key), 1);
 }
 
+#[test]
+fn log_outage_before_a_daemon_has_read_the_intent() {
+    // Guards against a repeat that waits for the log though peers know who holds its key.
+    let deployment = deploy_default();
+    let key = fresh_key();
+    set_faults(&deployment, "board-", &json!({ "run_ms": 1000 }));
+    let source = deployment.daemons[1].source;
+    deployment.proxies["log"].set_for(source, LinkFault::DropAnswers);
+    let first = call_aside(deployment.daemons[0].callers, &key, 1, 10_000);
+    wait_for_run(&deployment, &key);
+    set_fault(&deployment, "log", &json!({ "outage": true }));
+    deployment.proxies["log"].heal();
+
+    let second = call(deployment.daemons[1].callers, &submission(&key, Some(2)));
+
+    assert_eq!(first.join().unwrap().unwrap().outcome, "done");
+    assert_eq!(second.outcome, "done", "{second:?}");
+    assert_eq!(runs_of(&deployment, "acme", &key), 1);
+}
+
 fn pinned_key(deployment: &Deployment, index: usize) -> String {
     let caller = guava_standins::caller::Caller::of("acme");
     let address = deployment.daemons[index].callers;
