fix: reset the connection when an HTTP/1.0 answer without length is incomplete

What callers saw: a caller of HTTP/1.0 gets no chunks, so a stream that is relayed to it has neither length nor chunks and ends with its connection. When the stream was interrupted, when the daemon was killed, or when the caller had half-closed its side, the connection was closed in the ordinary way, and the part looked like the whole answer. The product's own interface did the same.

Cause: the end of such an answer was left to whatever closed the socket. An error of the body is told by dropping the connection, which the caller can't tell from the end.

Evidence: with the two listeners as they were, interrupted_answer_resets_the_connection_of_a_caller_of_ http_1_0, caller_of_http_1_0_that_writes_no_more_gets_no_part_as_whole (guava-serve), and, with real processes, daemon_that_is_killed_resets_a_stream_of_http_1_0 and the same on the own interface (guavatiller) fail: "left: None, right: Some(ConnectionReset)". The first was also run in an earlier form in which nothing had been written before the interruption; the caller then gets no byte, and no reset.

Change: guava-framing wraps callers' connections. From the first byte of such an answer to its end the socket's linger time is zero, so that whoever closes it, the system after SIGKILL too, sends a reset; it is taken back once all is written, before the shutdown. It is the connection's last answer, so others are not concerned: a length, chunks, HEAD, 204, 304, refusals.

Weighed: collecting the answer and sending it with a length. It holds streams in memory (up to the limit of all answers, beyond which they would fail), delays the first event to the last, and helps no caller that reads events as they come. The reset costs a caller that reads slowly what the socket still buffers of an incomplete answer, and nothing of a whole one. It works on all systems with SO_LINGER. A proxy between sees the reset as an upstream failure; one that turns resets into ordinary closes would hide it, as it would hide those of any server. The loss of a VM sends nothing, and the caller's timeout tells.

Not covered: over TLS the socket is reset as well, which no test plays.

--- a/crates/guava-daemon/src/listener.rs
+++ b/crates/guava-daemon/src/listener.rs
@@ -2,6 +2,10 @@
 
 use crate::tls::TlsKeeper;
 use axum::Router;
+use axum::extract::Request;
+use guava_framing::{AnswerEnd, CallerStream};
+use hyper::body::Incoming;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -42,10 +46,11 @@
         let tls = tls.clone();
         tokio::spawn(async move {
             match tls {
-                None => serve_connection(stream, router, watcher).await,
+                None => serve_connection(stream, |stream| stream, router, watcher).await,
                 Some(keeper) => {
                     if let Some(stream) = shake_hands(stream, &keeper).await {
-                        serve_connection(stream, router, watcher).await;
+                        serve_connection(stream, |stream| stream.get_ref().0, router, watcher)
+                            .await;
                     }
                 }
             }
@@ -65,6 +70,7 @@
 
 async fn serve_connection<S>(
     stream: S,
+    socket: fn(&S) -> &TcpStream,
     router: Router,
     watcher: hyper_util::server::graceful::Watcher,
 ) where
@@ -78,7 +84,14 @@
         .max_concurrent_streams(MAX_STREAMS)
         .keep_alive_interval(Duration::from_millis(PING_MS))
         .keep_alive_timeout(Duration::from_millis(PING_TIMEOUT_MS));
-    let service = TowerToHyperService::new(router);
+    let routes = TowerToHyperService::new(router);
+    let end = AnswerEnd::default();
+    let stream = CallerStream::new(stream, socket, end.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (method, version, end) = (request.method().clone(), request.version(), end.clone());
+        let answer = routes.call(request);
+        async move { answer.await.map(|answer| end.watch(&method, version, answer)) }
+    });
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     // How a connection ends is seen by the requests on it.
     drop(watcher.watch(connection.into_owned()).await);
--- a/crates/guava-serve/src/request/http_listener.rs
+++ b/crates/guava-serve/src/request/http_listener.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 listener that passes all requests to one handler.
 
 use crate::request::answer_body::AnswerBody;
+use guava_framing::{AnswerEnd, CallerStream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -112,9 +113,12 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     drop(stream.set_nodelay(true));
-    let service = service_fn(move |request| {
+    let end = AnswerEnd::default();
+    let stream = CallerStream::plain(stream, end.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (method, version, end) = (request.method().clone(), request.version(), end.clone());
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(end.watch(&method, version, answer.await)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
