fix: judge an answer's framing by its last transfer coding

What callers saw: a stream with a transfer coding other than chunked, cut within an event, was passed on to them with half of the event, and ended as complete.

Cause: an answer counted as framed if it had a Content-Length or any Transfer-Encoding. The HTTP library frames a body by chunks only if `chunked` is the last coding of the last line, reads any other to the end of the connection, and then heeds no length. So the end of the connection passed for the answer's, what remained in the buffer for its end, and the answer for a reason to clear a request of crashes.

--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -2,6 +2,7 @@
 
 use super::scripted::ScriptedUpstream;
 use super::upstream;
+use guava_framing::is_framed;
 use guava_policy::UpstreamAnnouncements;
 use guava_serve::{
     AnswerMarks, Dialect, RetryLimit, ServeBounds, ServeContext, ServeIdentity, ServeOutcome,
@@ -58,8 +59,7 @@
                 .map(guava_serve::WeightVersion),
             idle_limit_ms: Some(5_000),
             is_last: false,
-            is_framed: headers.contains_key("content-length")
-                || headers.contains_key("transfer-encoding"),
+            is_framed: is_framed(headers),
             announcements: announcements(status, headers),
             load: text(headers, "x-load").map(|text| text.parse()),
         },
