fix: take a peer's answer without a stated end for incomplete

What callers saw: an answer to a forwarded request that has neither length nor chunks was passed on as whole wherever its connection was closed.

Cause: it was read as an upstream's, for which the protocol says so. Daemons state the end of each answer that they send to a peer, so one that lacks it comes from something else at the peer's address, or through something that reframed it, and nothing tells whether it is whole.

Evidence: cut_answer_of_a_peer_never_looks_whole::without_end failed before, in each cut of the body that was closed: `CutCase { length: 36, end: Close, result: Answer { status: 200, body: "ye", is_complete: true }, sends: 1 }`.

Change: the end of such a body interrupts the answer. One without a body (204, 304, to HEAD) has its end in its head.

--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -17,7 +17,7 @@
 use guava_types::{Deadline, Moment};
 use http::{HeaderName, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -102,6 +102,8 @@
     connection: UpstreamConnection,
     body: Incoming,
     deadline: Deadline,
+    /// Whether the end of the body can be told from that of the connection; daemons state it.
+    has_end: bool,
     is_reusable: bool,
 }
 
@@ -113,7 +115,10 @@
             let Some(frame) = until(self.deadline, self.body.frame()).await else {
                 return interrupted("no more of the answer in time");
             };
-            match frame? {
+            let Some(frame) = frame else {
+                return if self.has_end { None } else { interrupted("nothing states its end") };
+            };
+            match frame {
                 Ok(frame) => {
                     // Trailers are not passed on.
                     if let Ok(bytes) = frame.into_data() {
@@ -143,9 +148,10 @@
     let marks = (context.dialect.marks)(answer.status(), answer.headers());
     let (mut head, body) = answer.into_parts();
     (context.dialect.strip)(&mut head.headers);
+    let has_end = marks.is_framed || body.is_end_stream();
     let is_reusable = marks.is_framed && !marks.is_last;
     let context = Rc::clone(context);
-    let answer = PeerAnswer { context, connection, body, deadline, is_reusable };
+    let answer = PeerAnswer { context, connection, body, deadline, has_end, is_reusable };
     let relayed = stream::unfold(Some(answer), |answer| async move {
         let mut answer = answer?;
         match answer.next().await {
--- a/crates/guava-serve/tests/cut_answers.rs
+++ b/crates/guava-serve/tests/cut_answers.rs
@@ -258,6 +258,7 @@
     with_length = { sized(HEAD, "yes"), RepeatRule::NonIdempotent },
     in_chunks = { chunked(HEAD, &["y", "es"]), RepeatRule::NonIdempotent },
     unserved = { sized("HTTP/1.1 503 Full\r\nguava-unserved: 1\r\n", ""), RepeatRule::NonIdempotent },
+    without_end = { unframed(HEAD, "yes"), RepeatRule::NonIdempotent },
     stream = { chunked(HEAD, &EVENTS), RepeatRule::Stream },
 )]
 fn cut_answer_of_a_peer_never_looks_whole(answer: String, repeat: RepeatRule) {
