feat: log how far an answer had come when a send failed

What operators saw: "connection closed before message completed" in G8002, whether an upstream said nothing or stopped in the middle of its answer's head.

Change: G8002 has a field `part`: none, head (cut in the head, or after interim answers only), or body. The count of bytes that limits a head already knew; failures of exchanges and connections tell it, so that also an answer that does not come in time is told from one that stands still in its head.

Test: failed_exchange_tells_no_answer_from_a_cut_head cuts an answer after each byte of its head.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -114,6 +114,7 @@
 };
 pub use serve_context::{ServeBounds, ServeContext, ServeIdentity, UpstreamClock};
 pub use upstreams::announcement_watch::note_announcements;
+pub use upstreams::answer_part::AnswerPart;
 pub use upstreams::answered_parts::AnsweredParts;
 pub use upstreams::broken_send_table::BrokenSendTable;
 pub use upstreams::connection_pool::{
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -15,6 +15,7 @@
 use crate::serve_config::ServiceRule;
 use crate::serve_context::ServeContext;
 use crate::upstreams::announcement_watch::note_announcements;
+use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::bounded_body::{BodyError, HeldAnswer, read_body};
 use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
@@ -333,9 +334,13 @@
                 }
                 return self.failed(&error);
             }
-            WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
-            WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
-            WaitOutcome::Withdrawn => return self.withdrawn(),
+            WaitOutcome::Abandoned => {
+                return self.unanswered(AttemptOutcome::Abandoned, connection.answer_part());
+            }
+            WaitOutcome::TimedOut => {
+                return self.unanswered(AttemptOutcome::TimedOut, connection.answer_part());
+            }
+            WaitOutcome::Withdrawn => return self.withdrawn(connection.answer_part()),
         };
         if connection.is_new() {
             note_contact(self.context);
@@ -394,7 +399,7 @@
 
     fn failed(&self, error: &ExchangeError) -> AttemptOutcome {
         let upstream = &self.plan.send.upstream;
-        self.note_failure(&error.to_string());
+        self.note_failure(&error.to_string(), error.part());
         match error {
             ExchangeError::NotSent { is_refused, .. } => {
                 if *is_refused {
@@ -415,36 +420,38 @@
         self.lost(reason)
     }
 
+    /// Records an answer whose head came, and that can't be passed on.
     fn lost(&self, reason: &str) -> AttemptOutcome {
-        self.note_failure(reason);
+        self.note_failure(reason, AnswerPart::Body);
         AttemptOutcome::Lost
     }
 
-    fn unanswered(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        self.note_failure("no answer in time");
+    fn unanswered(&self, outcome: AttemptOutcome, part: AnswerPart) -> AttemptOutcome {
+        self.note_failure("no answer in time", part);
         outcome
     }
 
-    fn withdrawn(&self) -> AttemptOutcome {
+    fn withdrawn(&self, part: AnswerPart) -> AttemptOutcome {
         // No failure of the engine: its answers are no slower than those of others.
         self.context.metrics.count_superseded("withdrawn");
-        self.log_failure("withdrawn, the time limit of its weights has come");
+        self.log_failure("withdrawn, the time limit of its weights has come", part);
         AttemptOutcome::Withdrawn
     }
 
-    fn note_failure(&self, reason: &str) {
+    fn note_failure(&self, reason: &str, part: AnswerPart) {
         let upstream = &self.plan.send.upstream;
         self.context.work.borrow_mut().note_failed_answer(upstream, Moment::now());
-        self.log_failure(reason);
+        self.log_failure(reason, part);
     }
 
-    fn log_failure(&self, reason: &str) {
+    fn log_failure(&self, reason: &str, part: AnswerPart) {
         log_event!(
             warn,
             events::SEND_FAILED,
             request = self.request.id,
             digest = self.request.digest(),
             upstream = self.plan.send.upstream,
+            part = part,
             reason = reason
         );
     }
@@ -569,9 +576,13 @@
                 return self.interrupted(&error.to_string());
             }
             WaitOutcome::Done(Err(error)) => return self.lost(&error.to_string()),
-            WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
-            WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
-            WaitOutcome::Withdrawn => return self.withdrawn(),
+            WaitOutcome::Abandoned => {
+                return self.unanswered(AttemptOutcome::Abandoned, AnswerPart::Body);
+            }
+            WaitOutcome::TimedOut => {
+                return self.unanswered(AttemptOutcome::TimedOut, AnswerPart::Body);
+            }
+            WaitOutcome::Withdrawn => return self.withdrawn(AnswerPart::Body),
         };
         work.note_started();
         if self.is_plain() && head.status.is_success() {
@@ -618,9 +629,13 @@
                 return self.interrupted("the connection ended before the first event");
             }
             WaitOutcome::Done(StreamStep::Interrupted(reason)) => return self.interrupted(&reason),
-            WaitOutcome::Abandoned => return self.unanswered(AttemptOutcome::Abandoned),
-            WaitOutcome::TimedOut => return self.unanswered(AttemptOutcome::TimedOut),
-            WaitOutcome::Withdrawn => return self.withdrawn(),
+            WaitOutcome::Abandoned => {
+                return self.unanswered(AttemptOutcome::Abandoned, AnswerPart::Body);
+            }
+            WaitOutcome::TimedOut => {
+                return self.unanswered(AttemptOutcome::TimedOut, AnswerPart::Body);
+            }
+            WaitOutcome::Withdrawn => return self.withdrawn(AnswerPart::Body),
         };
         source.work.note_started();
         self.context.reports.borrow_mut().note_served(&self.plan.send.upstream, Moment::now());
--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -88,6 +88,7 @@
         request = request.id,
         digest = request.digest(),
         upstream = peer,
+        part = error.part(),
         reason = error
     );
     match error {
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -2,6 +2,7 @@
 //! connections to them.
 
 pub(crate) mod announcement_watch;
+pub(crate) mod answer_part;
 pub(crate) mod answered_parts;
 pub(crate) mod bounded_body;
 pub(crate) mod broken_send_table;
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -9,6 +9,7 @@
 //! arrives where the next one is due. That to a request names the request; that to a call names nothing,
 //! and would be taken for the answer to the request that follows.
 
+use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::head_limit::{HeadLimit, LimitedStream};
 use bytes::Bytes;
 use guava_types::{Deadline, FastMap, Moment};
@@ -66,9 +67,21 @@
         address: SocketAddr,
         /// Cause, as the HTTP library reported it.
         reason: Box<str>,
+        /// How far the answer had come.
+        part: AnswerPart,
     },
 }
 
+impl ExchangeError {
+    /// How far the answer had come.
+    pub fn part(&self) -> AnswerPart {
+        match self {
+            Self::NotSent { .. } => AnswerPart::None,
+            Self::NoAnswer { part, .. } => *part,
+        }
+    }
+}
+
 /// Task that drives a connection; dropping it closes the connection.
 #[derive(Debug)]
 struct ConnectionDriver(JoinHandle<()>);
@@ -119,6 +132,11 @@
         self.is_new
     }
 
+    /// How far the answer to the present request has come.
+    pub fn answer_part(&self) -> AnswerPart {
+        self.head_limit.part(MAX_WAIT_BYTES)
+    }
+
     /// Sends a request and waits for the answer's head, without a timeout.
     pub async fn exchange(
         &mut self,
@@ -137,7 +155,7 @@
                 Err(if is_unsent {
                     ExchangeError::NotSent { address, reason, is_refused: false }
                 } else {
-                    ExchangeError::NoAnswer { address, reason }
+                    ExchangeError::NoAnswer { address, reason, part: self.answer_part() }
                 })
             }
         }
--- a/crates/guava-serve/src/upstreams/head_limit.rs
+++ b/crates/guava-serve/src/upstreams/head_limit.rs
@@ -3,6 +3,7 @@
 //! The HTTP library limits one head, but not interim answers, of which any number may come before the
 //! final one.
 
+use crate::upstreams::answer_part::AnswerPart;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -31,6 +32,15 @@
         self.0.set(None);
     }
 
+    /// How far an answer has come that may send so many bytes before its head is complete.
+    pub fn part(&self, bytes: usize) -> AnswerPart {
+        match self.0.get() {
+            Some(left) if left == bytes => AnswerPart::None,
+            Some(_) => AnswerPart::Head,
+            None => AnswerPart::Body,
+        }
+    }
+
     fn note_read(&self, count: usize) {
         self.0.set(self.0.get().map(|left| left.saturating_sub(count)));
     }
--- a/crates/guava-serve/tests/cut_answers.rs
+++ b/crates/guava-serve/tests/cut_answers.rs
@@ -8,7 +8,8 @@
 use futures_util::future::join_all;
 use guava_policy::ReachChange;
 use guava_serve::{
-    MemberDescriptor, RepeatRule, RouteRule, ServeContext, call_request, serve_request,
+    AnswerPart, ConnectionUse, MemberDescriptor, RepeatRule, RouteRule, ServeContext, call_request,
+    serve_request,
 };
 use guava_types::{Deadline, Moment};
 use http::Method;
@@ -323,3 +324,36 @@
     let body = EVENTS[0].to_owned();
     assert_eq!(result, CallerResult::Answer { status: 200, body, is_complete: false });
 }
+
+#[parameterized(
+    alone = { sized(HEAD, "yes"), HEAD.len() + 21 },
+    after_interim_answers = { sized(&format!("{INTERIM}{HEAD}"), "yes"), INTERIM.len() + HEAD.len() + 21 },
+)]
+fn failed_exchange_tells_no_answer_from_a_cut_head(answer: String, head: usize) {
+    assert!(answer[..head].ends_with("\r\n\r\n"), "{answer}");
+    let parts: Vec<(usize, AnswerPart)> = (0..=head)
+        .map(|length| {
+            let upstream = cut_upstream(&answer, length, CutEnd::Close);
+            let part = run(async {
+                let context = context(&[]);
+                let opening = context.pool.open(upstream.address, ConnectionUse::Calls);
+                let mut connection = opening.await.unwrap();
+                let request = call_request(Method::GET, upstream.address, "/x", Vec::new());
+                match connection.exchange(request).await {
+                    Ok(_) => connection.answer_part(),
+                    Err(error) => error.part(),
+                }
+            });
+            (length, part)
+        })
+        .collect();
+
+    let expected = |length| match length {
+        0 => AnswerPart::None,
+        _ if length < head => AnswerPart::Head,
+        _ => AnswerPart::Body,
+    };
+    let others: Vec<&(usize, AnswerPart)> =
+        parts.iter().filter(|(length, part)| *part != expected(*length)).collect();
+    assert!(others.is_empty(), "{others:?}");
+}
