refactor: a send takes a permission, counted when it is given

Whether a call may have run was told by which arm of a match a send ended in, and by a boolean that each loop had to keep. Nothing but reading stood against a send that follows one whose outcome is not known, or a refusal that says "not run" after it.

ServiceClient::call and EngineClient::complete now take a SendPermit by value. Only an AttemptLedger gives one, counts it as a run at once, and takes it back only with an error that proves that nothing ran. A keyed call has one: its run comes from entering the key in the table of calls, the permission is given only against the hold of the key (an intent read back as held, or an own pinned key), and what was sent decides by itself that the outcome is kept, the key is not forgotten and the intent is not released. Completions and calls that may be repeated have as many as tries.

The lines of a send (G4101, new G4007) tell what permitted it and the how-many-th run it may be.

--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -8,16 +8,17 @@
 use crate::announcement_handler::{closed, note_announcements, pass, reopens_in_ms};
 use crate::append_ring::{AppendBody, AppendVerdict};
 use crate::call_forward::{attach, forward_pinned};
-use crate::call_table::{CallEntry, wait_outcome};
+use crate::call_table::{CallEntry, CallRun, wait_outcome};
 use crate::context::DaemonContext;
 use crate::crash_watch::{note_answer, note_interrupted, stop_refusal};
 use crate::events;
+use crate::key_hold::KeyHold;
 use crate::keyed_call::{COME_BACK_MS, KeyedCall, mismatch, wait_or_unknown};
 use crate::lock::locked;
 use crate::outcome::{CallOutcome, Refusal, RefusalKind};
 use crate::readiness::readiness_refusal;
 use guava_log::log_event;
-use guava_outside::{HttpError, ServiceCall, ServiceClient};
+use guava_outside::{HttpError, SendError, ServiceCall, ServiceClient};
 use guava_state::{FleetState, IntentEntry, IntentVerdict, UpstreamKind};
 use guava_types::{
     CallKey, CallerKey, Deadline, Incarnation, Moment, PinnedKey, RecordId, ServiceName,
@@ -40,14 +41,6 @@
 const SETTLE_MS: u64 = 50;
 const CONNECT_FAILED_MS: u64 = 500;
 
-/// How a run that this daemon was to start ended.
-enum RunEnd {
-    /// It was dispatched: the outcome is kept for repeats.
-    Dispatched(CallOutcome),
-    /// Nothing was sent from here, or another daemon holds the key.
-    Elsewhere(CallOutcome),
-}
-
 /// Runs a call once, or joins its run wherever that is.
 pub async fn call_once(context: &Arc<DaemonContext>, call: KeyedCall) -> CallOutcome {
     let outcome = run_or_join(context, &call).await;
@@ -70,77 +63,79 @@
             );
             wait_or_unknown(wait_outcome(receiver, deadline).await)
         }
-        CallEntry::New => {
+        CallEntry::New(run) => {
             let Some(Ok(receiver)) = context.calls.find(&call.key, fingerprint) else {
                 return CallOutcome::unknown("the run is not known here any more", COME_BACK_MS);
             };
             // A task of its own: the caller's connection may go, and a run that was dropped half
             // way would lose its outcome for all repeats.
-            tokio::spawn(run_new(Arc::clone(context), call.clone()));
+            tokio::spawn(run_new(Arc::clone(context), call.clone(), run));
             wait_or_unknown(wait_outcome(receiver, deadline).await)
         }
     }
 }
 
-async fn run_new(context: Arc<DaemonContext>, call: KeyedCall) {
+async fn run_new(context: Arc<DaemonContext>, call: KeyedCall, mut run: CallRun) {
     let work = context.work.enter();
-    let key = call.key.clone();
-    let end = match key.key {
-        CallerKey::Pinned(pinned) if pinned.incarnation == context.me => {
-            run_own_pinned(&context, &call, pinned).await
-        }
-        CallerKey::Pinned(pinned) => {
-            RunEnd::Elsewhere(forward_pinned(&context, &call, pinned).await)
-        }
-        CallerKey::Logged(_) => run_logged(&context, &call).await,
+    let held = match call.key.key {
+        CallerKey::Pinned(pinned) => hold_pinned(&context, &call, pinned).await,
+        CallerKey::Logged(_) => hold_logged(&context, &call).await,
     };
-    match end {
-        RunEnd::Dispatched(outcome) => {
-            log_event!(
-                info,
-                events::CALL_FINISHED,
-                request = call.request,
-                key = call.key,
-                outcome = outcome.name()
-            );
-            context.calls.settle(&key, outcome);
-        }
-        RunEnd::Elsewhere(outcome) => {
-            log_event!(
-                info,
-                events::CALL_NOT_SENT,
-                request = call.request,
-                key = call.key,
-                outcome = outcome.name(),
-                reason = outcome.reason()
-            );
-            context.calls.settle_and_forget(&key, outcome);
-        }
+    let outcome = match held {
+        Ok(hold) => dispatch_held(&context, &call, hold, &mut run).await,
+        Err(outcome) => outcome,
+    };
+    if run.may_have_run() {
+        log_event!(
+            info,
+            events::CALL_FINISHED,
+            request = call.request,
+            key = call.key,
+            outcome = outcome.name()
+        );
+    } else {
+        log_event!(
+            info,
+            events::CALL_NOT_SENT,
+            request = call.request,
+            key = call.key,
+            outcome = outcome.name(),
+            reason = outcome.reason()
+        );
     }
+    context.calls.settle(run, outcome);
     drop(work);
 }
 
-async fn run_own_pinned(
+/// Holds a key that this incarnation minted; a call with another's key is passed on to that one.
+async fn hold_pinned(
     context: &Arc<DaemonContext>,
     call: &KeyedCall,
     pinned: PinnedKey,
-) -> RunEnd {
+) -> Result<KeyHold, CallOutcome> {
+    let Some(hold) = KeyHold::of_minted(pinned, context.me) else {
+        return Err(forward_pinned(context, call, pinned).await);
+    };
     let now = Moment::now();
     if pinned.issued > now || pinned.window_end().passed(now) {
         let reason = "idempotency-key: its window has ended";
-        return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
+        return Err(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
     }
-    if let Some(refusal) = readiness_refusal(context) {
-        return RunEnd::Elsewhere(call.refused_for(refusal));
+    match readiness_refusal(context) {
+        Some(refusal) => Err(call.refused_for(refusal)),
+        None => Ok(hold),
     }
-    dispatch(context, call).await
 }
 
-async fn run_logged(context: &Arc<DaemonContext>, call: &KeyedCall) -> RunEnd {
+/// Holds a logged key by an intent; else the outcome, of the run elsewhere or of a refusal.
+async fn hold_logged(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+) -> Result<KeyHold, CallOutcome> {
     let issued = call.key.key.issued_wall().unwrap_or_default();
     if issued.0 > WallTime::now().0 + MINTED_AHEAD_MS {
         let reason = "idempotency-key: its timestamp lies ahead of the clock";
-        return RunEnd::Elsewhere(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
+        return Err(call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS));
     }
     loop {
         let held = context.state.read(|state| {
@@ -148,21 +143,21 @@
             Some(state.successor_of(held.holder))
         });
         if let Some(holder) = held {
-            return RunEnd::Elsewhere(attach(context, call, holder).await);
+            return Err(attach(context, call, holder).await);
         }
         if let Some(refusal) = readiness_refusal(context) {
-            return RunEnd::Elsewhere(call.refused_for(refusal));
+            return Err(call.refused_for(refusal));
         }
         if context.state.read(|state| state.intents().len()) >= MAX_HELD_KEYS {
             let reason = "too many logged keys are inside their windows; use a pinned key";
             let outcome = call.refused(RefusalKind::OVERLOADED, reason, COME_BACK_MS);
-            return RunEnd::Elsewhere(outcome);
+            return Err(outcome);
         }
         if open_instances(context, &call.service).is_empty() {
             let reason = "no instance of the service takes work";
             let after_ms = come_back_ms(context, &call.service);
             let outcome = call.refused(RefusalKind::NO_UPSTREAM, reason, after_ms);
-            return RunEnd::Elsewhere(outcome);
+            return Err(outcome);
         }
         let intent = IntentEntry { id: RecordId::random(), key: call.key.clone() };
         log_event!(
@@ -181,34 +176,36 @@
             appended = appending => appended,
             holder = context.state.wait_for(|state| other_holder(state, context.me, &call.key)) => {
                 give_up(context, call, intent, "another daemon holds the key");
-                return RunEnd::Elsewhere(attach(context, call, holder).await);
+                return Err(attach(context, call, holder).await);
             }
         };
+        if let Ok(AppendVerdict::Intent(verdict)) = &appended
+            && let Some(hold) = KeyHold::of_intent(verdict, &intent)
+        {
+            return Ok(hold);
+        }
         match appended {
-            Ok(AppendVerdict::Intent(IntentVerdict::Held)) => {
-                return dispatch_intent(context, call, intent).await;
-            }
             Ok(AppendVerdict::Intent(IntentVerdict::Lost { holder })) if holder == context.me => {
                 // An earlier intent of this daemon's, given up and about to be released.
                 if call.deadline.passed(Moment::now()) {
-                    return RunEnd::Elsewhere(CallOutcome::unknown("no answer yet", COME_BACK_MS));
+                    return Err(CallOutcome::unknown("no answer yet", COME_BACK_MS));
                 }
                 sleep(Duration::from_millis(SETTLE_MS)).await;
             }
             Ok(AppendVerdict::Intent(IntentVerdict::Lost { holder })) => {
                 let holder = context.state.read(|state| state.successor_of(holder));
-                return RunEnd::Elsewhere(attach(context, call, holder).await);
+                return Err(attach(context, call, holder).await);
             }
             Ok(AppendVerdict::Intent(IntentVerdict::Expired)) => {
                 let reason = "idempotency-key: its window has ended";
                 let outcome = call.refused(RefusalKind::BAD_REQUEST, reason, COME_BACK_MS);
-                return RunEnd::Elsewhere(outcome);
+                return Err(outcome);
             }
             Ok(_) | Err(_) => {
                 let reason = "the log does not answer";
                 give_up(context, call, intent, reason);
                 let outcome = call.refused(RefusalKind::LOG_OUT, reason, COME_BACK_MS);
-                return RunEnd::Elsewhere(outcome);
+                return Err(outcome);
             }
         }
     }
@@ -234,16 +231,17 @@
     context.appends.append_later(AppendBody::Release(intent), Deadline::in_millis(RELEASE_MS));
 }
 
-async fn dispatch_intent(
+async fn dispatch_held(
     context: &Arc<DaemonContext>,
     call: &KeyedCall,
-    intent: IntentEntry,
-) -> RunEnd {
-    let end = dispatch(context, call).await;
-    if let RunEnd::Elsewhere(outcome) = &end {
+    hold: KeyHold,
+    run: &mut CallRun,
+) -> CallOutcome {
+    let outcome = dispatch(context, call, &hold, run).await;
+    if let Some(intent) = run.release(hold) {
         give_up(context, call, intent, outcome.reason());
     }
-    end
+    outcome
 }
 
 /// Instances of a service that may get work now.
@@ -292,29 +290,34 @@
 
 /// Sends the call to one instance. Another is tried only while no connection could be opened;
 /// after the first byte there is no second send.
-async fn dispatch(context: &Arc<DaemonContext>, call: &KeyedCall) -> RunEnd {
+async fn dispatch(
+    context: &Arc<DaemonContext>,
+    call: &KeyedCall,
+    hold: &KeyHold,
+    run: &mut CallRun,
+) -> CallOutcome {
     let digest = call.digest();
     if let Some(refusal) = stop_refusal(context, digest) {
-        return RunEnd::Elsewhere(call.refused_for(refusal));
+        return call.refused_for(refusal);
     }
     let mut instances = open_instances(context, &call.service);
     if instances.is_empty() {
         let reason = "no instance of the service takes work";
         let after_ms = come_back_ms(context, &call.service);
-        return RunEnd::Elsewhere(call.refused(RefusalKind::NO_UPSTREAM, reason, after_ms));
+        return call.refused(RefusalKind::NO_UPSTREAM, reason, after_ms);
     }
     while !instances.is_empty() {
         // A daemon that was frozen between its intent and here must not start what its caller has
         // long given up; the deadline is on a clock that counted the time.
         if call.deadline.passed(Moment::now()) {
-            let outcome = call.refused(RefusalKind::OVERLOADED, "too late to start", COME_BACK_MS);
-            return RunEnd::Elsewhere(outcome);
+            return call.refused(RefusalKind::OVERLOADED, "too late to start", COME_BACK_MS);
         }
         let index = usize::try_from(rand::random::<u32>()).unwrap_or(0) % instances.len();
         let (upstream, address) = instances.swap_remove(index);
         if !pass(context, &upstream) {
             continue;
         }
+        let Some(permit) = run.permit(hold) else { break };
         log_event!(
             info,
             events::CALL_DISPATCHED,
@@ -324,34 +327,38 @@
             service = call.service,
             choice = upstream,
             others = instances.len(),
+            permit = hold,
+            run = permit.run(),
             reason = "random",
         );
         let client = ServiceClient { address };
         let sent = Moment::now();
-        let called = client.call(&service_call(call), Deadline::in_millis(RUN_MS)).await;
+        let called = client.call(permit, &service_call(call), Deadline::in_millis(RUN_MS)).await;
         match called {
             Ok(answer) => {
                 note_announcements(context, &upstream, &answer.announcements, sent);
                 note_answer(context, digest);
-                return RunEnd::Dispatched(CallOutcome::Done {
+                return CallOutcome::Done {
                     status: answer.status.as_u16(),
                     content_type: answer.content_type,
                     body: answer.body,
-                });
+                };
+            }
+            Err(SendError { error, unused: Some(permit) }) => {
+                run.take_back(permit);
+                if let HttpError::Malformed { .. } = error {
+                    let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, error.to_string());
+                    return CallOutcome::refused(call.attempt, refusal);
+                }
             }
-            Err(error) if error.may_have_run() => {
+            Err(SendError { error, unused: None }) => {
                 if let HttpError::Broken { .. } = error {
                     note_interrupted(context, &upstream, digest);
                 }
-                return RunEnd::Dispatched(CallOutcome::failed(error.to_string()));
-            }
-            Err(HttpError::Connect { .. }) => continue,
-            Err(error) => {
-                let refusal = Refusal::final_one(RefusalKind::BAD_REQUEST, error.to_string());
-                return RunEnd::Elsewhere(CallOutcome::refused(call.attempt, refusal));
+                return CallOutcome::failed(error.to_string());
             }
         }
     }
     let reason = "no instance of the service can be reached";
-    RunEnd::Elsewhere(call.refused(RefusalKind::NO_UPSTREAM, reason, CONNECT_FAILED_MS))
+    call.refused(RefusalKind::NO_UPSTREAM, reason, CONNECT_FAILED_MS)
 }
--- a/crates/guava-daemon/src/call_table.rs
+++ b/crates/guava-daemon/src/call_table.rs
@@ -1,8 +1,11 @@
 //! Non-idempotent calls of this incarnation: at most one run for each key, its outcome kept for
 //! repeats until the key's window ends.
 
+use crate::key_hold::KeyHold;
 use crate::lock::locked;
 use crate::outcome::CallOutcome;
+use guava_outside::{AttemptLedger, SendPermit};
+use guava_state::IntentEntry;
 use guava_types::{CallKey, Deadline, FastMap, Moment};
 use std::sync::Mutex;
 use tokio::sync::watch;
@@ -34,10 +37,43 @@
     entered: u64,
 }
 
+/// The run of a key at this incarnation; only entering the key makes one.
+#[derive(Debug)]
+pub struct CallRun {
+    key: CallKey,
+    ledger: AttemptLedger,
+}
+
+impl CallRun {
+    fn new(key: CallKey) -> Self {
+        Self { key, ledger: AttemptLedger::new(1) }
+    }
+
+    /// Permission to send the call; `None` if it may have run.
+    pub fn permit(&mut self, _hold: &KeyHold) -> Option<SendPermit> {
+        self.ledger.permit()
+    }
+
+    /// Takes back a permission under which nothing ran.
+    pub fn take_back(&mut self, unused: SendPermit) {
+        self.ledger.take_back(unused);
+    }
+
+    /// Whether the call may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.ledger.may_have_run()
+    }
+
+    /// The intent to be released; `None` if the call may have run, as its key stays held then.
+    pub fn release(&self, hold: KeyHold) -> Option<IntentEntry> {
+        hold.into_intent().filter(|_| !self.may_have_run())
+    }
+}
+
 /// What entering a key gave.
 pub enum CallEntry {
     /// The key is new here: the caller of `enter` runs it and settles it.
-    New,
+    New(CallRun),
     /// It runs or ran here; the outcome comes here.
     Known(OutcomeReceiver),
     /// It was first used for another request.
@@ -96,7 +132,7 @@
         }
         let outcome = watch::Sender::new(None);
         slots.slots.insert(key.clone(), CallSlot { fingerprint, outcome, bytes: 0, keep_until });
-        CallEntry::New
+        CallEntry::New(CallRun::new(key.clone()))
     }
 
     /// The outcome of a key that runs or ran here; `None` if the key is not known.
@@ -110,22 +146,24 @@
         Some(if slot.fingerprint == fingerprint { Ok(slot.outcome.subscribe()) } else { Err(()) })
     }
 
-    /// Keeps the outcome of a dispatched run for repeats.
-    pub fn settle(&self, key: &CallKey, outcome: CallOutcome) {
+    /// Tells those who wait the outcome of a run. It is kept for repeats if the call may have run;
+    /// else the key is forgotten, and may be run here anew.
+    pub fn settle(&self, run: CallRun, outcome: CallOutcome) {
+        if run.may_have_run() {
+            return self.keep(&run.key, outcome);
+        }
         let mut slots = locked(&self.slots);
-        let bytes = outcome_bytes(&outcome);
-        slots.bytes += bytes;
-        if let Some(slot) = slots.slots.get_mut(key) {
-            slot.bytes = bytes;
+        if let Some(slot) = slots.slots.remove(&run.key) {
             slot.outcome.send_replace(Some(outcome));
         }
     }
 
-    /// Tells those who wait the outcome and forgets the key: nothing was sent, or the run is
-    /// another daemon's.
-    pub fn settle_and_forget(&self, key: &CallKey, outcome: CallOutcome) {
+    fn keep(&self, key: &CallKey, outcome: CallOutcome) {
         let mut slots = locked(&self.slots);
-        if let Some(slot) = slots.slots.remove(key) {
+        let bytes = outcome_bytes(&outcome);
+        slots.bytes += bytes;
+        if let Some(slot) = slots.slots.get_mut(key) {
+            slot.bytes = bytes;
             slot.outcome.send_replace(Some(outcome));
         }
     }
@@ -138,8 +176,8 @@
         outcome: CallOutcome,
         keep_until: Deadline,
     ) {
-        if matches!(self.enter(&key, fingerprint, keep_until), CallEntry::New) {
-            self.settle(&key, outcome);
+        if matches!(self.enter(&key, fingerprint, keep_until), CallEntry::New(_)) {
+            self.keep(&key, outcome);
         }
     }
 
--- a/crates/guava-daemon/src/completion.rs
+++ b/crates/guava-daemon/src/completion.rs
@@ -16,7 +16,7 @@
 use crate::run_feed::{FeedError, FeedStep, RunFeed};
 use crate::work_gauge::WorkGuard;
 use guava_log::log_event;
-use guava_outside::{CompletionOrder, HttpError, Usage};
+use guava_outside::{AttemptLedger, CompletionOrder, HttpError, SendError, SendPermit, Usage};
 use guava_policy::{AdmitDecision, ReplyChunk, RetryAfter};
 use guava_state::ModelSpec;
 use guava_types::{
@@ -226,9 +226,9 @@
 enum TryEnd {
     Started(Box<StartedTry>),
     /// Nothing ran there.
-    Refused(String),
+    Refused(SendPermit, String),
     /// Nothing ran there: it has another version than was believed, which is known now.
-    OtherVersion(String),
+    OtherVersion(SendPermit, String),
     /// It may have run there.
     Lost(String),
 }
@@ -262,39 +262,30 @@
     caller: &CallerInfo,
     request: &CompletionRequest,
     choice: &EngineChoice,
+    permit: SendPermit,
     may_move_on: bool,
 ) -> TryEnd {
     let upstream = &choice.client.upstream;
     // Looked up again just before the send: a word may have come since the choice.
     if !pass(context, upstream) {
-        return TryEnd::Refused("engine may get nothing any more".into());
+        return TryEnd::Refused(permit, "engine may get nothing any more".into());
     }
     let sent = Moment::now();
     let hold = LoadHold::new(context, choice);
     let head = Deadline::in_millis(HEAD_MS).earlier(caller.deadline);
     let order = order_of(caller, request, choice);
-    let stream = match choice.client.complete(&order, head).await {
+    log_event!(
+        info,
+        events::COMPLETION_SENT,
+        request = caller.request,
+        daemon = context.me,
+        upstream = upstream,
+        permit = "repeatable",
+        run = permit.run()
+    );
+    let stream = match choice.client.complete(permit, &order, head).await {
         Ok(stream) => stream,
-        Err(HttpError::Refused { status, text, announcements, loaded }) => {
-            note_announcements(context, upstream, &announcements, sent);
-            let reason = format!("answered {status}: {text}");
-            let mut reports = locked(&context.reports);
-            if let Some(loaded) = loaded {
-                reports.note_loaded(upstream, &request.model, loaded);
-                return TryEnd::OtherVersion(reason);
-            }
-            reports.forget_loaded(upstream);
-            return TryEnd::Refused(reason);
-        }
-        Err(error) => {
-            locked(&context.loads).failed(upstream, Moment::now());
-            if let (HttpError::Broken { .. }, Some(digest)) = (&error, caller.digest) {
-                note_interrupted(context, upstream, digest);
-            }
-            let text = error.to_string();
-            let lost = error.may_have_run();
-            return if lost { TryEnd::Lost(text) } else { TryEnd::Refused(text) };
-        }
+        Err(failed) => return not_started(context, caller, request, choice, sent, failed),
     };
     note_announcements(context, upstream, &stream.announcements, sent);
     let client = choice.client.clone();
@@ -323,6 +314,44 @@
     }
 }
 
+/// What a try that brought no stream says of the engine, and whether a run may have started.
+fn not_started(
+    context: &Arc<DaemonContext>,
+    caller: &CallerInfo,
+    request: &CompletionRequest,
+    choice: &EngineChoice,
+    sent: Moment,
+    failed: SendError,
+) -> TryEnd {
+    let upstream = &choice.client.upstream;
+    let SendError { error, unused } = failed;
+    let reason = error.to_string();
+    let has_other_version = match error {
+        HttpError::Refused { announcements, loaded, .. } => {
+            note_announcements(context, upstream, &announcements, sent);
+            let mut reports = locked(&context.reports);
+            let has_other_version = loaded.is_some();
+            match loaded {
+                Some(loaded) => reports.note_loaded(upstream, &request.model, loaded),
+                None => reports.forget_loaded(upstream),
+            }
+            has_other_version
+        }
+        error => {
+            locked(&context.loads).failed(upstream, Moment::now());
+            if let (HttpError::Broken { .. }, Some(digest)) = (&error, caller.digest) {
+                note_interrupted(context, upstream, digest);
+            }
+            false
+        }
+    };
+    match unused {
+        Some(permit) if has_other_version => TryEnd::OtherVersion(permit, reason),
+        Some(permit) => TryEnd::Refused(permit, reason),
+        None => TryEnd::Lost(reason),
+    }
+}
+
 /// Starts a completion: the error is its final outcome.
 pub async fn start_completion(
     context: &Arc<DaemonContext>,
@@ -388,12 +417,12 @@
     model: &ModelSpec,
 ) -> Result<(EngineChoice, Box<StartedTry>), CallOutcome> {
     let mut tried: Vec<UpstreamId> = Vec::new();
-    let mut may_have_run = false;
+    let mut ledger = AttemptLedger::new(MAX_ATTEMPTS);
     let mut last = String::from("no engine has the model loaded");
     let mut others = 0;
     while tried.len() < MAX_ATTEMPTS {
         if let Err(refusal) = check_stopped(context, caller) {
-            return Err(if may_have_run { CallOutcome::failed(last) } else { refusal });
+            return Err(if ledger.may_have_run() { CallOutcome::failed(last) } else { refusal });
         }
         let work = PromptWork {
             request: &caller.request,
@@ -403,22 +432,27 @@
             tried: &tried,
         };
         let Some(choice) = choose_engine(context, model, &work).await else { break };
+        let Some(permit) = ledger.permit() else { break };
         let may_move_on = choice.others > 0 && tried.len() + 1 < MAX_ATTEMPTS;
-        let end = try_engine(context, caller, request, &choice, may_move_on).await;
+        let end = try_engine(context, caller, request, &choice, permit, may_move_on).await;
         let reason = match end {
             TryEnd::Started(started) => return Ok((choice, started)),
-            TryEnd::Refused(reason) => reason,
+            TryEnd::Refused(permit, reason) => {
+                ledger.take_back(permit);
+                reason
+            }
             // It can be asked again, for the version that it has.
-            TryEnd::OtherVersion(reason) if others < MAX_ATTEMPTS => {
+            TryEnd::OtherVersion(permit, reason) if others < MAX_ATTEMPTS => {
+                ledger.take_back(permit);
                 others += 1;
                 last = reason;
                 continue;
             }
-            TryEnd::OtherVersion(reason) => reason,
-            TryEnd::Lost(reason) => {
-                may_have_run = true;
+            TryEnd::OtherVersion(permit, reason) => {
+                ledger.take_back(permit);
                 reason
             }
+            TryEnd::Lost(reason) => reason,
         };
         let upstream = choice.client.upstream;
         log_event!(
@@ -434,7 +468,7 @@
             break;
         }
     }
-    if may_have_run {
+    if ledger.may_have_run() {
         return Err(CallOutcome::failed(last));
     }
     let after_ms = engines_reopen_in_ms(context, &request.model).unwrap_or(COME_BACK_MS);
--- a/crates/guava-daemon/src/events.rs
+++ b/crates/guava-daemon/src/events.rs
@@ -28,6 +28,7 @@
     RESUMED "G4004" "stream read on over a new connection";
     COMPLETED "G4005" "completion finished";
     INCOMPLETE "G4006" "completion ended incomplete";
+    COMPLETION_SENT "G4007" "completion sent to an engine";
     CALL_DISPATCHED "G4101" "service call dispatched";
     CALL_ATTACHED "G4102" "repeat of a key joined its run";
     CALL_GIVEN_UP "G4103" "intent given up before dispatch";
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod front;
 mod gossip_codec;
 mod gossip_task;
+mod key_hold;
 mod keyed_call;
 mod leaving_table;
 mod listener;
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -17,7 +17,7 @@
 use axum::extract::{Path, Request, State};
 use axum::http::Response;
 use guava_log::log_event;
-use guava_outside::{HttpError, ServiceCall, ServiceClient};
+use guava_outside::{AttemptLedger, HttpError, ServiceCall, ServiceClient};
 use guava_types::{CallKey, CallerKey, Moment, ServiceName};
 use std::sync::Arc;
 
@@ -121,11 +121,11 @@
     let digest = call_digest(&caller.customer, service, &call.path, &call.body);
     locked(&context.retries).earn();
     let mut instances = open_instances(context, service);
-    let mut may_have_run = false;
+    let mut ledger = AttemptLedger::new(SERVICE_TRIES);
     let mut last = String::from("no instance of the service takes work");
     for attempt in 0..SERVICE_TRIES {
         if let Some(refusal) = stop_refusal(context, digest) {
-            if may_have_run {
+            if ledger.may_have_run() {
                 break;
             }
             return CallOutcome::refused(caller.attempt, refusal);
@@ -138,6 +138,7 @@
         if !pass(context, &upstream) {
             continue;
         }
+        let Some(permit) = ledger.permit() else { break };
         log_event!(
             info,
             events::CALL_DISPATCHED,
@@ -147,10 +148,12 @@
             service = service,
             choice = upstream,
             others = instances.len(),
+            permit = "repeatable",
+            run = permit.run(),
             reason = "random",
         );
         let sent = Moment::now();
-        match (ServiceClient { address }).call(&call, caller.deadline).await {
+        match (ServiceClient { address }).call(permit, &call, caller.deadline).await {
             Ok(answer) => {
                 note_announcements(context, &upstream, &answer.announcements, sent);
                 note_answer(context, digest);
@@ -160,16 +163,16 @@
                     body: answer.body,
                 };
             }
-            Err(error) => {
-                if let HttpError::Broken { .. } = error {
+            Err(failed) => {
+                if let HttpError::Broken { .. } = failed.error {
                     note_interrupted(context, &upstream, digest);
                 }
-                may_have_run |= error.may_have_run();
-                last = error.to_string();
+                last = failed.error.to_string();
+                failed.unused.into_iter().for_each(|permit| ledger.take_back(permit));
             }
         }
     }
-    if may_have_run {
+    if ledger.may_have_run() {
         return CallOutcome::failed(last);
     }
     let after_ms = come_back_ms(context, service);
--- a/crates/guava-outside/src/engine.rs
+++ b/crates/guava-outside/src/engine.rs
@@ -1,6 +1,7 @@
 //! Model engines: completions, cancel and resume, KV export and import, cache events, load
 //! reports, orders.
 
+use crate::attempt_ledger::{SendError, SendPermit};
 use crate::http_link::{self, HttpError};
 use bytes::BytesMut;
 use guava_policy::UpstreamAnnouncements;
@@ -259,14 +260,19 @@
         Ok(EngineStream { run, announcements, body: response.into_body(), buffer: BytesMut::new() })
     }
 
-    /// Starts a run.
+    /// Starts a run. An error without the permission says that it may have started.
     pub async fn complete(
         &self,
+        permit: SendPermit,
         order: &CompletionOrder,
         deadline: Deadline,
-    ) -> Result<EngineStream, HttpError> {
-        let body = serde_json::to_vec(order).context(http_link::SyntaxSnafu)?;
-        self.stream(Method::POST, "/v1/completions", body, deadline).await
+    ) -> Result<EngineStream, SendError> {
+        let body = match serde_json::to_vec(order).context(http_link::SyntaxSnafu) {
+            Ok(body) => body,
+            Err(error) => return Err(SendError { error, unused: Some(permit) }),
+        };
+        let stream = self.stream(Method::POST, "/v1/completions", body, deadline).await;
+        stream.map_err(|error| SendError::of_refusing(error, permit))
     }
 
     /// Continues reading a run from a position, over a new connection.
--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -93,6 +93,11 @@
     pub fn may_have_run(&self) -> bool {
         !matches!(self, Self::Connect { .. } | Self::Malformed { .. })
     }
+
+    /// Whether the server answered that it does not take the request.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Refused { .. })
+    }
 }
 
 static SOURCE_ADDRESS: OnceLock<IpAddr> = OnceLock::new();
--- a/crates/guava-outside/src/lib.rs
+++ b/crates/guava-outside/src/lib.rs
@@ -5,6 +5,7 @@
 //! code that makes decisions. All clients use HTTP/1.1 with a new connection for each request: by
 //! the requirements, open connections can go silent permanently while new ones work.
 
+mod attempt_ledger;
 mod engine;
 mod http_link;
 mod kv_store;
@@ -13,6 +14,7 @@
 mod vm_list;
 mod weight_store;
 
+pub use attempt_ledger::{AttemptLedger, SendError, SendPermit};
 pub use engine::{
     CacheEvent, CacheEvents, CompletionOrder, EngineClient, EngineEvent, EngineReport,
     EngineStream, ExportOrder, ExportReceipt, ImportOrder, LoadOrder, OrderAnswer, RUN_HEADER,
--- a/crates/guava-outside/src/plain_service.rs
+++ b/crates/guava-outside/src/plain_service.rs
@@ -1,5 +1,6 @@
 //! Client of plain services: upstreams that are not engines.
 
+use crate::attempt_ledger::{SendError, SendPermit};
 use crate::http_link::{self, HttpError};
 use bytes::Bytes;
 use guava_policy::UpstreamAnnouncements;
@@ -49,9 +50,18 @@
 }
 
 impl ServiceClient {
-    /// Makes one call, sent at most once. After an error, `HttpError::may_have_run` tells whether
-    /// the call may have run.
+    /// Makes one call, sent at most once. An error without the permission says that the call may
+    /// have run.
     pub async fn call(
+        &self,
+        permit: SendPermit,
+        call: &ServiceCall,
+        deadline: Deadline,
+    ) -> Result<ServiceAnswer, SendError> {
+        self.exchange(call, deadline).await.map_err(|error| SendError::new(error, permit))
+    }
+
+    async fn exchange(
         &self,
         call: &ServiceCall,
         deadline: Deadline,
--- a/crates/guava-standins/src/baseline.rs
+++ b/crates/guava-standins/src/baseline.rs
@@ -2,7 +2,7 @@
 
 use crate::engine_server::block_hashes;
 use guava_outside::{
-    CompletionOrder, EngineClient, EngineReport, EngineStream, HttpError, get_json,
+    AttemptLedger, CompletionOrder, EngineClient, EngineReport, EngineStream, HttpError, get_json,
 };
 use guava_types::{Deadline, Moment};
 use rand::{RngExt, SeedableRng};
@@ -108,7 +108,9 @@
             import: None,
             parameters: serde_json::Map::new(),
         };
-        client.complete(&order, deadline).await
+        // A ledger for one run has its permission at hand.
+        let permit = AttemptLedger::new(1).permit().ok_or(HttpError::TooLarge { limit: 0 })?;
+        client.complete(permit, &order, deadline).await.map_err(|failed| failed.error)
     }
 }
 
