fix: an error of an engine is not told as "not run"

A completion that an engine had begun and answered with 500 was refused as "not-run" to a first attempt, and not counted as a run: any answer other than success was taken for a refusal. Found by reading; no report of it.

Only 4xx and 503, by which an engine says that it does not take the request, return the permission. After any other status the completion may have run, and its outcome is "failed" if no other engine serves it.

Without it completion_that_failed_in_the_engine_keeps_its_permission prints: SendError { error: Refused { status: 500, .. }, unused: Some(SendPermit { run: 1 }) }. A whole daemon before an engine that answers 500 was not played: the stand-in has no such fault.

--- a/crates/guava-outside/src/http_link.rs
+++ b/crates/guava-outside/src/http_link.rs
@@ -94,9 +94,15 @@
         !matches!(self, Self::Connect { .. } | Self::Malformed { .. })
     }
 
-    /// Whether the server answered that it does not take the request.
+    /// Whether the server answered that it does not take the request. An error of its own, such as
+    /// 500, may come after it began.
     pub fn is_refusal(&self) -> bool {
-        matches!(self, Self::Refused { .. })
+        match self {
+            Self::Refused { status, .. } => {
+                status.is_client_error() || *status == StatusCode::SERVICE_UNAVAILABLE
+            }
+            _ => false,
+        }
     }
 }
 
--- a/crates/guava-outside/tests/attempt_ledger.rs
+++ b/crates/guava-outside/tests/attempt_ledger.rs
@@ -113,9 +113,11 @@
 }
 
 #[tokio::test(flavor = "current_thread")]
-async fn completion_whose_connection_broke_keeps_its_permission() {
+async fn completion_that_failed_in_the_engine_keeps_its_permission() {
     // Guards against "not run" for a completion that an engine had begun.
-    let failed = complete(server("")).await;
+    for answer in ["HTTP/1.1 500 Failed\r\n\r\n", "HTTP/1.1 504 Late\r\n\r\n", ""] {
+        let failed = complete(server(answer)).await;
 
-    assert!(failed.unused.is_none(), "{failed:?}");
+        assert!(failed.unused.is_none(), "{failed:?}");
+    }
 }
