feat: the line of a take-up tells the span that was looked at

It has the span in which the stream can have begun, for how long the list has been followed without a gap, and the versions that count.

--- a/crates/guava-serve/src/request/stream_search.rs
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -47,6 +47,8 @@
         },
     };
     context.metrics.count_resumption(source);
+    let now = Moment::now();
+    let since = begun_since(request);
     log_event!(
         info,
         events::TAKEN_UP,
@@ -55,12 +57,30 @@
         after = request.resume_after.as_deref().unwrap_or("the beginning"),
         source = source,
         software = scope.software().map_or("unknown", SoftwareVersion::as_str),
-        asked_ms = Moment::now().millis_since(asked),
-        left_ms = request.deadline.millis_left(Moment::now())
+        asked_ms = now.millis_since(asked),
+        looked_back_ms = request.arrived.millis_since(since),
+        followed_ms = followed_text(context, now),
+        versions = version_list(context, request, since),
+        left_ms = request.deadline.millis_left(now)
     );
     scope
 }
 
+/// For how long the list has been followed without a gap, as a log value.
+fn followed_text(context: &ServeContext, now: Moment) -> Box<str> {
+    let since = context.upstreams.borrow().census().followed_since();
+    since.map_or("unknown".into(), |since| now.millis_since(since).to_string().into())
+}
+
+/// Software versions that can have begun the stream, as a log value.
+fn version_list(context: &ServeContext, request: &AcceptedRequest, since: Moment) -> String {
+    let [(service, _)] = &request.route.services[..] else { return String::new() };
+    let upstreams = context.upstreams.borrow();
+    let names = upstreams.census().present(service, since);
+    let names = names.map(|software| software.map_or("unknown", SoftwareVersion::as_str));
+    names.collect::<Vec<_>>().join(" ")
+}
+
 /// Where a stream began if all upstreams that can have begun it have one version.
 async fn only_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
     let known = known_origin(context, request)?;
@@ -75,12 +95,17 @@
 /// The same by the list as it is known now.
 fn known_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
     let [(service, _)] = &request.route.services[..] else { return None };
+    let since = begun_since(request);
+    let upstreams = context.upstreams.borrow();
+    let software = upstreams.census().only_version(service, since, Moment::now())?.clone();
+    Some(StreamOrigin { service: service.clone(), software })
+}
+
+/// The earliest moment at which the stream can have begun.
+fn begun_since(request: &AcceptedRequest) -> Moment {
     let longest_ms = request.route.time_limit_ms.saturating_add(CALLER_TIME_SLACK_MS);
     // What the caller has left has not passed since the stream began.
     let left_ms = request.caller_deadline.millis_left(request.arrived);
     let begun_ms = longest_ms.checked_sub(left_ms).unwrap_or(LONGEST_CALLER_MS);
-    let since = request.arrived.minus_millis(begun_ms);
-    let upstreams = context.upstreams.borrow();
-    let software = upstreams.census().only_version(service, since, Moment::now())?.clone();
-    Some(StreamOrigin { service: service.clone(), software })
+    request.arrived.minus_millis(begun_ms)
 }
--- a/crates/guava-serve/src/upstreams/software_census.rs
+++ b/crates/guava-serve/src/upstreams/software_census.rs
@@ -90,9 +90,24 @@
         if !is_checked || self.followed_since.is_none_or(|followed| followed > since) {
             return None;
         }
-        let presences = self.services.get(service)?.iter();
-        let mut present = presences.filter(|it| it.gone.is_none_or(|gone| gone >= since));
+        let mut present = self.present(service, since);
         let only = present.next()?;
-        present.next().is_none().then_some(only.software.as_ref()).flatten()
+        present.next().is_none().then_some(only).flatten()
+    }
+
+    /// Since when the list has been followed without a gap; `None` during one.
+    pub fn followed_since(&self) -> Option<Moment> {
+        self.followed_since
+    }
+
+    /// Versions of a service that count since a moment; `None` for upstreams that don't state theirs.
+    pub fn present(
+        &self,
+        service: &ServiceName,
+        since: Moment,
+    ) -> impl Iterator<Item = Option<&SoftwareVersion>> {
+        let presences = self.services.get(service).into_iter().flatten();
+        let counts = move |it: &&VersionPresence| it.gone.is_none_or(|gone| gone >= since);
+        presences.filter(counts).map(|it| it.software.as_ref())
     }
 }
