test: streams of a version that left while all daemons were lost

Callers that give each attempt its full time get streams joined of two software versions after the loss of all daemons.

--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -707,6 +707,25 @@
     assert_eq!(result, if goes_on { rest } else { CallerResult::NotRun });
 }
 
+#[parameterized(
+    unnamed = { None },
+    named = { Some("other") },
+)]
+fn daemon_that_came_back_does_not_vouch_for_what_was_listed_before(attempt: Option<&str>) {
+    // Guards against a stream that is joined after the loss of all daemons, while a version leaves.
+    for followed_ms in [1_000, 2_000, 10_000, 30_000] {
+        let engines = engines(1);
+        let context = daemon(&[(&engines[0], "v2")]);
+        context.reads.borrow_mut().list.note_own(1, Moment::now());
+        follow_back(&context, followed_ms, 0);
+        let caller_deadline = Deadline::in_millis(2_000);
+
+        let result = serve(&context, AcceptedRequest { caller_deadline, ..taking_up(attempt) });
+
+        assert_eq!(result, CallerResult::NotRun, "after {followed_ms} ms");
+    }
+}
+
 #[test]
 fn search_for_a_stream_ends_with_the_time_of_its_request() {
     // Guards against requests that are unanswered past their time limit.
--- a/crates/guavatiller/tests/stream_versions.rs
+++ b/crates/guavatiller/tests/stream_versions.rs
@@ -24,6 +24,10 @@
 const FIRST_EVENT: &str = "1";
 /// Time that callers state.
 const CALLER_TIMEOUT_MS: u64 = 10_000;
+/// Time of an attempt of callers that give each one as much as the route allows.
+const FULL_TIME_MS: u64 = 2_000;
+/// When callers take their streams up after the loss of all daemons, in milliseconds.
+const TAKEN_UP_MS: [u64; 7] = [250, 500, 1_000, 1_500, 2_500, 5_000, 10_000];
 /// Requests sent so far, for their ids.
 static SENT: AtomicUsize = AtomicUsize::new(0);
 
@@ -77,6 +81,31 @@
         self.deployment.servers[engine].software()
     }
 
+    /// Kills all daemons, changes what is listed, and starts them again.
+    fn lose_all(&mut self, change: impl Fn(&PlatformDeployment)) {
+        self.daemons.iter().for_each(|daemon| daemon.signal(Signal::KILL));
+        change(&self.deployment);
+        self.daemons.iter_mut().for_each(|daemon| daemon.restart().unwrap());
+        self.daemons.iter().for_each(wait_until_it_serves);
+    }
+
+    /// Takes a stream up with as much time as the route allows, without naming its attempt or not; the
+    /// software version at which it goes on.
+    fn take_up_in_full_time(
+        &self,
+        stream: &BegunStream,
+        daemon: usize,
+        is_named: bool,
+    ) -> Option<String> {
+        let draft = draft_within(FULL_TIME_MS, &next_id());
+        let mut request = taking_up(&draft, &stream.id, FIRST_EVENT);
+        if !is_named {
+            request = request.replacen(&format!("Resumes: {}\r\n", stream.id), "", 1);
+        }
+        let answer = send(self.daemons[daemon].callers, &request)?;
+        (answer.status == 200).then(|| self.software_of(&answer))
+    }
+
     /// Takes a stream up at a daemon; what comes of it, and after how long.
     fn take_up(&self, stream: &BegunStream, daemon: usize) -> (Option<PlainAnswer>, Duration) {
         let request = taking_up(&draft(&next_id()), &stream.id, FIRST_EVENT);
@@ -128,8 +157,12 @@
 
 /// A request whose prompt shares no part with others, so that any engine may get it.
 fn draft(id: &str) -> String {
+    draft_within(CALLER_TIMEOUT_MS, id)
+}
+
+fn draft_within(time_ms: u64, id: &str) -> String {
     let parts = format!("{:x}:80,bb:20", SENT.fetch_add(1, Ordering::Relaxed));
-    request_of_parts(&parts, CALLER_TIMEOUT_MS, "POST", "/draft/2f", id, ServiceNames::KEY, id)
+    request_of_parts(&parts, time_ms, "POST", "/draft/2f", id, ServiceNames::KEY, id)
 }
 
 fn wait_until_it_serves(daemon: &DaemonProcess) {
@@ -196,6 +229,31 @@
     number_and_stream.for_each(|(number, stream)| fleet.assert_refused(stream, number % 5));
 }
 
+#[test]
+fn stream_of_a_version_that_left_while_all_daemons_were_lost_is_not_joined() {
+    // Guards against daemons that come back and take what they list for all that there was.
+    let mut fleet = Fleet::start(&[("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")]);
+    let streams: Vec<BegunStream> = (0..STREAMS).map(|number| fleet.begin(number % 5)).collect();
+    assert!(streams.iter().any(|stream| stream.software == "v1"));
+    fleet.lose_all(|deployment| ["a0", "a1"].iter().for_each(|id| deployment.unlist(id)));
+    let back = Instant::now();
+
+    let mut joined = Vec::new();
+    for after in TAKEN_UP_MS {
+        sleep((back + Duration::from_millis(after)).saturating_duration_since(Instant::now()));
+        for (number, stream) in streams.iter().enumerate() {
+            for is_named in [true, false] {
+                let at = fleet.take_up_in_full_time(stream, number % 5, is_named);
+                if at.is_some_and(|software| software != stream.software) {
+                    joined.push((after, is_named));
+                }
+            }
+        }
+    }
+
+    assert_eq!(joined, Vec::new());
+}
+
 #[test]
 fn stream_whose_software_version_has_left_is_refused_at_once() {
     // Guards against a stream that goes on at the version that replaced its own, or waits for it.
