fix: streams of a version that left while all daemons were lost

Callers saw streams joined of two software versions: all daemons were killed, the servers of a version left meanwhile, and the daemons that came back went on with its streams at the version that they listed.

Cause: the time in which a stream can have begun was worked out from what its caller's attempt had left. A caller that gives each attempt its full time made the census look back one second. Whatever a caller tells of its time says nothing of when its stream began.

A version now counts until 60 s after its last upstream left, for as long as callers take streams up. Daemons that have just started can't know what left before, and peers neither after the loss of all. So versions at which streams may have begun are recorded in the store (`keyed.software`), before the first stream begins there, and removed by the reader once their streams can't be taken up. A daemon vouches for one version only if it has read the records since it follows the list without a gap, or has followed that for 60 s. A version whose record the store does not take is used after 3 s, with a warning. A removal holds only if the log ends where it was just read, as calls may be carried out late.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -28,6 +28,9 @@
     SHARED_SEND "G8023" "a request was sent under this daemon's share of an upstream";
     TAKEN_UP "G8024" "a caller takes up a stream that another attempt began";
     STREAM_BEGUN "G8025" "a stream began, other daemons are told where";
+    VERSION_RECORD "G8026" "the record of a software version was written or removed";
+    VERSION_UNRECORDED "G8027" "streams begin at a software version that has no record";
+    VERSIONS_UNAVAILABLE "G8028" "records of software versions can't be read or written";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -85,7 +85,7 @@
 };
 pub use ports::{
     EnginePort, EngineReport, FreeOrder, LeasePort, LeaseUpdate, LoadOrder, PartList, PartPort,
-    PartReport, PortError, PortFuture, QuarantinePort,
+    PartReport, PortError, PortFuture, QuarantinePort, VersionPort,
 };
 pub use request::accepted_request::{AcceptedRequest, PromptPart, PromptShape, RequestHead};
 pub use request::admit::{AdmitRefusal, AdmittedCaller, HeldBytes, admit};
@@ -133,13 +133,15 @@
 pub use upstreams::quarantine_task::{is_read_due, persist_quarantines};
 pub use upstreams::reach_task::watch_reach;
 pub use upstreams::service_rings::RingPosition;
-pub use upstreams::software_census::SoftwareCensus;
+pub use upstreams::software_census::{LONGEST_TAKE_UP_MS, MAX_HOLD_MS, SoftwareCensus};
 pub use upstreams::stored_quarantines::{StoredQuarantines, StoredUpdate};
 pub use upstreams::upstream_call::{call_store, call_upstream};
 pub use upstreams::upstream_crashes::{note_request_answered, note_upstream_crash};
 pub use upstreams::upstream_table::{
     ListChangeEffect, MAX_CANDIDATES, UpstreamEntry, UpstreamTable, WeightVersion,
 };
+pub use upstreams::version_record::{VersionLog, VersionRecord};
+pub use upstreams::version_record_task::persist_versions;
 pub use upstreams::work_table::{ExpectedLoad, WorkShare, WorkTable, WorkTicket};
 pub use weights::order_task::OrderTask;
 pub use weights::rollout_state::{VersionRollout, is_salt_unreferenced};
--- a/crates/guava-serve/src/ports.rs
+++ b/crates/guava-serve/src/ports.rs
@@ -7,6 +7,7 @@
 use crate::parts::partial_saves::PartialPart;
 use crate::upstreams::quarantine_record::{QuarantineLog, QuarantineRecord};
 use crate::upstreams::upstream_table::WeightVersion;
+use crate::upstreams::version_record::{VersionLog, VersionRecord};
 use futures_util::future::LocalBoxFuture;
 use guava_state::LeaseEntry;
 use guava_types::{FastMap, ModelName, RequestDigest, UpstreamId};
@@ -152,3 +153,14 @@
     /// Removes the record of a request.
     pub remove: Rc<dyn Fn(RequestDigest) -> PortFuture<()>>,
 }
+
+/// Storage of the software versions at which streams may have begun; it survives the exit of all daemons.
+pub struct VersionPort {
+    /// Reads all records.
+    pub read: Rc<dyn Fn() -> PortFuture<VersionLog>>,
+    /// Writes one record; writing it again has no effect.
+    pub write: Rc<dyn Fn(VersionRecord) -> PortFuture<()>>,
+    /// Removes one record if the log still ends there. A call that is carried out late must not remove
+    /// a record that was written since. Success does not tell whether it was removed.
+    pub remove: Rc<dyn Fn(VersionRecord, u64) -> PortFuture<()>>,
+}
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -27,3 +27,4 @@
 pub(crate) mod service_choice;
 pub(crate) mod stream_scope;
 pub(crate) mod stream_search;
+pub(crate) mod version_hold;
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -15,6 +15,7 @@
 use crate::request::send_gate::{gate_state, with_gate_input};
 use crate::request::service_choice::{InstanceChoice, ServiceInput, choose_instance};
 use crate::request::stream_scope::StreamScope;
+use crate::request::version_hold::held_versions;
 use crate::serve_config::{EngineTraits, RouteRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_table::UpstreamEntry;
@@ -268,8 +269,11 @@
         return None;
     }
     let rule = input.config.service(input.service)?;
+    let held = held_versions(input.context, input.request, input.service, now);
     with_gate_input(input.context, rule, |gate| {
-        choose(&|entry: &UpstreamEntry| !gate_state(gate, entry, now).is_open())
+        choose(&|entry: &UpstreamEntry| {
+            held.contains(&entry.software) || !gate_state(gate, entry, now).is_open()
+        })
     })
 }
 
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -17,6 +17,7 @@
 };
 use crate::request::stream_scope::StreamScope;
 use crate::request::stream_search::find_scope;
+use crate::request::version_hold::await_recorded;
 use crate::serve_config::{RepeatRule, ServeConfig};
 use crate::serve_context::ServeContext;
 use crate::upstreams::upstream_crashes::quarantined_until;
@@ -119,6 +120,7 @@
             if !self.reserve_turned_away_retry().await {
                 return unanswered(fallback, false);
             }
+            await_recorded(&self.context, &self.request, &self.service).await;
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => {
@@ -209,8 +211,10 @@
     /// Notes which upstream the first event of the answer is from, before the caller gets it: the rest
     /// of the stream may come only from others of its software version, also if it is taken up.
     pub fn note_begun(&mut self, source: &StreamSource) {
-        let route = &self.request.route;
-        if route.repeat != RepeatRule::ResumableStream || self.record.scope != StreamScope::Any {
+        if self.request.route.repeat != RepeatRule::ResumableStream {
+            return;
+        }
+        if self.record.scope != StreamScope::Any {
             return;
         }
         let Some(software) = source.software.clone() else {
@@ -219,11 +223,7 @@
         };
         let origin = StreamOrigin { service: self.service.clone(), software };
         self.record.scope = StreamScope::Only(origin.clone());
-        let now = Moment::now();
-        let until = Deadline::after(self.request.caller_deadline.0, TAKE_UP_SLACK_MS);
-        let stream = self.request.stream_key(&self.request.id);
-        let notice = OriginNotice { stream, origin: origin.clone(), until };
-        let homes = note_origin(&self.context, notice, now);
+        let homes = self.tell_origin(&self.request.id, origin.clone());
         log_event!(
             info,
             events::STREAM_BEGUN,
@@ -235,6 +235,13 @@
         );
     }
 
+    /// Tells other daemons where the stream that an attempt began comes from; returns which.
+    fn tell_origin(&self, attempt: &str, origin: StreamOrigin) -> Vec<SocketAddr> {
+        let until = Deadline::after(self.request.caller_deadline.0, TAKE_UP_SLACK_MS);
+        let stream = self.request.stream_key(attempt);
+        note_origin(&self.context, OriginNotice { stream, origin, until }, Moment::now())
+    }
+
     /// Forwards the request to a peer daemon, if this one does not reach upstreams; `None` if it is
     /// to be sent from here.
     async fn forward(
--- a/crates/guava-serve/src/request/stream_search.rs
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -2,7 +2,8 @@
 //!
 //! The daemon that began the stream, or one that it told, knows where. If none does, or the caller does
 //! not name the attempt that began it, the stream can go on only if all upstreams that can have begun
-//! it have one software version.
+//! it have one software version. What its caller has left of its time tells nothing of when it began,
+//! as callers may give each attempt its full time.
 
 use crate::events;
 use crate::members::origin_search::{OriginSearch, find_origin};
@@ -11,16 +12,11 @@
 use crate::request::refusal_reason::RefusalReason;
 use crate::request::stream_scope::StreamScope;
 use crate::serve_context::ServeContext;
+use crate::upstreams::software_census::LONGEST_TAKE_UP_MS;
 use guava_log::log_event;
 use guava_policy::StreamOrigin;
 use guava_types::{Moment, SoftwareVersion};
 
-/// By how much a caller's time for all attempts at one stream may exceed its route's time limit, in
-/// milliseconds.
-const CALLER_TIME_SLACK_MS: u64 = 1_000;
-/// Time for all attempts of a caller that has more than its route allows, in milliseconds.
-const LONGEST_CALLER_MS: u64 = 60_000;
-
 /// The upstreams that may go on with the stream that the request takes up.
 pub async fn find_scope(context: &ServeContext, request: &AcceptedRequest) -> StreamScope {
     let asked = Moment::now();
@@ -48,7 +44,10 @@
     };
     context.metrics.count_resumption(source);
     let now = Moment::now();
-    let since = begun_since(request);
+    let (followed_since, records_read) = {
+        let upstreams = context.upstreams.borrow();
+        (upstreams.census().followed_since(), upstreams.census().records_read())
+    };
     log_event!(
         info,
         events::TAKEN_UP,
@@ -58,25 +57,25 @@
         source = source,
         software = scope.software().map_or("unknown", SoftwareVersion::as_str),
         asked_ms = now.millis_since(asked),
-        looked_back_ms = request.arrived.millis_since(since),
-        followed_ms = followed_text(context, now),
-        versions = version_list(context, request, since),
+        looked_back_ms = LONGEST_TAKE_UP_MS,
+        followed_ms = age_text(followed_since, now),
+        records_ms = age_text(records_read, now),
+        versions = version_list(context, request, now),
         left_ms = request.deadline.millis_left(now)
     );
     scope
 }
 
-/// For how long the list has been followed without a gap, as a log value.
-fn followed_text(context: &ServeContext, now: Moment) -> Box<str> {
-    let since = context.upstreams.borrow().census().followed_since();
+/// Milliseconds since a moment, as a log value.
+fn age_text(since: Option<Moment>, now: Moment) -> Box<str> {
     since.map_or("unknown".into(), |since| now.millis_since(since).to_string().into())
 }
 
 /// Software versions that can have begun the stream, as a log value.
-fn version_list(context: &ServeContext, request: &AcceptedRequest, since: Moment) -> String {
+fn version_list(context: &ServeContext, request: &AcceptedRequest, now: Moment) -> String {
     let [(service, _)] = &request.route.services[..] else { return String::new() };
     let upstreams = context.upstreams.borrow();
-    let names = upstreams.census().present(service, since);
+    let names = upstreams.census().present(service, now);
     let names = names.map(|software| software.map_or("unknown", SoftwareVersion::as_str));
     names.collect::<Vec<_>>().join(" ")
 }
@@ -95,17 +94,7 @@
 /// The same by the list as it is known now.
 fn known_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
     let [(service, _)] = &request.route.services[..] else { return None };
-    let since = begun_since(request);
     let upstreams = context.upstreams.borrow();
-    let software = upstreams.census().only_version(service, since, Moment::now())?.clone();
+    let software = upstreams.census().only_version(service, Moment::now())?.clone();
     Some(StreamOrigin { service: service.clone(), software })
 }
-
-/// The earliest moment at which the stream can have begun.
-fn begun_since(request: &AcceptedRequest) -> Moment {
-    let longest_ms = request.route.time_limit_ms.saturating_add(CALLER_TIME_SLACK_MS);
-    // What the caller has left has not passed since the stream began.
-    let left_ms = request.caller_deadline.millis_left(request.arrived);
-    let begun_ms = longest_ms.checked_sub(left_ms).unwrap_or(LONGEST_CALLER_MS);
-    request.arrived.minus_millis(begun_ms)
-}
--- a/crates/guava-serve/src/serve_config.rs
+++ b/crates/guava-serve/src/serve_config.rs
@@ -232,6 +232,15 @@
         self.services.values()
     }
 
+    /// Whether streams of a service may be taken up.
+    pub fn has_resumable_streams(&self, service: &ServiceName) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| {
+            let is_resumable = route.repeat == RepeatRule::ResumableStream;
+            is_resumable && route.services.iter().any(|(name, _)| name == service)
+        })
+    }
+
     /// Whether the configuration contains a customer.
     pub fn has_customer(&self, name: &CustomerId) -> bool {
         self.customers.contains(name)
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -26,4 +26,6 @@
 pub(crate) mod upstream_call;
 pub(crate) mod upstream_crashes;
 pub(crate) mod upstream_table;
+pub(crate) mod version_record;
+pub(crate) mod version_record_task;
 pub(crate) mod work_table;
--- a/crates/guava-serve/src/upstreams/upstream_table.rs
+++ b/crates/guava-serve/src/upstreams/upstream_table.rs
@@ -205,6 +205,11 @@
         &self.census
     }
 
+    /// The same, to note what is recorded in the store.
+    pub fn census_mut(&mut self) -> &mut SoftwareCensus {
+        &mut self.census
+    }
+
     /// Notes that the list was last confirmed `age_ms` ago, or `None` if never.
     pub fn check_census(&mut self, age_ms: Option<u64>, now: Moment) {
         self.census.check(age_ms, now);
