fix: a third attempt at a stream is refused

Where a stream began was remembered until the end of the first attempt's time. A caller that gives each attempt its full time comes back with a third and fourth one after that, and got stream-unknown though its second attempt had gone on.

The daemon at which a stream is taken up and goes on tells the stream's homes again, under the same key and for its own caller's time. It tells the origin that it is bound to, so a daemon that knows the stream keeps it; one that was told two places stays with that.

stream_is_remembered_for_the_time_of_the_attempt_that_takes_it_up fails without it: left Unknown, right Known at 15 s.

--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -214,6 +214,9 @@
         if self.request.route.repeat != RepeatRule::ResumableStream {
             return;
         }
+        if let StreamScope::Only(origin) = &self.record.scope {
+            self.renew_origin(origin.clone());
+        }
         if self.record.scope != StreamScope::Any {
             return;
         }
@@ -235,6 +238,14 @@
         );
     }
 
+    /// Has where a stream that is taken up began remembered for the time of this attempt too: its caller
+    /// may give each of its attempts its full time.
+    fn renew_origin(&self, origin: StreamOrigin) {
+        if let Some(attempt) = &self.request.resumes {
+            self.tell_origin(attempt, origin);
+        }
+    }
+
     /// Tells other daemons where the stream that an attempt began comes from; returns which.
     fn tell_origin(&self, attempt: &str, origin: StreamOrigin) -> Vec<SocketAddr> {
         let until = Deadline::after(self.request.caller_deadline.0, TAKE_UP_SLACK_MS);
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -879,6 +879,37 @@
     assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
 }
 
+#[test]
+fn stream_is_remembered_for_the_time_of_the_attempt_that_takes_it_up() {
+    // Guards against a third attempt that is refused, since the first one's time is over.
+    let engines = engines(2);
+    let context = daemon(&[(&engines[0], "v1"), (&engines[1], "v2")]);
+    note_begun(&context, "first", "app", "v1");
+    let caller_deadline = Deadline::in_millis(20_000);
+
+    serve(&context, AcceptedRequest { caller_deadline, ..taking_up(Some("first")) });
+
+    let stream = stream_request().stream_key("first");
+    let later = Moment(Moment::now().0 + 15_000);
+    let known = context.origins.table.borrow().find(stream, later);
+    let app = StreamOrigin { service: "app".parse().unwrap(), ..origin("v1") };
+    assert_eq!(known, OriginRecord::Known(app));
+}
+
+#[test]
+fn stream_that_is_told_again_from_another_daemon_stays_known() {
+    // Guards against a renewal that makes a stream ambiguous at the daemons that know it.
+    let mut fleet = Fleet::of_core(8);
+    fleet.begin(0, STREAM, "v1");
+
+    (1..5).for_each(|daemon| fleet.begin(daemon, STREAM, "v1"));
+
+    for daemon in 0..8 {
+        let found = fleet.find(daemon, STREAM);
+        assert!(is_found(&found), "d{daemon}: {found:?}");
+    }
+}
+
 #[parameterized(
     unnamed = { None },
     named = { Some("other") },
