fix: the end of an upstream's connection doesn't wait for the runtime

What was seen: an upstream works on for a request that this daemon has given up (its caller left, its time is over, its attempt was abandoned or withdrawn) until the daemon's thread gets its next turn.

Cause: dropping a connection aborted the task that drives it. The task owns the socket, and an aborted task is dropped when the runtime polls it next; a thread that is short of processor time, or busy with other tasks, does that late.

The driver's handle shuts the socket down before it aborts the task, so the end is sent by the drop itself.

--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -21,6 +21,7 @@
 pub(crate) mod reach_task;
 pub(crate) mod report_watch;
 pub(crate) mod service_rings;
+pub(crate) mod socket_handle;
 pub(crate) mod software_census;
 pub(crate) mod stored_quarantines;
 pub(crate) mod upstream_call;
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -11,6 +11,7 @@
 
 use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::head_limit::{HeadLimit, LimitedStream};
+use crate::upstreams::socket_handle::SocketHandle;
 use bytes::Bytes;
 use guava_types::{Deadline, FastMap, Moment};
 use http::{Request, Response};
@@ -22,6 +23,7 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
@@ -82,13 +84,17 @@
     }
 }
 
-/// Task that drives a connection; dropping it closes the connection.
+/// Task that drives a connection; dropping it closes the connection at once.
 #[derive(Debug)]
-struct ConnectionDriver(JoinHandle<()>);
+struct ConnectionDriver {
+    task: JoinHandle<()>,
+    socket: SocketHandle,
+}
 
 impl Drop for ConnectionDriver {
     fn drop(&mut self) {
-        self.0.abort();
+        self.socket.close();
+        self.task.abort();
     }
 }
 
@@ -217,16 +223,18 @@
             Err(_) => return Err(not_sent(format!("no connection in {CONNECT_TIMEOUT_MS} ms"))),
         };
         let head_limit = HeadLimit::new(MAX_WAIT_BYTES);
+        let stream = Rc::new(RefCell::new(stream));
+        let socket = SocketHandle::new(&stream);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(LimitedStream::new(stream, head_limit.clone())))
             .await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
-        let driver = tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             // Errors are reported by the exchange on the connection.
             drop(connection.await);
         });
-        let _driver = ConnectionDriver(driver);
+        let _driver = ConnectionDriver { task, socket };
         Ok(UpstreamConnection { address, carries, is_new: true, sender, head_limit, _driver })
     }
 
--- a/crates/guava-serve/src/upstreams/head_limit.rs
+++ b/crates/guava-serve/src/upstreams/head_limit.rs
@@ -4,13 +4,13 @@
 //! final one.
 
 use crate::upstreams::answer_part::AnswerPart;
+use crate::upstreams::socket_handle::OwnedSocket;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Bytes that may still be read before the head of an answer is complete; clones share them.
 #[derive(Clone, Debug)]
@@ -48,20 +48,20 @@
 
 /// A connection whose reads fail once a head takes more bytes than its limit.
 pub struct LimitedStream {
-    stream: TcpStream,
+    socket: OwnedSocket,
     limit: HeadLimit,
 }
 
 impl LimitedStream {
     /// Puts a limit on a connection.
-    pub fn new(stream: TcpStream, limit: HeadLimit) -> Self {
-        Self { stream, limit }
+    pub fn new(socket: OwnedSocket, limit: HeadLimit) -> Self {
+        Self { socket, limit }
     }
 }
 
 impl AsyncRead for LimitedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -70,7 +70,7 @@
             return Poll::Ready(Err(error));
         }
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let polled = Pin::new(&mut *self.socket.borrow_mut()).poll_read(context, buffer);
         self.limit.note_read(buffer.filled().len() - before);
         polled
     }
@@ -78,30 +78,30 @@
 
 impl AsyncWrite for LimitedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut *self.socket.borrow_mut()).poll_write(context, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(&mut *self.socket.borrow_mut()).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.borrow().is_write_vectored()
     }
 }
--- a/crates/guava-serve/tests/support/scripted.rs
+++ b/crates/guava-serve/tests/support/scripted.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One step in answering a request.
 #[derive(Clone, Debug)]
@@ -32,6 +32,8 @@
     requests: Arc<Mutex<Vec<String>>>,
     client_closes: Arc<AtomicUsize>,
     endless_bytes: Arc<AtomicUsize>,
+    begun: Arc<Mutex<Vec<Instant>>>,
+    closed: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl ScriptedUpstream {
@@ -51,6 +53,8 @@
             requests: Arc::default(),
             client_closes: Arc::default(),
             endless_bytes: Arc::default(),
+            begun: Arc::default(),
+            closed: Arc::default(),
         };
         let shared = upstream.clone();
         spawn(move || {
@@ -78,11 +82,22 @@
         self.client_closes.load(Ordering::SeqCst)
     }
 
+    /// When each request had arrived.
+    pub fn begun(&self) -> Vec<Instant> {
+        self.begun.lock().unwrap().clone()
+    }
+
+    /// When the client closed a connection during a step `AwaitClose`.
+    pub fn closed(&self) -> Vec<Instant> {
+        self.closed.lock().unwrap().clone()
+    }
+
     fn serve(&self, mut stream: TcpStream, script: impl Fn(usize, &str) -> Vec<ScriptStep>) {
         while let Some(head) = read_request(&mut stream) {
             let number = {
                 let mut requests = self.requests.lock().unwrap();
                 requests.push(head.clone());
+                self.begun.lock().unwrap().push(Instant::now());
                 requests.len() - 1
             };
             if !self.run_script(&mut stream, &script(number, &head)) {
@@ -117,6 +132,7 @@
                     drop(stream.set_read_timeout(Some(Duration::from_secs(10))));
                     let mut byte = [0];
                     if matches!(stream.read(&mut byte), Ok(0) | Err(_)) {
+                        self.closed.lock().unwrap().push(Instant::now());
                         self.client_closes.fetch_add(1, Ordering::SeqCst);
                     }
                     return false;
