fix: a silent engine's stream is closed on time though the daemon gets no turn

What was seen: an engine that has fallen silent works on a stream for as long as the daemon's thread gets no turn, though another engine was sent the stream; the bound is 400 ms.

Cause: the retention of 300 ms was a timer of the thread that relays the stream. It fires when that thread runs, is followed by up to eight turns in which an answer that lies in a socket is looked for, and the connection then ended with one turn more.

Evidence: with the thread blocked for 700 ms right after the second engine had the stream, the first one saw the end after 700.8 ms (the test fails so without the change), now after 299 ms as G8029 logs it.

A thread of its own now closes the socket at its deadline, registered before the stream is sent to another engine. A source that was closed this way is never read again, as its end could look like the stream's. If the thread can't be had, the source is closed before the send. What a silent engine is kept for, and for how long, stays as it was.

G8029 tells which upstream was given up, and how long two had the stream.

--- a/crates/guava-serve/src/events.rs
+++ b/crates/guava-serve/src/events.rs
@@ -31,6 +31,7 @@
     VERSION_RECORD "G8026" "the record of a software version was written or removed";
     VERSION_UNRECORDED "G8027" "streams begin at a software version that has no record";
     VERSIONS_UNAVAILABLE "G8028" "records of software versions can't be read or written";
+    SOURCE_GIVEN_UP "G8029" "a silent upstream was given up, its stream was sent to another";
     LIST_CHANGED "G8101" "the list of upstreams changed";
     LIST_UNAVAILABLE "G8102" "the list of upstreams can't be read";
     LIST_AVAILABLE "G8103" "the list of upstreams can be read again";
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -17,6 +17,7 @@
 use crate::upstreams::announcement_watch::note_announcements;
 use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::bounded_body::{BodyError, HeldAnswer, read_body};
+use crate::upstreams::close_timer::PendingClose;
 use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
@@ -321,6 +322,8 @@
             return AttemptOutcome::NotSent;
         }
         let sent = Moment::now();
+        let sent_since = &self.input.record.sent_since;
+        sent_since.set(sent_since.get().or(Some(sent)));
         if let Some((model, _)) = self.expected_weights() {
             note_superseded_send(self.context, &self.request.id, self.plan, model, sent);
         }
@@ -685,6 +688,13 @@
         self.marks.is_framed
     }
 
+    /// Closes the connection at a deadline, though this thread may get no turn then; `None` if that
+    /// can't be had.
+    pub fn close_at(&self, context: &ServeContext, deadline: Deadline) -> Option<PendingClose> {
+        let socket = self.connection.socket().duplicate()?;
+        context.close_timer.close_at(socket, deadline)
+    }
+
     /// Reads until at least one more event is complete, or the stream ends or is interrupted.
     pub async fn next_step(&mut self) -> StreamStep {
         loop {
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -18,7 +18,8 @@
 use std::pin::pin;
 
 /// How long a silent source is kept while another upstream is asked to resume the stream: refusals
-/// arrive sooner, and two upstreams must not work on one stream for longer.
+/// arrive sooner, and two upstreams must not work on one stream for longer. The close timer keeps to
+/// it, whenever the thread that serves requests gets its next turn.
 const SILENT_SOURCE_RETENTION_MS: u64 = 300;
 
 /// Bytes of events that are relayed after the request's deadline: many times what a stream's upstream
@@ -194,6 +195,9 @@
             after = last_id.as_deref().unwrap_or("the beginning"),
             reason = reason
         );
+        if self.source.take().is_some() {
+            self.log_given_up(Moment::now());
+        }
         self.progress.upstream = opened.source.upstream.clone();
         self.source = Some(opened.source);
         Ok(Some(opened.first).filter(|first| !first.bytes.is_empty()))
@@ -202,14 +206,50 @@
     /// Requests the remaining events from another upstream. A silent source is dropped if that
     /// takes longer than its retention.
     async fn send_remainder(&mut self, last_id: Option<&str>) -> SendResult {
-        let mut sending = pin!(self.run.send(last_id));
-        if let Some(result) =
-            until(Deadline::in_millis(SILENT_SOURCE_RETENTION_MS), &mut sending).await
-        {
-            return result;
-        }
-        self.source = None;
-        sending.await
+        let Some(source) = self.source.take() else { return self.run.send(last_id).await };
+        self.run.record.sent_since.set(None);
+        let deadline = Deadline::in_millis(SILENT_SOURCE_RETENTION_MS);
+        // Without a timer, two upstreams might work on the stream for as long as this thread gets no
+        // turn.
+        let Some(closing) = source.close_at(&self.run.context, deadline) else {
+            drop(source);
+            return self.run.send(last_id).await;
+        };
+        let (result, given_up) = {
+            let mut sending = pin!(self.run.send(last_id));
+            let in_time = until(deadline, &mut sending).await;
+            match (in_time, closing.withdraw()) {
+                (Some(result), None) => {
+                    self.source = Some(source);
+                    return result;
+                }
+                // What is left in a closed source is not read: its end would look like the stream's.
+                (Some(result), Some(closed)) => (result, closed),
+                (None, closed) => {
+                    drop(source);
+                    let given_up = closed.unwrap_or_else(Moment::now);
+                    (sending.await, given_up)
+                }
+            }
+        };
+        self.log_given_up(given_up);
+        result
+    }
+
+    /// Logs that the silent source was given up, and for how long it and another upstream both had the
+    /// stream.
+    fn log_given_up(&self, given_up: Moment) {
+        let record = &self.run.record;
+        let overlap_ms = record.sent_since.get().map_or(0, |sent| given_up.millis_since(sent));
+        log_event!(
+            info,
+            events::SOURCE_GIVEN_UP,
+            request = self.run.request.id,
+            upstream = self.progress.upstream,
+            sent_to = record.tried.last().map_or("none", UpstreamId::name),
+            overlap_ms = overlap_ms,
+            silent_ms = given_up.millis_since(self.progress.last_event_at)
+        );
     }
 
     fn finish(&mut self) {
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -4,8 +4,9 @@
 use crate::request::refusal_reason::RefusalReason;
 use crate::request::stream_scope::StreamScope;
 use guava_policy::QueuePlace;
-use guava_types::{Deadline, UpstreamId};
+use guava_types::{Deadline, Moment, UpstreamId};
 use http::Response;
+use std::cell::Cell;
 
 /// Final outcome of a request.
 pub enum ServeOutcome {
@@ -51,6 +52,8 @@
     pub reached: u32,
     /// Attempts in which the request may have run.
     pub runs: u32,
+    /// Since when it may run at an upstream; `None` if none has it, or the last one refused it.
+    pub sent_since: Cell<Option<Moment>>,
     /// Attempts that did not reach an upstream.
     pub unreached: u32,
     /// Attempts that an upstream refused.
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -456,6 +456,7 @@
     }
 
     fn note_refusal(&mut self) {
+        self.record.sent_since.set(None);
         self.record.reached += 1;
         self.record.refusals += 1;
     }
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -24,6 +24,7 @@
 use crate::serve_config::CurrentConfig;
 use crate::upstreams::answered_parts::AnsweredParts;
 use crate::upstreams::broken_send_table::BrokenSendTable;
+use crate::upstreams::close_timer::CloseTimer;
 use crate::upstreams::connection_pool::ConnectionPool;
 use crate::upstreams::crash_gossip::CrashGossip;
 use crate::upstreams::drain_table::DrainTable;
@@ -121,6 +122,8 @@
     pub dialect: Dialect,
     /// Open connections to upstreams, for reuse.
     pub pool: ConnectionPool,
+    /// Closes connections to upstreams that must not outlast a deadline.
+    pub close_timer: CloseTimer,
     /// Counters, gauges and histograms, updated as events occur.
     pub metrics: ServeMetrics,
     /// The configuration in force.
@@ -243,6 +246,7 @@
         let place = RingPosition::of(identity.name.as_str()).as_fraction();
         Self {
             pool: ConnectionPool::new(identity.source),
+            close_timer: CloseTimer::default(),
             bounds,
             dialect,
             metrics: ServeMetrics::default(),
--- a/crates/guava-serve/src/upstreams.rs
+++ b/crates/guava-serve/src/upstreams.rs
@@ -6,6 +6,7 @@
 pub(crate) mod answered_parts;
 pub(crate) mod bounded_body;
 pub(crate) mod broken_send_table;
+pub(crate) mod close_timer;
 pub(crate) mod connection_pool;
 pub(crate) mod crash_gossip;
 pub(crate) mod crash_notice;
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -116,7 +116,7 @@
     is_new: bool,
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
-    _driver: ConnectionDriver,
+    driver: ConnectionDriver,
 }
 
 #[derive(Debug)]
@@ -143,6 +143,11 @@
         self.head_limit.part(MAX_WAIT_BYTES)
     }
 
+    /// The socket, for one who closes it from outside.
+    pub fn socket(&self) -> &SocketHandle {
+        &self.driver.socket
+    }
+
     /// Sends a request and waits for the answer's head, without a timeout.
     pub async fn exchange(
         &mut self,
@@ -234,8 +239,8 @@
             // Errors are reported by the exchange on the connection.
             drop(connection.await);
         });
-        let _driver = ConnectionDriver { task, socket };
-        Ok(UpstreamConnection { address, carries, is_new: true, sender, head_limit, _driver })
+        let driver = ConnectionDriver { task, socket };
+        Ok(UpstreamConnection { address, carries, is_new: true, sender, head_limit, driver })
     }
 
     /// Whether an address accepts connections and keeps them open.
