--- a/crates/guavatiller/tests/at_most_once.rs
+++ b/crates/guavatiller/tests/at_most_once.rs
@@ -364,6 +364,51 @@
     assert_eq!(runs_of(&deployment, "acme", &key), 1);
 }
 
+#[test]
+fn answer_of_a_forwarded_call_is_lost() {
+    // Guards against a call that is taken for not run though the peer that got it ran it.
+    let deployment = deploy_default();
+    let key = pinned_key(&deployment, 0);
+    let source = deployment.daemons[1].source;
+    deployment.proxies["entry-0"].set_for(source, LinkFault::DropAnswers);
+
+    let address = deployment.daemons[1].callers;
+    let first = call_aside(address, &key, 1, 2_000).join().unwrap().unwrap();
+    let second = call(deployment.daemons[2].callers, &submission(&key, Some(2)));
+
+    assert_eq!(first.outcome, "unknown", "{first:?}");
+    assert_eq!(second.outcome, "done", "{second:?}");
+    assert_eq!(runs_of(&deployment, "acme", &key), 1);
+}
+
+#[test]
+fn log_tells_who_sent_a_call_and_what_permitted_it() {
+    let deployment = deploy_default();
+    let logged = fresh_key();
+    let minted = pinned_key(&deployment, 0);
+    for key in [&logged, &minted] {
+        call(deployment.daemons[1].callers, &submission(key, Some(1)));
+    }
+
+    let sends = |name: &str, key: &str| -> Vec<String> {
+        let log = deployment.log_of(name);
+        let sends = log.lines().filter(|line| line.contains("\"G4101\"") && line.contains(key));
+        sends.map(str::to_owned).collect()
+    };
+    wait_until("both sends are in the logs", || {
+        !sends("entry-1", &logged).is_empty() && !sends("entry-0", &minted).is_empty()
+    });
+
+    let by_intent = sends("entry-1", &logged);
+    assert_eq!(by_intent.len(), 1, "{by_intent:?}");
+    assert!(by_intent[0].contains("\"permit\":\"intent "), "{by_intent:?}");
+    assert!(by_intent[0].contains("\"run\":\"1\""), "{by_intent:?}");
+    let by_minting = sends("entry-0", &minted);
+    assert_eq!(by_minting.len(), 1, "{by_minting:?}");
+    assert!(by_minting[0].contains("\"permit\":\"minted\""), "{by_minting:?}");
+    assert!(sends("entry-1", &minted).is_empty());
+}
+
 #[test]
 fn pinned_key_of_a_dead_daemon_never_runs_elsewhere() {
     // Symptom: a pinned key runs twice.
