test: show runs in addition to those of a forward whose answer is lost

A daemon that reaches neither of two upstreams forwards a request to a peer though its links do not count as lost. Where the peer's answer is lost, the request is sent from here too: a non-idempotent one runs twice, an idempotent one more often than its route permits.

--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -6,12 +6,15 @@
 
 use guava_policy::ReachChange;
 use guava_serve::{
-    AcceptedRequest, ConnectionUse, MemberDescriptor, MemberTable, PeerRole, RepeatRule,
+    AcceptedRequest, ConnectionUse, MemberDescriptor, MemberTable, PeerRole, RepeatRule, RouteRule,
     ServeContext, UpstreamEntry, serve_request, watch_reach,
 };
 use guava_types::Moment;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
 use std::time::Duration;
 use support::scripted::{ScriptStep, ScriptedUpstream};
 use support::served::{CallerResult, caller_answer, context, read, run};
@@ -236,6 +239,95 @@
     assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
 }
 
+/// A peer that loses the answer to each request, and the upstreams that are listed before it does.
+struct LosingPeer {
+    peer: ScriptedUpstream,
+    may_reset: Arc<AtomicBool>,
+}
+
+impl LosingPeer {
+    fn start() -> Self {
+        let may_reset = Arc::new(AtomicBool::new(false));
+        let is_due = Arc::clone(&may_reset);
+        let peer = ScriptedUpstream::with_script(move |_, _| {
+            while !is_due.load(Ordering::SeqCst) {
+                sleep(Duration::from_millis(1));
+            }
+            vec![ScriptStep::Reset]
+        });
+        Self { peer, may_reset }
+    }
+
+    /// Serves a request at a daemon that reaches neither of two upstreams. While the peer holds it,
+    /// these upstreams are listed.
+    fn serve_beside(
+        &self,
+        upstreams: &[&ScriptedUpstream],
+        request: AcceptedRequest,
+    ) -> CallerResult {
+        let context = unreached_daemon(2, &[&self.peer]);
+        let listed: Vec<UpstreamEntry> = upstreams
+            .iter()
+            .enumerate()
+            .map(|(number, scripted)| UpstreamEntry {
+                address: scripted.address,
+                ..upstream(&format!("late-{number}"), "app")
+            })
+            .collect();
+        let config = Rc::new(config(7));
+        run(async {
+            let serving = serve_request(&context, &config, request);
+            let listing = async {
+                while self.peer.requests().is_empty() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                listed.into_iter().for_each(|one| {
+                    context.upstreams.borrow_mut().note_entry(one);
+                });
+                self.may_reset.store(true, Ordering::SeqCst);
+            };
+            read(futures_util::future::join(serving, listing).await.0).await
+        })
+    }
+
+    /// Runs that the peer may use, over all requests; all that the route permits if it is told nothing.
+    fn handed_over(&self, permitted: u32) -> u32 {
+        let heads = self.peer.requests();
+        let runs = heads.iter().map(|head| {
+            let stated = head.lines().find_map(|line| line.strip_prefix("guava-runs: "));
+            stated.map_or(permitted, |runs| runs.trim().parse().unwrap())
+        });
+        runs.sum()
+    }
+}
+
+#[test]
+fn non_idempotent_request_whose_answer_a_peer_lost_is_not_sent_from_here() {
+    // Guards against a second run after a forward of a daemon that has lost some links only.
+    let losing = LosingPeer::start();
+    let sound = answers("200 OK", "done");
+
+    let result = losing.serve_beside(&[&sound], app_request(RepeatRule::NonIdempotent));
+
+    let sends = (losing.peer.requests().len(), sound.requests().len());
+    assert_eq!((result, sends), (CallerResult::Lost, (1, 0)));
+}
+
+#[yare::parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
+fn idempotent_request_runs_no_more_often_over_all_daemons_than_its_route_permits(permitted: u32) {
+    // Guards against runs here in addition to those that a peer may have used.
+    let losing = LosingPeer::start();
+    let resetting = [(); 3].map(|()| ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]));
+    let route =
+        RouteRule { max_attempts: permitted, ..route("/x/", "app", RepeatRule::Idempotent) };
+
+    losing.serve_beside(&resetting.each_ref(), request(route));
+
+    let sends = resetting.iter().map(|one| one.requests().len() as u32).sum::<u32>();
+    let handed_over = losing.handed_over(permitted);
+    assert!(sends + handed_over <= permitted, "{sends} beside {handed_over}");
+}
+
 #[test]
 fn connections_from_before_the_links_were_lost_carry_no_request_after() {
     // Guards against requests on connections that look open though the other end is gone.
--- a/crates/guavatiller/tests/lost_upstream_links.rs
+++ b/crates/guavatiller/tests/lost_upstream_links.rs
@@ -8,6 +8,8 @@
 };
 use guava_standins::fault_proxy::LinkFault;
 use guava_standins::harness::wait_until;
+use rustix::process::Signal;
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{scope, sleep};
@@ -23,6 +25,8 @@
 const WEIGHTS: Duration = Duration::from_secs(12);
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(40);
+/// Requests that are sent at once.
+const BURST: usize = 8;
 /// Paths of all kinds of requests: non-idempotent, idempotent, a stream that may be resumed, and one
 /// that may not.
 const PATHS: [&str; 4] = ["/submit/2f", "/ask/2f", "/draft/2f", "/brief/2f"];
@@ -92,10 +96,15 @@
         })
     }
 
+    /// Ids of all runs.
+    fn run_ids(&self) -> Vec<String> {
+        let runs = self.deployment.servers.values().flat_map(|server| server.runs());
+        runs.map(|(id, _)| id).collect()
+    }
+
     /// Ids that more than one run has.
     fn ran_twice(&self) -> Vec<String> {
-        let runs = self.deployment.servers.values().flat_map(|server| server.runs());
-        let mut ids: Vec<String> = runs.map(|(id, _)| id).collect();
+        let mut ids = self.run_ids();
         ids.sort_unstable();
         let twice = ids.windows(2).filter(|pair| pair[0] == pair[1]);
         twice.map(|pair| pair[0].clone()).filter(|id| id.starts_with("submit")).collect()
@@ -271,3 +280,60 @@
     let quarantined = quarantined.filter(|line| line.contains("G8013")).count();
     assert_eq!((statuses, quarantined), (vec![Some(200); 3], 0));
 }
+
+#[test]
+fn request_that_a_killed_peer_held_is_not_sent_again_by_a_daemon_that_lost_some_links() {
+    // Guards against a second run of a non-idempotent request after a forward of unknown outcome.
+    let fleet = Fleet::start();
+    let [forwarder, holder, _] = &fleet.daemons[..] else { panic!("three daemons") };
+    let plain_links = &forwarder.server_links[..3];
+    plain_links.iter().for_each(|link| link.set(LinkFault::Refuse));
+    holder.set_server_links(LinkFault::DropAnswers);
+    let are_held = || {
+        let forwards = forwarder.forwards();
+        let runs = fleet.run_ids();
+        !forwards.is_empty() && forwards.iter().all(|(id, _)| runs.contains(id))
+    };
+
+    scope(|scope| {
+        for _ in 0..BURST {
+            scope.spawn(|| call(forwarder, "/submit/2f"));
+        }
+        wait_until("the peer holds requests that run", are_held);
+        plain_links.iter().for_each(|link| link.set(LinkFault::None));
+        wait_until("the links are back", || {
+            plain_links.iter().all(|link| TcpStream::connect(link.address).is_ok())
+        });
+        holder.signal(Signal::KILL);
+    });
+
+    assert_eq!(fleet.ran_twice(), Vec::<String>::new());
+}
+
+/// An idempotent request as a peer forwards it, with these headers.
+fn forwarded_request(id: &str, headers: &str) -> String {
+    let request = request_to("POST", "/ask/2f", id, ServiceNames::KEY, id);
+    let headers = format!("\r\nguava-forwarded: 1\r\n{headers}X-Timeout-Ms");
+    request.replacen("\r\nX-Timeout-Ms", &headers, 1)
+}
+
+#[yare::parameterized(
+    one = { "guava-runs: 1\r\n", 1 },
+    as_its_route_permits = { "guava-runs: 2\r\n", 2 },
+    no_more_than_its_route_permits = { "guava-runs: 9\r\n", 2 },
+    not_stated = { "", 1 },
+)]
+fn forwarded_request_runs_no_more_often_than_the_peer_handed_over(headers: &str, runs: usize) {
+    // Guards against runs of a forwarded request in addition to those that its sender still permits.
+    let fleet = Fleet::start();
+    let daemon = &fleet.daemons[0];
+    daemon.set_server_links(LinkFault::DropAnswers);
+    let id = format!("forwarded-{}", SENT.fetch_add(1, Ordering::Relaxed));
+
+    send(daemon.callers, &forwarded_request(&id, headers));
+
+    assert_eq!(fleet.run_ids().iter().filter(|run| **run == id).count(), runs);
+    let is_told = |head: &http::HeaderMap| head.contains_key("guava-runs");
+    let mut heads = fleet.deployment.servers.values().flat_map(|server| server.runs());
+    assert!(!heads.any(|(_, head)| is_told(&head)));
+}
