--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -99,11 +99,13 @@
 pub use request::freshness_wait::{await_fresh_config, is_stale};
 pub use request::http_listener::{ConnectionLimits, ListenerPhase, open_listener, serve_listener};
 pub use request::outcome::{QueueRefusal, SendRecord, ServeOutcome};
-pub use request::peer_forward::{FORWARDED, UNSERVED};
+pub use request::peer_forward::{FORWARDED, RUN_LIMIT, UNSERVED};
 pub use request::queue_table::{QueueLevel, QueueTable};
 pub use request::refusal_reason::RefusalReason;
 pub use request::request_plan::draw_service;
 pub use request::retry_shares::{RetryLimit, RetryShares};
+pub use request::run_ledger::{NotRunProof, PermitGround, RunLedger, SendPermit, SpentPermit};
+pub use request::send_bar::SendBar;
 pub use request::send_gate::{
     GateInput, GateState, gate_state, limit_levels, pass_gate, reopening, with_gate_input,
 };
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -77,6 +77,8 @@
     requests: Family<KindLabel, Counter>,
     refusals: Family<KindLabel, Counter>,
     sends: Family<KindLabel, Counter>,
+    permits: Family<KindLabel, Counter>,
+    bars: Family<KindLabel, Counter>,
     superseded: Family<KindLabel, Counter>,
     resumptions: Family<KindLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
@@ -118,8 +120,8 @@
         let parts = Family::<KindLabel, Counter>::default();
         let store_fills = Family::<StoreLabel, Gauge<f64, AtomicU64>>::default();
         let reported_loads = Family::<KindLabel, Counter>::default();
-        let [turns, returns, ignored_reports] =
-            [(); 3].map(|()| Family::<KindLabel, Counter>::default());
+        let [turns, returns, ignored_reports, permits, bars] =
+            [(); 5].map(|()| Family::<KindLabel, Counter>::default());
         let [queue_depths, queue_ages] = [(); 2].map(|()| ServiceLevels::default());
         let [limits, limit_shares, limited_sends] = [(); 3].map(|()| UpstreamLevels::default());
         let first_answer = Histogram::new(LATENCY_BOUNDS_S);
@@ -133,6 +135,8 @@
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("refusals", "Refused requests by reason", refusals.clone());
         registry.register("sends", "Sends to upstreams by result", sends.clone());
+        registry.register("send_permits", "Of requests, by ground", permits.clone());
+        registry.register("send_bars", "Ends of sends, by reason", bars.clone());
         registry.register("superseded_requests", "On superseded weights", superseded.clone());
         registry.register("resumptions", "Of streams, by kind", resumptions.clone());
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
@@ -162,6 +166,8 @@
             requests,
             refusals,
             sends,
+            permits,
+            bars,
             superseded,
             resumptions,
             store_calls,
@@ -215,6 +221,16 @@
         self.sends.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a permit to send a request; `kind` is its ground.
+    pub fn count_permit(&self, kind: &'static str) {
+        self.permits.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a request that is not sent, or not sent again; `kind` tells why.
+    pub fn count_bar(&self, kind: &'static str) {
+        self.bars.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request on superseded weights; `kind` tells how far it came.
     pub fn count_superseded(&self, kind: &'static str) {
         self.superseded.get_or_create(&KindLabel { kind }).inc();
--- a/crates/guava-serve/src/request.rs
+++ b/crates/guava-serve/src/request.rs
@@ -23,6 +23,8 @@
 pub(crate) mod request_plan;
 pub(crate) mod request_run;
 pub(crate) mod retry_shares;
+pub(crate) mod run_ledger;
+pub(crate) mod send_bar;
 pub(crate) mod send_gate;
 pub(crate) mod service_choice;
 pub(crate) mod stream_scope;
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -76,6 +76,8 @@
     pub credential: Option<HeaderValue>,
     /// Whether a peer daemon forwarded it; it is not forwarded again.
     pub is_forwarded: bool,
+    /// Most runs that the daemon which forwarded it permits; `None` if it was not forwarded.
+    pub run_limit: Option<u32>,
 }
 
 impl AcceptedRequest {
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -11,6 +11,7 @@
 use crate::request::freshness_wait::await_fresh_list;
 use crate::request::queued_request::note_room;
 use crate::request::request_plan::{PlanInput, has_available_upstream};
+use crate::request::run_ledger::{NotRunProof, SendPermit};
 use crate::request::send_gate::{GateState, pass_gate};
 use crate::serve_config::ServiceRule;
 use crate::serve_context::ServeContext;
@@ -18,7 +19,9 @@
 use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::bounded_body::{BodyError, HeldAnswer, read_body};
 use crate::upstreams::close_timer::PendingClose;
-use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
+use crate::upstreams::connection_pool::{
+    ConnectionUse, ExchangeError, SendFailure, UpstreamConnection,
+};
 use crate::upstreams::engine_speeds::EngineSpeed;
 use crate::upstreams::reach_task::{note_connect_failure, note_contact};
 use crate::upstreams::report_watch::note_report;
@@ -162,26 +165,26 @@
     Interrupted(Box<str>),
 }
 
-/// Result of an attempt.
+/// Result of an attempt. One in which the request did not run has its permit.
 pub enum AttemptOutcome {
     /// The upstream answered completely.
     Complete(CompleteAnswer),
     /// The upstream opened a stream.
     Stream(Box<OpenStream>),
     /// Not sent: no byte was written to the upstream.
-    NotSent,
+    NotSent(SendPermit),
     /// Not sent: the upstream was closed after it had been chosen.
-    Closed,
+    Closed(SendPermit),
     /// The upstream states that it did not run the request.
-    Refused,
+    Refused(SendPermit),
     /// The same, of an instance that reports its load: it may be asked again when it has room.
-    TurnedAway,
+    TurnedAway(SendPermit),
     /// The engine did not run the request because its weights differ from the expected ones.
     /// Another version can now be requested from it.
-    OtherWeights,
+    OtherWeights(SendPermit),
     /// The engine did not run the request because its weights differ from the expected ones, and no
     /// other published version is known here yet.
-    UnknownWeights,
+    UnknownWeights(SendPermit),
     /// Abandoned in favour of another upstream, with a retry already taken from the budget. The
     /// request may have run.
     Abandoned,
@@ -218,6 +221,7 @@
         }
         let is_timed_out = plan.deadline.passed(Moment::now());
         if !is_timed_out
+            && input.record.bar_after_this().is_none()
             && has_available_upstream(input)
             && input.context.retries.borrow_mut().spend(&plan.service.name)
         {
@@ -265,21 +269,23 @@
     input: PlanInput<'a>,
 }
 
-/// Sends a request once, according to the plan, and counts the outcome in the metrics.
+/// Sends a request once, according to the plan and under a permit, and counts the outcome in the
+/// metrics.
 pub async fn attempt(
     context: &Rc<ServeContext>,
     input: PlanInput<'_>,
     plan: &AttemptPlan,
+    permit: SendPermit,
 ) -> AttemptOutcome {
     let attempt = Attempt { context, request: input.request, plan, input };
-    let outcome = attempt.run().await;
-    context.metrics.count_send(match outcome {
+    let outcome = attempt.run(permit).await;
+    context.metrics.count_send(match &outcome {
         AttemptOutcome::Complete(_) | AttemptOutcome::Stream(_) => "answered",
-        AttemptOutcome::NotSent => "not-sent",
-        AttemptOutcome::Closed => "closed",
-        AttemptOutcome::Refused | AttemptOutcome::TurnedAway => "refused",
-        AttemptOutcome::OtherWeights => "other-weights",
-        AttemptOutcome::UnknownWeights => "unknown-weights",
+        AttemptOutcome::NotSent(_) => "not-sent",
+        AttemptOutcome::Closed(_) => "closed",
+        AttemptOutcome::Refused(_) | AttemptOutcome::TurnedAway(_) => "refused",
+        AttemptOutcome::OtherWeights(_) => "other-weights",
+        AttemptOutcome::UnknownWeights(_) => "unknown-weights",
         AttemptOutcome::Abandoned => "abandoned",
         AttemptOutcome::Lost => "lost",
         AttemptOutcome::TimedOut => "timed-out",
@@ -289,37 +295,39 @@
 }
 
 impl Attempt<'_> {
-    async fn run(&self) -> AttemptOutcome {
+    async fn run(&self, permit: SendPermit) -> AttemptOutcome {
         let send = &self.plan.send;
         let was_idle = self.context.work.borrow().is_idle(&send.upstream, Moment::now());
         // Registered before connecting, so that concurrent choices of an upstream count it.
         let mut work = WorkGuard::begin(self.context, self.plan);
-        let Some(mut connection) = self.connect().await else { return AttemptOutcome::NotSent };
+        let Some(mut connection) = self.connect().await else {
+            return AttemptOutcome::NotSent(permit);
+        };
         // The upstream may have been removed from the list while the connection was opened.
         if !await_fresh_list(self.context).await {
             self.note_closed(connection, CloseReason::Unconfirmed);
-            return AttemptOutcome::Closed;
+            return AttemptOutcome::Closed(permit);
         }
         let gate = pass_gate(self.context, &self.plan.service, &send.upstream, Moment::now());
         if let GateState::Closed(closed) = gate {
             self.note_closed(connection, closed.reason);
-            return AttemptOutcome::Closed;
+            return AttemptOutcome::Closed(permit);
         }
         work.note_sent(&send.upstream);
         // Crashes may have been reported while the connection was opened.
         if quarantined_until(self.context, self.request).is_some() {
             self.context.pool.keep(connection, None);
-            return AttemptOutcome::Closed;
+            return AttemptOutcome::Closed(permit);
         }
         let guard = StartGuard::new(self.context, self.expected_weights());
         if guard.has_expired(Moment::now()) {
             self.note_closed(connection, CloseReason::Superseded);
-            return AttemptOutcome::Closed;
+            return AttemptOutcome::Closed(permit);
         }
         let mut current_send = send.clone();
         current_send.left_ms = self.plan.deadline.millis_left(Moment::now());
         if current_send.left_ms == 0 {
-            return AttemptOutcome::NotSent;
+            return AttemptOutcome::NotSent(permit);
         }
         let sent = Moment::now();
         let sent_since = &self.input.record.sent_since;
@@ -328,14 +336,14 @@
             note_superseded_send(self.context, &self.request.id, self.plan, model, sent);
         }
         let encoded = (self.context.dialect.encode)(self.request, &current_send);
-        let exchange = connection.exchange(encoded);
-        let answer = match wait_for_start(self.input, self.plan, guard, exchange).await {
-            WaitOutcome::Done(Ok(answer)) => answer,
-            WaitOutcome::Done(Err(error)) => {
+        let sending = connection.send(encoded, permit);
+        let (answer, spent) = match wait_for_start(self.input, self.plan, guard, sending).await {
+            WaitOutcome::Done(Ok(answered)) => answered,
+            WaitOutcome::Done(Err(failure)) => {
                 if connection.is_new() {
                     note_connect_failure(self.context, &send.upstream);
                 }
-                return self.failed(&error);
+                return self.failed(failure);
             }
             WaitOutcome::Abandoned => {
                 return self.unanswered(AttemptOutcome::Abandoned, connection.answer_part());
@@ -359,7 +367,11 @@
             return self.lost("the answer names no request");
         }
         if marks.is_not_run {
-            let outcome = self.note_refusal(&marks, answer.status());
+            let is_first = connection.is_new();
+            let Some(proof) = NotRunProof::of_refusal(&marks, &self.request.id, is_first) else {
+                return self.lost("the refusal names no request");
+            };
+            let outcome = self.note_refusal(&marks, answer.status(), spent.restore(proof));
             self.recycle_connection(connection, answer, &marks).await;
             return outcome;
         }
@@ -394,29 +406,34 @@
             Ok(connection) => Some(connection),
             Err(error) => {
                 note_connect_failure(self.context, &self.plan.send.upstream);
-                self.failed(&error);
+                self.note_unsent(&error);
                 None
             }
         }
     }
 
-    fn failed(&self, error: &ExchangeError) -> AttemptOutcome {
-        let upstream = &self.plan.send.upstream;
-        self.note_failure(&error.to_string(), error.part());
-        match error {
-            ExchangeError::NotSent { is_refused, .. } => {
-                if *is_refused {
-                    note_refused(self.context, upstream);
-                }
-                AttemptOutcome::NotSent
+    fn failed(&self, failure: SendFailure) -> AttemptOutcome {
+        match failure.unspent {
+            Some(permit) => {
+                self.note_unsent(&failure.error);
+                AttemptOutcome::NotSent(permit)
             }
-            ExchangeError::NoAnswer { .. } => {
-                note_interrupted(self.context, upstream, self.request);
+            None => {
+                note_interrupted(self.context, &self.plan.send.upstream, self.request);
+                self.note_failure(&failure.error.to_string(), failure.error.part(), true);
                 AttemptOutcome::Lost
             }
         }
     }
 
+    /// Records that no byte of the request was written to the upstream.
+    fn note_unsent(&self, error: &ExchangeError) {
+        self.note_failure(&error.to_string(), error.part(), false);
+        if matches!(error, ExchangeError::NotSent { is_refused: true, .. }) {
+            note_refused(self.context, &self.plan.send.upstream);
+        }
+    }
+
     /// Records a connection that broke before the answer was complete.
     fn interrupted(&self, reason: &str) -> AttemptOutcome {
         note_interrupted(self.context, &self.plan.send.upstream, self.request);
@@ -425,29 +442,29 @@
 
     /// Records an answer whose head came, and that can't be passed on.
     fn lost(&self, reason: &str) -> AttemptOutcome {
-        self.note_failure(reason, AnswerPart::Body);
+        self.note_failure(reason, AnswerPart::Body, true);
         AttemptOutcome::Lost
     }
 
     fn unanswered(&self, outcome: AttemptOutcome, part: AnswerPart) -> AttemptOutcome {
-        self.note_failure("no answer in time", part);
+        self.note_failure("no answer in time", part, true);
         outcome
     }
 
     fn withdrawn(&self, part: AnswerPart) -> AttemptOutcome {
         // No failure of the engine: its answers are no slower than those of others.
         self.context.metrics.count_superseded("withdrawn");
-        self.log_failure("withdrawn, the time limit of its weights has come", part);
+        self.log_failure("withdrawn, the time limit of its weights has come", part, true);
         AttemptOutcome::Withdrawn
     }
 
-    fn note_failure(&self, reason: &str, part: AnswerPart) {
+    fn note_failure(&self, reason: &str, part: AnswerPart, may_have_run: bool) {
         let upstream = &self.plan.send.upstream;
         self.context.work.borrow_mut().note_failed_answer(upstream, Moment::now());
-        self.log_failure(reason, part);
+        self.log_failure(reason, part, may_have_run);
     }
 
-    fn log_failure(&self, reason: &str, part: AnswerPart) {
+    fn log_failure(&self, reason: &str, part: AnswerPart, may_have_run: bool) {
         log_event!(
             warn,
             events::SEND_FAILED,
@@ -455,7 +472,8 @@
             digest = self.request.digest(),
             upstream = self.plan.send.upstream,
             part = part,
-            reason = reason
+            reason = reason,
+            may_have_run = may_have_run
         );
     }
 
@@ -484,14 +502,27 @@
         marks.instance.as_deref().is_some_and(|other| other != name)
     }
 
-    fn note_refusal(&self, marks: &AnswerMarks, status: StatusCode) -> AttemptOutcome {
-        let mut outcome = AttemptOutcome::Refused;
+    fn note_refusal(
+        &self,
+        marks: &AnswerMarks,
+        status: StatusCode,
+        permit: SendPermit,
+    ) -> AttemptOutcome {
         let upstream = &self.plan.send.upstream;
         let is_other = self.is_from_other(marks);
+        log_event!(
+            info,
+            events::UPSTREAM_REFUSED,
+            request = self.request.id,
+            upstream = upstream,
+            status = status.as_u16(),
+            other = is_other
+        );
         if marks.is_unexpected && is_other {
             self.context.upstreams.borrow_mut().note_replaced(upstream);
+            AttemptOutcome::Refused(permit)
         } else if marks.is_unexpected {
-            outcome = self.note_other_weights(marks);
+            self.note_other_weights(marks, permit)
         } else {
             // It is full or loading weights, so other upstreams are preferred for a short time.
             let until = Deadline::in_millis(LOADING_ESTIMATE_MS);
@@ -499,40 +530,33 @@
             let is_reporting = self.is_plain()
                 && self.context.reports.borrow_mut().note_refused(upstream, Moment::now());
             if is_reporting {
-                outcome = AttemptOutcome::TurnedAway;
+                AttemptOutcome::TurnedAway(permit)
+            } else {
+                AttemptOutcome::Refused(permit)
             }
         }
-        log_event!(
-            info,
-            events::UPSTREAM_REFUSED,
-            request = self.request.id,
-            upstream = upstream,
-            status = status.as_u16(),
-            other = is_other
-        );
-        outcome
     }
 
     /// Records that an engine has other weights than expected: the version that it names or, if it
     /// names none, one of the published versions that it has not refused. Otherwise requests would
     /// keep asking for the old version and be refused until the list is updated, a second later.
     /// Returns whether another version can be requested from it now.
-    fn note_other_weights(&self, marks: &AnswerMarks) -> AttemptOutcome {
+    fn note_other_weights(&self, marks: &AnswerMarks, permit: SendPermit) -> AttemptOutcome {
         let Some((model, expected)) = self.expected_weights() else {
-            return AttemptOutcome::Refused;
+            return AttemptOutcome::Refused(permit);
         };
         let upstream = &self.plan.send.upstream;
         let mut upstreams = self.context.upstreams.borrow_mut();
         if let Some(named) = marks.weights.filter(|version| *version > expected) {
             upstreams.note_version(upstream, model, named);
-            return AttemptOutcome::OtherWeights;
+            return AttemptOutcome::OtherWeights(permit);
         }
         let now = Moment::now();
         upstreams.rule_out(upstream, model, expected, now);
         let published = self.context.targets.borrow().published(model);
         match upstreams.version(upstream, model, &published, now) {
-            Some(_) => AttemptOutcome::OtherWeights,
-            None => AttemptOutcome::UnknownWeights,
+            Some(_) => AttemptOutcome::OtherWeights(permit),
+            None => AttemptOutcome::UnknownWeights(permit),
         }
     }
 
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::request::refusal_reason::RefusalReason;
 use crate::request::request_plan::draw_service;
 use crate::request::request_run::{RequestRun, SendResult};
+use crate::request::send_bar::{SendBar, bar_text};
 use crate::request::send_gate::reopening;
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
@@ -33,7 +34,8 @@
 ) -> ServeOutcome {
     let request = Rc::new(request);
     let Some(service) = draw_service(&request.route, rand::random()).cloned() else {
-        return refused(context, &request, RefusalReason::NoUpstream);
+        let reason = RefusalReason::NoUpstream;
+        return refused(context, &request, reason, Some(SendBar::NoUpstream));
     };
     // Retries are earned where they are spent.
     if request.is_forwarded || !context.reach.borrow().is_lost() {
@@ -44,7 +46,7 @@
         config: Rc::clone(config),
         request: Rc::clone(&request),
         service,
-        record: SendRecord::default(),
+        record: SendRecord::new(&request),
         is_retry_reserved: false,
         is_turned_away: false,
         has_turn: false,
@@ -57,7 +59,7 @@
     let result = run.send(None).await;
     watch.disarm();
     match result {
-        SendResult::Complete(answer) => answered(context, &request, answer),
+        SendResult::Complete(answer) => answered(&run, answer),
         SendResult::Stream(stream) => {
             let first_ms = Moment::now().millis_since(request.arrived);
             run.first_ms = Some(first_ms);
@@ -71,21 +73,20 @@
         }
         SendResult::NoAnswer { is_timed_out } => match run.record.refusal() {
             Some(RefusalReason::Quarantined) => {
-                quarantined(context, &request, run.record.quarantined_until.unwrap_or_default())
+                quarantined(&run, run.record.quarantined_until.unwrap_or_default())
             }
-            Some(_) if is_timed_out => refused(context, &request, RefusalReason::TooLate),
-            Some(reason) if reason.is_final() => refused_for_good(context, &request, reason),
+            Some(_) if is_timed_out => {
+                refused(context, &request, RefusalReason::TooLate, run.record.ended_by)
+            }
+            Some(reason) if reason.is_final() => refused_for_good(&run, reason),
             Some(reason) => expect_return(&run, refuse_until_open(&run, reason)),
-            None => failed(context, &request, is_timed_out, run.record.runs),
+            None => failed(&run, is_timed_out),
         },
     }
 }
 
-fn answered(
-    context: &ServeContext,
-    request: &AcceptedRequest,
-    answer: CompleteAnswer,
-) -> ServeOutcome {
+fn answered(run: &RequestRun, answer: CompleteAnswer) -> ServeOutcome {
+    let RequestRun { context, request, .. } = run;
     let elapsed = Moment::now().millis_since(request.arrived);
     context.metrics.time_first(elapsed);
     context.metrics.time_whole(elapsed);
@@ -97,7 +98,8 @@
         customer = request.customer(),
         status = answer.status.as_u16(),
         elapsed_ms = elapsed,
-        bytes = answer.body.len()
+        bytes = answer.body.len(),
+        runs = run.record.ledger.runs()
     );
     let mut response = Response::new(AnswerBody::complete(answer.body));
     *response.status_mut() = answer.status;
@@ -106,19 +108,17 @@
 }
 
 /// Refuses a quarantined request until its quarantine ends.
-fn quarantined(context: &ServeContext, request: &AcceptedRequest, until: Deadline) -> ServeOutcome {
+fn quarantined(run: &RequestRun, until: Deadline) -> ServeOutcome {
     let left_ms = until.millis_left(Moment::now()).max(MIN_QUARANTINE_RETRY_MS);
-    refused_for(context, request, RefusalReason::Quarantined, left_ms)
+    let RequestRun { context, request, record, .. } = run;
+    refused_for(context, request, RefusalReason::Quarantined, record.ended_by, left_ms)
 }
 
 /// Refuses a request that can't be served later either: its caller is told the end of its own time.
-fn refused_for_good(
-    context: &ServeContext,
-    request: &AcceptedRequest,
-    reason: RefusalReason,
-) -> ServeOutcome {
+fn refused_for_good(run: &RequestRun, reason: RefusalReason) -> ServeOutcome {
+    let RequestRun { context, request, record, .. } = run;
     let left_ms = request.caller_deadline.millis_left(Moment::now());
-    refused_for(context, request, reason, left_ms.max(MIN_RETURN_MS))
+    refused_for(context, request, reason, record.ended_by, left_ms.max(MIN_RETURN_MS))
 }
 
 /// Notes that the caller of a request that was refused for want of room is to return.
@@ -140,28 +140,27 @@
     let rule = run.config.service(&run.service);
     let Some(reopens_at) = rule.and_then(|rule| reopening(&run.context, rule, now)) else {
         return match run.record.shed {
-            Some(shed) => refused_from_queue(&run.context, &run.request, shed),
-            None => refused(&run.context, &run.request, reason),
+            Some(shed) => refused_from_queue(run, shed),
+            None => refused(&run.context, &run.request, reason, run.record.ended_by),
         };
     };
     let closed = RefusalReason::UpstreamsClosed;
     let spread_ms = return_after_ms(closed, rand::random());
-    refused_for(&run.context, &run.request, closed, reopens_at.millis_since(now) + spread_ms)
+    let return_after_ms = reopens_at.millis_since(now) + spread_ms;
+    refused_for(&run.context, &run.request, closed, run.record.ended_by, return_after_ms)
 }
 
 fn refused(
     context: &ServeContext,
     request: &AcceptedRequest,
     reason: RefusalReason,
+    bar: Option<SendBar>,
 ) -> ServeOutcome {
-    refused_for(context, request, reason, return_after_ms(reason, rand::random()))
+    refused_for(context, request, reason, bar, return_after_ms(reason, rand::random()))
 }
 
-fn refused_from_queue(
-    context: &ServeContext,
-    request: &AcceptedRequest,
-    refusal: QueueRefusal,
-) -> ServeOutcome {
+fn refused_from_queue(run: &RequestRun, refusal: QueueRefusal) -> ServeOutcome {
+    let RequestRun { context, request, record, .. } = run;
     let reason = RefusalReason::Crowded;
     context.metrics.count_refusal(reason.name());
     log_event!(
@@ -171,6 +170,7 @@
         route = request.route.name,
         customer = request.customer(),
         reason = reason,
+        barred_by = bar_text(record.ended_by),
         ahead = refusal.place.ahead,
         expected_ms = expected_text(refusal.place),
         elapsed_ms = Moment::now().millis_since(request.arrived),
@@ -183,6 +183,7 @@
     context: &ServeContext,
     request: &AcceptedRequest,
     reason: RefusalReason,
+    bar: Option<SendBar>,
     return_after_ms: u64,
 ) -> ServeOutcome {
     context.metrics.count_refusal(reason.name());
@@ -193,18 +194,15 @@
         route = request.route.name,
         customer = request.customer(),
         reason = reason,
+        barred_by = bar_text(bar),
         elapsed_ms = Moment::now().millis_since(request.arrived),
         return_after_ms = return_after_ms
     );
     ServeOutcome::NotRun { reason, return_after_ms }
 }
 
-fn failed(
-    context: &ServeContext,
-    request: &AcceptedRequest,
-    is_timed_out: bool,
-    runs: u32,
-) -> ServeOutcome {
+fn failed(run: &RequestRun, is_timed_out: bool) -> ServeOutcome {
+    let RequestRun { context, request, record, .. } = run;
     context.metrics.count_request(if is_timed_out { "timed-out" } else { "lost" });
     log_event!(
         warn,
@@ -213,7 +211,8 @@
         route = request.route.name,
         customer = request.customer(),
         timed_out = is_timed_out,
-        runs = runs,
+        runs = record.ledger.runs(),
+        barred_by = bar_text(record.ended_by),
         elapsed_ms = Moment::now().millis_since(request.arrived)
     );
     if is_timed_out { ServeOutcome::TimedOut } else { ServeOutcome::Lost }
--- a/crates/guava-serve/src/request/event_relay.rs
+++ b/crates/guava-serve/src/request/event_relay.rs
@@ -8,6 +8,7 @@
 use crate::request::event_framer::EventBatch;
 use crate::request::freshness_wait::is_list_stale;
 use crate::request::request_run::{RequestRun, SendResult};
+use crate::request::send_bar::bar_text;
 use crate::serve_config::RepeatRule;
 use crate::upstreams::upstream_crashes::{note_answer, note_interrupted};
 use bytes::Bytes;
@@ -268,7 +269,7 @@
             status = 200,
             first_ms = self.run.first_ms.unwrap_or(elapsed),
             elapsed_ms = elapsed,
-            runs = self.run.record.runs
+            runs = self.run.record.ledger.runs()
         );
         if let Some(source) = self.source.take() {
             source.finish(&self.run.context);
@@ -291,7 +292,8 @@
             bytes = self.progress.bytes,
             silent_ms = now.millis_since(self.progress.last_event_at),
             left_ms = self.run.request.deadline.millis_left(now),
-            runs = self.run.record.runs,
+            runs = self.run.record.ledger.runs(),
+            barred_by = bar_text(self.run.record.ended_by),
             elapsed_ms = now.millis_since(self.run.request.arrived),
             reason = interrupted.reason
         );
--- a/crates/guava-serve/src/request/outcome.rs
+++ b/crates/guava-serve/src/request/outcome.rs
@@ -1,13 +1,19 @@
 //! Final outcomes of a request, and the record of its attempts.
 
+use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::AnswerBody;
 use crate::request::refusal_reason::RefusalReason;
+use crate::request::run_ledger::{PermitGround, RunLedger, SendPermit};
+use crate::request::send_bar::SendBar;
 use crate::request::stream_scope::StreamScope;
 use guava_policy::QueuePlace;
 use guava_types::{Deadline, Moment, UpstreamId};
 use http::Response;
 use std::cell::Cell;
 
+/// Maximum attempts for one request, including refusals and failed connections.
+const MAX_SEND_ATTEMPTS: u32 = 4;
+
 /// Final outcome of a request.
 pub enum ServeOutcome {
     /// Answered by an upstream; the body may still be streaming.
@@ -44,14 +50,14 @@
 /// A request may be reported as not run only if every attempt is accounted for: either no byte was
 /// written, or the upstream stated that it did not run the request. After one attempt with an
 /// unknown outcome it must never be reported as not run.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct SendRecord {
     /// Upstreams that must not be chosen again.
     pub tried: Vec<UpstreamId>,
     /// Attempts that reached an upstream, refused ones included.
     pub reached: u32,
-    /// Attempts in which the request may have run.
-    pub runs: u32,
+    /// Runs that there may have been, and permits for further ones.
+    pub ledger: RunLedger,
     /// Since when it may run at an upstream; `None` if none has it, or the last one refused it.
     pub sent_since: Cell<Option<Moment>>,
     /// Attempts that did not reach an upstream.
@@ -72,12 +78,66 @@
     pub is_out_of_reach: bool,
     /// End of its quarantine, if it is quarantined.
     pub quarantined_until: Option<Deadline>,
+    /// Why no further send was made, once none is.
+    pub ended_by: Option<SendBar>,
 }
 
 impl SendRecord {
+    /// The record of a request that was not sent yet.
+    pub fn new(request: &AcceptedRequest) -> Self {
+        Self { ledger: RunLedger::of_request(request), ..Self::default() }
+    }
+
+    /// Why the request must not be sent, by its route and its attempts so far.
+    pub fn bar(&self) -> Option<SendBar> {
+        self.bar_after(0)
+    }
+
+    /// Why the request must not be sent again after the send under way.
+    pub fn bar_after_this(&self) -> Option<SendBar> {
+        self.bar_after(1)
+    }
+
+    fn bar_after(&self, under_way: u32) -> Option<SendBar> {
+        if self.attempts() + under_way >= MAX_SEND_ATTEMPTS {
+            Some(SendBar::Attempts)
+        } else {
+            self.ledger.bar()
+        }
+    }
+
+    fn attempts(&self) -> u32 {
+        self.reached + self.unreached
+    }
+
+    /// Permits one run at an upstream.
+    pub fn permit(&mut self, is_resumption: bool) -> Result<SendPermit, SendBar> {
+        self.permit_runs(1, is_resumption)
+    }
+
+    /// Permits the runs that a peer daemon may use: all that are left, but one if the request is sent
+    /// again where the peer's answer is lost.
+    pub fn permit_forward(&mut self, is_sent_again: bool) -> Result<SendPermit, SendBar> {
+        let kept = u32::from(is_sent_again);
+        self.permit_runs(self.ledger.left().saturating_sub(kept).max(1), false)
+    }
+
+    fn permit_runs(&mut self, runs: u32, is_resumption: bool) -> Result<SendPermit, SendBar> {
+        if let Some(bar) = self.bar() {
+            return Err(bar);
+        }
+        let ground = match self.ledger.runs() {
+            0 if self.attempts() == 0 => PermitGround::First,
+            0 => PermitGround::NotRun,
+            _ if is_resumption => PermitGround::Resumption,
+            _ => PermitGround::Repeatable,
+        };
+        self.ledger.permit(runs, ground).ok_or(SendBar::Runs)
+    }
+
     /// Why the request was not run; `None` if it may have run.
     pub fn refusal(&self) -> Option<RefusalReason> {
-        if self.runs > 0 {
+        if self.ledger.runs() > 0 {
             return None;
         }
         Some(if self.quarantined_until.is_some() {
--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -8,9 +8,12 @@
 use crate::events;
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::{AnswerBody, InterruptedStream};
+use crate::request::dialect::AnswerMarks;
+use crate::request::run_ledger::{NotRunProof, SendPermit};
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
-use crate::upstreams::connection_pool::{ConnectionUse, ExchangeError, UpstreamConnection};
+use crate::upstreams::answer_part::AnswerPart;
+use crate::upstreams::connection_pool::{ConnectionUse, SendFailure, UpstreamConnection};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
@@ -23,6 +26,8 @@
 
 /// Marks a request that a peer daemon forwards; holds the version of its configuration.
 pub const FORWARDED: HeaderName = HeaderName::from_static("guava-forwarded");
+/// States how often the peer may run a forwarded request.
+pub const RUN_LIMIT: HeaderName = HeaderName::from_static("guava-runs");
 /// Marks the refusal of a forwarded request that another daemon may still serve.
 pub const UNSERVED: HeaderName = HeaderName::from_static("guava-unserved");
 
@@ -35,30 +40,39 @@
     /// The peer answers; its answer is relayed as it arrives.
     Answered(Response<AnswerBody>),
     /// The request has not run: no byte was sent, or the peer refused it for a reason of its own.
-    NotRun,
+    NotRun(SendPermit),
     /// The request may have run, and no answer will come.
     Lost,
     /// The request's deadline passed without an answer. It may have run.
     TimedOut,
 }
 
-/// Forwards a request to a peer daemon and waits for the head of the answer.
+/// Whether a request is sent again if a peer's answer to it is lost.
+pub fn is_sent_again(request: &AcceptedRequest) -> bool {
+    request.route.repeat.may_repeat() && !request.begins_stream()
+}
+
+/// Forwards a request to a peer daemon, which may run it as often as the permit says, and waits for
+/// the head of the answer.
 pub async fn forward_request(
     context: &Rc<ServeContext>,
     config: &ServeConfig,
     request: &Rc<AcceptedRequest>,
     peer: SocketAddr,
+    permit: SendPermit,
 ) -> ForwardOutcome {
     // A connection that the peer closes at this moment would cost a request that is not sent again.
-    let is_sent_again = request.route.repeat.may_repeat() && !request.begins_stream();
-    let opened = if is_sent_again {
+    let opened = if is_sent_again(request) {
         context.pool.reuse_or_open(peer, ConnectionUse::Requests).await
     } else {
         context.pool.open(peer, ConnectionUse::Requests).await
     };
     let mut connection = match opened {
         Ok(connection) => connection,
-        Err(error) => return failed(request, peer, &error),
+        Err(error) => {
+            log_failure(request, peer, &error.to_string(), error.part(), false);
+            return ForwardOutcome::NotRun(permit);
+        }
     };
     let left_ms = request.deadline.millis_left(Moment::now());
     log_event!(
@@ -67,34 +81,64 @@
         request = request.id,
         route = request.route.name,
         peer = peer,
-        left_ms = left_ms
+        left_ms = left_ms,
+        run = permit.first(),
+        runs = permit.runs(),
+        runs_permitted = permit.permitted(),
+        permitted_by = permit.ground()
     );
+    context.metrics.count_permit(permit.ground().name());
     let mut encoded = (context.dialect.forward)(request, left_ms);
     encoded.headers_mut().insert(FORWARDED, config.version.0.into());
-    match until(request.deadline, connection.exchange(encoded)).await {
-        None => ForwardOutcome::TimedOut,
-        Some(Err(error)) => failed(request, peer, &error),
-        Some(Ok(answer)) if answer.headers().contains_key(UNSERVED) => ForwardOutcome::NotRun,
-        Some(Ok(answer)) => {
-            ForwardOutcome::Answered(relay_answer(context, connection, answer, request.deadline))
+    encoded.headers_mut().insert(RUN_LIMIT, permit.runs().into());
+    let (answer, spent) = match until(request.deadline, connection.send(encoded, permit)).await {
+        None => {
+            log_failure(request, peer, "no answer in time", connection.answer_part(), true);
+            return ForwardOutcome::TimedOut;
         }
+        Some(Err(failure)) => return failed(request, peer, failure),
+        Some(Ok(answered)) => answered,
+    };
+    let marks = (context.dialect.marks)(answer.status(), answer.headers());
+    if marks.request.as_deref().is_some_and(|answered| answered != &*request.id) {
+        let reason = "the answer belongs to another request";
+        log_failure(request, peer, reason, AnswerPart::Body, true);
+        return ForwardOutcome::Lost;
     }
+    if answer.headers().contains_key(UNSERVED) {
+        let refusal = AnswerMarks { is_not_run: true, ..marks };
+        let proof = NotRunProof::of_refusal(&refusal, &request.id, connection.is_new());
+        let reason = "the peer can't serve the request";
+        log_failure(request, peer, reason, AnswerPart::Body, proof.is_none());
+        return proof
+            .map_or(ForwardOutcome::Lost, |proof| ForwardOutcome::NotRun(spent.restore(proof)));
+    }
+    ForwardOutcome::Answered(relay_answer(context, connection, answer, request.deadline))
+}
+
+fn failed(request: &AcceptedRequest, peer: SocketAddr, failure: SendFailure) -> ForwardOutcome {
+    let reason = failure.error.to_string();
+    log_failure(request, peer, &reason, failure.error.part(), failure.unspent.is_none());
+    failure.unspent.map_or(ForwardOutcome::Lost, ForwardOutcome::NotRun)
 }
 
-fn failed(request: &AcceptedRequest, peer: SocketAddr, error: &ExchangeError) -> ForwardOutcome {
+fn log_failure(
+    request: &AcceptedRequest,
+    peer: SocketAddr,
+    reason: &str,
+    part: AnswerPart,
+    may_have_run: bool,
+) {
     log_event!(
         warn,
         events::SEND_FAILED,
         request = request.id,
         digest = request.digest(),
         upstream = peer,
-        part = error.part(),
-        reason = error
+        part = part,
+        reason = reason,
+        may_have_run = may_have_run
     );
-    match error {
-        ExchangeError::NotSent { .. } => ForwardOutcome::NotRun,
-        ExchangeError::NoAnswer { .. } => ForwardOutcome::Lost,
-    }
 }
 
 /// A peer's answer whose body is being relayed.
--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -12,6 +12,7 @@
 use crate::request::engine_choice::{EngineChoice, choose_engine, is_long};
 use crate::request::engine_input::EngineInput;
 use crate::request::outcome::SendRecord;
+use crate::request::run_ledger::SendPermit;
 use crate::request::send_gate::{gate_state, with_gate_input};
 use crate::request::service_choice::{InstanceChoice, ServiceInput, choose_instance};
 use crate::request::stream_scope::StreamScope;
@@ -160,7 +161,7 @@
 }
 
 /// Logs a send with the values on which it was decided.
-pub fn log_send(input: &PlanInput<'_>, plan: &AttemptPlan) {
+pub fn log_send(input: &PlanInput<'_>, plan: &AttemptPlan, permit: &SendPermit) {
     let PlanInput { request, config, record, .. } = input;
     let now = Moment::now();
     let left_ms = request.deadline.millis_left(now);
@@ -173,6 +174,7 @@
     let resumes = request.resumes.as_deref().unwrap_or_default();
     let use_kind = if plan.report.is_some() { "used" } else { "none" };
     input.context.metrics.count_reported_load(use_kind);
+    input.context.metrics.count_permit(permit.ground().name());
     match &plan.send.engine {
         None => log_event!(
             info,
@@ -191,7 +193,10 @@
             objective_ms = request.route.objective_ms,
             load = load,
             load_age_ms = load_age_ms,
-            tries = record.tried.len()
+            tries = record.tried.len(),
+            run = permit.first(),
+            runs_permitted = permit.permitted(),
+            permitted_by = permit.ground()
         ),
         Some(instructions) => log_event!(
             info,
@@ -215,7 +220,10 @@
             objective_ms = request.route.objective_ms,
             load = load,
             load_age_ms = load_age_ms,
-            tries = record.tried.len()
+            tries = record.tried.len(),
+            run = permit.first(),
+            runs_permitted = permit.permitted(),
+            permitted_by = permit.ground()
         ),
     }
 }
@@ -234,7 +242,9 @@
     };
     let now = Moment::now();
     let reports = input.context.reports.borrow();
-    let answer_timeout = first_answer_timeout_ms(&request.route, input.record.runs, load.answer_ms);
+    let ledger = &input.record.ledger;
+    let answer_timeout = first_answer_timeout_ms(&request.route, ledger.runs(), load.answer_ms)
+        .filter(|_| ledger.left() > 1);
     let send = SendPlan {
         upstream: upstream.clone(),
         address,
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -8,13 +8,15 @@
 use crate::request::attempt::{AttemptOutcome, CompleteAnswer, OpenStream, StreamSource, attempt};
 use crate::request::freshness_wait::await_fresh_list;
 use crate::request::outcome::{SendRecord, expected_text};
-use crate::request::peer_forward::{ForwardOutcome, forward_request};
+use crate::request::peer_forward::{ForwardOutcome, forward_request, is_sent_again};
 use crate::request::queued_request::QueuedRequest;
 use crate::request::refusal_reason::RefusalReason;
 use crate::request::request_plan::{
     PlanInput, PlanStep, has_available_upstream, is_crowded, is_plain, log_send, needs_room,
     plan_attempt, queue_entry, request_cost,
 };
+use crate::request::run_ledger::SendPermit;
+use crate::request::send_bar::SendBar;
 use crate::request::stream_scope::StreamScope;
 use crate::request::stream_search::find_scope;
 use crate::request::version_hold::await_recorded;
@@ -32,8 +34,6 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Maximum attempts for one request, including refusals and failed connections.
-const MAX_SEND_ATTEMPTS: u32 = 4;
 /// Upstreams that a request fails to reach before it is forwarded to a peer daemon, though this one
 /// is not known to have lost its links.
 const UNREACHED_BEFORE_FORWARD: u32 = 2;
@@ -101,50 +101,61 @@
             self.record.is_list_stale = !await_fresh_list(&self.context).await;
             let now = Moment::now();
             if self.request.deadline.passed(now) {
-                return unanswered(fallback, true);
+                return self.end(fallback, SendBar::Deadline);
             }
-            if self.record.is_list_stale || !self.may_attempt() {
-                return unanswered(fallback, false);
+            if self.record.is_list_stale {
+                return self.end(fallback, SendBar::StaleList);
+            }
+            if let Some(bar) = self.record.bar() {
+                return self.end(fallback, bar);
             }
             // Looked up before each attempt, as other daemons may have reported crashes meanwhile.
             self.record.quarantined_until = quarantined_until(&self.context, &self.request);
             if self.record.quarantined_until.is_some() {
-                return unanswered(fallback, false);
+                return self.end(fallback, SendBar::Quarantined);
             }
             if let Some(result) = self.forward(resume_after, &mut fallback).await {
                 return result;
             }
+            // A peer may have used what was permitted.
+            if let Some(bar) = self.record.bar() {
+                return self.end(fallback, bar);
+            }
             if !self.bind_to_origin().await {
-                return unanswered(fallback, false);
+                return self.end(fallback, SendBar::StreamScope);
             }
             if !self.reserve_turned_away_retry().await {
-                return unanswered(fallback, false);
+                return self.end(fallback, SendBar::Budget);
             }
             await_recorded(&self.context, &self.request, &self.service).await;
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => {
                     if !self.wait_for_weights().await {
-                        return unanswered(fallback, false);
+                        return self.end(fallback, SendBar::NoUpstream);
                     }
                     continue;
                 }
                 PlanStep::Crowded => {
                     if !self.wait_in_queue().await {
-                        return unanswered(fallback, false);
+                        return self.end(fallback, SendBar::Crowded);
                     }
                     continue;
                 }
             };
             if !self.spend_retry() {
-                return unanswered(fallback, false);
+                return self.end(fallback, SendBar::Budget);
             }
+            let permit = match self.record.permit(resume_after.is_some()) {
+                Ok(permit) => permit,
+                Err(bar) => return self.end(fallback, bar),
+            };
             self.charge_customer();
-            log_send(&self.plan_input(), &plan);
+            log_send(&self.plan_input(), &plan, &permit);
             self.record.tried.push(plan.send.upstream.clone());
-            match attempt(&self.context, self.plan_input(), &plan).await {
+            match attempt(&self.context, self.plan_input(), &plan, permit).await {
                 AttemptOutcome::Complete(answer) => {
-                    self.note_run();
+                    self.record.reached += 1;
                     if !self.is_worth_retry(&answer) {
                         return SendResult::Complete(answer);
                     }
@@ -155,40 +166,40 @@
                     fallback = Some(answer);
                 }
                 AttemptOutcome::Stream(stream) => {
-                    self.note_run();
+                    self.record.reached += 1;
                     return SendResult::Stream(stream);
                 }
-                AttemptOutcome::NotSent => self.record.unreached += 1,
+                AttemptOutcome::NotSent(permit) => self.note_unreached(permit),
                 // Each upstream is asked only once, so the loop ends when none is left.
-                AttemptOutcome::Closed => {}
-                AttemptOutcome::Refused => self.note_refusal(),
-                AttemptOutcome::TurnedAway => {
-                    self.note_refusal();
+                AttemptOutcome::Closed(permit) => self.record.ledger.give_back(permit),
+                AttemptOutcome::Refused(permit) => self.note_refusal(permit),
+                AttemptOutcome::TurnedAway(permit) => {
+                    self.note_refusal(permit);
                     self.is_turned_away = true;
-                    if self.record.runs == 0 {
+                    if self.record.ledger.runs() == 0 {
                         // It can be asked again once it has room.
                         self.record.tried.pop();
                     }
                 }
-                AttemptOutcome::OtherWeights => {
-                    self.note_refusal();
+                AttemptOutcome::OtherWeights(permit) => {
+                    self.note_refusal(permit);
                     // It can be asked again, for the version that it has.
                     self.record.tried.pop();
                 }
-                AttemptOutcome::UnknownWeights => {
-                    self.note_refusal();
+                AttemptOutcome::UnknownWeights(permit) => {
+                    self.note_refusal(permit);
                     self.record.lacks_weights = true;
                     // It can be asked again once its version is known.
                     self.record.tried.pop();
                 }
                 AttemptOutcome::Abandoned => {
-                    self.note_run();
+                    self.record.reached += 1;
                     self.is_retry_reserved = true;
                 }
-                AttemptOutcome::Lost | AttemptOutcome::Withdrawn => self.note_run(),
+                AttemptOutcome::Lost | AttemptOutcome::Withdrawn => self.record.reached += 1,
                 AttemptOutcome::TimedOut => {
-                    self.note_run();
-                    return unanswered(fallback, true);
+                    self.record.reached += 1;
+                    return self.end(fallback, SendBar::Deadline);
                 }
             }
         }
@@ -273,29 +284,43 @@
             Vec::new()
         };
         self.was_forwarded = true;
+        let mut bar = SendBar::NoReach;
         for peer in targets.into_iter().take(MAX_FORWARDS) {
-            if !self.may_attempt() || !self.spend_retry() {
+            if let Some(reason) = self.record.bar() {
+                bar = reason;
                 break;
             }
-            match forward_request(&self.context, &self.config, &self.request, peer).await {
+            if !self.spend_retry() {
+                bar = SendBar::Budget;
+                break;
+            }
+            let permit = match self.record.permit_forward(is_sent_again(&self.request)) {
+                Ok(permit) => permit,
+                Err(reason) => {
+                    bar = reason;
+                    break;
+                }
+            };
+            let (context, config) = (&self.context, &self.config);
+            match forward_request(context, config, &self.request, peer, permit).await {
                 ForwardOutcome::Answered(response) => return Some(SendResult::Forwarded(response)),
-                ForwardOutcome::NotRun => self.record.unreached += 1,
+                ForwardOutcome::NotRun(permit) => self.note_unreached(permit),
                 ForwardOutcome::Lost => {
-                    self.note_run();
+                    self.record.reached += 1;
                     // The peer may know the stream as one that it began: with a second beginning, it
                     // would take the caller's stream for its own.
                     if self.request.begins_stream() {
-                        return Some(unanswered(fallback.take(), false));
+                        return Some(self.end(fallback.take(), SendBar::PeerMayHaveBegun));
                     }
                 }
                 ForwardOutcome::TimedOut => {
-                    self.note_run();
-                    return Some(unanswered(fallback.take(), true));
+                    self.record.reached += 1;
+                    return Some(self.end(fallback.take(), SendBar::Deadline));
                 }
             }
         }
         self.record.is_out_of_reach = is_lost;
-        is_lost.then(|| unanswered(fallback.take(), false))
+        is_lost.then(|| self.end(fallback.take(), bar))
     }
 
     fn plan_input(&self) -> PlanInput<'_> {
@@ -312,7 +337,7 @@
         // A request that may run at an upstream must not be queued as well. One that an engine refused
         // has waited there.
         let is_unused = if is_plain(self.plan_input()) {
-            self.record.runs == 0
+            self.record.ledger.runs() == 0
         } else {
             self.record.reached == 0
         };
@@ -354,7 +379,7 @@
     /// retry budget before it waits for room; waits for the budget if it is exhausted. Returns false if
     /// it may not be sent again in time.
     async fn reserve_turned_away_retry(&mut self) -> bool {
-        if !self.is_turned_away || self.record.runs > 0 || self.is_retry_reserved {
+        if !self.is_turned_away || self.record.ledger.runs() > 0 || self.is_retry_reserved {
             return true;
         }
         while !self.spend_retry() {
@@ -455,24 +480,26 @@
         }
     }
 
-    fn note_refusal(&mut self) {
+    fn note_refusal(&mut self, permit: SendPermit) {
         self.record.sent_since.set(None);
+        self.record.ledger.give_back(permit);
         self.record.reached += 1;
         self.record.refusals += 1;
     }
 
-    fn note_run(&mut self) {
-        self.record.reached += 1;
-        self.record.runs += 1;
+    fn note_unreached(&mut self, permit: SendPermit) {
+        self.record.ledger.give_back(permit);
+        self.record.unreached += 1;
     }
 
-    /// Whether the request's route and its attempts so far permit another attempt.
-    fn may_attempt(&self) -> bool {
-        let route = &self.request.route;
-        let may_run = self.record.runs == 0
-            || (route.repeat.may_repeat() && self.record.runs < route.max_attempts.max(1));
-        let attempts = self.record.reached + self.record.unreached;
-        may_run && attempts < MAX_SEND_ATTEMPTS
+    /// The result of a request for which no further send is made.
+    fn end(&mut self, fallback: Option<CompleteAnswer>, bar: SendBar) -> SendResult {
+        self.context.metrics.count_bar(bar.name());
+        self.record.ended_by = Some(bar);
+        match fallback {
+            Some(answer) => SendResult::Complete(answer),
+            None => SendResult::NoAnswer { is_timed_out: bar == SendBar::Deadline },
+        }
     }
 
     /// Reserves a retry if a stream that has begun can be resumed at another upstream. Returns
@@ -480,7 +507,7 @@
     pub fn reserve_retry(&mut self) -> bool {
         let is_timed_out = self.request.deadline.passed(Moment::now());
         let is_quarantined = quarantined_until(&self.context, &self.request).is_some();
-        let may_retry = !is_timed_out && !is_quarantined && self.may_attempt();
+        let may_retry = !is_timed_out && !is_quarantined && self.record.bar().is_none();
         let is_reserved =
             may_retry && has_available_upstream(self.plan_input()) && self.spend_retry();
         self.is_retry_reserved |= is_reserved;
@@ -499,7 +526,7 @@
     /// Whether to try another upstream after this answer: a server error may be this upstream's
     /// alone.
     fn is_worth_retry(&self, answer: &CompleteAnswer) -> bool {
-        answer.status.is_server_error() && self.may_attempt()
+        answer.status.is_server_error() && self.record.bar().is_none()
     }
 }
 
@@ -515,10 +542,3 @@
     let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     texts.join(" ")
 }
-
-fn unanswered(fallback: Option<CompleteAnswer>, is_timed_out: bool) -> SendResult {
-    match fallback {
-        Some(answer) => SendResult::Complete(answer),
-        None => SendResult::NoAnswer { is_timed_out },
-    }
-}
--- a/crates/guava-serve/src/upstreams/connection_pool.rs
+++ b/crates/guava-serve/src/upstreams/connection_pool.rs
@@ -9,6 +9,7 @@
 //! arrives where the next one is due. That to a request names the request; that to a call names nothing,
 //! and would be taken for the answer to the request that follows.
 
+use crate::request::run_ledger::{NotRunProof, SendPermit, SpentPermit};
 use crate::upstreams::answer_part::AnswerPart;
 use crate::upstreams::head_limit::{HeadLimit, LimitedStream};
 use crate::upstreams::socket_handle::SocketHandle;
@@ -84,6 +85,15 @@
     }
 }
 
+/// Failure of the send of a customer's request.
+#[derive(Debug)]
+pub struct SendFailure {
+    /// What went wrong.
+    pub error: ExchangeError,
+    /// The permit of the send, if the request did not run.
+    pub unspent: Option<SendPermit>,
+}
+
 /// Task that drives a connection; dropping it closes the connection at once.
 #[derive(Debug)]
 struct ConnectionDriver {
@@ -148,11 +158,35 @@
         &self.driver.socket
     }
 
-    /// Sends a request and waits for the answer's head, without a timeout.
-    pub async fn exchange(
+    /// Sends a customer's request, which may run once it is written, and waits for the answer's head,
+    /// without a timeout.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        permit: SendPermit,
+    ) -> Result<(Response<Incoming>, SpentPermit), SendFailure> {
+        let spent = permit.spend();
+        match self.try_exchange(request).await {
+            Ok(response) => Ok((response, spent)),
+            Err((error, proof)) => {
+                let unspent = proof.map(|proof| spent.restore(proof));
+                Err(SendFailure { error, unspent })
+            }
+        }
+    }
+
+    /// Sends the request of a call and waits for the answer's head, without a timeout.
+    pub(super) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        self.try_exchange(request).await.map_err(|(error, _)| error)
+    }
+
+    async fn try_exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, (ExchangeError, Option<NotRunProof>)> {
         let address = self.address;
         self.head_limit.begin(MAX_WAIT_BYTES);
         match self.sender.try_send_request(request).await {
@@ -161,13 +195,14 @@
                 Ok(response)
             }
             Err(mut error) => {
-                let is_unsent = error.take_message().is_some();
+                let proof = NotRunProof::of_unsent(error.take_message());
                 let reason = error.error().to_string().into();
-                Err(if is_unsent {
+                let error = if proof.is_some() {
                     ExchangeError::NotSent { address, reason, is_refused: false }
                 } else {
                     ExchangeError::NoAnswer { address, reason, part: self.answer_part() }
-                })
+                };
+                Err((error, proof))
             }
         }
     }
--- a/crates/guava-serve/tests/cut_answers.rs
+++ b/crates/guava-serve/tests/cut_answers.rs
@@ -8,8 +8,8 @@
 use futures_util::future::join_all;
 use guava_policy::ReachChange;
 use guava_serve::{
-    AnswerPart, ConnectionUse, MemberDescriptor, RepeatRule, RouteRule, ServeContext, call_request,
-    serve_request,
+    AnswerPart, ConnectionUse, MemberDescriptor, PermitGround, RepeatRule, RouteRule, RunLedger,
+    ServeContext, call_request, serve_request,
 };
 use guava_types::{Deadline, Moment};
 use http::Method;
@@ -336,12 +336,13 @@
             let upstream = cut_upstream(&answer, length, CutEnd::Close);
             let part = run(async {
                 let context = context(&[]);
-                let opening = context.pool.open(upstream.address, ConnectionUse::Calls);
+                let opening = context.pool.open(upstream.address, ConnectionUse::Requests);
                 let mut connection = opening.await.unwrap();
                 let request = call_request(Method::GET, upstream.address, "/x", Vec::new());
-                match connection.exchange(request).await {
+                let permit = RunLedger::new(1).permit(1, PermitGround::First).unwrap();
+                match connection.send(request, permit).await {
                     Ok(_) => connection.answer_part(),
-                    Err(error) => error.part(),
+                    Err(failure) => failure.error.part(),
                 }
             });
             (length, part)
--- a/crates/guava-serve/tests/small_rules.rs
+++ b/crates/guava-serve/tests/small_rules.rs
@@ -13,8 +13,8 @@
     ListRevision, LoadedVersion, MemberDescriptor, MemberRole, MemberTable, PartChange, PartKey,
     PartSave, PeerMessage, PeerRole, PrefillRate, PublishedVersion, ReadMark, RefusalReason,
     RepeatRule, RetireNotice, RetirePhase, RetirementId, RetryLimit, RetryShares, RingPosition,
-    STANDBYS, SendRecord, SentPrompt, ServiceInput, SlowLink, StoreTransfer, StoreUpdate,
-    UpstreamTable, WeightVersion, WorkShare, WorkTable, choose_instance, draw_service,
+    RunLedger, STANDBYS, SendRecord, SentPrompt, ServiceInput, SlowLink, StoreTransfer,
+    StoreUpdate, UpstreamTable, WeightVersion, WorkShare, WorkTable, choose_instance, draw_service,
     first_answer_timeout_ms, return_after_ms,
 };
 use guava_types::{
@@ -185,7 +185,9 @@
 #[test]
 fn request_is_reported_as_not_run_only_if_no_send_went_unanswered() {
     let refused = SendRecord { refusals: 1, ..SendRecord::default() };
-    let unanswered = SendRecord { refusals: 1, runs: 1, ..SendRecord::default() };
+    let mut unanswered =
+        SendRecord { refusals: 1, ledger: RunLedger::new(1), ..SendRecord::default() };
+    assert!(unanswered.permit(false).is_ok());
 
     assert_eq!(refused.refusal(), Some(RefusalReason::UpstreamsFull));
     assert_eq!(unanswered.refusal(), None);
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -166,6 +166,7 @@
         body: bytes::Bytes::from_static(b"body"),
         credential: None,
         is_forwarded: false,
+        run_limit: None,
     }
 }
 
