--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -198,6 +198,17 @@
     assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
 }
 
+#[test]
+fn answer_of_another_daemon_to_another_request_is_not_relayed() {
+    // Guards against a stray answer, or a daemon that took over the address of another.
+    let first = answers("200 OK\r\nx-request: r0", "stray");
+    let second = answers("200 OK", "done");
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::NonIdempotent));
+
+    assert_eq!((result, second.requests().len()), (CallerResult::Lost, 0));
+}
+
 #[test]
 fn answer_that_another_daemon_breaks_off_is_not_complete() {
     let head = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf";
