--- a/crates/guava-daemon/src/listener.rs
+++ b/crates/guava-daemon/src/listener.rs
@@ -3,7 +3,7 @@
 use crate::tls::TlsKeeper;
 use axum::Router;
 use axum::extract::Request;
-use guava_framing::{AnswerEnd, CallerStream};
+use guava_framing::{AnswerEnd, CallerStream, watch_answer};
 use hyper::body::Incoming;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -90,7 +90,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (method, version, end) = (request.method().clone(), request.version(), end.clone());
         let answer = routes.call(request);
-        async move { answer.await.map(|answer| end.watch(&method, version, answer)) }
+        async move { answer.await.map(|answer| watch_answer(&end, &method, version, answer)) }
     });
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     // How a connection ends is seen by the requests on it.
--- a/crates/guava-framing/src/watched_body.rs
+++ b/crates/guava-framing/src/watched_body.rs
@@ -1,6 +1,8 @@
 //! A body that tells when it is complete.
 
 use crate::answer_end::AnswerEnd;
+use http::header::CONTENT_LENGTH;
+use http::{Method, Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -12,8 +14,27 @@
     end: Option<AnswerEnd>,
 }
 
+/// Prepares an answer to a request of this method and version: if its body has neither length nor
+/// chunks, it is watched to its end.
+pub fn watch_answer<B: Body>(
+    end: &AnswerEnd,
+    method: &Method,
+    version: Version,
+    answer: Response<B>,
+) -> Response<WatchedBody<B>> {
+    let has_body = *method != Method::HEAD
+        && !matches!(answer.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let has_length = answer.body().size_hint().exact().is_some()
+        || answer.headers().contains_key(CONTENT_LENGTH);
+    let is_unframed = version <= Version::HTTP_10 && has_body && !has_length;
+    if is_unframed {
+        end.note_begun();
+    }
+    answer.map(|body| WatchedBody::new(body, is_unframed.then(|| end.clone())))
+}
+
 impl<B: Body> WatchedBody<B> {
-    pub(crate) fn new(body: B, end: Option<AnswerEnd>) -> Self {
+    fn new(body: B, end: Option<AnswerEnd>) -> Self {
         let watched = Self { body: Box::pin(body), end };
         watched.note_end();
         watched
--- a/crates/guava-serve/src/request/http_listener.rs
+++ b/crates/guava-serve/src/request/http_listener.rs
@@ -1,7 +1,7 @@
 //! An HTTP/1.1 listener that passes all requests to one handler.
 
 use crate::request::answer_body::AnswerBody;
-use guava_framing::{AnswerEnd, CallerStream};
+use guava_framing::{AnswerEnd, CallerStream, watch_answer};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -118,7 +118,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (method, version, end) = (request.method().clone(), request.version(), end.clone());
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(end.watch(&method, version, answer.await)) }
+        async move { Ok::<_, Infallible>(watch_answer(&end, &method, version, answer.await)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
