test: standbys record a version while the reader is in contact

The peers of these tests fell silent after a while, so that the daemon under test became the reader and wrote as such. They are heard all the time now.

--- a/crates/guava-serve/tests/version_records.rs
+++ b/crates/guava-serve/tests/version_records.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 use yare::parameterized;
 
+const PEERS: usize = 5;
 /// Time in which a daemon that is to make a call at once has made it.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
@@ -76,27 +77,35 @@
     VersionRecord { service: "llm".parse().unwrap(), software: software.parse().ok() }
 }
 
-/// A daemon that lists engines of these versions, with so many peers.
-fn daemon(name: &str, versions: &[&str], peers: usize) -> Rc<ServeContext> {
+/// A daemon that lists engines of these versions, with peers that are reachable.
+fn daemon(name: &str, versions: &[&str]) -> Rc<ServeContext> {
     let context = Rc::new(serve_context(name));
     context.config.borrow_mut().offer(config(1));
     for (index, software) in versions.iter().enumerate() {
         list(&context, index, software);
     }
-    let now = Moment::now();
-    let member = |index: usize| MemberDescriptor {
+    let records = (0..PEERS).map(|it| CoreRecord { member: peer(it), registered: it as u64 });
+    let mut members = context.members.borrow_mut();
+    members.note_records(records.collect(), Some(PEERS as u64), Moment::now());
+    drop(members);
+    hear_peers(&context);
+    context
+}
+
+fn peer(index: usize) -> MemberDescriptor {
+    MemberDescriptor {
         peer_address: address(7_000 + index as u16),
         is_ready: true,
         ..note(&format!("peer{index}"))
-    };
-    let records = (0..peers).map(|it| CoreRecord { member: member(it), registered: it as u64 });
+    }
+}
+
+/// Notes that all peers were just heard, so that they keep their ranks.
+fn hear_peers(context: &ServeContext) {
     let mut members = context.members.borrow_mut();
-    members.note_records(records.collect(), Some(peers as u64), now);
-    for index in 0..peers {
-        members.note_from_peer(member(index), now);
+    for index in 0..PEERS {
+        members.note_from_peer(peer(index), Moment::now());
     }
-    drop(members);
-    context
 }
 
 fn list(context: &ServeContext, index: usize, software: &str) {
@@ -125,7 +134,7 @@
 
 /// A daemon of a rank, before it follows the list.
 fn starting_daemon(wanted: usize, versions: &[&str]) -> Rc<ServeContext> {
-    let mut daemons = (0..200).map(|number| daemon(&format!("d{number}"), versions, 5));
+    let mut daemons = (0..200).map(|number| daemon(&format!("d{number}"), versions));
     daemons.find(|daemon| rank(daemon) == wanted).unwrap()
 }
 
@@ -141,6 +150,7 @@
         while !is_done(&store.borrow()) && begun.elapsed() < Duration::from_secs(10) {
             sleep(Duration::from_millis(10)).await;
             context.upstreams.borrow_mut().check_census(Some(300), Moment::now());
+            hear_peers(context);
         }
         task.abort();
         begun.elapsed()
