test: the stall in a test of late answers begins once the upstream has the request

What was seen: answer_that_arrives_while_the_daemon_does_not_run_is_delivered failed beside load with TimedOut instead of the answer.

Cause, from a failing run (load 20 to 50, lines of the daemon): the request arrives at 26.232; the first upstream closes, and the plan to send to the second one is logged at 26.377, 145 ms later; the stall that the test begins 100 ms after its start comes before the connection is open, and ends at 28.58; at 28.605 there is no answer in time, after 2,386 ms of a limit of 2,000. The upstream had not been sent the request before the deadline, so TimedOut is right: the case is allowed, and is not what the test is about.

The stall now begins once the upstream has the request.

--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -1074,26 +1074,36 @@
     assert_eq!(slow.requests().len(), 1);
 }
 
-#[test]
-fn answer_that_arrives_while_the_daemon_does_not_run_is_delivered() {
-    // Guards against a retry, or a failure, for an answer that is already in the socket.
+/// Serves a request whose answer arrives while the daemon does not run, until after its deadline.
+fn serve_while_stalled() -> CallerResult {
     let upstream = ScriptedUpstream::start(vec![vec![
         ScriptStep::Wait(200),
         complete_answer("200 OK", "", "first"),
     ]]);
     let other = ScriptedUpstream::start(vec![vec![ScriptStep::Close]]);
-
-    let result = run(async {
-        tokio::task::spawn_local(async {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+    run(async {
+        let sent_to = upstream.clone();
+        tokio::task::spawn_local(async move {
+            while sent_to.requests().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
             std::thread::sleep(Duration::from_millis(2_200));
         });
         let context = context(&[&upstream, &other]);
         let request = request(route("/x/", "app", RepeatRule::Idempotent));
         read(serve_request(&context, &Rc::new(config(1)), request).await).await
-    });
+    })
+}
+
+#[test]
+fn answer_that_arrives_while_the_daemon_does_not_run_is_delivered() {
+    // Guards against a retry, or a failure, for an answer that is already in the socket.
+    let servings: Vec<_> = (0..8).map(|_| std::thread::spawn(serve_while_stalled)).collect();
+
+    let results: Vec<CallerResult> =
+        servings.into_iter().map(|serving| serving.join().unwrap()).collect();
 
-    assert_eq!(result, ok("first"));
+    assert!(results.iter().all(|result| *result == ok("first")), "{results:?}");
 }
 
 #[test]
