test: answer the first request of a cut upstream on whichever connection it comes

The upstream took one connection at a time. Now each connection has a thread and the whole requests are counted over all; the result asked for is the same.

--- a/crates/guava-serve/tests/send_outcomes.rs
+++ b/crates/guava-serve/tests/send_outcomes.rs
@@ -106,15 +106,19 @@
 /// answered some whole requests on it; the requests are so long.
 fn start_cutting(answered: usize, length: usize, read: usize) -> ScriptedUpstream {
     let (upstream, listener) = bound_upstream();
+    let unanswered = Arc::new(AtomicUsize::new(answered));
     spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            for _ in 0..answered {
-                if stream.read_exact(&mut vec![0; length]).is_ok() {
+            let unanswered = Arc::clone(&unanswered);
+            spawn(move || {
+                let take = |count: usize| count.checked_sub(1);
+                while unanswered.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok() {
+                    drop(stream.read_exact(&mut vec![0; length]));
                     drop(stream.write_all(ANSWER));
                 }
-            }
-            drop(stream.read_exact(&mut vec![0; read]));
-            reset(stream);
+                drop(stream.read_exact(&mut vec![0; read]));
+                reset(stream);
+            });
         }
     });
     upstream
