refactor: ask in one place whether an attempt may be abandoned

Whether a further send is permitted is asked when the attempt is abandoned. With the check at the plan taken out no test failed, as that one covers it; with both out request_on_its_last_run_is_not_abandoned_for_another_upstream fails.

--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -242,9 +242,8 @@
     };
     let now = Moment::now();
     let reports = input.context.reports.borrow();
-    let ledger = &input.record.ledger;
-    let answer_timeout = first_answer_timeout_ms(&request.route, ledger.runs(), load.answer_ms)
-        .filter(|_| ledger.left() > 1);
+    let runs = input.record.ledger.runs();
+    let answer_timeout = first_answer_timeout_ms(&request.route, runs, load.answer_ms);
     let send = SendPlan {
         upstream: upstream.clone(),
         address,
