fix: a second daemon's refusal is not told of what the first may have run

A repeatable request whose answer one daemon lost went to a second one, which refused it as "not run"; the caller was told so, though the first may have run it. Found by the review of the permits: the second daemon can't know.

Such a refusal counts as a lost answer now. refusal_of_a_second_daemon_is_none_ of_what_the_first_may_have_run fails without it (NotRun instead of Lost).

--- a/crates/guava-serve/src/request/peer_forward.rs
+++ b/crates/guava-serve/src/request/peer_forward.rs
@@ -9,7 +9,7 @@
 use crate::request::accepted_request::AcceptedRequest;
 use crate::request::answer_body::{AnswerBody, InterruptedStream};
 use crate::request::dialect::AnswerMarks;
-use crate::request::run_ledger::{NotRunProof, SendPermit};
+use crate::request::run_ledger::{NotRunProof, PermitGround, SendPermit};
 use crate::serve_config::ServeConfig;
 use crate::serve_context::ServeContext;
 use crate::upstreams::answer_part::AnswerPart;
@@ -18,7 +18,7 @@
 use futures_util::stream::{self, StreamExt};
 use guava_log::log_event;
 use guava_types::{Deadline, Moment};
-use http::{HeaderName, Response};
+use http::{HeaderName, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::net::SocketAddr;
@@ -88,6 +88,7 @@
         permitted_by = permit.ground()
     );
     context.metrics.count_permit(permit.ground().name());
+    let may_have_run = permit.ground() == PermitGround::Repeatable;
     let mut encoded = (context.dialect.forward)(request, left_ms);
     encoded.headers_mut().insert(FORWARDED, config.version.0.into());
     encoded.headers_mut().insert(RUN_LIMIT, permit.runs().into());
@@ -113,9 +114,25 @@
         return proof
             .map_or(ForwardOutcome::Lost, |proof| ForwardOutcome::NotRun(spent.restore(proof)));
     }
+    // The peer can't know that another one may have run the request.
+    if may_have_run && is_refusal(answer.status()) {
+        log_failure(request, peer, "the peer refused the request", AnswerPart::Body, true);
+        return ForwardOutcome::Lost;
+    }
     ForwardOutcome::Answered(relay_answer(context, connection, answer, request.deadline))
 }
 
+/// Whether a status states that the request has not run.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 fn failed(request: &AcceptedRequest, peer: SocketAddr, failure: SendFailure) -> ForwardOutcome {
     let reason = failure.error.to_string();
     log_failure(request, peer, &reason, failure.error.part(), failure.unspent.is_none());
--- a/crates/guava-serve/tests/cut_off_daemons.rs
+++ b/crates/guava-serve/tests/cut_off_daemons.rs
@@ -198,6 +198,17 @@
     assert_eq!(result, caller_answer(200, b"done".to_vec(), true));
 }
 
+#[test]
+fn refusal_of_a_second_daemon_is_none_of_what_the_first_may_have_run() {
+    // Guards against a caller that is told "not run" of a request that may have run.
+    let first = ScriptedUpstream::start(vec![vec![ScriptStep::Reset]]);
+    let second = answers("503 Full", "");
+
+    let result = serve(&cut_off_daemon(&[&first, &second]), app_request(RepeatRule::Idempotent));
+
+    assert_eq!((result, second.requests().len()), (CallerResult::Lost, 1));
+}
+
 #[test]
 fn answer_of_another_daemon_to_another_request_is_not_relayed() {
     // Guards against a stray answer, or a daemon that took over the address of another.
