--- a/crates/guava-daemon/src/call_dispatch.rs
+++ b/crates/guava-daemon/src/call_dispatch.rs
@@ -359,6 +359,9 @@
             }
         }
     }
+    if run.may_have_run() {
+        return CallOutcome::failed("no further send is permitted".to_owned());
+    }
     let reason = "no instance of the service can be reached";
     call.refused(RefusalKind::NO_UPSTREAM, reason, CONNECT_FAILED_MS)
 }
