fix: daemons vouch for a version in large deployments, and hold streams no longer than they must

A gap is now as long as a change may take: upstreams stay listed for that long. - A stream within its answer, or one whose version lost its record, waited for a record that only a beginning needs; a request without any upstream waited too. - A daemon that has just started sent callers away for good while it was about to read the records. - A caller that names no attempt was served by a list that could lag behind that of the daemon that began its stream: joined without any loss of daemons. It waits for the list as of its arrival, like one that names its attempt.

--- a/crates/guava-serve/src/request/request_plan.rs
+++ b/crates/guava-serve/src/request/request_plan.rs
@@ -278,7 +278,7 @@
         return None;
     }
     let rule = input.config.service(input.service)?;
-    let held = held_versions(input.context, input.request, input.service, now);
+    let held = held_versions(input.context, input.request, &input.record.scope, input.service, now);
     with_gate_input(input.context, rule, |gate| {
         choose(&|entry: &UpstreamEntry| {
             held.contains(&entry.software) || !gate_state(gate, entry, now).is_open()
--- a/crates/guava-serve/src/request/request_run.rs
+++ b/crates/guava-serve/src/request/request_run.rs
@@ -127,7 +127,7 @@
             if !self.reserve_turned_away_retry().await {
                 return self.end(fallback, SendBar::Budget);
             }
-            await_recorded(&self.context, &self.request, &self.service).await;
+            await_recorded(&self.context, &self.request, &self.record.scope, &self.service).await;
             let plan = match self.plan(resume_after) {
                 PlanStep::Send(plan) => plan,
                 PlanStep::NoOpenUpstream => {
--- a/crates/guava-serve/src/request/stream_search.rs
+++ b/crates/guava-serve/src/request/stream_search.rs
@@ -39,7 +39,7 @@
                 source = "only-version";
                 StreamScope::Only(origin)
             }
-            None => StreamScope::Nowhere(RefusalReason::StreamUnknown),
+            None => StreamScope::Nowhere(unknown_reason(context)),
         },
     };
     context.metrics.count_resumption(source);
@@ -66,6 +66,15 @@
     scope
 }
 
+/// Why a stream of unknown origin is refused: what the records tell is known soon.
+fn unknown_reason(context: &ServeContext) -> RefusalReason {
+    if context.upstreams.borrow().census().awaits_records() {
+        RefusalReason::StreamUnconfirmed
+    } else {
+        RefusalReason::StreamUnknown
+    }
+}
+
 /// Milliseconds since a moment, as a log value.
 fn age_text(since: Option<Moment>, now: Moment) -> Box<str> {
     since.map_or("unknown".into(), |since| now.millis_since(since).to_string().into())
@@ -82,13 +91,12 @@
 
 /// Where a stream began if all upstreams that can have begun it have one version.
 async fn only_origin(context: &ServeContext, request: &AcceptedRequest) -> Option<StreamOrigin> {
-    let known = known_origin(context, request)?;
-    if request.resumes.is_none() {
-        return Some(known);
-    }
+    known_origin(context, request)?;
     // An upstream that began the stream was listed before the request arrived.
     let is_confirmed = await_list_since(context, request.arrived, request.deadline).await;
-    known_origin(context, request).filter(|_| is_confirmed)
+    // Callers that name no attempt have no other way to go on while nobody reads the list.
+    let may_go_on = is_confirmed || request.resumes.is_none();
+    known_origin(context, request).filter(|_| may_go_on)
 }
 
 /// The same by the list as it is known now.
--- a/crates/guava-serve/src/request/version_hold.rs
+++ b/crates/guava-serve/src/request/version_hold.rs
@@ -5,6 +5,7 @@
 //! there are no others.
 
 use crate::request::accepted_request::AcceptedRequest;
+use crate::request::stream_scope::StreamScope;
 use crate::serve_context::ServeContext;
 use guava_types::{Moment, ServiceName, SoftwareVersion};
 use std::time::Duration;
@@ -13,14 +14,16 @@
 /// Interval between two checks for a record, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 10;
 
-/// Versions at which the request must begin no stream now; `None` for those that are not stated.
+/// Versions at which the request must begin no stream now; `None` for those that are not stated. A
+/// stream that has begun, within its answer too, goes on without regard to records.
 pub fn held_versions(
     context: &ServeContext,
     request: &AcceptedRequest,
+    scope: &StreamScope,
     service: &ServiceName,
     now: Moment,
 ) -> Vec<Option<SoftwareVersion>> {
-    if request.begins_stream() {
+    if request.begins_stream() && *scope == StreamScope::Any {
         context.upstreams.borrow().census().held(service, now)
     } else {
         Vec::new()
@@ -32,16 +35,24 @@
 pub async fn await_recorded(
     context: &ServeContext,
     request: &AcceptedRequest,
+    scope: &StreamScope,
     service: &ServiceName,
 ) {
-    while is_all_held(context, request, service) && !request.deadline.passed(Moment::now()) {
+    while is_all_held(context, request, scope, service) && !request.deadline.passed(Moment::now()) {
         sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
     }
 }
 
-fn is_all_held(context: &ServeContext, request: &AcceptedRequest, service: &ServiceName) -> bool {
+/// Whether upstreams serve, and all of them have versions without a record.
+fn is_all_held(
+    context: &ServeContext,
+    request: &AcceptedRequest,
+    scope: &StreamScope,
+    service: &ServiceName,
+) -> bool {
     let now = Moment::now();
-    let held = held_versions(context, request, service, now);
+    let held = held_versions(context, request, scope, service, now);
     let upstreams = context.upstreams.borrow();
-    !held.is_empty() && upstreams.serving(service, now).all(|it| held.contains(&it.software))
+    let mut serving = upstreams.serving(service, now).peekable();
+    !held.is_empty() && serving.peek().is_some() && serving.all(|it| held.contains(&it.software))
 }
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -244,6 +244,8 @@
     /// A context without configuration, upstreams or peers, as at the start of the process.
     pub fn new(identity: ServeIdentity, bounds: ServeBounds, dialect: Dialect) -> Self {
         let place = RingPosition::of(identity.name.as_str()).as_fraction();
+        let mut upstreams = UpstreamTable::default();
+        upstreams.census_mut().note_change_limit(bounds.leave_limit_ms);
         Self {
             pool: ConnectionPool::new(identity.source),
             close_timer: CloseTimer::default(),
@@ -251,7 +253,7 @@
             dialect,
             metrics: ServeMetrics::default(),
             config: RefCell::default(),
-            upstreams: RefCell::default(),
+            upstreams: RefCell::new(upstreams),
             drains: RefCell::default(),
             sends: RefCell::new(SendLedger::new(Moment::now())),
             announcements: RefCell::default(),
--- a/crates/guava-serve/src/upstreams/close_timer.rs
+++ b/crates/guava-serve/src/upstreams/close_timer.rs
@@ -1,7 +1,7 @@
 //! Closes sockets at their deadlines, on a thread of its own.
 //!
-//! Two upstreams must not work on one stream for long. The thread that serves requests may get no turn
-//! while they do: it has other tasks to run, or its VM has used up its share of the processor.
+//! Two upstreams must not work on one stream for long. The thread that serves requests may be busy with
+//! other tasks while they do. Where the whole process gets no processor time, this thread gets none either.
 
 use crate::upstreams::socket_handle::SocketDuplicate;
 use guava_types::{Deadline, Moment};
--- a/crates/guava-serve/src/upstreams/software_census.rs
+++ b/crates/guava-serve/src/upstreams/software_census.rs
@@ -13,9 +13,9 @@
 /// For how long after a stream began its caller may take it up, in milliseconds: no caller of an
 /// interactive answer waits for longer, whatever time it gives each of its attempts.
 pub const LONGEST_TAKE_UP_MS: u64 = 60_000;
-/// Longest time without a confirmed list that is no gap, in milliseconds: an upstream serves for longer
-/// than that between its registration and the removal of its entry.
-const MAX_GAP_MS: u64 = 2_000;
+/// Longest time without a confirmed list that is no gap, in milliseconds, where changes must be in force
+/// sooner: an upstream serves for longer than that between its registration and the removal of its entry.
+const MIN_GAP_MS: u64 = 2_000;
 /// For how long versions without upstreams are remembered, and their records kept, in milliseconds. It
 /// is longer than streams are taken up, by more than what daemons differ in their lists.
 const RETENTION_MS: u64 = 2 * LONGEST_TAKE_UP_MS;
@@ -81,6 +81,8 @@
     /// When it was last followed; `None` before that.
     last_followed: Option<Moment>,
     checked: Moment,
+    /// Time within which a change of the list must be in force, in milliseconds; 0 if not stated.
+    change_limit_ms: u64,
     /// Whether versions are recorded in the store.
     has_records: bool,
     read: Option<RecordRead>,
@@ -92,6 +94,17 @@
         self.has_records = true;
     }
 
+    /// Notes within which time a change of the list must be in force, in milliseconds. Upstreams stay
+    /// listed for as long, and the list may be confirmed as rarely.
+    pub fn note_change_limit(&mut self, limit_ms: u64) {
+        self.change_limit_ms = limit_ms;
+    }
+
+    /// Longest time without a confirmed list that is no gap, in milliseconds.
+    fn gap_ms(&self) -> u64 {
+        self.change_limit_ms.max(MIN_GAP_MS)
+    }
+
     /// Counts an upstream.
     pub fn note_added(&mut self, service: &ServiceName, software: Option<&SoftwareVersion>) {
         let checked = self.checked;
@@ -132,8 +145,8 @@
     /// Notes whether the list is followed: it was last confirmed `age_ms` ago, or `None` if never. To be
     /// called more often than a gap is long.
     pub fn check(&mut self, age_ms: Option<u64>, now: Moment) {
-        let is_late = now.millis_since(self.checked) > MAX_GAP_MS;
-        let is_followed = age_ms.is_some_and(|age_ms| age_ms <= MAX_GAP_MS);
+        let is_late = now.millis_since(self.checked) > self.gap_ms();
+        let is_followed = age_ms.is_some_and(|age_ms| age_ms <= self.gap_ms());
         self.followed_since = match self.followed_since {
             Some(since) if is_followed && !is_late => Some(since),
             _ => is_followed.then_some(now),
@@ -248,9 +261,14 @@
         followed.is_some_and(|followed| self.read.is_some_and(|read| read.as_of >= followed))
     }
 
+    /// Whether the records are about to be read.
+    pub fn awaits_records(&self) -> bool {
+        self.has_records && self.followed_since.is_some() && !self.is_read()
+    }
+
     /// Whether all versions are known that can have begun a stream.
     fn is_complete(&self, now: Moment) -> bool {
-        let is_checked = !Deadline::after(self.checked, MAX_GAP_MS).passed(now);
+        let is_checked = !Deadline::after(self.checked, self.gap_ms()).passed(now);
         let Some(followed) = self.followed_since.filter(|_| is_checked) else { return false };
         let are_records_known = self.is_read() && self.read.is_some_and(|read| read.is_complete);
         are_records_known || Deadline::after(followed, LONGEST_TAKE_UP_MS).passed(now)
--- a/crates/guava-serve/tests/stream_origins.rs
+++ b/crates/guava-serve/tests/stream_origins.rs
@@ -664,6 +664,18 @@
     assert_eq!(only_version(&table, after(150_000)).as_deref(), Some("v1"));
 }
 
+#[parameterized(as_rarely_as_may_be = { 5_000, true }, more_rarely = { 5_001, false })]
+fn list_that_may_be_confirmed_rarely_is_followed_without_a_gap(age_ms: u64, expected: bool) {
+    // Guards against large deployments in which no daemon ever vouches for a version.
+    let mut table = followed_table(&["v1"]);
+    table.census_mut().note_change_limit(5_000);
+    follow(&mut table, START, after(80_000));
+    table.check_census(Some(age_ms), after(80_250));
+    table.check_census(Some(300), after(80_500));
+
+    assert_eq!(only_version(&table, after(80_500)).is_some(), expected);
+}
+
 #[test]
 fn census_that_is_not_kept_up_tells_nothing() {
     let mut table = followed_table(&["v1"]);
@@ -865,6 +877,81 @@
     assert!(begun >= wait, "{begun:?}");
 }
 
+#[test]
+fn unnamed_stream_waits_for_what_was_listed_before_it_was_taken_up() {
+    // Guards against a stream that is joined by a daemon whose list lags behind that of another.
+    let engines = engines(2);
+    let context = recording_daemon(&[(&engines[0], "v1")], "v1", 250);
+    context.reads.borrow_mut().list.note_own(1, Moment::now().minus_millis(1_000));
+    let (list, address) = (Rc::clone(&context), engines[1].address);
+
+    let result = run(async {
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let software = "v2".parse().ok();
+            let entry = UpstreamEntry { address, software, ..upstream("u1", "app") };
+            list.upstreams.borrow_mut().note_entry(entry);
+            list.reads.borrow_mut().list.note_own(2, Moment::now());
+        });
+        read(serve_request(&context, &Rc::new(config(1)), taking_up(None)).await).await
+    });
+
+    assert_eq!((result, engines[0].requests().len()), (CallerResult::NotRun, 0));
+}
+
+#[test]
+fn stream_that_has_begun_goes_on_though_its_version_has_lost_its_record() {
+    // Guards against streams that wait, or end, for a record that only their beginning needs.
+    let engines = engines(2);
+    let context = recording_daemon(&[(&engines[0], "v1"), (&engines[1], "v1")], "v1", 250);
+    let census = Rc::clone(&context);
+
+    let begun = Instant::now();
+    let result = run(async {
+        let config = Rc::new(config(1));
+        let served = serve_request(&context, &config, stream_request()).await;
+        census
+            .upstreams
+            .borrow_mut()
+            .census_mut()
+            .note_records(&records("app", &[]), Moment::now());
+        read(served).await
+    });
+
+    assert_eq!(result, caller_answer(200, format!("{FIRST}{REST}").into_bytes(), true));
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+}
+
+#[test]
+fn request_without_an_upstream_does_not_wait_for_a_record() {
+    let engines = engines(1);
+    let context = recording_daemon(&[(&engines[0], "v2")], "v1", 250);
+    let entry = upstream("u0", "app");
+    let software = "v2".parse().ok();
+    context.upstreams.borrow_mut().note_entry(leaving(UpstreamEntry { software, ..entry }));
+
+    let begun = Instant::now();
+    let result = serve(&context, stream_request());
+
+    assert_eq!(result, CallerResult::NotRun);
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+}
+
+#[test]
+fn caller_of_an_unknown_stream_returns_soon_while_the_records_are_unread() {
+    // Guards against callers that are sent away for good by a daemon that has just started.
+    let engines = engines(1);
+    let context = daemon(&[(&engines[0], "v1")]);
+    follow_back(&context, 250, 0);
+    context.upstreams.borrow_mut().census_mut().note_has_records();
+
+    let outcome = run(serve_request(&context, &Rc::new(config(1)), taking_up(None)));
+
+    let ServeOutcome::NotRun { reason, return_after_ms } = outcome else { panic!("it was sent") };
+    assert_eq!(reason, RefusalReason::StreamUnconfirmed);
+    assert!(return_after_ms <= 500, "{return_after_ms}");
+}
+
 #[test]
 fn stream_begins_without_a_record_if_the_store_takes_none_for_long() {
     let engines = engines(1);
