test: cut answers are served at one listener a test, and sends count by request

Each cut opened a listener that was never closed, thousands in a run. Whatever connected to a reused port counted as a send of the request.

--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 pub mod load_simulation;
+pub mod named_upstream;
 pub mod scripted;
 pub mod served;
 
--- a/crates/guava-serve/tests/support/scripted.rs
+++ b/crates/guava-serve/tests/support/scripted.rs
@@ -1,10 +1,10 @@
 //! An upstream that answers each request by a script that the test provides.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{sleep, spawn};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
 
 /// One step in answering a request.
@@ -25,15 +25,29 @@
     AwaitClose,
 }
 
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    /// Its head, in lower case.
+    pub head: String,
+    /// The client's end of its connection.
+    pub client: Option<SocketAddr>,
+}
+
+/// An open connection, and the thread that serves it.
+type ServedConnection = (Weak<TcpStream>, JoinHandle<()>);
+
 /// A running scripted upstream; clones share its state.
 #[derive(Clone)]
 pub struct ScriptedUpstream {
     pub address: SocketAddr,
-    requests: Arc<Mutex<Vec<String>>>,
+    requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     client_closes: Arc<AtomicUsize>,
     endless_bytes: Arc<AtomicUsize>,
     begun: Arc<Mutex<Vec<Instant>>>,
     closed: Arc<Mutex<Vec<Instant>>>,
+    is_closing: Arc<AtomicBool>,
+    acceptor: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
 
 impl ScriptedUpstream {
@@ -55,21 +69,63 @@
             endless_bytes: Arc::default(),
             begun: Arc::default(),
             closed: Arc::default(),
+            is_closing: Arc::default(),
+            acceptor: Arc::default(),
         };
         let shared = upstream.clone();
-        spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = shared.clone();
-                let script = script.clone();
-                spawn(move || shared.serve(stream, script));
-            }
-        });
+        let acceptor = spawn(move || shared.accept(&listener, script));
+        *upstream.acceptor.lock().unwrap() = Some(acceptor);
         upstream
     }
 
+    fn accept(
+        &self,
+        listener: &TcpListener,
+        script: impl Fn(usize, &str) -> Vec<ScriptStep> + Clone + Send + 'static,
+    ) {
+        let mut connections: Vec<ServedConnection> = Vec::new();
+        for stream in listener.incoming() {
+            if self.is_closing.load(Ordering::SeqCst) {
+                // Connections that wait are still accepted.
+                listener.set_nonblocking(true).unwrap();
+            }
+            let stream = match stream {
+                Ok(stream) => stream,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => continue,
+            };
+            connections.retain(|(_, thread)| !thread.is_finished());
+            let stream = Arc::new(stream);
+            let open = Arc::downgrade(&stream);
+            let (shared, script) = (self.clone(), script.clone());
+            connections.push((open, spawn(move || shared.serve(&stream, script))));
+        }
+        for (open, thread) in connections {
+            // What has arrived is still read.
+            open.upgrade().iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+            thread.join().unwrap();
+        }
+    }
+
+    /// Closes the listener and all connections, once the requests that have arrived are counted.
+    pub fn close(&self) {
+        let acceptor = self.acceptor.lock().unwrap().take();
+        if let Some(acceptor) = acceptor {
+            self.is_closing.store(true, Ordering::SeqCst);
+            // Wakes the acceptor.
+            drop(TcpStream::connect(self.address).unwrap());
+            acceptor.join().unwrap();
+        }
+    }
+
+    /// The requests received so far.
+    pub fn received(&self) -> Vec<ReceivedRequest> {
+        self.requests.lock().unwrap().clone()
+    }
+
     /// Heads of the requests received so far, in lower case.
     pub fn requests(&self) -> Vec<String> {
-        self.requests.lock().unwrap().clone()
+        self.received().into_iter().map(|request| request.head).collect()
     }
 
     /// Bytes written so far in steps `SendForever`.
@@ -92,22 +148,23 @@
         self.closed.lock().unwrap().clone()
     }
 
-    fn serve(&self, mut stream: TcpStream, script: impl Fn(usize, &str) -> Vec<ScriptStep>) {
-        while let Some(head) = read_request(&mut stream) {
+    fn serve(&self, stream: &TcpStream, script: impl Fn(usize, &str) -> Vec<ScriptStep>) {
+        let client = stream.peer_addr().ok();
+        while let Some(head) = read_request(stream) {
             let number = {
                 let mut requests = self.requests.lock().unwrap();
-                requests.push(head.clone());
+                requests.push(ReceivedRequest { head: head.clone(), client });
                 self.begun.lock().unwrap().push(Instant::now());
                 requests.len() - 1
             };
-            if !self.run_script(&mut stream, &script(number, &head)) {
+            if !self.run_script(stream, &script(number, &head)) {
                 return;
             }
         }
     }
 
     /// Runs a script; returns whether the connection can serve another request.
-    fn run_script(&self, stream: &mut TcpStream, script: &[ScriptStep]) -> bool {
+    fn run_script(&self, mut stream: &TcpStream, script: &[ScriptStep]) -> bool {
         for step in script {
             match step {
                 ScriptStep::SendBytes(text) => drop(stream.write_all(text.as_bytes())),
@@ -116,7 +173,7 @@
                 ScriptStep::Reset => {
                     // A linger time of zero makes the close a reset, even if no unread bytes are
                     // left.
-                    drop(socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)));
+                    drop(socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)));
                     return false;
                 }
                 ScriptStep::SendForever(text, pause_ms) => {
@@ -144,7 +201,7 @@
 }
 
 /// Reads one request with its body, and returns the head.
-fn read_request(stream: &mut TcpStream) -> Option<String> {
+fn read_request(mut stream: &TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -35,6 +35,7 @@
             let mut encoded = Request::post("/x").body(Full::new(request.body.clone())).unwrap();
             let headers = encoded.headers_mut();
             headers.insert("host", "a".parse().unwrap());
+            headers.insert("x-request", request.id.parse().unwrap());
             headers.insert("x-left", plan.left_ms.into());
             if let Some(last) = &plan.resume_after {
                 headers.insert("x-resume", last.parse().unwrap());
@@ -45,6 +46,7 @@
             let mut encoded = Request::post("/x").body(Full::new(request.body.clone())).unwrap();
             let headers = encoded.headers_mut();
             headers.insert("host", "a".parse().unwrap());
+            headers.insert("x-request", request.id.parse().unwrap());
             headers.insert("x-left", left_ms.into());
             encoded
         },
