fix: a permit that comes back doesn't uncount a later one on the own interface

By reading: the ledger took its count from the number of the permit that was returned, so that a second send under way was forgotten. Sends follow one another there today. permission_that_comes_back_leaves_a_later_one_counted fails without the change. The proof that a request was not written can be made inside guava-serve only.

--- a/crates/guava-outside/src/attempt_ledger.rs
+++ b/crates/guava-outside/src/attempt_ledger.rs
@@ -29,8 +29,8 @@
     }
 
     /// Takes back a permission under which nothing ran.
-    pub fn take_back(&mut self, unused: SendPermit) {
-        self.runs = unused.run.saturating_sub(1);
+    pub fn take_back(&mut self, _unused: SendPermit) {
+        self.runs = self.runs.saturating_sub(1);
     }
 
     /// Whether the request may have run.
--- a/crates/guava-outside/tests/attempt_ledger.rs
+++ b/crates/guava-outside/tests/attempt_ledger.rs
@@ -88,6 +88,19 @@
     assert!(ledger.permit().is_none());
 }
 
+#[test]
+fn permission_that_comes_back_leaves_a_later_one_counted() {
+    // Guards against a send that is forgotten as an earlier one is shown not to have run.
+    let mut ledger = AttemptLedger::new(2);
+    let first = ledger.permit().unwrap();
+    let second = ledger.permit();
+
+    ledger.take_back(first);
+
+    assert!(second.is_some());
+    assert!(ledger.may_have_run());
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn call_that_reached_nobody_returns_its_permission() {
     let failed = call_service(nobody()).await;
--- a/crates/guava-serve/src/request/run_ledger.rs
+++ b/crates/guava-serve/src/request/run_ledger.rs
@@ -150,7 +150,7 @@
 
 impl NotRunProof {
     /// Proof by the message itself, which the HTTP library returns if no byte of it was written.
-    pub fn of_unsent<T>(message: Option<T>) -> Option<Self> {
+    pub(crate) fn of_unsent<T>(message: Option<T>) -> Option<Self> {
         message.map(|_| Self(()))
     }
 
