fix: log lines are bounded in bytes

Operators saw lines as long as a request's head: an id of 12 KB stood whole in each line of its request, 200 lines a second, 2.4 MB a second. Cause: lines were bounded in number, and what waits to be written in bytes, but not a line. Lines over 2,048 bytes keep the first 128 characters of each text; one that is still too long keeps its event. They stay JSON.

Two tests of the sink.

--- a/crates/guava-log/src/lib.rs
+++ b/crates/guava-log/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod line_budget;
 mod line_buffer;
+mod line_clip;
 mod set_up;
 
 pub use line_budget::LineBudget;
--- a/crates/guava-log/src/line_buffer.rs
+++ b/crates/guava-log/src/line_buffer.rs
@@ -5,6 +5,7 @@
 //! of lines, is dropped and counted, and the count is written as a line of its own.
 
 use crate::line_budget::LineBudget;
+use crate::line_clip::clip_line;
 use crate::{LINES_DROPPED, LogEvent};
 use spdlog::formatter::{FormatterContext, JsonFormatter};
 use spdlog::sink::{GetSinkProp, Sink, SinkProp};
@@ -109,7 +110,10 @@
         let mut line = StringBuf::new();
         let mut context = FormatterContext::new();
         self.prop.formatter().format(record, &mut line, &mut context)?;
-        self.state().bytes.extend_from_slice(line.as_bytes());
+        match clip_line(&line) {
+            None => self.state().bytes.extend_from_slice(line.as_bytes()),
+            Some(clipped) => self.state().bytes.extend_from_slice(clipped.as_bytes()),
+        }
         self.taken.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/guava-log/tests/lines.rs
+++ b/crates/guava-log/tests/lines.rs
@@ -91,3 +91,35 @@
     assert!(failed);
     assert_eq!(written(&buffer).len(), 1);
 }
+
+#[test]
+fn line_with_a_long_text_is_clipped_and_stays_json() {
+    // Guards against ids as long as a request's head in several lines of each request.
+    let buffer = Arc::new(LineBuffer::new(100));
+    let logger = logger_on(&buffer);
+    let id = "i".repeat(12 << 10);
+
+    spdlog::info!(logger: logger, "{}", TRIED.text, kv: { event = TRIED.code, request: = id, at: = 7 });
+
+    let lines = written(&buffer);
+    assert_eq!(lines[0]["kv"]["event"], "T0001");
+    assert_eq!(lines[0]["kv"]["at"].to_string().trim_matches('"'), "7");
+    assert!(lines[0]["kv"]["request"].as_str().unwrap().starts_with("iii"));
+    assert!(lines[0].to_string().len() < 2_048, "{}", lines[0]);
+}
+
+#[test]
+fn line_with_many_texts_keeps_its_event() {
+    let buffer = Arc::new(LineBuffer::new(100));
+    let logger = logger_on(&buffer);
+    let texts: Vec<String> = (0..200).map(|number| format!("text-{number:0100}")).collect();
+
+    spdlog::info!(
+        logger: logger, "{}", TRIED.text,
+        kv: { event = TRIED.code, all: = serde_json::to_string(&texts).unwrap(), many = "x".repeat(3_000).as_str() }
+    );
+
+    let lines = written(&buffer);
+    assert_eq!(lines[0]["kv"]["event"], "T0001");
+    assert!(lines[0].to_string().len() < 2_048);
+}
