fix: one budget of what clients hold of a daemon on the platform

What callers saw: a daemon ended for lack of memory, with all its requests, while clients sent many requests ahead on a few connections and read no answers.

Cause, as a class: a bound of one that does not hold for the sum, or for as long as the client likes. Connections, heads, requests in service, answers handed to a connection, what lies in the kernel's buffers: nobody added them up; four listeners had as many places each as half of all descriptors; the limit for bodies refused whoever came last; headerTimeoutMs was read and not used; an answer could stay unread for ever.

Now every connection has an account in one budget (guava-clients), from accept until its client has taken the answer. Who has stood still with most bytes for longest is closed first; then idle ones; a connection whose request is in service and whose client keeps up never is. Kernel buffers are bounded and charged when they fill. Places are those of all listeners, with descriptors left for upstreams, peers and the store. Heads, bodies and answers have time limits, counted while the process runs.

Existing tests: the memory test of endless answers now looks at all that is held instead of long answers only; listeners of tests get a budget.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -88,7 +88,7 @@
     PartReport, PortError, PortFuture, QuarantinePort, VersionPort,
 };
 pub use request::accepted_request::{AcceptedRequest, PromptPart, PromptShape, RequestHead};
-pub use request::admit::{AdmitRefusal, AdmittedCaller, HeldBytes, admit};
+pub use request::admit::{AdmitRefusal, AdmittedCaller, admit};
 pub use request::answer_body::{AnswerBody, InterruptedStream};
 pub use request::answer_timeout::{first_answer_timeout_ms, return_after_ms};
 pub use request::dialect::{AnswerMarks, Dialect, EngineInstructions, SendPlan};
@@ -97,7 +97,9 @@
 pub use request::engine_input::EngineInput;
 pub use request::event_framer::{EventBatch, EventFramer};
 pub use request::freshness_wait::{await_fresh_config, is_stale};
-pub use request::http_listener::{ConnectionLimits, ListenerPhase, open_listener, serve_listener};
+pub use request::http_listener::{
+    ConnectionLimits, ListenerBudget, ListenerPhase, open_listener, serve_listener,
+};
 pub use request::outcome::{QueueRefusal, SendRecord, ServeOutcome};
 pub use request::peer_forward::{FORWARDED, RUN_LIMIT, UNSERVED};
 pub use request::queue_table::{QueueLevel, QueueTable};
--- a/crates/guava-serve/src/metrics.rs
+++ b/crates/guava-serve/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of the request path, encoded as OpenMetrics text.
 
 use crate::request::queue_table::QueueLevel;
+use guava_clients::{BudgetLevels, CloseReason};
 use guava_types::UpstreamId;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -103,6 +104,9 @@
     members: Gauge,
     dropped_lines: Gauge,
     reaches_upstreams: Gauge,
+    closed_clients: Family<KindLabel, Counter>,
+    client_connections: Gauge,
+    client_bytes: Gauge,
 }
 
 impl Default for ServeMetrics {
@@ -131,6 +135,11 @@
         let members = Gauge::default();
         let dropped_lines = Gauge::default();
         let reaches_upstreams = Gauge::default();
+        let closed_clients = Family::<KindLabel, Counter>::default();
+        let [client_connections, client_bytes] = [(); 2].map(|()| Gauge::default());
+        registry.register("closed_clients", "Connections by reason", closed_clients.clone());
+        registry.register("client_connections", "Open connections", client_connections.clone());
+        registry.register("client_bytes", "Bytes held for clients", client_bytes.clone());
         reaches_upstreams.set(1);
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("refusals", "Refused requests by reason", refusals.clone());
@@ -191,6 +200,9 @@
             upstreams,
             members,
             dropped_lines,
+            closed_clients,
+            client_connections,
+            client_bytes,
             reaches_upstreams,
         }
     }
@@ -356,6 +368,17 @@
         self.dropped_lines.set(gauge_value(dropped_lines));
     }
 
+    /// Sets what clients hold, and how many of their connections were closed.
+    pub fn note_clients(&self, levels: &BudgetLevels) {
+        self.client_connections.set(gauge_value(levels.connections as u64));
+        self.client_bytes.set(gauge_value(levels.bytes as u64));
+        for (reason, closed) in CloseReason::ALL.into_iter().zip(levels.closed) {
+            let label = KindLabel { kind: reason.name() };
+            let counter = self.closed_clients.get_or_create(&label);
+            counter.inc_by(closed.saturating_sub(counter.get()));
+        }
+    }
+
     /// All metrics as OpenMetrics text; a comment line with the error if they can't be encoded.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/guava-serve/src/request/admit.rs
+++ b/crates/guava-serve/src/request/admit.rs
@@ -1,5 +1,4 @@
-//! Admission: finds a request's route and caller by the current configuration, and bounds the memory
-//! that requests hold.
+//! Admission: finds a request's route and caller by the current configuration.
 
 use crate::request::refusal_reason::RefusalReason;
 use crate::serve_config::{CallerIdentity, RouteRule};
@@ -58,37 +57,3 @@
         config.identify(route, key).ok_or_else(|| refusal_if_confirmed(AdmitRefusal::NoKey))?;
     Ok(AdmittedCaller { route: Rc::clone(route), caller })
 }
-
-/// Bytes of a request that count against the daemon's memory bound until this is dropped.
-pub struct HeldBytes {
-    context: Rc<ServeContext>,
-    count: usize,
-}
-
-impl HeldBytes {
-    /// Creates an empty reservation.
-    pub fn new(context: &Rc<ServeContext>) -> Self {
-        Self { context: Rc::clone(context), count: 0 }
-    }
-
-    /// Reserves more bytes; returns `false` and reserves none if that would exceed the bound.
-    ///
-    /// A process over its memory limit is killed with all its requests. Refusing some requests keeps
-    /// the others.
-    pub fn grow(&mut self, count: usize) -> bool {
-        let held = self.context.held_bytes.get() + count;
-        if held > self.context.bounds.held_bytes {
-            return false;
-        }
-        self.context.held_bytes.set(held);
-        self.count += count;
-        true
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        let held = self.context.held_bytes.get();
-        self.context.held_bytes.set(held.saturating_sub(self.count));
-    }
-}
--- a/crates/guava-serve/src/request/attempt.rs
+++ b/crates/guava-serve/src/request/attempt.rs
@@ -127,6 +127,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// What it takes of the memory for clients.
+    pub held: HeldAnswer,
 }
 
 /// A stream whose first event has been received.
@@ -596,7 +598,8 @@
         sent: Moment,
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
-        let reading = read_body(body, MAX_ANSWER_BYTES, Some(HeldAnswer::new(self.context)));
+        let mut held = HeldAnswer::new(self.context);
+        let reading = read_body(body, MAX_ANSWER_BYTES, Some(&mut held));
         let body = match wait_for_answer(self.input, self.plan, reading).await {
             WaitOutcome::Done(Ok(body)) => body,
             WaitOutcome::Done(Err(error @ BodyError::Interrupted { .. })) => {
@@ -626,7 +629,7 @@
         }
         let mut headers = head.headers;
         (self.context.dialect.strip)(&mut headers);
-        AttemptOutcome::Complete(CompleteAnswer { status: head.status, headers, body })
+        AttemptOutcome::Complete(CompleteAnswer { status: head.status, headers, body, held })
     }
 
     async fn open_stream(
@@ -728,7 +731,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map(|data| &data[..]).unwrap_or_default();
-                    if !self.framer.push(data) || !self.held.note_length(self.framer.pending_len())
+                    if !self.framer.push(data) || !self.held.note_length(self.framer.buffer_bytes())
                     {
                         return StreamStep::Interrupted("an event exceeds the size limit".into());
                     }
@@ -740,7 +743,7 @@
     }
 
     fn step_at_end(&mut self) -> StreamStep {
-        if self.framer.pending_len() == 0 {
+        if self.framer.is_empty() {
             return StreamStep::End;
         }
         if self.marks.is_framed || self.framer.is_at_boundary() {
--- a/crates/guava-serve/src/request/dispatch.rs
+++ b/crates/guava-serve/src/request/dispatch.rs
@@ -101,7 +101,7 @@
         bytes = answer.body.len(),
         runs = run.record.ledger.runs()
     );
-    let mut response = Response::new(AnswerBody::complete(answer.body));
+    let mut response = Response::new(AnswerBody::held(answer.body, answer.held));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
     ServeOutcome::Answered(response)
--- a/crates/guava-serve/src/request/event_framer.rs
+++ b/crates/guava-serve/src/request/event_framer.rs
@@ -9,6 +9,10 @@
 /// Maximum size of an event; a larger one is not accepted as an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Largest batch that shares the buffer it arrived in, in bytes. A longer one would keep a buffer of up
+/// to twice its size for as long as its caller does not take it.
+const MAX_SHARED_BYTES: usize = 16 << 10;
+
 /// Complete events, and the id of the last of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EventBatch {
@@ -44,9 +48,14 @@
         self.pending.len() - self.event_end <= MAX_EVENT_BYTES
     }
 
-    /// Bytes that are buffered.
-    pub fn pending_len(&self) -> usize {
-        self.pending.len()
+    /// Whether nothing is buffered.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Size of the buffer, in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.pending.capacity()
     }
 
     /// Removes and returns all complete events.
@@ -56,7 +65,14 @@
             return None;
         }
         self.scanned_len -= end;
-        let bytes = self.pending.split_to(end).freeze();
+        let bytes = match end {
+            0..=MAX_SHARED_BYTES => self.pending.split_to(end).freeze(),
+            _ => {
+                let bytes = Bytes::copy_from_slice(&self.pending[..end]);
+                self.pending = BytesMut::from(&self.pending[end..]);
+                bytes
+            }
+        };
         let last_id = last_id(&bytes);
         Some(EventBatch { bytes, last_id })
     }
--- a/crates/guava-serve/src/request/http_listener.rs
+++ b/crates/guava-serve/src/request/http_listener.rs
@@ -1,6 +1,9 @@
 //! An HTTP/1.1 listener that passes all requests to one handler.
 
 use crate::request::answer_body::AnswerBody;
+use guava_clients::{
+    AnswerBytes, BudgetedStream, ClientBudget, ClientTimes, ConnectionAccount, ListenerPlaces,
+};
 use guava_framing::{AnswerEnd, CallerStream, watch_answer};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -20,6 +23,10 @@
 /// Delay after a failed accept, usually for lack of file descriptors, and interval between two checks
 /// for connections that are still open, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 20;
+/// Smallest buffer of a connection, whatever the largest head is, and what it has room for beside that
+/// one, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+const BUFFER_MARGIN_BYTES: usize = 4 << 10;
 
 /// Whether a listener accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,16 +42,24 @@
 pub struct ConnectionLimits {
     /// Largest request head, in bytes.
     pub header_bytes: usize,
-    /// Milliseconds within which the next request's complete head must arrive.
-    pub idle_ms: u64,
-    /// Most open connections; further ones are closed when accepted.
-    pub connections: usize,
+    /// How long clients may take.
+    pub times: ClientTimes,
+}
+
+/// What a listener's connections count against.
+#[derive(Clone)]
+pub struct ListenerBudget {
+    /// Budget of the process.
+    pub clients: ClientBudget,
+    /// The listener's share of the places.
+    pub places: ListenerPlaces,
 }
 
 /// Opens a listening socket at an IPv4 address; fails with the error of the system call.
-pub fn open_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn open_listener(address: SocketAddr, clients: &ClientBudget) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    clients.bound_buffers(&socket)?;
     socket.bind(address)?;
     socket.listen(BACKLOG_CONNECTIONS)
 }
@@ -54,11 +69,12 @@
 /// Then it closes the listener, and returns when all open connections have finished.
 pub async fn serve_listener<H, F>(
     listener: TcpListener,
+    budget: ListenerBudget,
     limits: impl Fn() -> ConnectionLimits,
     handler: H,
     mut phase: watch::Receiver<ListenerPhase>,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, ConnectionAccount) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let open = Rc::new(Cell::new(0_usize));
@@ -68,19 +84,23 @@
             _ = phase.wait_for(|phase| *phase == ListenerPhase::Closing) => break,
         };
         let Ok((stream, _)) = accepted else {
+            budget.clients.make_place();
             tokio::time::sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
             continue;
         };
         let limits = limits();
-        if open.get() >= limits.connections {
-            continue;
+        if let Some(account) = budget.clients.open(budget.places, limits.times) {
+            let counted = OpenCount::new(&open);
+            let serving = serve_connection(stream, limits, account, handler.clone(), phase.clone());
+            tokio::task::spawn_local(async move {
+                serving.await;
+                drop(counted);
+            });
+        }
+        if budget.clients.is_full() {
+            // Connections that were closed for others give their descriptors back in their own turn.
+            tokio::task::yield_now().await;
         }
-        let counted = OpenCount::new(&open);
-        let serving = serve_connection(stream, limits, handler.clone(), phase.clone());
-        tokio::task::spawn_local(async move {
-            serving.await;
-            drop(counted);
-        });
     }
     drop(listener);
     while open.get() > 0 {
@@ -106,34 +126,49 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: ConnectionLimits,
+    account: ConnectionAccount,
     handler: H,
     mut phase: watch::Receiver<ListenerPhase>,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<Incoming>, ConnectionAccount) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     drop(stream.set_nodelay(true));
     let end = AnswerEnd::default();
-    let stream = CallerStream::plain(stream, end.clone());
+    let stream = BudgetedStream::plain(stream, account.clone());
+    let stream = CallerStream::new(stream, BudgetedStream::socket, end.clone());
+    let served = account.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (method, version, end) = (request.method().clone(), request.version(), end.clone());
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(watch_answer(&end, &method, version, answer.await)) }
+        let service = served.begin_request();
+        let handler = handler.clone();
+        async move {
+            service.turn().await;
+            let answer = handler(request, service.account().clone()).await;
+            let answer = watch_answer(&end, &method, version, answer);
+            Ok::<_, Infallible>(answer.map(|body| AnswerBytes::new(body, service)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .header_read_timeout(Duration::from_millis(limits.times.idle_ms))
         .max_header_size(limits.header_bytes)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES) + BUFFER_MARGIN_BYTES)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut closed = std::pin::pin!(account.closed());
     let is_finished = tokio::select! {
         _ = connection.as_mut() => true,
+        () = closed.as_mut() => true,
         _ = phase.wait_for(|phase| *phase == ListenerPhase::Closing) => false,
     };
     if !is_finished {
         connection.as_mut().graceful_shutdown();
         // The requests on a connection handle its errors.
-        drop(connection.await);
+        tokio::select! {
+            _ = connection => {}
+            () = closed => {}
+        }
     }
 }
--- a/crates/guava-serve/src/serve_config.rs
+++ b/crates/guava-serve/src/serve_config.rs
@@ -183,12 +183,15 @@
     keys: FastMap<Box<str>, Rc<CustomerRule>>,
     customers: FastSet<CustomerId>,
     needs_keys: bool,
+    longest_time_limit_ms: u64,
 }
 
 impl ServeConfig {
     /// Indexes a configuration; where a key occurs twice, its last owner counts.
     pub fn new(parts: ConfigParts) -> Self {
         let mut hosts: FastMap<Box<str>, Vec<Rc<RouteRule>>> = FastMap::default();
+        let time_limits = parts.routes.iter().map(|route| route.time_limit_ms);
+        let longest_time_limit_ms = time_limits.max().unwrap_or(0);
         for route in parts.routes {
             hosts.entry(route.host.clone()).or_default().push(Rc::new(route));
         }
@@ -213,9 +216,15 @@
             keys,
             customers,
             needs_keys,
+            longest_time_limit_ms,
         }
     }
 
+    /// The longest time limit of all routes, in milliseconds; 0 if there is no route.
+    pub fn longest_time_limit_ms(&self) -> u64 {
+        self.longest_time_limit_ms
+    }
+
     /// The host's route with the longest prefix of the path; `None` if there is none.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Rc<RouteRule>> {
         let routes = self.hosts.get(host)?;
--- a/crates/guava-serve/src/serve_context.rs
+++ b/crates/guava-serve/src/serve_context.rs
@@ -36,6 +36,7 @@
 use crate::upstreams::work_table::WorkTable;
 use crate::weights::version_targets::{VersionLimits, VersionTargets};
 use bytes::Bytes;
+use guava_clients::{ClientBudget, ClientLimits};
 use guava_policy::{
     AnnouncementTable, CrashLedger, CustomerLedger, MemoryBudget, ReachWatch, ReportTable,
     ReturnLedger, SendLedger,
@@ -93,8 +94,8 @@
     pub retries: RetryLimit,
     /// Factor by which a cold upstream's load may exceed its configured cold rate.
     pub cold_times: f64,
-    /// Limit of `ServeContext::held_bytes` and of `ServeContext::answer_bytes`, each.
-    pub held_bytes: usize,
+    /// What clients may hold.
+    pub clients: ClientLimits,
     /// Rate of the VM's link.
     pub link: LinkRate,
 }
@@ -234,10 +235,8 @@
     pub return_gossip: RefCell<ReturnGossip>,
     /// Where streams began, as told between daemons.
     pub origins: OriginExchange,
-    /// Bytes of the requests that this daemon holds.
-    pub held_bytes: Cell<usize>,
-    /// Bytes of incomplete answers that this daemon holds, without a free part of each.
-    pub answer_bytes: Cell<usize>,
+    /// What clients hold of this daemon: connections, requests and answers.
+    pub clients: ClientBudget,
 }
 
 impl ServeContext {
@@ -306,8 +305,7 @@
             returns: RefCell::default(),
             return_gossip: RefCell::default(),
             origins: OriginExchange::default(),
-            held_bytes: Cell::new(0),
-            answer_bytes: Cell::new(0),
+            clients: ClientBudget::new(bounds.clients),
             identity,
         }
     }
--- a/crates/guava-serve/src/upstreams/bounded_body.rs
+++ b/crates/guava-serve/src/upstreams/bounded_body.rs
@@ -6,14 +6,14 @@
 
 use crate::serve_context::ServeContext;
 use bytes::{Bytes, BytesMut};
+use guava_clients::{ClientBudget, HeldBytes};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use snafu::{Snafu, ensure};
-use std::rc::Rc;
 
 /// Bytes of each answer that do not count against the limit of all, so that short answers are read
-/// whatever others hold.
-const FREE_BYTES: usize = 64 << 10;
+/// whatever others hold: as many as a connection's own buffers hold.
+const FREE_BYTES: usize = 4 << 10;
 
 /// Why a body was not read completely.
 #[derive(Debug, Snafu)]
@@ -37,39 +37,43 @@
 
 /// Bytes of an incomplete answer that count against the limit of all, until this is dropped.
 pub struct HeldAnswer {
-    context: Rc<ServeContext>,
-    count: usize,
+    budget: ClientBudget,
+    held: Option<HeldBytes>,
 }
 
 impl HeldAnswer {
     /// Holds nothing yet.
-    pub fn new(context: &Rc<ServeContext>) -> Self {
-        Self { context: Rc::clone(context), count: 0 }
+    pub fn new(context: &ServeContext) -> Self {
+        Self { budget: context.clients.clone(), held: None }
     }
 
     /// Notes the length of what is held; returns whether there is memory for it.
     pub fn note_length(&mut self, length: usize) -> bool {
         let count = length.saturating_sub(FREE_BYTES);
-        let others = self.context.answer_bytes.get().saturating_sub(self.count);
-        self.count = count;
-        self.context.answer_bytes.set(others + count);
-        count == 0 || others + count <= self.context.bounds.held_bytes
+        match &mut self.held {
+            Some(held) => held.resize(count),
+            None if count == 0 => true,
+            None => {
+                self.held = self.budget.hold(count);
+                self.held.is_some()
+            }
+        }
     }
 }
 
-impl Drop for HeldAnswer {
-    fn drop(&mut self) {
-        self.note_length(0);
-    }
+/// Room that is made for a body of known length, so that it does not take twice as much as it grows.
+fn first_capacity(body: &Incoming, limit: usize) -> usize {
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    length.filter(|length| *length <= limit).unwrap_or(0)
 }
 
 /// Reads a complete body of at most `limit` bytes, of which `held` keeps count if it is given.
 pub async fn read_body(
     mut body: Incoming,
     limit: usize,
-    mut held: Option<HeldAnswer>,
+    mut held: Option<&mut HeldAnswer>,
 ) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+    let mut bytes = BytesMut::with_capacity(first_capacity(&body, limit));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         ensure!(bytes.len() + data.len() <= limit, TooLongSnafu { limit });
--- a/crates/guava-serve/tests/dispatch.rs
+++ b/crates/guava-serve/tests/dispatch.rs
@@ -7,10 +7,10 @@
 
 use guava_policy::{CustomerLedger, QueueEntry, QueueTicket, WaitingUse};
 use guava_serve::{
-    AcceptedRequest, AnswerBody, CallerIdentity, ConnectionLimits, ConnectionUse, ExpectedLoad,
-    ListenerPhase, PublicationSource, ReadMark, RefusalReason, RepeatRule, RouteRule, ServeContext,
-    ServeOutcome, UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request,
-    first_attempt, open_listener, serve_listener, serve_request,
+    AcceptedRequest, AnswerBody, CallerIdentity, ConnectionUse, ExpectedLoad, ListenerPhase,
+    PublicationSource, ReadMark, RefusalReason, RepeatRule, RouteRule, ServeContext, ServeOutcome,
+    UpstreamEntry, WeightVersion, WorkTicket, apply_version, call_request, first_attempt,
+    open_listener, serve_listener, serve_request,
 };
 use guava_types::{Deadline, Moment, ServiceName, TokenCount};
 use std::cell::RefCell;
@@ -20,7 +20,7 @@
 use support::scripted::{
     ScriptStep, ScriptedUpstream, chunk, complete_answer, last_chunk, stream_head,
 };
-use support::served::{CallerResult, context, read, run};
+use support::served::{CallerResult, connection_limits, context, listener_budget, read, run};
 use support::{config, customer, engine, id, model, prompt, published, request, route, upstream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -707,12 +707,13 @@
     let statuses = run(async {
         let (context, running, mut request) = full_engine(&upstream);
         fill_memory(&mut request);
-        let listener = open_listener(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let listener =
+            open_listener(SocketAddr::from(([127, 0, 0, 1], 0)), &context.clients).unwrap();
         let address = listener.local_addr().unwrap();
         let phase = watch::Sender::new(ListenerPhase::Open);
-        let limits = || ConnectionLimits { header_bytes: 8_192, idle_ms: 5_000, connections: 9 };
+        let budget = listener_budget(&context);
         let served = Rc::clone(&context);
-        let handler = move |_| {
+        let handler = move |_, _| {
             let (context, request) = (Rc::clone(&served), request.clone());
             async move {
                 match serve_request(&context, &Rc::new(config(1)), request).await {
@@ -724,7 +725,9 @@
                 }
             }
         };
-        tokio::task::spawn_local(serve_listener(listener, limits, handler, phase.subscribe()));
+        let receiver = phase.subscribe();
+        let serving = serve_listener(listener, budget, connection_limits, handler, receiver);
+        tokio::task::spawn_local(serving);
         let callers =
             [(); 2].map(|()| tokio::task::spawn_local(async move { status_line(address).await }));
         while context.queues.borrow_mut().queue(&llm()).len() < 2 {
--- a/crates/guava-serve/tests/endless_answers.rs
+++ b/crates/guava-serve/tests/endless_answers.rs
@@ -294,7 +294,7 @@
             async move {
                 let request = request(route("/x/", "app", RepeatRule::NonIdempotent));
                 let serving = read(serve_request(&context, &config, request).await);
-                most.set(most.get().max(context.answer_bytes.get()));
+                most.set(most.get().max(context.clients.levels().bytes));
                 serving.await
             }
         });
--- a/crates/guava-serve/tests/framed_answers.rs
+++ b/crates/guava-serve/tests/framed_answers.rs
@@ -9,8 +9,8 @@
 use futures_util::stream::{self, StreamExt};
 use guava_policy::ReachChange;
 use guava_serve::{
-    AnswerBody, ConnectionLimits, InterruptedStream, ListenerPhase, MemberDescriptor, RepeatRule,
-    ServeContext, ServeOutcome, open_listener, serve_listener, serve_request,
+    AnswerBody, InterruptedStream, ListenerPhase, MemberDescriptor, RepeatRule, ServeContext,
+    ServeOutcome, open_listener, serve_listener, serve_request,
 };
 use guava_types::Moment;
 use http::{Response, StatusCode};
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use support::scripted::{ScriptStep, ScriptedUpstream};
-use support::served::{context, run};
+use support::served::{connection_limits, context, listener_budget, run};
 use support::{config, note, request, route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -66,14 +66,15 @@
 where
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let listener = open_listener(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let budget = listener_budget(&context(&[]));
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = open_listener(address, &budget.clients).unwrap();
     let address = listener.local_addr().unwrap();
-    let limits = || ConnectionLimits { header_bytes: 8_192, idle_ms: 5_000, connections: 9 };
-    let handler = move |_| answer();
+    let handler = move |_, _| answer();
     let phase = watch::Sender::new(ListenerPhase::Open);
     let receiver = phase.subscribe();
     tokio::task::spawn_local(async move {
-        serve_listener(listener, limits, handler, receiver).await;
+        serve_listener(listener, budget, connection_limits, handler, receiver).await;
         drop(phase);
     });
     address
--- a/crates/guava-serve/tests/support/mod.rs
+++ b/crates/guava-serve/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod scripted;
 pub mod served;
 
+use guava_clients::ClientLimits;
 use guava_serve::{
     AcceptedRequest, AnswerMarks, CallerIdentity, ConfigParts, ConfigVersion, CustomerRule,
     Dialect, EngineTraits, ListRevision, MemberDescriptor, OwnSummary, PromptPart, PromptShape,
@@ -184,7 +185,7 @@
         config_limit_ms: 2_000,
         retries: RetryLimit { ratio: 0.2, slack: 50.0, is_first_start: false },
         cold_times: 1.0,
-        held_bytes: 1 << 20,
+        clients: ClientLimits { bytes: 1 << 20, connections: 100, socket_buffer_bytes: 64 << 10 },
         renewal_ms: 1_200,
         link: LinkRate(125_000_000),
     };
--- a/crates/guava-serve/tests/support/served.rs
+++ b/crates/guava-serve/tests/support/served.rs
@@ -2,11 +2,12 @@
 
 use super::scripted::ScriptedUpstream;
 use super::upstream;
+use guava_clients::{ClientLimits, ClientTimes, ListenerPlaces};
 use guava_framing::{is_framed, strip_codings};
 use guava_policy::UpstreamAnnouncements;
 use guava_serve::{
-    AnswerMarks, Dialect, RetryLimit, ServeBounds, ServeContext, ServeIdentity, ServeOutcome,
-    UpstreamEntry, VersionLimits,
+    AnswerMarks, ConnectionLimits, Dialect, ListenerBudget, RetryLimit, ServeBounds, ServeContext,
+    ServeIdentity, ServeOutcome, UpstreamEntry, VersionLimits,
 };
 use guava_types::{LinkRate, Moment};
 use http::{HeaderMap, Request, StatusCode};
@@ -83,7 +84,7 @@
         config_limit_ms: 2_000,
         retries: RetryLimit { ratio: 1.0, slack: 100.0, is_first_start: false },
         cold_times: 1.0,
-        held_bytes: 1 << 20,
+        clients: ClientLimits { bytes: 1 << 20, connections: 100, socket_buffer_bytes: 64 << 10 },
         renewal_ms: 1_200,
         link: LinkRate(125_000_000),
     };
@@ -96,6 +97,18 @@
     context
 }
 
+/// A listener's part of a context's budget.
+pub fn listener_budget(context: &ServeContext) -> ListenerBudget {
+    let places = ListenerPlaces { name: "callers", most_permille: 1_000 };
+    ListenerBudget { clients: context.clients.clone(), places }
+}
+
+/// Limits of a listener's connections.
+pub fn connection_limits() -> ConnectionLimits {
+    let times = ClientTimes { idle_ms: 5_000, head_ms: 5_000, answer_ms: 10_000 };
+    ConnectionLimits { header_bytes: 8_192, times }
+}
+
 /// Result of a request as its caller sees it.
 #[derive(Debug, PartialEq)]
 pub enum CallerResult {
--- a/crates/guavatiller/tests/events.rs
+++ b/crates/guavatiller/tests/events.rs
@@ -9,6 +9,7 @@
 fn catalogue() -> impl Iterator<Item = &'static LogEvent> {
     let crates = [
         guava_log::CATALOGUE,
+        guava_clients::events::CATALOGUE,
         guava_daemon::events::CATALOGUE,
         guava_serve::events::CATALOGUE,
         guava_platform::events::CATALOGUE,
