fix: of a prompt's parts the first 64 are looked at

Cause: parts were bounded by the head alone. The rest of such a prompt is prefilled as if nobody had described it; the request goes to its upstream unchanged.

--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -87,7 +87,9 @@
     EnginePort, EngineReport, FreeOrder, LeasePort, LeaseUpdate, LoadOrder, PartList, PartPort,
     PartReport, PortError, PortFuture, QuarantinePort, VersionPort,
 };
-pub use request::accepted_request::{AcceptedRequest, PromptPart, PromptShape, RequestHead};
+pub use request::accepted_request::{
+    AcceptedRequest, MAX_PROMPT_PARTS, PromptPart, PromptShape, RequestHead,
+};
 pub use request::admit::{AdmitRefusal, AdmittedCaller, admit};
 pub use request::answer_body::{AnswerBody, InterruptedStream};
 pub use request::answer_timeout::{first_answer_timeout_ms, return_after_ms};
--- a/crates/guava-serve/src/request/accepted_request.rs
+++ b/crates/guava-serve/src/request/accepted_request.rs
@@ -16,6 +16,10 @@
     pub tokens: TokenCount,
 }
 
+/// Parts of a prompt that are described at most. Choosing an engine looks at each part for each engine;
+/// what follows is prefilled like a prompt that nobody described.
+pub const MAX_PROMPT_PARTS: usize = 64;
+
 /// Properties of a prompt that are known without parsing it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptShape {
