fix: one budget of what clients hold of a daemon of the own interface

What callers saw: 60 clients, without a key too, that send 7 of 8 MB and stop took a daemon 479 MB (docs/CAPACITY.md gives it 256); three HTTP/2 connections 1,331 MB; 600 idle connections at the peers' listener, with 400 descriptors, left ordinary calls without an answer.

Bodies were read before the key was looked at, without a time limit or a bound of their sum; messages of peers too; connections had no bound; 4,096 streams a connection each had windows and buffers; an accept that failed for lack of descriptors was tried again at once, for ever.

Now the three listeners share a ClientBudget (client_memory_mb, 96, and client_connections, 4,096, or fewer where the system allows fewer descriptors, looked at again four times a second). The key is looked at first; bodies end with the request's time; what finds no memory is refused as overloaded, with when to come back.

POST /v1/address answers a malformed body in the form of other refusals now.

--- a/crates/guava-daemon/src/address.rs
+++ b/crates/guava-daemon/src/address.rs
@@ -1,19 +1,25 @@
 //! Which addresses callers are told to use.
 
-use crate::caller_request::{SharedContext, authenticate};
+use crate::caller_request::{
+    SharedContext, authenticate, bad_request, finish, new_request_id, read_body,
+};
 use crate::context::DaemonContext;
 use crate::daemon_phase::DaemonPhase;
 use crate::lock::locked;
+use crate::outcome::CallOutcome;
 use axum::Json;
 use axum::body::Body;
-use axum::extract::{Query, State};
-use axum::http::{HeaderMap, Response};
+use axum::extract::{Query, Request, State};
+use axum::http::Response;
 use axum::response::IntoResponse;
 use guava_policy::prefix_chain;
-use guava_types::{CustomerId, DataCentre, ModelName, Moment};
+use guava_types::{CustomerId, DataCentre, Deadline, ModelName, Moment};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// Time in which the prompt must be complete, in milliseconds.
+const BODY_MS: u64 = 30_000;
+
 /// Where the caller stands.
 #[derive(Deserialize)]
 pub struct AddressQuery {
@@ -88,10 +94,25 @@
 pub async fn post_address(
     State(context): SharedContext,
     Query(query): Query<AddressQuery>,
-    headers: HeaderMap,
-    Json(body): Json<AffinityBody>,
+    incoming: Request,
 ) -> Response<Body> {
-    let customer = authenticate(&context, &headers);
+    let (parts, body) = incoming.into_parts();
+    let deadline = Deadline::in_millis(BODY_MS);
+    let body = match read_body(body, parts.extensions.get(), deadline).await {
+        Ok(body) => body,
+        Err(fault) => {
+            let outcome = CallOutcome::refused(Some(1), fault.refusal());
+            return finish(&context, &new_request_id(), outcome);
+        }
+    };
+    let body: AffinityBody = match serde_json::from_slice(&body.bytes) {
+        Ok(body) => body,
+        Err(error) => {
+            let outcome = bad_request(Some(1), format!("body: {error}"));
+            return finish(&context, &new_request_id(), outcome);
+        }
+    };
+    let customer = authenticate(&context, &parts.headers);
     let owner = customer.and_then(|customer| owner_address(&context, &customer, &body));
     address_answer(&context, query.data_centre.as_ref(), owner)
 }
--- a/crates/guava-daemon/src/caller_request.rs
+++ b/crates/guava-daemon/src/caller_request.rs
@@ -12,6 +12,7 @@
 use axum::response::IntoResponse;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use guava_clients::{ConnectionAccount, HeldBytes};
 use guava_log::log_event;
 use guava_types::{CustomerId, Deadline};
 use std::sync::Arc;
@@ -41,18 +42,69 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-/// Reads a body to its end; nothing if it is too long or breaks off.
-pub(crate) async fn read_body(body: Body) -> Option<Bytes> {
+/// Why a body was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyFault {
+    /// It is longer than accepted.
+    TooLong,
+    /// It broke off, or its caller's time ended first.
+    Incomplete,
+    /// Clients hold as much as they may.
+    NoMemory,
+}
+
+impl BodyFault {
+    /// The refusal of the body's request.
+    pub(crate) fn refusal(self) -> Refusal {
+        match self {
+            Self::TooLong => {
+                let reason = format!("body: over {MAX_BODY_BYTES} bytes");
+                Refusal::final_one(RefusalKind::TOO_LARGE, reason)
+            }
+            Self::Incomplete => {
+                let reason = "body: broken off, or not complete within the request's time";
+                Refusal::final_one(RefusalKind::BAD_REQUEST, reason)
+            }
+            Self::NoMemory => {
+                let reason = "this daemon holds as much for its clients as it may";
+                Refusal::later(RefusalKind::OVERLOADED, reason, COME_BACK_MS)
+            }
+        }
+    }
+}
+
+/// A body that was read to its end, and its share of what clients may hold.
+pub(crate) struct ReadBody {
+    pub(crate) bytes: Bytes,
+    _held: Option<HeldBytes>,
+}
+
+/// Reads a body to its end, on account of the connection that it came on.
+pub(crate) async fn read_body(
+    body: Body,
+    account: Option<&ConnectionAccount>,
+    deadline: Deadline,
+) -> Result<ReadBody, BodyFault> {
+    let _reading = account.map(ConnectionAccount::begin_body);
+    let mut held = account.map(ConnectionAccount::hold_nothing);
     let mut data = body.into_data_stream();
     let mut bytes = BytesMut::new();
-    while let Some(piece) = data.next().await {
-        bytes.extend_from_slice(&piece.ok()?);
-        if bytes.len() > MAX_BODY_BYTES {
+    loop {
+        let piece = match timeout(deadline.time_left(), data.next()).await {
+            Ok(Some(Ok(piece))) => piece,
+            Ok(None) => return Ok(ReadBody { bytes: bytes.freeze(), _held: held }),
+            Ok(Some(Err(_))) | Err(_) => return Err(BodyFault::Incomplete),
+        };
+        if bytes.len() + piece.len() > MAX_BODY_BYTES {
+            drop((bytes, held));
             drain(data).await;
-            return None;
+            return Err(BodyFault::TooLong);
+        }
+        if held.as_mut().is_some_and(|held| !held.grow(piece.len())) {
+            return Err(BodyFault::NoMemory);
         }
+        bytes.extend_from_slice(&piece);
     }
-    Some(bytes.freeze())
 }
 
 /// Reads the body of a request that is refused without it.
--- a/crates/guava-daemon/src/context.rs
+++ b/crates/guava-daemon/src/context.rs
@@ -22,6 +22,7 @@
 use crate::shared_state::SharedState;
 use crate::stream_id::StreamSecret;
 use crate::work_gauge::WorkGauge;
+use guava_clients::ClientBudget;
 use guava_outside::{LogClient, StoreReport, VmListClient, WeightStoreClient};
 use guava_policy::{LinkTable, LoadTable, RetryBudget};
 use guava_state::{FreshnessInput, FreshnessVerdict, PeerObservation};
@@ -84,6 +85,8 @@
     pub metrics: MetricSink,
     /// Requests in progress.
     pub work: WorkGauge,
+    /// What clients hold of this daemon.
+    pub clients: ClientBudget,
     /// Signs event ids.
     pub secret: StreamSecret,
     /// The platform.
@@ -108,6 +111,8 @@
     pub links: PeerLinks,
     /// Metrics.
     pub metrics: MetricSink,
+    /// What clients hold of this daemon.
+    pub clients: ClientBudget,
     /// Signs event ids.
     pub secret: StreamSecret,
 }
@@ -137,6 +142,7 @@
             decisions: DecisionLog::default(),
             metrics: parts.metrics,
             work: WorkGauge::default(),
+            clients: parts.clients,
             secret: parts.secret,
             platform: PlatformClients {
                 log: LogClient { address: platform.log },
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -2,8 +2,8 @@
 
 use crate::address::{get_address, post_address};
 use crate::caller_request::{
-    MAX_BODY_BYTES, SharedContext, bad_request, caller_info, finish, header, new_request_id,
-    parse_attempt, read_body, with_request,
+    MAX_BODY_BYTES, SharedContext, bad_request, caller_info, drain_body, finish, header,
+    new_request_id, parse_attempt, read_body, with_request,
 };
 use crate::completion::{
     CallerInfo, CompletionRequest, RunHolds, StartedRun, check_readiness, collect_run, note_import,
@@ -33,24 +33,29 @@
     let request = new_request_id();
     let arrived = Moment::now();
     let (parts, body) = incoming.into_parts();
-    let body = read_body(body).await;
     let caller = match caller_info(&context, &request, &parts.headers) {
         Ok(caller) => caller,
-        Err(outcome) => return finish(&context, &request, outcome),
+        Err(outcome) => {
+            drain_body(body).await;
+            return finish(&context, &request, outcome);
+        }
     };
-    let Some(body) = body else {
-        let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
-        let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
-        return finish(&context, &request, CallOutcome::refused(caller.attempt, refusal));
+    let account = parts.extensions.get();
+    let body = match read_body(body, account, caller.deadline).await {
+        Ok(body) => body,
+        Err(fault) => {
+            let outcome = CallOutcome::refused(caller.attempt, fault.refusal());
+            return finish(&context, &request, outcome);
+        }
     };
-    let completion = match CompletionRequest::parse(&body) {
+    let completion = match CompletionRequest::parse(&body.bytes) {
         Ok(completion) => completion,
         Err(reason) => {
             return finish(&context, &request, bad_request(caller.attempt, reason));
         }
     };
     context.metrics.count("completion.requests");
-    let digest = RequestDigest::of(caller.customer.as_str(), COMPLETIONS_PATH, &body);
+    let digest = RequestDigest::of(caller.customer.as_str(), COMPLETIONS_PATH, &body.bytes);
     let caller = CallerInfo { digest: Some(digest), ..caller };
     match start_completion(&context, &caller, &completion).await {
         Ok(run) => {
--- a/crates/guava-daemon/src/lib.rs
+++ b/crates/guava-daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod call_forward;
 mod call_table;
 mod caller_request;
+mod client_task;
 mod completion;
 mod context;
 mod crash_table;
--- a/crates/guava-daemon/src/metrics.rs
+++ b/crates/guava-daemon/src/metrics.rs
@@ -30,6 +30,11 @@
         drop(self.client.count(name, 1));
     }
 
+    /// Counts so many events.
+    pub fn count_many(&self, name: &str, count: u64) {
+        drop(self.client.count(name, count));
+    }
+
     /// Records a time in milliseconds.
     pub fn time_ms(&self, name: &str, millis: u64) {
         drop(self.client.time(name, millis));
--- a/crates/guava-daemon/src/service_front.rs
+++ b/crates/guava-daemon/src/service_front.rs
@@ -3,8 +3,8 @@
 use crate::announcement_handler::{note_announcements, pass};
 use crate::call_dispatch::{call_once, come_back_ms, open_instances};
 use crate::caller_request::{
-    KEY_HEADER, MAX_BODY_BYTES, SharedContext, bad_request, caller_info, drain_body, finish,
-    header, new_request_id, read_body,
+    KEY_HEADER, SharedContext, bad_request, caller_info, drain_body, finish, header,
+    new_request_id, read_body,
 };
 use crate::completion::{CallerInfo, check_readiness};
 use crate::context::DaemonContext;
@@ -65,10 +65,9 @@
         let refusal = Refusal::final_one(RefusalKind::NO_SUCH, reason);
         return CallOutcome::refused(caller.attempt, refusal);
     };
-    let Some(body) = read_body(body).await else {
-        let reason = format!("body: over {MAX_BODY_BYTES} bytes or broken off");
-        let refusal = Refusal::final_one(RefusalKind::TOO_LARGE, reason);
-        return CallOutcome::refused(caller.attempt, refusal);
+    let body = match read_body(body, parts.extensions.get(), caller.deadline).await {
+        Ok(body) => body,
+        Err(fault) => return CallOutcome::refused(caller.attempt, fault.refusal()),
     };
     let query = parts.uri.query().map_or(String::new(), |query| format!("?{query}"));
     let content_type = header(&parts.headers, "content-type").unwrap_or("application/octet-stream");
@@ -78,7 +77,7 @@
             method: parts.method,
             path: path.into(),
             content_type: content_type.into(),
-            body,
+            body: body.bytes.clone(),
             customer: caller.customer.to_string().into(),
             key: header(&parts.headers, KEY_HEADER).unwrap_or("").into(),
         };
@@ -103,7 +102,7 @@
         method: parts.method,
         path: path.into(),
         content_type: content_type.into(),
-        body,
+        body: body.bytes.clone(),
     };
     call_once(context, call).await
 }
--- a/crates/guava-daemon/src/settings.rs
+++ b/crates/guava-daemon/src/settings.rs
@@ -71,6 +71,10 @@
     pub snapshot_every_ms: u64,
     /// Most upstreams that this daemon watches and routes to.
     pub watch_limit: u64,
+    /// Memory that clients may hold, in megabytes.
+    pub client_memory_mb: u64,
+    /// Connections of clients that may be open.
+    pub client_connections: u64,
     /// Least severe log level: error, warn, info or debug.
     pub log_level: Box<str>,
     /// Where metrics are sent, as StatsD over UDP; nowhere if absent.
@@ -132,6 +136,8 @@
             snapshot_every_records: read.number_or("snapshot_every_records", 10, 1_000_000, 2_000),
             snapshot_every_ms: read.number_or("snapshot_every_ms", 1_000, 86_400_000, 600_000),
             watch_limit: read.number_or("watch_limit", 1, 10_000, 48),
+            client_memory_mb: read.number_or("client_memory_mb", 8, 1_048_576, 96),
+            client_connections: read.number_or("client_connections", 1, 1_000_000, 4_096),
             log_level: read.choice_or("log_level", &["error", "warn", "info", "debug"], "info"),
             metrics: read.optional("metrics", ADDRESS),
         };
--- a/crates/guava-daemon/src/start.rs
+++ b/crates/guava-daemon/src/start.rs
@@ -1,10 +1,11 @@
 //! Starts a daemon: one thread and one runtime for each duty, and waits for the signal to stop.
 
 use crate::append_ring::AppendRing;
+use crate::client_task::client_limits;
 use crate::context::{ContextParts, DaemonContext};
 use crate::events;
 use crate::export_ring::ExportRing;
-use crate::listener::serve_listener;
+use crate::listener::{ListenerRules, serve_listener};
 use crate::log_task::LogTask;
 use crate::metrics::MetricSink;
 use crate::operator_server::operator_service;
@@ -14,8 +15,9 @@
 use crate::shutdown::{drain, wait_for_signal};
 use crate::stream_id::{SecretError, StreamSecret};
 use crate::tls::{PeerTls, TlsError, TlsKeeper};
-use crate::{cache_task, front, gossip_task, order_task, watch_task};
+use crate::{cache_task, client_task, front, gossip_task, order_task, watch_task};
 use axum::Router;
+use guava_clients::ClientBudget;
 use guava_log::log_event;
 use guava_log::{LogError, set_up_logging};
 use snafu::{ResultExt, Snafu};
@@ -87,9 +89,10 @@
     tls: Option<TlsKeeper>,
 }
 
-fn bind(settings: &ListenSettings) -> Result<BoundListener, StartError> {
+fn bind(settings: &ListenSettings, clients: &ClientBudget) -> Result<BoundListener, StartError> {
     let address = settings.listen;
     let bound = std::net::TcpListener::bind(address).and_then(|listener| {
+        clients.bound_buffers(&listener)?;
         listener.set_nonblocking(true)?;
         Ok(listener)
     });
@@ -100,6 +103,7 @@
 async fn serve(
     bound: BoundListener,
     router: Router,
+    rules: ListenerRules,
     context: Arc<DaemonContext>,
     stop: watch::Receiver<bool>,
 ) {
@@ -113,7 +117,7 @@
     if let Some(keeper) = bound.tls.clone() {
         tokio::spawn(keeper.watch(move || context.links.reconnect()));
     }
-    serve_listener(listener, bound.tls, router, stop).await;
+    serve_listener(listener, bound.tls, router, rules, stop).await;
 }
 
 /// Runs a daemon until it is told to stop and has finished what ran.
@@ -121,15 +125,16 @@
     let log = set_up_logging(&settings.log_level, LOG_LINES_PER_S).context(LoggingSnafu)?;
     guava_outside::set_source(settings.source_ip);
     let secret = StreamSecret::read(&settings.secret_file).context(SecretSnafu)?;
-    let callers = bind(&settings.callers)?;
-    let peers = bind(&settings.peers)?;
-    let operators = bind(&settings.operators)?;
+    let clients = ClientBudget::new(client_limits(&settings));
+    let callers = bind(&settings.callers, &clients)?;
+    let peers = bind(&settings.peers, &clients)?;
+    let operators = bind(&settings.operators, &clients)?;
     let (appends, commands) = AppendRing::new();
     let (exports, notes) = ExportRing::new();
     let peer_tls = settings.peers.tls.as_ref().map(PeerTls::new);
     let links = PeerLinks::new(settings.source_ip, peer_tls);
     let metrics = MetricSink::new(settings.metrics);
-    let parts = ContextParts { settings, appends, exports, links, metrics, secret };
+    let parts = ContextParts { settings, appends, exports, links, metrics, clients, secret };
     let context = Arc::new(DaemonContext::new(parts));
     log_event!(info, events::STARTED, name = context.settings.name, incarnation = context.me);
     let stop = watch::Sender::new(false);
@@ -144,6 +149,8 @@
     start_duty("cache", move || cache_task::run(shared, notes))?;
     let shared = Arc::clone(&context);
     start_duty("orders", move || order_task::run(shared))?;
+    let shared = Arc::clone(&context);
+    start_duty("clients", move || client_task::run(shared))?;
 
     let mut listeners = Vec::new();
     for (name, bound) in [("front", callers), ("peers", peers), ("operators", operators)] {
@@ -157,7 +164,8 @@
                 _ => tonic::service::Routes::new(operator_service(Arc::clone(&shared)))
                     .into_axum_router(),
             };
-            serve(bound, router, shared, stopped).await;
+            let rules = ListenerRules::new(name, shared.clients.clone());
+            serve(bound, router, rules, shared, stopped).await;
         })?);
     }
     wait_and_drain(&context)?;
