test: each part of the clients' budget is missed by a test if it is taken out

On a scratch copy 19 parts were taken out one by one; five were seen by no test: the least time of standing still, idle connections that give no bytes, the charge of a head and of the kernel's buffers, and the turns, whose test had no connection with requests sent ahead.

--- a/crates/guava-clients/tests/client_budget.rs
+++ b/crates/guava-clients/tests/client_budget.rs
@@ -220,3 +220,67 @@
 
     assert!(!is_closed(&account).await);
 }
+
+#[tokio::test]
+async fn client_that_stood_still_for_a_moment_is_closed_for_none() {
+    let budget = ClientBudget::new(LIMITS);
+    let account = open(&budget);
+    let (_body, _bytes) = (account.begin_body(), account.hold(900_000).unwrap());
+    pass(&budget, 0, 250);
+
+    let refused = budget.hold(200_000);
+
+    assert!(refused.is_none());
+    assert!(!is_closed(&account).await);
+}
+
+#[tokio::test]
+async fn connection_that_has_served_and_waits_is_closed_for_no_bytes() {
+    let budget = ClientBudget::new(LIMITS);
+    let waiting = open(&budget);
+    drop(waiting.begin_request());
+    pass(&budget, 0, 5_000);
+
+    let refused = budget.hold(2 << 20);
+
+    assert!(refused.is_none());
+    assert!(!is_closed(&waiting).await);
+}
+
+#[tokio::test]
+async fn head_counts_from_its_first_byte_until_its_request_begins() {
+    let budget = ClientBudget::new(LIMITS);
+    let account = open(&budget);
+    let (mut served, mut client) = connected(&account).await;
+    client.write_all(&[b'h'; 3_000]).await.unwrap();
+
+    served.read_exact(&mut [0; 3_000]).await.unwrap();
+    let held = budget.levels().bytes;
+    let _service = account.begin_request();
+
+    assert_eq!(held, CONNECTION_BYTES + 6_000);
+    assert_eq!(budget.levels().bytes, CONNECTION_BYTES);
+}
+
+#[tokio::test]
+async fn kernel_buffers_count_while_a_client_sends_ahead_or_takes_nothing() {
+    let budget = ClientBudget::new(LIMITS);
+    let account = open(&budget);
+    let (mut served, mut client) = connected(&account).await;
+    let service = account.begin_request();
+    client.write_all(&[b'h'; 100]).await.unwrap();
+    served.read_exact(&mut [0; 100]).await.unwrap();
+    let ahead = budget.levels().bytes;
+    let writing = async { while served.write_all(&[b'a'; 65_536]).await.is_ok() {} };
+    assert!(timeout(Duration::from_millis(500), writing).await.is_err());
+    let blocked = budget.levels().bytes;
+    drop(service);
+
+    let draining = timeout(Duration::from_millis(50), served.read_exact(&mut [0; 1])).await;
+    served.flush().await.unwrap();
+
+    assert!(draining.is_err());
+    assert_eq!(ahead, CONNECTION_BYTES + LIMITS.socket_buffer_bytes);
+    assert_eq!(blocked, CONNECTION_BYTES + 2 * LIMITS.socket_buffer_bytes);
+    assert_eq!(budget.levels().bytes, CONNECTION_BYTES);
+}
