refactor: one place for the room of a body, and no limit of bodies that nobody meets

The own interface's body limit for extractors has had no extractor since POST /v1/address reads its body like the others, whose limit is the same. No behaviour changes; formatter and linter, endless_answers, bad_input, layout, events and hostile_clients pass.

--- a/crates/guava-clients/src/client_budget.rs
+++ b/crates/guava-clients/src/client_budget.rs
@@ -57,7 +57,7 @@
         self.table.lock().evict(CloseReason::Places, |_, _| true);
     }
 
-    /// Bounds the kernel's buffers of a listener's connections, left to themselves the system grows them by
+    /// Bounds the kernel's buffers of a listener's connections, which the system would otherwise grow by
     /// megabytes; fails with the error of the system call.
     pub fn bound_buffers<S: AsFd>(&self, listener: &S) -> std::io::Result<()> {
         let socket = SockRef::from(listener);
--- a/crates/guava-clients/src/client_limits.rs
+++ b/crates/guava-clients/src/client_limits.rs
@@ -39,7 +39,7 @@
 /// One listener's share of the places, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListenerPlaces {
-    /// Name in logs.
+    /// Name, by which the listener is told from the others.
     pub name: &'static str,
     /// Most of all places that its connections may take.
     pub most_permille: usize,
--- a/crates/guava-daemon/src/front.rs
+++ b/crates/guava-daemon/src/front.rs
@@ -2,8 +2,8 @@
 
 use crate::address::{get_address, post_address};
 use crate::caller_request::{
-    MAX_BODY_BYTES, SharedContext, bad_request, caller_info, drain_body, finish, header,
-    new_request_id, parse_attempt, read_body, with_request,
+    SharedContext, bad_request, caller_info, drain_body, finish, header, new_request_id,
+    parse_attempt, read_body, with_request,
 };
 use crate::completion::{
     CallerInfo, CompletionRequest, RunHolds, StartedRun, check_readiness, collect_run, note_import,
@@ -17,7 +17,7 @@
 use crate::run_feed::{FeedStep, RunFeed};
 use crate::service_front::call_service;
 use axum::body::Body;
-use axum::extract::{DefaultBodyLimit, Request, State};
+use axum::extract::{Request, State};
 use axum::http::{HeaderMap, Method, Response, StatusCode};
 use axum::response::IntoResponse;
 use axum::routing::{any, get, post};
@@ -203,6 +203,5 @@
         .route("/v1/services/{service}/{*path}", any(call_service))
         .route("/readyz", get(ready))
         .fallback(no_route)
-        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .with_state(context)
 }
--- a/crates/guava-serve/src/lib.rs
+++ b/crates/guava-serve/src/lib.rs
@@ -122,6 +122,7 @@
 pub use upstreams::announcement_watch::note_announcements;
 pub use upstreams::answer_part::AnswerPart;
 pub use upstreams::answered_parts::AnsweredParts;
+pub use upstreams::bounded_body::first_capacity;
 pub use upstreams::broken_send_table::BrokenSendTable;
 pub use upstreams::connection_pool::{
     ConnectionPool, ConnectionUse, ExchangeError, UpstreamConnection,
--- a/crates/guava-serve/src/upstreams/bounded_body.rs
+++ b/crates/guava-serve/src/upstreams/bounded_body.rs
@@ -62,7 +62,7 @@
 }
 
 /// Room that is made for a body of known length, so that it does not take twice as much as it grows.
-fn first_capacity(body: &Incoming, limit: usize) -> usize {
+pub fn first_capacity(body: &Incoming, limit: usize) -> usize {
     let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
     length.filter(|length| *length <= limit).unwrap_or(0)
 }
