Review: a store's quick restart lets a request read a part that is being written

A request that was sent before a store of KV cache crashed fetches a part after its restart, while another request has it written there again.

Cause, as far as known: PartIndex::is_settled takes a restarted store for settled as soon as it holds any part, also one whose save was ordered before the crash.

--- /dev/null
+++ b/review/world-2/main.rs
@@ -0,0 +1,45 @@
+//! Plays one case of the review: `world CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
+//! held, 2 if the case could not run. With TROUBLE=0 the disruption is left out.
+
+#![allow(dead_code)]
+
+mod config;
+mod fast_restart;
+mod lost_event;
+mod world;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use world::Record;
+
+/// How a case ended.
+pub enum Outcome {
+    Held,
+    Broken(String),
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
+        eprintln!("world CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let record = Record::new();
+    record.note(format!("case {case}, with the disruption: {has_trouble}"));
+    let outcome = match &*case {
+        "fast-restart" => fast_restart::play(&record, has_trouble),
+        "lost-event" => lost_event::play(&record, has_trouble),
+        _ => Outcome::NotRun("no such case".to_owned()),
+    };
+    let (code, text) = match outcome {
+        Outcome::Held => (0, "the rule held".to_owned()),
+        Outcome::Broken(text) => (1, format!("the rule was broken: {text}")),
+        Outcome::NotRun(text) => (2, format!("the case could not run: {text}")),
+    };
+    record.note(&text);
+    record.write(&PathBuf::from(folder).join("record.txt"));
+    println!("{text}");
+    ExitCode::from(code)
+}
