--- a/review/world-2/world.rs
+++ b/review/world-2/world.rs
@@ -214,6 +214,8 @@
     pub address: SocketAddr,
     handler: Handler,
     run: Arc<Mutex<Option<Run>>>,
+    /// Addresses whose connections are closed at once.
+    cut: Arc<Mutex<Vec<IpAddr>>>,
 }
 
 struct Run {
@@ -228,7 +230,7 @@
         address: SocketAddr,
         handler: impl Fn(&Message, &mut Wire) -> bool + Send + Sync + 'static,
     ) -> Self {
-        let listener = Self { address, handler: Arc::new(handler), run: Arc::default() };
+        let listener = Self { address, handler: Arc::new(handler), run: Arc::default(), cut: Arc::default() };
         listener.up();
         listener
     }
@@ -240,12 +242,16 @@
             (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let (stopped, known, handler) =
             (Arc::clone(&stop), Arc::clone(&connections), Arc::clone(&self.handler));
+        let cut = Arc::clone(&self.cut);
         let thread = spawn(move || {
             while !stopped.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
+                let Ok((stream, peer)) = listener.accept() else {
                     sleep(ms(1));
                     continue;
                 };
+                if lock(&cut).contains(&peer.ip()) {
+                    continue;
+                }
                 drop(stream.set_nonblocking(false));
                 if let Ok(copy) = stream.try_clone() {
                     lock(&known).push(copy);
@@ -273,6 +279,15 @@
         lock(&run.connections).iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
 
+    /// Ends the connections from an address, and new ones as soon as they are accepted, or no more.
+    pub fn set_cut(&self, from: IpAddr, is_cut: bool) {
+        lock(&self.cut).retain(|known| *known != from);
+        if is_cut {
+            lock(&self.cut).push(from);
+            self.reset_connections(from);
+        }
+    }
+
     /// Ends all open connections from an address.
     pub fn reset_connections(&self, from: IpAddr) {
         let Some(run) = &*lock(&self.run) else { return };
@@ -319,6 +334,8 @@
 #[derive(Clone)]
 pub struct LogStore {
     state: Arc<(Mutex<Topics>, Condvar)>,
+    /// Whether it answers all calls with 503.
+    is_down: Arc<AtomicBool>,
     pub address: SocketAddr,
 }
 
@@ -348,7 +365,8 @@
 
 impl LogStore {
     pub fn start() -> Self {
-        let store = Self { state: Arc::default(), address: free_address() };
+        let store =
+            Self { state: Arc::default(), is_down: Arc::default(), address: free_address() };
         let own = store.clone();
         Listener::start(store.address, move |request, wire| {
             let bytes = own.answer(request);
@@ -366,7 +384,16 @@
         self.state.1.notify_all();
     }
 
+    /// Has it answer all calls with 503, or serve again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.state.1.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> Vec<u8> {
+        if self.is_down.load(Ordering::SeqCst) {
+            return answer(503, &[], b"");
+        }
         let topic = request.query("topic").unwrap_or_default().to_owned();
         let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
         match request.path() {
@@ -624,12 +651,22 @@
         })
     }
 
-    /// Saves a part; returns once it is saved, or at once if it is lost.
-    pub fn save(&self, name: PartName, tokens: u64, zone: &str, request: &str) {
+    /// Saves a part; returns once it is saved, or at once if it is lost. It breaks off with its server.
+    pub fn save(
+        &self,
+        name: PartName,
+        tokens: u64,
+        zone: &str,
+        request: &str,
+        is_dead: &AtomicBool,
+    ) {
         let (ends, epoch, is_freed) = {
             let mut state = lock(&self.state.0);
             let used: u64 = state.parts.values().map(|part| part.tokens).sum();
-            if state.epoch == 0 || state.parts.contains_key(&name) || used + tokens > self.capacity
+            if is_dead.load(Ordering::SeqCst)
+                || state.epoch == 0
+                || state.parts.contains_key(&name)
+                || used + tokens > self.capacity
             {
                 return;
             }
@@ -648,6 +685,10 @@
         if state.epoch != epoch || is_freed.load(Ordering::SeqCst) {
             return;
         }
+        if is_dead.load(Ordering::SeqCst) {
+            self.record.note(format!("store {}: the save of part {} broke off", self.name, name.1));
+            return;
+        }
         if let Some(part) = state.parts.get_mut(&name) {
             part.is_whole = true;
         }
@@ -803,6 +844,8 @@
     pub runs: Arc<Mutex<Vec<ServerRun>>>,
     /// Where it writes its entry when its weights change.
     registry: Arc<Mutex<Option<LogStore>>>,
+    listener: Arc<Mutex<Option<Listener>>>,
+    is_dead: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -841,10 +884,14 @@
             stores: Arc::clone(stores),
             runs: Arc::default(),
             registry: Arc::default(),
+            listener: Arc::default(),
+            is_dead: Arc::default(),
             record: record.clone(),
         };
         let own = engine.clone();
-        Listener::start(engine.address, move |request, wire| own.serve(request, wire));
+        let listener =
+            Listener::start(engine.address, move |request, wire| own.serve(request, wire));
+        *lock(&engine.listener) = Some(listener);
         engine
     }
 
@@ -865,6 +912,30 @@
         engine
     }
 
+    /// Ends it as a crash would; what runs in it ends too.
+    pub fn crash(&self) {
+        self.is_dead.store(true, Ordering::SeqCst);
+        if let Some(listener) = &*lock(&self.listener) {
+            listener.crash();
+        }
+        self.record.note(format!("{} crashes", self.id));
+    }
+
+    /// Has it write its entry whenever its weights change.
+    pub fn enlist(&self, log: &LogStore) {
+        *lock(&self.registry) = Some(log.clone());
+    }
+
+    /// The weights that it has.
+    pub fn version(&self) -> u64 {
+        lock(&self.state.0).version
+    }
+
+    /// Sets the weights of a server that starts.
+    pub fn set_version(&self, version: u64) {
+        lock(&self.state.0).version = version;
+    }
+
     /// Its entry in the store.
     pub fn entry(&self, state: &str) -> String {
         let version = lock(&self.state.0).version;
@@ -1110,6 +1181,9 @@
             }
         }
         sleep(ms((lacking as f64 / TOKENS_PER_MS) as u64 + FIRST_TOKEN_MS));
+        if self.is_dead.load(Ordering::SeqCst) {
+            return;
+        }
         let saves: Vec<(CacheStore, PartName, u64)> = parts
             .iter()
             .enumerate()
@@ -1120,11 +1194,11 @@
             })
             .collect();
         parts.iter().for_each(|(name, tokens)| self.cache(name, *tokens));
-        let (zone, request) = (self.zone, id.to_owned());
+        let (engine, request) = (self.clone(), id.to_owned());
         spawn(move || {
-            saves
-                .into_iter()
-                .for_each(|(store, name, tokens)| store.save(name, tokens, zone, &request))
+            for (store, name, tokens) in saves {
+                store.save(name, tokens, engine.zone, &request, &engine.is_dead);
+            }
         });
     }
 
@@ -1153,6 +1227,9 @@
             ));
             return false;
         }
+        if self.is_dead.load(Ordering::SeqCst) {
+            return false;
+        }
         if lock(&store.state.0).epoch != fetch.epoch {
             self.record.note(format!(
                 "{}: the fetch of part {} for {id} broke off with its store",
