--- a/review/world-2/world.rs
+++ b/review/world-2/world.rs
@@ -230,7 +230,8 @@
         address: SocketAddr,
         handler: impl Fn(&Message, &mut Wire) -> bool + Send + Sync + 'static,
     ) -> Self {
-        let listener = Self { address, handler: Arc::new(handler), run: Arc::default(), cut: Arc::default() };
+        let listener =
+            Self { address, handler: Arc::new(handler), run: Arc::default(), cut: Arc::default() };
         listener.up();
         listener
     }
@@ -336,6 +337,8 @@
     state: Arc<(Mutex<Topics>, Condvar)>,
     /// Whether it answers all calls with 503.
     is_down: Arc<AtomicBool>,
+    /// Topics for which it answers all calls with 503.
+    down_topics: Arc<Mutex<Vec<String>>>,
     pub address: SocketAddr,
 }
 
@@ -365,8 +368,12 @@
 
 impl LogStore {
     pub fn start() -> Self {
-        let store =
-            Self { state: Arc::default(), is_down: Arc::default(), address: free_address() };
+        let store = Self {
+            state: Arc::default(),
+            is_down: Arc::default(),
+            down_topics: Arc::default(),
+            address: free_address(),
+        };
         let own = store.clone();
         Listener::start(store.address, move |request, wire| {
             let bytes = own.answer(request);
@@ -384,6 +391,15 @@
         self.state.1.notify_all();
     }
 
+    /// Has it answer all calls for one topic with 503, or serve them again.
+    pub fn set_topic_down(&self, topic: &str, is_down: bool) {
+        let mut topics = lock(&self.down_topics);
+        topics.retain(|known| known != topic);
+        if is_down {
+            topics.push(topic.to_owned());
+        }
+    }
+
     /// Has it answer all calls with 503, or serve again.
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::SeqCst);
@@ -395,6 +411,9 @@
             return answer(503, &[], b"");
         }
         let topic = request.query("topic").unwrap_or_default().to_owned();
+        if lock(&self.down_topics).contains(&topic) {
+            return answer(503, &[], b"");
+        }
         let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
         match request.path() {
             "/api/log-append" => {
@@ -926,6 +945,11 @@
         *lock(&self.registry) = Some(log.clone());
     }
 
+    /// What ran there.
+    pub fn runs(&self) -> Vec<ServerRun> {
+        lock(&self.runs).clone()
+    }
+
     /// The weights that it has.
     pub fn version(&self) -> u64 {
         lock(&self.state.0).version
@@ -1310,6 +1334,12 @@
         Daemon { child, name, callers, readiness, directory, settings: path }
     }
 
+    /// Whether a daemon says that it is ready.
+    pub fn is_ready(&self, daemon: &Daemon) -> bool {
+        let request = b"GET /api/readiness HTTP/1.1\r\nHost: platform\r\n\r\n";
+        ask(daemon.readiness, request, 200).is_some_and(|answer| answer.status() == 200)
+    }
+
     /// Waits until all daemons are ready.
     pub fn await_ready(&self, daemons: &[Daemon]) -> bool {
         let until = Instant::now() + ms(15_000);
