--- a/review/world-2/main.rs
+++ b/review/world-2/main.rs
@@ -8,8 +8,13 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::mpsc;
+use std::time::Duration;
 use world::Record;
 
+/// After this time a case has not run; its processes are ended.
+const LONGEST_PLAY: Duration = Duration::from_secs(110);
+
 /// How a case ended.
 pub enum Outcome {
     Held,
@@ -26,11 +31,23 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let record = Record::new();
     record.note(format!("case {case}, with the disruption: {has_trouble}"));
-    let outcome = match &*case {
-        "fast-restart" => fast_restart::play(&record, has_trouble),
-        "lost-event" => lost_event::play(&record, has_trouble),
-        _ => Outcome::NotRun("no such case".to_owned()),
-    };
+    let (sender, receiver) = mpsc::channel();
+    let own = record.clone();
+    std::thread::spawn(move || {
+        let outcome = match &*case {
+            "fast-restart" => fast_restart::play(&own, has_trouble),
+            "lost-event" => lost_event::play(&own, has_trouble),
+            _ => Outcome::NotRun("no such case".to_owned()),
+        };
+        drop(sender.send(outcome));
+    });
+    let outcome = receiver.recv_timeout(LONGEST_PLAY).unwrap_or_else(|error| {
+        Outcome::NotRun(match error {
+            mpsc::RecvTimeoutError::Timeout => "it took too long".to_owned(),
+            mpsc::RecvTimeoutError::Disconnected => "the script failed".to_owned(),
+        })
+    });
+    world::end_all();
     let (code, text) = match outcome {
         Outcome::Held => (0, "the rule held".to_owned()),
         Outcome::Broken(text) => (1, format!("the rule was broken: {text}")),
--- a/review/world-2/world.rs
+++ b/review/world-2/world.rs
@@ -1185,6 +1185,7 @@
         let folder =
             std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), clock_ms()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
+        lock(&FOLDERS).push(folder.clone());
         Self { folder, store: store.address, zones: zones.to_vec() }
     }
 
@@ -1242,28 +1243,52 @@
     }
 }
 
+/// Processes that were started and have not been ended.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Folders that were made and have not been removed.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Ends what a case that did not come to its end has left.
+pub fn end_all() {
+    for id in lock(&PROCESSES).drain(..) {
+        drop(Command::new("kill").arg("-KILL").arg(id.to_string()).status());
+    }
+    if std::env::var_os("KEEP_LOGS").is_none() {
+        for folder in lock(&FOLDERS).drain(..) {
+            drop(std::fs::remove_dir_all(folder));
+        }
+    }
+}
+
 fn launch(settings: &Path, log: &Path) -> Child {
     let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log file");
     // The command of the deploy file.
-    Command::new("target/release/guavatiller")
+    let child = Command::new("target/release/guavatiller")
         .arg("platform")
         .env("GUAVATILLER_CONFIG", settings)
         .stdin(Stdio::null())
         .stdout(log)
         .spawn()
-        .expect("the program of the deploy file")
+        .expect("the program of the deploy file");
+    lock(&PROCESSES).push(child.id());
+    child
 }
 
 impl Daemon {
     pub fn kill(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
+        lock(&PROCESSES).retain(|id| *id != self.child.id());
     }
 
-    /// Has the process end as the platform does, and waits until it has ended.
+    /// Has the process end as the platform does, and waits until it has ended, for 15 s at most.
     pub fn terminate(&mut self) {
         drop(Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status());
-        drop(self.child.wait());
+        let until = Instant::now() + ms(15_000);
+        while Instant::now() < until && matches!(self.child.try_wait(), Ok(None)) {
+            sleep(ms(20));
+        }
+        self.kill();
     }
 
     /// Starts the process again with its settings, no longer as the first time.
