--- a/review/world-2/fast_restart.rs
+++ b/review/world-2/fast_restart.rs
@@ -12,7 +12,7 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
     let log = LogStore::start();
-    let cache = CacheStore::start("cache-a", "north", (206_916, 0), 10_000.0, record);
+    let cache = CacheStore::start("cache-a", "north", (206_916, 0), 27_000.0, record);
     let stores = Arc::new(vec![cache.clone()]);
     let busy = Engine::start("i-aaaa0001", "lm-a", "north", 2, 71_982, &stores, record);
     let quick = Engine::start("i-bbbb0001", "lm-b", "south", 8, 71_982, &stores, record);
--- a/review/world-2/lost_event.rs
+++ b/review/world-2/lost_event.rs
@@ -21,7 +21,7 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
     let log = LogStore::start();
-    let cache = CacheStore::start("cache-a", "north", (CAPACITY, HISTORY), 10_000.0, record);
+    let cache = CacheStore::start("cache-a", "north", (CAPACITY, HISTORY), 27_000.0, record);
     let stores = Arc::new(vec![cache.clone()]);
     let first = Engine::start("i-aaaa0001", "lm-a", "north", 8, 71_982, &stores, record);
     let second = Engine::start("i-bbbb0001", "lm-b", "south", 8, 71_982, &stores, record);
@@ -71,7 +71,7 @@
     for round in 1..=3 {
         let prefix = |own: u32| format!("{part}:{PART_TOKENS},e{round}{own:06x}:100");
         let saving = ask(0, "/short/", &format!("saving-{round}"), &prefix(1));
-        sleep(ms(400));
+        sleep(ms(350));
         let fetching = ask(1, "/long/", &format!("fetching-{round}"), &prefix(2));
         drop(saving.join());
         drop(fetching.join());
